--- /dev/null
+++ b/pollenfold/core/retries.py
@@ -0,0 +1,63 @@
+"""Retries and hedges: what may be sent again, and how often."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from .records import RequestClass
+
+
+class AttemptOutcome(Enum):
+    """How one attempt at a backend server ended."""
+
+    RESPONDED = "responded"
+    SERVER_ERROR = "server_error"
+    """A whole response with status 500, 502, 503 or 504."""
+
+    NOT_STARTED = "not_started"
+    """No byte was sent, or the server said that it did not start."""
+
+    LOST = "lost"
+    """The request was sent at least in part and no whole response came."""
+
+    EXPIRED = "expired"
+    """The deadline passed while the request was at the server."""
+
+
+def may_retry(outcome: AttemptOutcome, request_class: RequestClass) -> bool:
+    """Return whether another attempt can't make an action run twice.
+
+    A non-idempotent request is sent again only when it provably never started.
+    """
+    if outcome is AttemptOutcome.NOT_STARTED:
+        return True
+    if request_class is RequestClass.NON_IDEMPOTENT:
+        return False
+    return outcome in (AttemptOutcome.LOST, AttemptOutcome.SERVER_ERROR)
+
+
+class RatioBudget:
+    """Permits for extra requests as a share of the calls.
+
+    Each call adds ``ratio`` of a permit, up to ``burst`` permits. For example, a
+    ratio of 0.1 lets one call in ten be sent again, so that retries can't multiply
+    the load of an overloaded service.
+    """
+
+    __slots__ = ("_ratio", "_burst", "_n_permits")
+
+    def __init__(self, ratio: float, burst: float = 10.0) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._n_permits = burst
+
+    def deposit(self) -> None:
+        """Count one call."""
+        self._n_permits = min(self._burst, self._n_permits + self._ratio)
+
+    def withdraw(self) -> bool:
+        """Take a permit for one extra request; return False when there is none."""
+        if self._n_permits < 1.0:
+            return False
+        self._n_permits -= 1.0
+        return True
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -10,6 +10,7 @@
 from expression import Error, Ok, Result
 
 from .messages import Headers, Response
+from .readiness import is_readable
 
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
@@ -29,6 +30,9 @@
     BAD_RESPONSE = "bad_response"
     """The response was malformed, truncated or too long."""
 
+    TIMEOUT = "timeout"
+    """The time to wait passed; ``receive`` may be called again to go on waiting."""
+
 
 class HttpConnection:
     """A connection on which one request follows another.
@@ -38,11 +42,25 @@
     late response on it could reach the next caller.
     """
 
+    __slots__ = (
+        "_sock",
+        "_connection",
+        "_head",
+        "_body",
+        "_n_body_bytes",
+        "_has_response_bytes",
+        "reusable",
+    )
+
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._head: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._n_body_bytes = 0
+        self._has_response_bytes = False
         self.reusable = True
 
     @classmethod
@@ -52,42 +70,70 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return cls(sock)
 
+    def is_stale(self) -> bool:
+        """Return whether the idle connection can't carry a request any more."""
+        return is_readable(self._sock.fileno())
+
     async def exchange(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        timeout_ms: float = 60_000,
     ) -> Result[Response, ExchangeFailure]:
-        """Send one request and read its whole response.
+        """Send one request and read its whole response."""
+        failure = await self.send(method, target, headers, body)
+        if failure is not None:
+            return Error(failure)
+        return await self.receive(timeout_ms)
+
+    async def send(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> ExchangeFailure | None:
+        """Write one request; return None when all of it was written.
 
-        ``headers`` must contain ``host`` and no framing headers. When the caller of
-        this function is cancelled, the connection is left not reusable.
+        ``headers`` must contain ``host`` and no framing headers.
         """
         self.reusable = False
+        self._head = None
+        self._body = []
+        self._n_body_bytes = 0
+        self._has_response_bytes = False
         connection = self._connection
-        head = h11.Request(
-            method=method,
-            target=target,
-            headers=[*headers, (b"content-length", b"%d" % len(body))],
+        framed = headers
+        if body or method not in (b"GET", b"HEAD"):
+            framed = [*headers, (b"content-length", b"%d" % len(body))]
+        data = connection.send(
+            h11.Request(method=method, target=target, headers=framed)
         )
-        data = connection.send(head)
         if body:
             data += connection.send(h11.Data(data=body))
         data += connection.send(h11.EndOfMessage())
-        failure = await self._send(data)
-        if failure is not None:
-            return Error(failure)
-        return await self._read_response()
+        return await self._write(data)
+
+    async def receive(self, timeout_ms: float) -> Result[Response, ExchangeFailure]:
+        """Read the response to the request that was sent, or go on reading it.
+
+        ``TIMEOUT`` leaves the exchange open, so that the call may be repeated.
+        """
+        try:
+            async with curio.timeout_after(timeout_ms / 1000):
+                return await self._read_response()
+        except curio.TaskTimeout:
+            return Error(ExchangeFailure.TIMEOUT)
 
     async def close(self) -> None:
         """Close the connection, which also cancels a request in flight."""
         self.reusable = False
         await self._sock.close()
 
-    async def _send(self, data: bytes) -> ExchangeFailure | None:
+    async def _write(self, data: bytes) -> ExchangeFailure | None:
+        n_sent_bytes = 0
         try:
-            await self._sock.sendall(data)
-        except OSError as error:
-            # curio reports how much was written before the failure; without that
-            # figure the request counts as sent.
-            n_sent_bytes = getattr(error, "bytes_sent", 1)
+            while n_sent_bytes < len(data):
+                n_sent_bytes += await self._sock.send(data[n_sent_bytes:])
+        except OSError:
             if n_sent_bytes == 0:
                 return ExchangeFailure.NOT_SENT
             return ExchangeFailure.NO_RESPONSE
@@ -95,39 +141,35 @@
 
     async def _read_response(self) -> Result[Response, ExchangeFailure]:
         connection = self._connection
-        head: h11.Response | None = None
-        body: list[bytes] = []
-        n_body_bytes = 0
         while True:
             try:
                 event = connection.next_event()
                 if event is h11.NEED_DATA:
                     data = await self._sock.recv(READ_BYTES)
-                    if not data and head is None:
-                        return Error(ExchangeFailure.NO_RESPONSE)
+                    self._has_response_bytes |= bool(data)
                     connection.receive_data(data)
                     continue
-            except h11.RemoteProtocolError:
-                return Error(ExchangeFailure.BAD_RESPONSE)
-            except OSError:
-                if head is None:
-                    return Error(ExchangeFailure.NO_RESPONSE)
-                return Error(ExchangeFailure.BAD_RESPONSE)
+            except (OSError, h11.RemoteProtocolError):
+                return Error(self._failure())
             if type(event) is h11.Response:
-                head = event
+                self._head = event
             elif type(event) is h11.Data:
-                n_body_bytes += len(event.data)
-                if n_body_bytes > MAX_BODY_BYTES:
+                self._n_body_bytes += len(event.data)
+                if self._n_body_bytes > MAX_BODY_BYTES:
                     return Error(ExchangeFailure.BAD_RESPONSE)
-                body.append(bytes(event.data))
+                self._body.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
-                return self._complete(head, b"".join(body))
+                return self._complete()
             elif type(event) is h11.ConnectionClosed:
-                return Error(ExchangeFailure.NO_RESPONSE)
+                return Error(self._failure())
 
-    def _complete(
-        self, head: h11.Response | None, body: bytes
-    ) -> Result[Response, ExchangeFailure]:
+    def _failure(self) -> ExchangeFailure:
+        if self._has_response_bytes:
+            return ExchangeFailure.BAD_RESPONSE
+        return ExchangeFailure.NO_RESPONSE
+
+    def _complete(self) -> Result[Response, ExchangeFailure]:
+        head = self._head
         if head is None:
             return Error(ExchangeFailure.BAD_RESPONSE)
         connection = self._connection
@@ -136,5 +178,4 @@
             if not connection.trailing_data[0]:
                 connection.start_next_cycle()
                 self.reusable = True
-        headers = [(name, value) for name, value in head.headers]
-        return Ok(Response(head.status_code, headers, body))
+        return Ok(Response(head.status_code, list(head.headers), b"".join(self._body)))
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -25,7 +25,8 @@
     """One whole request.
 
     ``peer`` is the address of the caller. ``body`` is complete: a request whose
-    body ended early never reaches a handler.
+    body ended early never reaches a handler. ``descriptor`` is that of the caller's
+    socket, to notice that the caller closed it; -1 stands for none.
     """
 
     method: bytes
@@ -33,6 +34,7 @@
     headers: Headers
     body: bytes
     peer: str = ""
+    descriptor: int = -1
 
     @property
     def path(self) -> str:
--- a/pollenfold/http/pool.py
+++ b/pollenfold/http/pool.py
@@ -24,8 +24,12 @@
 
     async def acquire(self, connect_timeout_ms: float) -> HttpConnection | None:
         """Return a connection for one exchange."""
-        if self._idle:
-            return self._idle.pop()
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            self.n_open -= 1
+            await connection.close()
         if self.n_open >= self.limit:
             return None
         self.n_open += 1
--- /dev/null
+++ b/pollenfold/http/readiness.py
@@ -0,0 +1,23 @@
+"""Checks of a socket's state without reading from it."""
+
+from __future__ import annotations
+
+import select
+
+
+def is_readable(descriptor: int) -> bool:
+    """Return whether bytes, an end of stream or an error wait on the socket.
+
+    An idle connection of which this is true can't carry a request: the server closed
+    it, or sent bytes that belong to no request.
+    """
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def is_closed_by_peer(descriptor: int) -> bool:
+    """Return whether the peer closed the connection or at least its sending half."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+    return bool(poll.poll(0))
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -19,6 +19,7 @@
 """Greatest request head; bounds the memory that one connection can claim."""
 
 READ_BYTES = 64 * 1024
+_STATUS_WITHOUT_BODY = (204, 304)
 
 
 class RequestError(Exception):
@@ -33,8 +34,9 @@
 class HttpServer:
     """Serves one listening address.
 
-    ``stop`` closes the listener and the idle connections; ``wait_idle`` returns
-    when no request is in flight.
+    A planned stop calls ``announce_stop``, which asks callers to leave with each
+    response, then ``stop``, which closes the listener and the idle connections, then
+    ``wait_idle``, which returns when no request is in flight.
     """
 
     def __init__(self, handler: Handler, max_body_bytes: int = 1 << 20) -> None:
@@ -51,6 +53,10 @@
         self._listener = await curio.spawn(self._accept, sock, daemon=True)
         return int(sock.getsockname()[1])
 
+    def announce_stop(self) -> None:
+        """End each connection after its next response, and go on accepting."""
+        self._stopping = True
+
     async def stop(self) -> None:
         """Accept no more connections, and close those without a request."""
         self._stopping = True
@@ -164,7 +170,8 @@
         headers = [*response.headers]
         if response.close:
             headers.append((b"connection", b"close"))
-        headers.append((b"content-length", b"%d" % len(response.body)))
+        if response.status not in _STATUS_WITHOUT_BODY:
+            headers.append((b"content-length", b"%d" % len(response.body)))
         head = connection.send(
             h11.Response(status_code=response.status, headers=headers)
         )
