Ignore load reports older than eight half-lives, and test the entry's queue

Cause: a report that was a second old still decided between equal candidates, because any weight above zero breaks a tie. Seen by the test of stale reports: share of calls 0.001 instead of about 0.1. With the cut-off at 400 ms the share lies within the expected 0.05 to 0.2.

--- a/pollenfold/core/retries.py
+++ b/pollenfold/core/retries.py
@@ -44,16 +44,16 @@
     the load of an overloaded service.
     """
 
-    __slots__ = ("_ratio", "_burst", "_n_permits")
+    __slots__ = ("ratio", "_burst", "_n_permits")
 
     def __init__(self, ratio: float, burst: float = 10.0) -> None:
-        self._ratio = ratio
+        self.ratio = ratio
         self._burst = burst
         self._n_permits = burst
 
     def deposit(self) -> None:
         """Count one call."""
-        self._n_permits = min(self._burst, self._n_permits + self._ratio)
+        self._n_permits = min(self._burst, self._n_permits + self.ratio)
 
     def withdraw(self) -> bool:
         """Take a permit for one extra request; return False when there is none."""
@@ -61,3 +61,31 @@
             return False
         self._n_permits -= 1.0
         return True
+
+    def give_back(self) -> None:
+        """Return a permit that was not used."""
+        self._n_permits = min(self._burst, self._n_permits + 1.0)
+
+
+class QuantileEstimate:
+    """A running estimate of one quantile of a stream of latencies in ms.
+
+    A latency above the estimate moves it up by the share ``quantile`` of a step, one
+    below moves it down by the rest, so it settles where that share lies below. The
+    step is a twentieth of the estimate. For example, ``QuantileEstimate(0.95)``
+    gives the delay after which one call in twenty is hedged.
+    """
+
+    __slots__ = ("_quantile", "value_ms")
+
+    def __init__(self, quantile: float, initial_ms: float) -> None:
+        self._quantile = quantile
+        self.value_ms = initial_ms
+
+    def observe(self, latency_ms: float) -> None:
+        """Count one latency."""
+        step_ms = 0.05 * self.value_ms + 0.01
+        if latency_ms > self.value_ms:
+            self.value_ms += step_ms * self._quantile
+        else:
+            self.value_ms -= step_ms * (1.0 - self._quantile)
--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -16,6 +16,10 @@
 REPORT_HALF_LIFE_MS = 50.0
 """A load report loses half of its weight in this time, since load shifts in ms."""
 
+REPORT_LIFETIME_MS = 8 * REPORT_HALF_LIFE_MS
+"""An older report is ignored: even a vanishing weight would decide between otherwise
+equal candidates."""
+
 N_CHOICES = 3
 
 
@@ -24,9 +28,9 @@
     """What one entry knows of one endpoint.
 
     ``n_in_flight`` counts this entry's own requests. ``ewma_ms`` is a peak-sensitive
-    average latency. ``reported_in_flight`` is the load that the server reported
-    ``report_age_ms`` ago, over all entries. ``limit`` is the concurrency that this
-    entry may have there now.
+    average latency. ``reported_in_flight`` is the load over all entries that the
+    server reported at ``reported_at``. ``limit`` is the concurrency that this entry
+    may have there now.
     """
 
     key: str
@@ -36,7 +40,7 @@
     n_in_flight: int = 0
     ewma_ms: float = 0.0
     reported_in_flight: float = 0.0
-    report_age_ms: float = 1e9
+    reported_at: Instant = Instant(-1e9)
 
     @property
     def has_room(self) -> bool:
@@ -93,25 +97,27 @@
     """Draw three and choose by own requests in flight, latency and aged reports."""
     n_candidates = len(candidates)
     best = candidates[int(rng.random() * n_candidates)]
-    best_score = score(best)
+    best_score = score(best, now)
     for _ in range(N_CHOICES - 1):
         other = candidates[int(rng.random() * n_candidates)]
-        other_score = score(other)
+        other_score = score(other, now)
         if other_score < best_score:
             best, best_score = other, other_score
     return best
 
 
-def score(candidate: Candidate) -> float:
+def score(candidate: Candidate, now: Instant) -> float:
     """Return the expected cost in ms of one more request; lower is better.
 
     The reported load counts with a weight that halves every 50 ms. It never counts
     for less than this entry's own requests, so a server that reports too little
     gains nothing over what the entry sees itself.
     """
-    weight: float = 0.5 ** (candidate.report_age_ms / REPORT_HALF_LIFE_MS)
-    excess = max(0.0, candidate.reported_in_flight - candidate.n_in_flight)
-    load = candidate.n_in_flight + weight * excess
+    load = float(candidate.n_in_flight)
+    report_age_ms = now - candidate.reported_at
+    if report_age_ms < REPORT_LIFETIME_MS:
+        excess = max(0.0, candidate.reported_in_flight - candidate.n_in_flight)
+        load += excess * 0.5 ** (report_age_ms / REPORT_HALF_LIFE_MS)
     return (1.0 + load / candidate.slots) * (candidate.ewma_ms + 0.01) + load
 
 
--- /dev/null
+++ b/pollenfold/tests/core/test_admission.py
@@ -0,0 +1,33 @@
+"""Requests that can't meet their deadline are refused at once."""
+
+import pytest
+
+from pollenfold.core.admission import admit, retry_after_s
+from pollenfold.core.clock import Instant
+from pollenfold.core.errors import ErrorKind
+
+
+@pytest.mark.parametrize(
+    "n_waiting, n_slots, service_ms, deadline_ms, expected",
+    [
+        (0, 4, 10.0, 100.0, None),
+        (20, 4, 10.0, 100.0, None),
+        (40, 4, 10.0, 100.0, ErrorKind.DEADLINE_EXCEEDED),
+        (100, 4, 10.0, 1e6, ErrorKind.QUEUE_FULL),
+        (0, 4, 10.0, 0.0, ErrorKind.DEADLINE_EXCEEDED),
+        (0, 4, 0.0, 1.0, None),
+        (0, 0, 10.0, 100.0, None),
+    ],
+)
+def test_admission(n_waiting, n_slots, service_ms, deadline_ms, expected):
+    """Guards against a request that waits although it can't be served in time."""
+    result = admit(
+        n_waiting, 100, n_slots, service_ms, Instant(deadline_ms), Instant(0.0)
+    )
+    assert (result.error if result.is_error() else None) is expected
+
+
+def test_retry_after_covers_the_queue():
+    """Guards against callers that come back while the queue is still full."""
+    assert retry_after_s(n_waiting=999, n_slots=10, service_ms=50.0) == 5
+    assert retry_after_s(n_waiting=0, n_slots=0, service_ms=50.0) == 1
--- /dev/null
+++ b/pollenfold/tests/core/test_routing.py
@@ -0,0 +1,94 @@
+"""Selection policies with stale and misleading reports."""
+
+import random
+
+import pytest
+
+from pollenfold.core.clock import Instant
+from pollenfold.core.routing import (
+    Candidate,
+    least_in_flight,
+    observe_latency,
+    prefer_zone,
+    probe_score,
+    random_choice,
+    round_robin,
+    score,
+    two_choices_ewma,
+)
+
+NOW = Instant(1000.0)
+POLICIES = [
+    random_choice,
+    round_robin(),
+    least_in_flight,
+    two_choices_ewma,
+    probe_score,
+]
+
+
+def make_candidates(n_candidates, **fields):
+    return [
+        Candidate(str(i), "a", slots=6, limit=6, **fields) for i in range(n_candidates)
+    ]
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_policy_chooses_a_candidate(policy):
+    """Guards against a policy that fails with one candidate or leaves the list."""
+    rng = random.Random(1)
+    for n_candidates in (1, 2, 20):
+        candidates = make_candidates(n_candidates)
+        for _ in range(50):
+            assert policy(candidates, rng, NOW) in candidates
+
+
+def share_of_first(policy, candidates):
+    rng = random.Random(1)
+    return (
+        sum(policy(candidates, rng, NOW) is candidates[0] for _ in range(2000)) / 2000
+    )
+
+
+@pytest.mark.parametrize("policy", [two_choices_ewma, probe_score])
+def test_slow_server_gets_less(policy):
+    """Guards against a slow server that keeps its full share."""
+    candidates = make_candidates(10, ewma_ms=10.0)
+    candidates[0].ewma_ms = 200.0
+    assert share_of_first(policy, candidates) < 0.02
+
+
+def test_busy_report_counts_while_it_is_fresh():
+    """Guards against a choice that ignores, or never forgets, a load report."""
+    candidates = make_candidates(10, ewma_ms=10.0)
+    candidates[0].reported_in_flight = 12.0
+    candidates[0].reported_at = NOW
+    assert share_of_first(probe_score, candidates) < 0.02
+    candidates[0].reported_at = Instant(NOW - 1000.0)
+    assert 0.05 < share_of_first(probe_score, candidates) < 0.2
+
+
+def test_server_that_reports_too_little_gains_nothing():
+    """Guards against a misleading report that attracts load."""
+    honest, liar = make_candidates(2, ewma_ms=10.0, n_in_flight=4)
+    liar.reported_in_flight = 0.0
+    liar.reported_at = NOW
+    assert score(liar, NOW) == score(honest, NOW)
+
+
+def test_requests_spill_to_other_zones_before_they_queue():
+    """Guards against queueing in the own zone while another zone is idle."""
+    local, remote = make_candidates(2)
+    remote.zone = "b"
+    assert prefer_zone([local, remote], "a") == [local]
+    local.n_in_flight = local.slots
+    assert prefer_zone([local, remote], "a") == [local, remote]
+
+
+def test_latency_rises_at_once_and_falls_slowly():
+    """Guards against an average that hides a sudden slow-down."""
+    (candidate,) = make_candidates(1, ewma_ms=10.0)
+    observe_latency(candidate, 100.0)
+    assert candidate.ewma_ms == 100.0
+    observe_latency(candidate, 10.0)
+    assert 80.0 < candidate.ewma_ms < 100.0
