--- /dev/null
+++ b/pollenfold/core/claims.py
@@ -0,0 +1,331 @@
+"""The claimant's side of a register: claim, abandon, complete.
+
+An ``Operation`` takes events (``start``, ``on_reply``, ``on_failure``, ``resume``)
+and returns the next action. It never looks at a clock and sends nothing itself.
+
+**Why at most one claim is dispatched.** A claimant dispatches in two cases only: a
+majority granted its claim at ballot 0, or a majority granted an *accept* of its claim
+that it proposed itself at a higher ballot. A claim id that shows up in a promise or
+in a refusal is never enough, since it may be one vote of a minority.
+
+Two claims can't both have a majority at ballot 0, since a replica votes once. If a
+claim had a majority there, every later majority of promises shows enough votes and
+silent replicas for it, so recovery keeps it or is in doubt; in doubt no claim is
+proposed. A higher ballot proposes the claimant's own claim only when the register is
+recovered as empty or abandoned, or when it holds that very claim; the claimant has
+not dispatched at that time, because it stops counting its votes at ballot 0 before
+it prepares. For the same reason it takes its own claim out of a doubt: the others
+that may have been dispatched stay in the register. Once a claim is chosen, every
+later value is computed from it, and only its own claimant replaces it.
+
+**Why votes carry an epoch.** A replica may grant a claim, lose its disk, copy the
+others before the claim reached them and grant another claim. The old vote and a later
+one together are no majority. So a replica that lost its disk tells the others its new
+epoch before it copies them: a vote given before that is in the copy, and one given
+after it comes with the new epoch, which makes the claimant drop the old vote.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from expression import Error, Ok, Result
+
+from .errors import ErrorKind
+from .register import (
+    OPEN_BALLOT,
+    Accept,
+    Ballot,
+    Claim,
+    Message,
+    Outcome,
+    Prepare,
+    Reply,
+    State,
+    Value,
+    recover,
+    withdraw,
+)
+
+MAX_ROUNDS = 6
+"""Rounds above ballot 0 until an operation gives up; competing claimants settle in
+one or two with the pause between rounds."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """The claim is stored and the caller of ``claim`` may dispatch the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """The request ran earlier; a resend gets this response."""
+
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """Another claim, younger than the service timeout, holds the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class InDoubt:
+    """The request may have run and no outcome is known; it is not run again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No majority answered. The claim may be stored: abandon it before a refusal."""
+
+
+ClaimAnswer = Claimed | Completed | InProgress | InDoubt | Unavailable
+
+T = TypeVar("T")
+Decision = Callable[[Value, float], tuple[Value, T]]
+"""Takes the recovered value and its age in ms; returns what to store and to answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the message to every replica; its replies belong to ``phase``."""
+
+    phase: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait a short random time, longer after more rounds, then call ``resume``."""
+
+    n_rounds: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish(Generic[T]):
+    """The operation is over."""
+
+    answer: T
+
+
+Action = Send | Pause | Finish[T]
+
+
+class Operation(Generic[T]):
+    """One claim, abandon or complete: at most one round at ballot 0, then rounds.
+
+    ``proposer`` must be unique to the operation. ``unavailable`` is the answer when
+    no majority can be reached. Events of an earlier phase are ignored.
+    """
+
+    def __init__(
+        self,
+        n_replicas: int,
+        proposer: str,
+        decide: Decision[T],
+        unavailable: T,
+        claim: Claim | None = None,
+        claimed: T | None = None,
+    ) -> None:
+        self._n_replicas = n_replicas
+        self._majority = n_replicas // 2 + 1
+        self._proposer = proposer
+        self._decide = decide
+        self.unavailable = unavailable
+        self._claim = claim
+        self._claimed = claimed
+        self._message: Message | None = None
+        self._phase = 0
+        self._n_rounds = 0
+        self._highest: Ballot = OPEN_BALLOT
+        self._replies: dict[int, Reply] = {}
+        self._failed: set[int] = set()
+        self._epochs = (0,) * n_replicas
+        self._answer: T | None = None
+
+    def start(self) -> Action[T]:
+        """Return the first action."""
+        if self._claim is not None:
+            return self._send(self._claim)
+        return self.resume()
+
+    def resume(self) -> Action[T]:
+        """Start the next round above every ballot seen."""
+        self._n_rounds += 1
+        self._highest = (self._highest[0] + 1, self._proposer)
+        return self._send(Prepare(self._highest))
+
+    def on_reply(self, phase: int, replica: int, reply: Reply) -> Action[T] | None:
+        """Take the reply of one replica; return an action when one is due."""
+        if phase != self._phase or replica in self._failed:
+            return None
+        self._epochs = tuple(map(max, self._epochs, reply.epochs))
+        self._highest = max(self._highest, reply.register.promised)
+        self._replies[replica] = reply
+        return self._advance()
+
+    def on_failure(self, phase: int, replica: int) -> Action[T] | None:
+        """Note that a replica did not answer in time."""
+        if phase != self._phase or replica in self._replies:
+            return None
+        self._failed.add(replica)
+        return self._advance()
+
+    def _send(self, message: Message) -> Send:
+        self._phase += 1
+        self._message = message
+        self._replies = {}
+        self._failed = set()
+        return Send(self._phase, message)
+
+    def _finish(self, answer: T) -> Finish[T]:
+        self._phase += 1
+        return Finish(answer)
+
+    def _pause(self) -> Action[T]:
+        if self._n_rounds >= MAX_ROUNDS:
+            return self._finish(self.unavailable)
+        self._phase += 1
+        return Pause(self._n_rounds)
+
+    def _valid(self) -> list[Reply]:
+        """Replies of replicas that have not lost their disk since they replied."""
+        return [
+            reply
+            for replica, reply in self._replies.items()
+            if reply.epochs[replica] >= self._epochs[replica]
+        ]
+
+    def _advance(self) -> Action[T] | None:
+        valid = self._valid()
+        granted = [reply for reply in valid if reply.is_granted]
+        n_missing = self._n_replicas - len(self._replies) - len(self._failed)
+        if len(granted) >= self._majority:
+            return self._on_majority(granted, n_missing)
+        if len(granted) + n_missing >= self._majority:
+            return None
+        if len(valid) < self._majority:
+            return self._finish(self.unavailable) if n_missing == 0 else None
+        if isinstance(self._message, Claim):
+            return self._after_split(valid)
+        return self._pause()
+
+    def _on_majority(self, granted: list[Reply], n_missing: int) -> Action[T] | None:
+        if isinstance(self._message, Claim):
+            assert self._claimed is not None
+            return self._finish(self._claimed)
+        if isinstance(self._message, Accept):
+            assert self._answer is not None
+            return self._finish(self._answer)
+        promises = [(reply.register, reply.age_ms) for reply in granted]
+        value = recover(promises, self._n_replicas)
+        is_new_doubt = value.state is State.IN_DOUBT and all(
+            reply.register.accepted == OPEN_BALLOT for reply in granted
+        )
+        if is_new_doubt and n_missing:
+            # The replies that are still to come often leave one claim only.
+            return None
+        new_value, self._answer = self._decide(value, _age_ms(value, granted))
+        return self._send(Accept(self._highest, new_value))
+
+    def _after_split(self, valid: list[Reply]) -> Action[T]:
+        """Answer from a majority with one foreign value, else start a round.
+
+        The value may not be chosen, but an answer about a foreign claim allows no
+        dispatch. The own claim needs a round, since its votes may be superseded.
+        """
+        assert self._claim is not None
+        for reply in valid:
+            value = reply.register.value
+            is_own = self._claim.claim_id in value.claim_ids
+            if is_own or value.state not in (State.CLAIMED, State.COMPLETED):
+                continue
+            same = [other for other in valid if other.register.value == value]
+            if len(same) >= self._majority:
+                _, answer = self._decide(value, _age_ms(value, same))
+                return self._finish(answer)
+        return self.resume()
+
+
+def _age_ms(value: Value, replies: list[Reply]) -> float:
+    return max(
+        (
+            reply.age_ms
+            for reply in replies
+            if set(value.claim_ids) & set(reply.register.value.claim_ids)
+        ),
+        default=0.0,
+    )
+
+
+def claim(
+    n_replicas: int, proposer: str, claim_id: str, max_age_ms: float
+) -> Operation[ClaimAnswer]:
+    """Return the operation that claims a key.
+
+    ``claim_id`` must be new for every call: a second ``Claimed`` for one id would
+    let its request run twice. A claim without outcome that is older than
+    ``max_age_ms`` gives ``InDoubt``.
+    """
+
+    def decide(value: Value, age_ms: float) -> tuple[Value, ClaimAnswer]:
+        rest = withdraw(value, claim_id)
+        if rest.state in (State.EMPTY, State.ABANDONED):
+            return Value(State.CLAIMED, (claim_id,)), Claimed()
+        if rest.state is State.COMPLETED:
+            assert rest.outcome is not None
+            return rest, Completed(rest.outcome)
+        if rest.state is State.CLAIMED and age_ms < max_age_ms:
+            return rest, InProgress()
+        return rest, InDoubt()
+
+    return Operation[ClaimAnswer](
+        n_replicas, proposer, decide, Unavailable(), Claim(claim_id), Claimed()
+    )
+
+
+def abandon(
+    n_replicas: int, proposer: str, claim_id: str
+) -> Operation[Result[None, ErrorKind]]:
+    """Return the operation that gives up a claim whose request did not run.
+
+    It succeeds only when the key is stored as abandoned. While another claim holds
+    the key the request may run there: that gives ``IN_PROGRESS``, or
+    ``OUTCOME_UNKNOWN`` when the key is in doubt or completed by another claim.
+    """
+
+    def decide(value: Value, _: float) -> tuple[Value, Result[None, ErrorKind]]:
+        rest = withdraw(value, claim_id)
+        if rest.state in (State.EMPTY, State.ABANDONED):
+            return Value(State.ABANDONED, (claim_id,)), Ok(None)
+        is_claimed = rest.state is State.CLAIMED
+        kind = ErrorKind.IN_PROGRESS if is_claimed else ErrorKind.OUTCOME_UNKNOWN
+        return rest, Error(kind)
+
+    unavailable: Result[None, ErrorKind] = Error(ErrorKind.LEDGER_UNAVAILABLE)
+    return Operation[Result[None, ErrorKind]](n_replicas, proposer, decide, unavailable)
+
+
+def complete(
+    n_replicas: int, proposer: str, claim_id: str, outcome: Outcome
+) -> Operation[Result[None, ErrorKind]]:
+    """Return the operation that stores the outcome of a dispatched claim.
+
+    The first outcome stays: another one, or a claim that does not hold the key,
+    gives ``OUTCOME_UNKNOWN``.
+    """
+    completed = Value(State.COMPLETED, (claim_id,), outcome)
+
+    def decide(value: Value, _: float) -> tuple[Value, Result[None, ErrorKind]]:
+        if value == completed:
+            return value, Ok(None)
+        is_held = value.state is State.IN_DOUBT and value.is_open
+        is_held = is_held or claim_id in value.claim_ids
+        if is_held and value.state in (State.CLAIMED, State.IN_DOUBT):
+            return completed, Ok(None)
+        return value, Error(ErrorKind.OUTCOME_UNKNOWN)
+
+    unavailable: Result[None, ErrorKind] = Error(ErrorKind.LEDGER_UNAVAILABLE)
+    return Operation[Result[None, ErrorKind]](n_replicas, proposer, decide, unavailable)
--- /dev/null
+++ b/pollenfold/core/register.py
@@ -0,0 +1,282 @@
+"""One register for each key of a non-idempotent request, as a ledger replica sees it.
+
+A register is changed only by ``handle``, a pure function of the register, one
+message and the time. Ballot 0 is open: the first claim that reaches an empty
+register is its vote. Every later change is a CASPaxos round: *prepare* with a higher
+ballot, then *accept* with the value that the claimant computed from the promises.
+
+Votes are counted by replica and epoch. A replica that lost its disk returns with a
+higher epoch, which the replicas that it copied from report with every reply; see
+``core.claims`` for the reason.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from .clock import Instant
+
+Ballot = tuple[int, str]
+"""Round number and proposer; compared in this order."""
+
+OPEN_BALLOT: Ballot = (0, "")
+"""The ballot of a first claim, at which no promise is needed."""
+
+RETENTION_MS = 24 * 3600 * 1000.0
+"""A resend later than this is a new request; bounds the memory of a replica."""
+
+RETENTION_MARGIN_MS = 3600 * 1000.0
+"""Covers the clock difference between replicas and the duration of an operation."""
+
+
+class State(Enum):
+    """What is known about the request of a key."""
+
+    EMPTY = "empty"
+    CLAIMED = "claimed"
+    ABANDONED = "abandoned"
+    COMPLETED = "completed"
+    IN_DOUBT = "in_doubt"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """The response of a request that ran."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """The content of a register.
+
+    ``claim_ids`` has the one claim of a claimed, abandoned or completed register.
+    In doubt it has every claim that may have been dispatched, sorted; ``is_open``
+    then says that a claim whose votes were lost with a disk may be another one.
+    """
+
+    state: State
+    claim_ids: tuple[str, ...] = ()
+    outcome: Outcome | None = None
+    is_open: bool = False
+
+
+EMPTY = Value(State.EMPTY)
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """The state of one key on one replica.
+
+    ``accepted`` is the ballot of ``value``. With ``is_vote_unknown`` the replica may
+    have voted at ballot 0 before it lost its disk, for a claim it can't name.
+    ``changed_at`` is when the value came, ``promised_at`` when the last promise was
+    given; both by the wall clock of the replica.
+    """
+
+    promised: Ballot = OPEN_BALLOT
+    accepted: Ballot = OPEN_BALLOT
+    value: Value = EMPTY
+    is_vote_unknown: bool = False
+    changed_at: Instant = Instant(0.0)
+    promised_at: Instant = Instant(0.0)
+
+
+BLANK_REGISTER = Register()
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Asks for the vote at ballot 0."""
+
+    claim_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Asks for the promise to refuse all lower ballots."""
+
+    ballot: Ballot
+
+
+@dataclass(frozen=True, slots=True)
+class Accept:
+    """Asks to store ``value`` at ``ballot``."""
+
+    ballot: Ballot
+    value: Value
+
+
+Message = Claim | Prepare | Accept
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What a replica says to a message.
+
+    ``register`` is its state after the message. ``age_ms`` is how long the value has
+    been there. ``epochs`` has the epoch of every replica as this one knows it, in
+    the order of the sorted replica ids.
+    """
+
+    is_granted: bool
+    register: Register
+    age_ms: float = 0.0
+    epochs: tuple[int, ...] = ()
+
+
+def handle(register: Register, message: Message, now: Instant) -> tuple[Register, bool]:
+    """Return the register after the message, and whether the message was granted."""
+    if isinstance(message, Claim):
+        return _handle_claim(register, message, now)
+    if isinstance(message, Prepare):
+        # An equal ballot is refused, since a second promise for it could let two
+        # different values be proposed at one ballot.
+        if message.ballot <= register.promised:
+            return register, False
+        return replace(register, promised=message.ballot, promised_at=now), True
+    return _handle_accept(register, message, now)
+
+
+def _handle_claim(
+    register: Register, message: Claim, now: Instant
+) -> tuple[Register, bool]:
+    # A promise ends ballot 0 on this replica, even for the claim it voted for: a
+    # recovery may already have read this replica as empty.
+    if register.promised != OPEN_BALLOT or register.is_vote_unknown:
+        return register, False
+    if register.value.state is State.EMPTY:
+        value = Value(State.CLAIMED, (message.claim_id,))
+        return replace(register, value=value, changed_at=now), True
+    return register, register.value.claim_ids == (message.claim_id,)
+
+
+def _handle_accept(
+    register: Register, message: Accept, now: Instant
+) -> tuple[Register, bool]:
+    if message.ballot < register.promised:
+        return register, False
+    old, new = register.value, message.value
+    is_same = old.state is new.state and old.claim_ids == new.claim_ids
+    changed_at = register.changed_at if is_same else now
+    return Register(message.ballot, message.ballot, new, False, changed_at, now), True
+
+
+def age_ms(register: Register, now: Instant) -> float:
+    """Return how long the value has been there, never below zero."""
+    return max(0.0, now - register.changed_at)
+
+
+def is_droppable(register: Register, now: Instant) -> bool:
+    """Return whether the register may be forgotten.
+
+    Claims without an outcome and unknown votes stay: forgetting one would let a
+    resend run the request again while its fate is unknown. A promise counts like a
+    change, so that a round in progress does not lose it.
+    """
+    touched_at = max(register.changed_at, register.promised_at)
+    if register.is_vote_unknown or now - touched_at < RETENTION_MS:
+        return False
+    return register.value.state not in (State.CLAIMED, State.IN_DOUBT)
+
+
+Aged = tuple[Register, float]
+"""A register and how long its value has been there, in ms."""
+
+
+def merge_copies(copies: Sequence[Aged]) -> Register:
+    """Return the register of a replica that lost its disk, from those of others.
+
+    The highest promise and the value of the highest ballot are taken. Different
+    claims at ballot 0, or an unknown vote among them, leave the vote unknown: the
+    lost disk may have held a vote for any of them.
+    """
+    registers = [register for register, _ in copies]
+    newest = _newest(copies)
+    promised = max(register.promised for register in registers)
+    promised_at = max(register.promised_at for register in registers)
+    if newest.accepted > OPEN_BALLOT and not _is_expiring(copies):
+        return replace(newest, promised=promised, promised_at=promised_at)
+    claims = {r.value: r for r in registers if r.value.state is not State.EMPTY}
+    is_unknown = len(claims) > 1 or any(r.is_vote_unknown for r in registers)
+    if is_unknown or not claims:
+        changed_at = max(register.changed_at for register in registers)
+        return Register(
+            promised, OPEN_BALLOT, EMPTY, is_unknown, changed_at, promised_at
+        )
+    (voted,) = claims.values()
+    return replace(voted, promised=promised, promised_at=promised_at)
+
+
+def recover(promises: Sequence[Aged], n_replicas: int) -> Value:
+    """Return the value that may have been chosen, from a majority of promises.
+
+    The value of the highest ballot above 0 wins. At ballot 0 a claim may have been
+    chosen when its votes plus the replicas that did not answer or do not know their
+    vote reach a majority. One such claim is kept, none means empty, several or one
+    that no answer names mean in doubt.
+    """
+    newest = _newest(promises)
+    if newest.accepted > OPEN_BALLOT:
+        if _is_expiring(promises):
+            claim_ids = {c for r, _ in promises for c in r.value.claim_ids}
+            return Value(State.IN_DOUBT, tuple(sorted(claim_ids)), is_open=True)
+        return newest.value
+    majority = n_replicas // 2 + 1
+    known = [register for register, _ in promises if not register.is_vote_unknown]
+    n_unknown = n_replicas - len(known)
+    votes: dict[str, int] = {}
+    for register in known:
+        for claim_id in register.value.claim_ids:
+            votes[claim_id] = votes.get(claim_id, 0) + 1
+    possible = sorted(
+        claim_id for claim_id, n in votes.items() if n + n_unknown >= majority
+    )
+    if n_unknown >= majority:
+        return Value(State.IN_DOUBT, tuple(possible), is_open=True)
+    if not possible:
+        return EMPTY
+    state = State.CLAIMED if len(possible) == 1 else State.IN_DOUBT
+    return Value(state, tuple(possible))
+
+
+def _newest(copies: Sequence[Aged]) -> Register:
+    return max((register for register, _ in copies), key=lambda r: r.accepted)
+
+
+def _is_expiring(copies: Sequence[Aged]) -> bool:
+    """Return whether the newest value may be left from before others dropped it.
+
+    Replicas drop a register at slightly different times. A younger claim beside a
+    value near its retention may have been chosen by replicas that dropped it.
+    """
+    newest = _newest(copies)
+    if newest.value.state not in (State.ABANDONED, State.COMPLETED):
+        return False
+    newest_age_ms = max(age for register, age in copies if register == newest)
+    return newest_age_ms >= RETENTION_MS - RETENTION_MARGIN_MS and any(
+        register.value not in (EMPTY, newest.value) and age < newest_age_ms
+        for register, age in copies
+    )
+
+
+def withdraw(value: Value, claim_id: str) -> Value:
+    """Return the value after a claimant that did not dispatch gave up its claim.
+
+    In doubt among two claims, the withdrawal of one leaves the other one claimed,
+    since no third claim can have been dispatched. The last withdrawal abandons.
+    """
+    if claim_id not in value.claim_ids:
+        return value
+    if value.state not in (State.CLAIMED, State.IN_DOUBT):
+        return value
+    rest = tuple(other for other in value.claim_ids if other != claim_id)
+    if value.is_open or len(rest) > 1:
+        return replace(value, claim_ids=rest)
+    if rest:
+        return Value(State.CLAIMED, rest)
+    return Value(State.ABANDONED, (claim_id,))
--- /dev/null
+++ b/pollenfold/ledger/replica.py
@@ -0,0 +1,208 @@
+"""A ledger replica: answers claims, promises and values from a synced store."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import curio
+from loguru import logger
+
+from ..core.clock import Clock
+from ..core.errors import ErrorKind
+from ..core.register import (
+    BLANK_REGISTER,
+    Accept,
+    Claim,
+    Message,
+    Prepare,
+    Register,
+    Reply,
+    State,
+    age_ms,
+    handle,
+)
+from ..storage.identity import load_identity, mark_joined
+from ..wire.ledger import (
+    Body,
+    Fence,
+    Page,
+    PageRequest,
+    Read,
+    Request,
+    Status,
+    StatusRequest,
+    Unresolved,
+    decode_request,
+    encode_response,
+)
+from ..wire.rpc import RpcClient
+from .rejoin import try_join
+from .store import CHUNK_KEYS, RegisterStore
+
+MAX_REQUEST_BYTES = 128 * 1024
+"""Holds an outcome with a body of 64 KiB, its headers, a key and a ballot."""
+
+PAGE_BYTES = 256 * 1024
+"""With one more register of the greatest size a page stays below a frame of 1 MiB."""
+
+JOIN_PAUSE_S = 0.1
+MAINTAIN_PAUSE_S = 10.0
+
+
+class LedgerReplica:
+    """One replica of the ledger; ``answer`` is its handler for remote calls.
+
+    While blank it answers only status requests, and after a failed write nothing at
+    all: the caller then gets an error frame, which counts as no answer.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        peers: dict[str, tuple[str, int]],
+        data_folder: Path,
+        wall_clock: Clock,
+    ) -> None:
+        self.replica_id = replica_id
+        self._ids = sorted([replica_id, *peers])
+        self._peers = {name: RpcClient(*address) for name, address in peers.items()}
+        self._folder = data_folder
+        self._wall_clock = wall_clock
+        self._identity = load_identity(data_folder, replica_id)
+        self.store = RegisterStore(data_folder, len(self._ids), wall_clock)
+        self._copies: dict[str, tuple[int, list[str]]] = {}
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether the replica has yet to join, so it may not vote."""
+        return self._identity.is_blank
+
+    async def run(self) -> None:
+        """Join the cluster if needed, then maintain the store until cancelled."""
+        while self.is_blank:
+            await self.join_once()
+            if self.is_blank:
+                await curio.sleep(JOIN_PAUSE_S)
+        while True:
+            await curio.sleep(MAINTAIN_PAUSE_S)
+            await self.store.maintain()
+
+    async def join_once(self) -> None:
+        """Try to join; the replica stays blank when too few others answer."""
+        joined = await try_join(
+            self.replica_id, self._identity.incarnation, self._peers
+        )
+        if joined is None:
+            return
+        self.store.replace_all(joined.registers, joined.epochs, joined.founders)
+        self._identity = mark_joined(self._folder, self._identity)
+        logger.info(
+            "event=ledger_joined replica={} registers={} epochs={}",
+            self.replica_id,
+            len(joined.registers),
+            joined.epochs,
+        )
+
+    async def answer(self, payload: bytes) -> bytes:
+        """Answer one request; raise when the replica must stay silent."""
+        self.store.check()
+        if len(payload) > MAX_REQUEST_BYTES:
+            raise ValueError(
+                f"expected a request of at most {MAX_REQUEST_BYTES} bytes, "
+                f"got {len(payload)}"
+            )
+        key, request = decode_request(payload)
+        body = await self._body(key, request)
+        await self.store.synced()
+        return encode_response(self.store.epochs, body)
+
+    async def close(self) -> None:
+        """Close the journal and the connections to the other replicas."""
+        for peer in self._peers.values():
+            await peer.close()
+        self.store.close()
+
+    async def _body(self, key: str, request: Request) -> Body:
+        if isinstance(request, StatusRequest):
+            identity = self._identity
+            founders = self.store.founders
+            return Status(identity.incarnation, identity.is_blank, founders)
+        if self.is_blank:
+            raise LookupError(ErrorKind.NOT_READY.value)
+        match request:
+            case Claim() | Prepare() | Accept():
+                return self._change(key, request)
+            case Read():
+                return self._reply(False, self.store.get(key))
+            case Unresolved(limit):
+                return await self._unresolved(limit)
+            case Fence():
+                return self._fence(request)
+            case PageRequest():
+                return self._page(request)
+
+    def _change(self, key: str, message: Message) -> Reply:
+        old = self.store.get(key)
+        register, is_granted = handle(old, message, self._wall_clock())
+        if register is not old:
+            self.store.put(key, register)
+        if is_granted and not isinstance(message, Prepare):
+            # The claimant knows the value, which may be a whole outcome.
+            return Reply(True, BLANK_REGISTER)
+        return self._reply(is_granted, register)
+
+    def _reply(self, is_granted: bool, register: Register) -> Reply:
+        return Reply(is_granted, register, age_ms(register, self._wall_clock()))
+
+    async def _unresolved(self, limit: int) -> tuple[str, ...]:
+        found: list[str] = []
+        for n, key in enumerate(self.store.keys()):
+            if len(found) >= limit:
+                break
+            if self.store.get(key).value.state in (State.CLAIMED, State.IN_DOUBT):
+                found.append(key)
+            if n % CHUNK_KEYS == 0:
+                await curio.sleep(0)
+        return tuple(found)
+
+    def _fence(self, request: Fence) -> None:
+        index = self._ids.index(request.replica_id)
+        epochs = self.store.epochs
+        if request.epoch <= epochs[index]:
+            raise ValueError(
+                f"expected an epoch above {epochs[index]} of replica "
+                f"{request.replica_id}, got {request.epoch}"
+            )
+        self.store.put_epochs((*epochs[:index], request.epoch, *epochs[index + 1 :]))
+        self._copies[request.replica_id] = (request.epoch, self.store.keys())
+
+    def _page(self, request: PageRequest) -> Page:
+        epoch, keys = self._copies.get(request.replica_id, (0, []))
+        if epoch != request.epoch:
+            raise ValueError(
+                f"expected a page request of epoch {epoch}, got {request.epoch}"
+            )
+        registers = []
+        n_bytes = 0
+        offset = request.offset
+        while offset < len(keys) and n_bytes < PAGE_BYTES:
+            key = keys[offset]
+            register = self.store.get(key)
+            registers.append((key, register, age_ms(register, self._wall_clock())))
+            n_bytes += _size_bytes(key, register)
+            offset += 1
+        is_last = offset >= len(keys)
+        if is_last:
+            del self._copies[request.replica_id]
+        return Page(tuple(registers), offset, is_last)
+
+
+def _size_bytes(key: str, register: Register) -> int:
+    """Return an upper estimate of the encoded size of a register."""
+    n_bytes = 256 + 4 * len(key) + len(register.promised[1] + register.accepted[1])
+    n_bytes += sum(16 + len(claim_id) for claim_id in register.value.claim_ids)
+    outcome = register.value.outcome
+    if outcome is not None:
+        n_bytes += len(outcome.body)
+        n_bytes += sum(64 + len(name) + len(text) for name, text in outcome.headers)
+    return n_bytes
