Add a fake backend server with a fault table

It has slots, a bounded queue, cold start, drain, load reports and announcements, and counts runs by idempotency key, so that tests can check the guarantees from the backend server's side. Answers carry a digest and the caller's request id and key, which check_answer verifies.

--- /dev/null
+++ b/pollenfold/tests/testing/test_fault_table.py
@@ -0,0 +1,61 @@
+"""Scenarios of the fault table of the fake backend server."""
+
+import curio
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from pollenfold.testing.answers import check_answer
+from pollenfold.testing.backend_server import NOT_STARTED
+
+scenarios("../features/backend_server.feature")
+
+
+@pytest.fixture
+def seen():
+    """What the caller saw and what the server counted."""
+    return {}
+
+
+@given(parsers.parse("a backend server with the fault {fault}"), target_fixture="fault")
+def fault_name(fault):
+    return fault
+
+
+@when(parsers.parse('a caller sends a request with the key "{key}"'))
+def send(with_server, seen, fault, key):
+    async def body(server, caller):
+        if fault != "none":
+            await caller.order(faults=[{"kind": fault}])
+        result = None
+        async with curio.ignore_after(0.3):
+            result, _ = await caller.send(key=key)
+        seen.update(result=result, reusable=caller.reusable)
+        seen["runs"] = (await caller.read("/stand-in/counts"))["runs"]
+
+    with_server(body)
+
+
+@then(parsers.parse("the caller sees {what}"))
+def caller_sees(seen, what):
+    result = seen["result"]
+    if what == "nothing for 300 ms":
+        assert result is None
+    elif what == "a whole answer":
+        assert result.ok.status == 200
+        assert check_answer(result.ok.body, "r1", "k1") is None
+    elif what == "a not-started 503":
+        assert result.ok.status == 503 and NOT_STARTED in result.ok.headers
+    elif what.startswith("status "):
+        assert result.ok.status == int(what.removeprefix("status "))
+    else:
+        assert result.error.value == what
+
+
+@then(parsers.parse('the key "{key}" ran {n_runs:d} times'))
+def key_ran(seen, key, n_runs):
+    assert seen["runs"].get(key, 0) == n_runs
+
+
+@then(parsers.parse("the connection is reusable: {answer}"))
+def connection_is_reusable(seen, answer):
+    assert seen["reusable"] == (answer == "yes")
