Pass the connection of a faulty request by name

Cause: the request gained the caller's descriptor as a field before it, so the connection landed in the wrong field and 19 tests of the fault table failed.

--- a/pollenfold/testing/fault_http.py
+++ b/pollenfold/testing/fault_http.py
@@ -39,7 +39,12 @@
         if request is None:
             return None
         return WorkRequest(
-            request.method, request.target, request.headers, request.body, peer, client
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            peer,
+            client=client,
         )
 
     async def _write(
