--- /dev/null
+++ b/pollenfold/entry/actions.py
@@ -0,0 +1,174 @@
+"""Non-idempotent requests: each runs under one claim in the ledger."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+import curio
+from loguru import logger
+
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.errors import ERROR_TABLE, ErrorKind, RunState
+from ..http.messages import Response, error_response
+from .attempts import relayed_headers
+from .ledger_client import (
+    Claimed,
+    Completed,
+    InDoubt,
+    InProgress,
+    LedgerClient,
+    Outcome,
+)
+
+if TYPE_CHECKING:
+    from ..core.records import ServiceSpec
+    from .ledger_client import ClaimAnswer
+    from .proxy import Refusal
+
+MAX_STORED_BODY_BYTES = 64 * 1024
+REPLAY_WAIT_MS = 250.0
+"""How long a resend waits for the outcome of the request that holds the claim."""
+
+REPLAY_POLL_MS = 20.0
+STORE_ATTEMPTS = 20
+STORE_PAUSE_MS = 100.0
+
+_BODY_OMITTED = (b"pollenfold-body-omitted", b"true")
+_REPLAYED = (b"pollenfold-replayed", b"true")
+
+Dispatch = Callable[[], Awaitable["Response | Refusal"]]
+
+
+class ActionRunner:
+    """Claims, dispatches and stores the outcome of non-idempotent requests.
+
+    ``n_storing`` counts outcomes that are still being stored; a planned stop waits
+    until there is none.
+    """
+
+    def __init__(self, ledger: LedgerClient, entry_id: str, clock: Clock) -> None:
+        self._ledger = ledger
+        self._entry_id = entry_id
+        self._clock = clock
+        self.n_storing = 0
+
+    async def run(
+        self,
+        spec: ServiceSpec,
+        key: bytes,
+        is_callers_key: bool,
+        deadline: Instant,
+        dispatch: Dispatch,
+    ) -> Response:
+        """Run a request at most once and return its one final response.
+
+        ``dispatch`` is called at most once, and only after a majority of the ledger
+        stored the claim.
+        """
+        register = f"{spec.name}/{key.decode('latin-1')}"
+        claim_id = f"{self._entry_id}/{secrets.token_hex(8)}"
+        claim = await self._claim(register, claim_id, spec, deadline)
+        if isinstance(claim, Claimed):
+            response = await self._run_claimed(
+                register, claim_id, is_callers_key, dispatch
+            )
+        elif isinstance(claim, Completed):
+            response = _replay(claim.outcome)
+        elif isinstance(claim, InProgress):
+            response = error_response(ErrorKind.IN_PROGRESS)
+        elif isinstance(claim, InDoubt):
+            response = error_response(ErrorKind.OUTCOME_UNKNOWN)
+        else:
+            response = await self._give_up(
+                register, claim_id, is_callers_key, ErrorKind.LEDGER_UNAVAILABLE
+            )
+        response.headers.append((b"idempotency-key", key))
+        return response
+
+    async def _claim(
+        self, register: str, claim_id: str, spec: ServiceSpec, deadline: Instant
+    ) -> ClaimAnswer:
+        wait_until = min(deadline, add_ms(self._clock(), REPLAY_WAIT_MS))
+        while True:
+            claim = await self._ledger.claim(register, claim_id, spec.timeout_ms)
+            if not isinstance(claim, InProgress):
+                return claim
+            if remaining_ms(wait_until, self._clock()) < REPLAY_POLL_MS:
+                return claim
+            await curio.sleep(REPLAY_POLL_MS / 1000)
+
+    async def _run_claimed(
+        self, register: str, claim_id: str, is_callers_key: bool, dispatch: Dispatch
+    ) -> Response:
+        result = await dispatch()
+        if isinstance(result, Response):
+            relayed = Response(result.status, relayed_headers(result), result.body)
+            await self._store(register, claim_id, relayed)
+            relayed.headers.append((b"pollenfold-run-state", b"ran"))
+            return relayed
+        state = result.run_state or ERROR_TABLE[result.kind].run_state
+        if state is RunState.DID_NOT_RUN:
+            return await self._give_up(register, claim_id, is_callers_key, result.kind)
+        logger.warning(
+            "event=outcome_unknown key={!r} claim={} cause={}",
+            register,
+            claim_id,
+            result.kind.value,
+        )
+        return error_response(ErrorKind.OUTCOME_UNKNOWN)
+
+    async def _give_up(
+        self, register: str, claim_id: str, is_callers_key: bool, kind: ErrorKind
+    ) -> Response:
+        """Abandon the claim, and only then say that the request did not run.
+
+        Without a majority for that, a caller's key may be held by another entry; a
+        key that this entry generated is known to nobody else.
+        """
+        abandoned = await self._ledger.abandon(register, claim_id)
+        if abandoned.is_ok() or not is_callers_key:
+            return error_response(kind, run_state=RunState.DID_NOT_RUN.value)
+        return error_response(kind, run_state=RunState.OUTCOME_UNKNOWN.value)
+
+    async def _store(self, register: str, claim_id: str, response: Response) -> None:
+        """Store an outcome while the response goes to the caller."""
+        outcome = _outcome(response)
+        self.n_storing += 1
+        await curio.spawn(
+            self._store_until_done, register, claim_id, outcome, daemon=True
+        )
+
+    async def _store_until_done(
+        self, register: str, claim_id: str, outcome: Outcome
+    ) -> None:
+        try:
+            for _ in range(STORE_ATTEMPTS):
+                stored = await self._ledger.complete(register, claim_id, outcome)
+                if stored.is_ok():
+                    return
+                await curio.sleep(STORE_PAUSE_MS / 1000)
+            logger.warning(
+                "event=outcome_not_stored key={!r} claim={}", register, claim_id
+            )
+        finally:
+            self.n_storing -= 1
+
+
+def _outcome(response: Response) -> Outcome:
+    headers = tuple(response.headers)
+    if len(response.body) > MAX_STORED_BODY_BYTES:
+        return Outcome(response.status, (*headers, _BODY_OMITTED), b"")
+    return Outcome(response.status, headers, response.body)
+
+
+def _replay(outcome: Outcome) -> Response:
+    """Return the stored response, marked as such."""
+    if _BODY_OMITTED in outcome.headers:
+        detail = "the first response was too long to be stored"
+        return error_response(
+            ErrorKind.OUTCOME_UNKNOWN, detail, run_state=RunState.RAN.value
+        )
+    headers = [*outcome.headers, _REPLAYED, (b"pollenfold-run-state", b"ran")]
+    return Response(outcome.status, headers, outcome.body)
--- /dev/null
+++ b/pollenfold/entry/attempts.py
@@ -0,0 +1,158 @@
+"""One attempt of a request at one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..core.clock import Clock, Instant, remaining_ms
+from ..core.retries import AttemptOutcome
+from ..http.client import ExchangeFailure, HttpConnection
+from ..http.messages import Headers, Request, Response, find_header
+from ..http.readiness import is_closed_by_peer
+from .backends import Backend
+
+CONNECT_TIMEOUT_MS = 250.0
+CANCEL_CHECK_MS = 25.0
+"""How often a waiting attempt looks whether the caller closed its connection."""
+
+NOT_STARTED = b"pollenfold-not-started"
+TIMEOUT_HEADER = b"pollenfold-timeout-ms"
+
+_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        TIMEOUT_HEADER,
+    )
+)
+_SERVER_ERRORS = frozenset((500, 502, 503, 504))
+
+
+class CallerGone(Exception):
+    """The caller closed its connection, so nobody waits for the response."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended; ``response`` is set when a whole one came."""
+
+    outcome: AttemptOutcome
+    response: Response | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """The parts of a request that are the same for each attempt."""
+
+    request: Request
+    headers: Headers
+    deadline: Instant
+
+
+def forwarded_headers(request: Request, extra: Headers) -> Headers:
+    """Return the headers to send on: all but those of the caller's connection."""
+    headers = [pair for pair in request.headers if pair[0] not in _HOP_HEADERS]
+    return headers + extra
+
+
+def relayed_headers(response: Response) -> Headers:
+    """Return the headers of a response that concern the caller."""
+    return [pair for pair in response.headers if pair[0] not in _HOP_HEADERS]
+
+
+def classify_response(response: Response) -> AttemptOutcome:
+    """Return how a whole response counts for retries."""
+    if response.status not in _SERVER_ERRORS:
+        return AttemptOutcome.RESPONDED
+    if response.status == 503 and find_header(response.headers, NOT_STARTED) == b"true":
+        return AttemptOutcome.NOT_STARTED
+    return AttemptOutcome.SERVER_ERROR
+
+
+class Attempt:
+    """A request at one backend server, from the connection to the response.
+
+    ``start`` sends it; ``wait`` reads the response and may be repeated while it
+    gives None; ``finish`` gives the connection back or closes it.
+    """
+
+    __slots__ = ("backend", "_clock", "_connection", "started_at")
+
+    def __init__(self, backend: Backend, clock: Clock) -> None:
+        self.backend = backend
+        self.started_at = clock()
+        self._clock = clock
+        self._connection: HttpConnection | None = None
+
+    async def start(self, exchange: Exchange) -> AttemptResult | None:
+        """Send the request; return a result only when the attempt is over."""
+        left_ms = remaining_ms(exchange.deadline, self._clock())
+        if left_ms <= 0.0:
+            return AttemptResult(AttemptOutcome.NOT_STARTED)
+        try:
+            connection = await self.backend.pool.acquire(
+                min(CONNECT_TIMEOUT_MS, left_ms)
+            )
+        except OSError:
+            return AttemptResult(AttemptOutcome.NOT_STARTED)
+        if connection is None:
+            return AttemptResult(AttemptOutcome.NOT_STARTED)
+        self._connection = connection
+        request = exchange.request
+        left_ms = remaining_ms(exchange.deadline, self._clock())
+        if left_ms <= 0.0:
+            return AttemptResult(AttemptOutcome.NOT_STARTED)
+        headers = [*exchange.headers, (TIMEOUT_HEADER, b"%d" % max(1, int(left_ms)))]
+        failure = await connection.send(
+            request.method, request.target, headers, request.body
+        )
+        if failure is None:
+            return None
+        if failure is ExchangeFailure.NOT_SENT:
+            return AttemptResult(AttemptOutcome.NOT_STARTED)
+        return AttemptResult(AttemptOutcome.LOST)
+
+    async def wait(self, timeout_ms: float) -> AttemptResult | None:
+        """Wait for the response; None when ``timeout_ms`` passed before it."""
+        assert self._connection is not None
+        result = await self._connection.receive(timeout_ms)
+        if result.is_ok():
+            return AttemptResult(classify_response(result.ok), result.ok)
+        if result.error is ExchangeFailure.TIMEOUT:
+            return None
+        return AttemptResult(AttemptOutcome.LOST)
+
+    async def wait_until(
+        self, exchange: Exchange, until: Instant, is_cancellable: bool
+    ) -> AttemptResult | None:
+        """Wait until an instant in slices, to notice a caller that went away.
+
+        Raise CallerGone for a cancellable attempt whose caller closed its
+        connection.
+        """
+        while True:
+            left_ms = remaining_ms(until, self._clock())
+            if left_ms <= 0.0:
+                return None
+            result = await self.wait(min(left_ms, CANCEL_CHECK_MS))
+            if result is not None:
+                return result
+            descriptor = exchange.request.descriptor
+            if is_cancellable and descriptor >= 0 and is_closed_by_peer(descriptor):
+                raise CallerGone
+
+    async def finish(self) -> None:
+        """Give the connection back, or close it when the exchange is not complete."""
+        if self._connection is not None:
+            connection = self._connection
+            self._connection = None
+            await self.backend.pool.release(connection)
--- /dev/null
+++ b/pollenfold/entry/proxy.py
@@ -0,0 +1,242 @@
+"""The call path: from a caller's request to its one final response."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.errors import ErrorKind, RunState
+from ..core.records import RequestClass, ServiceSpec, classify
+from ..core.retries import AttemptOutcome, may_retry
+from ..http.messages import Request, Response, error_response
+from .actions import ActionRunner
+from .attempts import (
+    TIMEOUT_HEADER,
+    Attempt,
+    AttemptResult,
+    CallerGone,
+    Exchange,
+    forwarded_headers,
+    relayed_headers,
+)
+from .hedges import race
+
+if TYPE_CHECKING:
+    from .services import ServiceRuntime, ServiceTable
+
+IDEMPOTENCY_KEY = b"idempotency-key"
+MAX_KEY_BYTES = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer without a whole response of a backend server."""
+
+    kind: ErrorKind
+    run_state: RunState | None = None
+
+    def response(self) -> Response:
+        """Return what the caller is told."""
+        state = self.run_state.value if self.run_state else None
+        return error_response(self.kind, run_state=state)
+
+
+Observer = Callable[[ServiceSpec, RequestClass, int, float], None]
+"""Is told the service, class, status and latency in ms of each final response."""
+
+
+def _ignore(
+    service: ServiceSpec, request_class: RequestClass, status: int, latency_ms: float
+) -> None:
+    return None
+
+
+class Proxy:
+    """Serves callers of one entry.
+
+    ``has_lease`` tells whether the configuration lease is valid now; without it no
+    new work is taken. ``actions`` runs non-idempotent requests under a claim.
+    """
+
+    def __init__(
+        self,
+        services: ServiceTable,
+        actions: ActionRunner,
+        has_lease: Callable[[], bool],
+        clock: Clock,
+        observe: Observer = _ignore,
+    ) -> None:
+        self._services = services
+        self._actions = actions
+        self._has_lease = has_lease
+        self._clock = clock
+        self._observe = observe
+
+    async def handle(self, request: Request) -> Response | None:
+        """Return the final response, or None when the caller went away."""
+        started_at = self._clock()
+        runtime = self._services.find(request.path)
+        if not self._has_lease():
+            return self._refuse_early(request, ErrorKind.NO_LEASE)
+        if runtime is None:
+            return self._refuse_early(request, ErrorKind.UNKNOWN_SERVICE)
+        spec = runtime.spec
+        if len(request.body) > spec.max_body_bytes:
+            return self._refuse_early(request, ErrorKind.BODY_TOO_LARGE)
+        timeout_ms = _timeout_ms(request, spec)
+        if timeout_ms is None:
+            return self._refuse_early(request, ErrorKind.BAD_REQUEST)
+        deadline = add_ms(started_at, timeout_ms)
+        request_class = classify(spec, request.method.decode(), request.path)
+        try:
+            if request_class is RequestClass.IDEMPOTENT:
+                response = await self._run_idempotent(runtime, request, deadline)
+            else:
+                response = await self._run_action(runtime, request, deadline)
+        except CallerGone:
+            return None
+        latency_ms = self._clock() - started_at
+        self._observe(spec, request_class, response.status, latency_ms)
+        return response
+
+    def _refuse_early(self, request: Request, kind: ErrorKind) -> Response:
+        """Refuse before the ledger was asked.
+
+        An earlier send of a caller's key may have run, so only a request without a
+        key is said not to have run.
+        """
+        has_key = request.header(IDEMPOTENCY_KEY) is not None
+        state = RunState.OUTCOME_UNKNOWN if has_key else None
+        return Refusal(kind, state).response()
+
+    async def _run_idempotent(
+        self, runtime: ServiceRuntime, request: Request, deadline: Instant
+    ) -> Response:
+        headers = forwarded_headers(request, [])
+        exchange = Exchange(request, headers, deadline)
+        result = await run_attempts(
+            runtime, exchange, RequestClass.IDEMPOTENT, self._has_lease, self._clock
+        )
+        if isinstance(result, Response):
+            return Response(result.status, relayed_headers(result), result.body)
+        return result.response()
+
+    async def _run_action(
+        self, runtime: ServiceRuntime, request: Request, deadline: Instant
+    ) -> Response:
+        caller_key = request.header(IDEMPOTENCY_KEY)
+        if caller_key is None:
+            kind = runtime.slots.refusal(deadline)
+            if kind is not None:
+                return Refusal(kind).response()
+            key = secrets.token_hex(16).encode()
+        elif 0 < len(caller_key) <= MAX_KEY_BYTES:
+            key = caller_key
+        else:
+            return self._refuse_early(request, ErrorKind.BAD_REQUEST)
+
+        async def dispatch() -> Response | Refusal:
+            headers = forwarded_headers(request, [])
+            if caller_key is None:
+                headers.append((IDEMPOTENCY_KEY, key))
+            exchange = Exchange(request, headers, deadline)
+            return await run_attempts(
+                runtime,
+                exchange,
+                RequestClass.NON_IDEMPOTENT,
+                self._has_lease,
+                self._clock,
+            )
+
+        return await self._actions.run(
+            runtime.spec, key, caller_key is not None, deadline, dispatch
+        )
+
+
+def _timeout_ms(request: Request, spec: ServiceSpec) -> float | None:
+    """Return the time that the request may take, or None for a malformed header."""
+    value = request.header(TIMEOUT_HEADER)
+    if value is None:
+        return spec.timeout_ms
+    if not value.isdigit() or len(value) > 9:
+        return None
+    return min(float(value), spec.timeout_ms)
+
+
+async def run_attempts(
+    runtime: ServiceRuntime,
+    exchange: Exchange,
+    request_class: RequestClass,
+    has_lease: Callable[[], bool],
+    clock: Clock,
+) -> Response | Refusal:
+    """Send a request to one backend server after another, as far as is allowed.
+
+    Return a whole response, or the refusal with whether the request ran.
+    """
+    tried: set[str] = set()
+    last: AttemptResult | None = None
+    runtime.count_call()
+    while True:
+        acquired = await runtime.slots.acquire(tried, exchange.deadline)
+        if acquired.is_error():
+            return _final(last, Refusal(acquired.error))
+        candidate = acquired.ok
+        # The request may have waited in the queue while the lease ended or the
+        # process was suspended.
+        if not has_lease():
+            await runtime.slots.release(candidate, None)
+            return _final(last, Refusal(ErrorKind.NO_LEASE))
+        attempt = Attempt(runtime.backends[candidate.key], clock)
+        if request_class is RequestClass.IDEMPOTENT:
+            last = await race(runtime, attempt, exchange, tried, clock)
+        else:
+            last = await _attempt_once(runtime, attempt, exchange, clock)
+        if last.outcome is AttemptOutcome.RESPONDED:
+            return _final(last, Refusal(ErrorKind.BACKEND_FAILED))
+        tried.add(candidate.key)
+        if not may_retry(last.outcome, request_class):
+            break
+        if remaining_ms(exchange.deadline, clock()) <= 0.0:
+            break
+        if not runtime.retry_budget.withdraw():
+            break
+    return _final(last, Refusal(ErrorKind.BACKEND_REFUSED))
+
+
+async def _attempt_once(
+    runtime: ServiceRuntime, attempt: Attempt, exchange: Exchange, clock: Clock
+) -> AttemptResult:
+    """Run one attempt to its end; it is never cancelled by the caller's leaving.
+
+    The outcome of a non-idempotent request is worth storing even when its caller
+    is gone, because a resend asks for it.
+    """
+    result: AttemptResult | None = None
+    try:
+        result = await attempt.start(exchange)
+        if result is None:
+            result = await attempt.wait_until(exchange, exchange.deadline, False)
+        if result is None:
+            result = AttemptResult(AttemptOutcome.EXPIRED)
+    finally:
+        await runtime.finish(attempt, result)
+    return result
+
+
+def _final(last: AttemptResult | None, refusal: Refusal) -> Response | Refusal:
+    """Return the whole response of the last attempt, or what its failure means."""
+    if last is None:
+        return refusal
+    if last.outcome is AttemptOutcome.NOT_STARTED:
+        if refusal.kind is ErrorKind.NO_BACKEND_SERVER:
+            return Refusal(ErrorKind.BACKEND_REFUSED)
+        return refusal
+    if last.response is not None:
+        return last.response
+    if last.outcome is AttemptOutcome.EXPIRED:
+        return Refusal(ErrorKind.DEADLINE_EXCEEDED, RunState.OUTCOME_UNKNOWN)
+    return Refusal(ErrorKind.BACKEND_FAILED)
--- /dev/null
+++ b/pollenfold/entry/services.py
@@ -0,0 +1,178 @@
+"""The services of the configuration in force, with their endpoints and budgets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.clock import Clock
+from ..core.measurement import parse_load_header
+from ..core.retries import AttemptOutcome, QuantileEstimate, RatioBudget
+from ..core.routing import Candidate, Policy, probe_score
+from ..http.messages import find_header
+from .attempts import Attempt, AttemptResult
+from .backends import Backend, connection_limit, make_backend
+from .slots import SlotQueue
+
+if TYPE_CHECKING:
+    from ..core.configuration import ConfigurationView
+    from ..core.membership import Endpoint
+    from ..core.records import ServiceSpec
+    from .health import EndpointHealth
+
+MIN_HEDGE_DELAY_MS = 2.0
+"""A shorter delay would hedge requests that differ only by scheduling noise."""
+
+LOAD_HEADER = b"pollenfold-load"
+
+
+class ServiceRuntime:
+    """One service: its queue for slots, its endpoints, its retry and hedge budgets."""
+
+    def __init__(
+        self,
+        spec: ServiceSpec,
+        zone: str,
+        seed: int,
+        clock: Clock,
+        health: EndpointHealth,
+        policy: Policy = probe_score,
+    ) -> None:
+        self.spec = spec
+        self.slots = SlotQueue(zone, spec.queue_limit, policy, seed, clock)
+        self.backends: dict[str, Backend] = {}
+        self.retry_budget = RatioBudget(spec.retry_ratio)
+        self._hedge_budget = RatioBudget(spec.hedge_ratio, burst=2.0)
+        self._latency = QuantileEstimate(0.95, initial_ms=spec.timeout_ms / 4)
+        self._clock = clock
+        self._health = health
+
+    def change_spec(self, spec: ServiceSpec) -> None:
+        """Take over a new version of the record; requests in flight go on."""
+        self.spec = spec
+        self.slots.queue_limit = spec.queue_limit
+        self.retry_budget.ratio = spec.retry_ratio
+        self._hedge_budget.ratio = spec.hedge_ratio
+
+    def count_call(self) -> None:
+        """Add one call's share of permits to the retry and hedge budgets."""
+        self.retry_budget.deposit()
+        self._hedge_budget.deposit()
+
+    def hedge_delay_ms(self) -> float:
+        """Return how long an attempt may take before it is hedged."""
+        return max(MIN_HEDGE_DELAY_MS, self._latency.value_ms)
+
+    def acquire_hedge(self, tried: set[str]) -> Candidate | None:
+        """Take a slot for a hedge, when the budget and the endpoints allow it."""
+        if not self._hedge_budget.withdraw():
+            return None
+        candidate = self.slots.try_acquire(tried)
+        if candidate is None:
+            self._hedge_budget.give_back()
+        return candidate
+
+    async def finish(self, attempt: Attempt, result: AttemptResult | None) -> None:
+        """End an attempt: note how it went, and free its connection and slot.
+
+        ``result`` is None for an attempt that was cancelled; the time that it took
+        until then is a lower bound of its latency.
+        """
+        await attempt.finish()
+        latency_ms = self._clock() - attempt.started_at
+        backend = attempt.backend
+        self._note_report(backend, result)
+        self._health.observe(self.spec, backend, result, latency_ms)
+        counts = result is None or result.outcome in (
+            AttemptOutcome.RESPONDED,
+            AttemptOutcome.EXPIRED,
+        )
+        if counts:
+            self._latency.observe(latency_ms)
+        await self.slots.release(backend.candidate, latency_ms if counts else None)
+
+    async def sync(
+        self, endpoints: tuple[Endpoint, ...], view: ConfigurationView
+    ) -> None:
+        """Take over the endpoints known now, with their limits at this moment."""
+        usable = []
+        n_connections = connection_limit(
+            self.spec.connections_per_endpoint, view.fleet.max_entries
+        )
+        present = set()
+        for endpoint in endpoints:
+            key = f"{endpoint.host}:{endpoint.port}"
+            present.add(key)
+            backend = self.backends.get(key)
+            if backend is None:
+                backend = make_backend(endpoint, key, n_connections)
+                self.backends[key] = backend
+            backend.endpoint = endpoint
+            backend.pool.limit = n_connections
+            candidate = backend.candidate
+            candidate.limit = self._health.limit(self.spec, endpoint, view)
+            if candidate.limit > 0:
+                usable.append(candidate)
+        await self._drop_absent(present)
+        await self.slots.update(tuple(usable))
+
+    async def _drop_absent(self, present: set[str]) -> None:
+        for key in [key for key in self.backends if key not in present]:
+            backend = self.backends[key]
+            backend.candidate.limit = 0
+            if backend.candidate.n_in_flight == 0:
+                await backend.pool.close()
+                del self.backends[key]
+
+    def _note_report(self, backend: Backend, result: AttemptResult | None) -> None:
+        if result is None or result.response is None:
+            return
+        value = find_header(result.response.headers, LOAD_HEADER)
+        if value is None:
+            return
+        report = parse_load_header(value)
+        if report is not None:
+            backend.candidate.reported_in_flight = report.in_flight
+            backend.candidate.reported_at = self._clock()
+
+
+class ServiceTable:
+    """Finds the service of a path: the longest path prefix that matches."""
+
+    def __init__(
+        self, zone: str, seed: int, clock: Clock, health: EndpointHealth
+    ) -> None:
+        self._zone = zone
+        self._seed = seed
+        self._clock = clock
+        self._health = health
+        self._runtimes: dict[str, ServiceRuntime] = {}
+        self._by_prefix: tuple[tuple[str, ServiceRuntime], ...] = ()
+
+    @property
+    def runtimes(self) -> list[ServiceRuntime]:
+        """All services of the configuration in force."""
+        return list(self._runtimes.values())
+
+    def find(self, path: str) -> ServiceRuntime | None:
+        """Return the service of a path, or None when no record matches."""
+        for prefix, runtime in self._by_prefix:
+            if path.startswith(prefix):
+                return runtime
+        return None
+
+    def apply(self, specs: list[ServiceSpec]) -> None:
+        """Take over the service records of a new configuration revision."""
+        runtimes = {}
+        for spec in specs:
+            runtime = self._runtimes.get(spec.name)
+            if runtime is None:
+                runtime = ServiceRuntime(
+                    spec, self._zone, self._seed, self._clock, self._health
+                )
+            else:
+                runtime.change_spec(spec)
+            runtimes[spec.name] = runtime
+        self._runtimes = runtimes
+        by_prefix = [(r.spec.path_prefix, r) for r in runtimes.values()]
+        by_prefix.sort(key=lambda pair: -len(pair[0]))
+        self._by_prefix = tuple(by_prefix)
