Add configuration records, leases, settings and the command line

Records are validated at the operator port, so the replicated state compares only versions and replicas of different releases agree. A new control leader commits a barrier before it grants leases: it could lack changes that its predecessor reported in force. Entries renew every 300 ms beside the long poll, so that a lease outlasts an election.

--- a/pollenfold/cli/__init__.py
+++ b/pollenfold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line program ``pollenfold``."""
--- a/pollenfold/control/__init__.py
+++ b/pollenfold/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control daemon: configuration, leases and the operator interface."""
--- /dev/null
+++ b/pollenfold/control/daemon.py
@@ -0,0 +1,124 @@
+"""The control daemon: a replica of the log, leases and the operator interface."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import curio
+from loguru import logger
+
+from ..core.errors import ErrorKind
+from ..http.server import HttpServer
+from ..observe.clock import system_clock
+from ..observe.signals import wait_for_stop
+from ..records.parsing import MAX_RECORD_BYTES
+from ..wire.frames import Protocol
+from ..wire.rpc import RpcClient, RpcServer
+from .leases import LeaseService
+from .operators import OperatorInterface
+from .state import ControlState
+
+if TYPE_CHECKING:
+    from ..settings import ControlSettings
+
+OPERATOR_CALL_TIMEOUT_MS = 300.0
+
+
+class LeaderAddress:
+    """Finds the operator address of the leader.
+
+    A replica knows the peer addresses of the others from its settings; it asks the
+    leader for its operator address with ``Protocol.OPERATOR``.
+    """
+
+    def __init__(self, settings: ControlSettings, state: ControlState) -> None:
+        self._own = f"{settings.host}:{settings.operator_port}"
+        self._state = state
+        self._clients = {
+            replica_id: RpcClient(*address)
+            for replica_id, address in settings.peers.items()
+            if replica_id != settings.replica_id
+        }
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer another replica with the own operator address."""
+        return json.dumps({"operator": self._own}).encode()
+
+    async def get(self) -> str | None:
+        """Return the leader's operator address ``host:port``, or None."""
+        if self._state.replica.is_leader():
+            return self._own
+        client = self._clients.get(self._state.replica.leader_id() or "")
+        if client is None:
+            return None
+        result = await client.call(Protocol.OPERATOR, b"", OPERATOR_CALL_TIMEOUT_MS)
+        if result.is_error():
+            return None
+        try:
+            return str(json.loads(result.ok)["operator"])
+        except (ValueError, KeyError, TypeError):
+            logger.warning("event=bad_operator_address kind={}", ErrorKind.BAD_FRAME)
+            return None
+
+
+async def serve_control(
+    settings: ControlSettings, replica_type: type[Any] | None = None
+) -> None:
+    """Run a control replica until SIGTERM or SIGINT.
+
+    ``replica_type`` replaces the replica of the log, for tests.
+    """
+    if replica_type is None:
+        from .replica import Replica as replica_type
+    state = ControlState(system_clock)
+    others = {
+        replica_id: address
+        for replica_id, address in settings.peers.items()
+        if replica_id != settings.replica_id
+    }
+    replica = replica_type(
+        settings.replica_id,
+        others,
+        settings.data_folder,
+        state.apply,
+        state.snapshot,
+        state.restore,
+        system_clock,
+        secrets.randbits(32),
+    )
+    state.replica = replica
+    leader_address = LeaderAddress(settings, state)
+    operators = OperatorInterface(
+        state,
+        settings.replica_id,
+        settings.zone,
+        settings.token.get_secret_value(),
+        leader_address.get,
+    )
+    peer_server = RpcServer(
+        {
+            Protocol.AGREEMENT: replica.handle,
+            Protocol.LEASE: LeaseService(state, settings.peers).handle,
+            Protocol.OPERATOR: leader_address.handle,
+        }
+    )
+    operator_server = HttpServer(operators.handle, MAX_RECORD_BYTES)
+    async with curio.TaskGroup(wait=any) as group:
+        stop = await group.spawn(wait_for_stop)
+        await operator_server.start(settings.host, settings.operator_port)
+        peer_port = settings.peers[settings.replica_id][1]
+        await group.spawn(peer_server.serve, settings.host, peer_port)
+        await group.spawn(replica.run)
+        await group.spawn(state.run)
+        logger.info(
+            "event=started replica_id={} peer_port={} operator_port={}",
+            settings.replica_id,
+            peer_port,
+            settings.operator_port,
+        )
+    # Raises what ended the first task, unless it was the signal.
+    reason = group.result
+    logger.info("event=stopped signal={}", reason if stop.terminated else "")
+    await operator_server.stop()
--- /dev/null
+++ b/pollenfold/control/leases.py
@@ -0,0 +1,175 @@
+"""Answers lease requests of entries on the control leader."""
+
+from __future__ import annotations
+
+import math
+
+from loguru import logger
+
+from ..core.clock import add_ms, remaining_ms
+from ..core.configuration import records_since
+from ..core.directory import EntryDirectory, LiveEntry
+from ..core.errors import ErrorKind, Failure
+from ..wire.lease import (
+    AgedNotice,
+    LeaseRequest,
+    LeaseResponse,
+    decode_request,
+    encode_response,
+)
+from .state import ControlState, Leadership
+
+MAX_WAIT_MS = 500.0
+"""A long poll without news is answered after this time."""
+
+MAX_RECORDS_BYTES = 512 * 1024
+"""Records of one response; a quarter of a frame stays for the other parts."""
+
+MAX_NOTICES = 4096
+MAX_TEXT_CHARACTERS = 256
+
+
+class LeaseService:
+    """Handles ``Protocol.LEASE``.
+
+    ``peers`` maps replica ids to peer addresses, which followers point to.
+    """
+
+    def __init__(self, state: ControlState, peers: dict[str, tuple[str, int]]) -> None:
+        self._state = state
+        self._peers = peers
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer one request: at once on news, else after its wait time."""
+        request = decode_request(payload)
+        if request.is_error():
+            logger.warning("event=bad_lease_request detail={!r}", request.error.detail)
+            return encode_response(_refusal(request.error))
+        return encode_response(await self._answer(request.ok))
+
+    async def _answer(self, request: LeaseRequest) -> LeaseResponse:
+        problem = _check_request(request)
+        if problem is not None:
+            return _refusal(problem)
+        started = self._state.clock()
+        deadline = add_ms(started, min(request.wait_ms, MAX_WAIT_MS))
+        held = self._state.leadership()
+        if held is None:
+            return self._refer_to_leader()
+        refusal = await self._receive(held.directory, request)
+        if refusal is not None:
+            return _refusal(refusal)
+        while True:
+            now = self._state.clock()
+            if self._state.leadership() is not held:
+                return self._refer_to_leader()
+            # The lease may have ended, or the limit changed, during the wait.
+            refusal = self._check(held.directory, request)
+            if refusal is not None:
+                return _refusal(refusal)
+            if now >= deadline or self._has_news(held.directory, request):
+                return await self._grant(held, request)
+            await self._state.news.wait(remaining_ms(deadline, now))
+
+    def _check(
+        self, directory: EntryDirectory, request: LeaseRequest
+    ) -> Failure | None:
+        now = self._state.clock()
+        revision = self._state.configuration.revision
+        max_entries, set_at = self._state.max_entries()
+        if request.acknowledged > revision:
+            # A barrier precedes every leadership, so this entry is of another
+            # system, or this system lost accepted changes.
+            detail = f"revision {request.acknowledged} is above {revision}"
+            return Failure(ErrorKind.BAD_REQUEST, detail)
+        admits_new = directory.in_force_revision(revision, now) >= set_at
+        return directory.check(
+            request.entry, request.holds_lease, max_entries, admits_new, now
+        )
+
+    async def _receive(
+        self, directory: EntryDirectory, request: LeaseRequest
+    ) -> Failure | None:
+        """Take over what the request reports; return why it gets no lease."""
+        now = self._state.clock()
+        is_new = [
+            directory.notices.add(aged.notice, aged.age_ms, now)
+            for aged in request.notices
+        ]
+        directory.acknowledge(request.entry, request.acknowledged)
+        refusal = self._check(directory, request)
+        is_changed = False
+        if refusal is None:
+            is_changed = directory.grant(request.entry, request.acknowledged, now)
+        if any(is_new) or is_changed:
+            await self._state.news.publish()
+        return refusal
+
+    def _has_news(self, directory: EntryDirectory, request: LeaseRequest) -> bool:
+        published = directory.published_revision(self._state.clock())
+        return (
+            request.epoch != directory.epoch
+            or request.cursor < self._state.configuration.revision
+            or (published != 0 and request.directory_revision != published)
+            or request.notice_sequence < directory.notices.sequence
+        )
+
+    async def _grant(self, held: Leadership, request: LeaseRequest) -> LeaseResponse:
+        directory = held.directory
+        now = self._state.clock()
+        if directory.grant(request.entry, request.acknowledged, now):
+            await self._state.news.publish()
+        revision = self._state.configuration.revision
+        records, cursor = self._take_records(request.cursor)
+        known = request.notice_sequence if request.epoch == directory.epoch else 0
+        notices = directory.notices.since(known, now)[:MAX_NOTICES]
+        published = directory.published_revision(now)
+        is_same = published == request.directory_revision
+        return LeaseResponse(
+            lease_ms=self._state.lease_ms,
+            epoch=directory.epoch,
+            revision=revision,
+            records=records,
+            cursor=cursor,
+            directory_revision=published,
+            directory=() if is_same or not published else directory.live_entries(),
+            notice_sequence=notices[-1][0] if notices else directory.notices.sequence,
+            notices=tuple(AgedNotice(notice, age) for _, notice, age in notices),
+        )
+
+    def _take_records(self, after: int) -> tuple[tuple[tuple[int, bytes], ...], int]:
+        """Return the records after a revision, and the revision they reach."""
+        records: list[tuple[int, bytes]] = []
+        n_bytes = 0
+        for stored in records_since(self._state.configuration, after):
+            n_bytes += len(stored.data)
+            if n_bytes > MAX_RECORDS_BYTES:
+                return tuple(records), records[-1][0]
+            records.append((stored.revision, stored.data))
+        return tuple(records), self._state.configuration.revision
+
+    def _refer_to_leader(self) -> LeaseResponse:
+        replica = self._state.replica
+        if replica.is_leader():
+            return LeaseResponse(ErrorKind.NOT_READY, "the leader is starting")
+        leader = self._peers.get(replica.leader_id() or "")
+        return LeaseResponse(ErrorKind.NOT_LEADER, "", leader)
+
+
+def _refusal(failure: Failure) -> LeaseResponse:
+    return LeaseResponse(failure.kind, failure.detail)
+
+
+def _check_request(request: LeaseRequest) -> Failure | None:
+    """Refuse values that would be stored or passed on to other entries."""
+    entry: LiveEntry = request.entry
+    texts = [entry.entry_id, entry.host]
+    texts += [aged.notice.endpoint for aged in request.notices]
+    if not all(0 < len(text) <= MAX_TEXT_CHARACTERS for text in texts):
+        return Failure(ErrorKind.BAD_REQUEST, "expected an id, a host and endpoints")
+    if len(request.notices) > MAX_NOTICES:
+        detail = f"expected at most {MAX_NOTICES} notices, got {len(request.notices)}"
+        return Failure(ErrorKind.BAD_REQUEST, detail)
+    if not math.isfinite(request.wait_ms):
+        return Failure(ErrorKind.BAD_REQUEST, "expected a finite wait")
+    return None
--- /dev/null
+++ b/pollenfold/control/state.py
@@ -0,0 +1,207 @@
+"""The configuration of this control replica, and its leadership."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import curio
+from expression import Error, Ok, Result
+from loguru import logger
+
+from ..core.clock import Clock, Instant, add_ms
+from ..core.configuration import (
+    DEFAULT_MAX_ENTRIES,
+    Answer,
+    Change,
+    ConfigurationState,
+    apply_change,
+    decode_change,
+    decode_state,
+    encode_change,
+    encode_state,
+)
+from ..core.directory import LEASE_MS, EntryDirectory
+from ..core.errors import ErrorKind
+from ..core.records import FleetSpec, RecordKind
+from ..records.models import FLEET_NAME
+from ..records.parsing import parse_record
+
+TICK_MS = 20.0
+"""Bounds the delay of noticing an election or the end of a lease."""
+
+BARRIER_TIMEOUT_MS = 1000.0
+
+
+class ReplicaInterface(Protocol):
+    """What the control daemon needs of its replica of the log."""
+
+    async def propose(
+        self, command: bytes, timeout_ms: float
+    ) -> Result[int, ErrorKind]:
+        """Append a command; Ok with its index once it is committed."""
+        ...
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        ...
+
+    def leader_id(self) -> str | None:
+        """Return the id of the leader, if known."""
+        ...
+
+    def leader_since(self) -> Instant | None:
+        """Return when this replica became leader."""
+        ...
+
+    def applied_index(self) -> int:
+        """Return the index of the last applied command."""
+        ...
+
+    def status(self) -> dict[str, Any]:
+        """Return figures for operators."""
+        ...
+
+
+class News:
+    """Wakes the tasks that wait for a change."""
+
+    def __init__(self) -> None:
+        self._event = curio.Event()
+
+    async def publish(self) -> None:
+        """Wake every task that waits now."""
+        event, self._event = self._event, curio.Event()
+        await event.set()
+
+    async def wait(self, timeout_ms: float) -> None:
+        """Return at the next news, or after the timeout."""
+        await curio.ignore_after(timeout_ms / 1000, self._event.wait())
+
+
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """One period in which this replica leads and knows every accepted change."""
+
+    since: Instant
+    directory: EntryDirectory
+
+
+class ControlState:
+    """Applies the log and keeps the entry directory while this replica leads.
+
+    ``replica`` is set after construction, since a replica takes ``apply``,
+    ``snapshot`` and ``restore`` of this object.
+    """
+
+    def __init__(self, clock: Clock, lease_ms: float = LEASE_MS) -> None:
+        self.clock = clock
+        self.lease_ms = lease_ms
+        self.configuration = ConfigurationState()
+        self.news = News()
+        self.replica: ReplicaInterface
+        self._leadership: Leadership | None = None
+        self._limit: tuple[int, int, int] = (-1, DEFAULT_MAX_ENTRIES, 0)
+
+    def apply(self, index: int, command: bytes) -> None:
+        """Apply one committed command; an empty one is a barrier."""
+        if not command:
+            return
+        try:
+            change = decode_change(command)
+        except ValueError as error:
+            logger.error("event=bad_command index={} error={!r}", index, error)
+            return
+        apply_change(self.configuration, change)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        return encode_state(self.configuration)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the state by a snapshot."""
+        self.configuration = decode_state(data)
+
+    def leadership(self) -> Leadership | None:
+        """Return the leadership, or None while this replica can't answer as leader."""
+        held = self._leadership
+        if held is None or not self.replica.is_leader():
+            return None
+        return held if held.since == self.replica.leader_since() else None
+
+    async def submit(
+        self, change: Change, timeout_ms: float
+    ) -> Result[Answer, ErrorKind]:
+        """Propose a change and return its answer once it is committed."""
+        known = self.configuration.answers.get(change.change_id)
+        if known is not None:
+            # apply_change gives a resend its first answer without changing anything.
+            return Ok(apply_change(self.configuration, change))
+        deadline = add_ms(self.clock(), timeout_ms)
+        result = await self.replica.propose(encode_change(change), timeout_ms)
+        if result.is_error():
+            return Error(result.error)
+        while self.replica.applied_index() < result.ok:
+            if self.clock() >= deadline:
+                return Error(ErrorKind.NO_QUORUM)
+            await curio.sleep(TICK_MS / 1000)
+        await self.news.publish()
+        if change.change_id not in self.configuration.answers:
+            return Error(ErrorKind.NO_QUORUM)
+        return Ok(apply_change(self.configuration, change))
+
+    def max_entries(self) -> tuple[int, int]:
+        """Return the limit of entries, and the revision that set it."""
+        revision = self.configuration.revision
+        if self._limit[0] != revision:
+            self._limit = (revision, *self._read_limit())
+        return self._limit[1:]
+
+    def _read_limit(self) -> tuple[int, int]:
+        key = (RecordKind.FLEET.value, FLEET_NAME)
+        stored = self.configuration.records.get(key)
+        if stored is not None:
+            parsed = parse_record(stored.data, is_stored=True)
+            if parsed.is_ok() and isinstance(parsed.ok.spec, FleetSpec):
+                return parsed.ok.spec.max_entries, stored.revision
+        return DEFAULT_MAX_ENTRIES, 0
+
+    async def run(self) -> None:
+        """Follow elections and the ends of leases until cancelled."""
+        seen: tuple[int, int] | None = None
+        while True:
+            await self._follow_leadership()
+            held = self._leadership
+            published = 0
+            if held is not None:
+                held.directory.expire(self.clock())
+                published = held.directory.published_revision(self.clock())
+            if seen != (self.configuration.revision, published):
+                seen = (self.configuration.revision, published)
+                await self.news.publish()
+            await curio.sleep(TICK_MS / 1000)
+
+    async def _follow_leadership(self) -> None:
+        """Start a leadership once a barrier shows that the log is fully applied.
+
+        Without the barrier a new leader could lack changes that its predecessor
+        reported in force, and grant leases for an older configuration.
+        """
+        since = self.replica.leader_since()
+        if not self.replica.is_leader() or since is None:
+            self._leadership = None
+            return
+        if self._leadership is not None and self._leadership.since == since:
+            return
+        self._leadership = None
+        barrier = await self.replica.propose(b"", BARRIER_TIMEOUT_MS)
+        if barrier.is_error() or self.replica.leader_since() != since:
+            return
+        index = barrier.ok
+        while self.replica.applied_index() < index:
+            if not self.replica.is_leader():
+                return
+            await curio.sleep(TICK_MS / 1000)
+        directory = EntryDirectory(index, since, self.lease_ms)
+        self._leadership = Leadership(since, directory)
+        logger.info("event=leader_ready index={}", index)
--- /dev/null
+++ b/pollenfold/core/configuration.py
@@ -0,0 +1,264 @@
+"""The replicated configuration: versioned records, change ids, snapshots, views.
+
+Replicas of different releases apply the same log, so ``apply_change`` looks only at
+the kind, name and version of a record. The operator interface validates the rest
+before a change enters the log.
+"""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+import xxhash
+
+from .errors import ErrorKind
+from .records import (
+    EndpointSpec,
+    FleetSpec,
+    RecordKind,
+    ServiceSpec,
+    ZoneSpec,
+)
+
+MAX_ANSWERS = 4096
+"""Answers kept for resends: more than five days at 730 changes a day."""
+
+DEFAULT_MAX_ENTRIES = 19
+"""Entries allowed while there is no fleet record."""
+
+Spec = ServiceSpec | ZoneSpec | FleetSpec | EndpointSpec
+RecordKey = tuple[str, str]
+"""Kind and name of a record."""
+
+_ID_LENGTH = struct.Struct(">H")
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A record that an operator wants to store, and the id of this intent."""
+
+    change_id: str
+    record: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The result of one change; ``error`` is None when it was accepted.
+
+    ``revision`` is the revision of the configuration after the change, and
+    ``digest`` identifies the record that the change carried.
+    """
+
+    change_id: str
+    revision: int
+    error: ErrorKind | None
+    detail: str
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record as written, and the revision at which it was stored."""
+
+    kind: str
+    name: str
+    version: int
+    revision: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """The whole replicated state. Records are never deleted."""
+
+    revision: int = 0
+    records: dict[RecordKey, StoredRecord] = field(default_factory=dict)
+    answers: dict[str, Answer] = field(default_factory=dict)
+
+
+def encode_change(change: Change) -> bytes:
+    """Return a change as the command of one log entry."""
+    change_id = change.change_id.encode()
+    return _ID_LENGTH.pack(len(change_id)) + change_id + change.record
+
+
+def decode_change(command: bytes) -> Change:
+    """Read the command of one log entry; raise ValueError when it is damaged."""
+    if len(command) < _ID_LENGTH.size:
+        raise ValueError(f"expected a change, got {len(command)} bytes")
+    (n_id_bytes,) = _ID_LENGTH.unpack_from(command)
+    end = _ID_LENGTH.size + n_id_bytes
+    if len(command) < end:
+        raise ValueError(f"expected a change id of {n_id_bytes} bytes, got fewer")
+    return Change(command[_ID_LENGTH.size : end].decode(), command[end:])
+
+
+def apply_change(state: ConfigurationState, change: Change) -> Answer:
+    """Apply one committed change and return its answer.
+
+    A change is accepted only when its version is the stored version plus one. A
+    change id that was seen before gets its first answer and changes nothing; with
+    another record it gets ``BAD_REQUEST``.
+    """
+    digest = xxhash.xxh3_64_intdigest(change.record)
+    first = state.answers.get(change.change_id)
+    if first is not None:
+        if first.digest == digest:
+            return first
+        detail = f"change id {change.change_id} was used for another record"
+        return Answer(
+            change.change_id, state.revision, ErrorKind.BAD_REQUEST, detail, digest
+        )
+    answer = _decide(state, change, digest)
+    state.answers[change.change_id] = answer
+    while len(state.answers) > MAX_ANSWERS:
+        del state.answers[next(iter(state.answers))]
+    return answer
+
+
+def _decide(state: ConfigurationState, change: Change, digest: int) -> Answer:
+    try:
+        fields = json.loads(change.record)
+        kind, name, version = fields["kind"], fields["name"], fields["version"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        kind = name = version = None
+    if not (type(kind) is str and type(name) is str and type(version) is int):
+        return Answer(
+            change.change_id,
+            state.revision,
+            ErrorKind.BAD_RECORD,
+            "expected a JSON object with kind, name and version",
+            digest,
+        )
+    stored = state.records.get((kind, name))
+    expected = 1 if stored is None else stored.version + 1
+    if version != expected:
+        detail = f"{kind} {name}: got version {version}, expected version {expected}"
+        return Answer(
+            change.change_id,
+            state.revision,
+            ErrorKind.VERSION_CONFLICT,
+            detail,
+            digest,
+        )
+    state.revision += 1
+    state.records[kind, name] = StoredRecord(
+        kind, name, version, state.revision, change.record
+    )
+    return Answer(change.change_id, state.revision, None, "", digest)
+
+
+def records_since(state: ConfigurationState, revision: int) -> list[StoredRecord]:
+    """Return the records stored after the revision, oldest first."""
+    if revision >= state.revision:
+        return []
+    changed = [
+        record for record in state.records.values() if record.revision > revision
+    ]
+    return sorted(changed, key=lambda record: record.revision)
+
+
+def encode_state(state: ConfigurationState) -> bytes:
+    """Return the whole state as bytes, for a snapshot."""
+    return json.dumps(
+        {
+            "revision": state.revision,
+            "records": [
+                [
+                    record.kind,
+                    record.name,
+                    record.version,
+                    record.revision,
+                    record.data.decode("latin-1"),
+                ]
+                for record in state.records.values()
+            ],
+            "answers": [
+                [
+                    answer.change_id,
+                    answer.revision,
+                    answer.error.value if answer.error else None,
+                    answer.detail,
+                    answer.digest,
+                ]
+                for answer in state.answers.values()
+            ],
+        },
+        separators=(",", ":"),
+    ).encode()
+
+
+def decode_state(data: bytes) -> ConfigurationState:
+    """Read a state that ``encode_state`` wrote."""
+    fields: dict[str, Any] = json.loads(data)
+    state = ConfigurationState(revision=fields["revision"])
+    for kind, name, version, revision, text in fields["records"]:
+        state.records[kind, name] = StoredRecord(
+            kind, name, version, revision, text.encode("latin-1")
+        )
+    for change_id, revision, error, detail, digest in fields["answers"]:
+        kind = ErrorKind(error) if error else None
+        state.answers[change_id] = Answer(change_id, revision, kind, detail, digest)
+    return state
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationView:
+    """The configuration at one revision, parsed for the call path.
+
+    ``services`` are ordered by falling length of their path prefix. ``drained``
+    holds the endpoints, named ``ip:port``, that operators drained.
+    """
+
+    revision: int = 0
+    services: tuple[ServiceSpec, ...] = ()
+    zones: Mapping[str, ZoneSpec] = field(default_factory=dict)
+    fleet: FleetSpec = FleetSpec(DEFAULT_MAX_ENTRIES)
+    drained: frozenset[str] = frozenset()
+
+    def find_service(self, path: str) -> ServiceSpec | None:
+        """Return the service with the longest path prefix of whole segments.
+
+        For example, ``/shop`` covers ``/shop`` and ``/shop/cart`` but not
+        ``/shopping``.
+        """
+        for service in self.services:
+            prefix = service.path_prefix.rstrip("/")
+            if path.startswith(prefix) and path[len(prefix) : len(prefix) + 1] in "/":
+                return service
+        return None
+
+    def is_zone_in(self, name: str) -> bool:
+        """Return whether the zone takes work; a zone without a record does."""
+        zone = self.zones.get(name)
+        return zone is None or zone.is_in
+
+
+def build_view(revision: int, specs: Iterable[Spec]) -> ConfigurationView:
+    """Return the view of the records' specs at the revision."""
+    services: list[ServiceSpec] = []
+    zones: dict[str, ZoneSpec] = {}
+    fleet = FleetSpec(DEFAULT_MAX_ENTRIES)
+    drained: set[str] = set()
+    for spec in specs:
+        if isinstance(spec, ServiceSpec):
+            services.append(spec)
+        elif isinstance(spec, ZoneSpec):
+            zones[spec.name] = spec
+        elif isinstance(spec, FleetSpec):
+            fleet = spec
+        elif spec.is_drained:
+            drained.add(spec.name)
+    services.sort(key=lambda service: (-len(service.path_prefix), service.name))
+    return ConfigurationView(
+        revision, tuple(services), zones, fleet, frozenset(drained)
+    )
+
+
+def record_key(kind: RecordKind, name: str) -> RecordKey:
+    """Return the key of a record in the state."""
+    return kind.value, name
--- a/pollenfold/entry/__init__.py
+++ b/pollenfold/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: proxies requests of callers to backend servers."""
--- /dev/null
+++ b/pollenfold/entry/configuration.py
@@ -0,0 +1,195 @@
+"""Keeps the configuration and the lease of this entry up to date."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+import curio
+from loguru import logger
+
+from ..core.clock import Clock, Instant
+from ..core.configuration import ConfigurationView
+from ..core.directory import LeaveNotice, LiveEntry
+from ..core.errors import ErrorKind
+from ..wire.lease import (
+    AgedNotice,
+    LeaseRequest,
+    LeaseResponse,
+    decode_request,
+    encode_response,
+)
+from .route import Address, ControlRoute
+from .state import Directory, EntryState
+
+POLL_WAIT_MS = 500.0
+"""How long the leader may hold a request back until there is news."""
+
+RENEW_INTERVAL_MS = 300.0
+"""Interval of renewals beside the long poll. At any moment the lease has at least
+1.7 s left, which is longer than an election of the control leader takes."""
+
+RETRY_MS = 50.0
+FLEET_FULL_RETRY_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddresses:
+    """Where an entry listens."""
+
+    host: str
+    caller_port: int
+    platform_port: int
+    peer_port: int
+
+
+def _start_incarnation() -> int:
+    """Return a number that is higher for every later process on this VM."""
+    return time.time_ns() // 1_000_000
+
+
+class ConfigurationClient:
+    """Renews the lease of this entry and follows the configuration.
+
+    ``control`` lists the peer addresses of the control replicas. ``peers`` returns
+    the addresses (host, peer port) of other entries that can forward a renewal;
+    without it those of the directory are used. ``on_change`` is called after the
+    view, the directory or the leave notices changed.
+
+    For example, an entry registers ``forward`` under ``Protocol.LEASE`` of its peer
+    port, spawns ``run`` and checks ``has_lease(clock())`` before each dispatch.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        addresses: EntryAddresses,
+        zone: str,
+        control: list[Address],
+        peers: Callable[[], Iterable[Address]] | None,
+        clock: Clock,
+        *,
+        on_change: Callable[[], None] | None = None,
+        incarnation: int | None = None,
+    ) -> None:
+        entry = LiveEntry(
+            entry_id,
+            _start_incarnation() if incarnation is None else incarnation,
+            addresses.host,
+            addresses.caller_port,
+            addresses.platform_port,
+            addresses.peer_port,
+            zone,
+        )
+        self.on_change = on_change
+        self._clock = clock
+        self._state = EntryState(entry)
+        self._route = ControlRoute(control, peers or self._directory_peers, clock)
+        self._wake = curio.Event()
+        self._refusal: ErrorKind | None = None
+
+    def view(self) -> ConfigurationView:
+        """Return the newest configuration that this entry has."""
+        return self._state.view
+
+    def has_lease(self, now: Instant) -> bool:
+        """Return whether this entry may take new work."""
+        return self._state.lease.is_valid(now)
+
+    def directory(self) -> Directory:
+        """Return the live entries, their revision and when it was first seen."""
+        return self._state.directory
+
+    def leave_notices(self) -> list[AgedNotice]:
+        """Return the leave notices of the last 60 s."""
+        return self._state.notices(self._clock())
+
+    async def add_leave_notice(self, notice: LeaveNotice) -> None:
+        """Report that an endpoint leaves; it is sent to the leader at once."""
+        if self._state.add_notice(notice, self._clock()):
+            await self._wake.set()
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        try:
+            async with curio.TaskGroup() as group:
+                await group.spawn(self._poll)
+                await group.spawn(self._renew)
+        finally:
+            await self._route.close()
+
+    async def forward(self, payload: bytes) -> bytes:
+        """Pass a lease request of a peer on to the leader, one hop only."""
+        decoded = decode_request(payload)
+        if decoded.is_error():
+            failure = decoded.error
+            return encode_response(LeaseResponse(failure.kind, failure.detail))
+        unreachable = encode_response(LeaseResponse(ErrorKind.UNREACHABLE))
+        if decoded.ok.is_forwarded:
+            return unreachable
+        request: LeaseRequest = replace(
+            decoded.ok,
+            is_forwarded=True,
+            wait_ms=min(decoded.ok.wait_ms, POLL_WAIT_MS),
+        )
+        answer = await self._route.exchange(request, is_direct=True)
+        return unreachable if answer is None else encode_response(answer[0])
+
+    async def _poll(self) -> None:
+        """Ask for news all the time."""
+        while True:
+            error = await self._exchange(POLL_WAIT_MS)
+            if error is ErrorKind.FLEET_FULL:
+                await curio.sleep(FLEET_FULL_RETRY_MS / 1000)
+            elif error is not None:
+                await curio.sleep(RETRY_MS / 1000)
+
+    async def _renew(self) -> None:
+        """Renew at an interval, and at once when there is something to report."""
+        while True:
+            await curio.ignore_after(RENEW_INTERVAL_MS / 1000, self._wake.wait())
+            self._wake.clear()
+            await self._exchange(0.0)
+
+    async def _exchange(self, wait_ms: float) -> ErrorKind | None:
+        """Make one renewal; return why it was refused, or None."""
+        request = self._state.request(wait_ms, self._clock())
+        answer = await self._route.exchange(request)
+        error = ErrorKind.UNREACHABLE
+        if answer is not None:
+            response, sent_at = answer
+            if response.error is None:
+                await self._receive(request, response, sent_at)
+                return self._note_refusal(None, "")
+            error = response.error
+            return self._note_refusal(error, response.detail)
+        return self._note_refusal(error, "no control replica leads")
+
+    async def _receive(
+        self, request: LeaseRequest, response: LeaseResponse, sent_at: Instant
+    ) -> None:
+        acknowledged = self._state.lease.revision
+        is_changed = self._state.receive(request, response, sent_at, self._clock())
+        if is_changed and self.on_change is not None:
+            self.on_change()
+        if self._state.lease.revision != acknowledged or self._state.has_unreported(
+            self._clock()
+        ):
+            # The leader learns at once that the revision is in force here.
+            await self._wake.set()
+
+    def _note_refusal(self, error: ErrorKind | None, detail: str) -> ErrorKind | None:
+        if error is not self._refusal:
+            self._refusal = error
+            kind = "none" if error is None else error.value
+            logger.info("event=lease_renewal refusal={} detail={!r}", kind, detail)
+        return error
+
+    def _directory_peers(self) -> list[Address]:
+        own = self._state.entry.entry_id
+        return [
+            (entry.host, entry.peer_port)
+            for entry in self._state.directory.entries
+            if entry.entry_id != own
+        ]
--- /dev/null
+++ b/pollenfold/entry/route.py
@@ -0,0 +1,145 @@
+"""Finds the control leader, directly or through a peer entry."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+import curio
+
+from ..core.clock import Clock, Instant, add_ms
+from ..core.errors import ErrorKind
+from ..wire.frames import Protocol
+from ..wire.lease import LeaseRequest, LeaseResponse, decode_response, encode_request
+from ..wire.rpc import RpcClient
+
+CALL_TIMEOUT_MS = 300.0
+"""Time for one exchange beyond its wait: far above a round trip, and short enough
+for a pass over control replicas and peers within one lease."""
+
+DIRECT_RETRY_MS = 1000.0
+"""How often an entry that renews through a peer tries the control replicas."""
+
+N_PEERS = 2
+"""Peers asked at once when no control replica can be reached."""
+
+Address = tuple[str, int]
+
+
+class ControlRoute:
+    """The way from this entry to the control leader.
+
+    ``peers`` returns the peer addresses (host and peer port) of other entries.
+    """
+
+    def __init__(
+        self,
+        control: list[Address],
+        peers: Callable[[], Iterable[Address]],
+        clock: Clock,
+    ) -> None:
+        self._control = control
+        self._peers = peers
+        self._clock = clock
+        self._clients: dict[Address, RpcClient] = {}
+        self._current: Address | None = None
+        self._is_direct = True
+        self._next_direct = Instant(0.0)
+        self._n_searches = 0
+        self._search_lock = curio.Lock()
+
+    async def exchange(
+        self, request: LeaseRequest, is_direct: bool = False
+    ) -> tuple[LeaseResponse, Instant] | None:
+        """Send the request to the leader; return the response and the sending time.
+
+        None means that no leader was reached. With ``is_direct`` no peer is asked.
+        """
+        current = self._current
+        if current is not None and self._may_use_current(is_direct):
+            answer = await self._ask(current, request)
+            if answer is not None and answer[0].error is not ErrorKind.NOT_LEADER:
+                return answer
+        async with self._search_lock:
+            found = self._current
+            if found not in (None, current) and self._may_use_current(is_direct):
+                # Another exchange found the leader during this one.
+                return await self._ask(found, request)
+            if is_direct and not self._is_direct and self._clock() < self._next_direct:
+                return None
+            self._current = None
+            return await self._search(replace(request, wait_ms=0.0), is_direct)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            await client.close()
+
+    def _may_use_current(self, is_direct: bool) -> bool:
+        if self._is_direct:
+            return True
+        return not is_direct and self._clock() < self._next_direct
+
+    async def _ask(
+        self, address: Address, request: LeaseRequest
+    ) -> tuple[LeaseResponse, Instant] | None:
+        """Send the request to one address; None when no response came.
+
+        A peer that reaches no leader counts as no response.
+        """
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = RpcClient(*address)
+        sent_at = self._clock()
+        timeout_ms = request.wait_ms + CALL_TIMEOUT_MS
+        result = await client.call(Protocol.LEASE, encode_request(request), timeout_ms)
+        if result.is_error():
+            return None
+        response = decode_response(result.ok)
+        if response.is_error() or response.ok.error is ErrorKind.UNREACHABLE:
+            return None
+        return response.ok, sent_at
+
+    async def _search(
+        self, request: LeaseRequest, is_direct: bool
+    ) -> tuple[LeaseResponse, Instant] | None:
+        self._n_searches += 1
+        answer = await self._ask_all(self._control, request, True)
+        if answer is None and not is_direct:
+            answer = await self._ask_all(self._choose_peers(), request, False)
+        self._next_direct = add_ms(self._clock(), DIRECT_RETRY_MS)
+        return answer
+
+    async def _ask_all(
+        self, addresses: list[Address], request: LeaseRequest, is_direct: bool
+    ) -> tuple[LeaseResponse, Instant] | None:
+        """Ask the addresses at the same time; the first that leads is used on."""
+        asked = set(addresses)
+        async with curio.TaskGroup(wait=None) as group:
+            for address in addresses:
+                await group.spawn(self._ask_from, address, request)
+            async for task in group:
+                address, answer = task.result
+                if answer is None:
+                    continue
+                response = answer[0]
+                if response.error is not ErrorKind.NOT_LEADER:
+                    self._current = address
+                    self._is_direct = is_direct
+                    return answer
+                if is_direct and response.leader not in {None, *asked}:
+                    asked.add(response.leader)
+                    await group.spawn(self._ask_from, response.leader, request)
+        return None
+
+    async def _ask_from(
+        self, address: Address, request: LeaseRequest
+    ) -> tuple[Address, tuple[LeaseResponse, Instant] | None]:
+        return address, await self._ask(address, request)
+
+    def _choose_peers(self) -> list[Address]:
+        peers = sorted(set(self._peers()))
+        if not peers:
+            return []
+        start = self._n_searches * N_PEERS % len(peers)
+        return (peers[start:] + peers[:start])[:N_PEERS]
--- /dev/null
+++ b/pollenfold/observe/signals.py
@@ -0,0 +1,38 @@
+"""Waits for the signal that stops a daemon."""
+
+from __future__ import annotations
+
+import signal
+import socket as sockets
+from types import FrameType
+
+from curio import io
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def _ignore(number: int, frame: FrameType | None) -> None:
+    """Do nothing: the wake-up socket carries the signal number."""
+
+
+async def wait_for_stop() -> str:
+    """Return the name of the signal when the process is told to stop.
+
+    The interpreter writes the number of each signal to a socket, so the event loop
+    wakes at once and no handler runs in the middle of other code.
+    """
+    receiver, sender = sockets.socketpair()
+    sender.setblocking(False)
+    previous = signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
+    handlers = {number: signal.signal(number, _ignore) for number in STOP_SIGNALS}
+    try:
+        async with io.Socket(receiver) as reader:
+            while True:
+                for number in await reader.recv(16):
+                    if number in STOP_SIGNALS:
+                        return signal.Signals(number).name
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        signal.set_wakeup_fd(previous)
+        sender.close()
--- a/pollenfold/testing/__init__.py
+++ b/pollenfold/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the systems around a module, for tests."""
--- /dev/null
+++ b/pollenfold/testing/replica.py
@@ -0,0 +1,88 @@
+"""A replica of the log without consensus: commands are committed at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from ..core.clock import Clock, Instant
+from ..core.errors import ErrorKind
+
+
+class FakeReplica:
+    """Stands in for ``control.replica.Replica``; leads until ``follow`` is called.
+
+    ``lost`` makes ``propose`` report no quorum although the command is applied,
+    like a leader whose confirmation is lost.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        peers: dict[str, tuple[str, int]],
+        data_folder: Path,
+        apply: Callable[[int, bytes], None],
+        snapshot: Callable[[], bytes],
+        restore: Callable[[bytes], None],
+        clock: Clock,
+        seed: int,
+    ) -> None:
+        self.replica_id = replica_id
+        self.commands: list[bytes] = []
+        self.lost = False
+        self._apply = apply
+        self._clock = clock
+        self._leader_id: str | None = replica_id
+        self._since: Instant | None = clock()
+
+    def lead(self) -> None:
+        """Become the leader anew."""
+        self._leader_id = self.replica_id
+        self._since = self._clock()
+
+    def follow(self, leader_id: str | None) -> None:
+        """Follow another leader, or none."""
+        self._leader_id = leader_id
+        self._since = None
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer a peer; a fake has none."""
+        return b""
+
+    async def run(self) -> None:
+        """Do nothing, as there is no timer."""
+
+    async def propose(
+        self, command: bytes, timeout_ms: float
+    ) -> Result[int, ErrorKind]:
+        """Commit and apply the command at once."""
+        if not self.is_leader():
+            return Error(ErrorKind.NOT_LEADER)
+        self.commands.append(command)
+        self._apply(len(self.commands), command)
+        if self.lost:
+            return Error(ErrorKind.NO_QUORUM)
+        return Ok(len(self.commands))
+
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        return self._leader_id == self.replica_id
+
+    def leader_id(self) -> str | None:
+        """Return the id of the leader, if known."""
+        return self._leader_id
+
+    def leader_since(self) -> Instant | None:
+        """Return when this replica became leader."""
+        return self._since
+
+    def applied_index(self) -> int:
+        """Return the index of the last applied command."""
+        return len(self.commands)
+
+    def status(self) -> dict[str, Any]:
+        """Return figures for operators."""
+        return {"term": 1, "applied_index": self.applied_index()}
--- /dev/null
+++ b/pollenfold/tests/core/test_lease.py
@@ -0,0 +1,42 @@
+"""The lease of an entry, with late and repeated responses."""
+
+from pollenfold.core.clock import Instant
+from pollenfold.core.lease import Lease
+
+
+def test_lease_counts_from_sending():
+    """Guards against an entry that works on after the leader saw its lease end."""
+    lease = Lease()
+    assert not lease.is_valid(Instant(0))
+    assert lease.renew(Instant(100), 2000, 0, Instant(900))
+    assert lease.is_valid(Instant(2099))
+    assert not lease.is_valid(Instant(2100))
+
+
+def test_late_response_does_not_shorten_or_revive_a_lease():
+    """Guards against responses that arrive out of order."""
+    lease = Lease()
+    lease.renew(Instant(500), 2000, 0, Instant(600))
+    lease.renew(Instant(100), 2000, 0, Instant(700))
+    assert lease.remaining_ms(Instant(700)) == 1800
+    assert not lease.renew(Instant(500), 2000, 0, Instant(3000))
+    assert not lease.is_valid(Instant(3000))
+
+
+def test_ended_lease_starts_only_with_the_newest_revision():
+    """Guards against an entry that returns with a configuration that was replaced."""
+    lease = Lease()
+    lease.advance(5)
+    assert lease.renew(Instant(0), 2000, 5, Instant(10))
+    assert lease.renew(Instant(1000), 2000, 6, Instant(1010))
+    assert not lease.renew(Instant(4000), 2000, 6, Instant(4010))
+    lease.advance(6)
+    assert lease.renew(Instant(4000), 2000, 6, Instant(4010))
+
+
+def test_revision_never_falls():
+    """Guards against an entry that goes back to an older configuration."""
+    lease = Lease()
+    assert lease.advance(7)
+    assert not lease.advance(6)
+    assert lease.revision == 7
