Start control and ledger daemons from the command line

Causes found by starting the real processes: a new leader proposed an empty command as barrier, which the log refuses, so every leader stopped; the ledger waited for its signal with a class that this release of curio lacks; the control daemon left its own address out of the replica list.

--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -73,14 +73,9 @@
     if replica_type is None:
         from .replica import Replica as replica_type
     state = ControlState(system_clock)
-    others = {
-        replica_id: address
-        for replica_id, address in settings.peers.items()
-        if replica_id != settings.replica_id
-    }
     replica = replica_type(
         settings.replica_id,
-        others,
+        settings.peers,
         settings.data_folder,
         state.apply,
         state.snapshot,
--- a/pollenfold/control/state.py
+++ b/pollenfold/control/state.py
@@ -30,6 +30,9 @@
 TICK_MS = 20.0
 """Bounds the delay of noticing an election or the end of a lease."""
 
+BARRIER = b"\0"
+"""A command that changes nothing; it is shorter than any change."""
+
 BARRIER_TIMEOUT_MS = 1000.0
 
 
@@ -104,8 +107,8 @@
         self._limit: tuple[int, int, int] = (-1, DEFAULT_MAX_ENTRIES, 0)
 
     def apply(self, index: int, command: bytes) -> None:
-        """Apply one committed command; an empty one is a barrier."""
-        if not command:
+        """Apply one committed command."""
+        if command == BARRIER:
             return
         try:
             change = decode_change(command)
@@ -194,7 +197,7 @@
         if self._leadership is not None and self._leadership.since == since:
             return
         self._leadership = None
-        barrier = await self.replica.propose(b"", BARRIER_TIMEOUT_MS)
+        barrier = await self.replica.propose(BARRIER, BARRIER_TIMEOUT_MS)
         if barrier.is_error() or self.replica.leader_since() != since:
             return
         index = barrier.ok
--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -2,29 +2,20 @@
 
 from __future__ import annotations
 
-import signal
 import time
-from dataclasses import dataclass
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import curio
 from loguru import logger
 
 from ..core.clock import Instant
+from ..observe.signals import wait_for_stop
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
 from .replica import LedgerReplica
 
-
-@dataclass(frozen=True, slots=True)
-class LedgerSettings:
-    """Settings of one replica; ``peers`` has the addresses of the others by id."""
-
-    replica_id: str
-    peers: dict[str, tuple[str, int]]
-    data_folder: Path
-    host: str
-    port: int
+if TYPE_CHECKING:
+    from ..settings import LedgerSettings
 
 
 def wall_clock() -> Instant:
@@ -38,21 +29,23 @@
     Raise ValueError when the data folder belongs to another replica, and OSError
     when it can't be written or the address is taken.
     """
+    others = dict(settings.peers)
+    port = others.pop(settings.replica_id)[1]
     replica = LedgerReplica(
-        settings.replica_id, settings.peers, settings.data_folder, wall_clock
+        settings.replica_id, others, settings.data_folder, wall_clock
     )
     server = RpcServer({Protocol.LEDGER: replica.answer})
-    sock = curio.tcp_server_socket(settings.host, settings.port)
+    sock = curio.tcp_server_socket(settings.host, port)
     logger.info(
         "event=ledger_listening replica={} port={}",
         settings.replica_id,
         sock.getsockname()[1],
     )
-    async with curio.SignalQueue(signal.SIGTERM) as signals:
-        listener = await curio.spawn(curio.network.run_server, sock, server.handle)
-        worker = await curio.spawn(replica.run)
-        await signals.get()
-        await listener.cancel()
-        await worker.cancel()
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(wait_for_stop)
+        await group.spawn(curio.network.run_server, sock, server.handle)
+        await group.spawn(replica.run)
     await replica.close()
+    # Raises what ended the first task, unless it was the signal.
+    _ = group.result
     logger.info("event=ledger_stopped replica={}", settings.replica_id)
--- a/pollenfold/tests/control/test_replica.py
+++ b/pollenfold/tests/control/test_replica.py
@@ -1,8 +1,5 @@
 """Control replicas over loopback: restarts, lost writes, isolation."""
 
-import os
-import shutil
-
 import curio
 import pytest
 from expression import Error
