--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -9,22 +9,17 @@
 import curio
 from loguru import logger
 
+from ..core.claims import Claimed, Completed, InDoubt, InProgress
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ERROR_TABLE, ErrorKind, RunState
+from ..core.register import Outcome
 from ..http.messages import Response, error_response
 from .attempts import relayed_headers
-from .ledger_client import (
-    Claimed,
-    Completed,
-    InDoubt,
-    InProgress,
-    LedgerClient,
-    Outcome,
-)
+from .ledger_client import LedgerClient
 
 if TYPE_CHECKING:
+    from ..core.claims import ClaimAnswer
     from ..core.records import ServiceSpec
-    from .ledger_client import ClaimAnswer
     from .proxy import Refusal
 
 MAX_STORED_BODY_BYTES = 64 * 1024
--- /dev/null
+++ b/pollenfold/entry/daemon.py
@@ -0,0 +1,280 @@
+"""The entry daemon: caller port, platform port and peer port."""
+
+from __future__ import annotations
+
+import gc
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import curio
+from loguru import logger
+
+from ..core import directory as control_directory
+from ..core.directory import LEASE_MS
+from ..core.errors import ErrorKind
+from ..core.membership import EndpointTable, LeaveNotice
+from ..core.warming import Directory, WarmChange
+from ..http.server import HttpServer
+from ..observe.clock import system_clock
+from ..observe.histograms import Histograms
+from ..observe.metrics import MetricsSender
+from ..observe.signals import wait_for_stop
+from ..wire.frames import Protocol
+from ..wire.rpc import RpcServer
+from .actions import ActionRunner
+from .announcements import AnnouncementHandler
+from .configuration import ConfigurationClient, EntryAddresses
+from .gossip import Gossip
+from .health import EndpointHealth
+from .ledger_client import LedgerClient
+from .peers import PeerClients
+from .platform import PlatformInterface
+from .proxy import Proxy
+from .refresher import Refresher
+from .services import ServiceTable
+
+if TYPE_CHECKING:
+    from ..settings import EntrySettings
+
+MAX_BODY_BYTES = 16 << 20
+"""Greatest body that the HTTP layer reads; each service has its own lower limit."""
+
+STORE_WAIT_MS = 3000.0
+"""How long a planned stop waits for outcomes that are still being stored."""
+
+
+class Entry:
+    """The parts of one entry, wired together."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.is_stopping = False
+        seed = secrets.randbits(32)
+        self.table = EndpointTable()
+        self.histograms = Histograms()
+        self.configuration = ConfigurationClient(
+            settings.entry_id,
+            EntryAddresses(
+                settings.host,
+                settings.caller_port,
+                settings.platform_port,
+                settings.peer_port,
+            ),
+            settings.zone,
+            list(settings.control.values()),
+            None,
+            system_clock,
+            on_change=self._wake,
+        )
+        self.peers = PeerClients(settings.entry_id, self.configuration.directory)
+        self.gossip = Gossip(self.table, self.peers.get, system_clock, seed)
+        self.health = EndpointHealth(
+            settings.entry_id,
+            LEASE_MS,
+            self._directory,
+            self.configuration.view,
+            self._publish_warm_change,
+            system_clock,
+        )
+        self.services = ServiceTable(settings.zone, seed, system_clock, self.health)
+        self.refresher = Refresher(
+            self.configuration,
+            self.table,
+            self.services,
+            self._apply_leave_notices,
+            system_clock,
+        )
+        process_id = f"{settings.entry_id}-{secrets.token_hex(4)}"
+        ledger = LedgerClient(dict(settings.ledger), process_id, system_clock)
+        self.actions = ActionRunner(ledger, process_id, system_clock)
+        self.proxy = Proxy(
+            self.services,
+            self.actions,
+            self.has_lease,
+            system_clock,
+            self.histograms.record,
+        )
+        self.announcements = AnnouncementHandler(
+            self.table,
+            system_clock,
+            self._is_known_service,
+            self.gossip.push,
+            self._report_leave,
+        )
+        self._unpublished: list[WarmChange] = []
+        self._unreported: list[LeaveNotice] = []
+
+    def has_lease(self) -> bool:
+        """Return whether this entry may take new work now."""
+        return self.configuration.has_lease(system_clock())
+
+    def unhealthy_kind(self) -> ErrorKind | None:
+        """Return why the platform's balancer should send callers elsewhere."""
+        if self.is_stopping:
+            return ErrorKind.STOPPING
+        if not self.gossip.is_ready:
+            return ErrorKind.NOT_READY
+        if not self.has_lease():
+            return ErrorKind.NO_LEASE
+        return None
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators see of this entry."""
+        view = self.configuration.view()
+        return {
+            "entry_id": self.settings.entry_id,
+            "zone": self.settings.zone,
+            "has_lease": self.has_lease(),
+            "revision": view.revision,
+            "is_stopping": self.is_stopping,
+            "n_storing": self.actions.n_storing,
+            "histograms": self.histograms.summary(),
+            "services": [
+                {
+                    "service": runtime.spec.name,
+                    "n_in_flight": runtime.slots.n_in_flight,
+                    "n_waiting": runtime.slots.n_waiting,
+                    "endpoints": {
+                        key: {
+                            "limit": backend.candidate.limit,
+                            "n_in_flight": backend.candidate.n_in_flight,
+                            "ewma_ms": round(backend.candidate.ewma_ms, 3),
+                            "zone": backend.candidate.zone,
+                        }
+                        for key, backend in runtime.backends.items()
+                    },
+                }
+                for runtime in self.services.runtimes
+            ],
+        }
+
+    def gauges(self) -> dict[str, float]:
+        """Return the figures for statsd."""
+        gauges = {"lease": float(self.has_lease())}
+        for runtime in self.services.runtimes:
+            name = runtime.spec.name
+            gauges[f"{name}.in_flight"] = runtime.slots.n_in_flight
+            gauges[f"{name}.waiting"] = runtime.slots.n_waiting
+        for row in self.histograms.summary():
+            prefix = f"{row['tenant']}.{row['service']}.{row['class']}"
+            gauges[f"{prefix}.p99_ms"] = float(str(row["p99_ms"]))
+            gauges[f"{prefix}.responses"] = float(str(row["n_responses"]))
+        return gauges
+
+    async def publish(self) -> None:
+        """Send warm-up changes to the peers and leaves to the control leader."""
+        while True:
+            await curio.sleep(0.005)
+            while self._unreported:
+                notice = self._unreported.pop()
+                await self.configuration.add_leave_notice(
+                    control_directory.LeaveNotice(
+                        f"{notice.host}:{notice.port}",
+                        notice.service,
+                        notice.incarnation,
+                    )
+                )
+            changes, self._unpublished = self._unpublished, []
+            if changes:
+                entries = [self._merge_warm_change(change) for change in changes]
+                await self.gossip.push([e for e in entries if e is not None])
+
+    def _wake(self) -> None:
+        self.refresher.wake()
+
+    def _directory(self) -> Directory:
+        directory = self.configuration.directory()
+        return Directory(
+            directory.revision,
+            directory.first_seen,
+            tuple(entry.entry_id for entry in directory.entries),
+        )
+
+    def _is_known_service(self, name: str) -> bool:
+        return any(s.name == name for s in self.configuration.view().services)
+
+    def _report_leave(self, notice: LeaveNotice) -> None:
+        self._unreported.append(notice)
+        self.refresher.wake()
+
+    def _apply_leave_notices(self) -> None:
+        now = system_clock()
+        for aged in self.configuration.leave_notices():
+            host, _, port = aged.notice.endpoint.rpartition(":")
+            self.table.apply_leave_notice(
+                LeaveNotice(
+                    aged.notice.service, host, int(port), aged.notice.incarnation
+                ),
+                now,
+            )
+
+    def _publish_warm_change(self, change: WarmChange) -> None:
+        self._unpublished.append(change)
+        self.refresher.wake()
+
+
+async def serve_entry(settings: EntrySettings) -> None:
+    """Run an entry until SIGTERM or SIGINT, then stop without cutting requests off."""
+    entry = Entry(settings)
+    callers = HttpServer(entry.proxy.handle, MAX_BODY_BYTES)
+    platform = HttpServer(
+        PlatformInterface(
+            entry.unhealthy_kind,
+            entry.announcements.handle,
+            entry.status,
+            settings.token.get_secret_value(),
+        ).handle
+    )
+    peer_server = RpcServer(
+        {
+            Protocol.LEASE: entry.configuration.forward,
+            Protocol.MEMBERSHIP: entry.gossip.handle,
+        }
+    )
+    async with curio.TaskGroup(wait=None) as group:
+        stop = await group.spawn(wait_for_stop)
+        await platform.start(settings.host, settings.platform_port)
+        await group.spawn(peer_server.serve, settings.host, settings.peer_port)
+        await group.spawn(entry.configuration.run)
+        await group.spawn(entry.gossip.run)
+        await group.spawn(entry.refresher.run)
+        await group.spawn(entry.publish)
+        if settings.statsd is not None:
+            prefix = f"pollenfold.{settings.entry_id}"
+            sender = MetricsSender(settings.statsd, prefix, entry.gauges)
+            await group.spawn(sender.run)
+        await callers.start(settings.host, settings.caller_port)
+        # What exists now lives as long as the process; freezing it keeps the
+        # collector from walking it during calls.
+        gc.collect()
+        gc.freeze()
+        logger.info(
+            "event=started entry_id={} zone={} caller_port={}",
+            settings.entry_id,
+            settings.zone,
+            settings.caller_port,
+        )
+        first_done = await group.next_done()
+        if first_done is not stop:
+            logger.error("event=task_failed task={}", first_done.name)
+            raise first_done.exception or RuntimeError("a task ended too early")
+        await drain(entry, callers, settings.drain_notice_ms)
+        await group.cancel_remaining()
+
+
+async def drain(entry: Entry, callers: HttpServer, notice_ms: float) -> None:
+    """Finish a planned stop while the other tasks still run.
+
+    The health check fails first, so that the platform's balancer sends new callers
+    elsewhere before the port closes.
+    """
+    entry.is_stopping = True
+    callers.announce_stop()
+    logger.info("event=stopping n_in_flight={}", callers.n_in_flight)
+    await curio.sleep(notice_ms / 1000)
+    await callers.stop()
+    await callers.wait_idle()
+    wait_until = system_clock() + STORE_WAIT_MS
+    while entry.actions.n_storing and system_clock() < wait_until:
+        await curio.sleep(0.005)
+    logger.info("event=stopped n_not_stored={}", entry.actions.n_storing)
--- /dev/null
+++ b/pollenfold/entry/refresher.py
@@ -0,0 +1,73 @@
+"""Brings configuration, endpoints and limits to the call path."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import curio
+
+from ..core.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from ..core.clock import Clock
+    from ..core.membership import EndpointTable
+    from .configuration import ConfigurationClient
+    from .services import ServiceTable
+
+REFRESH_INTERVAL_MS = 100.0
+"""How late a change by time alone is seen, such as the end of an ejection or of the
+wait of a new warm-up owner. Other changes are taken over at the next tick."""
+
+TICK_MS = 5.0
+"""Callbacks that are not coroutines can't set a curio event, so changes are polled."""
+
+
+class Refresher:
+    """Applies changes to the services of an entry.
+
+    ``wake`` is called from other modules when something changed.
+    """
+
+    def __init__(
+        self,
+        configuration: ConfigurationClient,
+        table: EndpointTable,
+        services: ServiceTable,
+        apply_notices: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._table = table
+        self._services = services
+        self._apply_notices = apply_notices
+        self._clock = clock
+        self._revision = -1
+        self._is_changed = False
+
+    def wake(self) -> None:
+        """Note a change; the next pass of ``run`` takes it over."""
+        self._is_changed = True
+
+    async def run(self) -> None:
+        """Refresh at once after a change, else at each interval."""
+        while True:
+            await self.refresh()
+            for _ in range(int(REFRESH_INTERVAL_MS / TICK_MS)):
+                await curio.sleep(TICK_MS / 1000)
+                if self._is_changed:
+                    break
+
+    async def refresh(self) -> None:
+        """Take over the present configuration, endpoints and limits."""
+        self._is_changed = False
+        view = self._configuration.view()
+        if view.revision != self._revision:
+            self._services.apply(list(view.services))
+            self._revision = view.revision
+        self._apply_notices()
+        has_lease = self._configuration.has_lease(self._clock())
+        for runtime in self._services.runtimes:
+            if not has_lease:
+                await runtime.slots.refuse_all(ErrorKind.NO_LEASE)
+            await runtime.sync(self._table.endpoints(runtime.spec.name), view)
