--- /dev/null
+++ b/pollenfold/tests/entry/test_announcements.py
@@ -0,0 +1,138 @@
+"""Steps of features/announcements.feature: the handler on the platform port."""
+
+import json
+from pathlib import Path
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from pollenfold.core.clock import ManualClock
+from pollenfold.core.membership import EndpointTable, LeaveNotice
+from pollenfold.entry.announcements import AnnouncementHandler
+from pollenfold.entry.gossip import PushResult
+from pollenfold.http.messages import Request
+
+scenarios(str(Path(__file__).parent.parent / "features" / "announcements.feature"))
+
+BODY = {
+    "service": "pearl-market",
+    "host": "10.0.0.1",
+    "port": 8080,
+    "zone": "a",
+    "incarnation": 5,
+    "heartbeat": 1,
+    "ttl_ms": 5000,
+    "slots": 6,
+    "connections": 260,
+    "state": "serving",
+}
+
+
+class Entry:
+    """A handler with its table, the pushes and the notices that it gave."""
+
+    def __init__(self, service, run):
+        self.table = EndpointTable()
+        self.pushes = []
+        self.notices = []
+        self.run = run
+        self.status = None
+        self.answer = None
+        self.handler = AnnouncementHandler(
+            self.table,
+            ManualClock(),
+            lambda name: name == service,
+            self.push,
+            self.notices.append,
+        )
+
+    async def push(self, endpoints):
+        self.pushes.append(endpoints)
+        return PushResult(18, 17)
+
+    def post(self, body, method=b"POST", target=b"/v1/announcements"):
+        request = Request(method, target, [], body)
+        response = self.run(self.handler.handle, request)
+        self.status = response.status
+        self.answer = json.loads(response.body)
+
+    def announce(self, **fields):
+        self.post(json.dumps({**BODY, **fields}).encode())
+
+
+@given(
+    parsers.parse('an entry that knows the service "{service}"'), target_fixture="entry"
+)
+def make_entry(service, run):
+    return Entry(service, run)
+
+
+ANNOUNCEMENT = 'incarnation {incarnation:d}, heartbeat {heartbeat:d}, "{state}"'
+
+
+@given(parsers.parse("the server announced " + ANNOUNCEMENT))
+@when(parsers.parse("the server announces " + ANNOUNCEMENT))
+def announce(entry, incarnation, heartbeat, state):
+    entry.announce(incarnation=incarnation, heartbeat=heartbeat, state=state)
+
+
+@when(parsers.re(r"the server posts (?P<body>.+)"))
+def post(entry, body):
+    if " = " in body:
+        name, value = body.split(" = ")
+        entry.announce(**{name: json.loads(value)})
+    elif body == "a deeply nested array":
+        entry.post(b"[" * 100_000)
+    elif body == "bytes that are no text":
+        entry.post(b'{"service": "\xff\xfe"}')
+    else:
+        entry.post(body.encode())
+
+
+@then(parsers.re(r'the answer is (?P<status>\d+) with reason "(?P<reason>.*)"'))
+def check_reason(entry, status, reason):
+    assert (entry.status, entry.answer["reason"]) == (int(status), reason)
+    assert entry.answer["accepted"] is not bool(reason)
+
+
+@then(parsers.re(r'the answer is (?P<status>\d+) with error "(?P<error>.*)"'))
+def check_error(entry, status, error):
+    assert (entry.status, entry.answer["error"]) == (int(status), error)
+    assert entry.answer["detail"]
+
+
+@then(parsers.re(r"(?P<n_serving>\d+) endpoints? serves?"))
+def check_serving(entry, n_serving):
+    assert len(entry.table.endpoints("pearl-market")) == int(n_serving)
+
+
+@then(parsers.re(r"the peers were told (?P<n_pushes>\d+) times?"))
+def check_pushes(entry, n_pushes):
+    assert len(entry.pushes) == int(n_pushes)
+
+
+@then(parsers.parse("a leave notice for incarnation {incarnation:d} was given"))
+def check_notice(entry, incarnation):
+    assert entry.notices == [LeaveNotice("pearl-market", "10.0.0.1", 8080, incarnation)]
+    assert entry.answer["n_peers"] == 18
+    assert entry.answer["is_acknowledged"] is False
+
+
+def test_renewals_need_no_message(run):
+    """Guards against a push to all entries for every heartbeat."""
+    entry = Entry("pearl-market", run)
+    for heartbeat in range(1, 20):
+        entry.announce(heartbeat=heartbeat)
+    assert len(entry.pushes) == 1
+
+
+@pytest.mark.parametrize(
+    "method, target, status",
+    [(b"GET", b"/v1/announcements", 400), (b"POST", b"/v1/other", 404)],
+)
+def test_other_requests_are_refused(run, method, target, status):
+    """Guards against an announcement that is taken from another resource."""
+    entry = Entry("pearl-market", run)
+    entry.post(json.dumps(BODY).encode(), method, target)
+    assert entry.status == status
+    assert len(entry.table) == 0
--- /dev/null
+++ b/pollenfold/tests/entry/test_gossip.py
@@ -0,0 +1,197 @@
+"""Gossip between entries: pushes, digests, the first copy, garbage."""
+
+import curio
+import pytest
+
+from pollenfold.core.clock import ManualClock
+from pollenfold.core.membership import EndpointTable, MergeOutcome, WarmState
+from pollenfold.entry.gossip import COPY_DEADLINE_MS, Gossip
+from pollenfold.testing.endpoints import LocalPeer, make_endpoint
+from pollenfold.wire.frames import Protocol
+from pollenfold.wire.membership import Push, decode_request, encode_request
+from pollenfold.wire.rpc import RpcClient, RpcServer
+
+SERVICE = "pearl-market"
+
+
+class Fleet:
+    """Entries in one process that call each other directly."""
+
+    def __init__(self, n_entries, seed=1):
+        self.clock = ManualClock()
+        self.tables = [EndpointTable() for _ in range(n_entries)]
+        self.gossips = [
+            Gossip(table, self._peers_of(index), self.clock, seed + index)
+            for index, table in enumerate(self.tables)
+        ]
+        self.peers = [LocalPeer(gossip.handle) for gossip in self.gossips]
+
+    def _peers_of(self, index):
+        def peers():
+            return {str(n): p for n, p in enumerate(self.peers) if n != index}
+
+        return peers
+
+    def serving(self):
+        return [table.endpoints(SERVICE) for table in self.tables]
+
+
+@pytest.fixture
+def fleet():
+    return Fleet(19)
+
+
+def test_push_reaches_all_peers_at_once(run, fleet):
+    """Guards against a leave that needs several rounds to be known."""
+
+    async def main():
+        endpoint = make_endpoint(is_leaving=True)
+        for table in fleet.tables:
+            table.merge(make_endpoint(), fleet.clock())
+        fleet.tables[0].merge(endpoint, fleet.clock())
+        fleet.peers[3].is_reachable = False
+        result = await fleet.gossips[0].push([endpoint])
+        assert (result.n_peers, result.n_acknowledged) == (18, 17)
+        assert not result.is_complete
+        assert [bool(serving) for serving in fleet.serving()].count(True) == 1
+
+    run(main)
+
+
+def test_digests_spread_what_pushes_missed(run, fleet):
+    """Guards against an entry that keeps a leaving endpoint after a lost push, and
+    against a heartbeat that reaches only some entries within the ttl."""
+
+    async def main():
+        for n in range(30):
+            endpoint = make_endpoint(port=1000 + n)
+            fleet.tables[n % 19].merge(endpoint, fleet.clock())
+        fleet.tables[1].merge(
+            make_endpoint(port=1001, heartbeat=5, warm=WarmState(1, True)),
+            fleet.clock(),
+        )
+        fleet.tables[2].merge(make_endpoint(port=1002, is_leaving=True), fleet.clock())
+        for _ in range(10):
+            for gossip in fleet.gossips:
+                await gossip.exchange()
+        first = fleet.tables[0].endpoints(SERVICE)
+        assert len(first) == 29
+        assert all(serving == first for serving in fleet.serving())
+        fleet.tables[4].merge(make_endpoint(port=1004, heartbeat=9), fleet.clock())
+        for _ in range(10):
+            for gossip in fleet.gossips:
+                await gossip.exchange()
+        key = make_endpoint(port=1004).key
+        assert {table.get(key).heartbeat for table in fleet.tables} == {9}
+
+    run(main)
+
+
+def test_starting_entry_copies_warm_states_and_leaves(run):
+    """Guards against a restart of an entry that turns warm endpoints cold, or
+    that forgets which endpoints are leaving."""
+
+    async def main():
+        fleet = Fleet(2)
+        old, new = fleet.tables
+        for n in range(1500):
+            warm = make_endpoint(port=1000 + n, warm=WarmState(1, True))
+            old.merge(warm, fleet.clock())
+        old.merge(make_endpoint(port=999, is_leaving=True), fleet.clock())
+        fleet.gossips[0].is_ready = True
+        await fleet.gossips[1].copy_from_peers()
+        assert fleet.gossips[1].is_ready
+        assert new.endpoints(SERVICE) == old.endpoints(SERVICE)
+        late = new.merge(make_endpoint(port=999, heartbeat=8), fleet.clock())
+        assert late is MergeOutcome.RENEWED
+        assert len(new.endpoints(SERVICE)) == 1500
+
+    run(main)
+
+
+def test_entry_is_not_ready_while_no_peer_responds(run):
+    """Guards against an entry that starts with an empty table although its peers
+    hold one, and against one that never starts because they are gone."""
+
+    async def main():
+        fleet = Fleet(2)
+        fleet.peers[0].is_reachable = False
+        task = await curio.spawn(fleet.gossips[1].copy_from_peers)
+        await curio.sleep(0.15)
+        assert not fleet.gossips[1].is_ready
+        fleet.clock.advance(COPY_DEADLINE_MS)
+        await task.join()
+        assert fleet.gossips[1].is_ready
+
+    run(main)
+
+
+def test_first_entries_of_a_fleet_become_ready(run, fleet):
+    """Guards against entries that wait for each other's copy."""
+
+    async def main():
+        async with curio.TaskGroup() as group:
+            for gossip in fleet.gossips:
+                await group.spawn(gossip.copy_from_peers)
+        assert all(gossip.is_ready for gossip in fleet.gossips)
+
+    run(main)
+
+
+def _damaged():
+    whole = encode_request(Push(()))
+    return [b"", b"\xff" * 64, whole[:-3], b"\x00" * 8, whole + b"\xff" * 7]
+
+
+@pytest.mark.parametrize("payload", _damaged())
+def test_garbage_changes_nothing(run, payload):
+    """Guards against a malformed message that stops the handler or the table."""
+
+    async def main():
+        fleet = Fleet(1)
+        try:
+            await fleet.gossips[0].handle(payload)
+        except ValueError:
+            pass
+        assert len(fleet.tables[0]) == 0
+
+    run(main)
+
+
+def test_names_that_are_too_long_are_refused(run):
+    """Guards against a peer that fills the table with oversized names."""
+
+    async def main():
+        fleet = Fleet(1)
+        endpoint = make_endpoint(zone="z" * 5000)
+        payload = encode_request(Push(()))
+        assert decode_request(payload) == Push(())
+        result = await Gossip(
+            EndpointTable(), lambda: {"a": fleet.peers[0]}, fleet.clock, 1
+        ).push([endpoint])
+        assert result.n_acknowledged == 0
+        assert len(fleet.tables[0]) == 0
+
+    run(main)
+
+
+def test_push_over_sockets(run):
+    """Guards against a message that the real transport can't carry."""
+
+    async def main():
+        fleet = Fleet(1)
+        server = RpcServer({Protocol.MEMBERSHIP: fleet.gossips[0].handle})
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        task = await curio.spawn(
+            curio.network.run_server, sock, server.handle, daemon=True
+        )
+        client = RpcClient("127.0.0.1", sock.getsockname()[1])
+        sender = Gossip(EndpointTable(), lambda: {"a": client}, fleet.clock, 1)
+        endpoints = [make_endpoint(port=1000 + n) for n in range(1200)]
+        result = await sender.push(endpoints)
+        assert result.is_complete
+        assert fleet.tables[0].endpoints(SERVICE) == tuple(endpoints)
+        await client.close()
+        await task.cancel()
+
+    run(main)
