--- /dev/null
+++ b/pollenfold/core/measurement.py
@@ -0,0 +1,200 @@
+"""The measurement budget of a service, and load reports with their age."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from .clock import Instant
+from .records import ServiceSpec
+
+MAX_REPORT_BYTES = 512
+"""Longest load report that is read."""
+
+MAX_PROBE_BYTES = 1024
+"""Bytes that a probe reserves, request and response; the rest is given back."""
+
+REPORT_BYTES = 64
+"""Bytes that a report on a response reserves: the header that asks for it and the
+header that carries it."""
+
+HALF_LIFE_MS = 50.0
+"""Age at which a report has half its weight. Load shifts within milliseconds, and a
+response is a few milliseconds old when its figures are used."""
+
+MAX_LOAD = 4.0
+"""Greatest reported load per slot; a larger figure tells nothing more."""
+
+_MAX_FIGURE = 1_000_000
+
+
+class TokenBucket:
+    """Allows ``rate_per_s`` units a second, and up to ``burst`` at once.
+
+    ``charge`` takes units that were already used and may leave a debt, which must
+    be paid before ``try_take`` allows anything again.
+    """
+
+    __slots__ = ("rate_per_s", "burst", "_level", "_updated")
+
+    def __init__(self, rate_per_s: float, burst: float, now: Instant) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._level = 0.0
+        self._updated = now
+
+    def level(self, now: Instant) -> float:
+        """Return the units that are available, negative for a debt."""
+        if now > self._updated:
+            gain = self.rate_per_s * (now - self._updated) / 1000
+            self._level = min(self.burst, self._level + gain)
+            self._updated = now
+        return self._level
+
+    def try_take(self, amount: float, now: Instant) -> bool:
+        """Take the amount if it is available."""
+        if self.level(now) < amount:
+            return False
+        self._level -= amount
+        return True
+
+    def charge(self, amount: float, now: Instant) -> None:
+        """Take the amount in any case."""
+        self.level(now)
+        self._level -= amount
+
+    def give_back(self, amount: float, now: Instant) -> None:
+        """Return units that were taken and not used."""
+        self._level = min(self.burst, self.level(now) + amount)
+
+
+class MeasurementBudget:
+    """This entry's part of what a service may spend on load measurement.
+
+    The part is the budget divided by the greatest number of entries, not by the
+    number that this entry believes in. A bucket starts empty, so that restarts do
+    not add to the budget. ``burst`` is one second of the rate and at least one
+    probe.
+    """
+
+    def __init__(self, spec: ServiceSpec, max_entries: int, now: Instant) -> None:
+        n_entries = max(1, max_entries)
+        probes_per_s = max(0.0, spec.probes_per_s) / n_entries
+        bytes_per_s = max(0.0, spec.probe_bytes_per_s) / n_entries
+        self._probes = TokenBucket(probes_per_s, max(1.0, probes_per_s), now)
+        self._bytes = TokenBucket(bytes_per_s, max(MAX_PROBE_BYTES, bytes_per_s), now)
+
+    def try_probe(self, now: Instant) -> bool:
+        """Reserve one probe with ``MAX_PROBE_BYTES``, or return False."""
+        if self._bytes.level(now) < MAX_PROBE_BYTES:
+            return False
+        if not self._probes.try_take(1.0, now):
+            return False
+        return self._bytes.try_take(MAX_PROBE_BYTES, now)
+
+    def finish_probe(self, n_bytes: int, now: Instant) -> None:
+        """Settle a reserved probe with the bytes that it used."""
+        if n_bytes <= MAX_PROBE_BYTES:
+            self._bytes.give_back(MAX_PROBE_BYTES - n_bytes, now)
+        else:
+            self._bytes.charge(n_bytes - MAX_PROBE_BYTES, now)
+
+    def try_request_report(self, now: Instant) -> bool:
+        """Reserve the bytes to ask for a report on a response, or return False.
+
+        Half of the burst is left for probes, which reach the endpoints that get no
+        requests.
+        """
+        if self._bytes.level(now) < self._bytes.burst / 2 + REPORT_BYTES:
+            return False
+        return self._bytes.try_take(REPORT_BYTES, now)
+
+    def count_report(self, n_bytes: int, was_requested: bool, now: Instant) -> None:
+        """Count the bytes of a report that came on a response.
+
+        A report that was not asked for costs its bytes too; then probes and further
+        requests for reports wait until the debt is paid.
+        """
+        reserved = REPORT_BYTES if was_requested else 0
+        self._bytes.charge(max(0, n_bytes - reserved), now)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a backend server said of itself, and when that was received."""
+
+    in_flight: int
+    slots: int
+    is_cold: bool
+    received: Instant
+
+    @property
+    def load(self) -> float:
+        """Requests in flight for each slot."""
+        return min(MAX_LOAD, self.in_flight / max(1, self.slots))
+
+
+def parse_load_header(value: bytes, now: Instant) -> LoadReport | None:
+    """Read ``in_flight=3;slots=6;cold=0``; return None when it is malformed.
+
+    Unknown fields are ignored, and ``cold`` may be missing.
+    """
+    if len(value) > MAX_REPORT_BYTES:
+        return None
+    fields: dict[str, int] = {}
+    for part in value.decode("latin-1").split(";"):
+        name, _, text = part.strip().partition("=")
+        if name not in ("in_flight", "slots", "cold"):
+            continue
+        if name in fields or not (text.isascii() and text.isdigit()) or len(text) > 7:
+            return None
+        fields[name] = int(text)
+    return _report(
+        fields.get("in_flight"), fields.get("slots"), fields.get("cold", 0), now
+    )
+
+
+def parse_load_body(body: bytes, now: Instant) -> LoadReport | None:
+    """Read ``{"in_flight": 3, "slots": 6, "cold": false}``, None when malformed."""
+    if len(body) > MAX_REPORT_BYTES:
+        return None
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(value, dict):
+        return None
+    return _report(
+        value.get("in_flight"), value.get("slots"), value.get("cold", False), now
+    )
+
+
+def _report(in_flight: Any, slots: Any, cold: Any, now: Instant) -> LoadReport | None:
+    for figure in (in_flight, slots):
+        if type(figure) is not int or not 0 <= figure <= _MAX_FIGURE:
+            return None
+    if type(cold) not in (int, bool) or cold not in (0, 1) or slots < 1:
+        return None
+    return LoadReport(in_flight, slots, bool(cold), now)
+
+
+def report_weight(report: LoadReport, now: Instant) -> float:
+    """Return the weight of a report, 1 when new and halved every 50 ms."""
+    age_ms = max(0.0, now - report.received)
+    return float(0.5 ** (age_ms / HALF_LIFE_MS))
+
+
+def ranked_load(
+    own_in_flight: int, slots: int, report: LoadReport | None, now: Instant
+) -> float:
+    """Return the load to rank an endpoint by; less is better.
+
+    The entry's own requests in flight are certain. A report can only add to them,
+    with a weight that falls with its age, so a server that reports too little gets
+    no better rank.
+    """
+    own = own_in_flight / max(1, slots)
+    if report is None or report.load <= own:
+        return own
+    return own + report_weight(report, now) * (report.load - own)
--- /dev/null
+++ b/pollenfold/core/warming.py
@@ -0,0 +1,416 @@
+"""Warm-up of cold endpoints: one owner, a ramp, and the detection of coldness.
+
+While an endpoint is cold only its warm-up owner sends to it. The owner is the same
+on every entry with the same directory, and a new owner waits until the previous one
+must have stopped.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+from dataclasses import dataclass, replace
+from enum import Enum
+from math import ceil
+
+import xxhash
+
+from .clock import Instant
+from .endpoints import Endpoint, EndpointKey, WarmState
+from .records import ServiceSpec
+
+SUCCESSES_PER_SLOT = 4
+"""Successful responses for each slot of the present limit before the next slot."""
+
+N_HIGH_LATENCIES = 5
+"""Consecutive responses far above the baseline that count as a sudden rise. Five in
+a row at the 99th percentile are a matter of chance a few times a day at the largest
+size; three would be one every few seconds."""
+
+N_SHEDS = 3
+"""Consecutive refusals by a warm endpoint that count as a sign of coldness."""
+
+MIN_BASELINE_SAMPLES = 20
+
+RISE_FACTOR = 3.0
+RISE_MS = 2.0
+"""A rise is above ``RISE_FACTOR`` times the baseline plus ``RISE_MS``; the constant
+part keeps scheduling noise of sub-millisecond servers out."""
+
+BASELINE_WEIGHT = 0.02
+
+MAX_SUSPECT_SHARE = 1 / 3
+"""Share of a service's endpoints that latency and shedding may show as cold at once.
+More of them at the same time mean that the service is overloaded; taking endpoints
+out then would make it worse."""
+
+SUSPECT_MS = 1000.0
+
+WARM_SHARE_FACTOR = 2.0
+MIN_WARM_SHARE = 2
+"""An entry may use twice its part of a warm endpoint's slots, and two at least. The
+platform's load balancer spreads connections, not requests, over the entries."""
+
+_MAX_HISTORY = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """The live entries of one revision, and when this entry first saw it.
+
+    Revisions count up by one; a gap means that this entry missed some.
+    """
+
+    revision: int
+    first_seen: Instant
+    entry_ids: tuple[str, ...]
+
+
+class WarmReason(Enum):
+    """Why the warm state of an endpoint changed."""
+
+    RAMP_DONE = "ramp_done"
+    REPORTED = "reported"
+    SHEDDING = "shedding"
+    LATENCY = "latency"
+
+
+@dataclass(frozen=True, slots=True)
+class WarmChange:
+    """An endpoint with a new warm state, to merge into the table and to push."""
+
+    endpoint: Endpoint
+    reason: WarmReason
+
+
+def warmup_owner(entry_ids: tuple[str, ...], key: EndpointKey) -> str | None:
+    """Return the entry that warms the endpoint up, by rendezvous hash.
+
+    Only endpoints of an entry that leaves, and those that an added entry wins, change
+    their owner.
+    """
+    name = f"\0{key.service}\0{key.host}\0{key.port}"
+    return max(
+        entry_ids,
+        key=lambda entry_id: (
+            xxhash.xxh3_64_intdigest((entry_id + name).encode()),
+            entry_id,
+        ),
+        default=None,
+    )
+
+
+class LatencyBaseline:
+    """The slowly moving mean of latencies, and the run of values far above it."""
+
+    __slots__ = ("mean_ms", "n_samples", "n_high")
+
+    def __init__(self) -> None:
+        self.mean_ms = 0.0
+        self.n_samples = 0
+        self.n_high = 0
+
+    def add(self, latency_ms: float) -> bool:
+        """Take one latency; return whether it ends a sudden rise."""
+        self.n_samples += 1
+        is_learning = self.n_samples <= MIN_BASELINE_SAMPLES
+        if not is_learning and latency_ms > RISE_FACTOR * self.mean_ms + RISE_MS:
+            self.n_high += 1
+        else:
+            self.n_high = 0
+        weight = 1 / self.n_samples if is_learning else BASELINE_WEIGHT
+        self.mean_ms += weight * (latency_ms - self.mean_ms)
+        return self.n_high >= N_HIGH_LATENCIES
+
+
+class _State:
+    """What one entry knows about the warm-up of one endpoint."""
+
+    __slots__ = (
+        "endpoint",
+        "spec",
+        "zone_version",
+        "directory",
+        "revision",
+        "generation",
+        "owner_since",
+        "limit",
+        "ready_at",
+        "ramp_limit",
+        "n_successes",
+        "n_sheds",
+        "baseline",
+        "suspect_at",
+    )
+
+    def __init__(self, endpoint: Endpoint, spec: ServiceSpec) -> None:
+        self.endpoint = endpoint
+        self.spec = spec
+        self.zone_version = -1
+        self.directory: Directory | None = None
+        self.revision = -1
+        self.generation = -1
+        self.owner_since: Instant | None = None
+        self.limit = 0
+        self.ready_at = 0.0
+        self.suspect_at = float("-inf")
+        self.start_ramp()
+
+    @property
+    def is_warm(self) -> bool:
+        warm = self.endpoint.warm
+        return warm.is_warm and warm.zone_version >= self.zone_version
+
+    @property
+    def is_detected_cold(self) -> bool:
+        """Whether an entry saw the endpoint turn cold after it had been warm."""
+        warm = self.endpoint.warm
+        is_explicit = not warm.is_warm and warm.epoch > 0
+        return is_explicit and warm.zone_version >= self.zone_version
+
+    @property
+    def slots(self) -> int:
+        return max(1, min(self.endpoint.slots, self.spec.slots_per_endpoint))
+
+    def start_ramp(self) -> None:
+        self.ramp_limit = self._first_limit()
+        self.n_successes = 0
+        self.n_sheds = 0
+        self.baseline = LatencyBaseline()
+
+    def step_back(self) -> None:
+        """Halve the ramp, but never below its start."""
+        self.ramp_limit = max(self._first_limit(), self.ramp_limit // 2)
+        self.n_successes = 0
+        self.baseline = LatencyBaseline()
+
+    def _first_limit(self) -> int:
+        return max(1, min(self.spec.cold_slots, self.slots))
+
+    def changed(self, is_warm: bool) -> Endpoint:
+        warm = self.endpoint.warm
+        zone_version = max(self.zone_version, warm.zone_version)
+        return replace(
+            self.endpoint, warm=WarmState(warm.epoch + 1, is_warm, zone_version)
+        )
+
+
+class WarmupController:
+    """Limits what this entry sends to each endpoint while it is cold.
+
+    ``limit`` gives the concurrency that the entry may have at an endpoint, and
+    ``record`` takes the result of each request. ``observe`` should be called with
+    every new directory, so that none is missed between two calls of ``limit``.
+    """
+
+    def __init__(self, entry_id: str, lease_ms: float) -> None:
+        self._entry_id = entry_id
+        self._lease_ms = lease_ms
+        self._services: dict[str, dict[EndpointKey, _State]] = {}
+        self._by_id: dict[int, _State] = {}
+        self._history: list[Directory] = []
+        self._generation = 0
+
+    def limit(
+        self,
+        endpoint: Endpoint,
+        service_spec: ServiceSpec,
+        zone_version: int,
+        directory: Directory,
+        now: Instant,
+    ) -> int:
+        """Return the concurrency that this entry may have at the endpoint.
+
+        ``zone_version`` is the version of the zone's record when it last came in.
+        """
+        state = self._by_id.get(id(endpoint))
+        if (
+            state is None
+            or state.endpoint is not endpoint
+            or state.directory is not directory
+            or state.zone_version != zone_version
+            or state.spec is not service_spec
+        ):
+            state = self._refresh(endpoint, service_spec, zone_version, directory)
+        return state.limit if now >= state.ready_at else 0
+
+    def record(
+        self,
+        endpoint: Endpoint,
+        service_spec: ServiceSpec,
+        latency_ms: float,
+        was_shed: bool,
+        reported_cold: bool,
+        now: Instant,
+    ) -> WarmChange | None:
+        """Take the result of one request.
+
+        ``endpoint`` is the object that the request was sent with. A result from
+        before the present incarnation or warm state is ignored. A request that
+        failed or timed out counts as shed. The entry merges a returned change into
+        its table and pushes it to its peers.
+        """
+        state = self._services.get(endpoint.service, {}).get(endpoint.key)
+        if state is None or state.endpoint.incarnation != endpoint.incarnation:
+            return None
+        if state.endpoint.warm != endpoint.warm:
+            return None
+        if state.is_warm:
+            return self._record_warm(state, latency_ms, was_shed, reported_cold, now)
+        if state.owner_since is None:
+            return None
+        return self._record_ramp(state, latency_ms, was_shed, reported_cold)
+
+    def observe(self, directory: Directory) -> None:
+        """Take a new directory into the history of ownership."""
+        if self._history:
+            last = self._history[-1]
+            is_same = directory.entry_ids == last.entry_ids
+            if directory.revision == last.revision and is_same:
+                return
+            if directory.revision != last.revision + 1:
+                # An owner in between may have started, so nothing before counts.
+                self._history.clear()
+                self._generation += 1
+        self._history.append(directory)
+        if len(self._history) > _MAX_HISTORY:
+            del self._history[0]
+
+    def retain(self, service: str, keys: Container[EndpointKey]) -> None:
+        """Forget the endpoints of a service that are not among ``keys``."""
+        states = self._services.get(service, {})
+        for key in [key for key in states if key not in keys]:
+            self._by_id.pop(id(states.pop(key).endpoint), None)
+
+    def _refresh(
+        self,
+        endpoint: Endpoint,
+        spec: ServiceSpec,
+        zone_version: int,
+        directory: Directory,
+    ) -> _State:
+        states = self._services.setdefault(endpoint.service, {})
+        key = endpoint.key
+        state = states.get(key)
+        if state is None:
+            state = states[key] = _State(endpoint, spec)
+        before = state.endpoint
+        if (
+            endpoint.incarnation == before.incarnation
+            and endpoint.warm.order() < before.warm.order()
+        ):
+            # The table has not merged a change of ``record`` yet.
+            endpoint = before
+        self._by_id.pop(id(before), None)
+        is_restart = (
+            endpoint.incarnation != before.incarnation
+            or endpoint.warm != before.warm
+            or zone_version != state.zone_version
+        )
+        state.endpoint = endpoint
+        state.spec = spec
+        state.zone_version = zone_version
+        if is_restart:
+            state.start_ramp()
+        if state.directory is not directory:
+            self.observe(directory)
+            self._update_owner(state, key, directory)
+        self._by_id[id(endpoint)] = state
+        self._apply(state)
+        return state
+
+    def _update_owner(
+        self, state: _State, key: EndpointKey, directory: Directory
+    ) -> None:
+        since = state.owner_since
+        is_continued = state.generation == self._generation
+        if not is_continued or self._history[0].revision > state.revision + 1:
+            state.owner_since = None
+            state.revision = -1
+        for seen in self._history:
+            if seen.revision <= state.revision:
+                continue
+            if warmup_owner(seen.entry_ids, key) != self._entry_id:
+                state.owner_since = None
+            elif state.owner_since is None:
+                state.owner_since = seen.first_seen
+        if state.owner_since != since and not state.is_warm:
+            state.start_ramp()
+        state.generation = self._generation
+        state.revision = self._history[-1].revision
+        state.directory = directory
+
+    def _apply(self, state: _State) -> None:
+        """Set the limit that ``limit`` returns until something changes."""
+        state.ready_at = float("-inf")
+        if state.endpoint.is_leaving:
+            state.limit = 0
+        elif state.is_warm:
+            n_entries = len(state.directory.entry_ids) if state.directory else 1
+            share = ceil(WARM_SHARE_FACTOR * state.slots / max(1, n_entries))
+            state.limit = min(state.slots, max(MIN_WARM_SHARE, share))
+        elif state.owner_since is None:
+            state.limit = 0
+        else:
+            state.limit = state.ramp_limit
+            wait_ms = self._lease_ms + state.spec.timeout_ms
+            state.ready_at = state.owner_since + wait_ms
+
+    def _record_ramp(
+        self, state: _State, latency_ms: float, was_shed: bool, reported_cold: bool
+    ) -> WarmChange | None:
+        if was_shed or state.baseline.add(latency_ms):
+            state.step_back()
+        elif not reported_cold:
+            state.n_successes += 1
+            if state.n_successes >= SUCCESSES_PER_SLOT * state.ramp_limit:
+                state.n_successes = 0
+                if state.ramp_limit >= state.slots:
+                    return self._change(state, True, WarmReason.RAMP_DONE)
+                state.ramp_limit += 1
+        self._apply(state)
+        return None
+
+    def _record_warm(
+        self,
+        state: _State,
+        latency_ms: float,
+        was_shed: bool,
+        reported_cold: bool,
+        now: Instant,
+    ) -> WarmChange | None:
+        if reported_cold:
+            return self._change(state, False, WarmReason.REPORTED)
+        if was_shed:
+            state.n_sheds += 1
+            if state.n_sheds < N_SHEDS:
+                return None
+            state.n_sheds = 0
+            reason = WarmReason.SHEDDING
+        else:
+            state.n_sheds = 0
+            if not state.baseline.add(latency_ms):
+                return None
+            state.baseline.n_high = 0
+            reason = WarmReason.LATENCY
+        state.suspect_at = now
+        if self._is_widespread(state, now):
+            return None
+        return self._change(state, False, reason)
+
+    def _is_widespread(self, state: _State, now: Instant) -> bool:
+        states = self._services[state.endpoint.service].values()
+        n_suspects = sum(
+            other.is_detected_cold or now - other.suspect_at <= SUSPECT_MS
+            for other in states
+        )
+        return n_suspects > max(1, int(MAX_SUSPECT_SHARE * len(states)))
+
+    def _change(self, state: _State, is_warm: bool, reason: WarmReason) -> WarmChange:
+        """Put the new state into force here before the table has merged it."""
+        endpoint = state.changed(is_warm)
+        self._by_id.pop(id(state.endpoint), None)
+        state.endpoint = endpoint
+        state.start_ramp()
+        self._by_id[id(endpoint)] = state
+        self._apply(state)
+        return WarmChange(endpoint, reason)
--- /dev/null
+++ b/pollenfold/entry/probes.py
@@ -0,0 +1,205 @@
+"""Probes of the load and health endpoints of backend servers, within the budget."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import curio
+from curio import socket
+from loguru import logger
+
+from ..core.clock import Clock
+from ..core.measurement import (
+    MAX_PROBE_BYTES,
+    LoadReport,
+    MeasurementBudget,
+    parse_load_body,
+)
+from ..core.membership import Endpoint
+from ..http.client import HttpConnection
+from ..http.messages import Response
+
+LOAD_PATH = b"/load"
+HEALTH_PATH = b"/health"
+
+INTERVAL_MS = 20.0
+"""How often the budgets are asked for probes."""
+
+TIMEOUT_MS = 500.0
+
+MAX_IN_FLIGHT = 32
+"""Probes at the same time, so that servers which hang do not collect tasks."""
+
+LOAD_PROBES_PER_HEALTH_PROBE = 4
+"""A good answer of the load endpoint shows health too; the health endpoint is asked
+less often, because it can fail alone before a server drains."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """The result of one probe; ``report`` is None without a valid load report."""
+
+    endpoint: Endpoint
+    is_failure: bool
+    latency_ms: float
+    n_bytes: int
+    report: LoadReport | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeTarget:
+    """A service with its endpoints and this entry's budget for it."""
+
+    service: str
+    endpoints: tuple[Endpoint, ...]
+    budget: MeasurementBudget
+
+
+class CountingSocket:
+    """Counts the bytes of an exchange, and fails when its answer is too long."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self.n_bytes = 0
+        self.n_received_bytes = 0
+
+    async def sendall(self, data: bytes) -> None:
+        """Send and count."""
+        self.n_bytes += len(data)
+        await self._sock.sendall(data)
+
+    async def recv(self, max_bytes: int) -> bytes:
+        """Receive and count; raise OSError for an answer over the limit."""
+        left = MAX_PROBE_BYTES - self.n_received_bytes
+        if left <= 0:
+            raise OSError(f"expected an answer of at most {MAX_PROBE_BYTES} bytes")
+        data = bytes(await self._sock.recv(min(max_bytes, left)))
+        self.n_bytes += len(data)
+        self.n_received_bytes += len(data)
+        return data
+
+    def start(self) -> None:
+        """Count anew for the next exchange."""
+        self.n_bytes = 0
+        self.n_received_bytes = 0
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+
+class Prober:
+    """Asks endpoints for their load and health as often as the budgets allow.
+
+    ``targets`` gives the services with their endpoints at this time, and
+    ``on_result`` takes each result. Endpoints take turns in a seeded random order.
+    """
+
+    def __init__(
+        self,
+        targets: Callable[[], Iterable[ProbeTarget]],
+        on_result: Callable[[ProbeResult], None],
+        clock: Clock,
+        seed: int,
+    ) -> None:
+        self._targets = targets
+        self._on_result = on_result
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._turns: dict[str, list[Endpoint]] = {}
+        self._connections: dict[str, tuple[CountingSocket, HttpConnection]] = {}
+        self._n_probes = 0
+        self._n_in_flight = 0
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            await self.probe_once()
+            await curio.sleep(INTERVAL_MS / 1000)
+
+    async def probe_once(self) -> None:
+        """Start the probes that the budgets allow now."""
+        names = set()
+        for target in self._targets():
+            names.update(endpoint.name for endpoint in target.endpoints)
+            while (
+                target.endpoints
+                and self._n_in_flight < MAX_IN_FLIGHT
+                and target.budget.try_probe(self._clock())
+            ):
+                endpoint = self._next_endpoint(target)
+                self._n_in_flight += 1
+                await curio.spawn(self._probe, target.budget, endpoint, daemon=True)
+        for name in [name for name in self._connections if name not in names]:
+            await self._connections.pop(name)[1].close()
+
+    def _next_endpoint(self, target: ProbeTarget) -> Endpoint:
+        current = set(target.endpoints)
+        turns = [e for e in self._turns.get(target.service, []) if e in current]
+        if not turns:
+            turns = list(target.endpoints)
+            self._random.shuffle(turns)
+        endpoint = turns.pop()
+        self._turns[target.service] = turns
+        return endpoint
+
+    async def _probe(self, budget: MeasurementBudget, endpoint: Endpoint) -> None:
+        self._n_probes += 1
+        is_health = self._n_probes % (LOAD_PROBES_PER_HEALTH_PROBE + 1) == 0
+        try:
+            result = await self._exchange(endpoint, is_health)
+            budget.finish_probe(result.n_bytes, self._clock())
+        finally:
+            self._n_in_flight -= 1
+        logger.debug(
+            "event=probe service={} endpoint={} is_failure={} latency_ms={:.3f}",
+            endpoint.service,
+            endpoint.name,
+            result.is_failure,
+            result.latency_ms,
+        )
+        self._on_result(result)
+
+    async def _exchange(self, endpoint: Endpoint, is_health: bool) -> ProbeResult:
+        start = self._clock()
+        path = HEALTH_PATH if is_health else LOAD_PATH
+        sock: CountingSocket | None = None
+        connection: HttpConnection | None = None
+        response: Response | None = None
+        try:
+            async with curio.timeout_after(TIMEOUT_MS / 1000):
+                sock, connection = await self._connect(endpoint)
+                headers = [(b"host", endpoint.name.encode())]
+                answer = await connection.exchange(b"GET", path, headers, b"")
+                response = answer.ok if answer.is_ok() else None
+        except (OSError, curio.TaskTimeout):
+            response = None
+        if sock is not None and connection is not None:
+            await self._keep(endpoint, sock, connection)
+        now = self._clock()
+        report = None
+        if response is not None and response.status == 200 and not is_health:
+            report = parse_load_body(response.body, now)
+        is_failure = response is None or response.status != 200
+        n_bytes = 0 if sock is None else sock.n_bytes
+        return ProbeResult(endpoint, is_failure, now - start, n_bytes, report)
+
+    async def _connect(
+        self, endpoint: Endpoint
+    ) -> tuple[CountingSocket, HttpConnection]:
+        kept = self._connections.pop(endpoint.name, None)
+        if kept is not None:
+            kept[0].start()
+            return kept
+        sock = CountingSocket(await curio.open_connection(endpoint.host, endpoint.port))
+        return sock, HttpConnection(sock)
+
+    async def _keep(
+        self, endpoint: Endpoint, sock: CountingSocket, connection: HttpConnection
+    ) -> None:
+        if connection.reusable and endpoint.name not in self._connections:
+            self._connections[endpoint.name] = (sock, connection)
+        else:
+            await connection.close()
--- /dev/null
+++ b/pollenfold/tests/core/test_measurement.py
@@ -0,0 +1,151 @@
+"""The measurement budget, load reports and their age."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenfold.core.clock import Instant
+from pollenfold.core.measurement import (
+    HALF_LIFE_MS,
+    MAX_PROBE_BYTES,
+    LoadReport,
+    MeasurementBudget,
+    parse_load_body,
+    parse_load_header,
+    ranked_load,
+)
+from pollenfold.testing.endpoints import make_service
+
+NOW = Instant(0.0)
+MAX_ENTRIES = 19
+
+
+def at(ms):
+    return Instant(float(ms))
+
+
+def spent(budget, n_seconds, step_ms, n_bytes):
+    """Probe as often as allowed; return the probes and their bytes."""
+    n_probes = 0
+    for step in range(int(n_seconds * 1000 / step_ms)):
+        now = at(step * step_ms)
+        while budget.try_probe(now):
+            n_probes += 1
+            budget.finish_probe(n_bytes, now)
+    return n_probes, n_probes * n_bytes
+
+
+@pytest.mark.parametrize("n_bytes", [100, MAX_PROBE_BYTES, 5 * MAX_PROBE_BYTES])
+@pytest.mark.parametrize("probes_per_s, bytes_per_s", [(38, 1e9), (1e6, 40_000)])
+def test_fleet_stays_within_the_budget(probes_per_s, bytes_per_s, n_bytes):
+    """Guards against measuring that costs more than agreed, whatever the entries
+    believe of each other and however long the answers are."""
+    spec = make_service(probes_per_s=probes_per_s, probe_bytes_per_s=bytes_per_s)
+    n_seconds = 30
+    n_probes = n_probe_bytes = 0
+    for _ in range(MAX_ENTRIES):
+        budget = MeasurementBudget(spec, MAX_ENTRIES, NOW)
+        probes, used = spent(budget, n_seconds, 10, n_bytes)
+        n_probes += probes
+        n_probe_bytes += used
+    assert 0 < n_probes <= probes_per_s * n_seconds
+    # One answer longer than reserved leaves a debt in each entry's bucket.
+    debt = MAX_ENTRIES * max(0, n_bytes - MAX_PROBE_BYTES)
+    assert n_probe_bytes <= bytes_per_s * n_seconds + debt
+
+
+def test_restarted_entries_do_not_add_to_the_budget():
+    """Guards against a full bucket with every restart."""
+    budget = MeasurementBudget(make_service(), 1, NOW)
+    assert not budget.try_probe(NOW)
+
+
+def test_reports_on_responses_count():
+    """Guards against figures on responses that come on top of the budget."""
+    spec = make_service(probe_bytes_per_s=MAX_PROBE_BYTES * 4.0, probes_per_s=100.0)
+    budget = MeasurementBudget(spec, 1, NOW)
+    assert budget.try_request_report(at(900))
+    for _ in range(200):
+        budget.count_report(40, False, at(900))
+    assert not budget.try_probe(at(1500))
+    assert not budget.try_request_report(at(1500))
+    assert budget.try_probe(at(4000))
+
+
+def test_requested_reports_stop_at_the_budget():
+    """Guards against a header on each of thousands of calls a second."""
+    spec = make_service(probe_bytes_per_s=10_000.0)
+    budget = MeasurementBudget(spec, 1, NOW)
+    n_requested = 0
+    for call in range(50_000):
+        now = at(call / 10)
+        if budget.try_request_report(now):
+            budget.count_report(40, True, now)
+            n_requested += 1
+    assert 0 < n_requested * 64 <= 10_000 * 5
+    assert budget.try_probe(at(5000))
+
+
+HEADERS = [
+    (b"in_flight=3;slots=6;cold=0", LoadReport(3, 6, False, NOW)),
+    (b"slots=6; in_flight=3; cold=1", LoadReport(3, 6, True, NOW)),
+    (b"in_flight=3;slots=6;queue=9", LoadReport(3, 6, False, NOW)),
+    (b"", None),
+    (b"in_flight=3", None),
+    (b"in_flight=-3;slots=6;cold=0", None),
+    (b"in_flight=3;slots=0;cold=0", None),
+    (b"in_flight=3;slots=6;cold=2", None),
+    (b"in_flight=3;in_flight=0;slots=6", None),
+    (b"in_flight=99999999999;slots=6", None),
+    ("in_flight=\u0663;slots=6".encode(), None),
+    (b"in_flight=3;slots=6;" + b"x" * 1000, None),
+]
+
+
+@pytest.mark.parametrize("value, expected", HEADERS)
+def test_load_header(value, expected):
+    """Guards against a malformed report that raises or is taken as valid."""
+    assert parse_load_header(value, NOW) == expected
+
+
+BODIES = [
+    (b'{"in_flight": 3, "slots": 6, "cold": true}', LoadReport(3, 6, True, NOW)),
+    (b'{"in_flight": 3, "slots": 6, "more": 1}', LoadReport(3, 6, False, NOW)),
+    (b'{"in_flight": true, "slots": 6}', None),
+    (b'{"in_flight": 1e400, "slots": 6}', None),
+    (b'{"in_flight": NaN, "slots": 6}', None),
+    (b'{"in_flight": 3, "slots": 6, "cold": "no"}', None),
+    (b"[" * 500, None),
+    (b"[]", None),
+    (b"\xff", None),
+    (b'{"in_flight": 3, "slots": 6}' + b" " * 600, None),
+]
+
+
+@pytest.mark.parametrize("body, expected", BODIES)
+def test_load_body(body, expected):
+    """Guards against the same faults in the answer of the load endpoint."""
+    assert parse_load_body(body, NOW) == expected
+
+
+@given(st.binary(max_size=600))
+def test_no_report_raises(data):
+    """Guards against any bytes of a backend server that stop the entry."""
+    parse_load_header(data, NOW)
+    parse_load_body(data, NOW)
+
+
+@given(st.integers(0, 20), st.integers(0, 10**6), st.integers(1, 10**6))
+def test_no_report_improves_the_rank(own_in_flight, in_flight, slots):
+    """Guards against a lying server that attracts load."""
+    report = LoadReport(in_flight, slots, False, NOW)
+    for age_ms in (0, 10, 1000):
+        own = ranked_load(own_in_flight, 6, None, at(age_ms))
+        assert ranked_load(own_in_flight, 6, report, at(age_ms)) >= own
+
+
+def test_weight_of_a_report_falls_with_its_age():
+    """Guards against a stale report that counts like a new one."""
+    report = LoadReport(6, 6, False, NOW)
+    loads = [ranked_load(0, 6, report, at(n * HALF_LIFE_MS)) for n in range(3)]
+    assert loads == [1.0, 0.5, 0.25]
--- /dev/null
+++ b/pollenfold/tests/core/test_warming.py
@@ -0,0 +1,260 @@
+"""Warm-up: owner, ramp, handover and the detection of cold endpoints."""
+
+from dataclasses import replace
+
+import pytest
+
+from pollenfold.core.clock import Instant
+from pollenfold.core.membership import WarmState
+from pollenfold.core.warming import (
+    N_HIGH_LATENCIES,
+    N_SHEDS,
+    SUCCESSES_PER_SLOT,
+    Directory,
+    WarmReason,
+    WarmupController,
+    warmup_owner,
+)
+from pollenfold.testing.endpoints import make_endpoint, make_service
+
+LEASE_MS = 2000.0
+SPEC = make_service(timeout_ms=1000.0, cold_slots=1, slots_per_endpoint=6)
+WAIT_MS = LEASE_MS + SPEC.timeout_ms
+COLD = make_endpoint()
+WARM = make_endpoint(warm=WarmState(1, True))
+
+
+def directory(revision, *entry_ids, seen=0.0):
+    return Directory(revision, Instant(float(seen)), entry_ids)
+
+
+ALONE = directory(1, "e1")
+
+
+def endpoint_of(owner, entry_ids):
+    """Return a cold endpoint that the entry warms up."""
+    for port in range(1000, 2000):
+        endpoint = make_endpoint(port=port)
+        if warmup_owner(entry_ids, endpoint.key) == owner:
+            return endpoint
+    raise AssertionError("no endpoint")
+
+
+class Sender:
+    """One entry with the time at which it acts."""
+
+    def __init__(self, entry_id="e1"):
+        self.controller = WarmupController(entry_id, LEASE_MS)
+        self.now = Instant(WAIT_MS)
+
+    def limit(self, endpoint, seen=ALONE, zone_version=0):
+        return self.controller.limit(endpoint, SPEC, zone_version, seen, self.now)
+
+    def record(self, endpoint, n=1, latency_ms=5.0, shed=False, cold=False):
+        changes = [
+            self.controller.record(endpoint, SPEC, latency_ms, shed, cold, self.now)
+            for _ in range(n)
+        ]
+        return [change for change in changes if change]
+
+
+@pytest.fixture
+def sender():
+    return Sender()
+
+
+def ramp_to(sender, endpoint, limit):
+    while sender.limit(endpoint) < limit:
+        assert sender.record(endpoint) == []
+
+
+def test_ramp_grows_with_responses_until_warm(sender):
+    """Guards against a ramp that skips steps or never ends."""
+    assert sender.limit(COLD) == SPEC.cold_slots
+    sender.record(COLD, SUCCESSES_PER_SLOT - 1)
+    assert sender.limit(COLD) == 1
+    sender.record(COLD)
+    assert sender.limit(COLD) == 2
+    ramp_to(sender, COLD, 6)
+    changes = sender.record(COLD, 6 * SUCCESSES_PER_SLOT)
+    assert [change.reason for change in changes] == [WarmReason.RAMP_DONE]
+    assert changes[0].endpoint.warm == WarmState(1, True, 0)
+
+
+def test_ramp_does_not_grow_with_time(sender):
+    """Guards against a cold server that gets full load after an idle hour."""
+    sender.limit(COLD)
+    sender.now = Instant(sender.now + 3.6e6)
+    assert sender.limit(COLD) == SPEC.cold_slots
+
+
+def test_ramp_falls_back_on_shedding_and_slowness(sender):
+    """Guards against a ramp that goes on over what the cold server can handle."""
+    sender.limit(COLD)
+    ramp_to(sender, COLD, 5)
+    sender.record(COLD, shed=True)
+    assert sender.limit(COLD) == 2
+    ramp_to(sender, COLD, 4)
+    sender.record(COLD, 10)
+    limit = sender.limit(COLD)
+    sender.record(COLD, N_HIGH_LATENCIES, latency_ms=100.0)
+    assert sender.limit(COLD) < limit
+    sender.record(COLD, 3, shed=True)
+    assert sender.limit(COLD) == SPEC.cold_slots
+
+
+def test_ramp_waits_while_the_server_reports_cold(sender):
+    """Guards against a ramp that ignores the server's own report."""
+    sender.limit(COLD)
+    sender.record(COLD, 100, cold=True)
+    assert sender.limit(COLD) == SPEC.cold_slots
+
+
+def test_only_the_owner_sends_to_a_cold_endpoint():
+    """Guards against a cold server that every entry tries at the same time."""
+    ids = ("e1", "e2", "e3")
+    endpoint = endpoint_of("e2", ids)
+    limits = {
+        entry_id: Sender(entry_id).limit(endpoint, directory(1, *ids))
+        for entry_id in ids
+    }
+    assert limits == {"e1": 0, "e2": 1, "e3": 0}
+
+
+def test_new_owner_waits_for_the_previous_one(sender):
+    """Guards against two owners at once after a directory change."""
+    endpoint = endpoint_of("e1", ("e1", "e2"))
+    first = directory(1, "e2", seen=0)
+    assert sender.limit(endpoint, first) == 0
+    seen = Instant(sender.now + 10)
+    second = directory(2, "e1", "e2", seen=seen)
+    sender.now = Instant(seen + WAIT_MS - 1)
+    assert sender.limit(endpoint, second) == 0
+    sender.now = Instant(seen + WAIT_MS)
+    assert sender.limit(endpoint, second) == 1
+
+
+@pytest.mark.parametrize("revision, expected", [(2, 1), (3, 0), (1, 0)])
+def test_ownership_counts_over_successive_revisions_only(sender, revision, expected):
+    """Guards against an owner in a revision that this entry missed, and against a
+    ramp that stops for every change that does not concern it."""
+    endpoint = endpoint_of("e1", ("e1", "e2", "e3"))
+    assert sender.limit(endpoint, directory(1, "e1", "e2")) == 1
+    later = directory(revision, "e1", "e2", "e3", seen=sender.now)
+    assert sender.limit(endpoint, later) == expected
+
+
+def test_former_owner_stops_and_starts_anew(sender):
+    """Guards against an owner that goes on after a change, or that continues its
+    old ramp when the endpoint is its own again."""
+    endpoint = endpoint_of("e2", ("e1", "e2"))
+    sender.limit(endpoint)
+    sender.record(endpoint, SUCCESSES_PER_SLOT)
+    assert sender.limit(endpoint) == 2
+    assert sender.limit(endpoint, directory(2, "e1", "e2", seen=sender.now)) == 0
+    third = directory(3, "e1", seen=sender.now)
+    assert sender.limit(endpoint, third) == 0
+    sender.now = Instant(sender.now + WAIT_MS)
+    assert sender.limit(endpoint, third) == 1
+
+
+def test_returned_zone_is_cold(sender):
+    """Guards against full load on the servers of a zone that comes back."""
+    warm = make_endpoint(warm=WarmState(1, True, 4))
+    assert sender.limit(warm, zone_version=4) == 6
+    assert sender.limit(warm, zone_version=6) == SPEC.cold_slots
+    changes = sender.record(warm, 200)
+    assert changes[0].endpoint.warm == WarmState(2, True, 6)
+
+
+def test_new_incarnation_is_cold(sender):
+    """Guards against full load on a restarted server, or the ramp that its earlier
+    incarnation had reached."""
+    assert sender.limit(WARM) == 6
+    second = make_endpoint(incarnation=2)
+    assert sender.limit(second) == SPEC.cold_slots
+    ramp_to(sender, second, 4)
+    assert sender.limit(make_endpoint(incarnation=3)) == SPEC.cold_slots
+
+
+@pytest.mark.parametrize("n_entries, expected", [(1, 6), (4, 3), (19, 2)])
+def test_warm_slots_are_shared(sender, n_entries, expected):
+    """Guards against a warm server whose slots every entry uses in full."""
+    ids = ["e1", *(f"x{n}" for n in range(1, n_entries))]
+    assert sender.limit(WARM, directory(1, *ids)) == expected
+
+
+@pytest.mark.parametrize(
+    "signs, reason",
+    [
+        (dict(n=1, cold=True), WarmReason.REPORTED),
+        (dict(n=N_SHEDS, shed=True), WarmReason.SHEDDING),
+        (dict(n=N_HIGH_LATENCIES, latency_ms=50.0), WarmReason.LATENCY),
+    ],
+)
+def test_warm_endpoint_that_turns_cold(sender, signs, reason):
+    """Guards against full load on a warm server that turned cold, also before the
+    table has merged the change."""
+    sender.limit(WARM)
+    assert sender.record(WARM, 50) == []
+    changes = sender.record(WARM, **signs)
+    assert [change.reason for change in changes] == [reason]
+    assert changes[0].endpoint.warm == WarmState(2, False)
+    assert sender.limit(WARM) == SPEC.cold_slots
+    assert sender.limit(changes[0].endpoint) == SPEC.cold_slots
+
+
+def test_scattered_signs_do_not_turn_an_endpoint_cold(sender):
+    """Guards against ordinary variance that takes capacity out."""
+    sender.limit(WARM)
+    sender.record(WARM, 50)
+    for _ in range(50):
+        assert sender.record(WARM, N_SHEDS - 1, shed=True) == []
+        assert sender.record(WARM, N_HIGH_LATENCIES - 1, latency_ms=40.0) == []
+        assert sender.record(WARM, 20) == []
+
+
+def test_overload_of_a_service_is_not_coldness(sender):
+    """Guards against a burst that turns all endpoints cold and so gets worse."""
+    endpoints = [replace(WARM, port=1000 + n) for n in range(12)]
+    for endpoint in endpoints:
+        sender.limit(endpoint)
+        sender.record(endpoint, 50)
+    changes = []
+    for endpoint in endpoints:
+        changes += sender.record(endpoint, N_SHEDS, shed=True)
+    assert 0 < len(changes) <= 4
+    # The server's own report is always believed.
+    assert len(sender.record(endpoints[-1], cold=True)) == 1
+
+
+def test_late_result_of_an_earlier_state_is_ignored(sender):
+    """Guards against responses to old requests that grow a new ramp, or that turn
+    an endpoint cold again which has just become warm."""
+    sender.limit(COLD)
+    sender.limit(WARM)
+    assert sender.record(COLD, cold=True) == []
+    sender.limit(make_endpoint(incarnation=2))
+    sender.record(WARM, 100)
+    assert sender.limit(make_endpoint(incarnation=2)) == SPEC.cold_slots
+
+
+def test_forgotten_endpoints_leave_no_state(sender):
+    """Guards against memory that grows with every server that ever existed."""
+    for port in range(100):
+        sender.limit(make_endpoint(port=1000 + port))
+    sender.controller.retain(COLD.service, set())
+    assert not sender.controller._by_id
+    assert not sender.controller._services[COLD.service]
+
+
+def test_owners_are_spread_and_stable():
+    """Guards against one entry that warms up everything, and against a change that
+    moves the endpoints of entries which stayed."""
+    ids = tuple(f"entry-{n}" for n in range(12))
+    keys = [make_endpoint(port=1000 + n).key for n in range(600)]
+    before = [warmup_owner(ids, key) for key in keys]
+    assert max(before.count(entry_id) for entry_id in ids) < 100
+    after = [warmup_owner(ids[1:], key) for key in keys]
+    assert all(a == b for a, b in zip(after, before, strict=True) if b != ids[0])
+    assert warmup_owner((), keys[0]) is None
--- /dev/null
+++ b/pollenfold/tests/entry/test_probes.py
@@ -0,0 +1,103 @@
+"""Probes of backend servers: budget, reports and servers that mislead."""
+
+import curio
+import pytest
+
+from pollenfold.core.clock import ManualClock
+from pollenfold.core.measurement import MAX_PROBE_BYTES, MeasurementBudget
+from pollenfold.entry.probes import Prober, ProbeTarget
+from pollenfold.http.messages import Response
+from pollenfold.http.server import HttpServer
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.endpoints import make_endpoint, make_service
+
+
+async def probe(body, status=200, n_seconds=5):
+    """Probe one server for some seconds of a manual clock; return the results."""
+    paths = []
+
+    async def handle(request):
+        paths.append(request.path)
+        return Response(status, [], body)
+
+    server = HttpServer(handle)
+    port = await server.start("127.0.0.1", 0)
+    clock = ManualClock()
+    spec = make_service(probes_per_s=2.0, probe_bytes_per_s=2.0 * MAX_PROBE_BYTES)
+    endpoint = make_endpoint(host="127.0.0.1", port=port)
+    target = ProbeTarget("a", (endpoint,), MeasurementBudget(spec, 1, clock()))
+    results = []
+    prober = Prober(lambda: [target], results.append, clock, 1)
+    for _ in range(n_seconds * 4):
+        clock.advance(250)
+        await prober.probe_once()
+        async with curio.timeout_after(5):
+            while prober._n_in_flight:
+                await curio.sleep(0.001)
+    await server.stop()
+    return results, paths
+
+
+def test_probes_stay_within_the_budget(run):
+    """Guards against probes beyond the agreed rate, and bytes that are not counted."""
+
+    async def main():
+        results, paths = await probe(b'{"in_flight": 2, "slots": 6, "cold": false}')
+        assert 5 <= len(results) <= 10
+        assert {"/load", "/health"} == set(paths)
+        assert not any(result.is_failure for result in results)
+        assert all(0 < result.n_bytes <= MAX_PROBE_BYTES for result in results)
+        reports = [result.report for result in results if result.report]
+        assert {(r.in_flight, r.slots, r.is_cold) for r in reports} == {(2, 6, False)}
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "body, status, is_failure",
+    [
+        (b"garbage", 200, False),
+        (b"", 503, True),
+        (b"x" * 100_000, 200, True),
+    ],
+)
+def test_misleading_servers_give_no_report(run, body, status, is_failure):
+    """Guards against a bad answer that stops the prober or is read without end."""
+
+    async def main():
+        results, _ = await probe(body, status)
+        assert {result.is_failure for result in results} == {is_failure}
+        assert all(result.report is None for result in results)
+        assert all(result.n_bytes <= 2 * MAX_PROBE_BYTES for result in results)
+
+    run(main)
+
+
+def test_unreachable_and_silent_servers_are_failures(run):
+    """Guards against a probe of a silent server that never ends."""
+
+    async def main():
+        silent = curio.tcp_server_socket("127.0.0.1", 0)
+        refused = curio.tcp_server_socket("127.0.0.1", 0)
+        ports = [sock.getsockname()[1] for sock in (silent, refused)]
+        await refused.close()
+        spec = make_service(probes_per_s=1000.0, probe_bytes_per_s=1e9)
+        budget = MeasurementBudget(spec, 1, system_clock())
+        endpoints = tuple(make_endpoint(host="127.0.0.1", port=p) for p in ports)
+        results = []
+        prober = Prober(
+            lambda: [ProbeTarget("a", endpoints, budget)],
+            results.append,
+            system_clock,
+            1,
+        )
+        await curio.sleep(0.005)
+        await prober.probe_once()
+        async with curio.timeout_after(5):
+            while prober._n_in_flight:
+                await curio.sleep(0.01)
+        assert {result.endpoint.port for result in results} == set(ports)
+        assert all(result.is_failure for result in results)
+        await silent.close()
+
+    run(main)
