--- a/pollenfold/tests/wire/test_rpc.py
+++ b/pollenfold/tests/wire/test_rpc.py
@@ -1,5 +1,7 @@
 """Remote calls between processes, with garbage and lost peers."""
 
+import gc
+
 import curio
 import pytest
 from curio import socket
@@ -112,3 +114,43 @@
         await task.cancel()
 
     run(main)
+
+
+def test_ended_requests_leave_no_tasks(run):
+    """Guards against a server whose memory grows with each request."""
+
+    async def main():
+        task, port = await start_server({Protocol.LEDGER: echo})
+        client = RpcClient("127.0.0.1", port)
+
+        def count_tasks():
+            gc.collect()
+            return sum(type(item) is curio.Task for item in gc.get_objects())
+
+        await client.call(Protocol.LEDGER, b"a", 1000)
+        before = count_tasks()
+        for _ in range(50):
+            await client.call(Protocol.LEDGER, b"a", 1000)
+        assert count_tasks() <= before
+        await client.close()
+        await task.cancel()
+
+    run(main)
+
+
+def test_oversized_response_is_an_error_at_once(run):
+    """Guards against a response that can't be sent and leaves the caller waiting."""
+
+    async def main():
+        async def answer(payload):
+            return b"x" * (MAX_PAYLOAD_BYTES + 1)
+
+        task, port = await start_server({Protocol.LEDGER: answer})
+        client = RpcClient("127.0.0.1", port)
+        async with curio.timeout_after(5):
+            result = await client.call(Protocol.LEDGER, b"a", 60_000)
+        assert result.error is ErrorKind.UNREACHABLE
+        await client.close()
+        await task.cancel()
+
+    run(main)
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -81,7 +81,10 @@
                         )
                     return
                 header, payload = frame.ok
-                await group.spawn(self._answer, client, write_lock, header, payload)
+                # A group keeps the tasks that ended, unless they are daemons.
+                await group.spawn(
+                    self._answer, client, write_lock, header, payload, daemon=True
+                )
 
     async def _answer(
         self,
@@ -95,16 +98,16 @@
             if handler is None:
                 raise LookupError(f"no handler for {header.protocol.name}")
             body = await handler(payload)
-            flag = Flag.RESPONSE
+            frame = encode_frame(
+                header.protocol, Flag.RESPONSE, header.request_id, body
+            )
         except curio.CancelledError:
             raise
         except Exception as error:
             logger.warning(
                 "event=rpc_failed protocol={} error={!r}", header.protocol.name, error
             )
-            body = b""
-            flag = Flag.ERROR
-        frame = encode_frame(header.protocol, flag, header.request_id, body)
+            frame = encode_frame(header.protocol, Flag.ERROR, header.request_id, b"")
         try:
             async with write_lock:
                 await client.sendall(frame)
