Confirm a leadership with a barrier, and test leases and the entry's client

The barrier is not empty, since the replica of the log refuses empty commands. A leadership that lapses for a moment keeps its directory: an empty one would report in force without the entries that hold a lease.

--- a/pollenfold/cli/commands.py
+++ b/pollenfold/cli/commands.py
@@ -86,6 +86,11 @@
 
     async def report(self, client: OperatorClient, title: str, done: Accepted) -> int:
         """Print accepted, wait, and print in force when it is."""
+        self.report_accepted(title, done)
+        return await self.report_in_force(client, title, done)
+
+    def report_accepted(self, title: str, done: Accepted) -> None:
+        """Print that the change is accepted."""
         if done.change_id is None:
             print(f"{title} already so revision={done.revision}")
         else:
@@ -95,6 +100,11 @@
             )
         for name in done.unknown_fields:
             print(f"{title} warning: unknown field {name} is kept", file=sys.stderr)
+
+    async def report_in_force(
+        self, client: OperatorClient, title: str, done: Accepted
+    ) -> int:
+        """Wait, and print whether the change is in force."""
         if self.wait_ms <= 0:
             return 0
         result = await wait_in_force(client, done, self.wait_ms, system_clock)
@@ -161,17 +171,20 @@
         records = read_files(names)
         if records.is_error():
             return self.fail(records.error)
+        done: list[tuple[str, Accepted]] = []
+        status = 0
         for _, record in records.ok:
             change_id = given or new_change_id()
             result = await store_record(client, record.fields, change_id)
             if result.is_error():
-                failure = result.error
-                detail = f"{_title(record)}: {failure.detail} change_id={change_id}"
-                return self.fail(Failure(failure.kind, detail))
-            status = await self.report(client, _title(record), result.ok)
-            if status:
-                return status
-        return 0
+                detail = f"{_title(record)}: {result.error.detail}"
+                status = self.fail(Failure(result.error.kind, detail))
+                break
+            self.report_accepted(_title(record), result.ok)
+            done.append((_title(record), result.ok))
+        for title, accepted in done:
+            status = await self.report_in_force(client, title, accepted) or status
+        return status
 
 
 class CheckCommand(Command):
@@ -212,7 +225,10 @@
 
     async def operate(self, client: OperatorClient) -> int:
         """Print the status of the leader, or of the first replica that responds."""
-        result = await client.get("/v1/status")
+        result = await client.get("/v1/status?leader=true")
+        if result.is_error():
+            # Without a leader any replica tells what it knows.
+            result = await client.get("/v1/status")
         if result.is_error():
             return self.fail(result.error)
         if result.ok.error is not None:
--- a/pollenfold/cli/daemons.py
+++ b/pollenfold/cli/daemons.py
@@ -113,6 +113,19 @@
 
     def find_serve(self) -> Serve:
         """Import the ledger daemon."""
-        from ..ledger.daemon import serve_ledger
-
-        return serve_ledger
+        from ..ledger import daemon
+
+        async def serve(settings: LedgerSettings) -> None:
+            others = dict(settings.peers)
+            _, port = others.pop(settings.replica_id)
+            await daemon.serve_ledger(
+                daemon.LedgerSettings(
+                    settings.replica_id,
+                    others,
+                    settings.data_folder,
+                    settings.host,
+                    port,
+                )
+            )
+
+        return serve
--- a/pollenfold/cli/operations.py
+++ b/pollenfold/cli/operations.py
@@ -44,10 +44,10 @@
     """Store one record under the change id."""
     result = await client.post_record(encode_fields(fields), change_id)
     if result.is_error():
-        return Error(result.error)
+        return Error(_with_change_id(result.error, change_id))
     reply = result.ok
     if reply.error is not None:
-        return Error(_to_failure(reply))
+        return Error(_with_change_id(_to_failure(reply), change_id))
     unknown = tuple(reply.body.get("unknown_fields", ()))
     return Ok(Accepted(reply.body["revision"], change_id, unknown))
 
@@ -144,7 +144,7 @@
 
 def _progress_path(accepted: Accepted) -> str:
     if accepted.change_id is None:
-        return "/v1/status"
+        return "/v1/status?leader=true"
     return f"/v1/changes/{accepted.change_id}"
 
 
@@ -162,6 +162,12 @@
     return list(behind) or ["leader"]
 
 
+def _with_change_id(failure: Failure, change_id: str) -> Failure:
+    """Return the failure with the id under which the change can be sent again."""
+    detail = f"{failure.detail} change_id={change_id}".strip()
+    return Failure(failure.kind, detail)
+
+
 def _to_failure(reply: Reply) -> Failure:
     try:
         kind = ErrorKind(str(reply.error))
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -55,6 +55,7 @@
             return None
         result = await client.call(Protocol.OPERATOR, b"", OPERATOR_CALL_TIMEOUT_MS)
         if result.is_error():
+            await client.close()
             return None
         try:
             return str(json.loads(result.ok)["operator"])
@@ -73,14 +74,9 @@
     if replica_type is None:
         from .replica import Replica as replica_type
     state = ControlState(system_clock)
-    others = {
-        replica_id: address
-        for replica_id, address in settings.peers.items()
-        if replica_id != settings.replica_id
-    }
     replica = replica_type(
         settings.replica_id,
-        others,
+        settings.peers,
         settings.data_folder,
         state.apply,
         state.snapshot,
--- a/pollenfold/control/leases.py
+++ b/pollenfold/control/leases.py
@@ -22,11 +22,12 @@
 MAX_WAIT_MS = 500.0
 """A long poll without news is answered after this time."""
 
-MAX_RECORDS_BYTES = 512 * 1024
-"""Records of one response; a quarter of a frame stays for the other parts."""
+MAX_RECORDS_BYTES = 384 * 1024
+"""Records of one response; the largest directory and notices fit into the rest of a
+frame."""
 
-MAX_NOTICES = 4096
-MAX_TEXT_CHARACTERS = 256
+MAX_NOTICES = 2000
+MAX_TEXT_CHARACTERS = 64
 
 
 class LeaseService:
@@ -163,10 +164,13 @@
 def _check_request(request: LeaseRequest) -> Failure | None:
     """Refuse values that would be stored or passed on to other entries."""
     entry: LiveEntry = request.entry
-    texts = [entry.entry_id, entry.host]
-    texts += [aged.notice.endpoint for aged in request.notices]
+    texts = [entry.entry_id, entry.host, entry.zone]
+    for aged in request.notices:
+        texts += [aged.notice.endpoint, aged.notice.service]
     if not all(0 < len(text) <= MAX_TEXT_CHARACTERS for text in texts):
-        return Failure(ErrorKind.BAD_REQUEST, "expected an id, a host and endpoints")
+        return Failure(
+            ErrorKind.BAD_REQUEST, f"expected names of 1 to {MAX_TEXT_CHARACTERS}"
+        )
     if len(request.notices) > MAX_NOTICES:
         detail = f"expected at most {MAX_NOTICES} notices, got {len(request.notices)}"
         return Failure(ErrorKind.BAD_REQUEST, detail)
--- a/pollenfold/control/operators.py
+++ b/pollenfold/control/operators.py
@@ -66,6 +66,8 @@
             detail = f"{request.method.decode('latin-1')} {path} is not supported"
             return error_response(ErrorKind.NOT_FOUND, detail)
         if path == "/v1/status":
+            if b"leader=true" in request.target and self._state.leadership() is None:
+                return await self._refer()
             return await self._get_status()
         if path == "/v1/requests":
             return await self._get_requests()
--- a/pollenfold/control/state.py
+++ b/pollenfold/control/state.py
@@ -30,6 +30,9 @@
 TICK_MS = 20.0
 """Bounds the delay of noticing an election or the end of a lease."""
 
+BARRIER = b"\x00"
+"""A command that changes nothing; too short for a change."""
+
 BARRIER_TIMEOUT_MS = 1000.0
 
 
@@ -43,7 +46,7 @@
         ...
 
     def is_leader(self) -> bool:
-        """Return whether this replica leads."""
+        """Return whether no other replica can be the leader now."""
         ...
 
     def leader_id(self) -> str | None:
@@ -104,8 +107,8 @@
         self._limit: tuple[int, int, int] = (-1, DEFAULT_MAX_ENTRIES, 0)
 
     def apply(self, index: int, command: bytes) -> None:
-        """Apply one committed command; an empty one is a barrier."""
-        if not command:
+        """Apply one committed command."""
+        if command == BARRIER:
             return
         try:
             change = decode_change(command)
@@ -182,26 +185,26 @@
             await curio.sleep(TICK_MS / 1000)
 
     async def _follow_leadership(self) -> None:
-        """Start a leadership once a barrier shows that the log is fully applied.
+        """Start a leadership with a barrier that is committed and applied.
 
-        Without the barrier a new leader could lack changes that its predecessor
-        reported in force, and grant leases for an older configuration.
+        Its index is higher than any that an earlier leader used, and it shows that
+        this replica has every change that an earlier leader reported in force.
         """
         since = self.replica.leader_since()
-        if not self.replica.is_leader() or since is None:
-            self._leadership = None
+        if since is None or not self.replica.is_leader():
             return
         if self._leadership is not None and self._leadership.since == since:
             return
         self._leadership = None
-        barrier = await self.replica.propose(b"", BARRIER_TIMEOUT_MS)
-        if barrier.is_error() or self.replica.leader_since() != since:
+        result = await self.replica.propose(BARRIER, BARRIER_TIMEOUT_MS)
+        if result.is_error():
             return
-        index = barrier.ok
-        while self.replica.applied_index() < index:
+        while self.replica.applied_index() < result.ok:
             if not self.replica.is_leader():
                 return
             await curio.sleep(TICK_MS / 1000)
-        directory = EntryDirectory(index, since, self.lease_ms)
+        if self.replica.leader_since() != since:
+            return
+        directory = EntryDirectory(result.ok, since, self.lease_ms)
         self._leadership = Leadership(since, directory)
-        logger.info("event=leader_ready index={}", index)
+        logger.info("event=leader_ready epoch={}", result.ok)
--- a/pollenfold/entry/configuration.py
+++ b/pollenfold/entry/configuration.py
@@ -30,7 +30,7 @@
 """Interval of renewals beside the long poll. At any moment the lease has at least
 1.7 s left, which is longer than an election of the control leader takes."""
 
-RETRY_MS = 50.0
+RETRY_MS = 100.0
 FLEET_FULL_RETRY_MS = 500.0
 
 
--- a/pollenfold/entry/route.py
+++ b/pollenfold/entry/route.py
@@ -94,6 +94,10 @@
         timeout_ms = request.wait_ms + CALL_TIMEOUT_MS
         result = await client.call(Protocol.LEASE, encode_request(request), timeout_ms)
         if result.is_error():
+            # The connection may hang in a partition that has ended meanwhile.
+            if self._clients.get(address) is client:
+                del self._clients[address]
+            await client.close()
             return None
         response = decode_response(result.ok)
         if response.is_error() or response.ok.error is ErrorKind.UNREACHABLE:
--- a/pollenfold/entry/state.py
+++ b/pollenfold/entry/state.py
@@ -20,7 +20,7 @@
 from ..records.parsing import parse_record
 from ..wire.lease import AgedNotice, LeaseRequest, LeaseResponse
 
-MAX_NOTICES = 4096
+MAX_NOTICES = 2000
 """Notices of one request; the others follow in the next one."""
 
 
--- a/pollenfold/testing/replica.py
+++ b/pollenfold/testing/replica.py
@@ -58,7 +58,12 @@
     async def propose(
         self, command: bytes, timeout_ms: float
     ) -> Result[int, ErrorKind]:
-        """Commit and apply the command at once."""
+        """Commit and apply the command at once.
+
+        Raise ValueError for an empty command, as the replica of the log does.
+        """
+        if not command:
+            raise ValueError("expected a command of at least 1 byte")
         if not self.is_leader():
             return Error(ErrorKind.NOT_LEADER)
         self.commands.append(command)
--- /dev/null
+++ b/pollenfold/tests/entry/test_configuration.py
@@ -0,0 +1,162 @@
+"""An entry that renews directly, through a peer, or not at all."""
+
+import json
+import socket
+from dataclasses import replace
+
+import curio
+import pytest
+
+from pollenfold.core.configuration import Change
+from pollenfold.core.directory import LEASE_MS, LeaveNotice
+from pollenfold.core.errors import ErrorKind
+from pollenfold.entry.configuration import ConfigurationClient, EntryAddresses
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.control import ControlFake
+from pollenfold.wire.frames import Protocol
+from pollenfold.wire.lease import decode_response, encode_request
+from pollenfold.wire.rpc import RpcServer
+
+NOTICE = LeaveNotice("10.0.0.1:80", "s", 1)
+
+
+def client(name, control, peers=None, peer_port=1):
+    addresses = EntryAddresses("127.0.0.1", 1, 2, peer_port)
+    return ConfigurationClient(name, addresses, "a", control, peers, system_clock)
+
+
+async def eventually(condition):
+    """Wait for the condition; the test's own limit ends an endless wait."""
+    while not condition():
+        await curio.sleep(0.01)
+
+
+def holds(entry):
+    return lambda: entry.has_lease(system_clock())
+
+
+async def take_zone_out(control):
+    fields = {"schema_version": 1, "kind": "zone", "name": "a", "version": 1}
+    record = json.dumps({**fields, "spec": {"state": "out"}}).encode()
+    assert (await control.state.submit(Change("x", record), 1000)).ok.error is None
+
+
+async def start_peer(entry):
+    sock = curio.tcp_server_socket("127.0.0.1", 0)
+    server = RpcServer({Protocol.LEASE: entry.forward})
+    await curio.spawn(curio.network.run_server, sock, server.handle, daemon=True)
+    return sock.getsockname()
+
+
+def unused_address():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()
+
+
+@pytest.fixture
+def started(run):
+    """Return a function that runs ``main(control)`` with a control replica."""
+
+    def run_with_control(main):
+        async def start():
+            control = ControlFake()
+            await control.start()
+            await main(control)
+            await control.stop()
+
+        run(start)
+
+    return run_with_control
+
+
+def test_renewals_pass_through_a_peer(started):
+    """Guards against an entry that stops although a peer reaches the leader."""
+
+    async def main(control):
+        direct = client("e1", [control.address])
+        address = await start_peer(direct)
+        cut_off = client("e2", [unused_address()], lambda: [unused_address(), address])
+        for entry in (direct, cut_off):
+            await curio.spawn(entry.run, daemon=True)
+        for entry in (direct, cut_off):
+            await eventually(holds(entry))
+        await eventually(lambda: len(cut_off.directory().entries) == 2)
+        started_at = system_clock()
+        await cut_off.add_leave_notice(NOTICE)
+        await take_zone_out(control)
+        await eventually(lambda: not cut_off.view().is_zone_in("a"))
+        await eventually(lambda: [n.notice for n in direct.leave_notices()] == [NOTICE])
+        assert system_clock() - started_at < 3000
+        held = control.state.leadership()
+        await eventually(lambda: held.directory.in_force_revision(1, system_clock()))
+        assert system_clock() - started_at < 4000
+
+    started(main)
+
+
+def test_request_is_forwarded_only_once(started):
+    """Guards against requests that circle among entries."""
+
+    async def main(control):
+        direct = client("e1", [control.address])
+        request = direct._state.request(0.0, system_clock())
+        for payload, error in [
+            (encode_request(request), ErrorKind.NOT_READY),
+            (
+                encode_request(replace(request, is_forwarded=True)),
+                ErrorKind.UNREACHABLE,
+            ),
+            (b"\xff" * 9, ErrorKind.BAD_FRAME),
+        ]:
+            assert decode_response(await direct.forward(payload)).ok.error is error
+        address = await start_peer(direct)
+        cut_off = client("e2", [unused_address()], lambda: [address])
+        answer = await cut_off.forward(encode_request(request))
+        assert decode_response(answer).ok.error is ErrorKind.UNREACHABLE
+
+    started(main)
+
+
+def test_lease_ends_without_control_and_comes_back(started):
+    """Guards against a partitioned entry that goes on, or that never returns."""
+
+    async def main(control):
+        entry = client("e1", [unused_address(), control.address])
+        await curio.spawn(entry.run, daemon=True)
+        await eventually(holds(entry))
+        control.replica.follow(None)
+        stopped_at = system_clock()
+        await eventually(lambda: not entry.has_lease(system_clock()))
+        assert system_clock() - stopped_at <= LEASE_MS + 100
+        control.replica.lead()
+        await eventually(holds(entry))
+
+    started(main)
+
+
+def test_lease_survives_a_change_of_leader(started):
+    """Guards against an election that stops every entry."""
+
+    async def main(control):
+        other = ControlFake("c2", control.peers, control.operators)
+        await other.start()
+        other.replica.follow("c1")
+        entry = client("e1", [control.address, other.address])
+        await curio.spawn(entry.run, daemon=True)
+        await eventually(holds(entry))
+        await entry.add_leave_notice(NOTICE)
+        control.replica.follow(None)
+        for _ in range(150):
+            await curio.sleep(0.01)
+            assert entry.has_lease(system_clock())
+        other.replica.commands = list(control.replica.commands)
+        other.replica.lead()
+        control.replica.follow("c2")
+        await eventually(lambda: other.state.leadership() is not None)
+        directory = other.state.leadership().directory
+        await eventually(lambda: directory.notices.since(0, system_clock()))
+        assert entry.has_lease(system_clock())
+        assert directory.live_entries() != ()
+        await other.stop()
+
+    started(main)
