Test the operator interface, the commands and the configuration's properties

The property test runs three entries against leaders that change, with requests and responses that arrive late, twice or never.

--- a/pollenfold/cli/main.py
+++ b/pollenfold/cli/main.py
@@ -6,6 +6,7 @@
 
 from cleo.application import Application
 from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
 
 from .. import __version__
 from .commands import (
@@ -44,10 +45,14 @@
     return application
 
 
-def main() -> int:
-    """Run the program and return its exit status."""
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program and return its exit status.
+
+    ``arguments`` replaces those of the process.
+    """
+    given = sys.argv[1:] if arguments is None else arguments
     try:
-        return int(make_application().run())
+        return int(make_application().run(ArgvInput(["pollenfold", *given])))
     except CleoError as error:
         # A wrong flag or argument.
         print(f"pollenfold: {' '.join(str(error).split())}", file=sys.stderr)
--- /dev/null
+++ b/properties/test_configuration.py
@@ -0,0 +1,202 @@
+"""Properties of the configuration, the leases and in force under any interleaving."""
+
+import json
+from pathlib import Path
+
+import curio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenfold.control.leases import LeaseService
+from pollenfold.control.state import ControlState
+from pollenfold.core.clock import ManualClock
+from pollenfold.core.configuration import (
+    Change,
+    ConfigurationState,
+    apply_change,
+    decode_state,
+    encode_state,
+)
+from pollenfold.core.directory import LiveEntry
+from pollenfold.core.errors import ErrorKind
+from pollenfold.entry.state import EntryState
+from pollenfold.records.parsing import parse_record
+from pollenfold.testing.replica import FakeReplica
+from pollenfold.wire.lease import decode_request, decode_response, encode_request
+
+CHANGES = st.builds(
+    lambda change_id, name, version, note: Change(
+        f"id-{change_id}",
+        json.dumps(
+            {"kind": "zone", "name": name, "version": version, "note": note}
+        ).encode(),
+    ),
+    st.integers(0, 12),
+    st.sampled_from("ab"),
+    st.integers(0, 4),
+    st.integers(0, 1),
+)
+GARBAGE = st.builds(Change, st.just("garbage"), st.binary(max_size=20))
+
+
+@given(st.lists(st.tuples(st.one_of(CHANGES, GARBAGE), st.booleans())))
+def test_racing_operators_and_restarts_agree(steps):
+    """Guards against two winners of one version, and replicas that disagree.
+
+    The second replica is restored from a snapshot of itself at any point.
+    """
+    first, second = ConfigurationState(), ConfigurationState()
+    seen = {}
+    accepted = {}
+    for change, is_restarted in steps:
+        if is_restarted:
+            second = decode_state(encode_state(second))
+        revision = first.revision
+        answer = apply_change(first, change)
+        assert apply_change(second, change) == answer
+        known = seen.setdefault(change.change_id, (change.record, answer))
+        if known[0] == change.record:
+            assert answer == known[1]
+        else:
+            assert answer.error is ErrorKind.BAD_REQUEST
+        if first.revision != revision:
+            fields = json.loads(change.record)
+            key = (fields["name"], fields["version"])
+            assert accepted.setdefault(key, change.change_id) == change.change_id
+            assert first.revision == revision + 1
+    assert len(accepted) == first.revision
+    assert encode_state(first) == encode_state(second)
+
+
+@given(st.one_of(st.binary(max_size=200), st.text().map(str.encode)))
+def test_any_bytes_are_a_record_or_a_bad_record(data):
+    """Guards against an exception on a record that an operator sends."""
+    result = parse_record(data)
+    assert result.is_ok() or result.error.kind is ErrorKind.BAD_RECORD
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_are_a_message_or_a_bad_frame(data):
+    """Guards against an exception on bytes from a peer."""
+    for decode in (decode_request, decode_response):
+        result = decode(data)
+        assert result.is_ok() or result.error.kind is ErrorKind.BAD_FRAME
+
+
+class Fleet:
+    """A control replica that may lose and regain leadership, and three entries.
+
+    Requests and responses are kept until a step delivers them, in any order, more
+    than once, or never.
+    """
+
+    def __init__(self):
+        self.clock = ManualClock(1000)
+        self.state = ControlState(self.clock)
+        self.replica = FakeReplica(
+            "c1", {}, Path(), self.state.apply, bytes, bytes, self.clock, 0
+        )
+        self.state.replica = self.replica
+        self.service = LeaseService(self.state, {})
+        self.entries = [
+            EntryState(LiveEntry(f"e{n}", 1, "127.0.0.1", 1, 2, 3, "a"))
+            for n in range(3)
+        ]
+        self.requests = []
+        self.responses = []
+        self.n_changes = 0
+        self.max_entries = 2
+        self.in_force = 0
+        self.revisions = [0, 0, 0]
+
+    async def change(self, number):
+        """Store a change; some raise the limit of entries."""
+        self.n_changes += 1
+        name = f"n{self.n_changes}"
+        fields = {"schema_version": 1, "kind": "zone", "name": name, "version": 1}
+        fields["spec"] = {}
+        if self.n_changes == 1 or number == 2:
+            self.max_entries += self.n_changes > 1
+            fields = {**fields, "kind": "fleet", "name": "default"}
+            fields["version"] = self.max_entries - 1
+            fields["spec"] = {"max_entries": self.max_entries}
+        change = Change(name, json.dumps(fields).encode())
+        result = await self.state.submit(change, 100)
+        if result.is_ok():
+            assert result.ok.error is None
+
+    async def send(self, number):
+        request = self.entries[number].request(0.0, self.clock())
+        self.requests.append((number, request, self.clock()))
+
+    async def answer(self, number):
+        if self.requests:
+            entry, request, sent_at = self.requests[-1 - number % len(self.requests)]
+            payload = await self.service.handle(encode_request(request))
+            response = decode_response(payload).ok
+            self.responses.append((entry, request, response, sent_at))
+
+    async def deliver(self, number):
+        if self.responses:
+            index = -1 - number % len(self.responses)
+            entry, request, response, sent_at = self.responses[index]
+            self.entries[entry].receive(request, response, sent_at, self.clock())
+
+    async def exchange(self, number):
+        await self.send(number)
+        await self.answer(0)
+        await self.deliver(0)
+
+    async def advance(self, number):
+        self.clock.advance((50, 450, 1900)[number])
+
+    async def elect(self, number):
+        """Another leader is elected, which knows every accepted change."""
+        self.replica.follow("c2")
+        self.replica.lead()
+        await self.state._follow_leadership()
+
+    def check(self):
+        now = self.clock()
+        held = self.state.leadership()
+        if held is not None:
+            newest = self.state.configuration.revision
+            in_force = held.directory.in_force_revision(newest, now)
+            self.in_force = max(self.in_force, in_force)
+        working = [entry for entry in self.entries if entry.lease.is_valid(now)]
+        for entry in working:
+            assert entry.view.revision >= self.in_force
+        shares = [1 / entry.view.fleet.max_entries for entry in working]
+        assert sum(shares) <= 1 + 1e-9
+        revisions = [entry.view.revision for entry in self.entries]
+        assert all(new >= old for new, old in zip(revisions, self.revisions))
+        self.revisions = revisions
+
+
+STEPS = st.tuples(
+    st.sampled_from(
+        "change send answer deliver exchange exchange exchange advance elect".split()
+    ),
+    st.integers(0, 2),
+)
+
+
+@given(st.lists(STEPS, min_size=5, max_size=60))
+def test_in_force_holds_for_every_entry_with_a_lease(steps):
+    """Guards against in force while a working entry has an older revision.
+
+    Also against a revision that falls, and entries whose shares of a budget exceed
+    the whole.
+    """
+
+    async def main():
+        fleet = Fleet()
+        await fleet.elect(0)
+        await fleet.change(0)
+        await fleet.advance(2)
+        await fleet.advance(1)
+        for name, number in steps:
+            await getattr(fleet, name)(number)
+            fleet.check()
+
+    curio.run(main)
