--- a/pollenfold/cli/client.py
+++ b/pollenfold/cli/client.py
@@ -18,6 +18,9 @@
 EXCHANGE_TIMEOUT_MS = 5000.0
 """Longer than the time after which a replica reports an unknown outcome."""
 
+CONNECT_TIMEOUT_MS = 500.0
+"""A replica behind a silent partition doesn't hold a command up for longer."""
+
 RETRY_MS = 100.0
 
 _TRY_ELSEWHERE = {
@@ -122,7 +125,8 @@
         ]
         try:
             async with curio.timeout_after(EXCHANGE_TIMEOUT_MS / 1000):
-                connection = await HttpConnection.open(host, port)
+                async with curio.timeout_after(CONNECT_TIMEOUT_MS / 1000):
+                    connection = await HttpConnection.open(host, port)
                 try:
                     result = await connection.exchange(
                         method, path.encode(), all_headers, body
--- a/pollenfold/cli/daemons.py
+++ b/pollenfold/cli/daemons.py
@@ -53,8 +53,8 @@
         configure_logs(str(self.name))
         try:
             curio.run(self.find_serve(), loaded.ok)
-        except (OSError, ValueError) as error:
-            # A port in use, or a data folder that can't be used.
+        except (OSError, RuntimeError, ValueError) as error:
+            # A port in use, a data folder that can't be used, or a task that ended.
             logger.error("event=stopped error={!r}", error)
             return EXIT_FAILED
         return 0
@@ -113,19 +113,6 @@
 
     def find_serve(self) -> Serve:
         """Import the ledger daemon."""
-        from ..ledger import daemon
-
-        async def serve(settings: LedgerSettings) -> None:
-            others = dict(settings.peers)
-            _, port = others.pop(settings.replica_id)
-            await daemon.serve_ledger(
-                daemon.LedgerSettings(
-                    settings.replica_id,
-                    others,
-                    settings.data_folder,
-                    settings.host,
-                    port,
-                )
-            )
-
-        return serve
+        from ..ledger.daemon import serve_ledger
+
+        return serve_ledger
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -114,7 +114,9 @@
             peer_port,
             settings.operator_port,
         )
+    await operator_server.stop()
     # Raises what ended the first task, unless it was the signal.
     reason = group.result
-    logger.info("event=stopped signal={}", reason if stop.terminated else "")
-    await operator_server.stop()
+    if group.completed is not stop:
+        raise RuntimeError(f"{group.completed.name} ended")
+    logger.info("event=stopped signal={}", reason)
--- a/pollenfold/control/state.py
+++ b/pollenfold/control/state.py
@@ -30,8 +30,8 @@
 TICK_MS = 20.0
 """Bounds the delay of noticing an election or the end of a lease."""
 
-BARRIER = b"\x00"
-"""A command that changes nothing; too short for a change."""
+BARRIER = b"\0"
+"""A command that changes nothing; it is shorter than any change."""
 
 BARRIER_TIMEOUT_MS = 1000.0
 
--- a/pollenfold/testing/replica.py
+++ b/pollenfold/testing/replica.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import curio
 from expression import Error, Ok, Result
 
 from ..core.clock import Clock, Instant
@@ -53,7 +54,8 @@
         return b""
 
     async def run(self) -> None:
-        """Do nothing, as there is no timer."""
+        """Do nothing until cancelled, as there is no timer."""
+        await curio.Event().wait()
 
     async def propose(
         self, command: bytes, timeout_ms: float
--- a/pollenfold/tests/control/test_daemon.py
+++ b/pollenfold/tests/control/test_daemon.py
@@ -5,6 +5,7 @@
 import socket
 
 import curio
+import pytest
 
 from pollenfold.cli.client import OperatorClient
 from pollenfold.control.daemon import serve_control
@@ -18,32 +19,54 @@
         return sock.getsockname()[1]
 
 
-def test_daemon_answers_until_it_is_stopped(run, tmp_path):
-    """Guards against a daemon that doesn't listen, or ignores its stop signal."""
-    port, operator_port = unused_port(), unused_port()
+@pytest.fixture
+def settings(tmp_path):
     flags = {
         "replica_id": "c1",
         "zone": "a",
         "host": "127.0.0.1",
-        "peers": f"c1=127.0.0.1:{port}",
-        "operator_port": str(operator_port),
+        "peers": f"c1=127.0.0.1:{unused_port()}",
+        "operator_port": str(unused_port()),
         "data_folder": str(tmp_path),
         "token": "secret",
     }
-    settings = load_settings(ControlSettings, flags).ok
+    return load_settings(ControlSettings, flags).ok
+
+
+def test_daemon_answers_until_it_is_stopped(run, settings):
+    """Guards against a daemon that doesn't listen, or ignores its stop signal."""
     assert "secret" not in repr(settings)
+    address = ("127.0.0.1", settings.operator_port)
 
     async def main():
         daemon = await curio.spawn(serve_control, settings, FakeReplica)
-        address = [("127.0.0.1", operator_port)]
-        client = OperatorClient(address, "secret", system_clock, 5000)
+        client = OperatorClient([address], "secret", system_clock, 5000)
         reply = (await client.get("/v1/status?leader=true")).ok
-        assert reply.body["leader"] == f"127.0.0.1:{operator_port}"
+        assert reply.body["leader"] == f"127.0.0.1:{settings.operator_port}"
         os.kill(os.getpid(), signal.SIGTERM)
         await daemon.join()
-        client = OperatorClient(address, "secret", system_clock, 0)
+        client = OperatorClient([address], "secret", system_clock, 0)
         assert (await client.get("/v1/status")).is_error()
 
-    before = signal.getsignal(signal.SIGTERM)
+    # A signal that the daemon doesn't take must not end the test process.
+    received = []
+    before = signal.signal(signal.SIGTERM, lambda number, frame: received.append(1))
+    try:
+        run(main)
+        assert received == []
+    finally:
+        signal.signal(signal.SIGTERM, before)
+
+
+def test_daemon_fails_when_a_part_of_it_ends(run, settings):
+    """Guards against a daemon that exits as if it had been told to."""
+
+    class EndingReplica(FakeReplica):
+        async def run(self):
+            return
+
+    async def main():
+        with pytest.raises(RuntimeError, match="run ended"):
+            await serve_control(settings, EndingReplica)
+
     run(main)
-    assert signal.getsignal(signal.SIGTERM) is before
