--- a/pollenfold/cli/client.py
+++ b/pollenfold/cli/client.py
@@ -15,8 +15,9 @@
 from ..http.client import HttpConnection
 from ..settings.models import Address, parse_address
 
-EXCHANGE_TIMEOUT_MS = 5000.0
-"""Longer than the time after which a replica reports an unknown outcome."""
+EXCHANGE_TIMEOUT_MS = 1500.0
+"""Longer than the time after which a replica reports an unknown outcome. A leader
+that hangs holds a command up for this time; then the next leader is asked."""
 
 CONNECT_TIMEOUT_MS = 500.0
 """A replica behind a silent partition doesn't hold a command up for longer."""
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -60,61 +60,72 @@
         try:
             return str(json.loads(result.ok)["operator"])
         except (ValueError, KeyError, TypeError):
-            logger.warning("event=bad_operator_address kind={}", ErrorKind.BAD_FRAME)
+            logger.warning(
+                "event=bad_operator_address kind={}", ErrorKind.BAD_FRAME.value
+            )
             return None
 
 
+class _Daemon:
+    """The parts of one control replica."""
+
+    def __init__(self, settings: ControlSettings, replica_type: type[Any]) -> None:
+        self.state = ControlState(system_clock)
+        self.replica = replica_type(
+            settings.replica_id,
+            settings.peers,
+            settings.data_folder,
+            self.state.apply,
+            self.state.snapshot,
+            self.state.restore,
+            system_clock,
+            secrets.randbits(32),
+        )
+        self.state.replica = self.replica
+        leader_address = LeaderAddress(settings, self.state)
+        operators = OperatorInterface(
+            self.state,
+            settings.replica_id,
+            settings.zone,
+            settings.token.get_secret_value(),
+            leader_address.get,
+        )
+        self.operator_server = HttpServer(operators.handle, MAX_RECORD_BYTES)
+        self.peer_server = RpcServer(
+            {
+                Protocol.AGREEMENT: self.replica.handle,
+                Protocol.LEASE: LeaseService(self.state, settings.peers).handle,
+                Protocol.OPERATOR: leader_address.handle,
+            }
+        )
+
+
 async def serve_control(
     settings: ControlSettings, replica_type: type[Any] | None = None
 ) -> None:
     """Run a control replica until SIGTERM or SIGINT.
 
-    ``replica_type`` replaces the replica of the log, for tests.
+    ``replica_type`` replaces the replica of the log, for tests. Raise OSError when
+    an address is taken or the data folder can't be used, ValueError when the folder
+    belongs to another replica, and RuntimeError when a part of the daemon ends.
     """
     if replica_type is None:
         from .replica import Replica as replica_type
-    state = ControlState(system_clock)
-    replica = replica_type(
-        settings.replica_id,
-        settings.peers,
-        settings.data_folder,
-        state.apply,
-        state.snapshot,
-        state.restore,
-        system_clock,
-        secrets.randbits(32),
-    )
-    state.replica = replica
-    leader_address = LeaderAddress(settings, state)
-    operators = OperatorInterface(
-        state,
-        settings.replica_id,
-        settings.zone,
-        settings.token.get_secret_value(),
-        leader_address.get,
-    )
-    peer_server = RpcServer(
-        {
-            Protocol.AGREEMENT: replica.handle,
-            Protocol.LEASE: LeaseService(state, settings.peers).handle,
-            Protocol.OPERATOR: leader_address.handle,
-        }
-    )
-    operator_server = HttpServer(operators.handle, MAX_RECORD_BYTES)
+    daemon = _Daemon(settings, replica_type)
+    peer_port = settings.peers[settings.replica_id][1]
     async with curio.TaskGroup(wait=any) as group:
         stop = await group.spawn(wait_for_stop)
-        await operator_server.start(settings.host, settings.operator_port)
-        peer_port = settings.peers[settings.replica_id][1]
-        await group.spawn(peer_server.serve, settings.host, peer_port)
-        await group.spawn(replica.run)
-        await group.spawn(state.run)
+        await daemon.operator_server.start(settings.host, settings.operator_port)
+        await group.spawn(daemon.peer_server.serve, settings.host, peer_port)
+        await group.spawn(daemon.replica.run)
+        await group.spawn(daemon.state.run)
         logger.info(
             "event=started replica_id={} peer_port={} operator_port={}",
             settings.replica_id,
             peer_port,
             settings.operator_port,
         )
-    await operator_server.stop()
+    await daemon.operator_server.stop()
     # Raises what ended the first task, unless it was the signal.
     reason = group.result
     if group.completed is not stop:
--- a/pollenfold/control/operators.py
+++ b/pollenfold/control/operators.py
@@ -20,8 +20,9 @@
 from ..records.parsing import ParsedRecord, parse_record
 from .state import ControlState, Leadership
 
-PROPOSE_TIMEOUT_MS = 3000.0
-"""Twice the time of an election, after which the outcome is reported unknown."""
+PROPOSE_TIMEOUT_MS = 1000.0
+"""After this time the outcome is reported unknown. A leader that lost its majority
+has stepped down by then, so the change can be sent to the next one."""
 
 CHANGE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 CHANGE_ID_HEADER = b"pollenfold-change-id"
--- a/pollenfold/tests/entry/test_state.py
+++ b/pollenfold/tests/entry/test_state.py
@@ -44,8 +44,9 @@
     old = response(1, [zone(1, "a", "in")])
     receive(state, response(2, [zone(2, "a", "out")]), 0)
     assert not receive(state, old, 1)
+    receive(state, response(3, [zone(3, "b")]), 2)
     assert not state.view.is_zone_in("a")
-    assert state.request(0.0, Instant(1)).acknowledged == 2
+    assert state.request(0.0, Instant(3)).acknowledged == 3
 
 
 def test_part_of_a_configuration_is_not_in_force():
