--- a/pollenfold/cli/daemons.py
+++ b/pollenfold/cli/daemons.py
@@ -53,8 +53,8 @@
         configure_logs(str(self.name))
         try:
             curio.run(self.find_serve(), loaded.ok)
-        except (OSError, ValueError) as error:
-            # A port in use, or a data folder that can't be used.
+        except (OSError, RuntimeError, ValueError) as error:
+            # A port in use, a data folder that can't be used, or a task that ended.
             logger.error("event=stopped error={!r}", error)
             return EXIT_FAILED
         return 0
--- a/pollenfold/testing/replica.py
+++ b/pollenfold/testing/replica.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import curio
 from expression import Error, Ok, Result
 
 from ..core.clock import Clock, Instant
@@ -53,12 +54,18 @@
         return b""
 
     async def run(self) -> None:
-        """Do nothing, as there is no timer."""
+        """Do nothing until cancelled, as there is no timer."""
+        await curio.Event().wait()
 
     async def propose(
         self, command: bytes, timeout_ms: float
     ) -> Result[int, ErrorKind]:
-        """Commit and apply the command at once."""
+        """Commit and apply the command at once.
+
+        Raise ValueError for an empty command, as the replica of the log does.
+        """
+        if not command:
+            raise ValueError("expected a command of at least 1 byte")
         if not self.is_leader():
             return Error(ErrorKind.NOT_LEADER)
         self.commands.append(command)
