--- a/pollenfold/core/claims.py
+++ b/pollenfold/core/claims.py
@@ -140,6 +140,7 @@
         self._phase = 0
         self._n_rounds = 0
         self._highest: Ballot = OPEN_BALLOT
+        self._ballot: Ballot = OPEN_BALLOT
         self._replies: dict[int, Reply] = {}
         self._failed: set[int] = set()
         self._epochs = (0,) * n_replicas
@@ -154,8 +155,8 @@
     def resume(self) -> Action[T]:
         """Start the next round above every ballot seen."""
         self._n_rounds += 1
-        self._highest = (self._highest[0] + 1, self._proposer)
-        return self._send(Prepare(self._highest))
+        self._ballot = self._highest = (self._highest[0] + 1, self._proposer)
+        return self._send(Prepare(self._ballot))
 
     def on_reply(self, phase: int, replica: int, reply: Reply) -> Action[T] | None:
         """Take the reply of one replica; return an action when one is due."""
@@ -228,7 +229,7 @@
             # The replies that are still to come often leave one claim only.
             return None
         new_value, self._answer = self._decide(value, _age_ms(value, granted))
-        return self._send(Accept(self._highest, new_value))
+        return self._send(Accept(self._ballot, new_value))
 
     def _after_split(self, valid: list[Reply]) -> Action[T]:
         """Answer from a majority with one foreign value, else start a round.
--- a/pollenfold/ledger/rejoin.py
+++ b/pollenfold/ledger/rejoin.py
@@ -7,7 +7,9 @@
 
 Otherwise it needs n - majority + 1 of the others. Every majority that it belonged to
 contains one of these, so each value chosen with its help is in their registers. It
-first tells them its new epoch, then copies them page by page.
+first tells all of them its new epoch, then copies them page by page. A peer serves
+pages only in the process that took the epoch: if that peer loses its disk in between,
+it may itself have copied the others before they knew the epoch.
 """
 
 from __future__ import annotations
@@ -102,7 +104,8 @@
     own = ids.index(replica_id)
     epochs = (*known[:own], known[own] + 1, *known[own + 1 :])
     fence = Fence(replica_id, epochs[own])
-    copies = [await _copy(peers[name], fence) for name in voters]
+    fenced = [name for name in voters if await _ask(peers[name], fence) is not None]
+    copies = [await _copy(peers[name], fence) for name in fenced]
     whole = [copy for copy in copies if copy is not None]
     if len(whole) < n_needed:
         return None
@@ -117,8 +120,6 @@
 
 async def _copy(peer: RpcClient, fence: Fence) -> Copy | None:
     """Return all registers of a peer as of the fence or later."""
-    if await _ask(peer, fence) is None:
-        return None
     registers: Copy = {}
     offset = 0
     while True:
--- /dev/null
+++ b/pollenfold/tests/core/test_claims.py
@@ -0,0 +1,205 @@
+"""The claimant's side: what it may conclude from the replies of some replicas."""
+
+import pytest
+
+from pollenfold.core import claims
+from pollenfold.core.claims import Finish, Pause, Send
+from pollenfold.core.errors import ErrorKind
+from pollenfold.core.register import (
+    BLANK_REGISTER,
+    Accept,
+    Outcome,
+    Prepare,
+    Register,
+    Reply,
+    State,
+    Value,
+)
+
+EPOCHS = (1, 1, 1)
+OUTCOME = Outcome(201, ((b"a", b"b"),), b"body")
+HIGH = (4, "q")
+
+
+def value(state, *claim_ids, **fields):
+    return Value(State(state), claim_ids, **fields)
+
+
+COMPLETED = value("completed", "c", outcome=OUTCOME)
+
+
+def granted(register=BLANK_REGISTER, epochs=EPOCHS, age_ms=0.0):
+    return Reply(True, register, age_ms, epochs)
+
+
+def refused(held, age_ms=0.0, promised=HIGH):
+    return Reply(False, Register(promised, promised, held), age_ms, EPOCHS)
+
+
+def start(operation):
+    return operation, operation.start()
+
+
+def claim(claim_id="c"):
+    return start(claims.claim(3, "p", claim_id, 100.0))
+
+
+def replies(operation, phase, *answers):
+    """Give the replies of replicas 0, 1, ... (None: no answer); return the last
+    action."""
+    action = None
+    for index, reply in enumerate(answers):
+        if reply is None:
+            action = operation.on_failure(phase, index)
+        else:
+            action = operation.on_reply(phase, index, reply)
+    return action
+
+
+def test_majority_at_ballot_0_claims_in_one_round_trip():
+    """Guards against a claim that is granted by one replica only."""
+    operation, _ = claim()
+    assert replies(operation, 1, granted()) is None
+    assert operation.on_reply(1, 0, granted()) is None
+    assert operation.on_reply(1, 1, granted()) == Finish(claims.Claimed())
+
+
+def test_vote_of_a_lost_disk_does_not_count():
+    """Guards against a majority made of a vote from before a lost disk and one from
+    after it."""
+    operation, _ = claim()
+    later = granted(epochs=(2, 1, 1))
+    assert replies(operation, 1, granted(), later) is None
+    assert operation.on_failure(1, 2) == Finish(claims.Unavailable())
+
+
+@pytest.mark.parametrize(
+    "answers, expected",
+    [
+        ([refused(value("claimed", "d"))] * 2, claims.InProgress()),
+        ([refused(value("claimed", "d"), age_ms=100.0)] * 2, claims.InDoubt()),
+        ([refused(COMPLETED)] * 2, claims.Completed(OUTCOME)),
+        ([None, None], claims.Unavailable()),
+    ],
+)
+def test_resend_is_answered_in_one_round_trip(answers, expected):
+    """Guards against a resend that runs again, or waits when no majority answers."""
+    operation, _ = claim("e")
+    actions = [replies(operation, 1, *answers), operation.on_failure(1, 2)]
+    assert Finish(expected) in actions
+
+
+def test_own_claim_in_refusals_needs_a_round():
+    """Guards against a dispatch because the own claim id is seen, not chosen."""
+    operation, _ = claim("c")
+    action = replies(operation, 1, *[refused(value("claimed", "c"))] * 2)
+    assert action == Send(2, Prepare((5, "p")))
+    held = Register((5, "p"), HIGH, value("claimed", "c"))
+    action = replies(operation, 2, granted(held), granted(held))
+    assert action == Send(3, Accept((5, "p"), value("claimed", "c")))
+    assert replies(operation, 3, granted(), granted()) == Finish(claims.Claimed())
+
+
+def split(operation):
+    """Bring a claim of ``c`` to the promises of a round, one of two votes each."""
+    vote_c = Register(value=value("claimed", "c"))
+    vote_d = Register(value=value("claimed", "d"))
+    refusal = Reply(False, vote_d, 0.0, EPOCHS)
+    assert replies(operation, 1, granted(), refusal, None) == Send(2, Prepare((1, "p")))
+    return granted(vote_c), granted(vote_d)
+
+
+def test_claimant_in_doubt_keeps_the_other_claim():
+    """Guards against a dispatch from a split vote, and against a doubt that stays
+    although this claimant knows that it did not dispatch."""
+    operation, _ = claim("c")
+    promises = split(operation)
+    assert replies(operation, 2, *promises) is None
+    action = operation.on_failure(2, 2)
+    assert action == Send(3, Accept((1, "p"), value("claimed", "d")))
+    assert replies(operation, 3, granted(), granted()) == Finish(claims.InProgress())
+
+
+def test_third_reply_settles_a_split_vote():
+    """Guards against an answer in doubt while the deciding reply is on its way."""
+    operation, _ = claim("c")
+    promises = split(operation)
+    assert replies(operation, 2, *promises) is None
+    action = operation.on_reply(2, 2, promises[0])
+    assert action == Send(3, Accept((1, "p"), value("claimed", "c")))
+
+
+def test_third_claimant_finds_a_doubt():
+    """Guards against a claimant that picks one of two claims it knows nothing of."""
+    operation, _ = claim("e")
+    promises = split(operation)
+    replies(operation, 2, *promises)
+    action = operation.on_failure(2, 2)
+    assert action == Send(3, Accept((1, "p"), value("in_doubt", "c", "d")))
+    assert replies(operation, 3, granted(), granted()) == Finish(claims.InDoubt())
+
+
+def test_competing_round_uses_its_own_ballot():
+    """Guards against a value proposed at the ballot of another claimant, which a
+    refusal during the prepare phase named."""
+    operation, action = start(claims.abandon(3, "p", "c"))
+    assert action == Send(1, Prepare((1, "p")))
+    other = refused(value("claimed", "d"))
+    action = replies(operation, 1, other, granted(), granted())
+    assert action == Send(2, Accept((1, "p"), value("abandoned", "c")))
+    assert isinstance(replies(operation, 2, other, other), Pause)
+    assert operation.resume() == Send(4, Prepare((5, "p")))
+
+
+@pytest.mark.parametrize(
+    "held, expected",
+    [
+        (value("empty"), None),
+        (value("claimed", "c"), None),
+        (value("claimed", "d"), ErrorKind.IN_PROGRESS),
+        (value("in_doubt", "c", "d"), ErrorKind.IN_PROGRESS),
+        (value("in_doubt", "d", "e"), ErrorKind.OUTCOME_UNKNOWN),
+        (COMPLETED, ErrorKind.OUTCOME_UNKNOWN),
+    ],
+)
+def test_abandon_succeeds_only_for_a_free_key(held, expected):
+    """Guards against did_not_run for a key that another claim may run."""
+    operation, _ = start(claims.abandon(3, "p", "c"))
+    register = Register((1, "p"), (0, "z"), held)
+    replies(operation, 1, granted(register), granted(register))
+    answer = replies(operation, 2, granted(), granted()).answer
+    assert answer.is_ok() if expected is None else answer.error is expected
+
+
+@pytest.mark.parametrize(
+    "held, is_stored",
+    [
+        (value("claimed", "c"), True),
+        (value("in_doubt", "c", "d"), True),
+        (value("in_doubt", is_open=True), True),
+        (COMPLETED, True),
+        (value("completed", "c", outcome=Outcome(500)), False),
+        (value("completed", "d", outcome=OUTCOME), False),
+        (value("claimed", "d"), False),
+        (value("abandoned", "c"), False),
+    ],
+)
+def test_complete_never_replaces_an_outcome(held, is_stored):
+    """Guards against a changed outcome, and one stored for another claim."""
+    operation, _ = start(claims.complete(3, "p", "c", OUTCOME))
+    register = Register((1, "p"), (0, "z"), held)
+    action = replies(operation, 1, granted(register), granted(register))
+    assert action.message.value == (COMPLETED if is_stored else held)
+    assert replies(operation, 2, granted(), granted()).answer.is_ok() is is_stored
+
+
+def test_endless_competition_gives_up():
+    """Guards against an operation that never ends while others take every ballot."""
+    operation, action = start(claims.abandon(3, "p", "c"))
+    for n in range(1, 20):
+        other = refused(value("claimed", "d"), promised=(100 * n, "q"))
+        action = replies(operation, action.phase, other, other)
+        if isinstance(action, Finish):
+            break
+        action = operation.resume()
+    assert action.answer.error is ErrorKind.LEDGER_UNAVAILABLE
