--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,299 @@
+"""Open-loop load generator: calls are due when the seed says, not when others end.
+
+``python -m benchmarks.load --targets 127.0.0.1:8080 --rate-per-s 500`` prints one
+``name=value`` line for each figure.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import curio
+from hdrh.histogram import HdrHistogram
+from pydantic import Field
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.answers import check_answer
+
+from .arrivals import burst_arrivals, poisson_arrivals
+from .connection import Answer, BrokenAnswer, CallerConnection, encode_request
+
+SPIN_MS = 1.5
+"""The event loop wakes with a resolution of 1 ms, so the last part of each wait is
+spent polling. Otherwise the figures would contain that millisecond."""
+
+MAX_LATENCY_US = 60_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class CallKind:
+    """One class of requests, with its share of the calls."""
+
+    name: str
+    method: str
+    path: str
+    share: float
+    has_key: bool = False
+
+
+DEFAULT_KINDS = (
+    CallKind("idempotent", "GET", "/stock/check", 0.9),
+    CallKind("non_idempotent", "POST", "/orders/bulk", 0.1, has_key=True),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send where; the same plan sends the same calls.
+
+    ``n_connections`` is the greatest number of calls at once. A call that finds all
+    of them busy waits, and its wait is part of its latency. ``prefix`` goes before
+    each path. ``name`` keeps the keys of several plans apart.
+    """
+
+    targets: tuple[tuple[str, int], ...]
+    rate_per_s: float
+    duration_ms: float
+    seed: int
+    kinds: tuple[CallKind, ...] = DEFAULT_KINDS
+    is_bursty: bool = False
+    n_connections: int = 64
+    timeout_ms: float = 5000
+    prefix: str = ""
+    name: str = "load"
+
+
+@dataclass(slots=True)
+class ClassResult:
+    """Figures of one class; latency in microseconds from the intended send time."""
+
+    n_sent: int = 0
+    n_whole: int = 0
+    wrong: Counter[str] = field(default_factory=Counter)
+    broken: Counter[str] = field(default_factory=Counter)
+    refusals: Counter[tuple[str, str]] = field(default_factory=Counter)
+    latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3)
+    )
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return the latency below which that percentage of whole answers lies."""
+        return float(self.latency.get_value_at_percentile(percentile)) / 1000
+
+    def add(self, other: ClassResult) -> None:
+        """Add the figures of another run of the same class."""
+        self.n_sent += other.n_sent
+        self.n_whole += other.n_whole
+        self.wrong += other.wrong
+        self.broken += other.broken
+        self.refusals += other.refusals
+        self.latency.add(other.latency)
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Figures by class, and what the caller learned about each key.
+
+    ``key_states`` maps a key to ``whole``, ``unknown`` (no whole answer came) or the
+    run state of the refusal.
+    """
+
+    classes: dict[str, ClassResult]
+    key_states: dict[str, str] = field(default_factory=dict)
+    duration_ms: float = 0.0
+
+    @property
+    def n_whole(self) -> int:
+        """Whole answers of all classes."""
+        return sum(one.n_whole for one in self.classes.values())
+
+    def lines(self, prefix: str) -> Iterator[str]:
+        """Yield the figures as ``name=value`` lines."""
+        for name, one in self.classes.items():
+            start = f"{prefix}.{name}"
+            yield f"{start}.sent={one.n_sent}"
+            yield f"{start}.whole={one.n_whole}"
+            for percentile in (50, 99, 99.9):
+                value = one.percentile_ms(percentile)
+                yield f"{start}.p{percentile}_ms={value:.3f}"
+            for (error, state), n in sorted(one.refusals.items()):
+                yield f"{start}.refused.{error}.{state}={n}"
+            for reason, n in sorted((one.broken + one.wrong).items()):
+                yield f"{start}.{reason.replace(' ', '_')}={n}"
+
+
+@dataclass(slots=True)
+class _Call:
+    """One call that is due; ``due`` is on the system clock."""
+
+    kind: CallKind
+    due: float
+    request_id: str
+    key: str
+
+
+def _plan_calls(plan: LoadPlan) -> Iterator[_Call]:
+    """Yield the calls of a plan with their due times from the start."""
+    rng = random.Random(plan.seed)
+    arrivals = burst_arrivals if plan.is_bursty else poisson_arrivals
+    shares = [kind.share for kind in plan.kinds]
+    for n, due in enumerate(arrivals(plan.rate_per_s, plan.duration_ms, rng)):
+        kind = rng.choices(plan.kinds, shares)[0]
+        call_id = f"{plan.name}-{plan.seed}-{n}"
+        yield _Call(kind, due, call_id, f"key-{call_id}" if kind.has_key else "")
+
+
+async def run_load(plan: LoadPlan) -> LoadResult:
+    """Send the calls of the plan and return when all of them are answered."""
+    result = LoadResult({kind.name: ClassResult() for kind in plan.kinds})
+    calls: curio.Queue = curio.Queue()
+    workers = []
+    for n in range(plan.n_connections):
+        host, port = plan.targets[n % len(plan.targets)]
+        connection = CallerConnection(host, port)
+        # A call must not pay for the connection of the load tool itself. Where this
+        # fails, the call that uses the connection reports it.
+        with suppress(OSError):
+            await connection.open()
+        workers.append(await curio.spawn(_work, calls, connection, plan, result))
+    start = system_clock()
+    try:
+        for call in _plan_calls(plan):
+            call.due += start
+            await _wait_until(call.due)
+            await calls.put(call)
+        for _ in workers:
+            await calls.put(None)
+        for worker in workers:
+            await worker.join()
+    finally:
+        for worker in workers:
+            await worker.cancel()
+    result.duration_ms = system_clock() - start
+    return result
+
+
+async def run_at_most(plan: LoadPlan) -> LoadResult:
+    """Send the next call on each connection as soon as the last one is answered.
+
+    It measures the greatest throughput; its latencies hide queueing and are not
+    comparable with those of ``run_load``.
+    """
+    result = LoadResult({kind.name: ClassResult() for kind in plan.kinds})
+    start = system_clock()
+
+    async def repeat(worker: int, connection: CallerConnection) -> None:
+        rng = random.Random(f"{plan.seed}:{worker}")
+        shares = [kind.share for kind in plan.kinds]
+        n = 0
+        while system_clock() - start < plan.duration_ms:
+            kind = rng.choices(plan.kinds, shares)[0]
+            n += 1
+            call_id = f"{plan.name}-{plan.seed}-{worker}-{n}"
+            key = f"key-{call_id}" if kind.has_key else ""
+            call = _Call(kind, system_clock(), call_id, key)
+            await _send(call, connection, plan, result)
+        await connection.close()
+
+    async with curio.TaskGroup() as group:
+        for worker in range(plan.n_connections):
+            host, port = plan.targets[worker % len(plan.targets)]
+            await group.spawn(repeat, worker, CallerConnection(host, port))
+    result.duration_ms = system_clock() - start
+    return result
+
+
+async def _wait_until(due: float) -> None:
+    while (left_ms := due - system_clock()) > 0:
+        await curio.sleep(max(0, left_ms - SPIN_MS) / 1000)
+
+
+async def _work(
+    calls: curio.Queue, connection: CallerConnection, plan: LoadPlan, result: LoadResult
+) -> None:
+    while (call := await calls.get()) is not None:
+        await _send(call, connection, plan, result)
+    await connection.close()
+
+
+async def _send(
+    call: _Call, connection: CallerConnection, plan: LoadPlan, result: LoadResult
+) -> None:
+    """Send one call and record its outcome."""
+    kind = call.kind
+    one = result.classes[kind.name]
+    headers = {"X-Request-Id": call.request_id}
+    if call.key:
+        headers["Idempotency-Key"] = call.key
+    path = plan.prefix + kind.path
+    request = encode_request(kind.method, path, connection.host, headers)
+    one.n_sent += 1
+    state = "unknown"
+    try:
+        answer = await connection.call(request, plan.timeout_ms)
+        state = _record_answer(call, answer, one)
+    except BrokenAnswer as error:
+        one.broken[str(error)] += 1
+    if call.key:
+        result.key_states[call.key] = state
+
+
+def _record_answer(call: _Call, answer: Answer, one: ClassResult) -> str:
+    """Record an answer and return what it says about the key."""
+    if answer.status != 200:
+        refusal = answer.refusal()
+        one.refusals[refusal] += 1
+        return refusal[1]
+    problem = check_answer(answer.body, call.request_id, call.key)
+    if problem is not None:
+        one.wrong["not whole" if problem == "not whole" else "not its own"] += 1
+        return "unknown"
+    one.n_whole += 1
+    latency_us = round((system_clock() - call.due) * 1000)
+    one.latency.record_value(max(1, min(latency_us, MAX_LATENCY_US)))
+    return "whole"
+
+
+class LoadSettings(BaseSettings):
+    """Flags of the load tool."""
+
+    model_config = SettingsConfigDict(cli_kebab_case=True)
+
+    targets: list[str]
+    rate_per_s: float = Field(default=200, gt=0)
+    duration_s: float = Field(default=10, gt=0)
+    seed: int = 1
+    bursty: bool = False
+    n_connections: int = Field(default=64, ge=1)
+    timeout_ms: float = Field(default=5000, gt=0)
+    prefix: str = ""
+
+
+def main() -> int:
+    """Run one plan from the flags; the status is 1 when an answer was wrong."""
+    settings = LoadSettings(_cli_parse_args=True)  # type: ignore[call-arg]
+    targets = [target.rpartition(":") for target in settings.targets]
+    plan = LoadPlan(
+        tuple((host, int(port)) for host, _, port in targets),
+        settings.rate_per_s,
+        settings.duration_s * 1000,
+        settings.seed,
+        is_bursty=settings.bursty,
+        n_connections=settings.n_connections,
+        timeout_ms=settings.timeout_ms,
+        prefix=settings.prefix,
+    )
+    result = curio.run(run_load, plan)
+    for line in result.lines("load"):
+        print(line)
+    return 1 if any(one.wrong for one in result.classes.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,320 @@
+"""Starts and ends the processes of benchmarks, the demo and tests.
+
+The command lines of the daemons are in this module only.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import curio
+
+from pollenfold.http.client import HttpConnection
+from pollenfold.http.messages import Response
+
+ROOT = Path(__file__).resolve().parent.parent
+
+PROGRAM = [sys.executable, "-m", "pollenfold.cli.main"]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlReplica:
+    """Addresses and folder of one control replica."""
+
+    replica_id: str
+    zone: str
+    host: str
+    peer_port: int
+    operator_port: int
+    data_folder: Path
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerReplica:
+    """Address and folder of one ledger replica."""
+
+    replica_id: str
+    host: str
+    peer_port: int
+    data_folder: Path
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """Identity and addresses of one entry."""
+
+    entry_id: str
+    zone: str
+    host: str
+    caller_port: int
+    platform_port: int
+    peer_port: int
+
+    @property
+    def platform(self) -> str:
+        """The address for announcements."""
+        return f"{self.host}:{self.platform_port}"
+
+
+def _peers(replicas: list[ControlReplica] | list[LedgerReplica]) -> str:
+    return ",".join(f"{one.replica_id}={one.host}:{one.peer_port}" for one in replicas)
+
+
+def control_command(
+    replica: ControlReplica, replicas: list[ControlReplica], token: str
+) -> list[str]:
+    """Return the command line of a control replica."""
+    return [
+        *PROGRAM,
+        "control",
+        f"--replica-id={replica.replica_id}",
+        f"--zone={replica.zone}",
+        f"--host={replica.host}",
+        f"--peers={_peers(replicas)}",
+        f"--operator-port={replica.operator_port}",
+        f"--data-folder={replica.data_folder}",
+        f"--token={token}",
+    ]
+
+
+def ledger_command(replica: LedgerReplica, replicas: list[LedgerReplica]) -> list[str]:
+    """Return the command line of a ledger replica."""
+    return [
+        *PROGRAM,
+        "ledger",
+        f"--replica-id={replica.replica_id}",
+        f"--host={replica.host}",
+        f"--peers={_peers(replicas)}",
+        f"--data-folder={replica.data_folder}",
+    ]
+
+
+def entry_command(
+    entry: EntryAddress,
+    control: list[ControlReplica],
+    ledger: list[LedgerReplica],
+    token: str,
+) -> list[str]:
+    """Return the command line of an entry."""
+    return [
+        *PROGRAM,
+        "entry",
+        f"--entry-id={entry.entry_id}",
+        f"--zone={entry.zone}",
+        f"--host={entry.host}",
+        f"--caller-port={entry.caller_port}",
+        f"--platform-port={entry.platform_port}",
+        f"--peer-port={entry.peer_port}",
+        f"--control={_peers(control)}",
+        f"--ledger={_peers(ledger)}",
+        f"--token={token}",
+    ]
+
+
+def operator_command(
+    arguments: list[str], control: list[ControlReplica], token: str
+) -> list[str]:
+    """Return the command line of an operator's command, such as ``zone out a``."""
+    addresses = ",".join(f"{one.host}:{one.operator_port}" for one in control)
+    return [*PROGRAM, *arguments, f"--control={addresses}", f"--token={token}"]
+
+
+def backend_command(**flags: object) -> list[str]:
+    """Return the command line of a fake backend server."""
+    pairs = [f"--{name.replace('_', '-')}={value}" for name, value in flags.items()]
+    return [sys.executable, "-m", "pollenfold.testing.backend_server", *pairs]
+
+
+def forwarder_command(**flags: object) -> list[str]:
+    """Return the command line of the baseline forwarder."""
+    pairs = [f"--{name.replace('_', '-')}={value}" for name, value in flags.items()]
+    return [sys.executable, "-m", "benchmarks.forwarder", *pairs]
+
+
+def daemons_exist() -> bool:
+    """Return whether this checkout contains the daemons."""
+    return all(
+        (ROOT / "pollenfold" / path).is_file()
+        for path in ("cli/main.py", "entry/daemon.py")
+    )
+
+
+def free_ports(host: str, n_ports: int) -> list[int]:
+    """Return ports that the kernel gave out on the address and that are free now.
+
+    Give each process a loopback address of its own other than 127.0.0.1: outgoing
+    connections take their ports on 127.0.0.1 and can't collide with these.
+    """
+    sockets = []
+    try:
+        for _ in range(n_ports):
+            sock = socket.socket()
+            sockets.append(sock)
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+@dataclass(slots=True)
+class Process:
+    """One process, addressed by its id; its output is in the file ``log``."""
+
+    name: str
+    command: list[str]
+    log: Path
+    popen: subprocess.Popen[bytes]
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def suspend(self) -> None:
+        """Stop the process until ``resume``."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a suspended process go on."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to end as planned."""
+        self._signal(signal.SIGTERM)
+
+    async def wait(self, timeout_s: float) -> int | None:
+        """Return the exit status, or None when it still runs after the time."""
+        async with curio.ignore_after(timeout_s):
+            while self.is_running:
+                await curio.sleep(0.02)
+        return self.popen.poll()
+
+    def log_tail(self, n_lines: int = 20) -> str:
+        """Return the last lines of its output."""
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-n_lines:])
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.is_running:
+            os.kill(self.popen.pid, number)
+
+
+@dataclass(slots=True)
+class ProcessGroup:
+    """Processes with their logs in one folder; all are ended on exit.
+
+    For example ``with ProcessGroup(folder) as group: group.start("b1", command)``.
+    """
+
+    folder: Path
+    processes: dict[str, Process] = field(default_factory=dict)
+
+    def __enter__(self) -> ProcessGroup:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        self.end_all()
+
+    def start(self, name: str, command: list[str]) -> Process:
+        """Start a process; a restart under the same name appends to its log."""
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as output:
+            popen = subprocess.Popen(
+                command,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                cwd=ROOT,
+            )
+        self.processes[name] = Process(name, command, log, popen)
+        return self.processes[name]
+
+    def restart(self, name: str) -> Process:
+        """Start an ended process again with its command."""
+        return self.start(name, self.processes[name].command)
+
+    def end_all(self) -> None:
+        """Kill the processes that still run, by their ids."""
+        for process in self.processes.values():
+            process.kill()
+
+    def remove_folder(self) -> None:
+        """Delete the logs and data folders."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_command(command: list[str], timeout_s: float) -> tuple[int, str]:
+    """Run a short command; return its exit status and output."""
+    done = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=timeout_s
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+async def request(
+    host: str, port: int, method: str, path: str, body: bytes = b""
+) -> Response | None:
+    """Return the response of one request, or None when no whole one comes."""
+    headers = [(b"host", f"{host}:{port}".encode()), (b"connection", b"close")]
+    try:
+        async with curio.timeout_after(2):
+            connection = await HttpConnection.open(host, port)
+            try:
+                result = await connection.exchange(
+                    method.encode(), path.encode(), headers, body
+                )
+            finally:
+                await connection.close()
+    except (OSError, curio.TaskTimeout):
+        return None
+    return result.ok if result.is_ok() else None
+
+
+async def wait_until(
+    check: Callable[[], Awaitable[bool]], timeout_s: float, expected: str
+) -> None:
+    """Return when the check holds; raise TimeoutError after the time."""
+    try:
+        async with curio.timeout_after(timeout_s):
+            while not await check():
+                await curio.sleep(0.05)
+    except curio.TaskTimeout as error:
+        raise TimeoutError(f"expected {expected} within {timeout_s} s") from error
+
+
+async def wait_healthy(host: str, port: int, timeout_s: float = 10) -> None:
+    """Return when the health check of the address answers 200."""
+
+    async def is_healthy() -> bool:
+        response = await request(host, port, "GET", "/healthz")
+        return response is not None and response.status == 200
+
+    await wait_until(is_healthy, timeout_s, f"{host}:{port} healthy")
+
+
+async def wait_listening(host: str, port: int, timeout_s: float = 10) -> None:
+    """Return when the address accepts connections."""
+
+    async def is_listening() -> bool:
+        try:
+            sock = await curio.open_connection(host, port)
+        except OSError:
+            return False
+        await sock.close()
+        return True
+
+    await wait_until(is_listening, timeout_s, f"{host}:{port} listening")
--- /dev/null
+++ b/benchmarks/run.py
@@ -0,0 +1,168 @@
+"""Benchmarks: each figure beside its baseline from the same run.
+
+Called by ``scripts/bench``. The baseline of the forwarder and of the entry is the
+same load sent directly to the backend server.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+import curio
+from pydantic import Field
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from .load import ClassResult, LoadPlan, LoadResult, run_at_most, run_load
+from .processes import (
+    ProcessGroup,
+    backend_command,
+    forwarder_command,
+    free_ports,
+    wait_healthy,
+    wait_listening,
+)
+
+PERCENTILES = (50.0, 99.0, 99.9)
+
+Address = tuple[str, int]
+
+
+class BenchSettings(BaseSettings):
+    """Flags of the benchmarks; each phase is sent once to each path per round."""
+
+    model_config = SettingsConfigDict(cli_kebab_case=True)
+
+    seed: int = 1
+    rate_per_s: float = Field(default=300, gt=0)
+    n_rounds: int = Field(default=4, ge=1)
+    phase_s: float = Field(default=4, gt=0)
+    at_most_s: float = Field(default=3, gt=0)
+
+
+async def start_direct(group: ProcessGroup) -> Address:
+    """Start a backend server that answers at once, so that it hides no cost."""
+    host = "127.0.1.1"
+    port = free_ports(host, 1)[0]
+    command = backend_command(
+        host=host,
+        port=port,
+        service_ms=0,
+        slots=64,
+        queue_limit=200,
+        starts_cold="false",
+    )
+    group.start("backend", command)
+    await wait_healthy(host, port)
+    return host, port
+
+
+async def start_forwarder(group: ProcessGroup, backend: Address) -> Address:
+    """Start the baseline forwarder before the backend server."""
+    host = "127.0.1.2"
+    port = free_ports(host, 1)[0]
+    target = f"{backend[0]}:{backend[1]}"
+    group.start("forwarder", forwarder_command(host=host, port=port, targets=target))
+    await wait_listening(host, port)
+    return host, port
+
+
+async def measure_latency(
+    paths: dict[str, Address], settings: BenchSettings
+) -> dict[str, dict[str, ClassResult]]:
+    """Send the same calls to each path in turn, in rounds.
+
+    Alternating rounds spread the drift of a shared machine over all paths. The first
+    round only fills the connection pools and is left out.
+    """
+    results: dict[str, dict[str, ClassResult]] = {name: {} for name in paths}
+    for n_round in range(settings.n_rounds + 1):
+        for name, address in paths.items():
+            plan = LoadPlan(
+                (address,),
+                settings.rate_per_s,
+                settings.phase_s * 1000,
+                settings.seed + n_round,
+                name=f"{name}-{n_round}",
+            )
+            result = await run_load(plan)
+            if n_round == 0:
+                continue
+            for kind, one in result.classes.items():
+                results[name].setdefault(kind, ClassResult()).add(one)
+    return results
+
+
+async def measure_at_most(
+    paths: dict[str, Address], settings: BenchSettings
+) -> dict[str, LoadResult]:
+    """Send as many calls as each path answers."""
+    results = {}
+    for name, address in paths.items():
+        plan = LoadPlan(
+            (address,),
+            rate_per_s=1,
+            duration_ms=settings.at_most_s * 1000,
+            seed=settings.seed,
+            n_connections=32,
+            name=f"{name}-most",
+        )
+        results[name] = await run_at_most(plan)
+    return results
+
+
+def latency_lines(results: dict[str, dict[str, ClassResult]]) -> Iterator[str]:
+    """Yield the latency of each path beside that of the direct one."""
+    direct = results["direct"]
+    for name, classes in results.items():
+        for kind, one in classes.items():
+            for percentile in PERCENTILES:
+                value = one.percentile_ms(percentile)
+                base = direct[kind].percentile_ms(percentile)
+                yield (
+                    f"{name}.{kind}.p{percentile:g}_ms={value:.3f} "
+                    f"baseline_direct={base:.3f} added={value - base:.3f}"
+                )
+            n_not_whole = one.n_sent - one.n_whole
+            yield f"{name}.{kind}.sent={one.n_sent} not_whole={n_not_whole}"
+
+
+def at_most_lines(results: dict[str, LoadResult]) -> Iterator[str]:
+    """Yield the greatest throughput of each path beside that of the direct one."""
+    base = results["direct"].n_whole / results["direct"].duration_ms * 1000
+    for name, result in results.items():
+        value = result.n_whole / result.duration_ms * 1000
+        yield f"{name}.calls_per_s_at_most={value:.0f} baseline_direct={base:.0f}"
+
+
+async def run_benchmarks(settings: BenchSettings, folder: Path) -> bool:
+    """Print all figures; return whether every answer was whole."""
+    with ProcessGroup(folder) as group:
+        backend = await start_direct(group)
+        paths = {"direct": backend, "forwarder": await start_forwarder(group, backend)}
+        latency = await measure_latency(paths, settings)
+        for line in latency_lines(latency):
+            print(line, flush=True)
+        at_most = await measure_at_most(paths, settings)
+        for line in at_most_lines(at_most):
+            print(line, flush=True)
+    return all(
+        one.n_sent == one.n_whole
+        for classes in latency.values()
+        for one in classes.values()
+    )
+
+
+def main() -> int:
+    """Run everything with the flags of the command line."""
+    settings = BenchSettings(_cli_parse_args=True)  # type: ignore[call-arg]
+    print(f"seed={settings.seed}", flush=True)
+    with tempfile.TemporaryDirectory() as folder:
+        all_whole = curio.run(run_benchmarks, settings, Path(folder))
+    return 0 if all_whole else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pollenfold/testing/answers.py
+++ b/pollenfold/testing/answers.py
@@ -7,13 +7,19 @@
 
 import xxhash
 
+_DIGEST = b', "digest": "'
+
 
 def encode_answer(fields: dict[str, Any], n_bytes: int = 0) -> bytes:
-    """Return the fields as JSON with a digest, padded to at least ``n_bytes``."""
-    plain = json.dumps(fields, sort_keys=True)
-    padding = "x" * max(0, n_bytes - len(plain))
-    digest = xxhash.xxh64_hexdigest((plain + padding).encode())
-    return json.dumps({**fields, "padding": padding, "digest": digest}).encode()
+    """Return the fields as JSON that ends in a digest of everything before it.
+
+    A field ``padding`` brings the fields to at least ``n_bytes``.
+    """
+    plain = json.dumps(fields)
+    if len(plain) < n_bytes:
+        plain = json.dumps({**fields, "padding": "x" * (n_bytes - len(plain))})
+    start = plain[:-1].encode()
+    return start + _DIGEST + xxhash.xxh64_hexdigest(start).encode() + b'"}'
 
 
 def check_answer(body: bytes, request_id: str = "", key: str = "") -> str | None:
@@ -22,15 +28,10 @@
     With a key the answer may come from an earlier send with the same key, so the
     key is compared instead of the request id.
     """
-    try:
-        answer = json.loads(body)
-        digest = answer.pop("digest")
-        padding = answer.pop("padding")
-    except (ValueError, KeyError, AttributeError, TypeError):
-        return "not whole"
-    plain = json.dumps(answer, sort_keys=True)
-    if xxhash.xxh64_hexdigest((plain + padding).encode()) != digest:
+    start, _, end = body.rpartition(_DIGEST)
+    if end != xxhash.xxh64_hexdigest(start).encode() + b'"}':
         return "not whole"
+    answer = json.loads(body)
     if key:
         if answer["key"] != key:
             return f"expected the answer to key {key}, got {answer['key']}"
--- /dev/null
+++ b/pollenfold/tests/benchmarks/test_load.py
@@ -0,0 +1,152 @@
+"""The load tool and the baseline forwarder against servers with known faults."""
+
+import random
+
+import pytest
+
+from benchmarks.arrivals import burst_arrivals, poisson_arrivals
+from benchmarks.forwarder import Forwarder
+from benchmarks.load import CallKind, LoadPlan, run_at_most, run_load
+from pollenfold.core.errors import ErrorKind
+from pollenfold.http.messages import Response, error_response
+from pollenfold.http.server import HttpServer
+from pollenfold.testing.answers import encode_answer
+from pollenfold.testing.backend_server import BackendServer
+from pollenfold.testing.backend_settings import BackendSettings
+from pollenfold.testing.faults import FaultOrder
+
+ORDERS = (CallKind("non_idempotent", "POST", "/orders", 1, has_key=True),)
+
+
+def plan(port, **changes):
+    fields = {"rate_per_s": 200, "duration_ms": 250, "seed": 1, "kinds": ORDERS}
+    return LoadPlan((("127.0.0.1", port),), **{**fields, **changes})
+
+
+async def start_backend(faults=(), **settings):
+    defaults = {"service_ms": 0, "slots": 64, "starts_cold": False}
+    server = BackendServer(BackendSettings(**{**defaults, **settings}))
+    await server.start()
+    await server.order(FaultOrder(faults=list(faults)))
+    return server
+
+
+def test_arrivals_repeat_and_bursts_are_four_times_as_dense():
+    """Guards against runs that can't be repeated, and bursts that are none."""
+
+    def draw(seed):
+        return list(burst_arrivals(1000, 100_000, random.Random(seed)))
+
+    assert draw(1) == draw(1) != draw(2)
+    arrivals = draw(1)
+    assert arrivals == sorted(arrivals)
+    n_in_bursts = sum(at % 500 < 5 for at in arrivals)
+    # 200 bursts of 5 ms at 4 calls per ms, and 99 s at 1 call per ms.
+    assert n_in_bursts == pytest.approx(4000, rel=0.1)
+    assert len(arrivals) - n_in_bursts == pytest.approx(99_000, rel=0.02)
+    steady = list(poisson_arrivals(1000, 100_000, random.Random(1)))
+    assert len(steady) == pytest.approx(100_000, rel=0.02)
+
+
+@pytest.mark.parametrize("send", [run_load, run_at_most])
+def test_every_call_runs_once_and_is_counted(run, send):
+    """Guards against a load tool that loses calls or sends a key twice."""
+
+    async def main():
+        server = await start_backend()
+        result = await send(plan(server.port, n_connections=4))
+        one = result.classes["non_idempotent"]
+        assert one.n_sent == one.n_whole == server.counts.n_runs > 20
+        assert set(result.key_states) == set(server.counts.runs)
+        assert set(result.key_states.values()) == {"whole"}
+        assert set(server.counts.runs.values()) == {1}
+        await server.stop()
+
+    run(main)
+
+
+def test_latency_counts_from_the_intended_time(run):
+    """Guards against coordinated omission: a stall that delays only one call."""
+
+    async def main():
+        server = await start_backend()
+        await server.order(
+            FaultOrder(faults=[{"kind": "slow", "delay_ms": 200, "n_requests": 1}])
+        )
+        result = await run_load(plan(server.port, n_connections=1))
+        one = result.classes["non_idempotent"]
+        # Calls that were due during the stall of 200 ms waited 100 ms on average.
+        assert one.n_whole > 20
+        assert one.percentile_ms(50) > 50
+        await server.stop()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "fault, reason",
+    [
+        ("truncated_answer", "truncated answer"),
+        ("overlong_answer", "surplus bytes after the answer"),
+        ("duplicated_answer", "surplus bytes after the answer"),
+        ("close_after_run", "connection closed"),
+        ("hang", "no answer after 50 ms"),
+    ],
+)
+def test_damaged_answer_is_not_whole_and_its_key_is_unknown(run, fault, reason):
+    """Guards against a load tool that reports damaged answers as good ones."""
+
+    async def main():
+        server = await start_backend([{"kind": fault}])
+        result = await run_load(plan(server.port, timeout_ms=50))
+        one = result.classes["non_idempotent"]
+        assert one.n_whole == 0
+        assert one.broken == {reason: one.n_sent}
+        assert set(result.key_states.values()) == {"unknown"}
+        await server.stop()
+
+    run(main)
+
+
+def test_foreign_answer_and_refusal_are_told_apart(run):
+    """Guards against a caller that takes another caller's answer for its own."""
+
+    async def main():
+        n = 0
+
+        async def answer(request):
+            nonlocal n
+            n += 1
+            if n % 2:
+                return error_response(ErrorKind.NO_LEASE)
+            return Response(200, [], encode_answer({"request_id": "x", "key": "y"}))
+
+        server = HttpServer(answer)
+        port = await server.start("127.0.0.1", 0)
+        result = await run_load(plan(port, n_connections=1))
+        one = result.classes["non_idempotent"]
+        assert one.n_whole == 0
+        assert one.wrong == {"not its own": one.n_sent // 2}
+        assert one.refusals == {("no_lease", "did_not_run"): (one.n_sent + 1) // 2}
+        await server.stop()
+
+    run(main)
+
+
+def test_forwarder_passes_whole_answers_and_never_damaged_ones(run):
+    """Guards against a baseline that is cheaper because it checks nothing."""
+
+    async def main():
+        backend = await start_backend()
+        forwarder = Forwarder([("127.0.0.1", backend.port)], 64)
+        server = HttpServer(forwarder.handle)
+        port = await server.start("127.0.0.1", 0)
+        one = (await run_load(plan(port))).classes["non_idempotent"]
+        assert one.n_sent == one.n_whole > 20
+        await backend.order(FaultOrder(faults=[{"kind": "truncated_answer"}]))
+        one = (await run_load(plan(port, name="damaged"))).classes["non_idempotent"]
+        assert one.refusals == {("backend_failed", "outcome_unknown"): one.n_sent}
+        await server.stop()
+        await backend.stop()
+
+    run(main)
