--- /dev/null
+++ b/benchmarks/cluster.py
@@ -0,0 +1,264 @@
+"""A whole system of real processes on loopback addresses, for demo and benchmarks."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from .processes import (
+    ControlReplica,
+    EntryAddress,
+    LedgerReplica,
+    ProcessGroup,
+    backend_command,
+    control_command,
+    entry_command,
+    free_ports,
+    ledger_command,
+    operator_command,
+    request,
+    wait_healthy,
+    wait_listening,
+    wait_until,
+)
+
+TOKEN = "demo-token"
+
+ZONES = ("a", "b", "c")
+
+
+@dataclass(frozen=True, slots=True)
+class BackendAddress:
+    """One fake backend server; ``run_log`` outlives it."""
+
+    name: str
+    service: str
+    zone: str
+    host: str
+    port: int
+    run_log: Path
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    """How many processes of each role, and the load that each server bears."""
+
+    n_control: int = 3
+    n_ledger: int = 3
+    n_entries: int = 4
+    services: tuple[str, ...] = ("pearl-market", "pearl-haul")
+    n_backends_per_service: int = 3
+    service_ms: float = 5.0
+    slots: int = 6
+    seed: int = 1
+
+
+def service_record(name: str, schema_version: int, slots: int) -> dict[str, Any]:
+    """Return the record of a service whose GET requests are idempotent."""
+    spec = {
+        "tenant": "namib-pearl",
+        "path_prefix": f"/{name}",
+        "timeout_ms": 1000,
+        "rules": [{"methods": ["GET"], "path_prefix": "/", "class": "idempotent"}],
+        "slots_per_endpoint": slots,
+        "connections_per_endpoint": 260,
+        "queue_limit": 200,
+        "max_body_bytes": 1 << 20,
+        "probes_per_s": 20,
+        "probe_bytes_per_s": 20_000,
+        "cold_slots": 1,
+        "retry_ratio": 0.1,
+        "hedge_ratio": 0.02,
+    }
+    return _record("service", name, spec, schema_version)
+
+
+def initial_records(topology: Topology) -> list[dict[str, Any]]:
+    """Return the records of the system; the services alternate in schema version."""
+    records = [_record("fleet", "default", {"max_entries": topology.n_entries + 1})]
+    for zone in ZONES:
+        records.append(_record("zone", zone, {"state": "in", "region": "r1"}))
+    for n, name in enumerate(topology.services):
+        records.append(service_record(name, 1 + n % 2, topology.slots))
+    return records
+
+
+def _record(
+    kind: str, name: str, spec: dict[str, Any], schema_version: int = 1
+) -> dict[str, Any]:
+    return {
+        "schema_version": schema_version,
+        "kind": kind,
+        "name": name,
+        "version": 1,
+        "spec": spec,
+    }
+
+
+@dataclass(slots=True)
+class Cluster:
+    """The addresses and processes of one system; ``start`` makes it ready."""
+
+    group: ProcessGroup
+    topology: Topology
+    control: list[ControlReplica] = field(default_factory=list)
+    ledger: list[LedgerReplica] = field(default_factory=list)
+    entries: list[EntryAddress] = field(default_factory=list)
+    backends: list[BackendAddress] = field(default_factory=list)
+    n_operator_commands: int = 0
+
+    def __post_init__(self) -> None:
+        topology, folder = self.topology, self.group.folder
+        for n in range(1, topology.n_control + 1):
+            host, name = f"127.0.2.{n}", f"c{n}"
+            ports = free_ports(host, 2)
+            zone = ZONES[(n - 1) % len(ZONES)]
+            self.control.append(ControlReplica(name, zone, host, *ports, folder / name))
+        for n in range(1, topology.n_ledger + 1):
+            host, name = f"127.0.3.{n}", f"l{n}"
+            port = free_ports(host, 1)[0]
+            self.ledger.append(LedgerReplica(name, host, port, folder / name))
+        for n in range(1, topology.n_entries + 1):
+            host, zone = f"127.0.4.{n}", ZONES[(n - 1) % len(ZONES)]
+            ports = free_ports(host, 3)
+            self.entries.append(EntryAddress(f"e{n}", zone, host, *ports))
+        names = [
+            (service, f"{service}-{n}", ZONES[n % len(ZONES)])
+            for service in topology.services
+            for n in range(topology.n_backends_per_service)
+        ]
+        for n, (service, name, zone) in enumerate(names, 1):
+            host = f"127.0.5.{n}"
+            port = free_ports(host, 1)[0]
+            run_log = folder / f"{name}.runs"
+            self.backends.append(
+                BackendAddress(name, service, zone, host, port, run_log)
+            )
+
+    @property
+    def targets(self) -> tuple[tuple[str, int], ...]:
+        """The caller addresses of the entries."""
+        return tuple((entry.host, entry.caller_port) for entry in self.entries)
+
+    async def start(self) -> None:
+        """Start all processes, apply the records, and wait for the entries."""
+        for replica in self.control:
+            command = control_command(replica, self.control, TOKEN)
+            self.group.start(replica.replica_id, command)
+        for ledger in self.ledger:
+            self.group.start(ledger.replica_id, ledger_command(ledger, self.ledger))
+        self.start_backends()
+        for replica in self.control:
+            await wait_listening(replica.host, replica.operator_port)
+        for ledger in self.ledger:
+            await wait_listening(ledger.host, ledger.peer_port)
+        for n, record in enumerate(initial_records(self.topology)):
+            await self.apply(record, f"record-{n}.json")
+        for entry in self.entries:
+            command = entry_command(entry, self.control, self.ledger, TOKEN)
+            self.group.start(entry.entry_id, command)
+        for entry in self.entries:
+            await wait_healthy(entry.host, entry.platform_port)
+
+    def start_backends(self) -> None:
+        """Start the fake backend servers."""
+        platforms = ",".join(entry.platform for entry in self.entries)
+        for n, backend in enumerate(self.backends):
+            command = backend_command(
+                host=backend.host,
+                port=backend.port,
+                service=backend.service,
+                zone=backend.zone,
+                entries=platforms,
+                service_ms=self.topology.service_ms,
+                slots=self.topology.slots,
+                seed=self.topology.seed + n,
+                run_log=backend.run_log,
+            )
+            self.group.start(backend.name, command)
+
+    async def apply(self, record: dict[str, Any], file_name: str) -> str:
+        """Apply one record with the command line."""
+        path = self.group.folder / file_name
+        path.write_text(json.dumps(record))
+        return await self.operate("apply", str(path))
+
+    async def operate(self, *arguments: str) -> str:
+        """Run an operator's command and return its output; fail with its log."""
+        self.n_operator_commands += 1
+        name = f"operator-{self.n_operator_commands}"
+        command = operator_command(list(arguments), self.control, TOKEN)
+        process = self.group.start(name, command)
+        status = await process.wait(15)
+        if status != 0:
+            raise RuntimeError(
+                f"pollenfold {' '.join(arguments)}: expected exit status 0, got "
+                f"{status}: {process.log_tail(5)}"
+            )
+        return process.log_tail()
+
+    async def counts(self, backend: BackendAddress) -> dict[str, Any]:
+        """Return what a fake backend server counted."""
+        response = await request(backend.host, backend.port, "GET", "/stand-in/counts")
+        if response is None:
+            raise RuntimeError(f"expected the counts of {backend.name}, got no answer")
+        counts: dict[str, Any] = json.loads(response.body)
+        return counts
+
+    async def received_in_zone(self, zone: str) -> int:
+        """Return the requests for work that the servers of a zone received so far."""
+        counts = [await self.counts(one) for one in self.backends if one.zone == zone]
+        return sum(one["n_received"] for one in counts)
+
+    async def wait_for_work(self, timeout_s: float = 20) -> None:
+        """Return when every service answers through every entry.
+
+        New servers are cold and new entries wait before they send to them.
+        """
+
+        async def answers() -> bool:
+            for host, port in self.targets:
+                for service in self.topology.services:
+                    response = await request(host, port, "GET", f"/{service}/ready")
+                    if response is None or response.status != 200:
+                        return False
+            return True
+
+        await wait_until(answers, timeout_s, "an answer of each service")
+
+
+class HealthChecks:
+    """The health checks of the platform's load balancer, at a fixed interval.
+
+    ``up`` holds the caller addresses of the entries whose last check succeeded.
+    """
+
+    INTERVAL_S = 0.1
+
+    def __init__(self, entries: list[EntryAddress]) -> None:
+        self.up = {(entry.host, entry.caller_port) for entry in entries}
+        self._entries = entries
+        self._tasks: list[curio.Task] = []
+
+    async def __aenter__(self) -> HealthChecks:
+        for entry in self._entries:
+            self._tasks.append(await curio.spawn(self._check, entry, daemon=True))
+        return self
+
+    async def __aexit__(self, *details: object) -> None:
+        for task in self._tasks:
+            await task.cancel()
+
+    async def _check(self, entry: EntryAddress) -> None:
+        address = (entry.host, entry.caller_port)
+        while True:
+            answer = await request(entry.host, entry.platform_port, "GET", "/healthz")
+            if answer is not None and answer.status == 200:
+                self.up.add(address)
+            else:
+                self.up.discard(address)
+            await curio.sleep(self.INTERVAL_S)
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -9,7 +9,7 @@
 import random
 import sys
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -24,6 +24,8 @@
 from .arrivals import burst_arrivals, poisson_arrivals
 from .connection import Answer, BrokenAnswer, CallerConnection, encode_request
 
+Address = tuple[str, int]
+
 SPIN_MS = 1.5
 """The event loop wakes with a resolution of 1 ms, so the last part of each wait is
 spent polling. Otherwise the figures would contain that millisecond."""
@@ -53,11 +55,12 @@
     """What to send where; the same plan sends the same calls.
 
     ``n_connections`` is the greatest number of calls at once. A call that finds all
-    of them busy waits, and its wait is part of its latency. ``prefix`` goes before
-    each path. ``name`` keeps the keys of several plans apart.
+    of them busy waits, and its wait is part of its latency. ``name`` keeps the keys of
+    several plans apart. ``healthy``, when given, is a collection that another task
+    keeps up to date; only targets in it get calls, as behind a platform load balancer.
     """
 
-    targets: tuple[tuple[str, int], ...]
+    targets: tuple[Address, ...]
     rate_per_s: float
     duration_ms: float
     seed: int
@@ -65,8 +68,8 @@
     is_bursty: bool = False
     n_connections: int = 64
     timeout_ms: float = 5000
-    prefix: str = ""
     name: str = "load"
+    healthy: Collection[Address] | None = None
 
 
 @dataclass(slots=True)
@@ -96,16 +99,27 @@
         self.latency.add(other.latency)
 
 
-@dataclass(slots=True)
-class LoadResult:
-    """Figures by class, and what the caller learned about each key.
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What the caller learned about one call.
 
-    ``key_states`` maps a key to ``whole``, ``unknown`` (no whole answer came) or the
-    run state of the refusal.
+    ``state`` is ``whole``, ``unknown`` when no whole answer came, or the run state of
+    the refusal.
     """
 
+    kind: CallKind
+    request_id: str
+    key: str
+    target: Address
+    state: str
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """Figures by class, and the outcome of each call."""
+
     classes: dict[str, ClassResult]
-    key_states: dict[str, str] = field(default_factory=dict)
+    outcomes: list[Outcome] = field(default_factory=list)
     duration_ms: float = 0.0
 
     @property
@@ -129,7 +143,7 @@
 
 
 @dataclass(slots=True)
-class _Call:
+class Call:
     """One call that is due; ``due`` is on the system clock."""
 
     kind: CallKind
@@ -138,33 +152,96 @@
     key: str
 
 
-def _plan_calls(plan: LoadPlan) -> Iterator[_Call]:
+class Sender:
+    """Sends one call after the other, on one connection to each target."""
+
+    def __init__(self, plan: LoadPlan, result: LoadResult, n_first: int = 0) -> None:
+        self._plan = plan
+        self._result = result
+        self._next = n_first
+        self._connections: dict[Address, CallerConnection] = {}
+
+    async def open(self) -> None:
+        """Connect to the first target, so that no call pays for it.
+
+        Where this fails, the call that uses the connection reports it.
+        """
+        with suppress(OSError):
+            await self._connection(self._plan.targets[self._next]).open()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            await connection.close()
+
+    async def send(self, call: Call, target: Address | None = None) -> None:
+        """Send one call, to the given target or the next one; record its outcome."""
+        kind = call.kind
+        one = self._result.classes[kind.name]
+        target = target or self._pick()
+        headers = {"X-Request-Id": call.request_id}
+        if call.key:
+            headers["Idempotency-Key"] = call.key
+        request = encode_request(kind.method, kind.path, target[0], headers)
+        one.n_sent += 1
+        state = "unknown"
+        try:
+            connection = self._connection(target)
+            answer = await connection.call(request, self._plan.timeout_ms)
+            state = _record_answer(call, answer, one)
+        except BrokenAnswer as error:
+            one.broken[str(error)] += 1
+        self._result.outcomes.append(
+            Outcome(kind, call.request_id, call.key, target, state)
+        )
+
+    def _pick(self) -> Address:
+        """Return the only target of a fixed sender, else the next healthy one."""
+        targets, healthy = self._plan.targets, self._plan.healthy
+        if healthy is None:
+            return targets[self._next]
+        for _ in targets:
+            self._next = (self._next + 1) % len(targets)
+            if targets[self._next] in healthy:
+                break
+        return targets[self._next]
+
+    def _connection(self, target: Address) -> CallerConnection:
+        if target not in self._connections:
+            self._connections[target] = CallerConnection(*target)
+        return self._connections[target]
+
+
+def plan_calls(plan: LoadPlan) -> Iterator[Call]:
     """Yield the calls of a plan with their due times from the start."""
     rng = random.Random(plan.seed)
     arrivals = burst_arrivals if plan.is_bursty else poisson_arrivals
-    shares = [kind.share for kind in plan.kinds]
     for n, due in enumerate(arrivals(plan.rate_per_s, plan.duration_ms, rng)):
-        kind = rng.choices(plan.kinds, shares)[0]
-        call_id = f"{plan.name}-{plan.seed}-{n}"
-        yield _Call(kind, due, call_id, f"key-{call_id}" if kind.has_key else "")
+        yield _next_call(plan, rng, f"{n}", due)
+
+
+def _next_call(plan: LoadPlan, rng: random.Random, number: str, due: float) -> Call:
+    kind = rng.choices(plan.kinds, [kind.share for kind in plan.kinds])[0]
+    call_id = f"{plan.name}-{plan.seed}-{number}"
+    return Call(kind, due, call_id, f"key-{call_id}" if kind.has_key else "")
+
+
+def _new_result(plan: LoadPlan) -> LoadResult:
+    return LoadResult({kind.name: ClassResult() for kind in plan.kinds})
 
 
 async def run_load(plan: LoadPlan) -> LoadResult:
     """Send the calls of the plan and return when all of them are answered."""
-    result = LoadResult({kind.name: ClassResult() for kind in plan.kinds})
+    result = _new_result(plan)
     calls: curio.Queue = curio.Queue()
     workers = []
     for n in range(plan.n_connections):
-        host, port = plan.targets[n % len(plan.targets)]
-        connection = CallerConnection(host, port)
-        # A call must not pay for the connection of the load tool itself. Where this
-        # fails, the call that uses the connection reports it.
-        with suppress(OSError):
-            await connection.open()
-        workers.append(await curio.spawn(_work, calls, connection, plan, result))
+        sender = Sender(plan, result, n % len(plan.targets))
+        await sender.open()
+        workers.append(await curio.spawn(_work, calls, sender))
     start = system_clock()
     try:
-        for call in _plan_calls(plan):
+        for call in plan_calls(plan):
             call.due += start
             await _wait_until(call.due)
             await calls.put(call)
@@ -185,26 +262,21 @@
     It measures the greatest throughput; its latencies hide queueing and are not
     comparable with those of ``run_load``.
     """
-    result = LoadResult({kind.name: ClassResult() for kind in plan.kinds})
+    result = _new_result(plan)
     start = system_clock()
 
-    async def repeat(worker: int, connection: CallerConnection) -> None:
+    async def repeat(worker: int) -> None:
+        sender = Sender(plan, result, worker % len(plan.targets))
         rng = random.Random(f"{plan.seed}:{worker}")
-        shares = [kind.share for kind in plan.kinds]
         n = 0
-        while system_clock() - start < plan.duration_ms:
-            kind = rng.choices(plan.kinds, shares)[0]
+        while (now := system_clock()) - start < plan.duration_ms:
             n += 1
-            call_id = f"{plan.name}-{plan.seed}-{worker}-{n}"
-            key = f"key-{call_id}" if kind.has_key else ""
-            call = _Call(kind, system_clock(), call_id, key)
-            await _send(call, connection, plan, result)
-        await connection.close()
+            await sender.send(_next_call(plan, rng, f"{worker}-{n}", now))
+        await sender.close()
 
     async with curio.TaskGroup() as group:
         for worker in range(plan.n_connections):
-            host, port = plan.targets[worker % len(plan.targets)]
-            await group.spawn(repeat, worker, CallerConnection(host, port))
+            await group.spawn(repeat, worker)
     result.duration_ms = system_clock() - start
     return result
 
@@ -214,38 +286,14 @@
         await curio.sleep(max(0, left_ms - SPIN_MS) / 1000)
 
 
-async def _work(
-    calls: curio.Queue, connection: CallerConnection, plan: LoadPlan, result: LoadResult
-) -> None:
+async def _work(calls: curio.Queue, sender: Sender) -> None:
     while (call := await calls.get()) is not None:
-        await _send(call, connection, plan, result)
-    await connection.close()
-
-
-async def _send(
-    call: _Call, connection: CallerConnection, plan: LoadPlan, result: LoadResult
-) -> None:
-    """Send one call and record its outcome."""
-    kind = call.kind
-    one = result.classes[kind.name]
-    headers = {"X-Request-Id": call.request_id}
-    if call.key:
-        headers["Idempotency-Key"] = call.key
-    path = plan.prefix + kind.path
-    request = encode_request(kind.method, path, connection.host, headers)
-    one.n_sent += 1
-    state = "unknown"
-    try:
-        answer = await connection.call(request, plan.timeout_ms)
-        state = _record_answer(call, answer, one)
-    except BrokenAnswer as error:
-        one.broken[str(error)] += 1
-    if call.key:
-        result.key_states[call.key] = state
+        await sender.send(call)
+    await sender.close()
 
 
-def _record_answer(call: _Call, answer: Answer, one: ClassResult) -> str:
-    """Record an answer and return what it says about the key."""
+def _record_answer(call: Call, answer: Answer, one: ClassResult) -> str:
+    """Record an answer and return what it says about the call."""
     if answer.status != 200:
         refusal = answer.refusal()
         one.refusals[refusal] += 1
@@ -272,7 +320,6 @@
     bursty: bool = False
     n_connections: int = Field(default=64, ge=1)
     timeout_ms: float = Field(default=5000, gt=0)
-    prefix: str = ""
 
 
 def main() -> int:
@@ -287,7 +334,6 @@
         is_bursty=settings.bursty,
         n_connections=settings.n_connections,
         timeout_ms=settings.timeout_ms,
-        prefix=settings.prefix,
     )
     result = curio.run(run_load, plan)
     for line in result.lines("load"):
--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -222,8 +222,9 @@
             if is_queued and await closed_within(request, 0):
                 self.counts.n_stopped_by_caller += 1
                 return None
-            key = (request.header(b"idempotency-key") or b"").decode("latin-1")
-            n_runs = self.counts.run(key)
+            request_id = _text(request, b"x-request-id")
+            key = _text(request, b"idempotency-key")
+            n_runs = self.counts.run(request_id, key)
             duration_ms = self._duration_ms(faults, overloaded)
             left_ms = deadline - system_clock()
             if FaultKind.HANG in faults:
@@ -271,7 +272,7 @@
         late = faults.get(FaultKind.LATE_ANSWER)
         if late is not None:
             await curio.sleep(late.delay_ms / 1000)
-        request_id = (request.header(b"x-request-id") or b"").decode("latin-1")
+        request_id = _text(request, b"x-request-id")
         fields = {
             "server": f"{self.settings.host}:{self.port}",
             "zone": self.settings.zone,
@@ -315,6 +316,10 @@
     return system_clock() + timeout_ms
 
 
+def _text(request: Request, name: bytes) -> str:
+    return (request.header(name) or b"").decode("latin-1")
+
+
 def _size_bytes(message: Request | Response) -> int:
     """Return about how many bytes a message takes on a connection."""
     return len(message.body) + sum(len(k) + len(v) + 4 for k, v in message.headers)
--- a/pollenfold/testing/counts.py
+++ b/pollenfold/testing/counts.py
@@ -12,8 +12,8 @@
 class Counts:
     """Counters since the start of the process; the seconds are Unix time.
 
-    ``run_log`` receives one line for each run, so that the runs of a process that
-    was killed can still be counted.
+    ``run_log`` receives one line with request id and key for each run, so that the
+    runs of a process that was killed can still be counted.
     """
 
     n_received: int = 0
@@ -47,14 +47,14 @@
         self.n_probe_bytes += n_bytes
         self.probes_by_second[int(time.time())] += 1
 
-    def run(self, key: str) -> int:
+    def run(self, request_id: str, key: str) -> int:
         """Count the start of work and return the number of runs of its key."""
         self.n_runs += 1
+        if self.run_log is not None:
+            self.run_log.write(f"{request_id}\t{key}\n".encode())
         if not key:
             return 1
         self.runs[key] += 1
-        if self.run_log is not None:
-            self.run_log.write(key.encode() + b"\n")
         return self.runs[key]
 
     def as_json(self) -> dict[str, Any]:
--- a/pollenfold/tests/benchmarks/test_load.py
+++ b/pollenfold/tests/benchmarks/test_load.py
@@ -20,7 +20,8 @@
 
 def plan(port, **changes):
     fields = {"rate_per_s": 200, "duration_ms": 250, "seed": 1, "kinds": ORDERS}
-    return LoadPlan((("127.0.0.1", port),), **{**fields, **changes})
+    targets = changes.pop("targets", (("127.0.0.1", port),))
+    return LoadPlan(targets, **{**fields, **changes})
 
 
 async def start_backend(faults=(), **settings):
@@ -57,8 +58,8 @@
         result = await send(plan(server.port, n_connections=4))
         one = result.classes["non_idempotent"]
         assert one.n_sent == one.n_whole == server.counts.n_runs > 20
-        assert set(result.key_states) == set(server.counts.runs)
-        assert set(result.key_states.values()) == {"whole"}
+        assert {call.key for call in result.outcomes} == set(server.counts.runs)
+        assert {call.state for call in result.outcomes} == {"whole"}
         assert set(server.counts.runs.values()) == {1}
         await server.stop()
 
@@ -102,12 +103,27 @@
         one = result.classes["non_idempotent"]
         assert one.n_whole == 0
         assert one.broken == {reason: one.n_sent}
-        assert set(result.key_states.values()) == {"unknown"}
+        assert {call.state for call in result.outcomes} == {"unknown"}
         await server.stop()
 
     run(main)
 
 
+def test_calls_go_to_healthy_targets_only(run):
+    """Guards against a planned stop that looks bad because callers go on sending."""
+
+    async def main():
+        servers = [await start_backend() for _ in range(3)]
+        targets = tuple(("127.0.0.1", server.port) for server in servers)
+        await run_load(plan(0, targets=targets, healthy=set(targets[1:])))
+        n_received = [server.counts.n_received for server in servers]
+        assert n_received[0] == 0 < min(n_received[1:])
+        for server in servers:
+            await server.stop()
+
+    run(main)
+
+
 def test_foreign_answer_and_refusal_are_told_apart(run):
     """Guards against a caller that takes another caller's answer for its own."""
 
--- a/pollenfold/tests/testing/test_backend_server.py
+++ b/pollenfold/tests/testing/test_backend_server.py
@@ -197,7 +197,7 @@
     async def body(server, caller):
         await caller.send(key="a")
         await caller.send(key="a")
-        assert (tmp_path / "runs").read_text() == "a\na\n"
+        assert (tmp_path / "runs").read_text() == "r1\ta\nr1\ta\n"
 
     with_server(body, run_log=tmp_path / "runs")
 
