Add the comparison of selection policies

A discrete-event model runs the same calls under each policy. Failed calls count as long as the deadline in the latency estimate, so that an endpoint that fails fast does not look quick.

--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,301 @@
+"""Comparison of selection policies in a small discrete-event model.
+
+Twelve entries send to 20 endpoints with 6 slots in three zones at 70 % load. Each
+entry sees only its own calls in flight, their latencies, and load reports that are as
+old as the answers that carried them. One endpoint is slow, one has a noisy neighbour,
+one fails fast for a part of the run, one reports that it is idle, and the calls come
+four times as fast for 5 ms in every 100 ms. All policies meet the same calls.
+
+The model has no admission, ejection, retries or zone preference, which lie on top of
+each policy in the same way.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from .arrivals import burst_arrivals
+
+N_ENTRIES = 12
+N_ENDPOINTS = 20
+N_ZONES = 3
+SLOTS = 6
+QUEUE_LIMIT = 24
+SERVICE_MS = 10.0
+LOAD = 0.7
+DURATION_MS = 3000.0
+DEADLINE_MS = 100.0
+BURST_EVERY_MS, BURST_MS, BURST_FACTOR = 100.0, 5.0, 4.0
+SAME_ZONE_MS, OTHER_ZONE_MS = 0.1, 1.0
+EWMA_MS = 50.0
+"""Time in which a latency sample fades to 1/e."""
+
+SLOW, NOISY, FAILING, MISLEADING = 0, 1, 2, 3
+"""The endpoints with a fault."""
+
+
+@dataclass(slots=True)
+class Candidate:
+    """What an entry knows about one endpoint."""
+
+    endpoint: int
+    n_in_flight: int = 0
+    ewma_ms: float = SERVICE_MS
+    reported_in_flight: float = 0.0
+    report_age_ms: float = 0.0
+    slots: int = SLOTS
+    reported_at: float = 0.0
+    sampled_at: float = 0.0
+
+    def sample(self, latency_ms: float, now: float) -> None:
+        """Add a latency; a higher one counts at once, a lower one with time."""
+        weight = math.exp((self.sampled_at - now) / EWMA_MS)
+        if latency_ms > self.ewma_ms:
+            self.ewma_ms = latency_ms
+        else:
+            self.ewma_ms = self.ewma_ms * weight + latency_ms * (1 - weight)
+        self.sampled_at = now
+
+
+Policy = Callable[[Sequence[Candidate], random.Random, float], Candidate]
+
+
+def random_choice(
+    candidates: Sequence[Candidate], rng: random.Random, now: float
+) -> Candidate:
+    """Return any candidate."""
+    return candidates[int(rng.random() * len(candidates))]
+
+
+def make_round_robin() -> Policy:
+    """Return a policy that takes the candidates in turn."""
+    numbers = itertools.count()
+
+    def round_robin(
+        candidates: Sequence[Candidate], rng: random.Random, now: float
+    ) -> Candidate:
+        return candidates[next(numbers) % len(candidates)]
+
+    return round_robin
+
+
+def least_in_flight(
+    candidates: Sequence[Candidate], rng: random.Random, now: float
+) -> Candidate:
+    """Return a candidate with the fewest of the entry's own calls."""
+    return min(candidates, key=lambda one: (one.n_in_flight, rng.random()))
+
+
+def two_choices_ewma(
+    candidates: Sequence[Candidate], rng: random.Random, now: float
+) -> Candidate:
+    """Return the better of two by own calls and latency."""
+    return min(
+        rng.sample(candidates, 2), key=lambda one: (one.n_in_flight + 1) * one.ewma_ms
+    )
+
+
+def probe_score(
+    candidates: Sequence[Candidate], rng: random.Random, now: float
+) -> Candidate:
+    """Return the best of four by calls, latency and reports discounted by age."""
+
+    def score(one: Candidate) -> float:
+        trust = math.exp(-one.report_age_ms / EWMA_MS)
+        others = max(0.0, one.reported_in_flight - one.n_in_flight) * trust
+        return (one.n_in_flight + 1 + others / one.slots) * one.ewma_ms
+
+    return min(rng.sample(candidates, 4), key=score)
+
+
+# Each entry makes its own policy, since round robin keeps a position.
+POLICIES: dict[str, Callable[[], Policy]] = {
+    "random_choice": lambda: random_choice,
+    "round_robin": make_round_robin,
+    "least_in_flight": lambda: least_in_flight,
+    "two_choices_ewma": lambda: two_choices_ewma,
+    "probe_score": lambda: probe_score,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call; ``work_ms`` is its service time on a healthy endpoint."""
+
+    at: float
+    entry: int
+    work_ms: float
+
+
+def draw_calls(seed: int) -> list[Call]:
+    """Return the calls of a seed, the same for all policies."""
+    rng = random.Random(seed)
+    capacity_per_s = N_ENDPOINTS * SLOTS / SERVICE_MS * 1000
+    burst_share = BURST_MS / BURST_EVERY_MS
+    rate_per_s = LOAD * capacity_per_s / (1 + burst_share * (BURST_FACTOR - 1))
+    arrivals = burst_arrivals(
+        rate_per_s, DURATION_MS, rng, BURST_EVERY_MS, BURST_MS, BURST_FACTOR
+    )
+    sigma = 0.5
+    mu = math.log(SERVICE_MS) - sigma**2 / 2
+    return [
+        Call(at, rng.randrange(N_ENTRIES), rng.lognormvariate(mu, sigma))
+        for at in arrivals
+    ]
+
+
+def is_failing(endpoint: int, now: float) -> bool:
+    """Return whether the endpoint fails fast, as one does for a third of the run."""
+    return endpoint == FAILING and DURATION_MS / 3 <= now < DURATION_MS * 2 / 3
+
+
+def slowness(endpoint: int, now: float) -> float:
+    """Return how many times as long the endpoint takes."""
+    if endpoint == SLOW and now >= DURATION_MS / 5:
+        return 4.0
+    if endpoint == NOISY and now % 250 < 50:
+        return 6.0
+    return 1.0
+
+
+@dataclass(slots=True)
+class _Endpoint:
+    n_working: int = 0
+    queue: deque[Call] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class PolicyResult:
+    """Latency of the good answers in microseconds, and the share of good ones.
+
+    An answer is good when it is whole and arrives before the deadline.
+    """
+
+    n_calls: int = 0
+    n_good: int = 0
+    latency: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 10**8, 3))
+
+
+class Model:
+    """Runs the calls of one seed under one policy."""
+
+    def __init__(self, make_policy: Callable[[], Policy], seed: int) -> None:
+        self._policies = [make_policy() for _ in range(N_ENTRIES)]
+        self._rng = random.Random(f"policy:{seed}")
+        self._calls = draw_calls(seed)
+        self._views = [
+            [Candidate(endpoint) for endpoint in range(N_ENDPOINTS)]
+            for _ in range(N_ENTRIES)
+        ]
+        self._endpoints = [_Endpoint() for _ in range(N_ENDPOINTS)]
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._numbers = itertools.count()
+        self.result = PolicyResult()
+
+    def run(self) -> PolicyResult:
+        """Run until every call is answered."""
+        for call in self._calls:
+            self._at(call.at, lambda now, call=call: self._arrive(call, now))
+        while self._events:
+            now, _, action = heapq.heappop(self._events)
+            action(now)
+        return self.result
+
+    def _at(self, when: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._numbers), action))
+
+    def _arrive(self, call: Call, now: float) -> None:
+        view = self._views[call.entry]
+        for candidate in view:
+            candidate.report_age_ms = now - candidate.reported_at
+        chosen = self._policies[call.entry](view, self._rng, now)
+        chosen.n_in_flight += 1
+        self.result.n_calls += 1
+        n = chosen.endpoint
+        when = now + _distance_ms(call.entry, n)
+        self._at(when, lambda now: self._receive(call, n, now))
+
+    def _receive(self, call: Call, n: int, now: float) -> None:
+        endpoint = self._endpoints[n]
+        if is_failing(n, now) or len(endpoint.queue) >= QUEUE_LIMIT:
+            self._answer(call, n, now, is_good=False)
+        elif endpoint.n_working < SLOTS:
+            self._work(call, n, now)
+        else:
+            endpoint.queue.append(call)
+
+    def _work(self, call: Call, n: int, now: float) -> None:
+        self._endpoints[n].n_working += 1
+        when = now + call.work_ms * slowness(n, now)
+        self._at(when, lambda now: self._end_work(call, n, now))
+
+    def _end_work(self, call: Call, n: int, now: float) -> None:
+        endpoint = self._endpoints[n]
+        endpoint.n_working -= 1
+        self._answer(call, n, now, is_good=True)
+        if endpoint.queue:
+            self._work(endpoint.queue.popleft(), n, now)
+
+    def _answer(self, call: Call, n: int, now: float, is_good: bool) -> None:
+        endpoint = self._endpoints[n]
+        load = 0 if n == MISLEADING else endpoint.n_working + len(endpoint.queue)
+        when = now + _distance_ms(call.entry, n)
+        self._at(when, lambda at: self._see(call, n, at, now, load, is_good))
+
+    def _see(
+        self, call: Call, n: int, now: float, sent_at: float, load: int, is_good: bool
+    ) -> None:
+        candidate = self._views[call.entry][n]
+        candidate.n_in_flight -= 1
+        candidate.reported_in_flight = load
+        candidate.reported_at = sent_at
+        latency_ms = now - call.at
+        # A failed call counts as long as the deadline, so that an endpoint which
+        # fails fast does not look quick.
+        candidate.sample(latency_ms if is_good else DEADLINE_MS, now)
+        if not is_good:
+            return
+        self.result.latency.record_value(max(1, round(latency_ms * 1000)))
+        if latency_ms <= DEADLINE_MS:
+            self.result.n_good += 1
+
+
+def _distance_ms(entry: int, endpoint: int) -> float:
+    is_same_zone = entry % N_ZONES == endpoint % N_ZONES
+    return SAME_ZONE_MS if is_same_zone else OTHER_ZONE_MS
+
+
+def compare_policies(seeds: list[int]) -> Iterator[str]:
+    """Yield the figures of each policy and seed beside those of random choice."""
+    for seed in seeds:
+        base: dict[str, float] = {}
+        for name, make in POLICIES.items():
+            result = Model(make, seed).run()
+            for figure, value in _figures(result).items():
+                base.setdefault(figure, value)
+                yield (
+                    f"policy.{name}.seed{seed}.{figure}={value:.3f} "
+                    f"baseline_random={base[figure]:.3f}"
+                )
+
+
+def _figures(result: PolicyResult) -> dict[str, float]:
+    figures = {
+        f"p{percentile:g}_ms": result.latency.get_value_at_percentile(percentile) / 1000
+        for percentile in (50, 99, 99.9)
+    }
+    figures["goodput_share"] = result.n_good / result.n_calls
+    return figures
+
+
+if __name__ == "__main__":
+    for line in compare_policies([1, 2, 3]):
+        print(line)
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -16,6 +16,7 @@
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
 from .load import ClassResult, LoadPlan, LoadResult, run_at_most, run_load
+from .policies import compare_policies
 from .processes import (
     ProcessGroup,
     backend_command,
@@ -161,6 +162,8 @@
     print(f"seed={settings.seed}", flush=True)
     with tempfile.TemporaryDirectory() as folder:
         all_whole = curio.run(run_benchmarks, settings, Path(folder))
+    for line in compare_policies([settings.seed, settings.seed + 1, settings.seed + 2]):
+        print(line, flush=True)
     return 0 if all_whole else 1
 
 
--- a/pollenfold/tests/benchmarks/test_demo.py
+++ b/pollenfold/tests/benchmarks/test_demo.py
@@ -189,7 +189,7 @@
 
     async def main():
         with ProcessGroup(tmp_path) as group:
-            cluster = Cluster(group, Topology())
+            cluster = Cluster(group, Topology(slots=64))
             hosts = [
                 *(one.host for one in cluster.control),
                 *(one.host for one in cluster.ledger),
