--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -10,9 +10,10 @@
 from loguru import logger
 
 from ..core import directory as control_directory
+from ..core.clock import Instant
 from ..core.directory import LEASE_MS
 from ..core.errors import ErrorKind
-from ..core.membership import EndpointTable, LeaveNotice
+from ..core.membership import Endpoint, EndpointTable, LeaveNotice
 from ..core.warming import Directory, WarmChange
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
@@ -29,6 +30,7 @@
 from .ledger_client import LedgerClient
 from .peers import PeerClients
 from .platform import PlatformInterface
+from .probes import Prober, ProbeResult, ProbeTarget
 from .proxy import Proxy
 from .refresher import Refresher
 from .services import ServiceTable
@@ -49,6 +51,7 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.is_stopping = False
+        self._warmup_directory = Directory(0, Instant(0.0), ())
         seed = secrets.randbits(32)
         self.table = EndpointTable()
         self.histograms = Histograms()
@@ -101,7 +104,8 @@
             self.gossip.push,
             self._report_leave,
         )
-        self._unpublished: list[WarmChange] = []
+        self.prober = Prober(self._probe_targets, self._take_probe, system_clock, seed)
+        self._unpublished: list[Endpoint] = []
         self._unreported: list[LeaveNotice] = []
 
     def has_lease(self) -> bool:
@@ -174,21 +178,45 @@
                         notice.incarnation,
                     )
                 )
-            changes, self._unpublished = self._unpublished, []
-            if changes:
-                entries = [self._merge_warm_change(change) for change in changes]
-                await self.gossip.push([e for e in entries if e is not None])
+            endpoints, self._unpublished = self._unpublished, []
+            if endpoints:
+                await self.gossip.push(endpoints)
 
     def _wake(self) -> None:
         self.refresher.wake()
 
     def _directory(self) -> Directory:
+        """Return the directory for warm-up, the same object while it is unchanged."""
         directory = self.configuration.directory()
-        return Directory(
+        known = self._warmup_directory
+        if (known.revision, known.first_seen) != (
             directory.revision,
             directory.first_seen,
-            tuple(entry.entry_id for entry in directory.entries),
-        )
+        ):
+            self._warmup_directory = Directory(
+                directory.revision,
+                directory.first_seen,
+                tuple(entry.entry_id for entry in directory.entries),
+            )
+        return self._warmup_directory
+
+    def _probe_targets(self) -> list[ProbeTarget]:
+        max_entries = self.configuration.view().fleet.max_entries
+        return [
+            ProbeTarget(
+                runtime.spec.name,
+                self.table.endpoints(runtime.spec.name),
+                self.health.budget(runtime.spec, max_entries),
+            )
+            for runtime in self.services.runtimes
+        ]
+
+    def _take_probe(self, result: ProbeResult) -> None:
+        if result.report is None:
+            return
+        for runtime in self.services.runtimes:
+            if runtime.spec.name == result.endpoint.service:
+                runtime.take_report(result.endpoint.name, result.report)
 
     def _is_known_service(self, name: str) -> bool:
         return any(s.name == name for s in self.configuration.view().services)
@@ -209,7 +237,17 @@
             )
 
     def _publish_warm_change(self, change: WarmChange) -> None:
-        self._unpublished.append(change)
+        """Merge a change at once, and leave the push to its task."""
+        endpoint = change.endpoint
+        logger.info(
+            "event=warm_state service={} endpoint={} is_warm={} reason={}",
+            endpoint.service,
+            endpoint.name,
+            endpoint.warm.is_warm,
+            change.reason.value,
+        )
+        self.table.merge(endpoint, system_clock())
+        self._unpublished.append(endpoint)
         self.refresher.wake()
 
 
@@ -239,6 +277,7 @@
         await group.spawn(entry.gossip.run)
         await group.spawn(entry.refresher.run)
         await group.spawn(entry.publish)
+        await group.spawn(entry.prober.run)
         if settings.statsd is not None:
             prefix = f"pollenfold.{settings.entry_id}"
             sender = MetricsSender(settings.statsd, prefix, entry.gauges)
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ..core.measurement import parse_load_header
+from ..core.measurement import LoadReport, MeasurementBudget, parse_load_header
 from ..core.outliers import OutlierDetector
 from ..core.retries import AttemptOutcome
 from ..core.warming import Directory, WarmChange, WarmupController
 from ..http.messages import find_header
 
 if TYPE_CHECKING:
-    from ..core.clock import Clock
+    from ..core.clock import Clock, Instant
     from ..core.configuration import ConfigurationView
     from ..core.membership import Endpoint
     from ..core.records import ServiceSpec
@@ -40,7 +40,8 @@
         clock: Clock,
     ) -> None:
         self._warmup = WarmupController(entry_id, lease_ms)
-        self._outliers = OutlierDetector()
+        self._outliers: dict[str, OutlierDetector] = {}
+        self._budgets: dict[str, tuple[ServiceSpec, int, MeasurementBudget]] = {}
         self._directory = directory
         self._view = view
         self._on_warm_change = on_warm_change
@@ -53,46 +54,82 @@
         if not view.is_zone_in(endpoint.zone) or endpoint.name in view.drained:
             return 0
         now = self._clock()
-        if self._outliers.is_ejected(endpoint.key, now):
+        if self._detector(endpoint.service).is_ejected(endpoint.key, now):
             return 0
         return self._warmup.limit(
             endpoint, spec, zone_version(view, endpoint.zone), self._directory(), now
         )
 
+    def budget(self, spec: ServiceSpec, max_entries: int) -> MeasurementBudget:
+        """Return this entry's part of the measurement budget of a service."""
+        known = self._budgets.get(spec.name)
+        if known is not None and known[0] is spec and known[1] == max_entries:
+            return known[2]
+        budget = MeasurementBudget(spec, max_entries, self._clock())
+        self._budgets[spec.name] = (spec, max_entries, budget)
+        return budget
+
+    def start(self, endpoint: Endpoint) -> None:
+        """Note that a request is sent to the endpoint."""
+        detector = self._detector(endpoint.service)
+        if detector.n_ejected:
+            detector.start_trial(endpoint.key, self._clock())
+
     def observe(
         self,
         spec: ServiceSpec,
         backend: Backend,
         result: AttemptResult | None,
         latency_ms: float,
-    ) -> None:
-        """Learn from an attempt that ended; ``result`` is None for a cancelled one."""
+    ) -> LoadReport | None:
+        """Learn from an attempt that ended; ``result`` is None for a cancelled one.
+
+        Return the load report of the response, if there was a valid one.
+        """
         if result is None:
-            return
+            return None
         now = self._clock()
         endpoint = backend.endpoint
-        is_failure = result.outcome not in (
-            AttemptOutcome.RESPONDED,
-            AttemptOutcome.NOT_STARTED,
-        )
-        was_shed = result.outcome is AttemptOutcome.NOT_STARTED
-        self._outliers.record(endpoint.key, is_failure, latency_ms, now)
+        outcome = result.outcome
+        was_shed = outcome is AttemptOutcome.NOT_STARTED
+        is_failure = outcome is not AttemptOutcome.RESPONDED and not was_shed
+        report = self._read_report(spec, result, now)
+        if endpoint.warm.is_warm and not was_shed:
+            detector = self._detector(endpoint.service)
+            detector.record(endpoint.key, is_failure, latency_ms, now)
         change = self._warmup.record(
-            endpoint, spec, latency_ms, was_shed, _reports_cold(result), now
+            endpoint,
+            spec,
+            latency_ms,
+            was_shed or is_failure,
+            report is not None and report.is_cold,
+            now,
         )
         if change is not None:
             self._on_warm_change(change)
+        return report
+
+    def _detector(self, service: str) -> OutlierDetector:
+        detector = self._outliers.get(service)
+        if detector is None:
+            detector = self._outliers[service] = OutlierDetector()
+        return detector
+
+    def _read_report(
+        self, spec: ServiceSpec, result: AttemptResult, now: Instant
+    ) -> LoadReport | None:
+        """Read the load report of a response and count its bytes."""
+        if result.response is None:
+            return None
+        value = find_header(result.response.headers, LOAD_HEADER)
+        if value is None:
+            return None
+        budget = self.budget(spec, self._view().fleet.max_entries)
+        budget.count_report(len(LOAD_HEADER) + len(value) + 4, False, now)
+        return parse_load_header(value, now)
 
 
 def zone_version(view: ConfigurationView, zone: str) -> int:
     """Return the version of a zone's record, which rises when the zone returns."""
     spec = view.zones.get(zone)
     return NO_ZONE_RECORD if spec is None else spec.version
-
-
-def _reports_cold(result: AttemptResult) -> bool:
-    if result.response is None:
-        return False
-    value = find_header(result.response.headers, LOAD_HEADER)
-    report = None if value is None else parse_load_header(value)
-    return report is not None and report.is_cold
--- a/pollenfold/entry/hedges.py
+++ b/pollenfold/entry/hedges.py
@@ -59,7 +59,7 @@
     candidate = runtime.acquire_hedge(tried | {attempt.backend.candidate.key})
     if candidate is None:
         return None
-    return Attempt(runtime.backends[candidate.key], clock)
+    return runtime.begin(candidate)
 
 
 async def _first_response(
--- a/pollenfold/entry/probes.py
+++ b/pollenfold/entry/probes.py
@@ -65,10 +65,15 @@
         self.n_bytes = 0
         self.n_received_bytes = 0
 
-    async def sendall(self, data: bytes) -> None:
-        """Send and count."""
-        self.n_bytes += len(data)
-        await self._sock.sendall(data)
+    def fileno(self) -> int:
+        """Return the descriptor of the socket."""
+        return int(self._sock.fileno())
+
+    async def send(self, data: bytes) -> int:
+        """Send and count; return the number of bytes written."""
+        n_sent_bytes = int(await self._sock.send(data))
+        self.n_bytes += n_sent_bytes
+        return n_sent_bytes
 
     async def recv(self, max_bytes: int) -> bytes:
         """Receive and count; raise OSError for an answer over the limit."""
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -190,7 +190,7 @@
         if not has_lease():
             await runtime.slots.release(candidate, None)
             return _final(last, Refusal(ErrorKind.NO_LEASE))
-        attempt = Attempt(runtime.backends[candidate.key], clock)
+        attempt = runtime.begin(candidate)
         if request_class is RequestClass.IDEMPOTENT:
             last = await race(runtime, attempt, exchange, tried, clock)
         else:
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -5,16 +5,15 @@
 from typing import TYPE_CHECKING
 
 from ..core.clock import Clock
-from ..core.measurement import parse_load_header
 from ..core.retries import AttemptOutcome, QuantileEstimate, RatioBudget
 from ..core.routing import Candidate, Policy, probe_score
-from ..http.messages import find_header
 from .attempts import Attempt, AttemptResult
 from .backends import Backend, connection_limit, make_backend
 from .slots import SlotQueue
 
 if TYPE_CHECKING:
     from ..core.configuration import ConfigurationView
+    from ..core.measurement import LoadReport
     from ..core.membership import Endpoint
     from ..core.records import ServiceSpec
     from .health import EndpointHealth
@@ -22,8 +21,6 @@
 MIN_HEDGE_DELAY_MS = 2.0
 """A shorter delay would hedge requests that differ only by scheduling noise."""
 
-LOAD_HEADER = b"pollenfold-load"
-
 
 class ServiceRuntime:
     """One service: its queue for slots, its endpoints, its retry and hedge budgets."""
@@ -62,6 +59,12 @@
         """Return how long an attempt may take before it is hedged."""
         return max(MIN_HEDGE_DELAY_MS, self._latency.value_ms)
 
+    def begin(self, candidate: Candidate) -> Attempt:
+        """Return an attempt at the endpoint whose slot was acquired."""
+        backend = self.backends[candidate.key]
+        self._health.start(backend.endpoint)
+        return Attempt(backend, self._clock)
+
     def acquire_hedge(self, tried: set[str]) -> Candidate | None:
         """Take a slot for a hedge, when the budget and the endpoints allow it."""
         if not self._hedge_budget.withdraw():
@@ -80,8 +83,9 @@
         await attempt.finish()
         latency_ms = self._clock() - attempt.started_at
         backend = attempt.backend
-        self._note_report(backend, result)
-        self._health.observe(self.spec, backend, result, latency_ms)
+        report = self._health.observe(self.spec, backend, result, latency_ms)
+        if report is not None:
+            self._note_report(backend.candidate, report)
         counts = result is None or result.outcome in (
             AttemptOutcome.RESPONDED,
             AttemptOutcome.EXPIRED,
@@ -123,16 +127,16 @@
                 await backend.pool.close()
                 del self.backends[key]
 
-    def _note_report(self, backend: Backend, result: AttemptResult | None) -> None:
-        if result is None or result.response is None:
-            return
-        value = find_header(result.response.headers, LOAD_HEADER)
-        if value is None:
-            return
-        report = parse_load_header(value)
-        if report is not None:
-            backend.candidate.reported_in_flight = report.in_flight
-            backend.candidate.reported_at = self._clock()
+    def take_report(self, key: str, report: LoadReport) -> None:
+        """Take a load report that a probe brought."""
+        backend = self.backends.get(key)
+        if backend is not None:
+            self._note_report(backend.candidate, report)
+
+    @staticmethod
+    def _note_report(candidate: Candidate, report: LoadReport) -> None:
+        candidate.reported_in_flight = float(report.in_flight)
+        candidate.reported_at = report.received
 
 
 class ServiceTable:
