--- a/pollenfold/entry/announcements.py
+++ b/pollenfold/entry/announcements.py
@@ -32,7 +32,7 @@
     zone: _Name
     incarnation: _Counter
     heartbeat: _Counter
-    ttl_ms: int = Field(ge=1000, le=600_000)
+    ttl_ms: float = Field(ge=1000, le=600_000)
     slots: int = Field(ge=1, le=100_000)
     connections: int = Field(ge=1, le=1_000_000)
     state: Literal["serving", "leaving"]
