--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -22,7 +22,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 
-PROGRAM = [sys.executable, "-m", "pollenfold.cli.main"]
+PROGRAM = [sys.executable, "-m", "pollenfold"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +124,7 @@
 ) -> list[str]:
     """Return the command line of an operator's command, such as ``zone out a``."""
     addresses = ",".join(f"{one.host}:{one.operator_port}" for one in control)
-    return [*PROGRAM, *arguments, f"--control={addresses}", f"--token={token}"]
+    return [*PROGRAM, *arguments, f"--operator={addresses}", f"--token={token}"]
 
 
 def backend_command(**flags: object) -> list[str]:
