--- a/pollenfold/core/warming.py
+++ b/pollenfold/core/warming.py
@@ -122,6 +122,10 @@
         return self.n_high >= N_HIGH_LATENCIES
 
 
+def _is_same_warm_up(left: Endpoint, right: Endpoint) -> bool:
+    return left.incarnation == right.incarnation and left.warm == right.warm
+
+
 class _State:
     """What one entry knows about the warm-up of one endpoint."""
 
@@ -249,11 +253,11 @@
         failed or timed out counts as shed. The entry merges a returned change into
         its table and pushes it to its peers.
         """
-        state = self._services.get(endpoint.service, {}).get(endpoint.key)
-        if state is None or state.endpoint.incarnation != endpoint.incarnation:
-            return None
-        if state.endpoint.warm != endpoint.warm:
-            return None
+        state = self._by_id.get(id(endpoint))
+        if state is None or state.endpoint is not endpoint:
+            state = self._services.get(endpoint.service, {}).get(endpoint.key)
+            if state is None or not _is_same_warm_up(state.endpoint, endpoint):
+                return None
         if state.is_warm:
             return self._record_warm(state, latency_ms, was_shed, reported_cold, now)
         if state.owner_since is None:
@@ -301,11 +305,8 @@
             # The table has not merged a change of ``record`` yet.
             endpoint = before
         self._by_id.pop(id(before), None)
-        is_restart = (
-            endpoint.incarnation != before.incarnation
-            or endpoint.warm != before.warm
-            or zone_version != state.zone_version
-        )
+        is_same = _is_same_warm_up(endpoint, before)
+        is_restart = not is_same or zone_version != state.zone_version
         state.endpoint = endpoint
         state.spec = spec
         state.zone_version = zone_version
--- a/pollenfold/tests/entry/test_gossip.py
+++ b/pollenfold/tests/entry/test_gossip.py
@@ -2,13 +2,21 @@
 
 import curio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from pollenfold.core.clock import ManualClock
 from pollenfold.core.membership import EndpointTable, MergeOutcome, WarmState
 from pollenfold.entry.gossip import COPY_DEADLINE_MS, Gossip
 from pollenfold.testing.endpoints import LocalPeer, make_endpoint
 from pollenfold.wire.frames import Protocol
-from pollenfold.wire.membership import Push, decode_request, encode_request
+from pollenfold.wire.membership import (
+    Push,
+    decode_request,
+    decode_response,
+    encode_request,
+    encode_response,
+)
 from pollenfold.wire.rpc import RpcClient, RpcServer
 
 SERVICE = "pearl-market"
@@ -158,6 +166,37 @@
     run(main)
 
 
+def _whole_messages():
+    table = EndpointTable()
+    for n in range(10):
+        table.merge(make_endpoint(port=1000 + n), ManualClock()())
+    entries = tuple(table.entries(ManualClock()(), range(64)))
+    difference = table.difference(EndpointTable().digest(), ManualClock()())
+    return [
+        (decode_request, encode_request(Push(entries))),
+        (decode_request, encode_request(table.digest())),
+        (decode_response, encode_response(difference)),
+    ]
+
+
+@given(
+    st.sampled_from(_whole_messages()),
+    st.lists(st.tuples(st.integers(0, 4000), st.integers(0, 255)), max_size=6),
+    st.integers(0, 64),
+)
+def test_damaged_messages_raise_one_error(message, damage, n_cut):
+    """Guards against a damaged message that ends the gossip task with an error that
+    nobody expects."""
+    decode, data = message
+    damaged = bytearray(data[: len(data) - n_cut])
+    for position, value in damage:
+        damaged[position % len(damaged)] = value
+    try:
+        decode(bytes(damaged))
+    except ValueError:
+        pass
+
+
 def test_names_that_are_too_long_are_refused(run):
     """Guards against a peer that fills the table with oversized names."""
 
--- a/properties/test_warming.py
+++ b/properties/test_warming.py
@@ -144,8 +144,8 @@
 
 @given(st.lists(actions, max_size=120))
 def test_cold_server_never_gets_more_than_it_can_handle(steps):
-    """Guards against two owners at once, an owner whose requests go on after its
-    lease, and a ramp that is inherited by a new owner."""
+    """Guards against two owners at once, and against an owner whose requests go on
+    after its lease."""
     run(Fleet(4), steps)
 
 
