--- a/pollenfold/core/warming.py
+++ b/pollenfold/core/warming.py
@@ -12,10 +12,11 @@
 from enum import Enum
 from math import ceil
 
-import xxhash
-
 from .clock import Instant
 from .endpoints import Endpoint, EndpointKey, WarmState
+from .ownership import Directory as Directory
+from .ownership import DirectoryHistory, Ownership
+from .ownership import warmup_owner as warmup_owner
 from .records import ServiceSpec
 
 SUCCESSES_PER_SLOT = 4
@@ -50,20 +51,6 @@
 """An entry may use twice its part of a warm endpoint's slots, and two at least. The
 platform's load balancer spreads connections, not requests, over the entries."""
 
-_MAX_HISTORY = 64
-
-
-@dataclass(frozen=True, slots=True)
-class Directory:
-    """The live entries of one revision, and when this entry first saw it.
-
-    Revisions count up by one; a gap means that this entry missed some.
-    """
-
-    revision: int
-    first_seen: Instant
-    entry_ids: tuple[str, ...]
-
 
 class WarmReason(Enum):
     """Why the warm state of an endpoint changed."""
@@ -82,23 +69,6 @@
     reason: WarmReason
 
 
-def warmup_owner(entry_ids: tuple[str, ...], key: EndpointKey) -> str | None:
-    """Return the entry that warms the endpoint up, by rendezvous hash.
-
-    Only endpoints of an entry that leaves, and those that an added entry wins, change
-    their owner.
-    """
-    name = f"\0{key.service}\0{key.host}\0{key.port}"
-    return max(
-        entry_ids,
-        key=lambda entry_id: (
-            xxhash.xxh3_64_intdigest((entry_id + name).encode()),
-            entry_id,
-        ),
-        default=None,
-    )
-
-
 class LatencyBaseline:
     """The slowly moving mean of latencies, and the run of values far above it."""
 
@@ -134,9 +104,7 @@
         "spec",
         "zone_version",
         "directory",
-        "revision",
-        "generation",
-        "owner_since",
+        "ownership",
         "limit",
         "ready_at",
         "ramp_limit",
@@ -151,9 +119,7 @@
         self.spec = spec
         self.zone_version = -1
         self.directory: Directory | None = None
-        self.revision = -1
-        self.generation = -1
-        self.owner_since: Instant | None = None
+        self.ownership = Ownership()
         self.limit = 0
         self.ready_at = 0.0
         self.suspect_at = float("-inf")
@@ -207,12 +173,10 @@
     """
 
     def __init__(self, entry_id: str, lease_ms: float) -> None:
-        self._entry_id = entry_id
         self._lease_ms = lease_ms
         self._services: dict[str, dict[EndpointKey, _State]] = {}
         self._by_id: dict[int, _State] = {}
-        self._history: list[Directory] = []
-        self._generation = 0
+        self._history = DirectoryHistory(entry_id)
 
     def limit(
         self,
@@ -260,24 +224,13 @@
                 return None
         if state.is_warm:
             return self._record_warm(state, latency_ms, was_shed, reported_cold, now)
-        if state.owner_since is None:
+        if state.ownership.since is None:
             return None
         return self._record_ramp(state, latency_ms, was_shed, reported_cold)
 
     def observe(self, directory: Directory) -> None:
         """Take a new directory into the history of ownership."""
-        if self._history:
-            last = self._history[-1]
-            is_same = directory.entry_ids == last.entry_ids
-            if directory.revision == last.revision and is_same:
-                return
-            if directory.revision != last.revision + 1:
-                # An owner in between may have started, so nothing before counts.
-                self._history.clear()
-                self._generation += 1
-        self._history.append(directory)
-        if len(self._history) > _MAX_HISTORY:
-            del self._history[0]
+        self._history.observe(directory)
 
     def retain(self, service: str, keys: Container[EndpointKey]) -> None:
         """Forget the endpoints of a service that are not among ``keys``."""
@@ -313,33 +266,14 @@
         if is_restart:
             state.start_ramp()
         if state.directory is not directory:
-            self.observe(directory)
-            self._update_owner(state, key, directory)
+            state.directory = directory
+            self._history.observe(directory)
+            if self._history.update(state.ownership, key) and not state.is_warm:
+                state.start_ramp()
         self._by_id[id(endpoint)] = state
         self._apply(state)
         return state
 
-    def _update_owner(
-        self, state: _State, key: EndpointKey, directory: Directory
-    ) -> None:
-        since = state.owner_since
-        is_continued = state.generation == self._generation
-        if not is_continued or self._history[0].revision > state.revision + 1:
-            state.owner_since = None
-            state.revision = -1
-        for seen in self._history:
-            if seen.revision <= state.revision:
-                continue
-            if warmup_owner(seen.entry_ids, key) != self._entry_id:
-                state.owner_since = None
-            elif state.owner_since is None:
-                state.owner_since = seen.first_seen
-        if state.owner_since != since and not state.is_warm:
-            state.start_ramp()
-        state.generation = self._generation
-        state.revision = self._history[-1].revision
-        state.directory = directory
-
     def _apply(self, state: _State) -> None:
         """Set the limit that ``limit`` returns until something changes."""
         state.ready_at = float("-inf")
@@ -349,12 +283,12 @@
             n_entries = len(state.directory.entry_ids) if state.directory else 1
             share = ceil(WARM_SHARE_FACTOR * state.slots / max(1, n_entries))
             state.limit = min(state.slots, max(MIN_WARM_SHARE, share))
-        elif state.owner_since is None:
+        elif state.ownership.since is None:
             state.limit = 0
         else:
-            state.limit = state.ramp_limit
+            state.limit = min(state.ramp_limit, state.slots)
             wait_ms = self._lease_ms + state.spec.timeout_ms
-            state.ready_at = state.owner_since + wait_ms
+            state.ready_at = state.ownership.since + wait_ms
 
     def _record_ramp(
         self, state: _State, latency_ms: float, was_shed: bool, reported_cold: bool
--- a/pollenfold/testing/endpoints.py
+++ b/pollenfold/testing/endpoints.py
@@ -1,17 +1,12 @@
-"""Endpoints and peers for tests and benchmarks."""
+"""Endpoints and services for tests and benchmarks."""
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 
-from expression import Error, Ok, Result
-
-from ..core.errors import ErrorKind
 from ..core.membership import Endpoint
 from ..core.records import ServiceSpec
-from ..wire.frames import Protocol
 
 _DEFAULT = Endpoint(
     service="pearl-market",
@@ -51,25 +46,3 @@
 def make_endpoint(**fields: Any) -> Endpoint:
     """Return an endpoint of ``pearl-market`` with some fields replaced."""
     return replace(_DEFAULT, **fields)
-
-
-class LocalPeer:
-    """A peer in the same process; ``is_reachable`` cuts it off."""
-
-    def __init__(self, handle: Callable[[bytes], Awaitable[bytes]]) -> None:
-        self._handle = handle
-        self.is_reachable = True
-        self.n_bytes = 0
-
-    async def call(
-        self, protocol: Protocol, payload: bytes, timeout_ms: float
-    ) -> Result[bytes, ErrorKind]:
-        """Answer as an RpcClient does; a failed handler is ``UNREACHABLE``."""
-        if not self.is_reachable:
-            return Error(ErrorKind.UNREACHABLE)
-        try:
-            answer = await self._handle(payload)
-        except ValueError:
-            return Error(ErrorKind.UNREACHABLE)
-        self.n_bytes += len(payload) + len(answer)
-        return Ok(answer)
