Ignore a lease granted on a claim that is no longer true

A request can be held up until the lease that it claims to hold has ended. By then the previous leader may have given the place in the fleet to another entry. Without the check, test_claim_to_hold_a_lease_must_still_be_true fails.

--- a/pollenfold/entry/route.py
+++ b/pollenfold/entry/route.py
@@ -62,13 +62,13 @@
                 return answer
         async with self._search_lock:
             found = self._current
-            if found not in (None, current) and self._may_use_current(is_direct):
-                # Another exchange found the leader during this one.
-                return await self._ask(found, request)
-            if is_direct and not self._is_direct and self._clock() < self._next_direct:
-                return None
-            self._current = None
-            return await self._search(replace(request, wait_ms=0.0), is_direct)
+            if found in (None, current) or not self._may_use_current(is_direct):
+                if self._must_wait(is_direct):
+                    return None
+                self._current = None
+                return await self._search(replace(request, wait_ms=0.0), is_direct)
+        # Another exchange found the leader during this one.
+        return await self._ask(found, request)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -80,6 +80,10 @@
             return True
         return not is_direct and self._clock() < self._next_direct
 
+    def _must_wait(self, is_direct: bool) -> bool:
+        """Return whether the control replicas were tried just now, in vain."""
+        return is_direct and not self._is_direct and self._clock() < self._next_direct
+
     async def _ask(
         self, address: Address, request: LeaseRequest
     ) -> tuple[LeaseResponse, Instant] | None:
--- a/pollenfold/entry/state.py
+++ b/pollenfold/entry/state.py
@@ -91,8 +91,10 @@
         is_changed = self._take_records(response)
         is_changed |= self._take_notices(response, now)
         is_changed |= self._take_directory(response, now)
-        # The lease comes last, so that it never starts before the rest is in force.
-        self.lease.renew(sent_at, response.lease_ms, response.revision, now)
+        if self.lease.is_valid(now) or not request.holds_lease:
+            # A new leader trusts the claim to hold a lease; once the lease has ended
+            # another entry may have this one's place in the fleet.
+            self.lease.renew(sent_at, response.lease_ms, response.revision, now)
         return is_changed
 
     def add_notice(self, notice: LeaveNotice, now: Instant) -> bool:
--- a/pollenfold/tests/entry/test_state.py
+++ b/pollenfold/tests/entry/test_state.py
@@ -61,6 +61,18 @@
     assert [state.view.is_zone_in(name) for name in "ab"] == [False, False]
 
 
+def test_claim_to_hold_a_lease_must_still_be_true():
+    """Guards against more working entries than max_entries after an election."""
+    state = EntryState(OWN)
+    receive(state, response(), 0)
+    claim = state.request(0.0, Instant(1900))
+    assert claim.holds_lease
+    state.receive(claim, response(epoch=4), Instant(1900), Instant(2100))
+    assert not state.lease.is_valid(Instant(2100))
+    receive(state, response(epoch=4), 2200)
+    assert state.lease.is_valid(Instant(2200))
+
+
 def test_unreadable_record_keeps_the_former_one_and_is_not_acknowledged():
     """Guards against in force for a record that this entry can't read."""
     state = EntryState(OWN)
