--- a/pollenfold/entry/ledger_client.py
+++ b/pollenfold/entry/ledger_client.py
@@ -201,6 +201,9 @@
         result = await self._replicas[index].call(
             Protocol.LEDGER, payload, self._call_timeout_ms
         )
+        return self._decode(result)
+
+    def _decode(self, result: Result[bytes, ErrorKind]) -> Body:
         if result.is_error():
             return None
         try:
--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -32,6 +33,19 @@
     return Instant(time.time() * 1000)
 
 
+async def _wait_for_sigterm() -> None:
+    """Return after SIGTERM; curio has no signal handling of its own."""
+    receiver, sender = socket.socketpair()
+    sender.setblocking(False)
+    previous = signal.signal(signal.SIGTERM, lambda *_: sender.send(b"\0"))
+    try:
+        async with curio.io.Socket(receiver) as waiting:
+            await waiting.recv(1)
+    finally:
+        signal.signal(signal.SIGTERM, previous)
+        sender.close()
+
+
 async def serve_ledger(settings: LedgerSettings) -> None:
     """Serve one ledger replica until SIGTERM.
 
@@ -48,11 +62,10 @@
         settings.replica_id,
         sock.getsockname()[1],
     )
-    async with curio.SignalQueue(signal.SIGTERM) as signals:
-        listener = await curio.spawn(curio.network.run_server, sock, server.handle)
-        worker = await curio.spawn(replica.run)
-        await signals.get()
-        await listener.cancel()
-        await worker.cancel()
+    listener = await curio.spawn(curio.network.run_server, sock, server.handle)
+    worker = await curio.spawn(replica.run)
+    await _wait_for_sigterm()
+    await listener.cancel()
+    await worker.cancel()
     await replica.close()
     logger.info("event=ledger_stopped replica={}", settings.replica_id)
--- /dev/null
+++ b/pollenfold/tests/ledger/test_replica.py
@@ -0,0 +1,301 @@
+"""Ledger replicas and clients on loopback, with lost replicas, disks and writes."""
+
+import os
+import signal
+import socket
+
+import curio
+import pytest
+
+from pollenfold.core.claims import (
+    Claimed,
+    Completed,
+    InDoubt,
+    InProgress,
+    Unavailable,
+)
+from pollenfold.core.errors import ErrorKind
+from pollenfold.core.register import (
+    BLANK_REGISTER,
+    RETENTION_MS,
+    Claim,
+    Outcome,
+    Register,
+    State,
+    Value,
+    handle,
+)
+from pollenfold.entry.ledger_client import MAX_BODY_BYTES, LedgerClient
+from pollenfold.ledger.daemon import LedgerSettings, serve_ledger
+from pollenfold.ledger.store import RegisterStore, StorageError
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.ledger import LocalLedger
+from pollenfold.wire.ledger import StatusRequest, encode_request
+
+OUTCOME = Outcome(201, ((b"content-type", b"text/plain"),), b"booked")
+TIMEOUT_MS = 5000.0
+
+
+@pytest.fixture
+def run_ledger(run, tmp_path):
+    """Return a function that runs a coroutine function with three replicas."""
+
+    def run_with_ledger(function, n_replicas=3):
+        async def main():
+            async with LocalLedger(tmp_path, n_replicas) as ledger:
+                await function(ledger)
+
+        run(main)
+
+    return run_with_ledger
+
+
+@pytest.mark.parametrize("n_replicas", [3, 5])
+def test_one_of_two_clients_claims_a_key(run_ledger, n_replicas):
+    """Guards against two entries that dispatch the same key."""
+
+    async def main(ledger):
+        clients = [ledger.client("entry-1"), ledger.client("entry-2")]
+        for n in range(20):
+            async with curio.TaskGroup() as group:
+                for client in clients:
+                    claim_id = f"{n}-{id(client)}"
+                    await group.spawn(client.claim, f"key-{n}", claim_id, TIMEOUT_MS)
+            assert group.results.count(Claimed()) <= 1
+            assert all(r in (Claimed(), InProgress()) for r in group.results)
+
+    run_ledger(main, n_replicas)
+
+
+@pytest.mark.parametrize("is_suspended", [True, False])
+def test_one_silent_replica_changes_no_answer(run_ledger, is_suspended):
+    """Guards against one suspended or isolated replica that stops requests, or that
+    lets a key run again when it is back with its old state."""
+
+    async def main(ledger):
+        first, second = ledger.client("entry-1"), ledger.client("entry-2")
+        (ledger.suspend if is_suspended else ledger.isolate)("a")
+        assert await first.claim("key", "c", TIMEOUT_MS) == Claimed()
+        assert (await first.complete("key", "c", OUTCOME)).is_ok()
+        await ledger.resume("a")
+        ledger.reconnect("a")
+        ledger.isolate("b")
+        assert await second.claim("key", "d", TIMEOUT_MS) == Completed(OUTCOME)
+        assert (await second.abandon("other", "d")).is_ok()
+        assert await second.claim("other", "e", TIMEOUT_MS) == Claimed()
+
+    run_ledger(main)
+
+
+def test_second_loss_right_after_a_lost_disk(run_ledger):
+    """Guards against a key that runs again because the replicas that held its claim
+    lost their disks one after the other."""
+
+    async def main(ledger):
+        ledger.isolate("c")
+        client = ledger.client("entry-1")
+        assert await client.claim("claimed", "c1", TIMEOUT_MS) == Claimed()
+        assert await client.claim("completed", "c2", TIMEOUT_MS) == Claimed()
+        assert (await client.complete("completed", "c2", OUTCOME)).is_ok()
+        ledger.reconnect("c")
+        for name in ("a", "b"):
+            await ledger.lose_disk(name)
+            assert await ledger.join(name)
+        resend = ledger.client("entry-2")
+        answer = await resend.claim("claimed", "d1", TIMEOUT_MS)
+        assert answer == InProgress()
+        answer = await resend.claim("completed", "d2", TIMEOUT_MS)
+        assert answer == Completed(OUTCOME)
+
+    run_ledger(main)
+
+
+def test_blank_replica_waits_for_enough_others(run_ledger):
+    """Guards against a blank replica that votes before it copied n - majority + 1
+    others: the only copy of a vote may be on the one it could not reach."""
+
+    async def main(ledger):
+        client = ledger.client("entry-1")
+        await ledger.lose_disk("a")
+        ledger.isolate("b")
+        assert not await ledger.join("a")
+        with pytest.raises(LookupError):
+            await ledger.replicas["a"].answer(encode_request("key", Claim("c")))
+        assert await client.claim("key", "c", TIMEOUT_MS) == Unavailable()
+        ledger.reconnect("b")
+        assert await ledger.join("a")
+        assert (await client.abandon("key", "c")).is_ok()
+
+    run_ledger(main)
+
+
+def test_vote_from_before_a_lost_disk_is_dropped(run_ledger):
+    """Guards against a claim that counts the vote of a lost disk together with a
+    vote given after the replica had returned without it."""
+
+    async def main(ledger):
+        ledger.suspend("b")
+        ledger.isolate("c")
+        slow = ledger.client("entry-1")
+        slow._call_timeout_ms = 500
+        claim = await curio.spawn(slow.claim, "key", "c", TIMEOUT_MS)
+        await curio.sleep(0.02)
+        gate = ledger._gates["b"]
+        ledger._gates["b"] = curio.Event()
+        await ledger._gates["b"].set()
+        ledger.reconnect("c")
+        await ledger.lose_disk("a")
+        assert await ledger.join("a")
+        await gate.set()
+        assert await claim.join() == Unavailable()
+
+    run_ledger(main)
+
+
+def test_restart_with_a_torn_journal_entry(run_ledger):
+    """Guards against an acknowledged claim that a crash during the next write takes
+    back."""
+
+    async def main(ledger):
+        client = ledger.client("entry-1")
+        assert await client.claim("key", "c", TIMEOUT_MS) == Claimed()
+        for name in ledger.names:
+            await ledger.stop(name)
+            with (ledger.folder(name) / "registers").open("ab") as journal:
+                journal.write(b"\x00\x00\x00\x40torn")
+            ledger.start(name)
+        assert await client.claim("key", "d", TIMEOUT_MS) == InProgress()
+
+    run_ledger(main)
+
+
+def test_replica_with_a_failed_disk_is_silent(run_ledger):
+    """Guards against an answer from a replica whose last write may be lost."""
+
+    async def main(ledger):
+        client = ledger.client("entry-1")
+        os.close(ledger.replicas["a"].store._journal._descriptor)
+        assert await client.claim("key", "c", TIMEOUT_MS) == Claimed()
+        with pytest.raises(StorageError):
+            await ledger.replicas["a"].answer(encode_request("", StatusRequest()))
+        ledger.isolate("b")
+        assert await client.claim("key", "d", TIMEOUT_MS) == Unavailable()
+        ledger.replicas["a"].store._journal._descriptor = os.open(os.devnull, 0)
+
+    run_ledger(main)
+
+
+def test_large_copy_fits_the_frames(run_ledger):
+    """Guards against a blank replica that can't return because the registers of the
+    others are larger than a frame."""
+
+    async def main(ledger):
+        client = ledger.client("entry-1")
+        outcome = Outcome(200, body=b"x" * MAX_BODY_BYTES)
+        for n in range(20):
+            assert await client.claim(f"{n}", f"c{n}", TIMEOUT_MS) == Claimed()
+            assert (await client.complete(f"{n}", f"c{n}", outcome)).is_ok()
+        too_large = Outcome(200, body=b"x" * (MAX_BODY_BYTES + 1))
+        result = await client.complete("0", "c0", too_large)
+        assert result.error is ErrorKind.BODY_TOO_LARGE
+        await ledger.lose_disk("a")
+        assert await ledger.join("a")
+        assert len(ledger.replicas["a"].store) == 20
+
+    run_ledger(main)
+
+
+def test_retention_and_unresolved_claims(run_ledger):
+    """Guards against outcomes that stay for ever, and against claims without an
+    outcome that are dropped, run again or hidden from operators."""
+
+    async def main(ledger):
+        client = ledger.client("entry-1")
+        for key in ("held", "done"):
+            assert await client.claim(key, "c", TIMEOUT_MS) == Claimed()
+        assert (await client.complete("done", "c", OUTCOME)).is_ok()
+        ledger.wall_clock.advance(RETENTION_MS)
+        assert await client.claim("held", "d", TIMEOUT_MS) == InDoubt()
+        (unresolved,) = await client.unresolved(10)
+        assert (unresolved.key, unresolved.claim_ids) == ("held", ("c",))
+        assert unresolved.age_ms == RETENTION_MS
+        assert await client.claim("done", "d", TIMEOUT_MS) == Claimed()
+        assert len(await client.unresolved(1)) == 1
+
+    run_ledger(main)
+
+
+def test_suspended_operation_ends(run_ledger):
+    """Guards against a client that goes on with promises which the replicas dropped
+    by age while its process was suspended."""
+
+    async def main(ledger):
+        instants = iter([0.0, 0.0, 40_000.0])
+        client = ledger.client("entry-1", clock=lambda: next(instants))
+        result = await client.abandon("key", "c")
+        assert result.error is ErrorKind.LEDGER_UNAVAILABLE
+
+    run_ledger(main)
+
+
+def test_daemon_serves_until_sigterm(run, tmp_path):
+    """Guards against a daemon that does not start, or does not stop on SIGTERM."""
+
+    async def main():
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        settings = LedgerSettings("a", {}, tmp_path, "127.0.0.1", port)
+        task = await curio.spawn(serve_ledger, settings)
+        client = LedgerClient({"a": ("127.0.0.1", port)}, "entry-1", system_clock)
+        while await client.claim("key", f"{system_clock()}", 0) != Claimed():
+            await curio.sleep(0.01)
+        os.kill(os.getpid(), signal.SIGTERM)
+        await task.join()
+        await client.close()
+
+    run(main)
+
+
+def test_group_sync(run, tmp_path):
+    """Guards against one sync for each request, and against an answer before it."""
+
+    async def main():
+        store = RegisterStore(tmp_path, 3, lambda: 0.0)
+
+        async def change(key):
+            store.put(key, handle(BLANK_REGISTER, Claim("c"), 0.0)[0])
+            await store.synced()
+            assert len(RegisterStore(tmp_path, 3, lambda: 0.0)) == 50
+
+        async with curio.TaskGroup() as group:
+            for n in range(50):
+                await group.spawn(change, f"{n}")
+        assert store.n_syncs == 1
+
+    run(main)
+
+
+def test_compaction_keeps_changes_made_meanwhile(run, tmp_path):
+    """Guards against a rewrite of the journal that loses a change made during it."""
+
+    async def main():
+        store = RegisterStore(tmp_path, 3, lambda: 0.0)
+        for n in range(1000):
+            store.put(f"{n}", Register(value=Value(State.CLAIMED, ("c",))))
+        await store.synced()
+        task = await curio.spawn(store.compact)
+        await curio.sleep(0)
+        for key in ("0", "new"):
+            store.put(key, Register(value=Value(State.CLAIMED, ("d",))))
+        await store.synced()
+        await task.join()
+        again = RegisterStore(tmp_path, 3, lambda: 0.0)
+        assert len(again) == 1001
+        assert [again.get(key).value.claim_ids for key in ("0", "1", "new")] == [
+            ("d",),
+            ("c",),
+            ("d",),
+        ]
+
+    run(main)
