Measure the entry beside its baselines and test the steps of the demo

The entry phase of the benchmark runs once the pollenfold program has the daemons. A step of the demo whose action fails is reported and the next step goes on.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -69,7 +69,8 @@
     """Send load, take the action half a second later, then resend keys and check.
 
     Keys whose outcome is unknown are sent again through another entry; with
-    ``resends_all`` every key is.
+    ``resends_all`` every key is. An action that fails counts as a broken promise, and
+    the next step goes on.
     """
     plan = LoadPlan(
         stage.targets,
@@ -81,16 +82,19 @@
         healthy=stage.healthy,
     )
     task = await curio.spawn(run_load, plan)
-    n_late_work = None
-    try:
-        if action is not None:
-            await curio.sleep(0.5)
+    n_late_work, failure = None, ""
+    if action is not None:
+        await curio.sleep(0.5)
+        try:
             n_late_work = await action()
-    finally:
-        load = await task.join()
+        except (RuntimeError, TimeoutError) as error:
+            failure = str(error)
+    load = await task.join()
     step = StepResult(name, load, may_break=may_break, n_late_work=n_late_work)
     step.resends = await resend(stage, load, resends_all)
     finish_step(stage, step)
+    if failure:
+        step.broken_promises.append(failure)
     return step
 
 
@@ -231,18 +235,13 @@
 
 
 async def run_demo(cluster: Cluster, seed: int) -> list[StepResult]:
-    """Start the system, run the steps and return them; print what fails."""
+    """Start the system, run the steps and return them."""
     await cluster.start()
     await cluster.wait_for_work()
     async with HealthChecks(cluster.entries) as checks:
         run_logs = [backend.run_log for backend in cluster.backends]
         stage = Stage(cluster.targets, run_logs, checks.up, seed=seed)
-        try:
-            await run_steps(stage, cluster)
-        except (RuntimeError, TimeoutError) as error:
-            step = StepResult("stopped", LoadResult({}))
-            step.broken_promises.append(f"the demo stopped early: {error}")
-            stage.steps.append(step)
+        await run_steps(stage, cluster)
     return stage.steps
 
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -45,8 +45,8 @@
 
 
 DEFAULT_KINDS = (
-    CallKind("idempotent", "GET", "/stock/check", 0.9),
-    CallKind("non_idempotent", "POST", "/orders/bulk", 0.1, has_key=True),
+    CallKind("idempotent", "GET", "/pearl-market/stock/check", 0.9),
+    CallKind("non_idempotent", "POST", "/pearl-market/orders/bulk", 0.1, has_key=True),
 )
 
 
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -1,13 +1,9 @@
 """Comparison of selection policies in a small discrete-event model.
 
-Twelve entries send to 20 endpoints with 6 slots in three zones at 70 % load. Each
-entry sees only its own calls in flight, their latencies, and load reports that are as
-old as the answers that carried them. One endpoint is slow, one has a noisy neighbour,
-one fails fast for a part of the run, one reports that it is idle, and the calls come
-four times as fast for 5 ms in every 100 ms. All policies meet the same calls.
-
-The model has no admission, ejection, retries or zone preference, which lie on top of
-each policy in the same way.
+Each entry sees only its own calls in flight, their latencies, and load reports as old
+as the answers that carried them. One endpoint is slow, one has a noisy neighbour, one
+fails fast for a part of the run, and one reports that it is idle. The model has no
+admission, ejection, retries or zone preference.
 """
 
 from __future__ import annotations
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -22,7 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 
-PROGRAM = [sys.executable, "-m", "pollenfold.cli.main"]
+PROGRAM = [str(Path(sys.executable).with_name("pollenfold"))]
+"""The console script beside the interpreter of the virtual environment."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,10 +141,10 @@
 
 
 def daemons_exist() -> bool:
-    """Return whether this checkout contains the daemons."""
+    """Return whether the ``pollenfold`` program of this checkout has the daemons."""
     return all(
-        (ROOT / "pollenfold" / path).is_file()
-        for path in ("cli/main.py", "entry/daemon.py")
+        run_command([*PROGRAM, role, "--help"], 10)[0] == 0
+        for role in ("control", "ledger", "entry")
     )
 
 
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -15,11 +15,13 @@
 from pydantic import Field
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
+from .cluster import Cluster, Topology
 from .load import ClassResult, LoadPlan, LoadResult, run_at_most, run_load
 from .policies import compare_policies
 from .processes import (
     ProcessGroup,
     backend_command,
+    daemons_exist,
     forwarder_command,
     free_ports,
     wait_healthy,
@@ -43,6 +45,26 @@
     at_most_s: float = Field(default=3, gt=0)
 
 
+async def start_entry(group: ProcessGroup) -> dict[str, Address]:
+    """Start a whole system with one entry and one backend server.
+
+    Return the direct path and the entry's. The first round of calls warms the
+    backend server up.
+    """
+    topology = Topology(
+        n_entries=1,
+        services=("pearl-market",),
+        n_backends_per_service=1,
+        service_ms=0,
+        slots=64,
+    )
+    cluster = Cluster(group, topology)
+    await cluster.start()
+    await cluster.wait_for_work()
+    backend = cluster.backends[0]
+    return {"direct": (backend.host, backend.port), "entry": cluster.targets[0]}
+
+
 async def start_direct(group: ProcessGroup) -> Address:
     """Start a backend server that answers at once, so that it hides no cost."""
     host = "127.0.1.1"
@@ -141,8 +163,12 @@
 async def run_benchmarks(settings: BenchSettings, folder: Path) -> bool:
     """Print all figures; return whether every answer was whole."""
     with ProcessGroup(folder) as group:
-        backend = await start_direct(group)
-        paths = {"direct": backend, "forwarder": await start_forwarder(group, backend)}
+        if daemons_exist():
+            paths = await start_entry(group)
+        else:
+            print("entry=not_run", flush=True)
+            paths = {"direct": await start_direct(group)}
+        paths["forwarder"] = await start_forwarder(group, paths["direct"])
         latency = await measure_latency(paths, settings)
         for line in latency_lines(latency):
             print(line, flush=True)
--- /dev/null
+++ b/pollenfold/tests/benchmarks/test_demo_steps.py
@@ -0,0 +1,105 @@
+"""Steps of the demo on real processes, with fake backend servers as the entries."""
+
+import pytest
+
+from benchmarks import demo
+from benchmarks.cluster import Cluster, HealthChecks, Topology
+from benchmarks.demo import Stage, kill_and_restart, stop_entry, take_zone_out
+from benchmarks.processes import EntryAddress, ProcessGroup, wait_healthy
+
+
+class ClusterWithoutEntries(Cluster):
+    """Callers reach the servers directly, and operators' commands change nothing."""
+
+    async def operate(self, *arguments):
+        return ""
+
+    async def start(self):
+        self.start_backends()
+        self.entries = [
+            EntryAddress(one.name, one.zone, one.host, one.port, one.port, 0)
+            for one in self.backends
+        ]
+        for one in self.backends:
+            await wait_healthy(one.host, one.port)
+
+
+@pytest.fixture
+def with_stage(run, tmp_path):
+    """Return a function that runs a test body on a stage and its cluster."""
+
+    def run_with(body):
+        async def main():
+            with ProcessGroup(tmp_path) as group:
+                topology = Topology(services=("pearl-market",), slots=64)
+                cluster = ClusterWithoutEntries(group, topology)
+                await cluster.start()
+                async with HealthChecks(cluster.entries) as checks:
+                    run_logs = [one.run_log for one in cluster.backends]
+                    stage = Stage(cluster.targets, run_logs, checks.up)
+                    await body(stage, cluster)
+
+        run(main)
+
+    return run_with
+
+
+def test_planned_stop_that_drains_is_kept_and_a_kill_is_reported(with_stage):
+    """Guards against a stop step that can't tell a drain from a cut connection."""
+
+    async def body(stage, cluster):
+        await stop_entry(stage, cluster, 0)
+        assert stage.steps[-1].broken_promises == []
+        cluster.group.processes[cluster.entries[1].entry_id].kill()
+        await stop_entry(stage, cluster, 1)
+        failure = "pearl-market-1: expected exit status 0, got -9"
+        assert failure in stage.steps[-1].broken_promises
+
+    with_stage(body)
+
+
+def test_zone_that_goes_on_getting_work_is_a_broken_promise(with_stage, monkeypatch):
+    """Guards against a zone step that counts no work, or at the wrong time."""
+    monkeypatch.setattr(demo, "ZONE_LIMIT_S", 0.2)
+
+    async def body(stage, cluster):
+        await take_zone_out(stage, cluster, "b")
+        step = stage.steps[-1]
+        # 80 calls/s for 2 s over three servers.
+        assert step.n_late_work == pytest.approx(53, rel=0.5)
+        assert len(step.broken_promises) == 1
+
+    with_stage(body)
+
+
+def test_killed_server_is_started_again_and_its_runs_are_kept(with_stage):
+    """Guards against runs that are forgotten with the process that was killed."""
+
+    async def body(stage, cluster):
+        one = cluster.backends[0]
+
+        async def ready():
+            await wait_healthy(one.host, one.port)
+
+        await kill_and_restart(stage, cluster, "entry", one.name, ready)
+        step = stage.steps[-1]
+        assert step.broken_promises == []
+        n_known = len(one.run_log.read_text().splitlines())
+        assert n_known > (await cluster.counts(one))["n_runs"] > 0
+
+    with_stage(body)
+
+
+def test_action_that_fails_is_reported_with_its_step(with_stage):
+    """Guards against a step that fails and is missing in the table."""
+
+    async def body(stage, cluster):
+        async def fail():
+            raise RuntimeError("no such zone")
+
+        step = await demo.run_step(stage, "fails", 0.7, fail)
+        assert stage.steps == [step]
+        assert step.broken_promises == ["no such zone"]
+        assert demo.report(stage.steps) == 1
+
+    with_stage(body)
