--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -40,8 +40,8 @@
 
     seed: int = 1
     rate_per_s: float = Field(default=300, gt=0)
-    n_rounds: int = Field(default=4, ge=1)
-    phase_s: float = Field(default=4, gt=0)
+    n_rounds: int = Field(default=15, ge=1)
+    phase_s: float = Field(default=1, gt=0)
     at_most_s: float = Field(default=3, gt=0)
 
 
@@ -93,22 +93,26 @@
 
 
 async def measure_latency(
-    paths: dict[str, Address], settings: BenchSettings
+    paths: dict[str, Address],
+    settings: BenchSettings,
+    n_rounds: int,
+    is_bursty: bool = False,
 ) -> dict[str, dict[str, ClassResult]]:
     """Send the same calls to each path in turn, in rounds.
 
-    Alternating rounds spread the drift of a shared machine over all paths. The first
-    round only fills the connection pools and is left out.
+    Short alternating rounds spread the drift of a shared machine over all paths. The
+    first round only fills the connection pools and is left out.
     """
     results: dict[str, dict[str, ClassResult]] = {name: {} for name in paths}
-    for n_round in range(settings.n_rounds + 1):
+    for n_round in range(n_rounds + 1):
         for name, address in paths.items():
             plan = LoadPlan(
                 (address,),
                 settings.rate_per_s,
                 settings.phase_s * 1000,
                 settings.seed + n_round,
-                name=f"{name}-{n_round}",
+                is_bursty=is_bursty,
+                name=f"{name}-{'burst-' * is_bursty}{n_round}",
             )
             result = await run_load(plan)
             if n_round == 0:
@@ -136,7 +140,9 @@
     return results
 
 
-def latency_lines(results: dict[str, dict[str, ClassResult]]) -> Iterator[str]:
+def latency_lines(
+    results: dict[str, dict[str, ClassResult]], suffix: str = ""
+) -> Iterator[str]:
     """Yield the latency of each path beside that of the direct one."""
     direct = results["direct"]
     for name, classes in results.items():
@@ -145,11 +151,11 @@
                 value = one.percentile_ms(percentile)
                 base = direct[kind].percentile_ms(percentile)
                 yield (
-                    f"{name}.{kind}.p{percentile:g}_ms={value:.3f} "
+                    f"{name}{suffix}.{kind}.p{percentile:g}_ms={value:.3f} "
                     f"baseline_direct={base:.3f} added={value - base:.3f}"
                 )
             n_not_whole = one.n_sent - one.n_whole
-            yield f"{name}.{kind}.sent={one.n_sent} not_whole={n_not_whole}"
+            yield f"{name}{suffix}.{kind}.sent={one.n_sent} not_whole={n_not_whole}"
 
 
 def at_most_lines(results: dict[str, LoadResult]) -> Iterator[str]:
@@ -169,15 +175,18 @@
             print("entry=not_run", flush=True)
             paths = {"direct": await start_direct(group)}
         paths["forwarder"] = await start_forwarder(group, paths["direct"])
-        latency = await measure_latency(paths, settings)
+        latency = await measure_latency(paths, settings, settings.n_rounds)
         for line in latency_lines(latency):
             print(line, flush=True)
+        burst = await measure_latency(paths, settings, 5, is_bursty=True)
+        for line in latency_lines(burst, "_burst"):
+            print(line, flush=True)
         at_most = await measure_at_most(paths, settings)
         for line in at_most_lines(at_most):
             print(line, flush=True)
     return all(
         one.n_sent == one.n_whole
-        for classes in latency.values()
+        for classes in (*latency.values(), *burst.values())
         for one in classes.values()
     )
 
--- a/pollenfold/tests/testing/test_backend_server.py
+++ b/pollenfold/tests/testing/test_backend_server.py
@@ -131,6 +131,8 @@
         await curio.sleep(0.15)
         assert (await caller.read("/load"))["in_flight"] == 1
         assert server.counts.n_probes == 3
+        await caller.order(faults=[{"kind": "unhealthy"}])
+        assert (await caller.send("GET", "/healthz"))[0].ok.status == 503
 
     with_server(body, service_ms=150, jitter_sigma=0)
 
--- a/pollenfold/tests/testing/test_fault_table.py
+++ b/pollenfold/tests/testing/test_fault_table.py
@@ -4,6 +4,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from pollenfold.observe.clock import system_clock
 from pollenfold.testing.answers import check_answer
 from pollenfold.testing.backend_server import NOT_STARTED
 
@@ -16,20 +17,23 @@
     return {}
 
 
-@given(parsers.parse("a backend server with the fault {fault}"), target_fixture="fault")
-def fault_name(fault):
-    return fault
+@given(
+    parsers.parse("a backend server with the fault {kind} of {delay_ms:d} ms"),
+    target_fixture="faults",
+)
+def fault_rows(kind, delay_ms):
+    return [] if kind == "none" else [{"kind": kind, "delay_ms": delay_ms}]
 
 
 @when(parsers.parse('a caller sends a request with the key "{key}"'))
-def send(with_server, seen, fault, key):
+def send(with_server, seen, faults, key):
     async def body(server, caller):
-        if fault != "none":
-            await caller.order(faults=[{"kind": fault}])
-        result = None
+        await caller.order(faults=faults)
+        result, start = None, system_clock()
         async with curio.ignore_after(0.3):
             result, _ = await caller.send(key=key)
         seen.update(result=result, reusable=caller.reusable)
+        seen["took_ms"] = system_clock() - start
         seen["runs"] = (await caller.read("/stand-in/counts"))["runs"]
 
     with_server(body)
@@ -56,6 +60,11 @@
     assert seen["runs"].get(key, 0) == n_runs
 
 
+@then(parsers.parse("the exchange took at least {delay_ms:d} ms"))
+def exchange_took(seen, delay_ms):
+    assert seen["took_ms"] >= delay_ms
+
+
 @then(parsers.parse("the connection is reusable: {answer}"))
 def connection_is_reusable(seen, answer):
     assert seen["reusable"] == (answer == "yes")
