--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -140,10 +140,10 @@
 
 
 def daemons_exist() -> bool:
-    """Return whether this checkout contains the daemons."""
+    """Return whether the ``pollenfold`` program of this checkout has the daemons."""
     return all(
-        (ROOT / "pollenfold" / path).is_file()
-        for path in ("cli/main.py", "entry/daemon.py")
+        run_command([*PROGRAM, role, "--help"], 10)[0] == 0
+        for role in ("control", "ledger", "entry")
     )
 
 
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -15,11 +15,13 @@
 from pydantic import Field
 from pydantic_settings import BaseSettings, SettingsConfigDict
 
+from .cluster import Cluster, Topology
 from .load import ClassResult, LoadPlan, LoadResult, run_at_most, run_load
 from .policies import compare_policies
 from .processes import (
     ProcessGroup,
     backend_command,
+    daemons_exist,
     forwarder_command,
     free_ports,
     wait_healthy,
@@ -38,11 +40,31 @@
 
     seed: int = 1
     rate_per_s: float = Field(default=300, gt=0)
-    n_rounds: int = Field(default=4, ge=1)
-    phase_s: float = Field(default=4, gt=0)
+    n_rounds: int = Field(default=15, ge=1)
+    phase_s: float = Field(default=1, gt=0)
     at_most_s: float = Field(default=3, gt=0)
 
 
+async def start_entry(group: ProcessGroup) -> dict[str, Address]:
+    """Start a whole system with one entry and one backend server.
+
+    Return the direct path and the entry's. The first round of calls warms the
+    backend server up.
+    """
+    topology = Topology(
+        n_entries=1,
+        services=("pearl-market",),
+        n_backends_per_service=1,
+        service_ms=0,
+        slots=64,
+    )
+    cluster = Cluster(group, topology)
+    await cluster.start()
+    await cluster.wait_for_work()
+    backend = cluster.backends[0]
+    return {"direct": (backend.host, backend.port), "entry": cluster.targets[0]}
+
+
 async def start_direct(group: ProcessGroup) -> Address:
     """Start a backend server that answers at once, so that it hides no cost."""
     host = "127.0.1.1"
@@ -71,22 +93,26 @@
 
 
 async def measure_latency(
-    paths: dict[str, Address], settings: BenchSettings
+    paths: dict[str, Address],
+    settings: BenchSettings,
+    n_rounds: int,
+    is_bursty: bool = False,
 ) -> dict[str, dict[str, ClassResult]]:
     """Send the same calls to each path in turn, in rounds.
 
-    Alternating rounds spread the drift of a shared machine over all paths. The first
-    round only fills the connection pools and is left out.
+    Short alternating rounds spread the drift of a shared machine over all paths. The
+    first round only fills the connection pools and is left out.
     """
     results: dict[str, dict[str, ClassResult]] = {name: {} for name in paths}
-    for n_round in range(settings.n_rounds + 1):
+    for n_round in range(n_rounds + 1):
         for name, address in paths.items():
             plan = LoadPlan(
                 (address,),
                 settings.rate_per_s,
                 settings.phase_s * 1000,
                 settings.seed + n_round,
-                name=f"{name}-{n_round}",
+                is_bursty=is_bursty,
+                name=f"{name}-{'burst-' * is_bursty}{n_round}",
             )
             result = await run_load(plan)
             if n_round == 0:
@@ -114,7 +140,9 @@
     return results
 
 
-def latency_lines(results: dict[str, dict[str, ClassResult]]) -> Iterator[str]:
+def latency_lines(
+    results: dict[str, dict[str, ClassResult]], suffix: str = ""
+) -> Iterator[str]:
     """Yield the latency of each path beside that of the direct one."""
     direct = results["direct"]
     for name, classes in results.items():
@@ -123,11 +151,11 @@
                 value = one.percentile_ms(percentile)
                 base = direct[kind].percentile_ms(percentile)
                 yield (
-                    f"{name}.{kind}.p{percentile:g}_ms={value:.3f} "
+                    f"{name}{suffix}.{kind}.p{percentile:g}_ms={value:.3f} "
                     f"baseline_direct={base:.3f} added={value - base:.3f}"
                 )
             n_not_whole = one.n_sent - one.n_whole
-            yield f"{name}.{kind}.sent={one.n_sent} not_whole={n_not_whole}"
+            yield f"{name}{suffix}.{kind}.sent={one.n_sent} not_whole={n_not_whole}"
 
 
 def at_most_lines(results: dict[str, LoadResult]) -> Iterator[str]:
@@ -141,17 +169,24 @@
 async def run_benchmarks(settings: BenchSettings, folder: Path) -> bool:
     """Print all figures; return whether every answer was whole."""
     with ProcessGroup(folder) as group:
-        backend = await start_direct(group)
-        paths = {"direct": backend, "forwarder": await start_forwarder(group, backend)}
-        latency = await measure_latency(paths, settings)
+        if daemons_exist():
+            paths = await start_entry(group)
+        else:
+            print("entry=not_run", flush=True)
+            paths = {"direct": await start_direct(group)}
+        paths["forwarder"] = await start_forwarder(group, paths["direct"])
+        latency = await measure_latency(paths, settings, settings.n_rounds)
         for line in latency_lines(latency):
             print(line, flush=True)
+        burst = await measure_latency(paths, settings, 5, is_bursty=True)
+        for line in latency_lines(burst, "_burst"):
+            print(line, flush=True)
         at_most = await measure_at_most(paths, settings)
         for line in at_most_lines(at_most):
             print(line, flush=True)
     return all(
         one.n_sent == one.n_whole
-        for classes in latency.values()
+        for classes in (*latency.values(), *burst.values())
         for one in classes.values()
     )
 
