Probe the health endpoint at /healthz like the platform does

Cause of the demo's broken promise (2 requests in a zone 3 s after it was taken out): the prober asked for /health, which the fake backend server counts as work.

--- a/pollenfold/entry/probes.py
+++ b/pollenfold/entry/probes.py
@@ -22,7 +22,7 @@
 from ..http.messages import Response
 
 LOAD_PATH = b"/load"
-HEALTH_PATH = b"/health"
+HEALTH_PATH = b"/healthz"
 
 INTERVAL_MS = 20.0
 """How often the budgets are asked for probes."""
--- a/pollenfold/tests/entry/test_probes.py
+++ b/pollenfold/tests/entry/test_probes.py
@@ -58,7 +58,7 @@
     async def main():
         results, paths = await probe(body, status)
         assert 0 < len(results) <= 10
-        assert is_failure or set(paths) == {"/load", "/health"}
+        assert is_failure or set(paths) == {"/load", "/healthz"}
         assert {result.is_failure for result in results} == {is_failure}
         assert all(0 < result.n_bytes <= 2 * MAX_PROBE_BYTES for result in results)
         assert sum(result.n_bytes for result in results) <= 12 * MAX_PROBE_BYTES
