--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure; each prints name=value lines."""
--- /dev/null
+++ b/pollenfold/control/replica.py
@@ -0,0 +1,397 @@
+"""A control replica: drives the replicated log over the network and the disk."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+from expression import Error, Ok, Result
+from loguru import logger
+
+from ..core.agreement import (
+    ELECTION_TIMEOUT_MAX_MS,
+    ELECTION_TIMEOUT_MIN_MS,
+    HEARTBEAT_MS,
+    Role,
+    State,
+    initial_state,
+    is_leader,
+    step,
+)
+from ..core.agreement_messages import (
+    Action,
+    Apply,
+    Compact,
+    Event,
+    Message,
+    Propose,
+    Receive,
+    Request,
+    Restore,
+    Send,
+    Tick,
+)
+from ..core.clock import Clock, Instant, add_ms
+from ..core.errors import ErrorKind
+from ..storage.agreement import AgreementStorage, OpenJournal
+from ..storage.journal import Journal
+from ..wire.agreement import decode_message, encode_message
+from ..wire.frames import Protocol
+from ..wire.rpc import RpcClient
+
+ENTRIES_PER_SNAPSHOT = 256
+MAX_COMMAND_BYTES = 1 << 19
+CALL_TIMEOUT_MS = 400.0
+MAX_CALLS_PER_PEER = 8
+"""Bounds the calls that wait for a peer that doesn't answer."""
+
+MAX_FAILED_CALLS = 3
+"""After as many failures the connection is opened anew.
+
+The retransmission time of a connection across a long partition grows to minutes.
+"""
+
+REOPEN_AFTER_MS = 1000.0
+"""Time between attempts to open the data folder after a failed write."""
+
+
+class _Peer:
+    """The connection to one other replica."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.client = RpcClient(host, port)
+        self.n_calls = 0
+        self.n_failed_calls = 0
+
+
+class _Proposal:
+    """A command that waits to be applied; its result is set once."""
+
+    def __init__(self, term: int) -> None:
+        self.term = term
+        self.result: Result[int, ErrorKind] | None = None
+        self.event = curio.Event()
+
+
+class Replica:
+    """One replica of the log with its state machine.
+
+    ``peers`` maps the id of every replica, this one included, to host and port.
+    ``apply`` gets each committed command with its index, in order; ``snapshot``
+    returns the state machine as bytes, and ``restore`` replaces it. A replica whose
+    data folder can't be written takes no part until it can be.
+
+    For example, register ``replica.handle`` for ``Protocol.AGREEMENT`` in an
+    ``RpcServer``, spawn ``replica.run`` and call ``await replica.propose(b"x", 500)``
+    on the leader.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        peers: dict[str, tuple[str, int]],
+        data_folder: Path,
+        apply: Callable[[int, bytes], None],
+        snapshot: Callable[[], bytes],
+        restore: Callable[[bytes], None],
+        clock: Clock,
+        seed: int,
+        open_journal: OpenJournal = Journal.open,
+    ) -> None:
+        """Open the data folder.
+
+        Raise ValueError when it belongs to another replica or when ``peers`` lacks
+        ``replica_id``. ``open_journal`` replaces the journal in tests.
+        """
+        if replica_id not in peers:
+            raise ValueError(f"expected one of {sorted(peers)}, got {replica_id}")
+        self._replica_id = replica_id
+        self._replica_ids = frozenset(peers)
+        self._peers = {k: _Peer(*v) for k, v in peers.items() if k != replica_id}
+        self._data_folder = data_folder
+        self._apply = apply
+        self._snapshot = snapshot
+        self._restore = restore
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._open_journal = open_journal
+        self._storage: AgreementStorage | None = None
+        self._state: State | None = None
+        self._reopen_at = clock()
+        self._applied_index = 0
+        self._leader_since: tuple[int, Instant] | None = None
+        self._outbox: list[Message] = []
+        self._proposals: dict[int, _Proposal] = {}
+        self._resolved: list[_Proposal] = []
+        self._open()
+
+    # State
+
+    def is_leader(self) -> bool:
+        """Return whether no other replica can be the leader now."""
+        return self._state is not None and is_leader(self._state, self._clock())
+
+    def leader_id(self) -> str | None:
+        """Return the leader that this replica last heard of in its term."""
+        return None if self._state is None else self._state.leader_id
+
+    def leader_since(self) -> Instant | None:
+        """Return since when this replica is the leader, or None when it isn't."""
+        if self._leader_since is None or not self.is_leader():
+            return None
+        return self._leader_since[1]
+
+    def applied_index(self) -> int:
+        """Return the index of the last entry in the state machine."""
+        return self._applied_index
+
+    def status(self) -> dict[str, Any]:
+        """Return figures for operators."""
+        state = self._state
+        if state is None:
+            return {
+                "replica_id": self._replica_id,
+                "is_storage_failed": True,
+                "applied_index": self._applied_index,
+            }
+        return {
+            "replica_id": self._replica_id,
+            "incarnation": state.incarnation,
+            "is_storage_failed": False,
+            "is_blank": state.is_blank,
+            "is_leader": self.is_leader(),
+            "role": state.role.value,
+            "term": state.term,
+            "leader_id": state.leader_id,
+            "last_index": state.log.last_index,
+            "commit_index": state.commit_index,
+            "applied_index": self._applied_index,
+            "snapshot_index": state.log.snapshot.index,
+        }
+
+    # Entry points
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer a message of another replica; empty when there is no answer."""
+        decoded = decode_message(payload)
+        if decoded.is_error():
+            logger.warning("event=bad_message detail={!r}", decoded.error.detail)
+            return b""
+        message = decoded.ok
+        sent = self._step(Receive(message))
+        answers = [m for m in sent if _is_answer(m, message)]
+        self._outbox += [m for m in sent if not _is_answer(m, message)]
+        await self._flush()
+        return encode_message(answers[0]) if answers else b""
+
+    async def run(self) -> None:
+        """Drive elections, heartbeats and recovery until cancelled."""
+        try:
+            while True:
+                await curio.sleep(self._sleep_ms() / 1000)
+                if self._state is None and self._clock() >= self._reopen_at:
+                    self._open()
+                self._outbox += self._step(Tick())
+                await self._flush()
+        finally:
+            self._state = None
+            if self._storage is not None:
+                self._storage.close()
+            for peer in self._peers.values():
+                await peer.client.close()
+
+    async def propose(
+        self, command: bytes, timeout_ms: float
+    ) -> Result[int, ErrorKind]:
+        """Replicate a command and return its index once it is applied here.
+
+        ``NOT_LEADER`` means that the command won't be applied; after ``NO_QUORUM``
+        and ``STORAGE_FAILED`` it may be. Raise ValueError for an empty or oversized
+        command.
+        """
+        if not 0 < len(command) <= MAX_COMMAND_BYTES:
+            raise ValueError(
+                f"expected a command of 1 to {MAX_COMMAND_BYTES} bytes, "
+                f"got {len(command)}"
+            )
+        if self._state is None or not self.is_leader():
+            return Error(ErrorKind.NOT_LEADER)
+        proposal = _Proposal(self._state.term)
+        self._proposals[self._state.log.last_index + 1] = proposal
+        self._outbox += self._step(Propose(command))
+        await self._flush()
+        try:
+            async with curio.timeout_after(timeout_ms / 1000):
+                await proposal.event.wait()
+        except curio.TaskTimeout:
+            pass
+        finally:
+            self._proposals = {
+                k: v for k, v in self._proposals.items() if v is not proposal
+            }
+        return proposal.result or Error(ErrorKind.NO_QUORUM)
+
+    # Steps
+
+    def _sleep_ms(self) -> float:
+        """Return the time to the next tick, at most one heartbeat.
+
+        A message may make this replica the leader, which then needs a tick sooner
+        than a follower does.
+        """
+        wake_at = self._reopen_at if self._state is None else self._state.wake_at
+        return min(max(wake_at - self._clock(), 1.0), HEARTBEAT_MS)
+
+    def _timeout_ms(self) -> float:
+        return self._random.uniform(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
+
+    def _open(self) -> None:
+        """Start from the data folder, as after a restart of the process."""
+        try:
+            storage = AgreementStorage(
+                self._data_folder, self._replica_id, self._open_journal
+            )
+        except OSError as error:
+            self._fail(str(error))
+            return
+        self._storage = storage
+        self._state = initial_state(
+            self._replica_id,
+            self._replica_ids,
+            storage.identity.incarnation,
+            storage.identity.is_blank,
+            storage.stored,
+            storage.log,
+            self._clock(),
+            self._timeout_ms(),
+        )
+        snapshot = storage.log.snapshot
+        if snapshot.index > self._applied_index:
+            self._restore_from(snapshot.index, snapshot.data)
+
+    def _fail(self, detail: str) -> None:
+        """Take no part, since what this replica would acknowledge isn't durable."""
+        logger.error("event=storage_failed detail={!r}", detail)
+        if self._storage is not None:
+            self._storage.close()
+        self._storage = None
+        self._state = None
+        self._reopen_at = add_ms(self._clock(), REOPEN_AFTER_MS)
+        for index in list(self._proposals):
+            self._resolve(index, Error(ErrorKind.STORAGE_FAILED))
+
+    def _step(self, event: Event) -> list[Message]:
+        """Advance the log; return the messages, whose premises are durable."""
+        if self._state is None:
+            return []
+        before = self._state
+        state, actions = step(before, event, self._clock(), self._timeout_ms())
+        self._state = state
+        sent = self._perform(actions)
+        if self._state is None:
+            return []
+        self._observe(before, state)
+        n_entries = self._applied_index - state.log.snapshot.index
+        if n_entries >= ENTRIES_PER_SNAPSHOT and not isinstance(event, Compact):
+            sent += self._step(Compact(self._applied_index, self._snapshot()))
+        return [] if self._state is None else sent
+
+    def _perform(self, actions: list[Action]) -> list[Message]:
+        sent = []
+        for action in actions:
+            match action:
+                case Send(message):
+                    sent.append(message)
+                case Apply(entries):
+                    for entry in entries:
+                        self._apply_entry(entry.index, entry.term, entry.command)
+                case Restore(index, data):
+                    self._restore_from(index, data)
+                case _:
+                    assert self._storage is not None
+                    result = self._storage.persist(action)
+                    if result.is_error():
+                        self._fail(result.error.detail)
+                        return []
+        return sent
+
+    def _apply_entry(self, index: int, term: int, command: bytes) -> None:
+        # After the data folder was opened again, entries that this process has
+        # applied are committed a second time.
+        if index > self._applied_index:
+            if command:
+                self._apply(index, command)
+            self._applied_index = index
+        proposal = self._proposals.get(index)
+        if proposal is not None:
+            is_same = proposal.term == term
+            self._resolve(index, Ok(index) if is_same else Error(ErrorKind.NOT_LEADER))
+
+    def _restore_from(self, index: int, data: bytes) -> None:
+        if index > self._applied_index:
+            self._restore(data)
+            self._applied_index = index
+
+    def _observe(self, before: State, state: State) -> None:
+        """Log changes of role, and answer proposals that lost their leader."""
+        if (state.role, state.term) != (before.role, before.term):
+            logger.info(
+                "event=role_changed replica={} role={} term={}",
+                self._replica_id,
+                state.role.value,
+                state.term,
+            )
+        if before.is_blank and not state.is_blank:
+            logger.info("event=joined replica={}", self._replica_id)
+        if state.role is not Role.LEADER:
+            self._leader_since = None
+            for index in list(self._proposals):
+                self._resolve(index, Error(ErrorKind.NO_QUORUM))
+        elif self._leader_since is None and self.is_leader():
+            self._leader_since = (state.term, self._clock())
+
+    def _resolve(self, index: int, result: Result[int, ErrorKind]) -> None:
+        proposal = self._proposals.pop(index)
+        proposal.result = result
+        self._resolved.append(proposal)
+
+    # Messages
+
+    async def _flush(self) -> None:
+        resolved, self._resolved = self._resolved, []
+        outbox, self._outbox = self._outbox, []
+        for proposal in resolved:
+            await proposal.event.set()
+        for message in outbox:
+            peer = self._peers[message.recipient]
+            if peer.n_calls < MAX_CALLS_PER_PEER:
+                peer.n_calls += 1
+                await curio.spawn(self._call, peer, message, daemon=True)
+
+    async def _call(self, peer: _Peer, message: Message) -> None:
+        """Send a request and take its answer as an event."""
+        try:
+            result = await peer.client.call(
+                Protocol.AGREEMENT, encode_message(message), CALL_TIMEOUT_MS
+            )
+        finally:
+            peer.n_calls -= 1
+        if result.is_error():
+            peer.n_failed_calls += 1
+            if peer.n_failed_calls >= MAX_FAILED_CALLS:
+                peer.n_failed_calls = 0
+                await peer.client.close()
+            return
+        peer.n_failed_calls = 0
+        decoded = decode_message(result.ok) if result.ok else None
+        if decoded is not None and decoded.is_ok():
+            self._outbox += self._step(Receive(decoded.ok))
+            await self._flush()
+
+
+def _is_answer(message: Message, request: Message) -> bool:
+    is_request = isinstance(message.body, Request)
+    return message.recipient == request.sender and not is_request
--- /dev/null
+++ b/pollenfold/core/agreement.py
@@ -0,0 +1,167 @@
+"""The replicated log: Raft as a function of state, event and time.
+
+``step`` returns the next state and the actions to perform in their order. A persist
+action must be durable before the actions after it are performed; when it fails, the
+state must be dropped and the replica started again from what is stored.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .agreement_election import on_vote_request, on_vote_response, start_pre_vote
+from .agreement_log import Entry, Log, Snapshot
+from .agreement_messages import (
+    Action,
+    AppendRequest,
+    AppendResponse,
+    Compact,
+    Event,
+    Inquiry,
+    InquiryResponse,
+    Message,
+    PersistLog,
+    PersistState,
+    Propose,
+    Receive,
+    SnapshotRequest,
+    SnapshotResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from .agreement_rejoin import on_inquiry, on_inquiry_response, start_round
+from .agreement_replication import (
+    broadcast,
+    observe_incarnation,
+    on_append,
+    on_response,
+    on_snapshot,
+    propose,
+)
+from .agreement_state import (
+    ELECTION_TIMEOUT_MAX_MS,
+    ELECTION_TIMEOUT_MIN_MS,
+    HEARTBEAT_MS,
+    Rejoin,
+    Role,
+    State,
+    Step,
+    become_follower,
+    is_leader,
+    majority_answered_at,
+)
+from .clock import Instant, add_ms
+
+__all__ = [
+    "ELECTION_TIMEOUT_MAX_MS",
+    "ELECTION_TIMEOUT_MIN_MS",
+    "HEARTBEAT_MS",
+    "Entry",
+    "Log",
+    "Role",
+    "Snapshot",
+    "State",
+    "initial_state",
+    "is_leader",
+    "step",
+]
+
+
+def initial_state(
+    replica_id: str,
+    replica_ids: frozenset[str],
+    incarnation: str,
+    is_blank: bool,
+    stored: PersistState | None,
+    log: Log,
+    now: Instant,
+    timeout_ms: float,
+) -> State:
+    """Return the state of a replica that starts with what it has stored."""
+    if replica_id not in replica_ids:
+        raise ValueError(f"expected one of {sorted(replica_ids)}, got {replica_id}")
+    state = State(
+        replica_id,
+        tuple(sorted(replica_ids - {replica_id})),
+        incarnation,
+        heard_at=now,
+        wake_at=now if is_blank else add_ms(now, timeout_ms),
+        rejoin=Rejoin(now),
+        is_blank=is_blank,
+        log=log,
+        commit_index=log.snapshot.index,
+    )
+    if stored is None:
+        return state
+    return replace(
+        state,
+        term=stored.term,
+        vote=stored.vote,
+        vote_floor=stored.vote_floor,
+        founders=stored.founders,
+    )
+
+
+def step(state: State, event: Event, now: Instant, timeout_ms: float) -> Step:
+    """Return the state after the event and the actions to perform.
+
+    ``timeout_ms`` is a fresh random election timeout between
+    ``ELECTION_TIMEOUT_MIN_MS`` and ``ELECTION_TIMEOUT_MAX_MS``; it is used when the
+    event starts one.
+    """
+    match event:
+        case Receive(message):
+            return _on_message(state, message, now, timeout_ms)
+        case Propose(command):
+            return propose(state, command, now)
+        case Compact(index, data):
+            return _compact(state, index, data)
+        case _:
+            return _on_tick(state, now, timeout_ms)
+
+
+def _on_tick(state: State, now: Instant, timeout_ms: float) -> Step:
+    if now < state.wake_at:
+        return state, []
+    if state.is_blank:
+        return start_round(state, now, timeout_ms)
+    if state.role is not Role.LEADER:
+        return start_pre_vote(state, now, timeout_ms)
+    if now >= add_ms(majority_answered_at(state, now), ELECTION_TIMEOUT_MAX_MS):
+        return become_follower(state, state.term, None, add_ms(now, timeout_ms))
+    return broadcast(state, now)
+
+
+def _compact(state: State, index: int, data: bytes) -> Step:
+    log = state.log
+    term = log.term_at(index)
+    if term is None or not log.snapshot.index < index <= state.commit_index:
+        return state, []
+    state = replace(state, log=log.with_snapshot(Snapshot(index, term, data)))
+    actions: list[Action] = [PersistLog(state.log)]
+    return state, actions
+
+
+def _on_message(
+    state: State, message: Message, now: Instant, timeout_ms: float
+) -> Step:
+    if message.recipient != state.replica_id or message.sender not in state.peers:
+        return state, []
+    match message.body:
+        case VoteRequest() as body:
+            wake_at = add_ms(now, timeout_ms)
+            return on_vote_request(state, message, body, now, wake_at)
+        case VoteResponse() as body:
+            return on_vote_response(state, message, body, now, timeout_ms)
+        case AppendRequest() as body:
+            return on_append(state, message, body, now, timeout_ms)
+        case SnapshotRequest() as body:
+            return on_snapshot(state, message, body, now, timeout_ms)
+        case AppendResponse() | SnapshotResponse() as body:
+            return on_response(state, message, body, now, timeout_ms)
+        case Inquiry() as body:
+            if state.role is Role.LEADER:
+                state = observe_incarnation(state, message, True, now)
+            return on_inquiry(state, message, body)
+        case InquiryResponse() as body:
+            return on_inquiry_response(state, message, body, now, timeout_ms)
--- /dev/null
+++ b/pollenfold/core/agreement_election.py
@@ -0,0 +1,162 @@
+"""Pre-votes, votes and the start of a leader's term."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .agreement_log import Entry
+from .agreement_messages import (
+    Action,
+    Message,
+    PersistEntries,
+    VoteRequest,
+    VoteResponse,
+)
+from .agreement_replication import advance_commit, broadcast
+from .agreement_state import (
+    ELECTION_TIMEOUT_MIN_MS,
+    Progress,
+    Role,
+    State,
+    Step,
+    become_follower,
+    majority_answered_at,
+)
+from .clock import Instant, add_ms
+
+
+def start_pre_vote(state: State, now: Instant, timeout_ms: float) -> Step:
+    """Ask whether a majority would vote, without raising the term.
+
+    An isolated replica repeats this and keeps its term, so the others need no new
+    election when it returns.
+    """
+    state = replace(
+        state,
+        role=Role.PRE_CANDIDATE,
+        leader_id=None,
+        votes=frozenset({state.replica_id}),
+        wake_at=add_ms(now, timeout_ms),
+    )
+    if len(state.votes) >= state.n_majority:
+        return _start_vote(state, now, timeout_ms)
+    return state, _request_votes(state, state.term + 1, is_pre_vote=True)
+
+
+def _start_vote(state: State, now: Instant, timeout_ms: float) -> Step:
+    state = replace(
+        state,
+        role=Role.CANDIDATE,
+        term=state.term + 1,
+        vote=state.replica_id,
+        votes=frozenset({state.replica_id}),
+        wake_at=add_ms(now, timeout_ms),
+    )
+    actions: list[Action] = [state.persist()]
+    if len(state.votes) >= state.n_majority:
+        state, more = _become_leader(state, now)
+        return state, actions + more
+    return state, actions + _request_votes(state, state.term, is_pre_vote=False)
+
+
+def _request_votes(state: State, term: int, is_pre_vote: bool) -> list[Action]:
+    body = VoteRequest(term, is_pre_vote, state.log.last_index, state.log.last_term)
+    return [state.send(peer, body) for peer in state.peers]
+
+
+def _become_leader(state: State, now: Instant) -> Step:
+    last_index = state.log.last_index
+    entry = Entry(last_index + 1, state.term, b"")
+    progress = {peer: Progress(last_index + 1, now) for peer in state.peers}
+    state = replace(
+        state,
+        role=Role.LEADER,
+        leader_id=state.replica_id,
+        progress=progress,
+        log=state.log.with_entries((entry,)),
+        term_start_index=entry.index,
+    )
+    persist = PersistEntries((entry,))
+    state, sends = broadcast(state, now)
+    state, applies = advance_commit(state)
+    return state, [persist, *sends, *applies]
+
+
+def on_vote_request(
+    state: State, message: Message, request: VoteRequest, now: Instant, wake_at: Instant
+) -> Step:
+    """Answer a request for a vote or a pre-vote.
+
+    While a leader was heard within the shortest election timeout the request has no
+    effect, not even on the term; a leader relies on this for ``is_leader``.
+    """
+    if state.is_blank or _has_recent_leader(state, now):
+        return state, [_vote_response(state, message, request, False)]
+    is_current = (request.last_term, request.last_index) >= (
+        state.log.last_term,
+        state.log.last_index,
+    )
+    if request.is_pre_vote:
+        is_granted = is_current and request.term > state.term
+        return state, [_vote_response(state, message, request, is_granted)]
+    actions: list[Action] = []
+    if request.term > state.term:
+        state, actions = become_follower(state, request.term, None, state.wake_at)
+    is_granted = (
+        is_current
+        and request.term == state.term > state.vote_floor
+        and state.vote in (None, message.sender)
+    )
+    if is_granted:
+        state, _ = become_follower(state, state.term, None, wake_at)
+        state = replace(state, vote=message.sender)
+        actions = [state.persist()]
+    return state, [*actions, _vote_response(state, message, request, is_granted)]
+
+
+def _vote_response(
+    state: State, message: Message, request: VoteRequest, is_granted: bool
+) -> Action:
+    body = VoteResponse(
+        state.term, message.incarnation, request.is_pre_vote, request.term, is_granted
+    )
+    return state.send(message.sender, body)
+
+
+def _has_recent_leader(state: State, now: Instant) -> bool:
+    heard_at = state.heard_at
+    if state.role is Role.LEADER:
+        heard_at = majority_answered_at(state, now)
+    return now < add_ms(heard_at, ELECTION_TIMEOUT_MIN_MS)
+
+
+def on_vote_response(
+    state: State,
+    message: Message,
+    response: VoteResponse,
+    now: Instant,
+    timeout_ms: float,
+) -> Step:
+    """Count a vote, and move on with a majority.
+
+    A vote after the end of the candidacy doesn't count: the voter may have lost its
+    disk since, and ``agreement_rejoin`` relies on such votes being void.
+    """
+    if response.term > state.term and not response.is_granted:
+        return become_follower(state, response.term, None, add_ms(now, timeout_ms))
+    role = Role.PRE_CANDIDATE if response.is_pre_vote else Role.CANDIDATE
+    for_term = state.term + 1 if response.is_pre_vote else state.term
+    if (
+        state.role is not role
+        or response.to_incarnation != state.incarnation
+        or response.for_term != for_term
+        or not response.is_granted
+        or now >= state.wake_at
+    ):
+        return state, []
+    state = replace(state, votes=state.votes | {message.sender})
+    if len(state.votes) < state.n_majority:
+        return state, []
+    if response.is_pre_vote:
+        return _start_vote(state, now, timeout_ms)
+    return _become_leader(state, now)
--- /dev/null
+++ b/pollenfold/core/agreement_messages.py
@@ -0,0 +1,210 @@
+"""Messages, events and actions of the replicated log."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .agreement_log import Entry, Log
+from .clock import Instant
+
+
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Asks for a vote, or with ``is_pre_vote`` whether a vote would be given."""
+
+    term: int
+    is_pre_vote: bool
+    last_index: int
+    last_term: int
+
+
+@dataclass(frozen=True, slots=True)
+class VoteResponse:
+    """Answers the vote request that ``to_incarnation`` sent for ``for_term``."""
+
+    term: int
+    to_incarnation: str
+    is_pre_vote: bool
+    for_term: int
+    is_granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Entries after ``previous_index``; without entries it is a heartbeat.
+
+    ``last_index`` is the end of the leader's log when it sent the request, and
+    ``to_incarnation`` the incarnation of the recipient that it knew.
+    """
+
+    term: int
+    previous_index: int
+    previous_term: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    last_index: int
+    to_incarnation: str
+    sent_at: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class AppendResponse:
+    """Says up to which index the log agrees with the leader's.
+
+    After a failure ``match_index`` is where the leader should continue. ``sent_at``
+    is the leader's own instant from the request.
+    """
+
+    term: int
+    is_success: bool
+    match_index: int
+    is_blank: bool
+    sent_at: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """One part of a snapshot, from the byte ``offset_bytes`` on."""
+
+    term: int
+    index: int
+    snapshot_term: int
+    offset_bytes: int
+    n_total_bytes: int
+    data: bytes
+    last_index: int
+    to_incarnation: str
+    sent_at: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotResponse:
+    """Says how many bytes of the snapshot the follower holds."""
+
+    term: int
+    index: int
+    n_bytes: int
+    is_blank: bool
+    sent_at: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class Inquiry:
+    """A blank replica asks for the term of another one."""
+
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class InquiryResponse:
+    """Answers one round of inquiries of the incarnation ``to_incarnation``.
+
+    ``founders`` names the replicas and incarnations that were all blank at the same
+    time when the cluster was founded.
+    """
+
+    round: int
+    to_incarnation: str
+    is_blank: bool
+    term: int
+    founders: tuple[tuple[str, str], ...]
+
+
+Request = VoteRequest | AppendRequest | SnapshotRequest | Inquiry
+Response = VoteResponse | AppendResponse | SnapshotResponse | InquiryResponse
+Body = Request | Response
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """A message with its sender; ``incarnation`` is that of the sender."""
+
+    sender: str
+    recipient: str
+    incarnation: str
+    body: Body
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Receive:
+    """A message has arrived."""
+
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """A command for the log; only a leader takes it."""
+
+    command: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Compact:
+    """The state machine after the applied entry ``index`` is ``data``."""
+
+    index: int
+    data: bytes
+
+
+Event = Tick | Receive | Propose | Compact
+
+
+@dataclass(frozen=True, slots=True)
+class PersistState:
+    """Store term and vote before the actions that follow."""
+
+    term: int
+    vote: str | None
+    vote_floor: int
+    founders: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PersistEntries:
+    """Store the entries in place of all from the first one's index on."""
+
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PersistLog:
+    """Replace the stored snapshot and entries in one atomic step."""
+
+    log: Log
+
+
+@dataclass(frozen=True, slots=True)
+class PersistJoined:
+    """Store that this incarnation is no longer blank."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message once all actions before it are done."""
+
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Pass committed entries to the state machine."""
+
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Replace the state machine by a snapshot received from the leader."""
+
+    index: int
+    data: bytes
+
+
+Persist = PersistState | PersistEntries | PersistLog | PersistJoined
+Action = Persist | Send | Apply | Restore
--- /dev/null
+++ b/pollenfold/core/agreement_replication.py
@@ -0,0 +1,298 @@
+"""Replication of entries and snapshots from the leader to the others."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from .agreement_log import Entry, Snapshot
+from .agreement_messages import (
+    Action,
+    AppendRequest,
+    AppendResponse,
+    Apply,
+    Message,
+    PersistEntries,
+    PersistLog,
+    Restore,
+    SnapshotRequest,
+    SnapshotResponse,
+)
+from .agreement_rejoin import join_if_caught_up
+from .agreement_state import (
+    HEARTBEAT_MS,
+    Incoming,
+    Progress,
+    Role,
+    State,
+    Step,
+    become_follower,
+)
+from .clock import Instant, add_ms
+
+BATCH_LIMIT_BYTES = 1 << 18
+"""Keeps a batch with one greatest command below the frame limit of 1 MiB."""
+
+CHUNK_BYTES = 1 << 18
+
+
+def broadcast(state: State, now: Instant) -> Step:
+    """Send every follower what it lacks, or a heartbeat."""
+    state = replace(state, wake_at=add_ms(now, HEARTBEAT_MS))
+    actions: list[Action] = []
+    for peer in state.peers:
+        state, sends = _replicate(state, peer, now)
+        actions += sends
+    return state, actions
+
+
+def propose(state: State, command: bytes, now: Instant) -> Step:
+    """Append a command to the leader's log; any other replica ignores it."""
+    if state.role is not Role.LEADER:
+        return state, []
+    entry = Entry(state.log.last_index + 1, state.term, command)
+    state = replace(state, log=state.log.with_entries((entry,)))
+    actions: list[Action] = [PersistEntries((entry,))]
+    for peer in state.peers:
+        if not state.progress[peer].is_waiting:
+            state, sends = _replicate(state, peer, now)
+            actions += sends
+    state, applies = advance_commit(state)
+    return state, actions + applies
+
+
+def _replicate(state: State, peer: str, now: Instant) -> Step:
+    progress = state.progress[peer]
+    log = state.log
+    body: AppendRequest | SnapshotRequest
+    if progress.next_index <= log.snapshot.index:
+        body = _snapshot_request(state, progress, now)
+    else:
+        previous_index = progress.next_index - 1
+        body = AppendRequest(
+            state.term,
+            previous_index,
+            log.term_at(previous_index) or 0,
+            log.batch(progress.next_index, BATCH_LIMIT_BYTES),
+            state.commit_index,
+            log.last_index,
+            progress.incarnation,
+            now,
+        )
+    state = _with_progress(state, peer, replace(progress, is_waiting=True))
+    return state, [state.send(peer, body)]
+
+
+def _snapshot_request(
+    state: State, progress: Progress, now: Instant
+) -> SnapshotRequest:
+    snapshot = state.log.snapshot
+    offset_bytes = min(progress.snapshot_offset_bytes, len(snapshot.data))
+    return SnapshotRequest(
+        state.term,
+        snapshot.index,
+        snapshot.term,
+        offset_bytes,
+        len(snapshot.data),
+        snapshot.data[offset_bytes : offset_bytes + CHUNK_BYTES],
+        state.log.last_index,
+        progress.incarnation,
+        now,
+    )
+
+
+def _with_progress(state: State, peer: str, progress: Progress) -> State:
+    return replace(state, progress={**state.progress, peer: progress})
+
+
+def observe_incarnation(
+    state: State, message: Message, is_blank: bool, now: Instant
+) -> State:
+    """Forget what an earlier incarnation of a follower had stored."""
+    progress = state.progress.get(message.sender)
+    if progress is None or progress.incarnation == message.incarnation:
+        return state
+    if message.incarnation in progress.retired:
+        return state
+    if progress.incarnation:
+        retired = progress.retired | {progress.incarnation}
+        progress = Progress(1, progress.answered_at, retired=retired)
+    progress = replace(progress, incarnation=message.incarnation, is_blank=is_blank)
+    return _with_progress(state, message.sender, progress)
+
+
+def on_response(
+    state: State,
+    message: Message,
+    response: AppendResponse | SnapshotResponse,
+    now: Instant,
+    timeout_ms: float,
+) -> Step:
+    """Record what a follower holds, commit, and send what it still lacks."""
+    if response.term > state.term:
+        return become_follower(state, response.term, None, add_ms(now, timeout_ms))
+    if state.role is not Role.LEADER or response.term < state.term:
+        return state, []
+    state = observe_incarnation(state, message, response.is_blank, now)
+    progress = state.progress[message.sender]
+    if progress.incarnation != message.incarnation:
+        return state, []
+    progress = replace(
+        progress,
+        answered_at=max(progress.answered_at, response.sent_at),
+        is_blank=response.is_blank,
+        is_waiting=False,
+    )
+    progress = _updated(state, progress, response)
+    state = _with_progress(state, message.sender, progress)
+    state, actions = advance_commit(state)
+    if progress.next_index <= state.log.last_index:
+        state, sends = _replicate(state, message.sender, now)
+        actions += sends
+    return state, actions
+
+
+def _updated(
+    state: State, progress: Progress, response: AppendResponse | SnapshotResponse
+) -> Progress:
+    if isinstance(response, SnapshotResponse):
+        is_same = response.index == state.log.snapshot.index
+        offset_bytes = response.n_bytes if is_same else 0
+        return replace(progress, snapshot_offset_bytes=offset_bytes)
+    match_index = progress.match_index
+    if response.is_success:
+        match_index = max(match_index, response.match_index)
+        next_index = match_index + 1
+    else:
+        next_index = max(match_index, response.match_index) + 1
+    return replace(
+        progress,
+        match_index=match_index,
+        next_index=min(next_index, state.log.last_index + 1),
+        snapshot_offset_bytes=0,
+    )
+
+
+def advance_commit(state: State) -> Step:
+    """Commit what a majority holds, if it ends with an entry of the own term.
+
+    An entry of an earlier term on a majority may still be replaced by a later
+    leader, so it is committed only together with one of the own term.
+    """
+    matches = [state.log.last_index]
+    matches += [0 if p.is_blank else p.match_index for p in state.progress.values()]
+    matches.sort(reverse=True)
+    index = matches[state.n_majority - 1]
+    if index <= state.commit_index or state.log.term_at(index) != state.term:
+        return state, []
+    return _commit(state, index)
+
+
+def _commit(state: State, index: int) -> Step:
+    if index <= state.commit_index:
+        return state, []
+    entries = state.log.between(state.commit_index + 1, index)
+    return replace(state, commit_index=index), [Apply(entries)]
+
+
+def _follow(state: State, message: Message, term: int, now: Instant, ms: float) -> Step:
+    """Follow the leader that sent the message."""
+    state, actions = become_follower(state, term, message.sender, add_ms(now, ms))
+    return replace(state, heard_at=now), actions
+
+
+def on_append(
+    state: State,
+    message: Message,
+    request: AppendRequest,
+    now: Instant,
+    timeout_ms: float,
+) -> Step:
+    """Store the leader's entries when they continue the own log."""
+    if request.term < state.term:
+        return state, [_append_response(state, message, request, False, 0)]
+    state, actions = _follow(state, message, request.term, now, timeout_ms)
+    if request.previous_index >= state.log.snapshot.index:
+        if state.log.term_at(request.previous_index) != request.previous_term:
+            # The committed part always agrees, so the leader continues after it.
+            index = state.commit_index
+            response = _append_response(state, message, request, False, index)
+            return state, [*actions, response]
+    entries = state.log.new_entries(request.entries)
+    if entries:
+        if entries[0].index <= state.commit_index:
+            raise AssertionError(
+                f"expected entries after the committed index {state.commit_index}, "
+                f"got one that replaces index {entries[0].index}"
+            )
+        state = replace(state, log=state.log.with_entries(entries))
+        actions.append(PersistEntries(entries))
+    match_index = request.previous_index + len(request.entries)
+    state, applies = _commit(state, min(request.commit_index, match_index))
+    state, joins = join_if_caught_up(
+        state, request, match_index, add_ms(now, timeout_ms)
+    )
+    response = _append_response(state, message, request, True, match_index)
+    return state, [*actions, *joins, *applies, response]
+
+
+def _append_response(
+    state: State,
+    message: Message,
+    request: AppendRequest | SnapshotRequest,
+    is_success: bool,
+    match_index: int,
+) -> Action:
+    body = AppendResponse(
+        state.term, is_success, match_index, state.is_blank, request.sent_at
+    )
+    return state.send(message.sender, body)
+
+
+def on_snapshot(
+    state: State,
+    message: Message,
+    request: SnapshotRequest,
+    now: Instant,
+    timeout_ms: float,
+) -> Step:
+    """Collect the parts of a snapshot, and install it when it is complete."""
+    if request.term < state.term:
+        return state, [_append_response(state, message, request, False, 0)]
+    state, actions = _follow(state, message, request.term, now, timeout_ms)
+    if request.index <= state.commit_index:
+        index = state.commit_index
+        return state, [
+            *actions,
+            _append_response(state, message, request, True, index),
+        ]
+    state = replace(state, incoming=_collected(state, request))
+    assert state.incoming is not None
+    data = state.incoming.data
+    if len(data) < request.n_total_bytes:
+        body = SnapshotResponse(
+            state.term, request.index, len(data), state.is_blank, request.sent_at
+        )
+        return state, [*actions, state.send(message.sender, body)]
+    snapshot = Snapshot(request.index, request.snapshot_term, data)
+    state = replace(
+        state,
+        log=state.log.with_snapshot(snapshot),
+        commit_index=request.index,
+        incoming=None,
+    )
+    actions += [PersistLog(state.log), Restore(request.index, data)]
+    state, joins = join_if_caught_up(
+        state, request, request.index, add_ms(now, timeout_ms)
+    )
+    response = _append_response(state, message, request, True, request.index)
+    return state, [*actions, *joins, response]
+
+
+def _collected(state: State, request: SnapshotRequest) -> Incoming:
+    incoming = state.incoming
+    key = (request.term, request.index)
+    if incoming is None or (incoming.leader_term, incoming.index) != key:
+        incoming = Incoming(request.term, request.index, b"")
+    if request.offset_bytes == len(incoming.data):
+        incoming = replace(incoming, data=incoming.data + request.data)
+    return incoming
--- /dev/null
+++ b/pollenfold/core/agreement_state.py
@@ -0,0 +1,161 @@
+"""The state of one replica of the log, and what can be read from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from .agreement_log import Log
+from .agreement_messages import Action, Body, Message, PersistState, Send
+from .clock import Instant, add_ms
+
+HEARTBEAT_MS = 100.0
+ELECTION_TIMEOUT_MIN_MS = 400.0
+ELECTION_TIMEOUT_MAX_MS = 800.0
+
+
+class Role(Enum):
+    """What a replica is doing in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """What a leader knows of one follower.
+
+    ``answered_at`` is when the leader sent the last request that was answered.
+    ``retired`` holds earlier incarnations, whose late responses are ignored.
+    """
+
+    next_index: int
+    answered_at: Instant
+    match_index: int = 0
+    incarnation: str = ""
+    retired: frozenset[str] = frozenset()
+    is_blank: bool = False
+    is_waiting: bool = False
+    snapshot_offset_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """The part of a snapshot that has arrived so far."""
+
+    leader_term: int
+    index: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Rejoin:
+    """What a blank replica has learnt from the others.
+
+    ``blank`` holds the blank replicas of the current round, ``confirmed`` those of
+    the round before when all were blank, and ``terms`` the terms of the others.
+    """
+
+    started_at: Instant
+    round: int = 0
+    round_started_at: Instant = Instant(0.0)
+    blank: dict[str, str] = field(default_factory=dict)
+    confirmed: dict[str, str] = field(default_factory=dict)
+    terms: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """One replica: identity, durable state, then what a restart forgets.
+
+    No vote is given in a term up to ``vote_floor``. ``heard_at`` is when a leader
+    was last heard, or the start: a restarted replica may have promised its leader
+    not to vote for another just before. ``wake_at`` is when the next tick is due.
+    """
+
+    replica_id: str
+    peers: tuple[str, ...]
+    incarnation: str
+    heard_at: Instant
+    wake_at: Instant
+    rejoin: Rejoin
+    is_blank: bool
+    term: int = 0
+    vote: str | None = None
+    vote_floor: int = 0
+    founders: tuple[tuple[str, str], ...] = ()
+    log: Log = Log()
+    role: Role = Role.FOLLOWER
+    leader_id: str | None = None
+    commit_index: int = 0
+    votes: frozenset[str] = frozenset()
+    progress: dict[str, Progress] = field(default_factory=dict)
+    term_start_index: int = 0
+    incoming: Incoming | None = None
+
+    @property
+    def n_majority(self) -> int:
+        """Return the size of the smallest majority of all replicas."""
+        return (len(self.peers) + 1) // 2 + 1
+
+    def send(self, recipient: str, body: Body) -> Send:
+        """Return the action that sends a message from this replica."""
+        return Send(Message(self.replica_id, recipient, self.incarnation, body))
+
+    def persist(self) -> PersistState:
+        """Return the action that stores term and vote."""
+        return PersistState(self.term, self.vote, self.vote_floor, self.founders)
+
+
+Step = tuple[State, list[Action]]
+"""The state after an event, and the actions to perform in their order."""
+
+
+def majority_answered_at(state: State, now: Instant) -> Instant:
+    """Return the instant since which a majority has answered this leader.
+
+    A blank replica doesn't count, because it takes no part in elections.
+    """
+    instants = [now]
+    instants += [p.answered_at for p in state.progress.values() if not p.is_blank]
+    instants.sort(reverse=True)
+    if len(instants) < state.n_majority:
+        return Instant(float("-inf"))
+    return instants[state.n_majority - 1]
+
+
+def is_leader(state: State, now: Instant) -> bool:
+    """Return whether no other replica can have been elected.
+
+    True only while a majority answered within the shortest election timeout and an
+    entry of the own term is committed. The timeout counts from when the answered
+    requests were sent, which is before the others received them.
+    """
+    if state.role is not Role.LEADER or state.commit_index < state.term_start_index:
+        return False
+    return now < add_ms(majority_answered_at(state, now), ELECTION_TIMEOUT_MIN_MS)
+
+
+def become_follower(
+    state: State, term: int, leader_id: str | None, wake_at: Instant
+) -> Step:
+    """Return the state as a follower in the given term, which is never lower.
+
+    A blank replica keeps its time of the next inquiry, which heartbeats would
+    otherwise put off.
+    """
+    actions: list[Action] = []
+    if term > state.term:
+        state = replace(state, term=term, vote=None)
+        actions = [state.persist()]
+    state = replace(
+        state,
+        role=Role.FOLLOWER,
+        leader_id=leader_id,
+        wake_at=state.wake_at if state.is_blank else wake_at,
+        votes=frozenset(),
+        progress={},
+    )
+    return state, actions
--- /dev/null
+++ b/pollenfold/wire/agreement.py
@@ -0,0 +1,125 @@
+"""Messages of the replicated log as bytes."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+from functools import cache
+from typing import Any
+
+import capnp
+from expression import Error, Ok, Result
+
+from ..core.agreement_log import Entry
+from ..core.agreement_messages import (
+    AppendRequest,
+    AppendResponse,
+    Body,
+    Inquiry,
+    InquiryResponse,
+    Message,
+    SnapshotRequest,
+    SnapshotResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from ..core.errors import ErrorKind, Failure
+from .schemas import MAX_TRAVERSAL_WORDS, load_schema
+
+_BODY_TYPES: dict[str, type[Body]] = {
+    "voteRequest": VoteRequest,
+    "voteResponse": VoteResponse,
+    "appendRequest": AppendRequest,
+    "appendResponse": AppendResponse,
+    "snapshotRequest": SnapshotRequest,
+    "snapshotResponse": SnapshotResponse,
+    "inquiry": Inquiry,
+    "inquiryResponse": InquiryResponse,
+}
+_BODY_NAMES = {kind: name for name, kind in _BODY_TYPES.items()}
+
+
+def _camel_case(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.capitalize() for part in tail)
+
+
+@cache
+def _field_names(kind: type) -> tuple[tuple[str, str], ...]:
+    """Return each field's name in the data class and in the schema."""
+    return tuple((item.name, _camel_case(item.name)) for item in fields(kind))
+
+
+def _schema_value(name: str, value: Any) -> Any:
+    if name == "entries":
+        return [entry_fields(entry) for entry in value]
+    if name == "founders":
+        return founder_fields(value)
+    return value
+
+
+def _python_value(name: str, value: Any) -> Any:
+    if name == "entries":
+        return tuple(Entry(e.index, e.term, bytes(e.command)) for e in value)
+    if name == "founders":
+        return read_founders(value)
+    return bytes(value) if name == "data" else value
+
+
+def entry_fields(entry: Entry) -> dict[str, Any]:
+    """Return an entry as fields of the schema."""
+    return {"index": entry.index, "term": entry.term, "command": entry.command}
+
+
+def founder_fields(founders: tuple[tuple[str, str], ...]) -> list[dict[str, str]]:
+    """Return the founders as fields of the schema."""
+    return [
+        {"replicaId": replica_id, "incarnation": incarnation}
+        for replica_id, incarnation in founders
+    ]
+
+
+def read_founders(reader: Any) -> tuple[tuple[str, str], ...]:
+    """Return the founders of a schema reader."""
+    return tuple((item.replicaId, item.incarnation) for item in reader)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as the payload of a frame."""
+    body = message.body
+    body_fields = {
+        name: _schema_value(field, getattr(body, field))
+        for field, name in _field_names(type(body))
+    }
+    return (
+        load_schema("agreement")
+        .Message.new_message(
+            sender=message.sender,
+            recipient=message.recipient,
+            incarnation=message.incarnation,
+            **{_BODY_NAMES[type(body)]: body_fields},
+        )
+        .to_bytes()
+    )
+
+
+def decode_message(payload: bytes) -> Result[Message, Failure]:
+    """Read a message; a malformed payload gives ``BAD_FRAME``."""
+    schema = load_schema("agreement")
+    try:
+        with schema.Message.from_bytes(
+            payload, traversal_limit_in_words=MAX_TRAVERSAL_WORDS
+        ) as reader:
+            body_name = reader.which()
+            kind = _BODY_TYPES[str(body_name)]
+            body_reader = getattr(reader, str(body_name))
+            body = kind(
+                *(
+                    _python_value(field, getattr(body_reader, name))
+                    for field, name in _field_names(kind)
+                )
+            )
+            return Ok(
+                Message(reader.sender, reader.recipient, reader.incarnation, body)
+            )
+    except (capnp.KjException, LookupError, ValueError) as error:
+        return Error(Failure(ErrorKind.BAD_FRAME, str(error).splitlines()[0]))
