--- /dev/null
+++ b/properties/test_agreement.py
@@ -0,0 +1,123 @@
+"""The replicated log keeps its promises under any schedule of faults."""
+
+from hypothesis import event, given
+from hypothesis import strategies as st
+
+from pollenfold.core.agreement_messages import Tick
+from pollenfold.tests.core.cores import Cores
+
+FAULTS = [
+    "deliver",
+    "deliver",
+    "deliver",
+    "drop",
+    "duplicate",
+    "pass_time",
+    "pass_time",
+    "run",
+    "crash",
+    "restart",
+    "lose_disk",
+    "cut_off",
+    "heal",
+    "propose",
+    "propose",
+    "compact",
+]
+SCHEDULES = st.lists(
+    st.tuples(st.sampled_from(FAULTS), st.integers(0, 31), st.integers(0, 11)),
+    min_size=20,
+    max_size=80,
+)
+
+
+def may_lose_disk(cores, name):
+    """Beyond a minority of blank replicas the page promises no change."""
+    n_blank = sum(c.is_blank for k, c in cores.cores.items() if k != name)
+    return n_blank < (len(cores.cores) - 1) // 2
+
+
+def perform(cores, fault, first, second):
+    name = list(cores.cores)[first % len(cores.cores)]
+    core = cores.cores[name]
+    flight = cores.flight
+    match fault:
+        case "deliver":
+            for _ in range(min(second + 1, len(flight))):
+                cores.deliver(cores.random.randrange(len(flight)))
+        case "drop" if flight:
+            flight.pop(first % len(flight))
+        case "duplicate" if flight:
+            flight.append(flight[first % len(flight)])
+        case "pass_time":
+            cores.now += 80 * second
+            cores.step(name, Tick())
+        case "run":
+            cores.run(20 * first)
+        case "crash":
+            core.crash_after = second % 4
+        case "restart":
+            cores.start(name)
+        case "lose_disk" if may_lose_disk(cores, name):
+            cores.lose_disk(name)
+        case "cut_off":
+            cores.cut_off = {k for i, k in enumerate(cores.cores) if first >> i & 1}
+        case "heal":
+            cores.cut_off.clear()
+        case "propose":
+            cores.propose(b"%d" % first, name if second % 2 else None)
+        case "compact":
+            cores.compact(name)
+
+
+def check_progress(cores):
+    """All replicas take part and apply a new change soon after the faults stop."""
+    cores.cut_off.clear()
+    for name, core in cores.cores.items():
+        if core.state is None or core.crash_after is not None:
+            cores.start(name)
+    cores.run(10_000)
+    cores.propose(b"after the faults")
+    cores.run(500)
+    assert [e.command for e, _ in cores.committed][-1:] == [b"after the faults"]
+    for core in cores.cores.values():
+        assert not core.is_blank
+        assert core.n_applied == len(cores.committed)
+
+
+@given(st.sampled_from([3, 5]), st.booleans(), SCHEDULES, st.integers(0, 2**16))
+def test_any_schedule(n_cores, is_founded, schedule, seed):
+    """Guards against two leaders in a term, and lost or changed entries."""
+    cores = Cores(n_cores, seed)
+    if is_founded:
+        cores.run(2000)
+    for fault, first, second in schedule:
+        perform(cores, fault, first, second)
+    event(f"lost disks: {min(cores.n_lost_disks, 3)}")
+    check_progress(cores)
+
+
+@given(
+    st.sampled_from([3, 5]),
+    st.lists(st.tuples(st.integers(0, 4), SCHEDULES), min_size=2, max_size=4),
+    st.integers(0, 2**16),
+)
+def test_second_loss_right_after_a_repair(n_cores, losses, seed):
+    """Guards against a repaired replica that lets the others forget a change.
+
+    Each disk is lost in the middle of replication, and the next one as soon as the
+    page allows it.
+    """
+    cores = Cores(n_cores, seed)
+    cores.run(3000)
+    for lost, schedule in losses:
+        cores.propose(b"before the loss")
+        for fault, first, second in schedule[:12]:
+            perform(cores, fault, first, second)
+        name = list(cores.cores)[lost % n_cores]
+        for _ in range(200):
+            if may_lose_disk(cores, name):
+                cores.lose_disk(name)
+                break
+            cores.run(20)
+    check_progress(cores)
