--- a/pollenfold/tests/entry/test_probes.py
+++ b/pollenfold/tests/entry/test_probes.py
@@ -30,7 +30,7 @@
     server = HttpServer(handle)
     port = await server.start("127.0.0.1", 0)
     clock = ManualClock()
-    spec = make_service(probes_per_s=2.0, probe_bytes_per_s=2.0 * MAX_PROBE_BYTES)
+    spec = make_service(probes_per_s=2.0, probe_bytes_per_s=1.0 * MAX_PROBE_BYTES)
     endpoint = make_endpoint(host="127.0.0.1", port=port)
     target = ProbeTarget("a", (endpoint,), MeasurementBudget(spec, 1, clock()))
     results = []
@@ -61,7 +61,7 @@
         assert is_failure or set(paths) == {"/load", "/healthz"}
         assert {result.is_failure for result in results} == {is_failure}
         assert all(0 < result.n_bytes <= 2 * MAX_PROBE_BYTES for result in results)
-        assert sum(result.n_bytes for result in results) <= 12 * MAX_PROBE_BYTES
+        assert sum(result.n_bytes for result in results) <= 6 * MAX_PROBE_BYTES
         reports = [result.report for result in results if result.report]
         assert {(r.in_flight, r.slots, r.is_cold) for r in reports} == expected
 
