Forward requests to the warm-up owners while a whole service is cold

Ruled out: missing announcements, since the status listed the endpoints with limit 0. Alternatives: wait in the queue (helps only if callers reach an owner), synthetic warm-up requests (more load on a cold server).

--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -8,6 +8,7 @@
 from ..core.retries import AttemptOutcome
 from ..http.client import ExchangeFailure, HttpConnection
 from ..http.messages import Headers, Request, Response, find_header
+from ..http.pool import Pool
 from ..http.readiness import is_closed_by_peer
 from .backends import Backend
 
@@ -78,17 +79,17 @@
     return AttemptOutcome.SERVER_ERROR
 
 
-class Attempt:
-    """A request at one backend server, from the connection to the response.
+class OpenAttempt:
+    """A request over one pool, from the connection to the response.
 
     ``start`` sends it; ``wait`` reads the response and may be repeated while it
     gives None; ``finish`` gives the connection back or closes it.
     """
 
-    __slots__ = ("backend", "_clock", "_connection", "started_at")
+    __slots__ = ("_pool", "_clock", "_connection", "started_at")
 
-    def __init__(self, backend: Backend, clock: Clock) -> None:
-        self.backend = backend
+    def __init__(self, pool: Pool, clock: Clock) -> None:
+        self._pool = pool
         self.started_at = clock()
         self._clock = clock
         self._connection: HttpConnection | None = None
@@ -99,9 +100,7 @@
         if left_ms <= 0.0:
             return AttemptResult(AttemptOutcome.NOT_STARTED)
         try:
-            connection = await self.backend.pool.acquire(
-                min(CONNECT_TIMEOUT_MS, left_ms)
-            )
+            connection = await self._pool.acquire(min(CONNECT_TIMEOUT_MS, left_ms))
         except OSError:
             return AttemptResult(AttemptOutcome.NOT_STARTED)
         if connection is None:
@@ -155,4 +154,14 @@
         if self._connection is not None:
             connection = self._connection
             self._connection = None
-            await self.backend.pool.release(connection)
+            await self._pool.release(connection)
+
+
+class Attempt(OpenAttempt):
+    """A request at one backend server, whose slot it holds."""
+
+    __slots__ = ("backend",)
+
+    def __init__(self, backend: Backend, clock: Clock) -> None:
+        super().__init__(backend.pool, clock)
+        self.backend = backend
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -25,6 +25,7 @@
 from .actions import ActionRunner
 from .announcements import AnnouncementHandler
 from .configuration import ConfigurationClient, EntryAddresses
+from .forwarding import Forwarder
 from .gossip import Gossip
 from .health import EndpointHealth
 from .ledger_client import LedgerClient
@@ -93,6 +94,9 @@
         self.proxy = Proxy(
             self.services,
             self.actions,
+            Forwarder(
+                settings.entry_id, self.configuration.directory, seed, system_clock
+            ),
             self.has_lease,
             system_clock,
             self.histograms.record,
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -8,7 +8,12 @@
 from ..core.measurement import LoadReport, MeasurementBudget, parse_load_header
 from ..core.outliers import OutlierDetector
 from ..core.retries import AttemptOutcome
-from ..core.warming import Directory, WarmChange, WarmupController
+from ..core.warming import (
+    Directory,
+    WarmChange,
+    WarmupController,
+    warmup_owner,
+)
 from ..http.messages import find_header
 
 if TYPE_CHECKING:
@@ -60,6 +65,15 @@
             endpoint, spec, zone_version(view, endpoint.zone), self._directory(), now
         )
 
+    def warmup_owner(self, endpoint: Endpoint, view: ConfigurationView) -> str | None:
+        """Return the entry that may send to a cold endpoint, None for a warm one."""
+        if not view.is_zone_in(endpoint.zone) or endpoint.name in view.drained:
+            return None
+        is_current = endpoint.warm.zone_version == zone_version(view, endpoint.zone)
+        if endpoint.warm.is_warm and is_current:
+            return None
+        return warmup_owner(self._directory().entry_ids, endpoint.key)
+
     def budget(self, spec: ServiceSpec, max_entries: int) -> MeasurementBudget:
         """Return this entry's part of the measurement budget of a service."""
         known = self._budgets.get(spec.name)
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -22,6 +22,7 @@
     forwarded_headers,
     relayed_headers,
 )
+from .forwarding import Forwarder, LostError, is_forwarded
 from .hedges import race
 
 if TYPE_CHECKING:
@@ -65,12 +66,14 @@
         self,
         services: ServiceTable,
         actions: ActionRunner,
+        forwarder: Forwarder,
         has_lease: Callable[[], bool],
         clock: Clock,
         observe: Observer = _ignore,
     ) -> None:
         self._services = services
         self._actions = actions
+        self._forwarder = forwarder
         self._has_lease = has_lease
         self._clock = clock
         self._observe = observe
@@ -115,8 +118,10 @@
     async def _run_idempotent(
         self, runtime: ServiceRuntime, request: Request, deadline: Instant
     ) -> Response:
-        headers = forwarded_headers(request, [])
-        exchange = Exchange(request, headers, deadline)
+        exchange = Exchange(request, forwarded_headers(request, []), deadline)
+        if _must_forward(runtime, request):
+            forwarded = await self._forward(runtime, exchange, RequestClass.IDEMPOTENT)
+            return forwarded or Refusal(ErrorKind.NO_BACKEND_SERVER).response()
         result = await run_attempts(
             runtime, exchange, RequestClass.IDEMPOTENT, self._has_lease, self._clock
         )
@@ -128,21 +133,24 @@
         self, runtime: ServiceRuntime, request: Request, deadline: Instant
     ) -> Response:
         caller_key = request.header(IDEMPOTENCY_KEY)
+        if caller_key is not None and not 0 < len(caller_key) <= MAX_KEY_BYTES:
+            return self._refuse_early(request, ErrorKind.BAD_REQUEST)
+        key = caller_key or secrets.token_hex(16).encode()
+        headers = forwarded_headers(request, [])
+        if caller_key is None:
+            headers.append((IDEMPOTENCY_KEY, key))
+        exchange = Exchange(request, headers, deadline)
+        if _must_forward(runtime, request):
+            forwarded = await self._forward(
+                runtime, exchange, RequestClass.NON_IDEMPOTENT
+            )
+            return forwarded or self._refuse_early(request, ErrorKind.NO_BACKEND_SERVER)
         if caller_key is None:
             kind = runtime.slots.refusal(deadline)
             if kind is not None:
                 return Refusal(kind).response()
-            key = secrets.token_hex(16).encode()
-        elif 0 < len(caller_key) <= MAX_KEY_BYTES:
-            key = caller_key
-        else:
-            return self._refuse_early(request, ErrorKind.BAD_REQUEST)
 
         async def dispatch() -> Response | Refusal:
-            headers = forwarded_headers(request, [])
-            if caller_key is None:
-                headers.append((IDEMPOTENCY_KEY, key))
-            exchange = Exchange(request, headers, deadline)
             return await run_attempts(
                 runtime,
                 exchange,
@@ -155,6 +163,26 @@
             runtime.spec, key, caller_key is not None, deadline, dispatch
         )
 
+    async def _forward(
+        self, runtime: ServiceRuntime, exchange: Exchange, request_class: RequestClass
+    ) -> Response | None:
+        """Pass a request on to a warm-up owner; None when none was reached."""
+        try:
+            return await self._forwarder.forward(
+                exchange, runtime.warmup_owners, request_class
+            )
+        except LostError:
+            return Refusal(ErrorKind.OUTCOME_UNKNOWN).response()
+
+
+def _must_forward(runtime: ServiceRuntime, request: Request) -> bool:
+    """Return whether only other entries may send to the endpoints now."""
+    return (
+        not runtime.slots.candidates
+        and bool(runtime.warmup_owners)
+        and not is_forwarded(request)
+    )
+
 
 def _timeout_ms(request: Request, spec: ServiceSpec) -> float | None:
     """Return the time that the request may take, or None for a malformed header."""
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -23,7 +23,11 @@
 
 
 class ServiceRuntime:
-    """One service: its queue for slots, its endpoints, its retry and hedge budgets."""
+    """One service: its queue for slots, its endpoints, its retry and hedge budgets.
+
+    ``warmup_owners`` are the entries that may send to endpoints which this entry
+    must leave alone while they are cold.
+    """
 
     def __init__(
         self,
@@ -37,6 +41,7 @@
         self.spec = spec
         self.slots = SlotQueue(zone, spec.queue_limit, policy, seed, clock)
         self.backends: dict[str, Backend] = {}
+        self.warmup_owners: tuple[str, ...] = ()
         self.retry_budget = RatioBudget(spec.retry_ratio)
         self._hedge_budget = RatioBudget(spec.hedge_ratio, burst=2.0)
         self._latency = QuantileEstimate(0.95, initial_ms=spec.timeout_ms / 4)
@@ -99,6 +104,7 @@
     ) -> None:
         """Take over the endpoints known now, with their limits at this moment."""
         usable = []
+        owners = set()
         n_connections = connection_limit(
             self.spec.connections_per_endpoint, view.fleet.max_entries
         )
@@ -116,6 +122,9 @@
             candidate.limit = self._health.limit(self.spec, endpoint, view)
             if candidate.limit > 0:
                 usable.append(candidate)
+            else:
+                owners.add(self._health.warmup_owner(endpoint, view))
+        self.warmup_owners = tuple(owner for owner in owners if owner is not None)
         await self._drop_absent(present)
         await self.slots.update(tuple(usable))
 
