Count an unreachable backend server as a failure, so that it is ejected

Cause: a refused connection was classed like a 503 that the server answered, which ejection ignores on purpose, so a killed server kept its share of the attempts and used up the retry budget.

--- a/pollenfold/core/retries.py
+++ b/pollenfold/core/retries.py
@@ -15,7 +15,11 @@
     """A whole response with status 500, 502, 503 or 504."""
 
     NOT_STARTED = "not_started"
-    """No byte was sent, or the server said that it did not start."""
+    """The server said that it did not start, or nothing was tried for want of time or
+    of a connection under the limit."""
+
+    UNREACHABLE = "unreachable"
+    """No connection could be opened or used, and no byte was sent."""
 
     LOST = "lost"
     """The request was sent at least in part and no whole response came."""
@@ -29,7 +33,7 @@
 
     A non-idempotent request is sent again only when it provably never started.
     """
-    if outcome is AttemptOutcome.NOT_STARTED:
+    if outcome in (AttemptOutcome.NOT_STARTED, AttemptOutcome.UNREACHABLE):
         return True
     if request_class is RequestClass.NON_IDEMPOTENT:
         return False
--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -102,7 +102,7 @@
         try:
             connection = await self._pool.acquire(min(CONNECT_TIMEOUT_MS, left_ms))
         except OSError:
-            return AttemptResult(AttemptOutcome.NOT_STARTED)
+            return AttemptResult(AttemptOutcome.UNREACHABLE)
         if connection is None:
             return AttemptResult(AttemptOutcome.NOT_STARTED)
         self._connection = connection
@@ -117,7 +117,7 @@
         if failure is None:
             return None
         if failure is ExchangeFailure.NOT_SENT:
-            return AttemptResult(AttemptOutcome.NOT_STARTED)
+            return AttemptResult(AttemptOutcome.UNREACHABLE)
         return AttemptResult(AttemptOutcome.LOST)
 
     async def wait(self, timeout_ms: float) -> AttemptResult | None:
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -105,9 +105,14 @@
         now = self._clock()
         endpoint = backend.endpoint
         outcome = result.outcome
+        report = self._read_report(spec, result, now)
+        if outcome is AttemptOutcome.UNREACHABLE:
+            # Not a sign of coldness: a server that restarted announces itself anew.
+            detector = self._detector(endpoint.service)
+            detector.record(endpoint.key, True, latency_ms, now)
+            return None
         was_shed = outcome is AttemptOutcome.NOT_STARTED
         is_failure = outcome is not AttemptOutcome.RESPONDED and not was_shed
-        report = self._read_report(spec, result, now)
         if endpoint.warm.is_warm and not was_shed:
             detector = self._detector(endpoint.service)
             detector.record(endpoint.key, is_failure, latency_ms, now)
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -259,7 +259,7 @@
     """Return the whole response of the last attempt, or what its failure means."""
     if last is None:
         return refusal
-    if last.outcome is AttemptOutcome.NOT_STARTED:
+    if last.outcome in (AttemptOutcome.NOT_STARTED, AttemptOutcome.UNREACHABLE):
         if refusal.kind is ErrorKind.NO_BACKEND_SERVER:
             return Refusal(ErrorKind.BACKEND_REFUSED)
         return refusal
--- a/pollenfold/tests/core/test_retries.py
+++ b/pollenfold/tests/core/test_retries.py
@@ -19,6 +19,7 @@
         (AttemptOutcome.RESPONDED, False, False),
         (AttemptOutcome.SERVER_ERROR, True, False),
         (AttemptOutcome.NOT_STARTED, True, True),
+        (AttemptOutcome.UNREACHABLE, True, True),
         (AttemptOutcome.LOST, True, False),
         (AttemptOutcome.EXPIRED, False, False),
     ],
