Open connections by IP address without a worker thread

Cause: curio.open_connection looks names up in a worker thread; a profile of the entry showed ThreadWorker frames. Addresses are IP addresses by the platform's rules, so the look-up is not needed. 'One loop on one thread' holds now.

--- a/pollenfold/entry/probes.py
+++ b/pollenfold/entry/probes.py
@@ -20,6 +20,7 @@
 from ..core.membership import Endpoint
 from ..http.client import HttpConnection
 from ..http.messages import Response
+from ..wire.connections import open_connection
 
 LOAD_PATH = b"/load"
 HEALTH_PATH = b"/healthz"
@@ -198,7 +199,7 @@
         if kept is not None:
             kept[0].start()
             return kept
-        sock = CountingSocket(await curio.open_connection(endpoint.host, endpoint.port))
+        sock = CountingSocket(await open_connection(endpoint.host, endpoint.port))
         return sock, HttpConnection(sock)
 
     async def _keep(
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -9,6 +9,7 @@
 from curio import socket
 from expression import Error, Ok, Result
 
+from ..wire.connections import open_connection
 from .messages import Headers, Response
 from .readiness import is_readable
 
@@ -66,8 +67,7 @@
     @classmethod
     async def open(cls, host: str, port: int) -> HttpConnection:
         """Connect; raise OSError when the server can't be reached."""
-        sock = await curio.open_connection(host, port)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = await open_connection(host, port)
         return cls(sock)
 
     def is_stale(self) -> bool:
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from ..core.errors import ErrorKind, Failure
+from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
 
 Handler = Callable[[bytes], Awaitable[bytes]]
@@ -189,8 +190,7 @@
     async def _connected(self) -> socket.socket:
         async with self._connect_lock:
             if self._sock is None:
-                sock = await curio.open_connection(self.host, self.port)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                sock = await open_connection(self.host, self.port)
                 self._sock = sock
                 self._reader = await curio.spawn(self._read, sock, daemon=True)
             return self._sock
