--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -122,7 +122,7 @@
         self._state: State | None = None
         self._reopen_at = clock()
         self._applied_index = 0
-        self._leader_since: tuple[int, Instant] | None = None
+        self._leader_since: Instant | None = None
         self._outbox: list[Message] = []
         self._proposals: dict[int, _Proposal] = {}
         self._resolved: list[_Proposal] = []
@@ -140,9 +140,7 @@
 
     def leader_since(self) -> Instant | None:
         """Return since when this replica is the leader, or None when it isn't."""
-        if self._leader_since is None or not self.is_leader():
-            return None
-        return self._leader_since[1]
+        return self._leader_since if self.is_leader() else None
 
     def applied_index(self) -> int:
         """Return the index of the last entry in the state machine."""
@@ -351,7 +349,7 @@
             for index in list(self._proposals):
                 self._resolve(index, Error(ErrorKind.NO_QUORUM))
         elif self._leader_since is None and self.is_leader():
-            self._leader_since = (state.term, self._clock())
+            self._leader_since = self._clock()
 
     def _resolve(self, index: int, result: Result[int, ErrorKind]) -> None:
         proposal = self._proposals.pop(index)
@@ -361,15 +359,21 @@
     # Messages
 
     async def _flush(self) -> None:
+        """Answer proposals and send messages.
+
+        The task may belong to a connection that closes now; the proposals and
+        messages belong to others.
+        """
         resolved, self._resolved = self._resolved, []
         outbox, self._outbox = self._outbox, []
-        for proposal in resolved:
-            await proposal.event.set()
-        for message in outbox:
-            peer = self._peers[message.recipient]
-            if peer.n_calls < MAX_CALLS_PER_PEER:
-                peer.n_calls += 1
-                await curio.spawn(self._call, peer, message, daemon=True)
+        async with curio.disable_cancellation():
+            for proposal in resolved:
+                await proposal.event.set()
+            for message in outbox:
+                peer = self._peers[message.recipient]
+                if peer.n_calls < MAX_CALLS_PER_PEER:
+                    peer.n_calls += 1
+                    await curio.spawn(self._call, peer, message, daemon=True)
 
     async def _call(self, peer: _Peer, message: Message) -> None:
         """Send a request and take its answer as an event."""
--- a/pollenfold/core/agreement_log.py
+++ b/pollenfold/core/agreement_log.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+ENTRY_OVERHEAD_BYTES = 64
+"""Bounds what the encoding of an entry adds to its command."""
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -66,7 +69,7 @@
         n_bytes = 0
         batch: list[Entry] = []
         for entry in self.between(first_index, self.last_index):
-            n_bytes += len(entry.command)
+            n_bytes += len(entry.command) + ENTRY_OVERHEAD_BYTES
             if batch and n_bytes > limit_bytes:
                 break
             batch.append(entry)
--- a/pollenfold/storage/journal.py
+++ b/pollenfold/storage/journal.py
@@ -94,6 +94,7 @@
     def rewrite(self, entries: list[bytes]) -> Result[None, Failure]:
         """Replace all entries in one atomic step; ``STORAGE_FAILED`` on failure."""
         temporary = self.path.with_suffix(".new")
+        descriptor = None
         try:
             descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
             data = memoryview(b"".join(_frame(entry) for entry in entries))
@@ -104,6 +105,8 @@
             sync_folder(self.path.parent)
         except OSError as error:
             self._failed = True
+            if descriptor is not None:
+                os.close(descriptor)
             return Error(Failure(ErrorKind.STORAGE_FAILED, str(error)))
         os.close(self._descriptor)
         self._descriptor = descriptor
--- a/pollenfold/tests/control/test_replica.py
+++ b/pollenfold/tests/control/test_replica.py
@@ -183,7 +183,7 @@
 
 
 def test_torn_last_entry_is_cut_off(cluster_run):
-    """Guards against a crash in the middle of a write that stops a replica."""
+    """Guards against a torn write that stops a replica or hides what follows it."""
 
     async def check(cluster):
         commands = [b"%d" % i for i in range(5)]
@@ -194,6 +194,8 @@
                 file.write(b"\x00\x00\x00\x40" + b"part of an entry")
         await cluster.start()
         await cluster.propose(b"last")
+        await cluster.stop()
+        await cluster.start()
         for node in cluster.nodes.values():
             await until(lambda: node.commands and node.commands[-1] == b"last")
             assert node.commands == [*commands, b"last"]
@@ -288,3 +290,26 @@
         assert leader.replica.is_leader()
 
     cluster_run(check)
+
+
+def test_silent_connection_is_opened_anew(run, tmp_path):
+    """Guards against a connection that stays silent for minutes after a partition."""
+
+    async def main():
+        n_accepted = 0
+
+        async def swallow(client, address):
+            nonlocal n_accepted
+            n_accepted += 1
+            while await client.recv(1000):
+                pass
+
+        cluster = Cluster(tmp_path, 2)
+        silent = cluster.listen("b")
+        task = await curio.spawn(curio.network.run_server, silent, swallow)
+        await cluster.nodes["a"].start()
+        await until(lambda: n_accepted > 1)
+        await cluster.stop()
+        await task.cancel()
+
+    run(main)
--- a/pollenfold/tests/core/test_agreement.py
+++ b/pollenfold/tests/core/test_agreement.py
@@ -44,6 +44,14 @@
     return sent
 
 
+def run_until(cores, condition):
+    """Run until the condition holds, for 10 s at most."""
+    end = cores.now + 10_000
+    while not condition():
+        assert cores.now < end
+        cores.run(1)
+
+
 def is_applied(cores, command):
     return command in [entry.command for entry, _ in cores.committed]
 
@@ -104,8 +112,7 @@
 def test_new_leader_leads_once_an_entry_of_its_term_is_committed():
     """Guards against a new leader that doesn't know what is committed."""
     cores = Cores(3)
-    while cores.leader() is None:
-        cores.run(1)
+    run_until(cores, lambda: cores.leader() is not None)
     assert not is_leader(cores.leader(), cores.now)
     cores.run(50)
     assert is_leader(cores.leader(), cores.now)
@@ -170,8 +177,7 @@
     cores.run(5000)
     assert cores.cores[repaired].is_blank
     cores.cut_off = set()
-    while cores.cores[repaired].is_blank:
-        cores.run(1)
+    run_until(cores, lambda: not cores.cores[repaired].is_blank)
     cores.lose_disk(leader)
     cores.cut_off = {behind}
     cores.run(5000)
@@ -257,16 +263,15 @@
     core = cores.cores[candidate]
     term = core.state.term + 1
     cores.cut_off = {candidate}
-    while core.state.term < term:
-        cores.run(10)
-        for name in (late_voter, voter):
-            granted = messages.VoteResponse(0, core.incarnation, True, term, True)
-            receive(cores, name, candidate, granted)
+    run_until(cores, lambda: core.state.leader_id is None)
+    granted = messages.VoteResponse(0, core.incarnation, True, term, True)
+    for name in (late_voter, voter):
+        receive(cores, name, candidate, granted)
+    assert core.state.term == term
     votes = messages.VoteResponse(term, core.incarnation, False, term, True)
     receive(cores, voter, candidate, votes)
     cores.lose_disk(voter)
-    while cores.cores[voter].is_blank:
-        cores.run(1)
+    run_until(cores, lambda: not cores.cores[voter].is_blank)
     receive(cores, late_voter, candidate, votes)
     assert cores.leaders.get(term) != candidate
     assert cores.leader().replica_id == leader
--- a/pollenfold/tests/storage/test_journal.py
+++ b/pollenfold/tests/storage/test_journal.py
@@ -62,3 +62,16 @@
     assert journal.rewrite([b"snapshot"]).is_ok()
     assert journal.append([b"after"]).is_ok()
     assert Journal.open(path)[1] == [b"snapshot", b"after"]
+
+
+def test_failed_rewrite_closes_its_file(tmp_path, monkeypatch):
+    """Guards against attempts on a full disk that use up the file descriptors."""
+    journal, _ = Journal.open(tmp_path / "log")
+    n_open = len(os.listdir("/proc/self/fd"))
+
+    def fail(descriptor):
+        raise OSError("no space left")
+
+    monkeypatch.setattr(os, "fsync", fail)
+    assert journal.rewrite(ENTRIES).error.kind is ErrorKind.STORAGE_FAILED
+    assert len(os.listdir("/proc/self/fd")) == n_open
