--- a/pollenfold/tests/control/test_replica.py
+++ b/pollenfold/tests/control/test_replica.py
@@ -1,5 +1,7 @@
 """Control replicas over loopback: restarts, lost writes, isolation."""
 
+import shutil
+
 import curio
 import pytest
 from expression import Error
@@ -178,3 +180,136 @@
             assert node.replica.status()["snapshot_index"] >= 256
 
     cluster_run(check)
+
+
+def test_torn_last_entry_is_cut_off(cluster_run):
+    """Guards against a torn write that stops a replica or hides what follows it."""
+
+    async def check(cluster):
+        commands = [b"%d" % i for i in range(5)]
+        await cluster.propose(*commands)
+        await cluster.stop()
+        for node in cluster.nodes.values():
+            with open(node.folder / "log", "ab") as file:
+                file.write(b"\x00\x00\x00\x40" + b"part of an entry")
+        await cluster.start()
+        await cluster.propose(b"last")
+        await cluster.stop()
+        await cluster.start()
+        for node in cluster.nodes.values():
+            await until(lambda: node.commands and node.commands[-1] == b"last")
+            assert node.commands == [*commands, b"last"]
+
+    cluster_run(check)
+
+
+def test_full_disk_makes_the_leader_step_down(cluster_run):
+    """Guards against an acknowledged change that isn't stored, and a crash loop."""
+
+    async def check(cluster):
+        await cluster.propose(b"first")
+        failed = await cluster.leader()
+        failed.is_disk_full = True
+        refused = await failed.replica.propose(b"lost", 1000)
+        assert refused.error is ErrorKind.STORAGE_FAILED
+        assert not failed.replica.is_leader()
+        assert failed.replica.status()["is_storage_failed"]
+        again = await failed.replica.propose(b"refused", 1000)
+        assert again.error is ErrorKind.NOT_LEADER
+        await cluster.propose(b"second")
+        assert failed.replica.status()["is_storage_failed"]
+        failed.is_disk_full = False
+        await until(lambda: failed.commands == [b"first", b"second"])
+
+    cluster_run(check)
+
+
+def test_isolated_replica_returns_without_an_election(cluster_run):
+    """Guards against a returning replica that deposes the leader."""
+
+    async def check(cluster):
+        leader = await cluster.leader()
+        isolated = next(n for n in cluster.nodes.values() if n is not leader)
+        await cluster.propose(b"first")
+        await until(lambda: isolated.commands == [b"first"])
+        term = leader.replica.status()["term"]
+        isolated.is_isolated = True
+        await until(lambda: isolated.replica.status()["role"] == "pre_candidate")
+        await curio.sleep(1)
+        await cluster.propose(b"second")
+        assert isolated.commands == [b"first"]
+        isolated.is_isolated = False
+        await until(lambda: isolated.commands == [b"first", b"second"])
+        assert leader.replica.is_leader()
+        assert {n.replica.status()["term"] for n in cluster.nodes.values()} == {term}
+
+    cluster_run(check)
+
+
+def test_isolated_leader_steps_down(cluster_run):
+    """Guards against an old leader that still takes changes or claims to lead."""
+
+    async def check(cluster):
+        await cluster.propose(b"first")
+        old = await cluster.leader()
+        old.is_isolated = True
+        lost = await old.replica.propose(b"lost", 1500)
+        assert lost.error is ErrorKind.NO_QUORUM
+        assert not old.replica.is_leader()
+        await cluster.propose(b"second")
+        old.is_isolated = False
+        await until(lambda: old.commands == [b"first", b"second"])
+
+    cluster_run(check)
+
+
+def test_lost_disk_is_filled_again(cluster_run):
+    """Guards against a replaced disk that stays empty, or votes too early."""
+
+    async def check(cluster):
+        await cluster.propose(*[b"%d" % i for i in range(300)])
+        lost = next(iter(cluster.nodes.values()))
+        await lost.stop()
+        shutil.rmtree(lost.folder)
+        await lost.start()
+        assert lost.replica.status()["is_blank"]
+        await until(lambda: not lost.replica.status()["is_blank"])
+        await cluster.propose(b"last")
+        await until(lambda: len(lost.commands) == 301)
+
+    cluster_run(check)
+
+
+def test_malformed_message_is_ignored(cluster_run):
+    """Guards against garbage on the peer port that stops a replica."""
+
+    async def check(cluster):
+        leader = await cluster.leader()
+        for garbage in (b"", b"\x00" * 8, b"\xff" * 64):
+            assert await leader.replica.handle(garbage) == b""
+        assert leader.replica.is_leader()
+
+    cluster_run(check)
+
+
+def test_silent_connection_is_opened_anew(run, tmp_path):
+    """Guards against a connection that stays silent for minutes after a partition."""
+
+    async def main():
+        n_accepted = 0
+
+        async def swallow(client, address):
+            nonlocal n_accepted
+            n_accepted += 1
+            while await client.recv(1000):
+                pass
+
+        cluster = Cluster(tmp_path, 2)
+        silent = cluster.listen("b")
+        task = await curio.spawn(curio.network.run_server, silent, swallow)
+        await cluster.nodes["a"].start()
+        await until(lambda: n_accepted > 1)
+        await cluster.stop()
+        await task.cancel()
+
+    run(main)
