Close the connection of a call that ends while it sends

A call that timed out or was cancelled inside sendall left a part of its frame on the connection, and the peer read the next frame as the rest of it. A request could so reach a handler with the bytes of another one. The new test fails without the change: the next call on the connection fails.

The reader is cancelled before its socket is closed, since curio fails when a socket is closed while another task waits for it.

--- a/pollenfold/tests/wire/test_rpc.py
+++ b/pollenfold/tests/wire/test_rpc.py
@@ -112,3 +112,23 @@
         await task.cancel()
 
     run(main)
+
+
+def test_call_that_ends_while_sending_does_not_damage_the_next_one(run):
+    """Guards against a frame that the peer reads as the rest of an unfinished one."""
+
+    async def main():
+        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        client = RpcClient("127.0.0.1", listener.getsockname()[1])
+        large = b"x" * MAX_PAYLOAD_BYTES
+        for _ in range(8):
+            # Nobody reads: after some calls the socket buffers are full.
+            await client.call(Protocol.LEDGER, large, 20)
+        server = RpcServer({Protocol.LEDGER: echo})
+        task = await curio.spawn(curio.network.run_server, listener, server.handle)
+        for _ in range(3):
+            assert (await client.call(Protocol.LEDGER, b"next", 1000)).ok == b"next"
+        await client.close()
+        await task.cancel()
+
+    run(main)
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -162,10 +162,9 @@
         self._waiting[request_id] = pending
         try:
             async with curio.timeout_after(timeout_ms / 1000):
-                sock = await self._connected()
                 frame = encode_frame(protocol, Flag.REQUEST, request_id, payload)
                 async with self._write_lock:
-                    await sock.sendall(frame)
+                    await self._send(await self._connected(), frame)
                 body = await pending.get()
         except curio.TaskTimeout:
             return Error(ErrorKind.UNREACHABLE)
@@ -178,10 +177,7 @@
 
     async def close(self) -> None:
         """Close the connection; calls in progress give ``UNREACHABLE``."""
-        reader = self._reader
         await self._disconnect()
-        if reader is not None:
-            await reader.cancel()
 
     async def _connected(self) -> socket.socket:
         async with self._connect_lock:
@@ -192,10 +188,23 @@
                 self._reader = await curio.spawn(self._read, sock, daemon=True)
             return self._sock
 
+    async def _send(self, sock: socket.socket, frame: bytes) -> None:
+        try:
+            await sock.sendall(frame)
+        except curio.CancelledError:
+            # Part of the frame may be sent: the peer would read the next frame as
+            # the rest of this one.
+            if self._sock is sock:
+                await self._disconnect()
+            raise
+
     async def _disconnect(self) -> None:
-        sock = self._sock
+        sock, reader = self._sock, self._reader
         self._sock = None
         self._reader = None
+        # curio fails when a socket is closed while another task waits for it.
+        if reader is not None and reader is not await curio.current_task():
+            await reader.cancel()
         if sock is not None:
             await sock.close()
         for pending in list(self._waiting.values()):
