--- a/benchmarks/cluster.py
+++ b/benchmarks/cluster.py
@@ -161,7 +161,7 @@
     async def start_control(self) -> None:
         """Start the control replicas and apply the records."""
         for replica in self.control:
-            command = control_command(replica, self.control, TOKEN)
+            command = control_command(replica, self.control, self.ledger, TOKEN)
             self.group.start(replica.replica_id, command)
         for replica in self.control:
             await wait_listening(replica.host, replica.operator_port)
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -69,7 +69,10 @@
 
 
 def control_command(
-    replica: ControlReplica, replicas: list[ControlReplica], token: str
+    replica: ControlReplica,
+    replicas: list[ControlReplica],
+    ledger: list[LedgerReplica],
+    token: str,
 ) -> list[str]:
     """Return the command line of a control replica."""
     return [
@@ -81,6 +84,7 @@
         f"--peers={_peers(replicas)}",
         f"--operator-port={replica.operator_port}",
         f"--data-folder={replica.data_folder}",
+        f"--ledger={_peers(ledger)}",
         f"--token={token}",
     ]
 
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -17,7 +17,8 @@
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient, RpcServer
 from .leases import LeaseService
-from .operators import OperatorInterface
+from .operators import ListRequests, OperatorInterface
+from .requests import RequestList
 from .state import ControlState
 
 if TYPE_CHECKING:
@@ -89,6 +90,7 @@
             settings.zone,
             settings.token.get_secret_value(),
             leader_address.get,
+            _list_requests(settings),
         )
         self.operator_server = HttpServer(operators.handle, MAX_RECORD_BYTES)
         self.peer_server = RpcServer(
@@ -100,6 +102,14 @@
         )
 
 
+def _list_requests(settings: ControlSettings) -> ListRequests | None:
+    """Return what lists the claims of the ledger, or None without its addresses."""
+    if not settings.ledger:
+        return None
+    client_id = f"{settings.replica_id}-{secrets.token_hex(4)}"
+    return RequestList(dict(settings.ledger), client_id, system_clock).get
+
+
 async def serve_control(
     settings: ControlSettings, replica_type: type[Any] | None = None
 ) -> None:
--- /dev/null
+++ b/pollenfold/control/requests.py
@@ -0,0 +1,38 @@
+"""Lists unresolved claims of the ledger for operators."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from expression import Ok, Result
+
+from ..core.clock import Clock
+from ..core.errors import Failure
+from ..entry.ledger_client import LedgerClient
+
+MAX_REQUESTS = 200
+"""Claims of one answer; each is read from all replicas, so the number is bounded."""
+
+
+class RequestList:
+    """Reads the claims without an outcome from the ledger replicas."""
+
+    def __init__(
+        self, ledger: dict[str, tuple[str, int]], client_id: str, clock: Clock
+    ) -> None:
+        self._client = LedgerClient(ledger, client_id, clock)
+
+    async def get(self) -> Result[list[dict[str, Any]], Failure]:
+        """Return the claims by key, ``MAX_REQUESTS`` at most; ages in ms."""
+        claims = await self._client.unresolved(MAX_REQUESTS)
+        return Ok(
+            [
+                {
+                    "key": claim.key,
+                    "claim_ids": list(claim.claim_ids),
+                    "age_ms": round(claim.age_ms),
+                    "is_in_doubt": claim.is_in_doubt,
+                }
+                for claim in claims
+            ]
+        )
--- a/pollenfold/settings/models.py
+++ b/pollenfold/settings/models.py
@@ -93,6 +93,9 @@
 ]
 
 
+OptionalMembers = Annotated[
+    dict[Identifier, Address] | None, NoDecode, BeforeValidator(_parse_members)
+]
 Addresses = Annotated[
     list[Address], NoDecode, BeforeValidator(_parse_addresses), Field(min_length=1)
 ]
@@ -126,6 +129,10 @@
     zone: Identifier = Field(description="availability zone of this VM")
     operator_port: Port = Field(description="port of the operator interface")
     token: Token = Field(description="bearer token of the operator interface")
+    ledger: OptionalMembers = Field(
+        default=None,
+        description="ledger replicas to list requests from: id=host:port,id=host:port",
+    )
 
 
 class LedgerSettings(_ReplicaSettings):
