--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -13,11 +13,24 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
 
+from pollenfold.core.clock import Instant
+from pollenfold.core.routing import (
+    Candidate,
+    Policy,
+    least_in_flight,
+    observe_failure,
+    observe_latency,
+    probe_score,
+    random_choice,
+    round_robin,
+    two_choices_ewma,
+)
+
 from .arrivals import burst_arrivals
 
 N_ENTRIES = 12
@@ -31,91 +44,14 @@
 DEADLINE_MS = 100.0
 BURST_EVERY_MS, BURST_MS, BURST_FACTOR = 100.0, 5.0, 4.0
 SAME_ZONE_MS, OTHER_ZONE_MS = 0.1, 1.0
-EWMA_MS = 50.0
-"""Time in which a latency sample fades to 1/e."""
-
 SLOW, NOISY, FAILING, MISLEADING = 0, 1, 2, 3
 """The endpoints with a fault."""
 
 
-@dataclass(slots=True)
-class Candidate:
-    """What an entry knows about one endpoint."""
-
-    endpoint: int
-    n_in_flight: int = 0
-    ewma_ms: float = SERVICE_MS
-    reported_in_flight: float = 0.0
-    report_age_ms: float = 0.0
-    slots: int = SLOTS
-    reported_at: float = 0.0
-    sampled_at: float = 0.0
-
-    def sample(self, latency_ms: float, now: float) -> None:
-        """Add a latency; a higher one counts at once, a lower one with time."""
-        weight = math.exp((self.sampled_at - now) / EWMA_MS)
-        if latency_ms > self.ewma_ms:
-            self.ewma_ms = latency_ms
-        else:
-            self.ewma_ms = self.ewma_ms * weight + latency_ms * (1 - weight)
-        self.sampled_at = now
-
-
-Policy = Callable[[Sequence[Candidate], random.Random, float], Candidate]
-
-
-def random_choice(
-    candidates: Sequence[Candidate], rng: random.Random, now: float
-) -> Candidate:
-    """Return any candidate."""
-    return candidates[int(rng.random() * len(candidates))]
-
-
-def make_round_robin() -> Policy:
-    """Return a policy that takes the candidates in turn."""
-    numbers = itertools.count()
-
-    def round_robin(
-        candidates: Sequence[Candidate], rng: random.Random, now: float
-    ) -> Candidate:
-        return candidates[next(numbers) % len(candidates)]
-
-    return round_robin
-
-
-def least_in_flight(
-    candidates: Sequence[Candidate], rng: random.Random, now: float
-) -> Candidate:
-    """Return a candidate with the fewest of the entry's own calls."""
-    return min(candidates, key=lambda one: (one.n_in_flight, rng.random()))
-
-
-def two_choices_ewma(
-    candidates: Sequence[Candidate], rng: random.Random, now: float
-) -> Candidate:
-    """Return the better of two by own calls and latency."""
-    return min(
-        rng.sample(candidates, 2), key=lambda one: (one.n_in_flight + 1) * one.ewma_ms
-    )
-
-
-def probe_score(
-    candidates: Sequence[Candidate], rng: random.Random, now: float
-) -> Candidate:
-    """Return the best of four by calls, latency and reports discounted by age."""
-
-    def score(one: Candidate) -> float:
-        trust = math.exp(-one.report_age_ms / EWMA_MS)
-        others = max(0.0, one.reported_in_flight - one.n_in_flight) * trust
-        return (one.n_in_flight + 1 + others / one.slots) * one.ewma_ms
-
-    return min(rng.sample(candidates, 4), key=score)
-
-
 # Each entry makes its own policy, since round robin keeps a position.
 POLICIES: dict[str, Callable[[], Policy]] = {
     "random_choice": lambda: random_choice,
-    "round_robin": make_round_robin,
+    "round_robin": round_robin,
     "least_in_flight": lambda: least_in_flight,
     "two_choices_ewma": lambda: two_choices_ewma,
     "probe_score": lambda: probe_score,
@@ -188,7 +124,10 @@
         self._rng = random.Random(f"policy:{seed}")
         self._calls = draw_calls(seed)
         self._views = [
-            [Candidate(endpoint) for endpoint in range(N_ENDPOINTS)]
+            [
+                Candidate(str(n), str(n % N_ZONES), SLOTS, ewma_ms=SERVICE_MS)
+                for n in range(N_ENDPOINTS)
+            ]
             for _ in range(N_ENTRIES)
         ]
         self._endpoints = [_Endpoint() for _ in range(N_ENDPOINTS)]
@@ -210,12 +149,10 @@
 
     def _arrive(self, call: Call, now: float) -> None:
         view = self._views[call.entry]
-        for candidate in view:
-            candidate.report_age_ms = now - candidate.reported_at
-        chosen = self._policies[call.entry](view, self._rng, now)
+        chosen = self._policies[call.entry](view, self._rng, Instant(now))
         chosen.n_in_flight += 1
         self.result.n_calls += 1
-        n = chosen.endpoint
+        n = int(chosen.key)
         when = now + _distance_ms(call.entry, n)
         self._at(when, lambda now: self._receive(call, n, now))
 
@@ -252,13 +189,12 @@
         candidate = self._views[call.entry][n]
         candidate.n_in_flight -= 1
         candidate.reported_in_flight = load
-        candidate.reported_at = sent_at
+        candidate.reported_at = Instant(sent_at)
         latency_ms = now - call.at
-        # A failed call counts as long as the deadline, so that an endpoint which
-        # fails fast does not look quick.
-        candidate.sample(latency_ms if is_good else DEADLINE_MS, now)
         if not is_good:
+            observe_failure(candidate, DEADLINE_MS, Instant(now))
             return
+        observe_latency(candidate, latency_ms, Instant(now))
         self.result.latency.record_value(max(1, round(latency_ms * 1000)))
         if latency_ms <= DEADLINE_MS:
             self.result.n_good += 1
--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -134,9 +134,17 @@
 PEAK_DECAY = 0.1
 
 
-def observe_latency(candidate: Candidate, latency_ms: float) -> None:
+def observe_latency(candidate: Candidate, latency_ms: float, now: Instant) -> None:
     """Update the average latency: a rise counts at once, a fall slowly."""
     if latency_ms > candidate.ewma_ms:
         candidate.ewma_ms = latency_ms
     else:
         candidate.ewma_ms += PEAK_DECAY * (latency_ms - candidate.ewma_ms)
+
+
+def observe_failure(candidate: Candidate, timeout_ms: float, now: Instant) -> None:
+    """Count a failed call as one that took the whole timeout.
+
+    Otherwise a server that fails fast would look quick and attract load.
+    """
+    observe_latency(candidate, timeout_ms, now)
--- a/pollenfold/entry/slots.py
+++ b/pollenfold/entry/slots.py
@@ -108,7 +108,7 @@
         candidate.n_in_flight -= 1
         self.n_in_flight -= 1
         if latency_ms is not None:
-            observe_latency(candidate, latency_ms)
+            observe_latency(candidate, latency_ms, self._clock())
             self.mean_service_ms += 0.05 * (latency_ms - self.mean_service_ms)
         if self._waiters:
             await self._serve_queue()
--- a/pollenfold/tests/core/test_routing.py
+++ b/pollenfold/tests/core/test_routing.py
@@ -88,7 +88,7 @@
 def test_latency_rises_at_once_and_falls_slowly():
     """Guards against an average that hides a sudden slow-down."""
     (candidate,) = make_candidates(1, ewma_ms=10.0)
-    observe_latency(candidate, 100.0)
+    observe_latency(candidate, 100.0, NOW)
     assert candidate.ewma_ms == 100.0
-    observe_latency(candidate, 10.0)
+    observe_latency(candidate, 10.0, NOW)
     assert 80.0 < candidate.ewma_ms < 100.0
