Rank candidates by the product of latency and load, and fade idle averages

Cause: the sum let a slow server with few requests in flight look cheap. Fading is needed: without it the new test shows a server that is never tried again after one slow response. Tried and not kept: four draws, fading of all averages by time.

--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -20,6 +20,9 @@
 """An older report is ignored: even a vanishing weight would decide between otherwise
 equal candidates."""
 
+FADE_AFTER_MS = 200.0
+FADE_HALF_LIFE_MS = 1000.0
+
 N_CHOICES = 3
 
 
@@ -41,6 +44,7 @@
     ewma_ms: float = 0.0
     reported_in_flight: float = 0.0
     reported_at: Instant = Instant(-1e9)
+    observed_at: Instant = Instant(-1e9)
 
     @property
     def has_room(self) -> bool:
@@ -107,18 +111,31 @@
 
 
 def score(candidate: Candidate, now: Instant) -> float:
-    """Return the expected cost in ms of one more request; lower is better.
+    """Return the expected latency in ms of one more request; lower is better.
 
     The reported load counts with a weight that halves every 50 ms. It never counts
     for less than this entry's own requests, so a server that reports too little
     gains nothing over what the entry sees itself.
     """
-    load = float(candidate.n_in_flight)
+    load = candidate.n_in_flight + 1.0
     report_age_ms = now - candidate.reported_at
     if report_age_ms < REPORT_LIFETIME_MS:
         excess = max(0.0, candidate.reported_in_flight - candidate.n_in_flight)
-        load += excess * 0.5 ** (report_age_ms / REPORT_HALF_LIFE_MS)
-    return (1.0 + load / candidate.slots) * (candidate.ewma_ms + 0.01) + load
+        trust = 0.5 ** (report_age_ms / REPORT_HALF_LIFE_MS)
+        load += excess * trust / candidate.slots
+    return load * (_present_ewma_ms(candidate, now) + 0.01)
+
+
+def _present_ewma_ms(candidate: Candidate, now: Instant) -> float:
+    """Return the average latency, faded for a candidate that gets no requests.
+
+    Without fading one slow response could keep a server out for good: it is never
+    chosen, so its average never falls.
+    """
+    idle_ms = now - candidate.observed_at
+    if idle_ms < FADE_AFTER_MS:
+        return candidate.ewma_ms
+    return float(candidate.ewma_ms * 0.5 ** (idle_ms / FADE_HALF_LIFE_MS))
 
 
 def prefer_zone(candidates: Sequence[Candidate], zone: str) -> Sequence[Candidate]:
@@ -140,6 +157,7 @@
         candidate.ewma_ms = latency_ms
     else:
         candidate.ewma_ms += PEAK_DECAY * (latency_ms - candidate.ewma_ms)
+    candidate.observed_at = now
 
 
 def observe_failure(candidate: Candidate, timeout_ms: float, now: Instant) -> None:
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -6,7 +6,7 @@
 
 from ..core.clock import Clock
 from ..core.retries import AttemptOutcome, QuantileEstimate, RatioBudget
-from ..core.routing import Candidate, Policy, probe_score
+from ..core.routing import Candidate, Policy, observe_failure, probe_score
 from .attempts import Attempt, AttemptResult
 from .backends import Backend, connection_limit, make_backend
 from .slots import SlotQueue
@@ -21,6 +21,13 @@
 MIN_HEDGE_DELAY_MS = 2.0
 """A shorter delay would hedge requests that differ only by scheduling noise."""
 
+FAILURE_PENALTY = 10.0
+"""A failed attempt counts as this many mean service times when servers are ranked."""
+
+_FAILURES = frozenset(
+    (AttemptOutcome.SERVER_ERROR, AttemptOutcome.LOST, AttemptOutcome.UNREACHABLE)
+)
+
 
 class ServiceRuntime:
     """One service: its queue for slots, its endpoints, its retry and hedge budgets.
@@ -95,6 +102,9 @@
             AttemptOutcome.RESPONDED,
             AttemptOutcome.EXPIRED,
         )
+        if result is not None and result.outcome in _FAILURES:
+            penalty_ms = FAILURE_PENALTY * max(1.0, self.slots.mean_service_ms)
+            observe_failure(backend.candidate, penalty_ms, self._clock())
         if counts:
             self._latency.observe(latency_ms)
         await self.slots.release(backend.candidate, latency_ms if counts else None)
--- a/pollenfold/tests/core/test_routing.py
+++ b/pollenfold/tests/core/test_routing.py
@@ -8,6 +8,7 @@
 from pollenfold.core.routing import (
     Candidate,
     least_in_flight,
+    observe_failure,
     observe_latency,
     prefer_zone,
     probe_score,
@@ -29,7 +30,8 @@
 
 def make_candidates(n_candidates, **fields):
     return [
-        Candidate(str(i), "a", slots=6, limit=6, **fields) for i in range(n_candidates)
+        Candidate(str(i), "a", slots=6, limit=6, observed_at=NOW, **fields)
+        for i in range(n_candidates)
     ]
 
 
@@ -92,3 +94,25 @@
     assert candidate.ewma_ms == 100.0
     observe_latency(candidate, 10.0, NOW)
     assert 80.0 < candidate.ewma_ms < 100.0
+
+
+def test_server_with_one_slow_response_is_tried_again():
+    """Guards against a server that gets no request for ever after one slow response."""
+    candidates = make_candidates(10)
+    for candidate in candidates:
+        observe_latency(candidate, 10.0, NOW)
+    observe_latency(candidates[0], 500.0, NOW)
+    rng = random.Random(1)
+    now = NOW
+    for _ in range(5000):
+        now = Instant(now + 2.0)
+        chosen = probe_score(candidates, rng, now)
+        observe_latency(chosen, 10.0, now)
+    assert candidates[0].ewma_ms < 100.0
+
+
+def test_failure_counts_as_a_timeout():
+    """Guards against a server that fails fast and looks quick."""
+    candidates = make_candidates(10, ewma_ms=10.0)
+    observe_failure(candidates[0], 100.0, NOW)
+    assert share_of_first(probe_score, candidates) < 0.02
