--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -153,10 +153,11 @@
 
 def observe_latency(candidate: Candidate, latency_ms: float, now: Instant) -> None:
     """Update the average latency: a rise counts at once, a fall slowly."""
-    if latency_ms > candidate.ewma_ms:
+    present_ms = _present_ewma_ms(candidate, now)
+    if latency_ms > present_ms:
         candidate.ewma_ms = latency_ms
     else:
-        candidate.ewma_ms += PEAK_DECAY * (latency_ms - candidate.ewma_ms)
+        candidate.ewma_ms = present_ms + PEAK_DECAY * (latency_ms - present_ms)
     candidate.observed_at = now
 
 
