Test the call path against a table of faults and fix what it found

Faults found by reading and by the table: - The caller's socket never reached the handler, so an idempotent request whose caller left went on until its deadline. - A path such as /marketing was served by the service of /market. - A body that ends with the connection can't be told from a truncated one and was passed on as complete; such a response is now malformed. - A duplicated response could reach the next request on its connection. Each exchange carries an id; a response that echoes another one is refused. - An attempt that never started, after one that was lost, made the whole request 'did not run'; the same when forwarding to several owners. - A hedge was sent without a look at the lease, and its server could be chosen again for the retry. - Requests that ran out of time or connections here counted as shed by the server, which could turn a warm endpoint cold. - The mean service time rose from 0, so deadlines that can't be met were admitted. - A server that stops reading held a request past its deadline. - Statements about the run in a backend server's response were relayed. - A planned stop didn't wait for a request whose body was still arriving.

--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -14,7 +14,7 @@
 from ..core.errors import ERROR_TABLE, ErrorKind, RunState
 from ..core.register import Outcome
 from ..http.messages import Response, error_response
-from .attempts import relayed_headers
+from .attempts import backend_headers
 from .ledger_client import LedgerClient
 
 if TYPE_CHECKING:
@@ -99,7 +99,7 @@
     ) -> Response:
         result = await dispatch()
         if isinstance(result, Response):
-            relayed = Response(result.status, relayed_headers(result), result.body)
+            relayed = Response(result.status, backend_headers(result), result.body)
             await self._store(register, claim_id, relayed)
             relayed.headers.append((b"pollenfold-run-state", b"ran"))
             return relayed
--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+import curio
+
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.retries import AttemptOutcome
 from ..http.client import ExchangeFailure, HttpConnection
@@ -18,6 +20,9 @@
 
 NOT_STARTED = b"pollenfold-not-started"
 TIMEOUT_HEADER = b"pollenfold-timeout-ms"
+EXCHANGE_ID = b"pollenfold-exchange-id"
+"""Names one exchange on its connection. A server that echoes it lets a duplicated
+response be told from the response to the next request on the connection."""
 
 _HOP_HEADERS = frozenset(
     (
@@ -32,9 +37,13 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
+        EXCHANGE_ID,
         TIMEOUT_HEADER,
     )
 )
+_ENTRY_HEADERS = frozenset(
+    (b"idempotency-key", b"pollenfold-replayed", b"pollenfold-run-state")
+)
 _SERVER_ERRORS = frozenset((500, 502, 503, 504))
 
 
@@ -50,6 +59,20 @@
     response: Response | None = None
 
 
+def later_result(earlier: AttemptResult, later: AttemptResult) -> AttemptResult:
+    """Return what two attempts of one request tell about it.
+
+    An attempt that never started takes nothing back: after an earlier one that was
+    lost or expired the request may have run.
+    """
+    never_ran = (AttemptOutcome.NOT_STARTED, AttemptOutcome.UNREACHABLE)
+    if later.outcome in never_ran and earlier.outcome not in never_ran:
+        return earlier
+    if earlier.outcome is AttemptOutcome.SERVER_ERROR and later.response is None:
+        return earlier
+    return later
+
+
 @dataclass(frozen=True, slots=True)
 class Exchange:
     """The parts of a request that are the same for each attempt."""
@@ -58,6 +81,11 @@
     headers: Headers
     deadline: Instant
 
+    def is_caller_gone(self) -> bool:
+        """Return whether the caller closed its connection."""
+        descriptor = self.request.descriptor
+        return descriptor >= 0 and is_closed_by_peer(descriptor)
+
 
 def forwarded_headers(request: Request, extra: Headers) -> Headers:
     """Return the headers to send on: all but those of the caller's connection."""
@@ -70,6 +98,15 @@
     return [pair for pair in response.headers if pair[0] not in _HOP_HEADERS]
 
 
+def backend_headers(response: Response) -> Headers:
+    """Return the headers of a backend server's response that concern the caller.
+
+    Statements about the run are the entry's own. A backend server that calls an
+    entry itself may pass on those of another request.
+    """
+    return [pair for pair in relayed_headers(response) if pair[0] not in _ENTRY_HEADERS]
+
+
 def classify_response(response: Response) -> AttemptOutcome:
     """Return how a whole response counts for retries."""
     if response.status not in _SERVER_ERRORS:
@@ -110,10 +147,19 @@
         left_ms = remaining_ms(exchange.deadline, self._clock())
         if left_ms <= 0.0:
             return AttemptResult(AttemptOutcome.NOT_STARTED)
-        headers = [*exchange.headers, (TIMEOUT_HEADER, b"%d" % max(1, int(left_ms)))]
-        failure = await connection.send(
-            request.method, request.target, headers, request.body
-        )
+        headers = [
+            *exchange.headers,
+            (TIMEOUT_HEADER, b"%d" % max(1, int(left_ms))),
+            (EXCHANGE_ID, b"%d" % (connection.n_exchanges + 1)),
+        ]
+        try:
+            # A server that stops reading must not hold the request past its deadline.
+            async with curio.timeout_after(left_ms / 1000):
+                failure = await connection.send(
+                    request.method, request.target, headers, request.body
+                )
+        except curio.TaskTimeout:
+            return AttemptResult(AttemptOutcome.EXPIRED)
         if failure is None:
             return None
         if failure is ExchangeFailure.NOT_SENT:
@@ -125,6 +171,10 @@
         assert self._connection is not None
         result = await self._connection.receive(timeout_ms)
         if result.is_ok():
+            echoed = find_header(result.ok.headers, EXCHANGE_ID)
+            if echoed not in (None, b"%d" % self._connection.n_exchanges):
+                self._connection.reusable = False
+                return AttemptResult(AttemptOutcome.LOST)
             return AttemptResult(classify_response(result.ok), result.ok)
         if result.error is ExchangeFailure.TIMEOUT:
             return None
@@ -145,8 +195,7 @@
             result = await self.wait(min(left_ms, CANCEL_CHECK_MS))
             if result is not None:
                 return result
-            descriptor = exchange.request.descriptor
-            if is_cancellable and descriptor >= 0 and is_closed_by_peer(descriptor):
+            if is_cancellable and exchange.is_caller_gone():
                 raise CallerGone
 
     async def finish(self) -> None:
--- a/pollenfold/entry/forwarding.py
+++ b/pollenfold/entry/forwarding.py
@@ -49,11 +49,12 @@
         """Return the response of the first owner that took the request.
 
         None means that no owner was reached, so that nothing ran. Raise LostError
-        when a request that must not be sent again was lost on the way.
+        when the request was lost on the way and no owner responded: it may have run.
         """
         headers = [*exchange.headers, (FORWARDED_BY, self._entry_id.encode())]
         passed_on = Exchange(exchange.request, headers, exchange.deadline)
         last: Response | None = None
+        is_lost = False
         for pool in self._choose_pools(owners):
             result = await self._attempt(pool, passed_on, request_class)
             if result.response is not None:
@@ -62,6 +63,9 @@
                     return _relayed(last)
             elif not may_retry(result.outcome, request_class):
                 raise LostError
+            is_lost |= result.outcome is AttemptOutcome.LOST
+        if is_lost:
+            raise LostError
         return None if last is None else _relayed(last)
 
     async def _attempt(
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -112,6 +112,9 @@
             detector.record(endpoint.key, True, latency_ms, now)
             return None
         was_shed = outcome is AttemptOutcome.NOT_STARTED
+        if was_shed and result.response is None:
+            # Time or connections of this entry ran out; the server was not asked.
+            return None
         is_failure = outcome is not AttemptOutcome.RESPONDED and not was_shed
         if endpoint.warm.is_warm and not was_shed:
             detector = self._detector(endpoint.service)
--- a/pollenfold/entry/hedges.py
+++ b/pollenfold/entry/hedges.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
 
-from ..core.clock import Clock, Instant, add_ms
+from ..core.clock import add_ms
 from ..core.retries import AttemptOutcome
-from .attempts import Attempt, AttemptResult, Exchange
+from .attempts import Attempt, AttemptResult, Exchange, later_result
 
 if TYPE_CHECKING:
     from .services import ServiceRuntime
@@ -19,12 +20,14 @@
     attempt: Attempt,
     exchange: Exchange,
     tried: set[str],
-    clock: Clock,
+    has_lease: Callable[[], bool],
 ) -> AttemptResult:
     """Run an attempt, and a second one at another server when it takes long.
 
     The first whole response wins; the connection of the other attempt is closed, so
-    that its late response reaches nobody. Raise CallerGone when the caller left.
+    that its late response reaches nobody. The second server is added to ``tried``.
+    Without a lease there is no second attempt, since each one is new work. Raise
+    CallerGone when the caller left.
     """
     result: AttemptResult | None = None
     try:
@@ -36,47 +39,50 @@
         result = await attempt.wait_until(exchange, first_wait_until, True)
         if result is not None:
             return result
-        second = _second_attempt(runtime, attempt, exchange.deadline, tried, clock)
+        second = None
+        if hedge_at < exchange.deadline and has_lease():
+            second = _second_attempt(runtime, attempt, tried)
         if second is None:
             result = await attempt.wait_until(exchange, exchange.deadline, True)
             if result is None:
                 result = AttemptResult(AttemptOutcome.EXPIRED)
             return result
-        return await _first_response(runtime, attempt, second, exchange)
+        result, response = await _first_response(runtime, attempt, second, exchange)
+        return response
     finally:
         await runtime.finish(attempt, result)
 
 
 def _second_attempt(
-    runtime: ServiceRuntime,
-    attempt: Attempt,
-    deadline: Instant,
-    tried: set[str],
-    clock: Clock,
+    runtime: ServiceRuntime, attempt: Attempt, tried: set[str]
 ) -> Attempt | None:
-    if clock() >= deadline:
-        return None
     candidate = runtime.acquire_hedge(tried | {attempt.backend.candidate.key})
     if candidate is None:
         return None
+    tried.add(candidate.key)
     return runtime.begin(candidate)
 
 
 async def _first_response(
     runtime: ServiceRuntime, first: Attempt, second: Attempt, exchange: Exchange
-) -> AttemptResult:
-    last = AttemptResult(AttemptOutcome.EXPIRED)
+) -> tuple[AttemptResult | None, AttemptResult]:
+    """Return the result of the first attempt, if it ended, and that of the race."""
+    own: AttemptResult | None = None
+    last: AttemptResult | None = None
     async with curio.TaskGroup(wait=None) as group:
-        await group.spawn(_run_first, first, exchange)
+        first_task = await group.spawn(_run_first, first, exchange)
         await group.spawn(_run_second, runtime, second, exchange)
         async for task in group:
             if task.exception is not None:
                 raise task.exception
-            last = task.result
+            result = task.result
+            if task is first_task:
+                own = result
+            last = result if last is None else later_result(last, result)
             if last.outcome is AttemptOutcome.RESPONDED:
                 break
         await group.cancel_remaining()
-    return last
+    return own, last or AttemptResult(AttemptOutcome.EXPIRED)
 
 
 async def _run_first(attempt: Attempt, exchange: Exchange) -> AttemptResult:
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -11,16 +11,18 @@
 from ..core.errors import ErrorKind, RunState
 from ..core.records import RequestClass, ServiceSpec, classify
 from ..core.retries import AttemptOutcome, may_retry
-from ..http.messages import Request, Response, error_response
+from ..http.messages import Request, Response, error_response, find_header
 from .actions import ActionRunner
 from .attempts import (
+    CANCEL_CHECK_MS,
     TIMEOUT_HEADER,
     Attempt,
     AttemptResult,
     CallerGone,
     Exchange,
+    backend_headers,
     forwarded_headers,
-    relayed_headers,
+    later_result,
 )
 from .forwarding import Forwarder, LostError, is_forwarded
 from .hedges import race
@@ -126,7 +128,7 @@
             runtime, exchange, RequestClass.IDEMPOTENT, self._has_lease, self._clock
         )
         if isinstance(result, Response):
-            return Response(result.status, relayed_headers(result), result.body)
+            return Response(result.status, backend_headers(result), result.body)
         return result.response()
 
     async def _run_action(
@@ -144,7 +146,11 @@
             forwarded = await self._forward(
                 runtime, exchange, RequestClass.NON_IDEMPOTENT
             )
-            return forwarded or self._refuse_early(request, ErrorKind.NO_BACKEND_SERVER)
+            if forwarded is None:
+                return self._refuse_early(request, ErrorKind.NO_BACKEND_SERVER)
+            if find_header(forwarded.headers, IDEMPOTENCY_KEY) is None:
+                forwarded.headers.append((IDEMPOTENCY_KEY, key))
+            return forwarded
         if caller_key is None:
             kind = runtime.slots.refusal(deadline)
             if kind is not None:
@@ -172,6 +178,8 @@
                 exchange, runtime.warmup_owners, request_class
             )
         except LostError:
+            if request_class is RequestClass.IDEMPOTENT:
+                return Refusal(ErrorKind.BACKEND_FAILED).response()
             return Refusal(ErrorKind.OUTCOME_UNKNOWN).response()
 
 
@@ -209,6 +217,7 @@
     last: AttemptResult | None = None
     runtime.count_call()
     while True:
+        asked_at = clock()
         acquired = await runtime.slots.acquire(tried, exchange.deadline)
         if acquired.is_error():
             return _final(last, Refusal(acquired.error))
@@ -218,25 +227,30 @@
         if not has_lease():
             await runtime.slots.release(candidate, None)
             return _final(last, Refusal(ErrorKind.NO_LEASE))
-        attempt = runtime.begin(candidate)
         if request_class is RequestClass.IDEMPOTENT:
-            last = await race(runtime, attempt, exchange, tried, clock)
+            if clock() - asked_at >= CANCEL_CHECK_MS and exchange.is_caller_gone():
+                await runtime.slots.release(candidate, None)
+                raise CallerGone
+            attempt = runtime.begin(candidate)
+            result = await race(runtime, attempt, exchange, tried, has_lease)
         else:
-            last = await _attempt_once(runtime, attempt, exchange, clock)
+            attempt = runtime.begin(candidate)
+            result = await _attempt_once(runtime, attempt, exchange)
+        last = result if last is None else later_result(last, result)
         if last.outcome is AttemptOutcome.RESPONDED:
             return _final(last, Refusal(ErrorKind.BACKEND_FAILED))
         tried.add(candidate.key)
-        if not may_retry(last.outcome, request_class):
+        if not may_retry(result.outcome, request_class):
             break
         if remaining_ms(exchange.deadline, clock()) <= 0.0:
-            break
+            return _final(last, Refusal(ErrorKind.DEADLINE_EXCEEDED))
         if not runtime.retry_budget.withdraw():
             break
     return _final(last, Refusal(ErrorKind.BACKEND_REFUSED))
 
 
 async def _attempt_once(
-    runtime: ServiceRuntime, attempt: Attempt, exchange: Exchange, clock: Clock
+    runtime: ServiceRuntime, attempt: Attempt, exchange: Exchange
 ) -> AttemptResult:
     """Run one attempt to its end; it is never cancelled by the caller's leaving.
 
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -149,7 +149,7 @@
 
 
 class ServiceTable:
-    """Finds the service of a path: the longest path prefix that matches."""
+    """Finds the service of a path: the longest prefix of whole path segments."""
 
     def __init__(
         self, zone: str, seed: int, clock: Clock, health: EndpointHealth
@@ -169,7 +169,7 @@
     def find(self, path: str) -> ServiceRuntime | None:
         """Return the service of a path, or None when no record matches."""
         for prefix, runtime in self._by_prefix:
-            if path.startswith(prefix):
+            if path.startswith(prefix) and path[len(prefix) : len(prefix) + 1] in "/":
                 return runtime
         return None
 
@@ -186,6 +186,6 @@
                 runtime.change_spec(spec)
             runtimes[spec.name] = runtime
         self._runtimes = runtimes
-        by_prefix = [(r.spec.path_prefix, r) for r in runtimes.values()]
+        by_prefix = [(r.spec.path_prefix.rstrip("/"), r) for r in runtimes.values()]
         by_prefix.sort(key=lambda pair: -len(pair[0]))
         self._by_prefix = tuple(by_prefix)
--- a/pollenfold/entry/slots.py
+++ b/pollenfold/entry/slots.py
@@ -109,7 +109,10 @@
         self.n_in_flight -= 1
         if latency_ms is not None:
             observe_latency(candidate, latency_ms)
-            self.mean_service_ms += 0.05 * (latency_ms - self.mean_service_ms)
+            # Started at the first latency: a mean that rises slowly from 0 would
+            # admit requests whose deadline can't be met.
+            change_ms = latency_ms - self.mean_service_ms
+            self.mean_service_ms += (0.05 if self.mean_service_ms else 1.0) * change_ms
         if self._waiters:
             await self._serve_queue()
 
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -37,9 +37,9 @@
 class HttpConnection:
     """A connection on which one request follows another.
 
-    After an exchange ``reusable`` says whether both sides completed it. Only such
-    a connection may carry another request; any other must be closed, because a
-    late response on it could reach the next caller.
+    ``n_exchanges`` counts the requests sent. After an exchange ``reusable`` says
+    whether both sides completed it. Only such a connection may carry another request;
+    any other must be closed, because a late response on it could reach the next caller.
     """
 
     __slots__ = (
@@ -49,6 +49,8 @@
         "_body",
         "_n_body_bytes",
         "_has_response_bytes",
+        "_is_head_request",
+        "n_exchanges",
         "reusable",
     )
 
@@ -61,6 +63,8 @@
         self._body: list[bytes] = []
         self._n_body_bytes = 0
         self._has_response_bytes = False
+        self._is_head_request = False
+        self.n_exchanges = 0
         self.reusable = True
 
     @classmethod
@@ -96,6 +100,8 @@
         ``headers`` must contain ``host`` and no framing headers.
         """
         self.reusable = False
+        self.n_exchanges += 1
+        self._is_head_request = method == b"HEAD"
         self._head = None
         self._body = []
         self._n_body_bytes = 0
@@ -173,9 +179,18 @@
         if head is None:
             return Error(ExchangeFailure.BAD_RESPONSE)
         connection = self._connection
+        is_bodiless = self._is_head_request or head.status_code in (204, 304)
+        if not is_bodiless and not _is_framed(head):
+            return Error(ExchangeFailure.BAD_RESPONSE)
         if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
             # Bytes that follow a complete response belong to no request.
             if not connection.trailing_data[0]:
                 connection.start_next_cycle()
                 self.reusable = True
         return Ok(Response(head.status_code, list(head.headers), b"".join(self._body)))
+
+
+def _is_framed(head: h11.Response) -> bool:
+    """Return whether the end of the body can be told from a broken connection."""
+    names = {name for name, _ in head.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -19,6 +19,9 @@
 """Greatest request head; bounds the memory that one connection can claim."""
 
 READ_BYTES = 64 * 1024
+READ_WAIT_MS = 2000.0
+"""How long a planned stop waits for the rest of a request that began to arrive."""
+
 _STATUS_WITHOUT_BODY = (204, 304)
 
 
@@ -67,7 +70,14 @@
                 await sock.shutdown(socket.SHUT_RD)
 
     async def wait_idle(self) -> None:
-        """Return when no request is in flight."""
+        """Return when no request is in flight.
+
+        A request whose body is still arriving is waited for as well, but only for
+        ``READ_WAIT_MS``, so that a caller which stops sending can't hold up the stop.
+        """
+        async with curio.ignore_after(READ_WAIT_MS / 1000):
+            while any(self._connections.values()):
+                await curio.sleep(0.005)
         while self.n_in_flight:
             await curio.sleep(0.005)
 
@@ -114,6 +124,8 @@
             answer = await self._handler(request)
             if answer is None:
                 return False
+            if request.method == b"HEAD":
+                answer.body = b""
             answer.close = answer.close or self._stopping
             await self._write(connection, client, answer)
         finally:
@@ -160,7 +172,14 @@
                 if head is None:
                     raise RequestError(ErrorKind.BAD_REQUEST, "no request head")
                 headers = [(name, value) for name, value in head.headers]
-                return Request(head.method, head.target, headers, b"".join(body), peer)
+                return Request(
+                    head.method,
+                    head.target,
+                    headers,
+                    b"".join(body),
+                    peer,
+                    client.fileno(),
+                )
             else:
                 return None
 
--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -32,6 +32,7 @@
 from .faults import Action, FaultKind, FaultOrder, FaultRule, FaultTable
 
 NOT_STARTED = (b"pollenfold-not-started", b"true")
+EXCHANGE_ID = b"pollenfold-exchange-id"
 
 DAMAGE_KINDS = (
     FaultKind.TRUNCATED_ANSWER,
@@ -145,7 +146,11 @@
                 return json_response(400, {"error": str(error)})
             await self.order(order)
             return json_response(200, {})
-        return await self._work(request, self._faults.pick(path))
+        response = await self._work(request, self._faults.pick(path))
+        exchange_id = request.header(EXCHANGE_ID)
+        if response is not None and exchange_id is not None:
+            response.headers.append((EXCHANGE_ID, exchange_id))
+        return response
 
     def _probe(self, path: str) -> Response:
         if path == "/load":
--- a/pollenfold/testing/ledger.py
+++ b/pollenfold/testing/ledger.py
@@ -59,9 +59,14 @@
         for replica in self.replicas.values():
             await replica.close()
 
-    def client(self, client_id: str, clock: Clock = system_clock) -> LedgerClient:
+    def client(
+        self,
+        client_id: str,
+        clock: Clock = system_clock,
+        call_timeout_ms: float = 50,
+    ) -> LedgerClient:
         """Return a client of all replicas."""
-        client = LedgerClient(self.addresses, client_id, clock)
+        client = LedgerClient(self.addresses, client_id, clock, call_timeout_ms)
         self._clients.append(client)
         return client
 
