--- a/pollenfold/tests/entry/conftest.py
+++ b/pollenfold/tests/entry/conftest.py
@@ -117,7 +117,7 @@
             system_clock,
         )
         self.services = ServiceTable("a", 1, system_clock, self.health)
-        client = path.ledger.client(entry_id, call_timeout_ms=LEDGER_TIMEOUT_MS)
+        client = path.ledger.client(entry_id, call_timeout_ms=path.ledger_timeout_ms)
         self.actions = ActionRunner(client, entry_id, system_clock)
         self.proxy = Proxy(
             self.services,
@@ -169,6 +169,7 @@
 
     def __init__(self, ledger, spec):
         self.ledger = ledger
+        self.ledger_timeout_ms = LEDGER_TIMEOUT_MS
         self.endpoints = []
         self.servers = []
         self.entries = []
--- /dev/null
+++ b/pollenfold/tests/entry/test_actions.py
@@ -0,0 +1,191 @@
+"""Non-idempotent requests run at most once, and a refusal says so truly."""
+
+import curio
+import pytest
+
+from pollenfold.testing.answers import check_answer
+from pollenfold.tests.entry.conftest import set_faults, until
+
+
+async def add_entries(path, n_entries):
+    return [await path.add_entry(f"entry-{n}") for n in range(n_entries)]
+
+
+@pytest.mark.parametrize("n_entries", [1, 2])
+def test_key_sent_twice_at_once_runs_once(call_path, n_entries):
+    """Guards against two runs when a caller resends before the first answer, through
+    the same entry or another one."""
+
+    async def main(path):
+        await path.add_server(service_ms=40)
+        entries = await add_entries(path, n_entries)
+        for n in range(10):
+            tasks = [
+                await curio.spawn(lambda e=entry: e.send("POST", key=f"k{n}"))
+                for entry in (entries[0], entries[-1])
+            ]
+            replies = [await task.join() for task in tasks]
+            assert path.servers[0].counts.runs[f"k{n}"] <= 1
+            for reply in replies:
+                if reply.status == 200:
+                    assert check_answer(reply.body, key=f"k{n}") is None
+                else:
+                    assert reply.run_state == "outcome_unknown"
+            assert replies[0].status == 200 or replies[1].status == 200
+
+    call_path(main)
+
+
+def test_resend_through_another_entry_gets_the_first_answer(call_path):
+    """Guards against a second run when a caller reconnects to another entry."""
+
+    async def main(path):
+        await path.add_server()
+        first, second = await add_entries(path, 2)
+        reply = await first.send("POST")
+        key = reply.headers["idempotency-key"]
+        assert reply.status == 200 and reply.run_state == "ran"
+        await until(lambda: not first.actions.n_storing)
+        again = await second.send("POST", key=key)
+        assert again.headers["pollenfold-replayed"] == "true"
+        assert (again.status, again.body) == (200, reply.body)
+        assert again.headers["idempotency-key"] == key
+        assert path.n_runs == 1
+
+    call_path(main)
+
+
+def test_key_may_be_sent_again_after_did_not_run(call_path):
+    """Guards against a key that stays claimed although its request did not run."""
+
+    async def main(path):
+        server = await path.add_server({"kind": "shed"})
+        first, second = await add_entries(path, 2)
+        for _ in range(2):
+            reply = await first.send("POST", key="k1")
+            assert (reply.error, reply.run_state) == ("backend_refused", "did_not_run")
+            assert reply.retry_after == "1"
+        assert path.n_runs == 0
+        await set_faults(server)
+        reply = await second.send("POST", key="k1")
+        assert reply.status == 200 and "pollenfold-replayed" not in reply.headers
+        assert path.n_runs == 1
+
+    call_path(main)
+
+
+@pytest.mark.parametrize(
+    "key, run_state", [("k1", "outcome_unknown"), (None, "did_not_run")]
+)
+def test_claim_that_is_not_abandoned_leaves_the_outcome_unknown(
+    call_path, key, run_state
+):
+    """Guards against ``did_not_run`` while another entry may hold a caller's key."""
+
+    async def main(path):
+        async def serve(client, address):
+            await client.recv(10_000)
+            path.ledger.isolate("a")
+            path.ledger.isolate("b")
+            await client.sendall(
+                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                b"Pollenfold-Not-Started: true\r\n\r\n"
+            )
+
+        await path.add_scripted(serve)
+        entry = await path.add_entry()
+        reply = await entry.send("POST", key=key)
+        assert (reply.error, reply.run_state) == ("backend_refused", run_state)
+
+    call_path(main)
+
+
+def test_key_resent_after_a_lost_ledger_runs_at_most_once(call_path):
+    """Guards against a second run when the ledger loses and regains its majority."""
+
+    async def main(path):
+        await path.add_server()
+        entry = await path.add_entry()
+        path.ledger.isolate("a")
+        path.ledger.isolate("b")
+        reply = await entry.send("POST", key="k1")
+        assert reply.run_state == "outcome_unknown" and path.n_runs == 0
+        path.ledger.reconnect("a")
+        path.ledger.reconnect("b")
+        replies = [await entry.send("POST", key="k1") for _ in range(3)]
+        assert path.n_runs <= 1
+        assert (path.n_runs == 1) == any(reply.status == 200 for reply in replies)
+
+    call_path(main)
+
+
+def test_ledger_loss_leaves_idempotent_requests_alone(call_path):
+    """Guards against an outage of lookups when only the ledger is lost."""
+
+    async def main(path):
+        await path.add_server()
+        entry = await path.add_entry()
+        for name in "abc":
+            path.ledger.isolate(name)
+        assert (await entry.send("GET")).status == 200
+
+    call_path(main)
+
+
+def test_answer_too_long_to_store_is_not_run_again(call_path):
+    """Guards against a second run because the outcome doesn't fit the ledger."""
+
+    async def main(path):
+        await path.add_server(answer_bytes=100_000)
+        entry = await path.add_entry()
+        reply = await entry.send("POST", key="k1")
+        assert reply.status == 200 and len(reply.body) >= 100_000
+        await until(lambda: not entry.actions.n_storing)
+        again = await entry.send("POST", key="k1")
+        assert (again.error, again.run_state) == ("outcome_unknown", "ran")
+        assert path.n_runs == 1
+
+    call_path(main)
+
+
+def test_claim_without_outcome_is_never_run_again(call_path):
+    """Guards against a run after the backend server died under the first one."""
+
+    async def main(path):
+        server = await path.add_server({"kind": "close_after_run"})
+        entry = await path.add_entry()
+        reply = await entry.send("POST", key="k1")
+        assert (reply.error, reply.run_state) == ("outcome_unknown",) * 2
+        await set_faults(server)
+        states = set()
+        for _ in range(4):
+            again = await entry.send("POST", key="k1")
+            assert again.run_state == "outcome_unknown"
+            states.add(again.error)
+            path.ledger.wall_clock.advance(200)
+        # In progress while the claim is younger than the service timeout.
+        assert states == {"in_progress", "outcome_unknown"}
+        assert path.n_runs == 1
+
+    call_path(main, timeout_ms=500.0)
+
+
+def test_statements_of_a_backend_server_about_the_run_are_not_relayed(call_path):
+    """Guards against ``did_not_run`` from a request that the backend server made
+    itself, for a request that ran."""
+
+    async def main(path):
+        async def serve(client, address):
+            await client.recv(10_000)
+            await client.sendall(
+                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"
+                b"Pollenfold-Run-State: did_not_run\r\n\r\n"
+            )
+
+        await path.add_scripted(serve)
+        entry = await path.add_entry()
+        for key in ("k1", "k1"):
+            assert (await entry.send("POST", key=key)).run_state == "ran"
+        assert (await entry.send("GET")).run_state is None
+
+    call_path(main)
--- /dev/null
+++ b/pollenfold/tests/entry/test_drain.py
@@ -0,0 +1,95 @@
+"""A planned stop under load cuts no request off."""
+
+import curio
+
+from pollenfold.entry.daemon import drain
+from pollenfold.http.client import HttpConnection
+from pollenfold.testing.answers import check_answer
+from pollenfold.tests.entry.conftest import HOST, until
+
+
+def test_planned_stop_under_load_cuts_nothing_off(call_path):
+    """Guards against requests in flight, or outcomes, that a stop loses."""
+
+    async def main(path):
+        path.ledger_timeout_ms = 3000.0
+        await path.add_server(service_ms=30)
+        stopping = await path.add_entry("entry-1")
+        other = await path.add_entry("entry-2")
+        assert await stopping.health_status() == 200
+        keys = []
+
+        async def call(number):
+            """Send until the port closes, as callers behind a balancer do."""
+            for n in range(1000):
+                key = f"{number}-{n}" if number % 2 else None
+                try:
+                    reply = await stopping.send(
+                        "POST" if key else "GET", key=key, x_request_id=f"{number}-{n}"
+                    )
+                except OSError:
+                    return
+                assert reply.status == 200, reply
+                assert check_answer(reply.body, f"{number}-{n}", key or "") is None
+                if key:
+                    keys.append(key)
+
+        async with curio.TaskGroup() as group:
+            for number in range(6):
+                await group.spawn(call, number)
+            await until(lambda: len(keys) >= 10)
+            stop = await curio.spawn(drain, stopping, stopping.callers, 200.0)
+            await until(lambda: stopping.is_stopping)
+            n_before = len(keys)
+            assert await stopping.health_status() == 503
+            await until(lambda: len(keys) > n_before)
+            await stop.join()
+        assert stopping.callers.n_in_flight == 0
+        assert stopping.actions.n_storing == 0
+        n_runs = path.n_runs
+        for key in keys:
+            reply = await other.send("POST", key=key)
+            assert reply.headers["pollenfold-replayed"] == "true"
+        assert path.n_runs == n_runs
+
+    call_path(main, timeout_ms=5000.0)
+
+
+def test_stop_waits_for_a_request_that_is_still_arriving(call_path):
+    """Guards against a stop between the head and the body of a request."""
+
+    async def main(path):
+        await path.add_server()
+        entry = await path.add_entry()
+        sock = await curio.open_connection(HOST, entry.port)
+        await sock.sendall(
+            b"POST /market/a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+        )
+        await curio.sleep(0.05)
+        stop = await curio.spawn(drain, entry, entry.callers, 20.0)
+        await curio.sleep(0.2)
+        await sock.sendall(b"cd")
+        assert (await sock.recv(10_000)).startswith(b"HTTP/1.1 200")
+        await stop.join()
+        assert path.n_runs == 1
+
+    call_path(main)
+
+
+def test_caller_that_stops_sending_does_not_hold_up_the_stop(call_path):
+    """Guards against a stop that never ends."""
+
+    async def main(path):
+        entry = await path.add_entry()
+        sock = await curio.open_connection(HOST, entry.port)
+        await sock.sendall(
+            b"POST /market/a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+        )
+        idle = await HttpConnection.open(HOST, entry.port)
+        await curio.sleep(0.05)
+        async with curio.timeout_after(5):
+            await drain(entry, entry.callers, 0.0)
+        assert idle.is_stale()
+        await sock.close()
+
+    call_path(main)
--- /dev/null
+++ b/pollenfold/tests/entry/test_proxy.py
@@ -0,0 +1,357 @@
+"""Callers, late responses, deadlines, hedges and retries through one entry."""
+
+import random
+
+import curio
+import pytest
+
+from pollenfold.core.clock import add_ms
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.answers import check_answer
+from pollenfold.tests.entry.conftest import set_faults, until
+
+
+def answer(body, *headers):
+    """Return a whole response as bytes."""
+    head = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body), *headers]
+    return b"\r\n".join(head) + b"\r\n\r\n" + body
+
+
+def test_many_callers_get_their_own_answers(call_path):
+    """Guards against answers that reach another caller when they are late, doubled,
+    cut off or out of order, and against a false ``did_not_run``."""
+
+    async def main(path):
+        # The replicas sync in the loop of the test; the load is not on the ledger.
+        path.ledger_timeout_ms = 3000.0
+        for zone in "aab":
+            await path.add_server(
+                {"kind": "slow", "share": 0.2, "delay_ms": 40},
+                {"kind": "late_answer", "share": 0.1, "delay_ms": 30},
+                {"kind": "duplicated_answer", "share": 0.05, "delay_ms": 15},
+                {"kind": "truncated_answer", "share": 0.05},
+                {"kind": "close_after_run", "share": 0.03},
+                {"kind": "shed", "share": 0.05},
+                zone=zone,
+                service_ms=2,
+                jitter_sigma=0.5,
+            )
+        entry = await path.add_entry()
+        n_whole = 0
+
+        async def call(number):
+            nonlocal n_whole
+            caller = entry.caller()
+            rng = random.Random(number)
+            for n in range(12):
+                request_id = f"{number}-{n}"
+                key = request_id if rng.random() < 0.5 else None
+                reply = await caller.send(
+                    "POST" if key else "GET",
+                    key=key,
+                    body=b"x" * rng.randrange(2000),
+                    x_request_id=request_id,
+                )
+                if reply.status == 200:
+                    n_whole += 1
+                    wrong = check_answer(reply.body, request_id, key or "")
+                    assert wrong is None, wrong
+                else:
+                    assert reply.error, reply
+                if key and reply.run_state == "did_not_run":
+                    assert n_runs(path, key) == 0
+                assert not key or n_runs(path, key) <= 1
+            await caller.close()
+
+        async with curio.TaskGroup() as group:
+            for number in range(30):
+                await group.spawn(call, number)
+        # About one request in ten is POST and lost; the other faults are retried.
+        assert n_whole >= 30 * 12 * 0.75
+
+    call_path(main, timeout_ms=10_000.0, retry_ratio=1.0)
+
+
+def n_runs(path, key):
+    return sum(server.counts.runs[key] for server in path.servers)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_second_copy_of_a_response_reaches_nobody(call_path, method):
+    """Guards against a duplicate that arrives while the next request waits on the
+    same connection."""
+
+    async def main(path):
+        await path.add_server(
+            {"kind": "duplicated_answer", "delay_ms": 30, "n_requests": 1}
+        )
+        entry = await path.add_entry()
+        caller = entry.caller()
+        for n in range(4):
+            reply = await caller.send(method, x_request_id=f"r{n}")
+            if reply.status == 200:
+                assert check_answer(reply.body, f"r{n}") is None
+            else:
+                assert reply.run_state == "outcome_unknown"
+        assert reply.status == 200
+
+    call_path(main)
+
+
+def test_connection_closed_while_idle_is_not_used(call_path):
+    """Guards against ``outcome_unknown`` for a request that met a connection which
+    the server had closed before."""
+
+    async def main(path):
+        async def serve(client, address):
+            await client.recv(10_000)
+            await client.sendall(answer(b"whole"))
+
+        await path.add_scripted(serve)
+        entry = await path.add_entry()
+        for _ in range(3):
+            reply = await entry.send("POST")
+            assert (reply.status, reply.body) == (200, b"whole")
+            await curio.sleep(0.05)
+
+    call_path(main)
+
+
+def test_answer_of_a_losing_hedge_reaches_nobody(call_path):
+    """Guards against the response of a cancelled attempt on a connection that is
+    used again."""
+
+    async def main(path):
+        slow = {"kind": "late_answer", "delay_ms": 400, "n_requests": 1}
+        first = await path.add_server(slow)
+        await path.add_server(zone="b")
+        entry = await path.add_entry()
+        reply = await entry.send(x_request_id="r1")
+        assert check_answer(reply.body, "r1") is None
+        assert reply.took_ms < 400
+        backends = entry.runtime.backends.values()
+        assert [b.pool.n_open for b in backends] == [0, 1]
+        assert [b.candidate.n_in_flight for b in backends] == [0, 0]
+        deadline = add_ms(system_clock(), 500)
+        while system_clock() < deadline:
+            reply = await entry.send(x_request_id="r2")
+            assert check_answer(reply.body, "r2") is None
+        assert first.counts.n_received > 1
+
+    call_path(main, timeout_ms=400.0 * 2)
+
+
+def test_remaining_time_is_passed_on(call_path):
+    """Guards against a backend server that works on past the caller's deadline."""
+
+    async def main(path):
+        seen = []
+
+        async def serve(client, address):
+            while data := await client.recv(10_000):
+                seen.append(data.lower())
+                await client.sendall(answer(b"ok"))
+
+        await path.add_scripted(serve)
+        entry = await path.add_entry()
+        for given, limit_ms in (("500", 500), ("900000", 2000), (None, 2000)):
+            headers = {} if given is None else {"pollenfold_timeout_ms": given}
+            assert (await entry.send(**headers)).status == 200
+            passed_on = seen[-1].split(b"pollenfold-timeout-ms: ")
+            assert len(passed_on) == 2
+            assert 0 < int(passed_on[1].split(b"\r\n")[0]) < limit_ms
+
+    call_path(main)
+
+
+async def leave(entry, method, after, **options):
+    """Send a request and close the connection when ``after()`` holds."""
+    caller = entry.caller()
+    task = await curio.spawn(lambda: caller.send(method, **options))
+    await until(after)
+    await caller.close()
+    await task.cancel()
+
+
+def test_idempotent_request_ends_with_its_caller(call_path):
+    """Guards against work that goes on although nobody waits for it."""
+
+    async def main(path):
+        server = await path.add_server(service_ms=1500)
+        entry = await path.add_entry()
+        await leave(entry, "GET", lambda: server.n_in_flight)
+        await until(lambda: server.counts.n_stopped_by_caller, timeout_s=1)
+        assert server.counts.n_completed == 0
+        assert entry.runtime.slots.n_in_flight == 0
+
+    call_path(main)
+
+
+def test_request_whose_caller_left_the_queue_is_not_sent(call_path):
+    """Guards against work for a caller that went away while it was queued."""
+
+    async def main(path):
+        server = await path.add_server({"kind": "slow", "delay_ms": 200})
+        entry = await path.add_entry()
+        busy = await curio.spawn(entry.send)
+        await until(lambda: server.n_in_flight)
+        await leave(entry, "GET", lambda: entry.runtime.slots.n_waiting)
+        assert (await busy.join()).status == 200
+        await until(lambda: entry.runtime.slots.n_in_flight == 0)
+        assert server.counts.n_received == 1
+
+    call_path(main, slots_per_endpoint=1)
+
+
+def test_non_idempotent_request_outlives_its_caller(call_path):
+    """Guards against a lost outcome: the caller resends its key later."""
+
+    async def main(path):
+        server = await path.add_server(service_ms=200)
+        entry = await path.add_entry()
+        await leave(entry, "POST", lambda: server.n_in_flight, key="k1")
+        await until(lambda: server.counts.n_completed)
+        await until(lambda: not entry.callers.n_in_flight)
+        await until(lambda: not entry.actions.n_storing)
+        reply = await entry.send("POST", key="k1")
+        assert reply.status == 200 and reply.headers["pollenfold-replayed"] == "true"
+        assert check_answer(reply.body, key="k1") is None
+        assert path.n_runs == 1
+
+    call_path(main)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_server_that_stops_reading_ends_at_the_deadline(call_path, method):
+    """Guards against a request that waits without end while it is being sent."""
+
+    async def main(path):
+        async def serve(client, address):
+            await curio.sleep(60)
+
+        await path.add_scripted(serve)
+        entry = await path.add_entry()
+        reply = await entry.send(method, body=b"x" * (12 << 20))
+        assert reply.run_state == "outcome_unknown"
+        assert reply.took_ms < 3000
+        assert entry.runtime.slots.n_in_flight == 0
+
+    call_path(main, timeout_ms=500.0, max_body_bytes=16 << 20)
+
+
+@pytest.mark.parametrize("fault", ["close_after_run", "truncated_answer", "fail_fast"])
+def test_attempt_that_never_started_takes_nothing_back(call_path, fault):
+    """Guards against ``did_not_run`` for a request that ran at the first server and
+    was refused by the second."""
+
+    async def main(path):
+        await path.add_server({"kind": fault})
+        path.add_refusing(zone="b")
+        entry = await path.add_entry()
+        reply = await entry.send("GET")
+        assert reply.status in (500, 502)
+        assert reply.run_state in (None, "outcome_unknown")
+
+    call_path(main)
+
+
+def test_hedges_stay_within_their_budget(call_path):
+    """Guards against hedges that multiply the load of a service that slows down."""
+
+    async def main(path):
+        first = await path.add_server(service_ms=60)
+        second = await path.add_server(zone="b")
+        entry = await path.add_entry()
+
+        async def call():
+            for _ in range(10):
+                assert (await entry.send("GET")).status == 200
+
+        async with curio.TaskGroup() as group:
+            for _ in range(4):
+                await group.spawn(call)
+        # Two permits at the start and a twentieth for each of the 40 calls.
+        assert 1 <= second.counts.n_received <= 2 + 0.05 * 40
+        assert first.counts.n_received == 40
+
+    call_path(main, timeout_ms=100.0, hedge_ratio=0.05)
+
+
+def test_only_idempotent_requests_are_hedged(call_path):
+    """Guards against a hedge that runs an action twice."""
+
+    async def main(path):
+        await path.add_server(service_ms=200)
+        second = await path.add_server(zone="b")
+        entry = await path.add_entry()
+        assert (await entry.send("POST")).status == 200
+        assert second.counts.n_received == 0
+        assert (await entry.send("GET")).status == 200
+        assert second.counts.n_received == 1
+
+    call_path(main, timeout_ms=400.0)
+
+
+def test_no_hedge_without_a_lease(call_path):
+    """Guards against new work at a zone that was taken out while the lease ended."""
+
+    async def main(path):
+        first = await path.add_server(service_ms=200)
+        second = await path.add_server(zone="b")
+        entry = await path.add_entry()
+        task = await curio.spawn(entry.send)
+        await until(lambda: first.n_in_flight)
+        entry.is_leased = False
+        assert (await task.join()).status == 200
+        assert second.counts.n_received == 0
+
+    call_path(main, timeout_ms=400.0)
+
+
+@pytest.mark.parametrize("n_failing", [1, 2])
+def test_retries_stay_within_their_budget(call_path, n_failing):
+    """Guards against retries that double the load while servers are down."""
+
+    async def main(path):
+        for index, zone in enumerate("ab"):
+            rows = [{"kind": "fail_fast"}] if index < n_failing else []
+            await path.add_server(*rows, zone=zone)
+        entry = await path.add_entry()
+        replies = [await entry.send("GET") for _ in range(100)]
+        n_received = sum(server.counts.n_received for server in path.servers)
+        # Ten permits at the start and a tenth for each of the 100 calls.
+        assert n_received <= 100 + 10 + 0.1 * 100
+        n_good = sum(reply.status == 200 for reply in replies)
+        assert n_good == (n_received - 100 if n_failing == 1 else 0)
+        if n_failing == 2:
+            assert path.n_runs == 0
+
+    call_path(main)
+
+
+@pytest.mark.parametrize("path_name", ["/market/a", "/elsewhere"])
+def test_head_request_gets_a_response_without_a_body(call_path, path_name):
+    """Guards against a broken connection where a HEAD request is refused."""
+
+    async def main(path):
+        entry = await path.add_entry()
+        reply = await entry.send("HEAD", path_name)
+        assert reply.status in (404, 503) and reply.body == b""
+
+    call_path(main)
+
+
+def test_no_request_is_left_behind(call_path):
+    """Guards against slots that leak when faults end attempts in any state."""
+
+    async def main(path):
+        server = await path.add_server()
+        entry = await path.add_entry()
+        for kind in ("truncated_answer", "close_before_run", "shed", "fail_fast"):
+            await set_faults(server, {"kind": kind})
+            for method in ("GET", "POST"):
+                assert (await entry.send(method)).status >= 500
+        assert entry.runtime.slots.n_in_flight == 0
+        assert [b.candidate.n_in_flight for b in entry.runtime.backends.values()] == [0]
+
+    call_path(main)
