--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -9,7 +9,7 @@
 from curio import socket
 from loguru import logger
 
-from ..core.errors import ErrorKind
+from ..core.errors import ErrorKind, RunState
 from .messages import Request, Response, error_response
 
 Handler = Callable[[Request], Awaitable[Response | None]]
@@ -26,12 +26,19 @@
 
 
 class RequestError(Exception):
-    """A request that can't reach the handler, with the kind to answer."""
+    """A request that can't reach the handler, with the kind to answer.
 
-    def __init__(self, kind: ErrorKind, detail: str = "") -> None:
+    ``head`` is that of the request when it was read.
+    """
+
+    def __init__(
+        self, kind: ErrorKind, detail: str = "", head: h11.Request | None = None
+    ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
+        names = () if head is None else (name for name, _ in head.headers)
+        self.has_key = b"idempotency-key" in names
 
 
 class HttpServer:
@@ -112,7 +119,9 @@
             logger.debug(
                 "event=request_rejected kind={} peer={}", error.kind.value, peer
             )
-            response = error_response(error.kind, error.detail)
+            # An earlier whole request with the same key may have run.
+            state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
+            response = error_response(error.kind, error.detail, run_state=state)
             response.close = True
             await self._write(connection, client, response)
             return False
@@ -151,7 +160,8 @@
             try:
                 event = connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise RequestError(_protocol_error_kind(error, head), str(error))
+                kind = _protocol_error_kind(error, head)
+                raise RequestError(kind, str(error), head)
             if event is h11.NEED_DATA:
                 if connection.they_are_waiting_for_100_continue:
                     await client.sendall(
@@ -166,7 +176,7 @@
             elif type(event) is h11.Data:
                 n_body_bytes += len(event.data)
                 if n_body_bytes > self._max_body_bytes:
-                    raise RequestError(ErrorKind.BODY_TOO_LARGE)
+                    raise RequestError(ErrorKind.BODY_TOO_LARGE, head=head)
                 body.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 if head is None:
--- a/pollenfold/tests/entry/conftest.py
+++ b/pollenfold/tests/entry/conftest.py
@@ -86,7 +86,11 @@
             await self.close()
         if result.is_error():
             return Reply(None, took_ms=took_ms)
-        seen = {name.decode(): text.decode() for name, text in result.ok.headers}
+        seen = {}
+        for name, text in result.ok.headers:
+            # A repeated header is shown as such, so that no test overlooks it.
+            before = [seen[name.decode()]] if name.decode() in seen else []
+            seen[name.decode()] = ", ".join([*before, text.decode()])
         return Reply(result.ok.status, seen, result.ok.body, took_ms)
 
     async def close(self):
--- a/pollenfold/tests/entry/test_actions.py
+++ b/pollenfold/tests/entry/test_actions.py
@@ -11,15 +11,17 @@
     return [await path.add_entry(f"entry-{n}") for n in range(n_entries)]
 
 
+@pytest.mark.parametrize("service_ms", [40, 400])
 @pytest.mark.parametrize("n_entries", [1, 2])
-def test_key_sent_twice_at_once_runs_once(call_path, n_entries):
+def test_key_sent_twice_at_once_runs_once(call_path, n_entries, service_ms):
     """Guards against two runs when a caller resends before the first answer, through
-    the same entry or another one."""
+    the same entry or another one. The longer service time is above the wait for
+    the outcome."""
 
     async def main(path):
-        await path.add_server(service_ms=40)
+        await path.add_server(service_ms=service_ms)
         entries = await add_entries(path, n_entries)
-        for n in range(10):
+        for n in range(400 // service_ms):
             tasks = [
                 await curio.spawn(lambda e=entry: e.send("POST", key=f"k{n}"))
                 for entry in (entries[0], entries[-1])
--- a/pollenfold/tests/entry/test_drain.py
+++ b/pollenfold/tests/entry/test_drain.py
@@ -3,6 +3,7 @@
 import curio
 
 from pollenfold.entry.daemon import drain
+from pollenfold.http import server
 from pollenfold.http.client import HttpConnection
 from pollenfold.testing.answers import check_answer
 from pollenfold.tests.entry.conftest import HOST, until
@@ -20,11 +21,12 @@
         keys = []
 
         async def call(number):
-            """Send until the port closes, as callers behind a balancer do."""
+            """Send until the port closes, half of them on kept connections."""
+            caller = stopping.caller() if number < 3 else stopping
             for n in range(1000):
                 key = f"{number}-{n}" if number % 2 else None
                 try:
-                    reply = await stopping.send(
+                    reply = await caller.send(
                         "POST" if key else "GET", key=key, x_request_id=f"{number}-{n}"
                     )
                 except OSError:
@@ -68,6 +70,7 @@
         await curio.sleep(0.05)
         stop = await curio.spawn(drain, entry, entry.callers, 20.0)
         await curio.sleep(0.2)
+        assert not stop.terminated
         await sock.sendall(b"cd")
         assert (await sock.recv(10_000)).startswith(b"HTTP/1.1 200")
         await stop.join()
@@ -89,7 +92,23 @@
         await curio.sleep(0.05)
         async with curio.timeout_after(5):
             await drain(entry, entry.callers, 0.0)
-        assert idle.is_stale()
+        await until(idle.is_stale)
         await sock.close()
 
     call_path(main)
+
+
+def test_stop_waits_for_long_requests(call_path, monkeypatch):
+    """Guards against a stop that bounds requests in flight like unfinished reads."""
+    monkeypatch.setattr(server, "READ_WAIT_MS", 20.0)
+
+    async def main(path):
+        backend = await path.add_server(service_ms=400)
+        entry = await path.add_entry()
+        task = await curio.spawn(entry.send)
+        await until(lambda: backend.n_in_flight)
+        await drain(entry, entry.callers, 0.0)
+        assert backend.counts.n_completed == 1
+        assert (await task.join()).status == 200
+
+    call_path(main)
--- a/pollenfold/tests/http/test_server.py
+++ b/pollenfold/tests/http/test_server.py
@@ -102,6 +102,29 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    "length, error", [(9, "truncated_body"), (2000, "body_too_large")]
+)
+def test_refused_body_with_a_key_leaves_the_outcome_unknown(run, length, error):
+    """Guards against ``did_not_run`` for a key whose earlier request may have run."""
+
+    async def main():
+        server, port = await start_echo()
+        sock = await curio.open_connection("127.0.0.1", port)
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n"
+        await sock.sendall(head + b"Content-Length: %d\r\n\r\n" % length)
+        await sock.sendall(b"x" * (length - 1))
+        await sock.shutdown(1)
+        answer = b""
+        while chunk := await sock.recv(10000):
+            answer += chunk
+        body = json.loads(answer.split(b"\r\n\r\n", 1)[1])
+        assert (body["error"], body["run_state"]) == (error, "outcome_unknown")
+        await server.stop()
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     "answer, failure",
     [
