--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -9,7 +9,7 @@
 from curio import socket
 from loguru import logger
 
-from ..core.errors import ErrorKind
+from ..core.errors import ErrorKind, RunState
 from .messages import Request, Response, error_response
 
 Handler = Callable[[Request], Awaitable[Response | None]]
@@ -19,16 +19,26 @@
 """Greatest request head; bounds the memory that one connection can claim."""
 
 READ_BYTES = 64 * 1024
+READ_WAIT_MS = 2000.0
+"""How long a planned stop waits for the rest of a request that began to arrive."""
+
 _STATUS_WITHOUT_BODY = (204, 304)
 
 
 class RequestError(Exception):
-    """A request that can't reach the handler, with the kind to answer."""
+    """A request that can't reach the handler, with the kind to answer.
+
+    ``head`` is that of the request when it was read.
+    """
 
-    def __init__(self, kind: ErrorKind, detail: str = "") -> None:
+    def __init__(
+        self, kind: ErrorKind, detail: str = "", head: h11.Request | None = None
+    ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
+        names = () if head is None else (name for name, _ in head.headers)
+        self.has_key = b"idempotency-key" in names
 
 
 class HttpServer:
@@ -67,7 +77,14 @@
                 await sock.shutdown(socket.SHUT_RD)
 
     async def wait_idle(self) -> None:
-        """Return when no request is in flight."""
+        """Return when no request is in flight.
+
+        A request whose body is still arriving is waited for as well, but only for
+        ``READ_WAIT_MS``, so that a caller which stops sending can't hold up the stop.
+        """
+        async with curio.ignore_after(READ_WAIT_MS / 1000):
+            while any(self._connections.values()):
+                await curio.sleep(0.005)
         while self.n_in_flight:
             await curio.sleep(0.005)
 
@@ -102,7 +119,9 @@
             logger.debug(
                 "event=request_rejected kind={} peer={}", error.kind.value, peer
             )
-            response = error_response(error.kind, error.detail)
+            # An earlier whole request with the same key may have run.
+            state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
+            response = error_response(error.kind, error.detail, run_state=state)
             response.close = True
             await self._write(connection, client, response)
             return False
@@ -114,6 +133,8 @@
             answer = await self._handler(request)
             if answer is None:
                 return False
+            if request.method == b"HEAD":
+                answer.body = b""
             answer.close = answer.close or self._stopping
             await self._write(connection, client, answer)
         finally:
@@ -139,7 +160,8 @@
             try:
                 event = connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise RequestError(_protocol_error_kind(error, head), str(error))
+                kind = _protocol_error_kind(error, head)
+                raise RequestError(kind, str(error), head)
             if event is h11.NEED_DATA:
                 if connection.they_are_waiting_for_100_continue:
                     await client.sendall(
@@ -154,13 +176,20 @@
             elif type(event) is h11.Data:
                 n_body_bytes += len(event.data)
                 if n_body_bytes > self._max_body_bytes:
-                    raise RequestError(ErrorKind.BODY_TOO_LARGE)
+                    raise RequestError(ErrorKind.BODY_TOO_LARGE, head=head)
                 body.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 if head is None:
                     raise RequestError(ErrorKind.BAD_REQUEST, "no request head")
                 headers = [(name, value) for name, value in head.headers]
-                return Request(head.method, head.target, headers, b"".join(body), peer)
+                return Request(
+                    head.method,
+                    head.target,
+                    headers,
+                    b"".join(body),
+                    peer,
+                    client.fileno(),
+                )
             else:
                 return None
 
--- a/pollenfold/testing/ledger.py
+++ b/pollenfold/testing/ledger.py
@@ -67,9 +67,14 @@
             if name not in self._stopped:
                 await self.replicas[name].close()
 
-    def client(self, client_id: str, clock: Clock = system_clock) -> LedgerClient:
+    def client(
+        self,
+        client_id: str,
+        clock: Clock = system_clock,
+        call_timeout_ms: float = CALL_TIMEOUT_MS,
+    ) -> LedgerClient:
         """Return a client of all replicas."""
-        client = LedgerClient(self.addresses, client_id, clock, CALL_TIMEOUT_MS)
+        client = LedgerClient(self.addresses, client_id, clock, call_timeout_ms)
         self._clients.append(client)
         return client
 
