Take epochs that were announced while a blank replica copies

A replica that returned after a lost disk kept the epochs of its first answers. One that another replica announced after that was lost, although the copied peers knew it, so a vote of the returned replica did not make claimants drop the old vote. Without the change test_copy_takes_an_epoch_announced_meanwhile fails.

--- a/pollenfold/ledger/rejoin.py
+++ b/pollenfold/ledger/rejoin.py
@@ -109,7 +109,9 @@
     whole = [copy for copy in copies if copy is not None]
     if len(whole) < n_needed:
         return None
-    return Joined(_merge(whole), epochs, stored)
+    # Another replica may have announced its epoch since the first answers.
+    epochs = tuple(map(max, epochs, *(known for _, known in whole)))
+    return Joined(_merge([copy for copy, _ in whole]), epochs, stored)
 
 
 def _founders(incarnation: str, answers: dict[str, _PeerStatus]) -> tuple[str, ...]:
@@ -118,19 +120,19 @@
     )
 
 
-async def _copy(peer: RpcClient, fence: Fence) -> Copy | None:
-    """Return all registers of a peer as of the fence or later."""
+async def _copy(peer: RpcClient, fence: Fence) -> tuple[Copy, Epochs] | None:
+    """Return all registers and epochs of a peer as of the fence or later."""
     registers: Copy = {}
     offset = 0
     while True:
         request = PageRequest(fence.replica_id, fence.epoch, offset)
         match await _ask(peer, request):
-            case (_, Page() as page):
+            case (epochs, Page() as page):
                 for key, register, age in page.registers:
                     registers[key] = (register, age)
                 offset = page.next_offset
                 if page.is_last:
-                    return registers
+                    return registers, epochs
             case _:
                 return None
 
--- a/pollenfold/tests/ledger/test_replica.py
+++ b/pollenfold/tests/ledger/test_replica.py
@@ -30,7 +30,13 @@
 from pollenfold.ledger.store import RegisterStore, StorageError
 from pollenfold.observe.clock import system_clock
 from pollenfold.testing.ledger import LocalLedger
-from pollenfold.wire.ledger import StatusRequest, encode_request
+from pollenfold.wire.ledger import (
+    Fence,
+    PageRequest,
+    StatusRequest,
+    decode_request,
+    encode_request,
+)
 
 OUTCOME = Outcome(201, ((b"content-type", b"text/plain"),), b"booked")
 TIMEOUT_MS = 5000.0
@@ -153,6 +159,28 @@
     run_ledger(main)
 
 
+def test_copy_takes_an_epoch_announced_meanwhile(run_ledger):
+    """Guards against a vote of a replica that copied another one before it knew the
+    new epoch of a third one."""
+
+    async def main(ledger):
+        await ledger.lose_disk("a")
+        served = ledger.replicas["b"].answer
+        fence = encode_request("", Fence("c", 2))
+
+        async def announce_before_pages(payload):
+            if isinstance(decode_request(payload)[1], PageRequest):
+                ledger.replicas["b"].answer = served
+                await served(fence)
+            return await served(payload)
+
+        ledger.replicas["b"].answer = announce_before_pages
+        assert await ledger.join("a")
+        assert ledger.replicas["a"].store.epochs == (2, 1, 2)
+
+    run_ledger(main)
+
+
 def test_restart_with_a_torn_journal_entry(run_ledger):
     """Guards against an acknowledged claim that a crash during the next write takes
     back."""
