Let a slow founder ask n - majority + 1 others before it joins

It took the epochs from any one voter, which may not know an epoch that another replica announced since. Blank founders count as answers, as no epoch is stored on them. test_slow_founder_asks_enough_others fails when one answer is enough, and when a new cluster forms without the answers of all replicas.

--- a/pollenfold/ledger/rejoin.py
+++ b/pollenfold/ledger/rejoin.py
@@ -3,7 +3,8 @@
 A blank replica answers no claim. When all replicas are blank, the cluster is new: two
 rounds that show the same incarnations prove that all were blank at one moment in
 between. The incarnations of the founders are stored, so that a founder that was slow
-to see this may still join empty: it has never voted.
+to see this may still join empty: it has never voted. It needs the epochs that n -
+majority + 1 of the others know; a blank founder knows of none.
 
 Otherwise it needs n - majority + 1 of the others. Every majority that it belonged to
 contains one of these, so each value chosen with its help is in their registers. It
@@ -96,9 +97,14 @@
     voters = {n: a for n, a in answers.items() if not a.status.is_blank}
     known = tuple(map(max, *(a.epochs for a in voters.values()), (0,) * len(ids)))
     stored = max(a.status.founders for a in voters.values())
-    if incarnation in stored:
-        return Joined({}, known, stored)
     n_needed = len(ids) - (len(ids) // 2 + 1) + 1
+    if incarnation in stored:
+        n_founders = sum(
+            answer.status.is_blank and answer.status.incarnation in stored
+            for answer in answers.values()
+        )
+        is_known = len(voters) + n_founders >= n_needed
+        return Joined({}, known, stored) if is_known else None
     if len(voters) < n_needed:
         return None
     own = ids.index(replica_id)
--- a/pollenfold/testing/ledger.py
+++ b/pollenfold/testing/ledger.py
@@ -31,12 +31,15 @@
             await ledger.lose_disk("a")
     """
 
-    def __init__(self, folder: Path, n_replicas: int = 3) -> None:
+    def __init__(
+        self, folder: Path, n_replicas: int = 3, *, is_joined: bool = True
+    ) -> None:
         self.names = [chr(ord("a") + n) for n in range(n_replicas)]
         self.wall_clock = ManualClock(2 * RETENTION_MS)
         self.replicas: dict[str, LedgerReplica] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self._folder = folder
+        self._is_joined = is_joined
         self.n_received = dict.fromkeys(self.names, 0)
         self._gates: dict[str, curio.Event] = {}
         self._isolated: set[str] = set()
@@ -54,8 +57,9 @@
             server = RpcServer({Protocol.LEDGER: self._handler(name)})
             run_server = curio.network.run_server
             self._tasks.append(await curio.spawn(run_server, sock, server.handle))
-        for name in self.names:
-            await self.join(name)
+        if self._is_joined:
+            for name in self.names:
+                await self.join(name)
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/pollenfold/tests/ledger/test_replica.py
+++ b/pollenfold/tests/ledger/test_replica.py
@@ -159,6 +159,25 @@
     run_ledger(main)
 
 
+def test_slow_founder_asks_enough_others(run, tmp_path):
+    """Guards against a cluster that never forms, and against a founder that votes
+    without the epochs announced before it joined."""
+
+    async def main():
+        async with LocalLedger(tmp_path, 3, is_joined=False) as ledger:
+            ledger.isolate("c")
+            assert not await ledger.join("a")
+            ledger.reconnect("c")
+            assert await ledger.join("a")
+            ledger.isolate("c")
+            assert not await ledger.join("b")
+            ledger.reconnect("c")
+            assert await ledger.join("b")
+            assert await ledger.join("c")
+
+    run(main)
+
+
 def test_copy_takes_an_epoch_announced_meanwhile(run_ledger):
     """Guards against a vote of a replica that copied another one before it knew the
     new epoch of a third one."""
