--- a/pollenfold/tests/ledger/test_replica.py
+++ b/pollenfold/tests/ledger/test_replica.py
@@ -31,7 +31,13 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.settings import LedgerSettings
 from pollenfold.testing.ledger import LocalLedger
-from pollenfold.wire.ledger import StatusRequest, encode_request
+from pollenfold.wire.ledger import (
+    Fence,
+    PageRequest,
+    StatusRequest,
+    decode_request,
+    encode_request,
+)
 
 OUTCOME = Outcome(201, ((b"content-type", b"text/plain"),), b"booked")
 TIMEOUT_MS = 5000.0
@@ -154,6 +160,47 @@
     run_ledger(main)
 
 
+def test_slow_founder_asks_enough_others(run, tmp_path):
+    """Guards against a cluster that never forms, and against a founder that votes
+    without the epochs announced before it joined."""
+
+    async def main():
+        async with LocalLedger(tmp_path, 3, is_joined=False) as ledger:
+            ledger.isolate("c")
+            assert not await ledger.join("a")
+            ledger.reconnect("c")
+            assert await ledger.join("a")
+            ledger.isolate("c")
+            assert not await ledger.join("b")
+            ledger.reconnect("c")
+            assert await ledger.join("b")
+            assert await ledger.join("c")
+
+    run(main)
+
+
+def test_copy_takes_an_epoch_announced_meanwhile(run_ledger):
+    """Guards against a vote of a replica that copied another one before it knew the
+    new epoch of a third one."""
+
+    async def main(ledger):
+        await ledger.lose_disk("a")
+        served = ledger.replicas["b"].answer
+        fence = encode_request("", Fence("c", 2))
+
+        async def announce_before_pages(payload):
+            if isinstance(decode_request(payload)[1], PageRequest):
+                ledger.replicas["b"].answer = served
+                await served(fence)
+            return await served(payload)
+
+        ledger.replicas["b"].answer = announce_before_pages
+        assert await ledger.join("a")
+        assert ledger.replicas["a"].store.epochs == (2, 1, 2)
+
+    run_ledger(main)
+
+
 def test_restart_with_a_torn_journal_entry(run_ledger):
     """Guards against an acknowledged claim that a crash during the next write takes
     back."""
@@ -280,26 +327,30 @@
     run(main)
 
 
-def test_compaction_keeps_changes_made_meanwhile(run, tmp_path):
-    """Guards against a rewrite of the journal that loses a change made during it."""
+def test_compaction_keeps_the_newest_registers(run, tmp_path):
+    """Guards against a rewrite of the journal that loses or takes back a change, and
+    against a journal that grows for ever."""
 
     async def main():
+        def held(claim_id):
+            return Register(value=Value(State.CLAIMED, (claim_id,)))
+
         store = RegisterStore(tmp_path, 3, lambda: 0.0)
-        for n in range(1000):
-            store.put(f"{n}", Register(value=Value(State.CLAIMED, ("c",))))
+        store.put_epochs((1, 2, 1))
+        for n in range(16_000):
+            store.put(f"{n % 1000}", held(f"{n}"))
+            if n % 1000 == 999:
+                await store.synced()
+        size_bytes = (tmp_path / "registers").stat().st_size
+        store.put("0", held("unsynced"))
+        store.compact_if_needed()
+        assert (tmp_path / "registers").stat().st_size < size_bytes / 8
+        store.put("new", held("later"))
         await store.synced()
-        task = await curio.spawn(store.compact)
-        await curio.sleep(0)
-        for key in ("0", "new"):
-            store.put(key, Register(value=Value(State.CLAIMED, ("d",))))
-        await store.synced()
-        await task.join()
         again = RegisterStore(tmp_path, 3, lambda: 0.0)
-        assert len(again) == 1001
-        assert [again.get(key).value.claim_ids for key in ("0", "1", "new")] == [
-            ("d",),
-            ("c",),
-            ("d",),
-        ]
+        assert (len(again), again.epochs) == (1001, (1, 2, 1))
+        expected = {"0": "unsynced", "1": "15001", "new": "later"}
+        for key, claim_id in expected.items():
+            assert again.get(key) == held(claim_id)
 
     run(main)
