--- a/benchmarks/ledger_cost.py
+++ b/benchmarks/ledger_cost.py
@@ -24,7 +24,7 @@
 
 from pollenfold.core.claims import Claimed
 from pollenfold.core.register import Outcome
-from pollenfold.entry.ledger_client import LedgerClient
+from pollenfold.ledger.client import LedgerClient
 from pollenfold.ledger.daemon import serve_ledger
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.logs import configure_logs
--- a/pollenfold/control/requests.py
+++ b/pollenfold/control/requests.py
@@ -8,7 +8,7 @@
 
 from ..core.clock import Clock
 from ..core.errors import Failure
-from ..entry.ledger_client import LedgerClient
+from ..ledger.client import LedgerClient
 
 MAX_REQUESTS = 200
 """Claims of one answer; each is read from all replicas, so the number is bounded."""
--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -14,8 +14,8 @@
 from ..core.errors import ERROR_TABLE, ErrorKind, RunState
 from ..core.register import Outcome
 from ..http.messages import Response, error_response
+from ..ledger.client import LedgerClient
 from .attempts import backend_headers
-from .ledger_client import LedgerClient
 
 if TYPE_CHECKING:
     from ..core.claims import ClaimAnswer
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -16,6 +16,7 @@
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice
 from ..core.warming import Directory, WarmChange
 from ..http.server import HttpServer
+from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
 from ..observe.metrics import MetricsSender
@@ -28,7 +29,6 @@
 from .forwarding import Forwarder
 from .gossip import Gossip
 from .health import EndpointHealth
-from .ledger_client import LedgerClient
 from .peers import PeerClients
 from .platform import PlatformInterface
 from .probes import Prober, ProbeResult, ProbeTarget
@@ -42,6 +42,10 @@
 MAX_BODY_BYTES = 16 << 20
 """Greatest body that the HTTP layer reads; each service has its own lower limit."""
 
+LEDGER_CALL_TIMEOUT_MS = 200.0
+"""Covers a sync that stalls on a busy disk. The first majority decides, so the time
+matters only when too few replicas answer."""
+
 STORE_WAIT_MS = 3000.0
 """How long a planned stop waits for outcomes that are still being stored."""
 
@@ -89,7 +93,9 @@
             system_clock,
         )
         process_id = f"{settings.entry_id}-{secrets.token_hex(4)}"
-        ledger = LedgerClient(dict(settings.ledger), process_id, system_clock)
+        ledger = LedgerClient(
+            dict(settings.ledger), process_id, system_clock, LEDGER_CALL_TIMEOUT_MS
+        )
         self.actions = ActionRunner(ledger, process_id, system_clock)
         self.proxy = Proxy(
             self.services,
--- a/pollenfold/testing/ledger.py
+++ b/pollenfold/testing/ledger.py
@@ -10,7 +10,7 @@
 
 from ..core.clock import Clock, ManualClock
 from ..core.register import RETENTION_MS
-from ..entry.ledger_client import LedgerClient
+from ..ledger.client import LedgerClient
 from ..ledger.replica import LedgerReplica
 from ..observe.clock import system_clock
 from ..wire.frames import Protocol
--- a/pollenfold/tests/ledger/test_replica.py
+++ b/pollenfold/tests/ledger/test_replica.py
@@ -25,7 +25,7 @@
     Value,
     handle,
 )
-from pollenfold.entry.ledger_client import MAX_BODY_BYTES, LedgerClient
+from pollenfold.ledger.client import MAX_BODY_BYTES, LedgerClient
 from pollenfold.ledger.daemon import serve_ledger
 from pollenfold.ledger.store import RegisterStore, StorageError
 from pollenfold.observe.clock import system_clock
