--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -119,7 +119,10 @@
             backend.endpoint = endpoint
             backend.pool.limit = n_connections
             candidate = backend.candidate
-            candidate.limit = self._health.limit(self.spec, endpoint, view)
+            # A slot without a connection would refuse requests that could wait.
+            candidate.limit = min(
+                n_connections, self._health.limit(self.spec, endpoint, view)
+            )
             if candidate.limit > 0:
                 usable.append(candidate)
             else:
--- a/pollenfold/tests/entry/conftest.py
+++ b/pollenfold/tests/entry/conftest.py
@@ -109,6 +109,7 @@
         self.is_stopping = False
         self.port = 0
         self.health_port = 0
+        self.warm_changes = []
         self.view = path.view
         self.warmup_directory = Directory(1, -1e9, (entry_id,))
         self.directory = EntryDirectory()
@@ -117,7 +118,7 @@
             LEASE_MS,
             lambda: self.warmup_directory,
             lambda: self.view,
-            lambda change: None,
+            self.warm_changes.append,
             system_clock,
         )
         self.services = ServiceTable("a", 1, system_clock, self.health)
--- a/pollenfold/tests/entry/test_proxy.py
+++ b/pollenfold/tests/entry/test_proxy.py
@@ -355,3 +355,34 @@
         assert [b.candidate.n_in_flight for b in entry.runtime.backends.values()] == [0]
 
     call_path(main)
+
+
+def test_connections_bound_the_requests_in_flight(call_path):
+    """Guards against refusals of requests that could wait for a connection."""
+
+    async def main(path):
+        server = await path.add_server(service_ms=20)
+        entry = await path.add_entry()
+        tasks = [await curio.spawn(entry.send) for _ in range(6)]
+        assert [(await task.join()).status for task in tasks] == [200] * 6
+        assert server.counts.greatest_in_flight == 2
+
+    call_path(main, connections_per_endpoint=2)
+
+
+def test_short_deadlines_do_not_turn_a_server_cold(call_path):
+    """Guards against a caller without time that takes servers out of service."""
+
+    async def main(path):
+        server = await path.add_server()
+        entry = await path.add_entry()
+        for _ in range(10):
+            reply = await entry.send("POST", pollenfold_timeout_ms=0)
+            assert (reply.error, reply.run_state) == (
+                "deadline_exceeded",
+                "did_not_run",
+            )
+        assert entry.warm_changes == []
+        assert server.counts.n_received == 0
+
+    call_path(main)
