Ignore deadlines below the usual latency when judging a server

A caller with deadlines shorter than the service time turned a server cold for all callers; without the rule the new test failed. Lower bounds of a latency count only above the mean.

--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -18,6 +18,9 @@
 CANCEL_CHECK_MS = 25.0
 """How often a waiting attempt looks whether the caller closed its connection."""
 
+DEADLINE_SLACK_MS = 5.0
+"""A server counts the remaining time in whole ms and answers a little early."""
+
 NOT_STARTED = b"pollenfold-not-started"
 TIMEOUT_HEADER = b"pollenfold-timeout-ms"
 EXCHANGE_ID = b"pollenfold-exchange-id"
@@ -194,10 +197,19 @@
                 return None
             result = await self.wait(min(left_ms, CANCEL_CHECK_MS))
             if result is not None:
-                return result
+                return self._mark_expired(result, exchange)
             if is_cancellable and exchange.is_caller_gone():
                 raise CallerGone
 
+    def _mark_expired(self, result: AttemptResult, exchange: Exchange) -> AttemptResult:
+        """Return a 504 at the deadline as expired: the server stopped, as it should."""
+        response = result.response
+        if response is None or response.status != 504:
+            return result
+        if remaining_ms(exchange.deadline, self._clock()) > DEADLINE_SLACK_MS:
+            return result
+        return AttemptResult(AttemptOutcome.EXPIRED, response)
+
     async def finish(self) -> None:
         """Give the connection back, or close it when the exchange is not complete."""
         if self._connection is not None:
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -105,6 +105,11 @@
         now = self._clock()
         endpoint = backend.endpoint
         outcome = result.outcome
+        is_early = latency_ms < backend.candidate.ewma_ms
+        if outcome is AttemptOutcome.EXPIRED and is_early:
+            # The caller gave less time than the server usually takes. Callers with
+            # short deadlines must not take servers out of service.
+            return None
         report = self._read_report(spec, result, now)
         if outcome is AttemptOutcome.UNREACHABLE:
             # Not a sign of coldness: a server that restarted announces itself anew.
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -91,10 +91,10 @@
         report = self._health.observe(self.spec, backend, result, latency_ms)
         if report is not None:
             self._note_report(backend.candidate, report)
-        counts = result is None or result.outcome in (
-            AttemptOutcome.RESPONDED,
-            AttemptOutcome.EXPIRED,
-        )
+        is_whole = result is not None and result.outcome is AttemptOutcome.RESPONDED
+        is_bound = result is None or result.outcome is AttemptOutcome.EXPIRED
+        # A lower bound tells nothing while it is below the mean.
+        counts = is_whole or is_bound and latency_ms > backend.candidate.ewma_ms
         if counts:
             self._latency.observe(latency_ms)
         await self.slots.release(backend.candidate, latency_ms if counts else None)
--- a/pollenfold/tests/entry/test_proxy.py
+++ b/pollenfold/tests/entry/test_proxy.py
@@ -386,3 +386,20 @@
         assert server.counts.n_received == 0
 
     call_path(main)
+
+
+def test_callers_with_little_time_do_not_turn_a_server_cold(call_path):
+    """Guards against a caller whose deadlines are shorter than the service time and
+    that takes servers out of service for all others."""
+
+    async def main(path):
+        await path.add_server(service_ms=80)
+        entry = await path.add_entry()
+        assert (await entry.send()).status == 200
+        for _ in range(10):
+            reply = await entry.send(pollenfold_timeout_ms=20)
+            # The server or the entry sees the end first.
+            assert reply.status == 504
+        assert entry.warm_changes == []
+
+    call_path(main)
