--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -98,10 +98,10 @@
         report = self._health.observe(self.spec, backend, result, latency_ms)
         if report is not None:
             self._note_report(backend.candidate, report)
-        counts = result is None or result.outcome in (
-            AttemptOutcome.RESPONDED,
-            AttemptOutcome.EXPIRED,
-        )
+        is_whole = result is not None and result.outcome is AttemptOutcome.RESPONDED
+        is_bound = result is None or result.outcome is AttemptOutcome.EXPIRED
+        # A lower bound tells nothing while it is below the mean.
+        counts = is_whole or is_bound and latency_ms > backend.candidate.ewma_ms
         if result is not None and result.outcome in _FAILURES:
             penalty_ms = FAILURE_PENALTY * max(1.0, self.slots.mean_service_ms)
             observe_failure(backend.candidate, penalty_ms, self._clock())
@@ -129,7 +129,10 @@
             backend.endpoint = endpoint
             backend.pool.limit = n_connections
             candidate = backend.candidate
-            candidate.limit = self._health.limit(self.spec, endpoint, view)
+            # A slot without a connection would refuse requests that could wait.
+            candidate.limit = min(
+                n_connections, self._health.limit(self.spec, endpoint, view)
+            )
             if candidate.limit > 0:
                 usable.append(candidate)
             else:
