Send small requests without a timeout and read usual load reports faster

Cause, by profile: two curio timeouts a call at about 14 us each, and splitting of the load report. Ruled out: selection, about 10 us for 20 endpoints.

--- a/pollenfold/core/measurement.py
+++ b/pollenfold/core/measurement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from dataclasses import dataclass
 from typing import Any
 
@@ -28,6 +29,9 @@
 
 _MAX_FIGURE = 1_000_000
 
+_USUAL_REPORT = re.compile(rb"in_flight=(\d{1,7});slots=(\d{1,7});cold=([01])")
+"""The form that nearly every report has; reading it costs less than splitting."""
+
 
 class TokenBucket:
     """Allows ``rate_per_s`` units a second, and up to ``burst`` at once.
@@ -140,6 +144,10 @@
 
     Unknown fields are ignored, and ``cold`` may be missing.
     """
+    usual = _USUAL_REPORT.fullmatch(value)
+    if usual is not None:
+        in_flight, slots, cold = map(int, usual.groups())
+        return _report(in_flight, slots, cold, now)
     if len(value) > MAX_REPORT_BYTES:
         return None
     fields: dict[str, int] = {}
--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -21,6 +21,8 @@
 DEADLINE_SLACK_MS = 5.0
 """A server counts the remaining time in whole ms and answers a little early."""
 
+SMALL_BODY_BYTES = 4096
+
 NOT_STARTED = b"pollenfold-not-started"
 TIMEOUT_HEADER = b"pollenfold-timeout-ms"
 EXCHANGE_ID = b"pollenfold-exchange-id"
@@ -156,11 +158,7 @@
             (EXCHANGE_ID, b"%d" % (connection.n_exchanges + 1)),
         ]
         try:
-            # A server that stops reading must not hold the request past its deadline.
-            async with curio.timeout_after(left_ms / 1000):
-                failure = await connection.send(
-                    request.method, request.target, headers, request.body
-                )
+            failure = await self._send(connection, request, headers, left_ms)
         except curio.TaskTimeout:
             return AttemptResult(AttemptOutcome.EXPIRED)
         if failure is None:
@@ -169,6 +167,20 @@
             return AttemptResult(AttemptOutcome.UNREACHABLE)
         return AttemptResult(AttemptOutcome.LOST)
 
+    @staticmethod
+    async def _send(
+        connection: HttpConnection, request: Request, headers: Headers, left_ms: float
+    ) -> ExchangeFailure | None:
+        """Write the request; raise TaskTimeout when the server stops reading.
+
+        A small request always fits into the empty send buffer of an idle connection,
+        so it is written without the cost of a timeout.
+        """
+        send = connection.send(request.method, request.target, headers, request.body)
+        if len(request.body) <= SMALL_BODY_BYTES:
+            return await send
+        return await curio.timeout_after(left_ms / 1000, send)
+
     async def wait(self, timeout_ms: float) -> AttemptResult | None:
         """Wait for the response; None when ``timeout_ms`` passed before it."""
         assert self._connection is not None
