--- /dev/null
+++ b/pollenfold/tests/processes/system.py
@@ -0,0 +1,282 @@
+"""A small system of real processes whose every refusal is compared with the runs."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import curio
+
+from benchmarks.cluster import TOKEN, BackendAddress, Cluster
+from benchmarks.load import CallKind, LoadPlan, LoadResult, Outcome, run_load
+from benchmarks.processes import (
+    ControlReplica,
+    EntryAddress,
+    LedgerReplica,
+    Process,
+    ProcessGroup,
+    wait_until,
+)
+from benchmarks.promises import Runs, StepResult, check_step, read_runs
+from pollenfold.http.client import HttpConnection
+from pollenfold.http.messages import find_header
+
+SERVICE = "pearl-market"
+
+KINDS = (
+    CallKind("idempotent", "GET", f"/{SERVICE}/stock", 0.5),
+    CallKind("with_key", "POST", f"/{SERVICE}/orders", 0.3, has_key=True),
+    CallKind("without_key", "POST", f"/{SERVICE}/orders", 0.2),
+)
+
+CONTROL = "127.0.2."
+ENTRIES = "127.0.4."
+"""Starts of the addresses that ``Cluster`` gives to control replicas and entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What one request got; status 0 stands for no whole response."""
+
+    status: int
+    state: str
+    error: str = ""
+    is_replayed: bool = False
+    body: bytes = b""
+
+
+class CutGroup(ProcessGroup):
+    """Processes whose calls to each other can be cut by name."""
+
+    def start(self, name: str, command: list[str]) -> Process:
+        """Start a daemon with cuts, and any other command as it is."""
+        if command[1:3] == ["-m", "pollenfold"] and not name.startswith("operator"):
+            cuts = ["pollenfold.testing.cuts", str(self.folder / f"{name}.cuts")]
+            command = [command[0], "-m", *cuts, *command[3:]]
+        return super().start(name, command)
+
+    def cut(self, name: str, *lines: str) -> None:
+        """Leave the calls that the lines name without a response; none ends it."""
+        path = self.folder / f"{name}.cuts"
+        draft = path.with_suffix(".draft")
+        draft.write_text("\n".join(lines))
+        draft.replace(path)
+
+
+@dataclass(slots=True)
+class System:
+    """A cluster, and what its callers learned so far."""
+
+    cluster: Cluster
+    group: CutGroup
+    outcomes: list[Outcome] = field(default_factory=list)
+    n_sent: int = 0
+
+    async def start(self) -> None:
+        """Start all processes and send work until no backend server is cold."""
+        await self.cluster.start()
+        await self.cluster.wait_for_work()
+
+    async def warm_up(self) -> None:
+        """Send work until every backend server says that it is warm.
+
+        The test before may have left entries that wait as new warm-up owners.
+        """
+        await self.cluster.wait_for_work()
+
+        async def is_warm() -> bool:
+            await self.load(100, 0.5)
+            states = [await self.cluster.counts(one) for one in self.cluster.backends]
+            return not any(one["cold"] for one in states)
+
+        await wait_until(is_warm, 20, "every backend server warm")
+
+    def process(self, one: EntryAddress | LedgerReplica | ControlReplica) -> Process:
+        """Return the process of an entry or a replica."""
+        name = one.entry_id if isinstance(one, EntryAddress) else one.replica_id
+        return self.group.processes[name]
+
+    def wipe(self, replica: LedgerReplica | ControlReplica) -> None:
+        """Kill a replica and empty its data folder."""
+        self.process(replica).kill()
+        shutil.rmtree(replica.data_folder)
+
+    async def rejoin(self, replica: LedgerReplica | ControlReplica) -> None:
+        """Start a replica with an empty folder and wait until it has joined again."""
+        n_before = self.count_joins(replica)
+        self.group.restart(replica.replica_id)
+
+        async def has_joined() -> bool:
+            return self.count_joins(replica) > n_before
+
+        await wait_until(has_joined, 15, f"{replica.replica_id} joined again")
+
+    def count_joins(self, replica: LedgerReplica | ControlReplica) -> int:
+        """Return how often a replica logged that it joined."""
+        return self.process(replica).log.read_text().count("joined replica=")
+
+    async def send(
+        self,
+        entry: EntryAddress,
+        method: str = "GET",
+        path: str = "stock",
+        key: str = "",
+        timeout_s: float = 6,
+    ) -> Reply:
+        """Send one request to the service through an entry."""
+        self.n_sent += 1
+        request_id = f"single-{self.n_sent}"
+        address = (entry.host, entry.caller_port)
+        headers = {"x-request-id": request_id}
+        if key:
+            headers["idempotency-key"] = key
+        reply = await exchange(
+            address, method, f"/{SERVICE}/{path}", headers, timeout_s=timeout_s
+        )
+        kind = CallKind("single", method, path, 1.0, bool(key))
+        self.outcomes.append(Outcome(kind, request_id, key, address, reply.state))
+        return reply
+
+    async def load(
+        self,
+        rate_per_s: float,
+        duration_s: float,
+        *,
+        entries: list[EntryAddress] | None = None,
+        seed: int = 1,
+        **options: Any,
+    ) -> LoadResult:
+        """Send load through the entries and keep its outcomes."""
+        targets = [
+            (entry.host, entry.caller_port) for entry in entries or self.cluster.entries
+        ]
+        self.n_sent += 1
+        options = {"kinds": KINDS, "name": f"load-{self.n_sent}", **options}
+        plan = LoadPlan(tuple(targets), rate_per_s, duration_s * 1000, seed, **options)
+        result = await run_load(plan)
+        self.outcomes += result.outcomes
+        return result
+
+    def runs(self) -> Runs:
+        """Return the runs on all backend servers so far."""
+        return read_runs(one.run_log for one in self.cluster.backends)
+
+    def broken_promises(self) -> list[str]:
+        """Compare what callers were told with the runs."""
+        step = StepResult("all", LoadResult({}, self.outcomes), may_break=True)
+        return check_step(step, self.runs())
+
+    async def order(self, backend: BackendAddress, **order: Any) -> None:
+        """Give a fake backend server faults or actions."""
+        body = json.dumps(order).encode()
+        address = (backend.host, backend.port)
+        reply = await exchange(address, "POST", "/stand-in/faults", {}, body)
+        assert reply.status == 200
+
+    async def operator(
+        self,
+        replica: ControlReplica,
+        method: str,
+        path: str,
+        record: dict[str, Any] | None = None,
+        timeout_s: float = 3,
+    ) -> tuple[int, dict[str, Any]]:
+        """Send one request to one control replica; status 0 for no response."""
+        reply = await exchange(
+            (replica.host, replica.operator_port),
+            method,
+            path,
+            {"authorization": f"Bearer {TOKEN}"},
+            b"" if record is None else json.dumps(record).encode(),
+            timeout_s,
+        )
+        return reply.status, json.loads(reply.body or b"{}")
+
+    async def leader(self, among: list[ControlReplica] | None = None) -> ControlReplica:
+        """Return the control replica that is the leader and ready."""
+        found: list[ControlReplica] = []
+
+        async def has_leader() -> bool:
+            for replica in among or self.cluster.control:
+                status, fields = await self.operator(
+                    replica, "GET", "/v1/status", timeout_s=0.5
+                )
+                if status == 200 and fields["is_ready"]:
+                    found.append(replica)
+                    return True
+            return False
+
+        await wait_until(has_leader, 15, "a control leader")
+        return found[0]
+
+    async def entry_status(self, entry: EntryAddress) -> dict[str, Any]:
+        """Return what an entry tells operators, or nothing when it is silent."""
+        reply = await exchange(
+            (entry.host, entry.platform_port),
+            "GET",
+            "/v1/status",
+            {"authorization": f"Bearer {TOKEN}"},
+        )
+        fields: dict[str, Any] = json.loads(reply.body or b"{}")
+        return fields
+
+    async def is_healthy(self, entry: EntryAddress) -> bool:
+        """Return whether the health check of an entry succeeds."""
+        reply = await exchange((entry.host, entry.platform_port), "GET", "/healthz", {})
+        return reply.status == 200
+
+
+async def exchange(
+    address: tuple[str, int],
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    timeout_s: float = 3,
+) -> Reply:
+    """Make one exchange on a connection of its own."""
+    fields = [
+        (b"host", address[0].encode()),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    fields += [(name.encode(), value.encode()) for name, value in headers.items()]
+    try:
+        async with curio.timeout_after(timeout_s):
+            connection = await HttpConnection.open(*address)
+            try:
+                result = await connection.exchange(
+                    method.encode(), path.encode(), fields, body
+                )
+            finally:
+                await connection.close()
+    except (OSError, curio.TaskTimeout):
+        return Reply(0, "unknown")
+    if result.is_error():
+        return Reply(0, "unknown")
+    response = result.ok
+    if response.status == 200:
+        is_replayed = find_header(response.headers, b"pollenfold-replayed") is not None
+        return Reply(200, "whole", "", is_replayed, response.body)
+    state = find_header(response.headers, b"pollenfold-run-state") or b"unknown"
+    try:
+        error = str(json.loads(response.body).get("error", ""))
+    except ValueError:
+        error = ""
+    return Reply(response.status, state.decode(), error, False, response.body)
+
+
+def in_one_zone(cluster: Cluster) -> None:
+    """Put entries and backend servers into zone a, so that each gets work from all.
+
+    An endpoint stays cold while its warm-up owner has free slots in its own zone.
+    """
+    cluster.entries = [replace(entry, zone="a") for entry in cluster.entries]
+    cluster.backends = [replace(one, zone="a") for one in cluster.backends]
+
+
+def greatest_runs(runs: Counter[str], keys: list[str]) -> int:
+    """Return how often the key with the most runs ran."""
+    return max(runs[key] for key in keys)
