Take no work after a lapse of the lease before the endpoints are refreshed

An entry that was suspended before its zone was taken out renewed its lease and sent up to 5 ms with the endpoints from before: test_zone_out saw 1 request ('load-19-1-56') in the zone more than 3 s after the change, in 1 of 2 runs. Work is now taken only after a refresh that began after the unbroken lease did. Hedges check the lease too.

The tests failed first with a mechanism disabled: - a lease that never ends: 41 requests in the zone after 3 s (test_zone_out). - leave notices not applied from lease renewals: the entry cut off from its peers accepted the late serving announcement (test_server_leaves).

--- a/pollenfold/core/lease.py
+++ b/pollenfold/core/lease.py
@@ -15,12 +15,18 @@
     def __init__(self) -> None:
         self._until: Instant | None = None
         self._revision = 0
+        self._since = Instant(float("-inf"))
 
     @property
     def revision(self) -> int:
         """The highest configuration revision that this entry has applied."""
         return self._revision
 
+    @property
+    def since(self) -> Instant:
+        """When the present unbroken lease began."""
+        return self._since
+
     def is_valid(self, now: Instant) -> bool:
         """Return whether the entry may take new work."""
         return self._until is not None and now < self._until
@@ -45,8 +51,10 @@
         lease has ended. Such an entry starts a new lease only after it applied the
         leader's revision; an unbroken lease may be extended before that.
         """
-        if not self.is_valid(now) and self._revision < leader_revision:
-            return False
+        if not self.is_valid(now):
+            if self._revision < leader_revision:
+                return False
+            self._since = now
         until = add_ms(sent_at, lease_ms)
         if self._until is None or until > self._until:
             self._until = until
--- a/pollenfold/entry/configuration.py
+++ b/pollenfold/entry/configuration.py
@@ -97,6 +97,10 @@
         """Return whether this entry may take new work."""
         return self._state.lease.is_valid(now)
 
+    def lease_since(self) -> Instant:
+        """Return when the present unbroken lease began."""
+        return self._state.lease.since
+
     def directory(self) -> Directory:
         """Return the live entries, their revision and when it was first seen."""
         return self._state.directory
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -113,7 +113,14 @@
         self._unreported: list[LeaveNotice] = []
 
     def has_lease(self) -> bool:
-        """Return whether this entry may take new work now."""
+        """Return whether this entry may take new work now.
+
+        After a lapse the call path still has the endpoints of the earlier lease, such
+        as those of a zone that is out by now, until the refresher has run.
+        """
+        refreshed_at = self.refresher.refreshed_at
+        if refreshed_at is None or refreshed_at <= self.configuration.lease_since():
+            return False
         return self.configuration.has_lease(system_clock())
 
     def unhealthy_kind(self) -> ErrorKind | None:
--- a/pollenfold/entry/hedges.py
+++ b/pollenfold/entry/hedges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import curio
@@ -19,10 +20,13 @@
     attempt: Attempt,
     exchange: Exchange,
     tried: set[str],
+    has_lease: Callable[[], bool],
     clock: Clock,
 ) -> AttemptResult:
     """Run an attempt, and a second one at another server when it takes long.
 
+    Without a lease no second attempt starts.
+
     The first whole response wins; the connection of the other attempt is closed, so
     that its late response reaches nobody. Raise CallerGone when the caller left.
     """
@@ -36,7 +40,9 @@
         result = await attempt.wait_until(exchange, first_wait_until, True)
         if result is not None:
             return result
-        second = _second_attempt(runtime, attempt, exchange.deadline, tried, clock)
+        second = None
+        if has_lease():
+            second = _second_attempt(runtime, attempt, exchange.deadline, tried, clock)
         if second is None:
             result = await attempt.wait_until(exchange, exchange.deadline, True)
             if result is None:
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -220,7 +220,7 @@
             return _final(last, Refusal(ErrorKind.NO_LEASE))
         attempt = runtime.begin(candidate)
         if request_class is RequestClass.IDEMPOTENT:
-            last = await race(runtime, attempt, exchange, tried, clock)
+            last = await race(runtime, attempt, exchange, tried, has_lease, clock)
         else:
             last = await _attempt_once(runtime, attempt, exchange, clock)
         if last.outcome is AttemptOutcome.RESPONDED:
--- a/pollenfold/entry/refresher.py
+++ b/pollenfold/entry/refresher.py
@@ -10,7 +10,7 @@
 from ..core.errors import ErrorKind
 
 if TYPE_CHECKING:
-    from ..core.clock import Clock
+    from ..core.clock import Clock, Instant
     from ..core.membership import EndpointTable
     from .configuration import ConfigurationClient
     from .services import ServiceTable
@@ -26,7 +26,8 @@
 class Refresher:
     """Applies changes to the services of an entry.
 
-    ``wake`` is called from other modules when something changed.
+    ``wake`` is called from other modules when something changed. ``refreshed_at`` is
+    when the last finished pass began.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self._clock = clock
         self._revision = -1
         self._is_changed = False
+        self.refreshed_at: Instant | None = None
 
     def wake(self) -> None:
         """Note a change; the next pass of ``run`` takes it over."""
@@ -61,6 +63,7 @@
     async def refresh(self) -> None:
         """Take over the present configuration, endpoints and limits."""
         self._is_changed = False
+        started_at = self._clock()
         view = self._configuration.view()
         if view.revision != self._revision:
             self._services.apply(list(view.services))
@@ -71,3 +74,4 @@
             if not has_lease:
                 await runtime.slots.refuse_all(ErrorKind.NO_LEASE)
             await runtime.sync(self._table.endpoints(runtime.spec.name), view)
+        self.refreshed_at = started_at
--- a/pollenfold/tests/core/test_lease.py
+++ b/pollenfold/tests/core/test_lease.py
@@ -40,3 +40,13 @@
     assert lease.advance(7)
     assert not lease.advance(6)
     assert lease.revision == 7
+
+
+def test_beginning_of_an_unbroken_lease():
+    """Guards against work with the endpoints from before a lapse of the lease."""
+    lease = Lease()
+    lease.renew(Instant(0.0), 100.0, 0, Instant(10.0))
+    lease.renew(Instant(90.0), 100.0, 0, Instant(95.0))
+    assert lease.since == 10.0
+    lease.renew(Instant(300.0), 100.0, 0, Instant(310.0))
+    assert lease.since == 310.0
--- a/pollenfold/tests/processes/system.py
+++ b/pollenfold/tests/processes/system.py
@@ -81,7 +81,7 @@
         await self.cluster.wait_for_work()
 
     async def warm_up(self) -> None:
-        """Send work until every backend server says that it is warm.
+        """Send work until every entry may send to every backend server.
 
         The test before may have left entries that wait as new warm-up owners.
         """
@@ -89,11 +89,16 @@
 
         async def is_warm() -> bool:
             await self.load(100, 0.5)
-            states = [await self.cluster.counts(one) for one in self.cluster.backends]
-            return not any(one["cold"] for one in states)
+            return all([await self._sends_to_all(one) for one in self.cluster.entries])
 
         await wait_until(is_warm, 20, "every backend server warm")
 
+    async def _sends_to_all(self, entry: EntryAddress) -> bool:
+        """Return whether an entry has no endpoint that it regards as cold."""
+        (service,) = (await self.entry_status(entry))["services"]
+        limits = [one["limit"] for one in service["endpoints"].values()]
+        return len(limits) == len(self.cluster.backends) and min(limits) > 0
+
     def process(self, one: EntryAddress | LedgerReplica | ControlReplica) -> Process:
         """Return the process of an entry or a replica."""
         name = one.entry_id if isinstance(one, EntryAddress) else one.replica_id
--- /dev/null
+++ b/pollenfold/tests/processes/test_leaving.py
@@ -0,0 +1,191 @@
+"""A zone that was taken out and a server that leaves get no new work after 3 s."""
+
+import json
+from dataclasses import replace
+
+import curio
+import pytest
+
+from benchmarks.cluster import Topology
+from benchmarks.processes import wait_healthy, wait_until
+from pollenfold.testing.cuts import INBOUND
+
+from .system import CONTROL, ENTRIES, SERVICE, exchange
+
+TOPOLOGY = Topology(n_control=1, n_ledger=1, services=(SERVICE,), service_ms=20)
+
+LIMIT_S = 3.0
+"""Stated limit of guarantees 3 and 7."""
+
+
+def arrange(cluster):
+    """Put no server into the zone of the entries, so that they use all alike."""
+    cluster.entries = [replace(entry, zone="c") for entry in cluster.entries]
+    cluster.backends = [
+        replace(one, zone="b" if one.zone == "b" else "a") for one in cluster.backends
+    ]
+
+
+@pytest.fixture(autouse=True)
+def whole(system, run):
+    """End cuts and suspensions after a test, and wait for healthy entries."""
+    yield
+
+    async def main():
+        for entry in system.cluster.entries:
+            system.group.cut(entry.entry_id)
+            system.process(entry).resume()
+        for entry in system.cluster.entries:
+            await wait_healthy(entry.host, entry.platform_port)
+
+    run(main)
+
+
+def late_runs(system, n_before):
+    """Return the request ids that ran at the server of zone b after the first ones.
+
+    The number in an id tells through which entry it came, in the order of entries.
+    """
+    lines = in_zone_b(system).run_log.read_text().splitlines()
+    return [line.partition("\t")[0] for line in lines[n_before:]]
+
+
+async def change_zone(system, version, state):
+    """Change the zone record at the operator interface, as the command does."""
+    record = {
+        "schema_version": 1,
+        "kind": "zone",
+        "name": "b",
+        "version": version,
+        "spec": {"state": state, "region": "r1"},
+    }
+    (replica,) = system.cluster.control
+    status, fields = await system.operator(replica, "POST", "/v1/records", record)
+    assert status == 200, fields
+
+
+def in_zone_b(system):
+    """Return the only backend server of zone b."""
+    (backend,) = [one for one in system.cluster.backends if one.zone == "b"]
+    return backend
+
+
+async def received(system):
+    """Return the requests for work that the server of zone b received."""
+    return (await system.cluster.counts(in_zone_b(system)))["n_received"]
+
+
+async def work_in_zone_b(system):
+    """Return when each entry alone has sent work to the server of zone b."""
+    await system.warm_up()
+    for entry in system.cluster.entries:
+        n_before = await received(system)
+
+        async def has_sent():
+            await system.load(100, 0.3, entries=[entry])
+            return await received(system) > n_before
+
+        await wait_until(has_sent, 10, f"work in zone b from {entry.entry_id}")
+
+
+async def load_each(system, entries, duration_s):
+    """Send load to each entry on connections of its own; return the tasks."""
+    return [
+        await curio.spawn(_load_one, system, entry, duration_s) for entry in entries
+    ]
+
+
+async def _load_one(system, entry, duration_s):
+    return await system.load(25, duration_s, entries=[entry], n_connections=8)
+
+
+async def join(tasks):
+    """Return the results of all tasks."""
+    return [await task.join() for task in tasks]
+
+
+async def announce(system, entry, counts, state, heartbeat):
+    """Announce the server of zone b to one entry only."""
+    fields = {name: counts[name] for name in ("service", "zone", "incarnation")}
+    fields |= {name: counts[name] for name in ("ttl_ms", "slots", "connections")}
+    backend = in_zone_b(system)
+    fields |= {"host": backend.host, "port": backend.port}
+    body = json.dumps({**fields, "state": state, "heartbeat": heartbeat}).encode()
+    address = (entry.host, entry.platform_port)
+    reply = await exchange(address, "POST", "/v1/announcements", {}, body)
+    assert reply.status == 200, reply.body
+    return json.loads(reply.body)
+
+
+def test_zone_out(system, run):
+    """Guards against work from an entry that has not heard that the zone is out.
+
+    The second entry reaches control only through peers, the third reaches nobody,
+    and the fourth is suspended before the change and resumed 4 s after it.
+    """
+    entries = system.cluster.entries
+    _, through_peer, alone, suspended = entries
+
+    async def main():
+        await work_in_zone_b(system)
+        tasks = await load_each(system, entries, 6.5)
+        await curio.sleep(0.5)
+        system.group.cut(through_peer.entry_id, CONTROL)
+        system.group.cut(alone.entry_id, CONTROL, ENTRIES, INBOUND)
+        system.process(suspended).suspend()
+        change = await curio.spawn(change_zone, system, 2, "out")
+        await curio.sleep(LIMIT_S)
+        n_before = await received(system)
+        n_runs = len(late_runs(system, 0))
+        health = [await system.is_healthy(entry) for entry in entries[:3]]
+        refused = await system.send(alone)
+        await curio.sleep(1)
+        system.process(suspended).resume()
+        results = await join(tasks)
+        n_late = await received(system) - n_before
+        late = late_runs(system, n_runs)
+        await change.join()
+        last = await system.send(through_peer)
+        is_cut_off = not await system.is_healthy(alone)
+        await change_zone(system, 3, "in")
+        return n_late, late, health, refused, last, is_cut_off, results
+
+    n_late, late, health, refused, last, is_cut_off, results = run(main)
+    assert (n_late, late) == (0, [])
+    assert health == [True, True, False]
+    assert (refused.error, refused.state) == ("no_lease", "did_not_run")
+    assert last.status == 200, last
+    assert is_cut_off
+    assert all(result.n_whole for result in results)
+
+
+def test_server_leaves(system, run):
+    """Guards against a repeated serving announcement that undoes the leave.
+
+    The server itself goes on announcing that it serves, with the same incarnation.
+    The second entry hears of the leave through its lease renewals only.
+    """
+    entries = system.cluster.entries
+
+    async def main():
+        await work_in_zone_b(system)
+        system.group.cut(entries[1].entry_id, ENTRIES, INBOUND)
+        tasks = await load_each(system, entries, 5)
+        await curio.sleep(0.5)
+        counts = await system.cluster.counts(in_zone_b(system))
+        left = await announce(system, entries[0], counts, "leaving", 1 << 20)
+        await curio.sleep(LIMIT_S)
+        n_before = await received(system)
+        late = [
+            await announce(system, entry, counts, "serving", (1 << 20) + 1)
+            for entry in entries
+        ]
+        results = await join(tasks)
+        n_late = await received(system) - n_before
+        return n_late, left, late, results
+
+    n_late, left, late, results = run(main)
+    assert left["state"] == "leaving"
+    assert [one["accepted"] for one in late] == [False] * len(entries), late
+    assert n_late == 0
+    assert all(result.n_whole for result in results)
