Measure zone moves, faults, bursts and idle cost on real processes

benchmarks/scenarios.py drives two whole systems with open-loop load and prints each figure beside its baseline or limit. The load tool records the due time and latency of each call, and the fake backend server the greatest work in flight while it was cold.

--- a/benchmarks/fits.py
+++ b/benchmarks/fits.py
@@ -1,11 +1,16 @@
-"""Straight-line fits of measured costs, and processor time of processes."""
+"""Straight-line fits of measured costs, and the cost of processes."""
 
 from __future__ import annotations
 
 import os
+import re
+import shutil
 import statistics
+from collections import Counter
 from pathlib import Path
 
+from .processes import run_command
+
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -23,6 +28,24 @@
     raise ValueError(f"expected VmRSS in the status of process {process_id}")
 
 
+def stream_bytes_by_process() -> Counter[int] | None:
+    """Return the bytes that open TCP connections of each process sent and received.
+
+    The figures are the kernel's, as ``ss`` shows them; None where it is missing.
+    """
+    if shutil.which("ss") is None:
+        return None
+    status, output = run_command(["ss", "-tinpOH"], 10)
+    if status != 0:
+        return None
+    totals: Counter[int] = Counter()
+    for line in output.splitlines():
+        n_bytes = sum(map(int, re.findall(r"bytes_(?:sent|received):(\d+)", line)))
+        for process_id in set(re.findall(r"pid=(\d+)", line)):
+            totals[int(process_id)] += n_bytes
+    return totals
+
+
 def fit_line(name: str, unit: str, points: list[tuple[float, float]]) -> str:
     """Return one output line with slope, intercept and greatest error of a fit.
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -110,7 +110,7 @@
     """What the caller learned about one call.
 
     ``state`` is ``whole``, ``unknown`` when no whole answer came, or the run state of
-    the refusal.
+    the refusal. ``due`` is on the system clock, and ``latency_ms`` counts from it.
     """
 
     kind: CallKind
@@ -118,6 +118,8 @@
     key: str
     target: Address
     state: str
+    due: float = 0.0
+    latency_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -197,8 +199,11 @@
             state = _record_answer(call, answer, one)
         except BrokenAnswer as error:
             one.broken[str(error)] += 1
+        latency_ms = system_clock() - call.due
         self._result.outcomes.append(
-            Outcome(kind, call.request_id, call.key, target, state)
+            Outcome(
+                kind, call.request_id, call.key, target, state, call.due, latency_ms
+            )
         )
 
     def _pick(self) -> Address:
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -28,6 +28,7 @@
     wait_healthy,
     wait_listening,
 )
+from .scenarios import run_scenarios
 
 PERCENTILES = (50.0, 99.0, 99.9)
 
@@ -206,6 +207,7 @@
     print(f"seed={settings.seed}", flush=True)
     with tempfile.TemporaryDirectory() as folder:
         all_whole = curio.run(run_benchmarks, settings, Path(folder))
+        curio.run(run_scenarios, Path(folder), settings.seed)
     for line in compare_policies([settings.seed, settings.seed + 1, settings.seed + 2]):
         print(line, flush=True)
     return 0 if all_whole else 1
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,353 @@
+"""Zone moves, faults, bursts and idle cost on whole systems of real processes.
+
+Each figure stands on one ``name=value`` line with its baseline or limit from the same
+run. ``python -m benchmarks.scenarios --seed 1`` runs these scenarios alone.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import curio
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from pollenfold.observe.clock import system_clock
+
+from .cluster import BackendAddress, Cluster, HealthChecks, Topology, service_record
+from .fits import processor_s, stream_bytes_by_process
+from .load import CallKind, LoadPlan, LoadResult, run_load
+from .processes import ProcessGroup, request, wait_until
+from .windows import Window, hurt_line, window, window_lines
+
+LOAD_SHARE = 0.6
+"""Offered load as a share of what all slots of the service bear."""
+
+ZONE = "b"
+ZONE_LIMIT_S = 3.0
+"""Stated limit: after it a zone that was taken out gets no new work."""
+
+MOVE_S = 10.0
+PHASE_S = 6.0
+IDLE_S = 5.0
+ENTRY_KILLED_AFTER_S = 1.0
+
+CPU_LIMIT_PERCENT = 2.2
+BYTES_LIMIT_PER_S = 21_000
+"""Stated limits of the control overhead for each node."""
+
+Fault = dict[str, Any]
+Action = Callable[[], Awaitable[None]]
+
+BOOKING = Topology(
+    services=("booking",), n_backends_per_service=12, service_ms=60, slots=4
+)
+PEARL_MARKET = Topology(
+    services=("pearl-market",), n_backends_per_service=12, service_ms=80, slots=6
+)
+
+
+@dataclass(slots=True)
+class Scene:
+    """A running system and the load on its one service."""
+
+    cluster: Cluster
+    checks: HealthChecks
+    seed: int
+    n_loads: int = 0
+
+    @property
+    def rate_per_s(self) -> float:
+        """The rate that fills ``LOAD_SHARE`` of the slots."""
+        topology = self.cluster.topology
+        n_slots = topology.n_backends_per_service * topology.slots
+        return LOAD_SHARE * n_slots / topology.service_ms * 1000
+
+    @property
+    def service(self) -> str:
+        """The name of the one service."""
+        return self.cluster.topology.services[0]
+
+    async def load(self, duration_s: float, is_bursty: bool = False) -> LoadResult:
+        """Send open-loop load to the healthy entries; each call has its own seed."""
+        self.n_loads += 1
+        kinds = (
+            CallKind("idempotent", "GET", f"/{self.service}/status", 0.9),
+            CallKind("with_key", "POST", f"/{self.service}/orders", 0.1, has_key=True),
+        )
+        plan = LoadPlan(
+            self.cluster.targets,
+            self.rate_per_s,
+            duration_s * 1000,
+            self.seed + self.n_loads,
+            kinds=kinds,
+            is_bursty=is_bursty,
+            n_connections=256,
+            name=f"{self.service}-{self.n_loads}",
+            healthy=self.checks.up,
+        )
+        return await run_load(plan)
+
+
+async def order(backend: BackendAddress, **fields: Any) -> None:
+    """Give a fake backend server a fault table or actions."""
+    body = json.dumps(fields).encode()
+    response = await request(
+        backend.host, backend.port, "POST", "/stand-in/faults", body
+    )
+    if response is None or response.status != 200:
+        raise RuntimeError(f"expected {backend.name} to take the order {fields}")
+
+
+async def warm_up(scene: Scene) -> None:
+    """Send load until every server is warm, then for two seconds more."""
+
+    async def is_warm() -> bool:
+        await scene.load(1)
+        counts = [await scene.cluster.counts(one) for one in scene.cluster.backends]
+        return not any(one["cold"] for one in counts)
+
+    await wait_until(is_warm, 30, "warm backend servers")
+    await scene.load(2)
+
+
+async def totals(cluster: Cluster) -> Counter[str]:
+    """Return the sums of the counters of all servers."""
+    sums: Counter[str] = Counter()
+    for backend in cluster.backends:
+        counts = await cluster.counts(backend)
+        for name in ("n_probes", "n_probe_bytes", "n_completed", "n_received"):
+            sums[name] += counts[name]
+    return sums
+
+
+async def steady_phase(scene: Scene) -> tuple[Window, list[str]]:
+    """Measure the steady latencies and the cost of probes in the same span."""
+    before, start = await totals(scene.cluster), system_clock()
+    result = await scene.load(PHASE_S)
+    spent = await totals(scene.cluster)
+    spent.subtract(before)
+    elapsed_s = (system_clock() - start) / 1000
+    topology = scene.cluster.topology
+    spec = service_record(scene.service, 1, topology.slots)["spec"]
+    steady = window(result.outcomes)
+    lines = [
+        f"probes.per_s={spent['n_probes'] / elapsed_s:.2f} "
+        f"limit={spec['probes_per_s']} elapsed_s={elapsed_s:.1f}",
+        f"probes.bytes_per_s={spent['n_probe_bytes'] / elapsed_s:.0f} "
+        f"limit={spec['probe_bytes_per_s']} without=first_lines,load_reports",
+    ]
+    return steady, lines
+
+
+async def zone_leaves(scene: Scene, steady: Window) -> list[str]:
+    """Take the zone out under load; its servers turn cold once it is idle."""
+    cluster = scene.cluster
+    start = system_clock()
+    load = await curio.spawn(scene.load, MOVE_S)
+    command = await curio.spawn(cluster.operate, "zone", "out", ZONE)
+    await curio.sleep(ZONE_LIMIT_S)
+    n_before = await cluster.received_in_zone(ZONE)
+    result = await load.join()
+    n_late = await cluster.received_in_zone(ZONE) - n_before
+    await command.join()
+    for backend in cluster.backends:
+        if backend.zone == ZONE:
+            await order(backend, actions=["turn_cold"])
+    middle = start + ZONE_LIMIT_S * 1000
+    early = window(result.outcomes, to_ms=middle)
+    late = window(result.outcomes, from_ms=middle)
+    return [
+        *window_lines("zone_out.first_3_s", early, steady),
+        *window_lines("zone_out.after_3_s", late, steady, 1.5),
+        hurt_line("zone_out", window(result.outcomes), steady),
+        f"zone_out.new_work_after_3_s={n_late} limit=0",
+    ]
+
+
+async def zone_returns(scene: Scene, steady: Window) -> list[str]:
+    """Bring the zone back under load; its servers are cold."""
+    cluster = scene.cluster
+    cold = [one for one in cluster.backends if one.zone == ZONE]
+    n_before = [(await cluster.counts(one))["n_overload_violations"] for one in cold]
+    load = await curio.spawn(scene.load, MOVE_S)
+    await cluster.operate("zone", "in", ZONE)
+    result = await load.join()
+    counts = [await cluster.counts(one) for one in cold]
+    greatest = max(one["greatest_in_flight_cold"] for one in counts)
+    n_over = sum(one["n_overload_violations"] for one in counts) - sum(n_before)
+    n_cold = sum(one["cold"] for one in counts)
+    whole = window(result.outcomes)
+    return [
+        *window_lines("zone_in", whole, steady),
+        hurt_line("zone_in", whole, steady),
+        f"zone_in.greatest_work_at_cold_server={greatest} limit_cold_slots=1",
+        f"zone_in.requests_over_cold_slots={n_over} limit=0",
+        f"zone_in.servers_still_cold={n_cold} of={len(cold)}",
+    ]
+
+
+async def idle_lines(cluster: Cluster) -> list[str]:
+    """Measure the cost of the control and ledger processes without load."""
+    names = [one.replica_id for one in (*cluster.control, *cluster.ledger)]
+    ids = {name: cluster.group.processes[name].popen.pid for name in names}
+    before, start = {n: processor_s(pid) for n, pid in ids.items()}, system_clock()
+    bytes_before = stream_bytes_by_process()
+    await curio.sleep(IDLE_S)
+    elapsed_s = (system_clock() - start) / 1000
+    bytes_after = stream_bytes_by_process()
+    lines = []
+    for name, pid in ids.items():
+        share = (processor_s(pid) - before[name]) / elapsed_s * 100
+        lines.append(f"idle.{name}.cpu_percent={share:.2f} limit={CPU_LIMIT_PERCENT}")
+        rate = "not_run"
+        if bytes_before is not None and bytes_after is not None:
+            rate = f"{(bytes_after[pid] - bytes_before[pid]) / elapsed_s:.0f}"
+        lines.append(f"idle.{name}.bytes_per_s={rate} limit={BYTES_LIMIT_PER_S}")
+    return lines
+
+
+async def fault_phase(
+    scene: Scene,
+    name: str,
+    base: LoadResult | None,
+    action: Action | None = None,
+    is_bursty: bool = False,
+) -> LoadResult:
+    """Run a phase, print its figures beside those of the phase without fault."""
+    load = await curio.spawn(scene.load, PHASE_S, is_bursty)
+    if action is not None:
+        await action()
+    result: LoadResult = await load.join()
+    base = base or result
+    for kind, one in result.classes.items():
+        for percentile in (99, 99.9):
+            value = one.percentile_ms(percentile)
+            steady = base.classes[kind].percentile_ms(percentile)
+            print(
+                f"{name}.{kind}.p{percentile}_ms={value:.1f} no_fault={steady:.1f} "
+                f"ratio={value / steady:.2f}"
+            )
+        reasons = "".join(
+            f" {error}={n}" for (error, _), n in sorted(one.refusals.items())
+        )
+        print(
+            f"{name}.{kind}.refused={one.refusals.total()} "
+            f"no_fault={base.classes[kind].refusals.total()} "
+            f"broken={one.broken.total()} wrong={one.wrong.total()} "
+            f"sent={one.n_sent}{reasons}"
+        )
+    goodput, steady = (
+        one.n_whole / sum(c.n_sent for c in one.classes.values())
+        for one in (result, base)
+    )
+    print(f"{name}.goodput_share={goodput:.4f} no_fault={steady:.4f}", flush=True)
+    return result
+
+
+async def fail_fast_phase(scene: Scene, base: LoadResult) -> None:
+    """Let one server fail fast; print the share of requests that it received."""
+    cluster, failing = scene.cluster, scene.cluster.backends[2]
+    await order(failing, faults=[{"kind": "fail_fast"}])
+    all_before = (await totals(cluster))["n_received"]
+    before = (await cluster.counts(failing))["n_received"]
+    await fault_phase(scene, "fail_fast", base)
+    n_received = (await cluster.counts(failing))["n_received"] - before
+    n_all = (await totals(cluster))["n_received"] - all_before
+    print(
+        f"fail_fast.received_share={n_received / n_all:.4f} "
+        f"fair_share={1 / len(cluster.backends):.4f}",
+        flush=True,
+    )
+    await order(failing, faults=[])
+
+
+async def run_faults(scene: Scene) -> None:
+    """Run the phases with faults, each after a phase that lets it settle."""
+    cluster = scene.cluster
+    base = await fault_phase(scene, "no_fault", None)
+    await fault_phase(scene, "burst", base, is_bursty=True)
+    slow, noisy = cluster.backends[:2]
+    await order(slow, faults=[{"kind": "slow", "factor": 5}])
+    await order(noisy, faults=[{"kind": "slow", "factor": 10, "share": 0.1}])
+    await fault_phase(scene, "slow_and_noisy", base)
+    for backend in (slow, noisy):
+        await order(backend, faults=[])
+    await scene.load(2)
+    await fail_fast_phase(scene, base)
+    await scene.load(2)
+
+    async def kill() -> None:
+        await curio.sleep(ENTRY_KILLED_AFTER_S)
+        cluster.group.processes[cluster.entries[0].entry_id].kill()
+
+    await fault_phase(scene, "killed_entry", base, kill)
+
+
+async def run_zone_move(scene: Scene) -> None:
+    """Print the figures of a zone that leaves and returns, and of idle processes."""
+    steady, lines = await steady_phase(scene)
+    lines += window_lines("zone_steady", steady, steady)
+    lines += await idle_lines(scene.cluster)
+    await scene.load(1)
+    lines += await zone_leaves(scene, steady)
+    lines += await zone_returns(scene, steady)
+    print("\n".join(lines), flush=True)
+
+
+async def run_scene(
+    topology: Topology,
+    folder: Path,
+    seed: int,
+    scenario: Callable[[Scene], Awaitable[None]],
+) -> None:
+    """Start a system, warm its servers up, and run a scenario on it."""
+    with ProcessGroup(folder) as group:
+        cluster = Cluster(group, topology)
+        await cluster.start()
+        await cluster.wait_for_work()
+        async with HealthChecks(cluster.entries) as checks:
+            scene = Scene(cluster, checks, seed)
+            print(
+                f"{scene.service}.rate_per_s={scene.rate_per_s:.0f} "
+                f"entries={topology.n_entries} "
+                f"endpoints={topology.n_backends_per_service} "
+                f"slots={topology.slots} service_ms={topology.service_ms} "
+                f"share_of_slots={LOAD_SHARE}",
+                flush=True,
+            )
+            await warm_up(scene)
+            await scenario(scene)
+
+
+async def run_scenarios(folder: Path, seed: int) -> None:
+    """Run the zone move, then the faults, each on its own system."""
+    await run_scene(BOOKING, folder / "zone", seed, run_zone_move)
+    await run_scene(PEARL_MARKET, folder / "faults", seed, run_faults)
+
+
+class ScenarioSettings(BaseSettings):
+    """Flags of the scenarios. ``folder`` keeps the logs and data folders."""
+
+    model_config = SettingsConfigDict(cli_kebab_case=True)
+
+    seed: int = 1
+    folder: Path | None = None
+
+
+def main() -> int:
+    """Run the scenarios with the flags of the command line."""
+    settings = ScenarioSettings(_cli_parse_args=True)  # type: ignore[call-arg]
+    with tempfile.TemporaryDirectory() as temporary:
+        curio.run(run_scenarios, settings.folder or Path(temporary), settings.seed)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -113,6 +113,7 @@
                 self.incarnation += 1
             self.cold = True
             self._n_served_cold = 0
+            self.counts.greatest_in_flight_cold = self.n_in_flight
 
     def _describe(self) -> dict[str, Any]:
         settings = self.settings
@@ -180,6 +181,10 @@
         self.counts.greatest_in_flight = max(
             self.counts.greatest_in_flight, self.n_in_flight
         )
+        if self.cold:
+            self.counts.greatest_in_flight_cold = max(
+                self.counts.greatest_in_flight_cold, self.n_in_flight
+            )
         if self._faults.standing(FaultKind.STALE_LOAD):
             self._load_history.append((system_clock(), self.n_in_flight))
 
--- a/pollenfold/testing/counts.py
+++ b/pollenfold/testing/counts.py
@@ -25,6 +25,7 @@
     n_stopped_by_deadline: int = 0
     n_overload_violations: int = 0
     greatest_in_flight: int = 0
+    greatest_in_flight_cold: int = 0
     greatest_working: int = 0
     n_probes: int = 0
     n_probe_bytes: int = 0
--- a/pollenfold/tests/testing/test_backend_server.py
+++ b/pollenfold/tests/testing/test_backend_server.py
@@ -34,6 +34,8 @@
         seen = await caller.send_many(3)
         assert sorted(seen) == (statuses or [200, 500, 500])
         assert server.counts.n_overload_violations == 2
+        # Work that is answered at once in the mode "fail" is never in flight.
+        assert server.counts.greatest_in_flight_cold == (3 if statuses else 1)
 
     with_server(body, starts_cold=True, cold_overload=overload, service_ms=20)
 
@@ -48,6 +50,7 @@
         assert not server.cold
         await caller.order(actions=["turn_cold"])
         assert server.cold
+        assert server.counts.greatest_in_flight_cold == 0
         result, _ = await caller.send()
         load = find_header(result.ok.headers, b"pollenfold-load")
         assert load == b"in_flight=0;slots=6;cold=1"
