--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -122,7 +122,7 @@
     sums: Counter[str] = Counter()
     for backend in cluster.backends:
         counts = await cluster.counts(backend)
-        for name in ("n_probes", "n_probe_bytes", "n_completed", "n_received"):
+        for name in ("n_probes", "n_probe_bytes", "n_report_bytes", "n_received"):
             sums[name] += counts[name]
     return sums
 
@@ -137,11 +137,15 @@
     topology = scene.cluster.topology
     spec = service_record(scene.service, 1, topology.slots)["spec"]
     steady = window(result.outcomes)
+    limit_bytes = spec["probe_bytes_per_s"]
+    n_bytes = spent["n_probe_bytes"] + spent["n_report_bytes"]
     lines = [
         f"probes.per_s={spent['n_probes'] / elapsed_s:.2f} "
         f"limit={spec['probes_per_s']} elapsed_s={elapsed_s:.1f}",
         f"probes.bytes_per_s={spent['n_probe_bytes'] / elapsed_s:.0f} "
-        f"limit={spec['probe_bytes_per_s']} without=first_lines,load_reports",
+        f"limit={limit_bytes} without=first_lines",
+        f"probes_and_reports.bytes_per_s={n_bytes / elapsed_s:.0f} "
+        f"limit={limit_bytes} responses_per_s={steady.n_sent / elapsed_s:.0f}",
     ]
     return steady, lines
 
@@ -161,9 +165,12 @@
         if backend.zone == ZONE:
             await order(backend, actions=["turn_cold"])
     middle = start + ZONE_LIMIT_S * 1000
+    n_left = sum(one.zone != ZONE for one in cluster.backends)
+    share_left = LOAD_SHARE * len(cluster.backends) / n_left
     early = window(result.outcomes, to_ms=middle)
     late = window(result.outcomes, from_ms=middle)
     return [
+        f"zone_out.share_of_slots_left={share_left:.2f} steady={LOAD_SHARE}",
         *window_lines("zone_out.first_3_s", early, steady),
         *window_lines("zone_out.after_3_s", late, steady, 1.5),
         hurt_line("zone_out", window(result.outcomes), steady),
--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -305,6 +305,7 @@
     def _answer(self, status: int, headers: Headers, body: bytes = b"") -> Response:
         in_flight, cold = self._load(n_own=1)
         load = f"in_flight={in_flight};slots={self.settings.slots};cold={int(cold)}"
+        self.counts.n_report_bytes += len("pollenfold-load") + len(load) + 4
         return Response(
             status,
             [
--- a/pollenfold/testing/counts.py
+++ b/pollenfold/testing/counts.py
@@ -29,6 +29,7 @@
     greatest_working: int = 0
     n_probes: int = 0
     n_probe_bytes: int = 0
+    n_report_bytes: int = 0
     n_announced: int = 0
     n_announcements_failed: int = 0
     last_received_after_leaving_ms: float = 0.0
--- a/pollenfold/tests/testing/test_backend_server.py
+++ b/pollenfold/tests/testing/test_backend_server.py
@@ -54,6 +54,10 @@
         result, _ = await caller.send()
         load = find_header(result.ok.headers, b"pollenfold-load")
         assert load == b"in_flight=0;slots=6;cold=1"
+        n_report_bytes = server.counts.n_report_bytes
+        await caller.send()
+        n_header_bytes = len(b"pollenfold-load") + len(load) + 4
+        assert server.counts.n_report_bytes - n_report_bytes == n_header_bytes
 
     with_server(body, starts_cold=True, warm_after=4)
 
