--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -183,9 +183,12 @@
     cluster = scene.cluster
     cold = [one for one in cluster.backends if one.zone == ZONE]
     n_before = [(await cluster.counts(one))["n_overload_violations"] for one in cold]
+    n_received = await cluster.received_in_zone(ZONE)
     load = await curio.spawn(scene.load, MOVE_S)
     await cluster.operate("zone", "in", ZONE)
     result = await load.join()
+    n_received = await cluster.received_in_zone(ZONE) - n_received
+    zone_share = n_received / len(result.outcomes)
     counts = [await cluster.counts(one) for one in cold]
     greatest = max(one["greatest_in_flight_cold"] for one in counts)
     n_over = sum(one["n_overload_violations"] for one in counts) - sum(n_before)
@@ -196,6 +199,8 @@
         hurt_line("zone_in", whole, steady),
         f"zone_in.greatest_work_at_cold_server={greatest} limit_cold_slots=1",
         f"zone_in.requests_over_cold_slots={n_over} limit=0",
+        f"zone_in.received_share={zone_share:.4f} "
+        f"fair_share={len(cold) / len(cluster.backends):.4f}",
         f"zone_in.servers_still_cold={n_cold} of={len(cold)}",
     ]
 
