--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -40,6 +40,7 @@
     zone: str
     slots: int
     limit: int = 1
+    is_warming: bool = False
     n_in_flight: int = 0
     ewma_ms: float = 0.0
     reported_in_flight: float = 0.0
@@ -142,9 +143,15 @@
     """Return the candidates to choose from: the own zone while it has room.
 
     Requests spill over to the other zones when every endpoint of the own zone has as
-    many own requests as slots, before any of them has to queue.
+    many own requests as slots, before any of them has to queue. A cold endpoint of
+    another zone belongs to the choice as well: no other entry may send to it, so it
+    would stay cold as long as the own zone has room.
     """
-    local = [c for c in candidates if c.zone == zone and c.n_in_flight < c.slots]
+    local = [
+        c
+        for c in candidates
+        if (c.zone == zone or c.is_warming) and c.n_in_flight < c.slots
+    ]
     return local or candidates
 
 
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -133,10 +133,12 @@
             candidate.limit = min(
                 n_connections, self._health.limit(self.spec, endpoint, view)
             )
+            owner = self._health.warmup_owner(endpoint, view)
+            candidate.is_warming = owner is not None
             if candidate.limit > 0:
                 usable.append(candidate)
             else:
-                owners.add(self._health.warmup_owner(endpoint, view))
+                owners.add(owner)
         self.warmup_owners = tuple(owner for owner in owners if owner is not None)
         await self._drop_absent(present)
         await self.slots.update(tuple(usable))
--- a/pollenfold/tests/core/test_routing.py
+++ b/pollenfold/tests/core/test_routing.py
@@ -116,3 +116,11 @@
     candidates = make_candidates(10, ewma_ms=10.0)
     observe_failure(candidates[0], 100.0, NOW)
     assert share_of_first(probe_score, candidates) < 0.02
+
+
+def test_cold_endpoint_of_another_zone_is_chosen():
+    """Guards against an endpoint that stays cold while the own zone has room."""
+    local, remote, cold = make_candidates(3)
+    remote.zone = cold.zone = "b"
+    cold.is_warming = True
+    assert prefer_zone([local, remote, cold], "a") == [local, cold]
