Ask for load reports within the budget, and ramp up only on asked responses

A ramp of a cold server grows only on responses whose report was asked for, since a response without one says nothing about coldness.

--- a/pollenfold/core/measurement.py
+++ b/pollenfold/core/measurement.py
@@ -104,13 +104,14 @@
         else:
             self._bytes.charge(n_bytes - MAX_PROBE_BYTES, now)
 
-    def try_request_report(self, now: Instant) -> bool:
+    def try_request_report(self, now: Instant, is_urgent: bool = False) -> bool:
         """Reserve the bytes to ask for a report on a response, or return False.
 
         Half of the burst is left for probes, which reach the endpoints that get no
-        requests.
+        requests, and for urgent reports, which a warm-up needs.
         """
-        if self._bytes.level(now) < self._bytes.burst / 2 + REPORT_BYTES:
+        reserve = 0.0 if is_urgent else self._bytes.burst / 2
+        if self._bytes.level(now) < reserve + REPORT_BYTES:
             return False
         return self._bytes.try_take(REPORT_BYTES, now)
 
--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -23,6 +23,8 @@
 
 SMALL_BODY_BYTES = 4096
 
+_LOAD_WANTED = (b"pollenfold-load-wanted", b"1")
+
 NOT_STARTED = b"pollenfold-not-started"
 TIMEOUT_HEADER = b"pollenfold-timeout-ms"
 EXCHANGE_ID = b"pollenfold-exchange-id"
@@ -125,16 +127,18 @@
     """A request over one pool, from the connection to the response.
 
     ``start`` sends it; ``wait`` reads the response and may be repeated while it
-    gives None; ``finish`` gives the connection back or closes it.
+    gives None; ``finish`` gives the connection back or closes it. With
+    ``wants_report`` the request asks for a load report on the response.
     """
 
-    __slots__ = ("_pool", "_clock", "_connection", "started_at")
+    __slots__ = ("_pool", "_clock", "_connection", "started_at", "wants_report")
 
     def __init__(self, pool: Pool, clock: Clock) -> None:
         self._pool = pool
         self.started_at = clock()
         self._clock = clock
         self._connection: HttpConnection | None = None
+        self.wants_report = False
 
     async def start(self, exchange: Exchange) -> AttemptResult | None:
         """Send the request; return a result only when the attempt is over."""
@@ -157,6 +161,8 @@
             (TIMEOUT_HEADER, b"%d" % max(1, int(left_ms))),
             (EXCHANGE_ID, b"%d" % (connection.n_exchanges + 1)),
         ]
+        if self.wants_report:
+            headers.append(_LOAD_WANTED)
         try:
             failure = await self._send(connection, request, headers, left_ms)
         except curio.TaskTimeout:
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -27,6 +27,10 @@
 LOAD_HEADER = b"pollenfold-load"
 NO_ZONE_RECORD = 0
 
+REPORT_INTERVAL_MS = 10.0
+"""A warm endpoint is asked again after this time; a younger report still has 87% of
+its weight."""
+
 
 class EndpointHealth:
     """Limits of endpoints, and what is learned from each attempt.
@@ -89,16 +93,30 @@
         if detector.n_ejected:
             detector.start_trial(endpoint.key, self._clock())
 
+    def wants_report(self, spec: ServiceSpec, backend: Backend) -> bool:
+        """Return whether the next response should carry a load report.
+
+        The bytes are taken from the service's measurement budget.
+        """
+        now = self._clock()
+        is_warming = backend.candidate.is_warming
+        if not is_warming and now - backend.candidate.reported_at < REPORT_INTERVAL_MS:
+            return False
+        budget = self.budget(spec, self._view().fleet.max_entries)
+        return budget.try_request_report(now, is_urgent=is_warming)
+
     def observe(
         self,
         spec: ServiceSpec,
         backend: Backend,
         result: AttemptResult | None,
         latency_ms: float,
+        was_requested: bool = True,
     ) -> LoadReport | None:
         """Learn from an attempt that ended; ``result`` is None for a cancelled one.
 
-        Return the load report of the response, if there was a valid one.
+        ``was_requested`` says whether a load report was asked for. Return the report
+        of the response, if there was a valid one.
         """
         if result is None:
             return None
@@ -110,7 +128,7 @@
             # The caller gave less time than the server usually takes. Callers with
             # short deadlines must not take servers out of service.
             return None
-        report = self._read_report(spec, result, now)
+        report = self._read_report(spec, result, was_requested, now)
         if outcome is AttemptOutcome.UNREACHABLE:
             # Not a sign of coldness: a server that restarted announces itself anew.
             detector = self._detector(endpoint.service)
@@ -124,6 +142,10 @@
         if endpoint.warm.is_warm and not was_shed:
             detector = self._detector(endpoint.service)
             detector.record(endpoint.key, is_failure, latency_ms, now)
+        is_success = outcome is AttemptOutcome.RESPONDED
+        if backend.candidate.is_warming and is_success and not was_requested:
+            # Without a report the server may still be cold, so the ramp waits.
+            return report
         change = self._warmup.record(
             endpoint,
             spec,
@@ -143,7 +165,11 @@
         return detector
 
     def _read_report(
-        self, spec: ServiceSpec, result: AttemptResult, now: Instant
+        self,
+        spec: ServiceSpec,
+        result: AttemptResult,
+        was_requested: bool,
+        now: Instant,
     ) -> LoadReport | None:
         """Read the load report of a response and count its bytes."""
         if result.response is None:
@@ -152,7 +178,7 @@
         if value is None:
             return None
         budget = self.budget(spec, self._view().fleet.max_entries)
-        budget.count_report(len(LOAD_HEADER) + len(value) + 4, False, now)
+        budget.count_report(len(LOAD_HEADER) + len(value) + 4, was_requested, now)
         return parse_load_header(value, now)
 
 
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -75,7 +75,9 @@
         """Return an attempt at the endpoint whose slot was acquired."""
         backend = self.backends[candidate.key]
         self._health.start(backend.endpoint)
-        return Attempt(backend, self._clock)
+        attempt = Attempt(backend, self._clock)
+        attempt.wants_report = self._health.wants_report(self.spec, backend)
+        return attempt
 
     def acquire_hedge(self, tried: set[str]) -> Candidate | None:
         """Take a slot for a hedge, when the budget and the endpoints allow it."""
@@ -95,7 +97,9 @@
         await attempt.finish()
         latency_ms = self._clock() - attempt.started_at
         backend = attempt.backend
-        report = self._health.observe(self.spec, backend, result, latency_ms)
+        report = self._health.observe(
+            self.spec, backend, result, latency_ms, attempt.wants_report
+        )
         if report is not None:
             self._note_report(backend.candidate, report)
         is_whole = result is not None and result.outcome is AttemptOutcome.RESPONDED
--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -21,7 +21,7 @@
 from pydantic import ValidationError
 from pydantic_settings import SettingsError
 
-from ..http.messages import Headers, Request, Response, json_response
+from ..http.messages import Headers, Request, Response, find_header, json_response
 from ..observe.clock import system_clock
 from ..observe.logs import configure_logs
 from .announcer import Announcer
@@ -44,6 +44,9 @@
 
 Faults = dict[FaultKind, FaultRule]
 
+LOAD = b"pollenfold-load"
+LOAD_WANTED = b"pollenfold-load-wanted"
+
 
 class BackendServer:
     """The fake backend server; ``start`` returns its port.
@@ -148,6 +151,8 @@
             await self.order(order)
             return json_response(200, {})
         response = await self._work(request, self._faults.pick(path))
+        if response is not None:
+            self._report_when_wanted(request, response)
         exchange_id = request.header(EXCHANGE_ID)
         if response is not None and exchange_id is not None:
             response.headers.append((EXCHANGE_ID, exchange_id))
@@ -305,17 +310,27 @@
     def _answer(self, status: int, headers: Headers, body: bytes = b"") -> Response:
         in_flight, cold = self._load(n_own=1)
         load = f"in_flight={in_flight};slots={self.settings.slots};cold={int(cold)}"
-        self.counts.n_report_bytes += len("pollenfold-load") + len(load) + 4
         return Response(
             status,
             [
                 (b"content-type", b"application/json"),
-                (b"pollenfold-load", load.encode()),
+                (LOAD, load.encode()),
                 *headers,
             ],
             body,
         )
 
+    def _report_when_wanted(self, request: Request, response: Response) -> None:
+        """Keep the load report of a response only when the request asks for it."""
+        load = find_header(response.headers, LOAD)
+        if load is None:
+            return
+        if request.header(LOAD_WANTED) == b"1":
+            n_wanted_bytes = len(LOAD_WANTED) + len(b"1") + 4
+            self.counts.n_report_bytes += n_wanted_bytes + len(LOAD) + len(load) + 4
+        else:
+            response.headers.remove((LOAD, load))
+
 
 def _deadline(request: Request) -> float:
     """Return the instant until which the caller waits."""
--- a/pollenfold/tests/testing/conftest.py
+++ b/pollenfold/tests/testing/conftest.py
@@ -15,10 +15,14 @@
 
     def __init__(self, server):
         self.server = server
+        self.wants_load = True
 
     async def send(self, method="POST", path="/work", key="", body=b"", headers=()):
         connection = await HttpConnection.open("127.0.0.1", self.server.port)
+        wanted = (b"pollenfold-load-wanted", b"1")
         all_headers = [(b"host", b"test"), (b"x-request-id", b"r1"), *headers]
+        if self.wants_load:
+            all_headers.append(wanted)
         if key:
             all_headers.append((b"idempotency-key", key.encode()))
         try:
--- a/pollenfold/tests/testing/test_backend_server.py
+++ b/pollenfold/tests/testing/test_backend_server.py
@@ -57,6 +57,11 @@
         n_report_bytes = server.counts.n_report_bytes
         await caller.send()
         n_header_bytes = len(b"pollenfold-load") + len(load) + 4
+        n_header_bytes += len(b"pollenfold-load-wanted: 1\r\n")
+        assert server.counts.n_report_bytes - n_report_bytes == n_header_bytes
+        caller.wants_load = False
+        result, _ = await caller.send()
+        assert find_header(result.ok.headers, b"pollenfold-load") is None
         assert server.counts.n_report_bytes - n_report_bytes == n_header_bytes
 
     with_server(body, starts_cold=True, warm_after=4)
