Spill over past a cold endpoint, and bound claims by the deadline

Now the choice spills over to all zones. Each poll of a claim has an id of its own, as the ledger client demands, and ends at the deadline.

--- a/pollenfold/control/state.py
+++ b/pollenfold/control/state.py
@@ -27,7 +27,7 @@
 from ..records.models import FLEET_NAME
 from ..records.parsing import parse_record
 
-TICK_MS = 20.0
+TICK_MS = 100.0
 """Bounds the delay of noticing an election or the end of a lease."""
 
 BARRIER = b"\0"
--- a/pollenfold/core/routing.py
+++ b/pollenfold/core/routing.py
@@ -147,12 +147,10 @@
     another zone belongs to the choice as well: no other entry may send to it, so it
     would stay cold as long as the own zone has room.
     """
-    local = [
-        c
-        for c in candidates
-        if (c.zone == zone or c.is_warming) and c.n_in_flight < c.slots
-    ]
-    return local or candidates
+    local = [c for c in candidates if c.zone == zone and c.n_in_flight < c.slots]
+    if not local:
+        return candidates
+    return local + [c for c in candidates if c.is_warming and c.zone != zone]
 
 
 PEAK_DECAY = 0.1
--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -9,7 +9,7 @@
 import curio
 from loguru import logger
 
-from ..core.claims import Claimed, Completed, InDoubt, InProgress
+from ..core.claims import Claimed, Completed, InDoubt, InProgress, Unavailable
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ERROR_TABLE, ErrorKind, RunState
 from ..core.register import Outcome
@@ -63,8 +63,7 @@
         stored the claim.
         """
         register = f"{spec.name}/{key.decode('latin-1')}"
-        claim_id = f"{self._entry_id}/{secrets.token_hex(8)}"
-        claim = await self._claim(register, claim_id, spec, deadline)
+        claim, claim_id = await self._claim(register, spec, deadline)
         if isinstance(claim, Claimed):
             response = await self._run_claimed(
                 register, claim_id, is_callers_key, dispatch
@@ -83,15 +82,24 @@
         return response
 
     async def _claim(
-        self, register: str, claim_id: str, spec: ServiceSpec, deadline: Instant
-    ) -> ClaimAnswer:
+        self, register: str, spec: ServiceSpec, deadline: Instant
+    ) -> tuple[ClaimAnswer, str]:
+        """Return the answer to a claim and the id of the claim.
+
+        Wait briefly for the outcome of another request that holds the key, but never
+        past the deadline.
+        """
         wait_until = min(deadline, add_ms(self._clock(), REPLAY_WAIT_MS))
         while True:
-            claim = await self._ledger.claim(register, claim_id, spec.timeout_ms)
+            claim_id = f"{self._entry_id}/{secrets.token_hex(8)}"
+            left_ms = remaining_ms(deadline, self._clock())
+            claim: ClaimAnswer = Unavailable()
+            async with curio.ignore_after(left_ms / 1000):
+                claim = await self._ledger.claim(register, claim_id, spec.timeout_ms)
             if not isinstance(claim, InProgress):
-                return claim
+                return claim, claim_id
             if remaining_ms(wait_until, self._clock()) < REPLAY_POLL_MS:
-                return claim
+                return claim, claim_id
             await curio.sleep(REPLAY_POLL_MS / 1000)
 
     async def _run_claimed(
--- a/pollenfold/tests/core/test_routing.py
+++ b/pollenfold/tests/core/test_routing.py
@@ -124,3 +124,5 @@
     remote.zone = cold.zone = "b"
     cold.is_warming = True
     assert prefer_zone([local, remote, cold], "a") == [local, cold]
+    local.n_in_flight = local.slots
+    assert prefer_zone([local, remote, cold], "a") == [local, remote, cold]
