--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -75,9 +75,11 @@
         elif isinstance(claim, InDoubt):
             response = error_response(ErrorKind.OUTCOME_UNKNOWN)
         else:
-            response = await self._give_up(
-                register, claim_id, is_callers_key, ErrorKind.LEDGER_UNAVAILABLE
+            is_late = remaining_ms(deadline, self._clock()) <= 0.0
+            kind = (
+                ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.LEDGER_UNAVAILABLE
             )
+            response = await self._give_up(register, claim_id, is_callers_key, kind)
         response.headers.append((b"idempotency-key", key))
         return response
 
