Show latencies by tenant and class in pollenfold status

The histograms were kept by each entry and shown on its platform port only. The command now asks each live entry and prints a line for each tenant, service and class.

--- a/pollenfold/cli/client.py
+++ b/pollenfold/cli/client.py
@@ -77,6 +77,10 @@
         headers = [(CHANGE_ID_HEADER, change_id.encode())]
         return await self._request(b"POST", "/v1/records", headers, record)
 
+    async def read_entry(self, address: Address) -> Result[Reply, Failure]:
+        """Read the status of one entry from its platform port, without a retry."""
+        return await self._exchange(address, b"GET", "/v1/status", [], b"")
+
     async def _request(
         self,
         method: bytes,
--- a/pollenfold/cli/commands.py
+++ b/pollenfold/cli/commands.py
@@ -218,8 +218,9 @@
     """Prints the state of the control replicas and the entries."""
 
     name = "status"
-    description = "Print the leader, the revisions and the live entries"
-    help = """Prints one line for the leader and one for each entry with a lease.
+    description = "Print the leader, the live entries and their latencies"
+    help = """Prints one line for the leader, one for each entry with a lease, and one
+for each tenant, service and class of requests that an entry has served.
 
 Example: <info>pollenfold status --operator 10.0.0.1:7100</info>"""
 
@@ -239,9 +240,23 @@
         print(_format({**fields, **{f"log_{key}": replica[key] for key in replica}}))
         for entry in entries:
             print(_format(entry))
+            await _print_latencies(client, entry)
         return 0
 
 
+async def _print_latencies(client: OperatorClient, entry: dict[str, Any]) -> None:
+    """Print the histograms of an entry: latencies in ms and responses by status."""
+    result = await client.read_entry((entry["host"], entry["platform_port"]))
+    if result.is_error() or result.ok.error is not None:
+        detail = result.error.detail if result.is_error() else result.ok.describe()
+        print(_format({"entry_id": entry["entry_id"], "latencies": repr(detail)}))
+        return
+    for row in result.ok.body["histograms"]:
+        statuses = row.pop("n_by_status")
+        counts = {f"n_status_{status}": n for status, n in sorted(statuses.items())}
+        print(_format({"entry_id": entry["entry_id"], **row, **counts}))
+
+
 def _format(fields: dict[str, Any]) -> str:
     return " ".join(f"{key}={value}" for key, value in fields.items())
 
--- a/pollenfold/tests/cli/test_commands.py
+++ b/pollenfold/tests/cli/test_commands.py
@@ -7,12 +7,18 @@
 import pytest
 
 from pollenfold.cli.client import OperatorClient
+from pollenfold.cli.commands import _print_latencies
 from pollenfold.cli.main import COMMANDS, main
 from pollenfold.cli.operations import set_state, store_record
 from pollenfold.core.directory import LiveEntry
 from pollenfold.core.errors import ErrorKind
+from pollenfold.core.records import RequestClass, Rule
+from pollenfold.entry.platform import PlatformInterface
+from pollenfold.http.server import HttpServer
 from pollenfold.observe.clock import system_clock
+from pollenfold.observe.histograms import Histograms
 from pollenfold.testing.control import TOKEN, ControlFake
+from pollenfold.testing.endpoints import make_service
 
 
 @pytest.fixture(autouse=True)
@@ -244,3 +250,30 @@
     output = capsys.readouterr()
     assert (output.out, output.err.count("\n")) == ("", 1)
     assert expected in output.err
+
+
+def test_status_prints_the_latencies_of_entries(run, capsys):
+    """Guards against latencies by tenant and class that operators can't see."""
+
+    async def main_task():
+        histograms = Histograms()
+        rule = Rule(("GET",), "/", RequestClass.IDEMPOTENT)
+        spec = make_service(name="booking", tenant="khanom", rules=(rule,))
+        histograms.record(spec, RequestClass.IDEMPOTENT, 200, 12.0)
+        platform = PlatformInterface(
+            lambda: None, None, lambda: {"histograms": histograms.summary()}, "secret"
+        )
+        server = HttpServer(platform.handle)
+        port = await server.start("127.0.0.1", 0)
+        client = OperatorClient([], "secret", system_clock, 1000)
+        entry = {"entry_id": "e1", "host": "127.0.0.1", "platform_port": port}
+        await _print_latencies(client, entry)
+        await server.stop()
+        await _print_latencies(client, entry)
+
+    run(main_task)
+    first, second = capsys.readouterr().out.splitlines()
+    assert "entry_id=e1 tenant=khanom service=booking class=idempotent" in first
+    assert "n_responses=1" in first and "p99_ms=12" in first
+    assert "n_status_200=1" in first
+    assert second.startswith("entry_id=e1 latencies=")
