--- /dev/null
+++ b/pollenfold/control/cluster.py
@@ -0,0 +1,240 @@
+"""A control replica that finds its group from seeds and agrees on its members."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+
+from ..core.agreement_members import host_of
+from ..core.clock import add_ms
+from ..core.errors import ErrorKind
+from ..gateway.feeds import FeedIdentity, Feeds
+from ..http.messages import Request, Response, error_response
+from ..http.server import Handler, HttpServer
+from ..observe.clock import system_clock
+from ..observe.events import EventLog
+from ..observe.exposition import Metrics
+from ..observe.logs import forward_logs
+from ..observe.signals import wait_for_stop
+from ..storage.member import load_member_id
+from ..wire.frames import Protocol
+from ..wire.rpc import RpcServer
+from .feed_server import FeedServer
+from .order_book import OrderBook, PeerView
+from .replica import DynamicMembers, Replica
+
+JOIN_INTERVAL_MS = 400.0
+JOIN_TIMEOUT_MS = 400.0
+LEADER_SILENT_MS = 1_000.0
+"""A replica that heard no leader for so long asks the others to take it in again."""
+
+STOP_WAIT_MS = 1_500.0
+MAX_ORDER_BYTES = 16 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterSettings:
+    """Addresses of one control replica and how it finds the others.
+
+    ``seeds`` returns hosts where control replicas may run. ``n_members`` is the
+    number of voters that the losses to be borne ask for.
+    """
+
+    name: str
+    zone: str
+    host: str
+    peer_port: int
+    feed_port: int
+    api_host: str
+    api_port: int
+    metrics_port: int
+    data_folder: Path
+    seeds: Callable[[], list[str]]
+    reload: Callable[[], None]
+    is_founder: bool
+    n_members: int
+
+
+class ClusterNode:
+    """The parts of one control replica."""
+
+    def __init__(self, settings: ClusterSettings) -> None:
+        """Open the data folder; raise OSError when it can't be used."""
+        self.settings = settings
+        clock = system_clock
+        self.log = EventLog(settings.name, clock)
+        forward_logs(self.log)
+        self.metrics = Metrics()
+        self.book = OrderBook(settings.n_members, clock, self.log)
+        address = f"{settings.host}:{settings.peer_port}"
+        settings.data_folder.mkdir(parents=True, exist_ok=True)
+        self.replica_id = load_member_id(settings.data_folder, address)
+        members = DynamicMembers(_resolve, settings.n_members, settings.is_founder)
+        self.replica = Replica(
+            self.replica_id,
+            {self.replica_id: (settings.host, settings.peer_port)},
+            settings.data_folder,
+            self.book.apply,
+            self.book.snapshot,
+            self.book.restore,
+            clock,
+            secrets.randbits(32),
+            members=members,
+        )
+        self.book.replica = self.replica
+        self.peers = PeerView(self.book, clock)
+        self.feed_server = FeedServer(
+            settings.zone, self.book, lambda: self.peers.control_hosts, clock, self.log
+        )
+        identity = FeedIdentity(settings.name, settings.zone, "control")
+        self.feeds = Feeds(
+            identity,
+            self.peers,
+            settings.seeds,
+            settings.feed_port,
+            clock,
+            self.log,
+            settings.host,
+        )
+        self.rpc = RpcServer(
+            {
+                Protocol.AGREEMENT: self.replica.handle,
+                Protocol.MEMBERSHIP: self._handle_join,
+                Protocol.OPERATOR: self.book.handle_forwarded,
+            }
+        )
+
+    # Joining
+
+    def is_member(self) -> bool:
+        """Return whether this replica is one of the voters that it knows."""
+        return self.replica_id in self.replica.voters()
+
+    def leader_host(self) -> str | None:
+        """Return the host of the leader, if it is known and another one."""
+        leader_id = self.replica.leader_id()
+        if leader_id is None or leader_id == self.replica_id:
+            return None
+        return host_of(leader_id).rpartition(":")[0]
+
+    async def _handle_join(self, payload: bytes) -> bytes:
+        """Take a replica in as a learner, or name the leader."""
+        replica_id = payload.decode()
+        if self.replica.is_leader():
+            self.replica.join(replica_id)
+        return json.dumps({"leader": self.replica.leader_id()}).encode()
+
+    async def join(self) -> None:
+        """Ask for the log while this replica is no voter or hears no leader."""
+        while True:
+            await curio.sleep(JOIN_INTERVAL_MS / 1000)
+            heard_at = self.replica.heard_at()
+            is_silent = heard_at is None or system_clock() > add_ms(
+                heard_at, LEADER_SILENT_MS
+            )
+            if self.replica.is_leader() or (self.is_member() and not is_silent):
+                continue
+            for address in self._join_addresses():
+                await curio.spawn(self._ask_to_join, address, daemon=True)
+
+    def _join_addresses(self) -> set[str]:
+        port = self.settings.peer_port
+        hosts = set(self.settings.seeds()) | self.peers.control_hosts
+        leader_host = self.leader_host()
+        if leader_host is not None:
+            hosts.add(leader_host)
+        return {f"{host}:{port}" for host in hosts - {self.settings.host}}
+
+    async def _ask_to_join(self, address: str) -> None:
+        payload = self.replica_id.encode()
+        result = await self.book.call(
+            address, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
+        )
+        if result.is_error():
+            return
+        leader_id = json.loads(result.ok)["leader"]
+        if leader_id and host_of(leader_id) != address:
+            await self.book.call(
+                leader_id, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
+            )
+
+    # Metrics
+
+    async def handle_metrics(self, request: Request) -> Response:
+        """Answer with the figures of this replica."""
+        if request.path != "/metrics":
+            return error_response(ErrorKind.NOT_FOUND)
+        status = self.replica.status()
+        metrics = self.metrics
+        metrics.set("is_leader", float(bool(status.get("is_leader"))))
+        metrics.set("storage_failed", float(bool(status["is_storage_failed"])))
+        metrics.set("term", status.get("term", 0))
+        metrics.set("commit_index", status.get("commit_index", 0))
+        metrics.set("applied_index", self.replica.applied_index())
+        metrics.set("voters", len(self.replica.voters()))
+        metrics.set("configuration_version", self.book.orders.version)
+        metrics.set("readers", self.feed_server.n_readers)
+        metrics.set("endpoints", len(self.book.registry))
+        metrics.set("log_lines_dropped_total", self.log.n_dropped)
+        text = metrics.text().encode()
+        return Response(200, [(b"content-type", b"text/plain")], text)
+
+    def reload(self) -> None:
+        """Read the settings anew."""
+        self.settings.reload()
+        self.log.state("settings_reloaded", seeds=",".join(self.settings.seeds()))
+
+
+def _resolve(replica_id: str) -> tuple[str, int]:
+    """Return host and port, which every replica id starts with."""
+    host, _, port = host_of(replica_id).rpartition(":")
+    return host, int(port)
+
+
+async def serve_cluster(
+    settings: ClusterSettings, make_handler: Callable[[ClusterNode], Handler]
+) -> None:
+    """Run a control replica until SIGTERM or SIGINT.
+
+    ``make_handler`` gives what answers operators and endpoints. Raise OSError when an
+    address is taken or the data folder can't be used, and RuntimeError when a part
+    of the daemon ends.
+    """
+    node = ClusterNode(settings)
+    api = HttpServer(make_handler(node), MAX_ORDER_BYTES)
+    metrics = HttpServer(node.handle_metrics)
+    async with curio.TaskGroup(wait=None) as group:
+        stop = await group.spawn(wait_for_stop, node.reload)
+        await group.spawn(node.rpc.serve, settings.host, settings.peer_port)
+        await group.spawn(node.feed_server.serve, settings.host, settings.feed_port)
+        await api.start(settings.api_host, settings.api_port)
+        await metrics.start(settings.host, settings.metrics_port)
+        await group.spawn(node.replica.run)
+        await group.spawn(node.feed_server.run)
+        await group.spawn(node.feeds.run)
+        await group.spawn(node.join)
+        await group.spawn(node.log.run)
+        node.log.state(
+            "started",
+            role="control",
+            zone=settings.zone,
+            replica=node.replica_id,
+            founder=settings.is_founder,
+        )
+        first_done = await group.next_done()
+        if first_done is not stop:
+            node.log.state("task_failed", task=first_done.name)
+            node.log.flush()
+            raise first_done.exception or RuntimeError("a task ended too early")
+        node.log.state("stopping", n_in_flight=api.n_in_flight)
+        await api.stop()
+        async with curio.ignore_after(STOP_WAIT_MS / 1000):
+            await api.wait_idle()
+        node.log.state("stopped", n_in_flight=api.n_in_flight)
+        node.log.flush()
+        await group.cancel_remaining()
--- /dev/null
+++ b/pollenfold/control/feed_server.py
@@ -0,0 +1,190 @@
+"""Serves the feed of one control replica to entries and to the other replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import curio
+from curio import socket
+
+from ..core.clock import Clock, Instant, add_ms
+from ..core.registry import Announcement
+from ..observe.events import EventLog
+from ..wire.lines import encode_line, read_lines
+from .order_book import OrderBook
+
+PUBLISH_INTERVAL_MS = 20.0
+KEEP_ALIVE_MS = 500.0
+HEARD_INTERVAL_MS = 3_000.0
+SILENCE_LIMIT_MS = 3_000.0
+STUCK_AFTER_MS = 2_000.0
+"""A reader that takes nothing for so long is cut off; it connects anew."""
+
+FORGET_AFTER_MS = 30_000.0
+"""A silent endpoint is no longer told to entries that connect."""
+
+
+class _Reader:
+    """One connection that reads the feed."""
+
+    def __init__(self, client: socket.socket, hello: dict[str, Any], now: Instant):
+        self.client = client
+        self.name = str(hello.get("name", ""))
+        self.role = str(hello.get("role", ""))
+        self._pending = bytearray()
+        self._moved_at = now
+
+    def add(self, data: bytes) -> None:
+        """Queue lines."""
+        self._pending += data
+
+    def send(self, now: Instant) -> bool:
+        """Write what the socket takes; return False for a dead or stuck reader."""
+        try:
+            while self._pending:
+                n_bytes = self.client._socket.send(self._pending)
+                del self._pending[:n_bytes]
+                self._moved_at = now
+        except (BlockingIOError, InterruptedError):
+            return now < add_ms(self._moved_at, STUCK_AFTER_MS)
+        except OSError:
+            return False
+        self._moved_at = now
+        return True
+
+
+class FeedServer:
+    """Tells readers the index of the orders, the endpoints and the fleet.
+
+    One task writes to all readers, so that a change costs one wake-up however many
+    there are.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        book: OrderBook,
+        control_hosts: Callable[[], frozenset[str]],
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._zone = zone
+        self._book = book
+        self._control_hosts = control_hosts
+        self._clock = clock
+        self._log = log
+        self._readers: set[_Reader] = set()
+        self._news: dict[str, Announcement] = {}
+        self._is_changed = False
+        self._told_at = clock()
+        self._heard_at = clock()
+        self._told_entries: list[str] = []
+        book.on_change = self._note_change
+        book.on_news = self._note_news
+
+    @property
+    def n_readers(self) -> int:
+        """The number of open connections."""
+        return len(self._readers)
+
+    def _note_change(self) -> None:
+        self._is_changed = True
+
+    def _note_news(self, announcement: Announcement) -> None:
+        self._news[announcement.endpoint_id] = announcement
+
+    async def serve(self, host: str, port: int) -> None:
+        """Listen until cancelled."""
+        await curio.tcp_server(host, port, self._serve_reader, reuse_address=True)
+
+    async def _serve_reader(
+        self, client: socket.socket, address: tuple[str, int]
+    ) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        reader: _Reader | None = None
+        detail = "closed"
+        try:
+            async for line in read_lines(client, SILENCE_LIMIT_MS):
+                if reader is None:
+                    reader = _Reader(client, line, self._clock())
+                    self._greet(reader)
+                elif "get" in line:
+                    orders = self._book.orders.encode()
+                    reader.add(encode_line({"orders": orders}))
+                    self._flush(reader)
+        except OSError as error:
+            detail = str(error) or type(error).__name__
+        finally:
+            if reader is not None:
+                self._readers.discard(reader)
+                self._log.state(
+                    "reader_lost", reader=reader.name, peer=address[0], detail=detail
+                )
+
+    def _greet(self, reader: _Reader) -> None:
+        """Tell a new reader everything but the orders, which it asks for."""
+        now = self._clock()
+        oldest = add_ms(now, -FORGET_AFTER_MS)
+        registry = self._book.registry
+        known = [registry.known(a.endpoint_id) for a in registry.announcements()]
+        self._readers.add(reader)
+        self._log.state("reader_connected", reader=reader.name, role=reader.role)
+        line = self._status(is_full=True)
+        line["announcements"] = [
+            [k.announcement.encode(), now - k.announced_at]
+            for k in known
+            if k is not None and k.heard_at > oldest
+        ]
+        reader.add(encode_line(line))
+        self._flush(reader)
+
+    def _entries(self) -> list[str]:
+        return sorted({r.name for r in self._readers if r.role == "entry"})
+
+    def _status(self, is_full: bool) -> dict[str, Any]:
+        entries = self._entries()
+        line: dict[str, Any] = {
+            "zone": self._zone,
+            "index": self._book.orders.index,
+            "n_entries": len(entries),
+            "control": sorted(self._control_hosts()),
+        }
+        if is_full or entries != self._told_entries:
+            line["entries"] = entries
+        return line
+
+    async def run(self) -> None:
+        """Write changes and regular lines to all readers until cancelled."""
+        while True:
+            await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
+            now = self._clock()
+            is_due = now >= add_ms(self._told_at, KEEP_ALIVE_MS)
+            if not (is_due or self._is_changed or self._news):
+                continue
+            line: dict[str, Any] = {"index": self._book.orders.index}
+            if is_due:
+                line = self._status(is_full=False)
+                self._told_entries = self._entries()
+                self._told_at = now
+            if self._news:
+                line["announcements"] = [[a.encode(), 0] for a in self._news.values()]
+            if now >= add_ms(self._heard_at, HEARD_INTERVAL_MS):
+                line["heard"] = sorted(self._book.heard_ids)
+                self._book.heard_ids.clear()
+                self._heard_at = now
+            self._news = {}
+            self._is_changed = False
+            data = encode_line(line)
+            for reader in list(self._readers):
+                reader.add(data)
+                self._flush(reader)
+
+    def _flush(self, reader: _Reader) -> None:
+        if not reader.send(self._clock()):
+            self._readers.discard(reader)
+            # Wakes the task that reads from the connection, which closes it.
+            try:
+                reader.client._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                return
--- a/pollenfold/control/peer_calls.py
+++ b/pollenfold/control/peer_calls.py
@@ -35,19 +35,31 @@
     """Sends messages to the other replicas; any of them may be lost.
 
     Each message is one remote call, and ``receive`` gets the message of its answer.
+    ``resolve`` gives the address of a replica id that ``addresses`` lacks; without it
+    the replicas are fixed.
     """
 
     def __init__(
         self,
         addresses: dict[str, tuple[str, int]],
         receive: Callable[[Message], Awaitable[None]],
+        resolve: Callable[[str], tuple[str, int]] | None = None,
     ) -> None:
         self._peers = {k: _Peer(*address) for k, address in addresses.items()}
         self._receive = receive
+        self._resolve = resolve
+
+    def _peer(self, replica_id: str) -> _Peer:
+        peer = self._peers.get(replica_id)
+        if peer is None and self._resolve is not None:
+            peer = self._peers[replica_id] = _Peer(*self._resolve(replica_id))
+        if peer is None:
+            raise LookupError(f"expected one of {sorted(self._peers)}")
+        return peer
 
     async def send(self, message: Message) -> None:
         """Start a call with the message and return at once."""
-        peer = self._peers[message.recipient]
+        peer = self._peer(message.recipient)
         if peer.n_calls < MAX_CALLS_PER_PEER:
             peer.n_calls += 1
             await curio.spawn(self._call, peer, message, daemon=True)
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -21,12 +22,21 @@
     is_leader,
     step,
 )
+from ..core.agreement_members import (
+    decode_members,
+    founding,
+    next_members,
+    unwrap_snapshot,
+    wrap_snapshot,
+)
 from ..core.agreement_messages import (
     Action,
     Apply,
     Compact,
     Event,
+    Join,
     Message,
+    PersistLog,
     Propose,
     Receive,
     Request,
@@ -47,6 +57,19 @@
 """Time between attempts to open the data folder after a failed write."""
 
 
+@dataclass(frozen=True, slots=True)
+class DynamicMembers:
+    """Settings of a replica whose group agrees on its members in the log.
+
+    ``resolve`` gives host and port of a replica id. ``n_target`` is the number of
+    voters to reach. A founder with an empty disk starts a group of its own.
+    """
+
+    resolve: Callable[[str], tuple[str, int]]
+    n_target: int
+    is_founder: bool = False
+
+
 class _Proposal:
     """A command that waits to be applied; its result is set once."""
 
@@ -80,6 +103,7 @@
         clock: Clock,
         seed: int,
         open_journal: OpenJournal = Journal.open,
+        members: DynamicMembers | None = None,
     ) -> None:
         """Open the data folder.
 
@@ -91,7 +115,10 @@
         self._replica_id = replica_id
         self._replica_ids = frozenset(peers)
         others = {k: v for k, v in peers.items() if k != replica_id}
-        self._calls = PeerCalls(others, self._receive)
+        self._members = members
+        self._voters: frozenset[str] = frozenset()
+        resolve = None if members is None else members.resolve
+        self._calls = PeerCalls(others, self._receive, resolve)
         self._data_folder = data_folder
         self._apply = apply
         self._snapshot = snapshot
@@ -127,6 +154,14 @@
         """Return the index of the last entry in the state machine."""
         return self._applied_index
 
+    def voters(self) -> frozenset[str]:
+        """Return the voters of the latest members entry; empty when fixed."""
+        return frozenset() if self._state is None else self._state.voters
+
+    def heard_at(self) -> Instant | None:
+        """Return when a leader was last heard, or the start of this replica."""
+        return None if self._state is None else self._state.heard_at
+
     def status(self) -> dict[str, Any]:
         """Return figures for operators."""
         state = self._state
@@ -166,6 +201,28 @@
         await self._flush()
         return encode_message(answers[0]) if answers else b""
 
+    def join(self, replica_id: str) -> None:
+        """Let a replica that isn't a member receive the log from this leader."""
+        self._outbox += self._step(Join(replica_id))
+
+    def _change_members(self) -> None:
+        """Propose the next change of the voters, if one is due."""
+        if self._members is None or self._state is None:
+            return
+        change = next_members(self._state, self._members.n_target, self._clock())
+        if change is None:
+            return
+        proposal, reason = change
+        voters = decode_members(proposal.command) or frozenset()
+        logger.info(
+            "event=members_proposed reason={} term={} before={} after={}",
+            reason,
+            self._state.term,
+            ",".join(sorted(self._state.voters)),
+            ",".join(sorted(voters)),
+        )
+        self._outbox += self._step(proposal)
+
     async def run(self) -> None:
         """Drive elections, heartbeats and recovery until cancelled."""
         try:
@@ -174,6 +231,7 @@
                 if self._state is None and self._clock() >= self._reopen_at:
                     self._open()
                 self._outbox += self._step(Tick())
+                self._change_members()
                 await self._flush()
         finally:
             self._state = None
@@ -236,17 +294,29 @@
             self._fail(str(error))
             return
         self._storage = storage
+        members = self._members
+        is_new = storage.stored is None and storage.log.last_index == 0
+        log = storage.log
+        if members is not None and members.is_founder and is_new:
+            stored, log = founding(self._replica_id)
+            for action in (stored, PersistLog(log)):
+                result = storage.persist(action)
+                if result.is_error():
+                    self._fail(result.error.detail)
+                    return
+            logger.info("event=group_founded replica={}", self._replica_id)
         self._state = initial_state(
             self._replica_id,
             self._replica_ids,
             storage.identity.incarnation,
-            storage.identity.is_blank,
+            storage.identity.is_blank and members is None,
             storage.stored,
-            storage.log,
+            log,
             self._clock(),
             self._timeout_ms(),
+            is_dynamic=members is not None,
         )
-        snapshot = storage.log.snapshot
+        snapshot = log.snapshot
         if snapshot.index > self._applied_index:
             self._restore_from(snapshot.index, snapshot.data)
 
@@ -274,7 +344,7 @@
         self._observe(before, state)
         n_entries = self._applied_index - state.log.snapshot.index
         if n_entries >= ENTRIES_PER_SNAPSHOT and not isinstance(event, Compact):
-            sent += self._step(Compact(self._applied_index, self._snapshot()))
+            sent += self._step(Compact(self._applied_index, self._snapshot_data()))
         return [] if self._state is None else sent
 
     def _perform(self, actions: list[Action]) -> list[Message]:
@@ -300,7 +370,10 @@
         # After the data folder was opened again, entries that this process has
         # applied are committed a second time.
         if index > self._applied_index:
-            if command:
+            voters = decode_members(command)
+            if voters is not None:
+                self._take_voters(voters, index)
+            elif command:
                 self._apply(index, command)
             self._applied_index = index
         proposal = self._proposals.get(index)
@@ -310,9 +383,22 @@
 
     def _restore_from(self, index: int, data: bytes) -> None:
         if index > self._applied_index:
+            if self._members is not None:
+                voters, data = unwrap_snapshot(data)
+                self._take_voters(voters, index)
             self._restore(data)
             self._applied_index = index
 
+    def _take_voters(self, voters: frozenset[str], index: int) -> None:
+        self._voters = voters
+        logger.info(
+            "event=members_changed index={} voters={}", index, ",".join(sorted(voters))
+        )
+
+    def _snapshot_data(self) -> bytes:
+        data = self._snapshot()
+        return data if self._members is None else wrap_snapshot(self._voters, data)
+
     def _observe(self, before: State, state: State) -> None:
         """Log changes of role, and answer proposals that lost their leader."""
         if (state.role, state.term) != (before.role, before.term):
--- a/pollenfold/core/agreement.py
+++ b/pollenfold/core/agreement.py
@@ -11,6 +11,7 @@
 
 from .agreement_election import on_vote_request, on_vote_response, start_pre_vote
 from .agreement_log import Entry, Log, Snapshot
+from .agreement_members import add_learner, with_members
 from .agreement_messages import (
     Action,
     AppendRequest,
@@ -19,6 +20,7 @@
     Event,
     Inquiry,
     InquiryResponse,
+    Join,
     Message,
     PersistLog,
     PersistState,
@@ -76,8 +78,13 @@
     log: Log,
     now: Instant,
     timeout_ms: float,
+    is_dynamic: bool = False,
 ) -> State:
-    """Return the state of a replica that starts with what it has stored."""
+    """Return the state of a replica that starts with what it has stored.
+
+    With ``is_dynamic`` the log names the voters, ``replica_ids`` holds just the
+    replica itself, and it is never blank: a new disk has a new id.
+    """
     if replica_id not in replica_ids:
         raise ValueError(f"expected one of {sorted(replica_ids)}, got {replica_id}")
     state = State(
@@ -90,7 +97,9 @@
         is_blank=is_blank,
         log=log,
         commit_index=log.snapshot.index,
+        is_dynamic=is_dynamic,
     )
+    state = with_members(state, now)
     if stored is None:
         return state
     return replace(
@@ -116,6 +125,8 @@
             return propose(state, command, now)
         case Compact(index, data):
             return _compact(state, index, data)
+        case Join(replica_id):
+            return add_learner(state, replica_id, now), []
         case _:
             return _on_tick(state, now, timeout_ms)
 
@@ -145,7 +156,9 @@
 def _on_message(
     state: State, message: Message, now: Instant, timeout_ms: float
 ) -> Step:
-    if message.recipient != state.replica_id or message.sender not in state.peers:
+    if message.recipient != state.replica_id:
+        return state, []
+    if message.sender not in state.peers and not state.is_dynamic:
         return state, []
     match message.body:
         case VoteRequest() as body:
--- a/pollenfold/core/agreement_election.py
+++ b/pollenfold/core/agreement_election.py
@@ -31,6 +31,8 @@
     An isolated replica repeats this and keeps its term, so the others need no new
     election when it returns.
     """
+    if not state.is_voter(state.replica_id):
+        return replace(state, leader_id=None, wake_at=add_ms(now, timeout_ms)), []
     state = replace(
         state,
         role=Role.PRE_CANDIDATE,
@@ -61,7 +63,8 @@
 
 def _request_votes(state: State, term: int, is_pre_vote: bool) -> list[Action]:
     body = VoteRequest(term, is_pre_vote, state.log.last_index, state.log.last_term)
-    return [state.send(peer, body) for peer in state.peers]
+    voters = (peer for peer in state.peers if state.is_voter(peer))
+    return [state.send(peer, body) for peer in voters]
 
 
 def _become_leader(state: State, now: Instant) -> Step:
@@ -154,6 +157,8 @@
         or now >= state.wake_at
     ):
         return state, []
+    if not state.is_voter(message.sender):
+        return state, []
     state = replace(state, votes=state.votes | {message.sender})
     if len(state.votes) < state.n_majority:
         return state, []
--- a/pollenfold/core/agreement_messages.py
+++ b/pollenfold/core/agreement_messages.py
@@ -152,7 +152,14 @@
     data: bytes
 
 
-Event = Tick | Receive | Propose | Compact
+@dataclass(frozen=True, slots=True)
+class Join:
+    """A replica that isn't a member asks the leader for the log."""
+
+    replica_id: str
+
+
+Event = Tick | Receive | Propose | Compact | Join
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement_replication.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from .agreement_log import Entry, Snapshot
+from .agreement_members import decode_members, with_members
 from .agreement_messages import (
     Action,
     AppendRequest,
@@ -51,6 +52,8 @@
         return state, []
     entry = Entry(state.log.last_index + 1, state.term, command)
     state = replace(state, log=state.log.with_entries((entry,)))
+    if state.is_dynamic and decode_members(command) is not None:
+        state = with_members(state, now)
     actions: list[Action] = [PersistEntries((entry,))]
     for peer in state.peers:
         if not state.progress[peer].is_waiting:
@@ -133,7 +136,10 @@
     if state.role is not Role.LEADER or response.term < state.term:
         return state, []
     state = observe_incarnation(state, message, response.is_blank, now)
-    progress = state.progress[message.sender]
+    progress = state.progress.get(message.sender)
+    if progress is None:
+        # The replica was removed from the members after the request was sent.
+        return state, []
     if progress.incarnation != message.incarnation:
         return state, []
     progress = replace(
@@ -178,8 +184,12 @@
     An entry of an earlier term on a majority may still be replaced by a later
     leader, so it is committed only together with one of the own term.
     """
-    matches = [state.log.last_index]
-    matches += [0 if p.is_blank else p.match_index for p in state.progress.values()]
+    matches = [state.log.last_index] if state.is_voter(state.replica_id) else []
+    matches += [
+        0 if p.is_blank else p.match_index
+        for k, p in state.progress.items()
+        if state.is_voter(k)
+    ]
     matches.sort(reverse=True)
     index = matches[state.n_majority - 1]
     if index <= state.commit_index or state.log.term_at(index) != state.term:
@@ -225,6 +235,7 @@
                 f"got one that replaces index {entries[0].index}"
             )
         state = replace(state, log=state.log.with_entries(entries))
+        state = with_members(state, now)
         actions.append(PersistEntries(entries))
     match_index = request.previous_index + len(request.entries)
     state, applies = _commit(state, min(request.commit_index, match_index))
@@ -280,6 +291,7 @@
         commit_index=request.index,
         incoming=None,
     )
+    state = with_members(state, now)
     actions += [PersistLog(state.log), Restore(request.index, data)]
     state, joins = join_if_caught_up(
         state, request, request.index, add_ms(now, timeout_ms)
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -70,9 +70,11 @@
 class State:
     """One replica: identity, durable state, then what a restart forgets.
 
-    No vote is given in a term up to ``vote_floor``. ``heard_at`` is when a leader
-    was last heard, or the start: a restarted replica may have promised its leader
-    not to vote for another just before. ``wake_at`` is when the next tick is due.
+    With ``is_dynamic`` the voters are those that the log names; learners receive the
+    log and don't vote. No vote is given in a term up to ``vote_floor``. ``heard_at``
+    is when a leader was last heard, or the start: a restarted replica may have
+    promised its leader not to vote for another just before. ``wake_at`` is when the
+    next tick is due.
     """
 
     replica_id: str
@@ -94,12 +96,24 @@
     progress: dict[str, Progress] = field(default_factory=dict)
     term_start_index: int = 0
     incoming: Incoming | None = None
+    is_dynamic: bool = False
+    voters: frozenset[str] = frozenset()
+    learners: frozenset[str] = frozenset()
 
     @property
     def n_majority(self) -> int:
-        """Return the size of the smallest majority of all replicas."""
+        """Return the size of the smallest majority of all voters."""
+        if self.is_dynamic:
+            return len(self.voters) // 2 + 1
         return (len(self.peers) + 1) // 2 + 1
 
+    def is_voter(self, replica_id: str) -> bool:
+        """Return whether a replica counts for majorities.
+
+        Without dynamic members every replica does.
+        """
+        return not self.is_dynamic or replica_id in self.voters
+
     def send(self, recipient: str, body: Body) -> Send:
         """Return the action that sends a message from this replica."""
         return Send(Message(self.replica_id, recipient, self.incarnation, body))
@@ -118,8 +132,12 @@
 
     A blank replica doesn't count, because it takes no part in elections.
     """
-    instants = [now]
-    instants += [p.answered_at for p in state.progress.values() if not p.is_blank]
+    instants = [now] if state.is_voter(state.replica_id) else []
+    instants += [
+        p.answered_at
+        for k, p in state.progress.items()
+        if not p.is_blank and state.is_voter(k)
+    ]
     instants.sort(reverse=True)
     if len(instants) < state.n_majority:
         return Instant(float("-inf"))
--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -21,7 +21,9 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_LARGE = "body_too_large"
     TRUNCATED_BODY = "truncated_body"
+    SLOW_REQUEST = "slow_request"
     UNKNOWN_SERVICE = "unknown_service"
+    NO_ROUTE = "no_route"
     NOT_FOUND = "not_found"
     UNAUTHORIZED = "unauthorized"
     BAD_RECORD = "bad_record"
@@ -82,9 +84,15 @@
     ErrorKind.TRUNCATED_BODY: ErrorAnswer(
         400, _DID_NOT_RUN, None, "request body ended early"
     ),
+    ErrorKind.SLOW_REQUEST: ErrorAnswer(
+        408, _DID_NOT_RUN, None, "the request took too long to arrive"
+    ),
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(
         404, _DID_NOT_RUN, None, "no service record matches the path"
     ),
+    ErrorKind.NO_ROUTE: ErrorAnswer(
+        404, _DID_NOT_RUN, None, "no route matches host and path"
+    ),
     ErrorKind.NOT_FOUND: ErrorAnswer(404, _DID_NOT_RUN, None, "no such resource"),
     ErrorKind.UNAUTHORIZED: ErrorAnswer(
         401, _DID_NOT_RUN, None, "missing or wrong token"
--- /dev/null
+++ b/pollenfold/core/registry.py
@@ -0,0 +1,186 @@
+"""Endpoints as they announce themselves, and which of them may get work.
+
+Announcements may come late, twice and out of order. One life of an endpoint is named
+by its id and its start; a higher sequence number is the newer word of one life.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from .clock import Instant
+from .orders import Orders
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What an endpoint says of itself.
+
+    ``born_ms`` is its start in ms since 1970 on its own clock; it only orders the
+    lives of one id or one address. ``warmup_left_ms`` is how long it stays cold.
+    """
+
+    endpoint_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    is_leaving: bool
+    warmup_left_ms: float
+    born_ms: int
+    sequence: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return what orders the announcements of one id."""
+        return self.born_ms, self.sequence
+
+    def encode(self) -> list[object]:
+        """Return the fields as JSON values."""
+        return [
+            self.endpoint_id,
+            self.service,
+            self.host,
+            self.port,
+            self.zone,
+            self.slots,
+            self.is_leaving,
+            self.warmup_left_ms,
+            self.born_ms,
+            self.sequence,
+        ]
+
+
+def decode_announcement(fields: list[object]) -> Announcement:
+    """Read the fields of ``encode``; raise ValueError when they are others."""
+    match fields:
+        case [
+            str(endpoint_id),
+            str(service),
+            str(host),
+            int(port),
+            str(zone),
+            int(slots),
+            bool(is_leaving),
+            int() | float() as warmup_left_ms,
+            int(born_ms),
+            int(sequence),
+        ]:
+            return Announcement(
+                endpoint_id,
+                service,
+                host,
+                port,
+                zone,
+                slots,
+                is_leaving,
+                float(warmup_left_ms),
+                born_ms,
+                sequence,
+            )
+    raise ValueError("expected the fields of an announcement")
+
+
+@dataclass(slots=True)
+class Known:
+    """The newest announcement of an endpoint, with when it and any word came."""
+
+    announcement: Announcement
+    announced_at: Instant
+    heard_at: Instant
+
+
+class Registry:
+    """The newest announcement of each endpoint."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, Known] = {}
+        self._by_address: dict[tuple[str, int], str] = {}
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def get(self, endpoint_id: str) -> Announcement | None:
+        """Return the newest announcement of an endpoint."""
+        known = self._known.get(endpoint_id)
+        return None if known is None else known.announcement
+
+    def known(self, endpoint_id: str) -> Known | None:
+        """Return the newest announcement of an endpoint and its instants."""
+        return self._known.get(endpoint_id)
+
+    def merge(self, announcement: Announcement, now: Instant) -> bool:
+        """Take an announcement; return whether it says anything new.
+
+        A repeated or an older one changes nothing. Of two endpoints with one address
+        the one that started later holds it: an announcement of the earlier one was
+        delayed on its way.
+        """
+        endpoint_id = announcement.endpoint_id
+        known = self._known.get(endpoint_id)
+        if known is not None and announcement.order <= known.announcement.order:
+            if announcement.order == known.announcement.order:
+                known.heard_at = now
+            return False
+        address = (announcement.host, announcement.port)
+        holder = self.get(self._by_address.get(address, ""))
+        if holder is not None and holder.endpoint_id != endpoint_id:
+            if holder.born_ms > announcement.born_ms:
+                return False
+            self.remove(holder.endpoint_id)
+        if known is not None:
+            self.remove(endpoint_id)
+        self._known[endpoint_id] = Known(announcement, now, now)
+        self._by_address[address] = endpoint_id
+        return known is None or _differs(known.announcement, announcement)
+
+    def hear(self, endpoint_id: str, now: Instant) -> None:
+        """Note that an endpoint announced itself again, with nothing new."""
+        known = self._known.get(endpoint_id)
+        if known is not None:
+            known.heard_at = now
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forget an endpoint."""
+        known = self._known.pop(endpoint_id, None)
+        if known is None:
+            return
+        address = (known.announcement.host, known.announcement.port)
+        if self._by_address.get(address) == endpoint_id:
+            del self._by_address[address]
+
+    def expire(self, heard_before: Instant) -> list[str]:
+        """Forget the endpoints that were silent since an instant; return their ids."""
+        silent = [k for k, v in self._known.items() if v.heard_at < heard_before]
+        for endpoint_id in silent:
+            self.remove(endpoint_id)
+        return silent
+
+    def announcements(self) -> Iterable[Announcement]:
+        """Return the newest announcement of each endpoint."""
+        return [known.announcement for known in self._known.values()]
+
+
+def _differs(before: Announcement, after: Announcement) -> bool:
+    """Return whether more changed than the sequence and the time to warm up."""
+    return (
+        before.born_ms != after.born_ms
+        or before.service != after.service
+        or (before.host, before.port) != (after.host, after.port)
+        or before.zone != after.zone
+        or before.slots != after.slots
+        or before.is_leaving != after.is_leaving
+        or (before.warmup_left_ms > 0) != (after.warmup_left_ms > 0)
+        or after.warmup_left_ms > before.warmup_left_ms
+    )
+
+
+def may_get_work(announcement: Announcement, orders: Orders) -> bool:
+    """Return whether new requests may go to an endpoint, cold or warm."""
+    return (
+        not announcement.is_leaving
+        and announcement.zone not in orders.evacuated
+        and not orders.has_departed(announcement.endpoint_id, announcement.born_ms)
+    )
--- /dev/null
+++ b/pollenfold/gateway/backend.py
@@ -0,0 +1,264 @@
+"""Connections of an entry to backend servers, and one exchange on such a connection.
+
+A connection serves several exchanges one after the other. It is used again only when
+both sides of the last exchange were complete and no byte followed the response.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket as sockets
+from collections.abc import Callable
+from enum import Enum
+
+import curio
+import h11
+from curio.io import Socket
+from curio.traps import _read_wait, _write_wait
+
+from ..core.clock import Clock, Instant, add_ms
+from ..http.messages import Headers, Response, find_header
+from ..http.readiness import is_readable
+
+READ_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 64 << 20
+SEND_CHECK_MS = 20.0
+"""How often a blocked send looks whether the server already answered."""
+
+_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+
+
+class Failure(Enum):
+    """How far an exchange had come when it failed."""
+
+    LOST = "lost"
+    """The request was written at least in part and no whole response came."""
+
+
+class BackendConnection:
+    """One connection to a backend server."""
+
+    __slots__ = ("_sock", "_raw", "_is_connected", "is_clean", "used_at", "n_exchanges")
+
+    def __init__(self, host: str, port: int) -> None:
+        """Start to connect, without waiting; raise OSError when that fails at once."""
+        raw = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        raw.setblocking(False)
+        raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        code = raw.connect_ex((host, port))
+        if code not in (0, errno.EINPROGRESS):
+            raw.close()
+            raise OSError(code, errno.errorcode.get(code, "connect failed"))
+        self._raw = raw
+        self._sock = Socket(raw)
+        self._is_connected = code == 0
+        self.is_clean = True
+        self.used_at = Instant(0.0)
+        self.n_exchanges = 0
+
+    async def connected(self) -> None:
+        """Wait until the connection is open; raise OSError when it can't be."""
+        if self._is_connected:
+            return
+        await _write_wait(self._raw)
+        code = self._raw.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
+        if code:
+            raise OSError(code, errno.errorcode.get(code, "connect failed"))
+        self._is_connected = True
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection is open."""
+        return self._is_connected
+
+    def is_stale(self) -> bool:
+        """Return whether the idle connection can't carry a request any more."""
+        return is_readable(self._raw.fileno())
+
+    def has_input(self) -> bool:
+        """Return whether bytes or the end of the stream wait to be read."""
+        return is_readable(self._raw.fileno())
+
+    async def close(self) -> None:
+        """Close the connection, which also cancels a request in flight."""
+        self.is_clean = False
+        await self._sock.close()
+
+    async def send(self, data: bytes) -> bool:
+        """Write a request; return False when not one byte of it was written.
+
+        The connection is not clean until ``receive`` has read the whole response. A
+        server may answer before it has read a long request: then the rest isn't sent.
+        Raise OSError when the connection broke after the first byte.
+        """
+        self.is_clean = False
+        self.n_exchanges += 1
+        view = memoryview(data)
+        n_sent = 0
+        while n_sent < len(data):
+            try:
+                n_sent += self._raw.send(view[n_sent:])
+            except (BlockingIOError, InterruptedError):
+                if self.has_input():
+                    break
+                try:
+                    async with curio.timeout_after(SEND_CHECK_MS / 1000):
+                        await _write_wait(self._raw)
+                except curio.TaskTimeout:
+                    continue
+            except OSError:
+                if n_sent == 0:
+                    return False
+                raise
+        return True
+
+    async def receive(
+        self,
+        method: bytes,
+        is_answer: Callable[[Response], bool] | None,
+    ) -> Response | Failure:
+        """Read the response to the request that was sent.
+
+        A whole response that ``is_answer`` rejects belongs to an earlier exchange and
+        is skipped once.
+        """
+        parser = _client_parser(method)
+        for _ in range(2):
+            response = await self._read_response(parser, method)
+            if isinstance(response, Failure):
+                return response
+            if is_answer is None or is_answer(response):
+                return response
+            rest = parser.trailing_data[0]
+            if not self.is_clean and not rest:
+                return Failure.LOST
+            self.is_clean = False
+            parser = _client_parser(method)
+            if rest:
+                parser.receive_data(rest)
+        return Failure.LOST
+
+    async def _read_response(
+        self, parser: h11.Connection, method: bytes
+    ) -> Response | Failure:
+        head: h11.Response | None = None
+        body: list[bytes] = []
+        n_body_bytes = 0
+        while True:
+            try:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await self._receive_bytes())
+                    continue
+            except (OSError, h11.RemoteProtocolError):
+                return Failure.LOST
+            if type(event) is h11.Response:
+                head = event
+            elif type(event) is h11.Data:
+                n_body_bytes += len(event.data)
+                if n_body_bytes > MAX_BODY_BYTES:
+                    return Failure.LOST
+                body.append(bytes(event.data))
+            elif type(event) is h11.EndOfMessage:
+                if head is None:
+                    return Failure.LOST
+                self._finish(parser, head)
+                return Response(head.status_code, list(head.headers), b"".join(body))
+            elif type(event) is h11.ConnectionClosed:
+                return Failure.LOST
+
+    async def _receive_bytes(self) -> bytes:
+        try:
+            return self._raw.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            await _read_wait(self._raw)
+            return bytes(await self._sock.recv(READ_BYTES))
+
+    def _finish(self, parser: h11.Connection, head: h11.Response) -> None:
+        """Decide whether another exchange may follow."""
+        names = {name for name, _ in head.headers}
+        is_framed = bool(names & _FRAMING) or head.status_code in (204, 304)
+        closes = (find_header(list(head.headers), b"connection") or b"").lower()
+        is_kept = is_framed and b"close" not in closes and head.http_version == b"1.1"
+        self.is_clean = is_kept and not parser.trailing_data[0]
+
+
+def _client_parser(method: bytes) -> h11.Connection:
+    """Return a parser in the state after a request was sent."""
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    parser.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"x")]))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes
+) -> bytes:
+    """Return one request as bytes; ``headers`` hold the host and no framing."""
+    framed = headers
+    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        framed = [*headers, (b"content-length", b"%d" % len(body))]
+    parser = h11.Connection(h11.CLIENT)
+    data = parser.send(h11.Request(method=method, target=target, headers=framed))
+    if body:
+        data = data + parser.send(h11.Data(data=body))
+    return bytes(data + parser.send(h11.EndOfMessage()))
+
+
+class ConnectionPool:
+    """Connections to one endpoint, under a limit.
+
+    Idle connections are taken last in, first out, so that the ones that aren't needed
+    grow old and are closed here before the server closes them.
+    """
+
+    __slots__ = ("host", "port", "limit", "n_open", "_idle", "_clock")
+
+    def __init__(self, host: str, port: int, limit: int, clock: Clock) -> None:
+        self.host = host
+        self.port = port
+        self.limit = limit
+        self.n_open = 0
+        self._idle: list[BackendConnection] = []
+        self._clock = clock
+
+    async def take(self) -> BackendConnection | None:
+        """Return an idle connection, or one that connects, or None at the limit.
+
+        Raise OSError when connecting fails at once.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            self.n_open -= 1
+            await connection.close()
+        return self.open()
+
+    def open(self) -> BackendConnection | None:
+        """Return a new connection that connects, or None at the limit."""
+        if self.n_open >= self.limit:
+            return None
+        connection = BackendConnection(self.host, self.port)
+        self.n_open += 1
+        return connection
+
+    async def give_back(self, connection: BackendConnection) -> None:
+        """Take a connection back; close it unless it may be used again."""
+        if connection.is_clean and connection.is_connected:
+            connection.used_at = self._clock()
+            self._idle.append(connection)
+            return
+        await self.discard(connection)
+
+    async def discard(self, connection: BackendConnection) -> None:
+        """Close a connection."""
+        self.n_open -= 1
+        await connection.close()
+
+    async def close_idle(self, idle_ms: float) -> None:
+        """Close the connections that were idle for so long."""
+        oldest = add_ms(self._clock(), -idle_ms)
+        while self._idle and self._idle[0].used_at <= oldest:
+            await self.discard(self._idle.pop(0))
--- /dev/null
+++ b/pollenfold/gateway/daemon.py
@@ -0,0 +1,213 @@
+"""The gateway daemon: callers, readiness, metrics and the feeds."""
+
+from __future__ import annotations
+
+import gc
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+
+from ..core.errors import ErrorKind
+from ..core.routes import RoutingConfiguration
+from ..http.messages import Request, Response, error_response
+from ..http.server import HttpServer, ServerLimits
+from ..observe.clock import system_clock
+from ..observe.events import EventLog
+from ..observe.exposition import Metrics
+from ..observe.signals import wait_for_stop
+from .balancer import Balancer, BalancerSettings
+from .dialect import Dialect
+from .feeds import FeedIdentity, Feeds
+from .forward import Forwarder, RetryLimits
+from .view import FleetView
+
+READY_SETTLE_MS = 1_800.0
+"""How long an entry without endpoints waits for their first announcements."""
+
+STOP_NOTICE_MS = 3_000.0
+"""How long a stopping entry goes on accepting, until the balancer has left it out."""
+
+STOP_MARGIN_MS = 500.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Addresses and limits of one entry.
+
+    ``seeds`` and ``reload`` belong to the settings source: the hosts of control
+    replicas, and what reads them anew. ``grace_ms`` is the time between the signal to
+    stop and the end.
+    """
+
+    entry_id: str
+    zone: str
+    host: str
+    caller_port: int
+    ready_host: str
+    ready_port: int
+    ready_path: str
+    feed_port: int
+    metrics_port: int
+    seeds: Callable[[], list[str]]
+    reload: Callable[[], None]
+    grace_ms: float
+    retry_limits: RetryLimits
+    probes_per_s: float
+    cold_burst_factor: float
+    cold_slack: float
+
+
+class Gateway:
+    """The parts of one entry."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        decode: Callable[[str], RoutingConfiguration],
+    ) -> None:
+        self.settings = settings
+        clock = system_clock
+        rng = random.Random(secrets.randbits(64))
+        self.log = EventLog(settings.entry_id, clock)
+        self.metrics = Metrics()
+        self.view = FleetView(decode, clock, self.log)
+        limits = BalancerSettings(
+            settings.entry_id,
+            settings.zone,
+            settings.probes_per_s,
+            settings.cold_burst_factor,
+            settings.cold_slack,
+        )
+        self.balancer = Balancer(self.view, dialect, limits, clock, self.metrics, rng)
+        self.forwarder = Forwarder(
+            self.view,
+            self.balancer,
+            dialect,
+            settings.retry_limits,
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+        )
+        identity = FeedIdentity(settings.entry_id, settings.zone)
+        self.feeds = Feeds(
+            identity, self.view, settings.seeds, settings.feed_port, clock, self.log
+        )
+        self.started_at = clock()
+        self.is_stopping = False
+        self.callers = HttpServer(
+            self.forwarder.handle,
+            limits=self._caller_limits,
+            on_rejected=self._log_rejected,
+        )
+        self.platform = HttpServer(self._handle_platform)
+        self._is_ready = False
+
+    def _caller_limits(self) -> ServerLimits:
+        configuration = self.view.configuration
+        if configuration is None:
+            return ServerLimits()
+        limits = configuration.limits
+        return ServerLimits(
+            body_bytes=limits.body_bytes,
+            head_bytes=limits.head_bytes,
+            head_timeout_ms=limits.head_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms + 1_000.0,
+            announced_idle_s=max(1, int(limits.idle_timeout_ms / 1000)),
+        )
+
+    def _log_rejected(self, kind: ErrorKind, detail: str, peer: str) -> None:
+        self.metrics.count("refused_total", kind=kind.value)
+        self.log.request(
+            "request_rejected", True, kind=kind.value, detail=detail, peer=peer
+        )
+
+    def unready_kind(self) -> ErrorKind | None:
+        """Return why the entry should get no new connections, or None."""
+        if self.is_stopping:
+            return ErrorKind.STOPPING
+        if self.view.configuration is None:
+            return ErrorKind.NOT_READY
+        is_settled = system_clock() - self.started_at > READY_SETTLE_MS
+        if not self.view.endpoints and not is_settled:
+            return ErrorKind.NOT_READY
+        return None
+
+    def reload(self) -> None:
+        """Read the settings anew."""
+        self.settings.reload()
+        self.log.state("settings_reloaded", seeds=",".join(self.settings.seeds()))
+
+    async def _handle_platform(self, request: Request) -> Response:
+        if request.path == "/metrics":
+            self.metrics.set("log_lines_dropped_total", self.log.n_dropped)
+            self.metrics.set("configuration_version", self.view.orders.version)
+            self.metrics.set("orders_index", self.view.orders.index)
+            self.metrics.set("feeds_connected", self.feeds.n_connected)
+            self.metrics.set("requests_in_flight", self.callers.n_in_flight)
+            self.metrics.set("endpoints", len(self.view.endpoints))
+            self.metrics.set("entries", self.view.fleet.get(system_clock()))
+            text = self.metrics.text().encode()
+            return Response(200, [(b"content-type", b"text/plain")], text)
+        if request.path != self.settings.ready_path:
+            return error_response(ErrorKind.NOT_FOUND)
+        kind = self.unready_kind()
+        if (kind is None) != self._is_ready:
+            self._is_ready = kind is None
+            reason = "none" if kind is None else kind.value
+            self.log.state("readiness_changed", ready=kind is None, reason=reason)
+        return Response(200, []) if kind is None else error_response(kind)
+
+
+async def serve_gateway(
+    settings: GatewaySettings,
+    dialect: Dialect,
+    decode: Callable[[str], RoutingConfiguration],
+) -> None:
+    """Run an entry until SIGTERM or SIGINT, then stop without cutting requests off.
+
+    Raise OSError when an address is taken, and RuntimeError when a part ends.
+    """
+    gateway = Gateway(settings, dialect, decode)
+    metrics = HttpServer(gateway._handle_platform)
+    async with curio.TaskGroup(wait=None) as group:
+        stop = await group.spawn(wait_for_stop, gateway.reload)
+        await gateway.platform.start(settings.ready_host, settings.ready_port)
+        await metrics.start(settings.host, settings.metrics_port)
+        await gateway.callers.start(settings.host, settings.caller_port)
+        await group.spawn(gateway.feeds.run)
+        await group.spawn(gateway.balancer.run)
+        await group.spawn(gateway.log.run)
+        # What exists now lives as long as the process; freezing it keeps the
+        # collector from walking it during calls.
+        gc.collect()
+        gc.freeze()
+        gateway.log.state(
+            "started", role="entry", zone=settings.zone, port=settings.caller_port
+        )
+        first_done = await group.next_done()
+        if first_done is not stop:
+            gateway.log.state("task_failed", task=first_done.name)
+            gateway.log.flush()
+            raise first_done.exception or RuntimeError("a task ended too early")
+        await _drain(gateway)
+        gateway.log.flush()
+        await group.cancel_remaining()
+
+
+async def _drain(gateway: Gateway) -> None:
+    """Finish a planned stop: first unready, then closed, then idle, then the end."""
+    gateway.is_stopping = True
+    stop_at = system_clock() + gateway.settings.grace_ms - STOP_MARGIN_MS
+    gateway.callers.announce_stop()
+    gateway.log.state("stopping", n_in_flight=gateway.callers.n_in_flight)
+    await curio.sleep(STOP_NOTICE_MS / 1000)
+    await gateway.callers.stop()
+    left_ms = max(0.0, stop_at - system_clock())
+    async with curio.ignore_after(left_ms / 1000):
+        await gateway.callers.wait_idle()
+    gateway.log.state("stopped", n_in_flight=gateway.callers.n_in_flight)
--- /dev/null
+++ b/pollenfold/gateway/dialect.py
@@ -0,0 +1,31 @@
+"""What a deployment calls the headers that callers and backend servers exchange."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..core.selection import ServerLoad
+from ..http.messages import Response
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """Header names in lower case, and the functions that read their values.
+
+    ``deadline_ms`` says how long the sender waits. With ``expected_instance`` any
+    other instance at the address refuses the request. ``not_executed`` marks an
+    answer of a server that did not run the request. ``parse_load`` returns None for a
+    value that it can't read. ``is_genuine`` tells whether a response of a backend
+    server is the whole one to the request with the given id.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    expected_instance: bytes
+    not_executed: bytes
+    server_load: bytes
+    instance: bytes
+    warmup_left_ms: bytes
+    parse_load: Callable[[bytes], ServerLoad | None]
+    is_genuine: Callable[[Response, bytes], bool]
--- /dev/null
+++ b/pollenfold/gateway/feeds.py
@@ -0,0 +1,194 @@
+"""The feeds of the control replicas, as an entry reads them.
+
+An entry holds one connection to each control replica. Each tells the index of its
+orders at once when it changes and regularly besides; the entry asks for the orders
+themselves only where it lacks them, from its own zone first.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+from curio import socket
+
+from ..core.clock import Clock
+from ..observe.events import EventLog
+from ..wire.connections import open_connection
+from ..wire.lines import encode_line, read_lines
+from .view import FleetView
+
+CONNECT_TIMEOUT_MS = 600.0
+SILENCE_LIMIT_MS = 1_500.0
+"""Three missed lines; then the connection is opened anew, since it may be dead
+without a reset."""
+
+RETRY_PAUSE_MS = 300.0
+PING_INTERVAL_MS = 500.0
+OTHER_ZONE_WAIT_MS = 120.0
+"""How long another zone's replica waits to be asked for orders that a replica of the
+own zone may deliver."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeedIdentity:
+    """What a reader says of itself; ``role`` is ``entry`` or ``control``."""
+
+    name: str
+    zone: str
+    role: str = "entry"
+
+
+class _Feed:
+    """One open feed; ``asked_index`` is the highest index asked for."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._lock = curio.Lock()
+        self.asked_index = 0
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Send one line; raise OSError or TaskTimeout when that fails."""
+        async with curio.timeout_after(CONNECT_TIMEOUT_MS / 1000), self._lock:
+            await self._sock.sendall(encode_line(message))
+
+
+class Feeds:
+    """Keeps one feed for each control replica.
+
+    ``seeds`` returns the hosts to try besides those that the feeds name; it may
+    change while the process runs. ``port`` is the same on all VMs.
+    """
+
+    def __init__(
+        self,
+        identity: FeedIdentity,
+        view: FleetView,
+        seeds: Callable[[], list[str]],
+        port: int,
+        clock: Clock,
+        log: EventLog,
+        own_host: str = "",
+    ) -> None:
+        self._identity = identity
+        self._view = view
+        self._seeds = seeds
+        self._port = port
+        self._clock = clock
+        self._log = log
+        self._own_host = own_host
+        self._tasks: dict[str, curio.Task] = {}
+        self._connected: dict[str, str] = {}
+
+    @property
+    def n_connected(self) -> int:
+        """The number of control replicas whose feed is open."""
+        return len(self._connected)
+
+    async def run(self) -> None:
+        """Keep the feeds open until cancelled."""
+        while True:
+            wanted = set(self._seeds()) | set(self._view.control_hosts)
+            wanted.discard(self._own_host)
+            for host in wanted - set(self._tasks):
+                self._tasks[host] = await curio.spawn(self._follow, host, daemon=True)
+            for host in set(self._tasks) - wanted:
+                if host not in self._connected:
+                    await self._tasks.pop(host).cancel()
+            self._note_connections()
+            self._view.expire()
+            await curio.sleep(0.25)
+
+    def _note_connections(self) -> None:
+        """Note since when this entry hears all control replicas.
+
+        Each endpoint announces itself to one of them, so silence means something only
+        while none is missing.
+        """
+        hosts = self._view.control_hosts - {self._own_host}
+        is_connected = bool(hosts) and hosts <= set(self._connected)
+        if not is_connected:
+            self._view.connected_since = None
+        elif self._view.connected_since is None:
+            self._view.connected_since = self._clock()
+
+    async def _follow(self, host: str) -> None:
+        """Read the feed of one replica, again and again."""
+        while True:
+            detail = "closed"
+            try:
+                await self._read(host)
+            except curio.TaskTimeout:
+                detail = "no connection in time"
+            except OSError as error:
+                detail = str(error) or type(error).__name__
+            except (ValueError, KeyError, TypeError, IndexError) as error:
+                detail = f"malformed line: {error!r}"
+            if self._connected.pop(host, None) is not None:
+                self._log.state("feed_lost", control=host, detail=detail)
+            await curio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _read(self, host: str) -> None:
+        async with curio.timeout_after(CONNECT_TIMEOUT_MS / 1000):
+            sock = await open_connection(host, self._port)
+        async with sock:
+            identity = self._identity
+            hello = {
+                "name": identity.name,
+                "zone": identity.zone,
+                "role": identity.role,
+            }
+            feed = _Feed(sock)
+            await feed.send(hello)
+            pinger = await curio.spawn(self._ping, feed, daemon=True)
+            try:
+                async for line in read_lines(sock, SILENCE_LIMIT_MS):
+                    if host not in self._connected:
+                        self._connected[host] = str(line.get("zone", ""))
+                        self._log.state("feed_opened", control=host)
+                    index = self._take(line, host)
+                    if index > max(self._view.orders.index, feed.asked_index):
+                        feed.asked_index = index
+                        await self._ask(feed, host)
+            finally:
+                await pinger.cancel()
+
+    def _take(self, line: dict[str, Any], host: str) -> int:
+        """Take one line; return the index of the sender's orders, or 0."""
+        view = self._view
+        if "orders" in line:
+            view.take_orders(line["orders"], host)
+        for fields, age_ms in line.get("announcements", ()):
+            view.take_announcement(fields, float(age_ms))
+        if "heard" in line:
+            view.hear(line["heard"])
+        if "entries" in line:
+            view.entry_ids = frozenset(line["entries"])
+        if "n_entries" in line:
+            view.take_fleet(int(line["n_entries"]), line["control"])
+        return int(line.get("index", 0))
+
+    async def _ask(self, feed: _Feed, host: str) -> None:
+        """Ask for the orders, at once in the own zone and after a while elsewhere."""
+        zone = self._identity.zone
+        if self._connected.get(host) == zone or zone not in self._connected.values():
+            await feed.send({"get": 1})
+        else:
+            await curio.spawn(self._ask_later, feed, daemon=True)
+
+    async def _ask_later(self, feed: _Feed) -> None:
+        await curio.sleep(OTHER_ZONE_WAIT_MS / 1000)
+        if self._view.orders.index < feed.asked_index:
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                # The reader of the feed notices a broken connection.
+                await feed.send({"get": 1})
+
+    async def _ping(self, feed: _Feed) -> None:
+        """Show the replica that this entry still listens."""
+        with contextlib.suppress(OSError, curio.TaskTimeout):
+            while True:
+                await curio.sleep(PING_INTERVAL_MS / 1000)
+                await feed.send({"ping": 1})
--- /dev/null
+++ b/pollenfold/gateway/view.py
@@ -0,0 +1,190 @@
+"""What an entry believes: orders, endpoints and the other entries.
+
+Everything comes from the feeds of the control replicas. Orders only ever move to a
+higher index, so an entry never goes back to an earlier configuration. An entry that
+reaches no control replica goes on with what it knows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..core.allowances import FleetSize
+from ..core.clock import Clock, Instant, add_ms
+from ..core.orders import Orders, decode_orders
+from ..core.registry import (
+    Announcement,
+    Registry,
+    decode_announcement,
+    may_get_work,
+)
+from ..core.routes import RoutingConfiguration
+from ..core.selection import EndpointHealth
+from ..observe.events import EventLog
+
+SILENT_AFTER_MS = 12_000.0
+"""An endpoint that announced itself nowhere for so long is forgotten.
+
+It is several announcement intervals, and longer than an announcement may be late."""
+
+Decode = Callable[[str], RoutingConfiguration]
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One endpoint with what this entry saw of it.
+
+    Until ``cold_until`` it bears only little; ``is_unconfirmed`` means that it may be
+    cold, which the next report of the endpoint itself decides.
+    """
+
+    announcement: Announcement
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+    cold_until: Instant = Instant(0.0)
+    is_unconfirmed: bool = False
+
+    def is_cold(self, now: Instant) -> bool:
+        """Return whether only the cold limit of requests may go there."""
+        return self.is_unconfirmed or now < self.cold_until
+
+
+class FleetView:
+    """The beliefs of one entry, changed by the lines of the feeds."""
+
+    def __init__(self, decode: Decode, clock: Clock, log: EventLog) -> None:
+        self._decode = decode
+        self._clock = clock
+        self._log = log
+        self.orders = Orders()
+        self.configuration: RoutingConfiguration | None = None
+        self.registry = Registry()
+        self.endpoints: dict[str, Endpoint] = {}
+        self.by_service: dict[str, list[Endpoint]] = {}
+        self.fleet = FleetSize()
+        self.entry_ids: frozenset[str] = frozenset()
+        self.control_hosts: frozenset[str] = frozenset()
+        self.connected_since: Instant | None = None
+
+    # Orders
+
+    def take_orders(self, fields: dict[str, Any], source: str) -> bool:
+        """Take a copy of the orders; return whether it was newer."""
+        orders = decode_orders(fields)
+        if orders.index <= self.orders.index:
+            return False
+        before, self.orders = self.orders, orders
+        if orders.version > before.version:
+            self.configuration = self._decode(orders.document)
+            self._log.state(
+                "configuration_in_force",
+                version=orders.version,
+                before=before.version,
+                index=orders.index,
+                source=source,
+            )
+        for zone in before.evacuated - orders.evacuated:
+            # The endpoints of a zone may have turned cold while it was out.
+            self._mark_unconfirmed(zone)
+        if before.evacuated != orders.evacuated:
+            zones = ",".join(sorted(orders.evacuated)) or "none"
+            self._log.state("zones_out", zones=zones, index=orders.index)
+        self._rebuild()
+        return True
+
+    def _mark_unconfirmed(self, zone: str) -> None:
+        for endpoint in self.endpoints.values():
+            if endpoint.announcement.zone == zone:
+                endpoint.is_unconfirmed = True
+
+    # Endpoints
+
+    def take_announcement(self, fields: list[object], age_ms: float) -> None:
+        """Take an announcement that a control replica received ``age_ms`` ago."""
+        announcement = decode_announcement(fields)
+        now = self._clock()
+        before = self.registry.get(announcement.endpoint_id)
+        if not self.registry.merge(announcement, now):
+            self._refresh(announcement, now, age_ms)
+            return
+        endpoint_id = announcement.endpoint_id
+        endpoint = self.endpoints.get(endpoint_id)
+        if endpoint is None or before is None or before.born_ms != announcement.born_ms:
+            endpoint = Endpoint(announcement)
+        endpoint.announcement = announcement
+        self.endpoints[endpoint_id] = endpoint
+        self._refresh(announcement, now, age_ms)
+        self._log.state(
+            "endpoint_announced",
+            endpoint=endpoint_id,
+            address=f"{announcement.host}:{announcement.port}",
+            service=announcement.service,
+            leaving=announcement.is_leaving,
+            warmup_left_ms=announcement.warmup_left_ms,
+            sequence=announcement.sequence,
+        )
+        self._rebuild()
+
+    def _refresh(self, announcement: Announcement, now: Instant, age_ms: float) -> None:
+        """Take the coldness that the newest announcement of an endpoint tells."""
+        endpoint = self.endpoints.get(announcement.endpoint_id)
+        known = self.registry.get(announcement.endpoint_id)
+        if endpoint is None or known is not announcement:
+            return
+        endpoint.announcement = announcement
+        left_ms = announcement.warmup_left_ms - age_ms
+        endpoint.cold_until = add_ms(now, max(0.0, left_ms))
+
+    def confirm(self, endpoint: Endpoint, warmup_left_ms: float) -> None:
+        """Take the coldness that an endpoint told in a health answer just now."""
+        endpoint.is_unconfirmed = False
+        endpoint.cold_until = add_ms(self._clock(), warmup_left_ms)
+
+    def forget(self, endpoint_id: str, reason: str) -> None:
+        """Drop an endpoint whose address answers as another one."""
+        if endpoint_id in self.endpoints:
+            self.registry.remove(endpoint_id)
+            self._log.state("endpoint_forgotten", endpoint=endpoint_id, reason=reason)
+            self._rebuild()
+
+    def hear(self, endpoint_ids: list[str]) -> None:
+        """Note which endpoints announced themselves again."""
+        now = self._clock()
+        for endpoint_id in endpoint_ids:
+            self.registry.hear(endpoint_id, now)
+
+    def expire(self) -> None:
+        """Forget silent endpoints, unless this entry itself may be the one cut off."""
+        now = self._clock()
+        oldest = add_ms(now, -SILENT_AFTER_MS)
+        if self.connected_since is None or self.connected_since > oldest:
+            return
+        silent = self.registry.expire(oldest)
+        for endpoint_id in silent:
+            self._log.state("endpoint_forgotten", endpoint=endpoint_id, reason="silent")
+        if silent:
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        """Make the lists of endpoints that may get work."""
+        known = {a.endpoint_id for a in self.registry.announcements()}
+        self.endpoints = {k: v for k, v in self.endpoints.items() if k in known}
+        by_service: dict[str, list[Endpoint]] = {}
+        for endpoint in self.endpoints.values():
+            if may_get_work(endpoint.announcement, self.orders):
+                service = endpoint.announcement.service
+                by_service.setdefault(service, []).append(endpoint)
+        self.by_service = by_service
+
+    def may_get_work(self, endpoint: Endpoint) -> bool:
+        """Return whether a new request may go to the endpoint at this moment."""
+        current = self.endpoints.get(endpoint.announcement.endpoint_id)
+        return current is endpoint and may_get_work(endpoint.announcement, self.orders)
+
+    # The fleet
+
+    def take_fleet(self, n_entries: int, control_hosts: list[str]) -> None:
+        """Take the number of entries and the control replicas from one of these."""
+        self.fleet.report(n_entries, self._clock())
+        self.control_hosts = frozenset(control_hosts) or self.control_hosts
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -65,10 +65,15 @@
 
 
 def error_response(
-    kind: ErrorKind, detail: str = "", *, run_state: str | None = None
+    kind: ErrorKind,
+    detail: str = "",
+    *,
+    run_state: str | None = None,
+    retry_after_s: float | None = None,
 ) -> Response:
     """Return the response of an error kind as the error table gives it.
 
+    ``retry_after_s`` replaces the time of the table where more is known.
     ``run_state`` replaces the state of the table where the caller of this function
     knows more, for example ``outcome_unknown`` for a key that an earlier request
     may have used.
@@ -76,8 +81,9 @@
     answer = ERROR_TABLE[kind]
     state = run_state or answer.run_state.value
     headers = [(b"pollenfold-run-state", state.encode())]
-    if answer.retry_after_s is not None:
-        headers.append((b"retry-after", str(answer.retry_after_s).encode()))
+    after_s = answer.retry_after_s if retry_after_s is None else retry_after_s
+    if after_s is not None:
+        headers.append((b"retry-after", f"{after_s:g}".encode()))
     body: dict[str, Any] = {
         "error": kind.value,
         "run_state": state,
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import curio
 import h11
 from curio import socket
-from loguru import logger
 
 from ..core.errors import ErrorKind, RunState
 from .messages import Request, Response, error_response
@@ -25,6 +25,30 @@
 _STATUS_WITHOUT_BODY = (204, 304)
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """What a caller may send, and how long it may take.
+
+    ``head_timeout_ms`` counts from the first byte of a request to the end of its head,
+    ``idle_timeout_ms`` while nothing arrives. ``announced_idle_s`` is the idle time
+    that responses name in ``Keep-Alive``; 0 leaves the header out.
+    """
+
+    body_bytes: int = 1 << 20
+    head_bytes: int = MAX_HEAD_BYTES
+    head_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+    announced_idle_s: int = 0
+
+
+OnRejected = Callable[[ErrorKind, str, str], None]
+"""Is told kind, detail and peer of each request that can't reach the handler."""
+
+
+def _ignore_rejected(kind: ErrorKind, detail: str, peer: str) -> None:
+    return None
+
+
 class RequestError(Exception):
     """A request that can't reach the handler, with the kind to answer.
 
@@ -49,9 +73,18 @@
     ``wait_idle``, which returns when no request is in flight.
     """
 
-    def __init__(self, handler: Handler, max_body_bytes: int = 1 << 20) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        max_body_bytes: int = 1 << 20,
+        limits: Callable[[], ServerLimits] | None = None,
+        on_rejected: OnRejected = _ignore_rejected,
+    ) -> None:
+        """Make a server; ``limits`` is asked anew for each connection."""
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
+        fixed = ServerLimits(max_body_bytes)
+        self._limits = limits or (lambda: fixed)
+        self._on_rejected = on_rejected
         self._stopping = False
         self.n_in_flight = 0
         self._connections: dict[socket.socket, bool] = {}
@@ -96,13 +129,14 @@
                 await curio.spawn(self._serve, client, address[0], daemon=True)
 
     async def _serve(self, client: socket.socket, peer: str) -> None:
+        limits = self._limits()
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         self._connections[client] = False
         try:
             async with client:
-                while await self._serve_one(connection, client, peer):
+                while await self._serve_one(connection, client, peer, limits):
                     connection.start_next_cycle()
         except (OSError, h11.LocalProtocolError):
             return
@@ -110,15 +144,17 @@
             del self._connections[client]
 
     async def _serve_one(
-        self, connection: h11.Connection, client: socket.socket, peer: str
+        self,
+        connection: h11.Connection,
+        client: socket.socket,
+        peer: str,
+        limits: ServerLimits,
     ) -> bool:
         """Serve one request; return whether the connection can take another."""
         try:
-            request = await self._read_request(connection, client, peer)
+            request = await self._read_request(connection, client, peer, limits)
         except RequestError as error:
-            logger.debug(
-                "event=request_rejected kind={} peer={}", error.kind.value, peer
-            )
+            self._on_rejected(error.kind, error.detail, peer)
             # An earlier whole request with the same key may have run.
             state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
             response = error_response(error.kind, error.detail, run_state=state)
@@ -136,6 +172,9 @@
             if request.method == b"HEAD":
                 answer.body = b""
             answer.close = answer.close or self._stopping
+            if limits.announced_idle_s and not answer.close:
+                value = b"timeout=%d" % limits.announced_idle_s
+                answer.headers.append((b"keep-alive", value))
             await self._write(connection, client, answer)
         finally:
             self._connections[client] = False
@@ -147,13 +186,18 @@
         )
 
     async def _read_request(
-        self, connection: h11.Connection, client: socket.socket, peer: str
+        self,
+        connection: h11.Connection,
+        client: socket.socket,
+        peer: str,
+        limits: ServerLimits,
     ) -> Request | None:
-        """Return the next whole request, or None when the peer closed.
+        """Return the next whole request, or None when the peer closed or was idle.
 
-        Raise RequestError for a malformed, oversized or truncated request.
+        Raise RequestError for a malformed, oversized, truncated or slow request.
         """
         head: h11.Request | None = None
+        head_until: float | None = None
         body: list[bytes] = []
         n_body_bytes = 0
         while True:
@@ -169,13 +213,19 @@
                             h11.InformationalResponse(status_code=100, headers=[])
                         )
                     )
-                connection.receive_data(await client.recv(READ_BYTES))
+                if head is None and head_until is None and connection.trailing_data[0]:
+                    head_until = await curio.clock() + limits.head_timeout_ms / 1000
+                data = await self._receive(client, head, head_until, limits)
+                if data is None:
+                    return None
+                connection.receive_data(data)
             elif type(event) is h11.Request:
                 head = event
+                _check_framing(head)
                 self._connections[client] = True
             elif type(event) is h11.Data:
                 n_body_bytes += len(event.data)
-                if n_body_bytes > self._max_body_bytes:
+                if n_body_bytes > limits.body_bytes:
                     raise RequestError(ErrorKind.BODY_TOO_LARGE, head=head)
                 body.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
@@ -193,6 +243,25 @@
             else:
                 return None
 
+    async def _receive(
+        self,
+        client: socket.socket,
+        head: h11.Request | None,
+        head_until: float | None,
+        limits: ServerLimits,
+    ) -> bytes | None:
+        """Return the next bytes, or None when an idle connection timed out."""
+        wait_s = limits.idle_timeout_ms / 1000
+        if head_until is not None:
+            wait_s = max(0.001, head_until - await curio.clock())
+        try:
+            async with curio.timeout_after(wait_s):
+                return bytes(await client.recv(READ_BYTES))
+        except curio.TaskTimeout:
+            if head is None and head_until is None:
+                return None
+            raise RequestError(ErrorKind.SLOW_REQUEST, head=head) from None
+
     async def _write(
         self, connection: h11.Connection, client: socket.socket, response: Response
     ) -> None:
@@ -209,6 +278,14 @@
         await client.sendall(head + body + end)
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Refuse a head with two framings, which two readers may split differently."""
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        detail = "both content-length and transfer-encoding"
+        raise RequestError(ErrorKind.BAD_REQUEST, detail, head)
+
+
 def _protocol_error_kind(
     error: h11.RemoteProtocolError, head: h11.Request | None
 ) -> ErrorKind:
--- /dev/null
+++ b/pollenfold/observe/events.py
@@ -0,0 +1,132 @@
+"""Structured log lines on standard output, bounded and never blocking.
+
+Lines are collected and written in pieces that a pipe takes whole, and only while the
+pipe is writable, so a reader that stopped reading can't stop the event loop. What
+doesn't fit is counted and dropped.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+from collections.abc import Callable
+from datetime import UTC, datetime
+
+import curio
+
+from ..core.allowances import TokenBucket
+from ..core.clock import Clock
+
+FLUSH_INTERVAL_MS = 100.0
+MAX_BUFFER_BYTES = 256 * 1024
+PIECE_BYTES = 4096
+"""A pipe that polls as writable takes this much without blocking (PIPE_BUF)."""
+
+REQUEST_LINES_PER_S = 100.0
+FAILURE_LINES_PER_S = 100.0
+STATE_LINES_PER_S = 200.0
+BURST_S = 5.0
+
+
+def _write_stdout(data: bytes) -> int:
+    """Write what standard output takes now; return the number of bytes."""
+    poll = select.poll()
+    poll.register(1, select.POLLOUT)
+    if not poll.poll(0):
+        return 0
+    return os.write(1, data)
+
+
+def format_value(value: object) -> str:
+    """Return a value of a line, quoted when it isn't one plain word."""
+    if isinstance(value, float):
+        return f"{value:.1f}"
+    text = str(value)
+    is_plain = text and text.isprintable() and not set(text) & set(' "=\\')
+    return text if is_plain else json.dumps(text)
+
+
+class EventLog:
+    """Writes one line of key=value pairs for each event.
+
+    Lines on requests that were served, on requests that failed and on what the
+    process believes are bounded separately, so that a burst of one kind can't hide
+    the others. For example, ``log.state("feed_lost", control="10.0.0.1")``.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        clock: Clock,
+        write: Callable[[bytes], int] = _write_stdout,
+    ) -> None:
+        self._process = process
+        self._clock = clock
+        self._write = write
+        self._buffer = bytearray()
+        self._buckets = {
+            "request": TokenBucket(REQUEST_LINES_PER_S, REQUEST_LINES_PER_S * BURST_S),
+            "failure": TokenBucket(FAILURE_LINES_PER_S, FAILURE_LINES_PER_S * BURST_S),
+            "state": TokenBucket(STATE_LINES_PER_S, STATE_LINES_PER_S * BURST_S),
+        }
+        self._n_unreported = 0
+        self.n_dropped = 0
+
+    def state(self, event: str, **fields: object) -> None:
+        """Log a change of what this process believes, or a start, stop or reload."""
+        self._add("state", event, fields)
+
+    def request(self, event: str, is_failure: bool, **fields: object) -> None:
+        """Log a decision on a request."""
+        self._add("failure" if is_failure else "request", event, fields)
+
+    def text(self, pairs: str) -> None:
+        """Log pairs that are already formatted, as a change of belief."""
+        if self._has_room("state"):
+            self._append(pairs)
+
+    def _add(self, bucket: str, event: str, fields: dict[str, object]) -> None:
+        if self._has_room(bucket):
+            pairs = " ".join(f"{k}={format_value(v)}" for k, v in fields.items())
+            self._append(f"event={event} {pairs}".rstrip())
+
+    def _has_room(self, bucket: str) -> bool:
+        """Return whether a line may be added; report lines that were dropped."""
+        is_full = len(self._buffer) > MAX_BUFFER_BYTES
+        if is_full or not self._buckets[bucket].take(1.0, self._clock()):
+            self.n_dropped += 1
+            self._n_unreported += 1
+            return False
+        if self._n_unreported:
+            n_lines, self._n_unreported = self._n_unreported, 0
+            self._append(f"event=log_lines_dropped n={n_lines}")
+        return True
+
+    def _append(self, pairs: str) -> None:
+        time = datetime.now(UTC).isoformat(timespec="milliseconds")
+        line = f"time={time} process={self._process} {pairs}"
+        self._buffer += line.encode("utf-8", "replace") + b"\n"
+
+    def flush(self) -> None:
+        """Write what standard output takes now."""
+        while self._buffer:
+            try:
+                n_bytes = self._write(bytes(self._buffer[:PIECE_BYTES]))
+            except OSError:
+                # Nobody reads any more; the lines can only be dropped.
+                self.n_dropped += self._buffer.count(b"\n")
+                self._buffer.clear()
+                return
+            if not n_bytes:
+                return
+            del self._buffer[:n_bytes]
+
+    async def run(self) -> None:
+        """Flush at each interval until cancelled."""
+        try:
+            while True:
+                await curio.sleep(FLUSH_INTERVAL_MS / 1000)
+                self.flush()
+        finally:
+            self.flush()
--- a/pollenfold/observe/logs.py
+++ b/pollenfold/observe/logs.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import sys
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
+if TYPE_CHECKING:
+    from .events import EventLog
+
 
 def configure_logs(role: str, level: str = "INFO") -> None:
     """Write events of this process to stderr, each with its role."""
@@ -18,3 +22,9 @@
             f"role={role} {{message}}"
         ),
     )
+
+
+def forward_logs(log: EventLog) -> None:
+    """Write what shared modules log as lines of the bounded event log."""
+    logger.remove()
+    logger.add(lambda message: log.text(message.rstrip()), format="{message}")
--- /dev/null
+++ b/pollenfold/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the platform: translates its settings, calls and headers."""
--- /dev/null
+++ b/pollenfold/platform/__main__.py
@@ -0,0 +1,105 @@
+"""Runs one role on the platform: ``python3 -m pollenfold.platform entry``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import curio
+
+from .settings import SettingsError, SettingsSource, settings_path
+
+EXIT_BAD_SETTING = 2
+EXIT_FAILED = 1
+
+PEER_PORT_OFFSET = 0
+FEED_PORT_OFFSET = 1
+METRICS_PORT_OFFSET = {"entry": 10, "control": 11}
+"""Ports between the first and the last internal one. Two roles may share a VM."""
+
+
+def _run_entry(source: SettingsSource) -> None:
+    from ..gateway.daemon import GatewaySettings, serve_gateway
+    from ..gateway.forward import RetryLimits
+    from .documents import decode_configuration
+    from .headers import DIALECT
+
+    settings = source.settings
+    caller_host, caller_port = settings.addresses["front"]
+    ready_host, ready_port = settings.addresses["ready"]
+    retry_limits = RetryLimits(
+        settings.bound("budgetRatio", 0.1),
+        settings.bound("extraRetries", 10),
+        settings.bound("budgetWindowS", 10) * 1000,
+    )
+    gateway = GatewaySettings(
+        entry_id=settings.name,
+        zone=settings.zone,
+        host=caller_host,
+        caller_port=caller_port,
+        ready_host=ready_host,
+        ready_port=ready_port,
+        ready_path="/-/readyz",
+        feed_port=settings.first_port + FEED_PORT_OFFSET,
+        metrics_port=settings.first_port + METRICS_PORT_OFFSET["entry"],
+        seeds=source.seed_hosts,
+        reload=source.reload,
+        grace_ms=settings.bound("graceS", 6) * 1000,
+        retry_limits=retry_limits,
+        probes_per_s=settings.bound("probesPerS", 10),
+        cold_burst_factor=settings.bound("warmupBurstFactor", 1.0),
+        cold_slack=settings.bound("coldSlack", 0),
+    )
+    curio.run(serve_gateway, gateway, DIALECT, decode_configuration)
+
+
+def _run_control(source: SettingsSource) -> None:
+    from ..control.cluster import ClusterSettings, serve_cluster
+    from .control_api import make_handler
+
+    settings = source.settings
+    api_host, api_port = settings.addresses["control"]
+    founder = min(settings.seeds, default=("", 0))
+    cluster = ClusterSettings(
+        name=settings.name,
+        zone=settings.zone,
+        host=settings.host,
+        peer_port=settings.first_port + PEER_PORT_OFFSET,
+        feed_port=settings.first_port + FEED_PORT_OFFSET,
+        api_host=api_host,
+        api_port=api_port,
+        metrics_port=settings.first_port + METRICS_PORT_OFFSET["control"],
+        data_folder=Path(settings.data_folder or "data"),
+        seeds=source.seed_hosts,
+        reload=source.reload,
+        is_founder=settings.is_first_start and founder == (api_host, api_port),
+        n_members=2 * settings.n_machines_lost + 1,
+    )
+    handler = make_handler(api_port, settings.zones)
+    curio.run(serve_cluster, cluster, handler)
+
+
+ROLES = {"entry": _run_entry, "control": _run_control}
+
+
+def main(arguments: list[str]) -> int:
+    """Run a role until it is stopped; return the exit status."""
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        expected = " or ".join(ROLES)
+        print(f"pollenfold.platform: expected {expected}", file=sys.stderr)
+        return EXIT_BAD_SETTING
+    try:
+        source = SettingsSource(settings_path())
+        ROLES[arguments[0]](source)
+    except (SettingsError, KeyError) as error:
+        print(f"pollenfold.platform: bad settings: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTING
+    except (OSError, RuntimeError) as error:
+        # A port in use, a data folder that can't be used, or a part that ended.
+        print(f"pollenfold.platform: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/pollenfold/platform/headers.py
@@ -0,0 +1,48 @@
+"""The headers of callers and backend servers on the platform."""
+
+from __future__ import annotations
+
+from ..core.selection import ServerLoad
+from ..gateway.dialect import Dialect
+from ..http.messages import Response, find_header
+
+SIGNATURE = b"x-response-signature"
+REQUEST_ID = b"x-request-id"
+
+
+def parse_load(value: bytes) -> ServerLoad | None:
+    """Read running, waiting, slots and, where told, the slowdown in percent."""
+    try:
+        figures = [int(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(figures) < 3 or min(figures) < 0:
+        return None
+    slowdown = figures[3] / 100 if len(figures) > 3 else 1.0
+    return ServerLoad(figures[0], figures[1], figures[2], slowdown)
+
+
+def is_genuine(response: Response, request_id: bytes) -> bool:
+    """Return whether a response is the backend server's whole answer.
+
+    A success always carries the server's signature and no content encoding.
+    """
+    if not 200 <= response.status < 300:
+        return True
+    headers = response.headers
+    if find_header(headers, SIGNATURE) is None:
+        return False
+    return find_header(headers, b"content-encoding") is None
+
+
+DIALECT = Dialect(
+    request_id=REQUEST_ID,
+    deadline_ms=b"x-deadline-ms",
+    expected_instance=b"x-expected-instance",
+    not_executed=b"x-not-executed",
+    server_load=b"x-server-load",
+    instance=b"x-instance-id",
+    warmup_left_ms=b"x-warmup-remaining-ms",
+    parse_load=parse_load,
+    is_genuine=is_genuine,
+)
--- /dev/null
+++ b/pollenfold/platform/settings.py
@@ -0,0 +1,132 @@
+"""Reads the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+BOOT_VARIABLE = "POLLENFOLD_BOOT"
+DEFAULT_PATH = "/etc/pollenfold/settings.toml"
+
+
+class SettingsError(ValueError):
+    """A settings file that can't be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The fields that pollenfold uses; unknown ones are ignored.
+
+    ``addresses`` holds what this process listens on, by purpose. ``seeds`` are
+    addresses of control replicas, of which only the hosts are used between processes.
+    ``is_first_start`` is true only while the whole system starts for the first time.
+    """
+
+    name: str
+    zone: str
+    host: str
+    addresses: dict[str, tuple[str, int]]
+    first_port: int
+    last_port: int
+    seeds: tuple[tuple[str, int], ...]
+    zones: frozenset[str]
+    is_first_start: bool
+    data_folder: str
+    n_machines_lost: int
+    bounds: dict[str, float]
+
+    def seed_hosts(self) -> list[str]:
+        """Return the hosts of the seeds."""
+        return [host for host, _ in self.seeds]
+
+    def bound(self, name: str, default: float) -> float:
+        """Return a bound that both sides agreed on."""
+        return self.bounds.get(name, default)
+
+
+def settings_path() -> Path:
+    """Return where the settings file is."""
+    return Path(os.environ.get(BOOT_VARIABLE, DEFAULT_PATH))
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raise SettingsError when it can't be used."""
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return parse_settings(fields)
+
+
+def parse_settings(fields: dict[str, Any]) -> Settings:
+    """Return the settings of decoded fields; raise SettingsError."""
+    me = _table(fields, "self")
+    network = _table(fields, "network")
+    terms = fields.get("terms", {})
+    ports = _field(network, "network", "internalPorts", list)
+    if len(ports) != 2 or not all(type(port) is int for port in ports):
+        raise SettingsError(f"network.internalPorts: expected two ports, got {ports}")
+    listen = _table(network, "listenAddrs")
+    tolerance = terms.get("faultTolerance", {})
+    bounds = terms.get("bounds", {})
+    return Settings(
+        name=_field(me, "self", "nodeName", str),
+        zone=_field(me, "self", "zone", str),
+        host=_field(me, "self", "ip", str),
+        addresses={key: parse_address(value) for key, value in listen.items()},
+        first_port=ports[0],
+        last_port=ports[1],
+        seeds=tuple(parse_address(seed) for seed in network.get("seeds", [])),
+        zones=frozenset(network.get("zones", {})),
+        is_first_start=bool(me.get("bootstrap", False)),
+        data_folder=str(me.get("dataDir", "")),
+        n_machines_lost=int(tolerance.get("machines", 1)),
+        bounds={k: float(v) for k, v in bounds.items() if type(v) in (int, float)},
+    )
+
+
+def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
+    value = fields.get(name)
+    if not isinstance(value, dict):
+        raise SettingsError(f"{name}: expected a table, got {value!r}")
+    return value
+
+
+def _field(fields: dict[str, Any], table: str, name: str, kind: type) -> Any:
+    value = fields.get(name)
+    if not isinstance(value, kind):
+        expected = kind.__name__
+        raise SettingsError(f"{table}.{name}: expected {expected}, got {value!r}")
+    return value
+
+
+def parse_address(text: Any) -> tuple[str, int]:
+    """Return host and port of ``10.0.0.1:80``; raise SettingsError."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not port.isdigit():
+        raise SettingsError(f"expected an address like 10.0.0.1:80, got {text!r}")
+    return host, int(port)
+
+
+class SettingsSource:
+    """The settings file, which may change while the process runs."""
+
+    def __init__(self, path: Path) -> None:
+        """Read the file; raise SettingsError when it can't be used."""
+        self._path = path
+        self.settings = load_settings(path)
+
+    def reload(self) -> None:
+        """Read the file anew; a file that can't be used leaves the old settings."""
+        try:
+            self.settings = load_settings(self._path)
+        except SettingsError:
+            # The file may be read while it is being written; SIGHUP comes again.
+            return
+
+    def seed_hosts(self) -> list[str]:
+        """Return the present seeds."""
+        return self.settings.seed_hosts()
--- a/pollenfold/testing/fault_http.py
+++ b/pollenfold/testing/fault_http.py
@@ -10,7 +10,7 @@
 from curio import socket
 
 from ..http.messages import Request, Response
-from ..http.server import HttpServer
+from ..http.server import HttpServer, ServerLimits
 from .faults import FaultKind
 
 
@@ -33,9 +33,13 @@
     """An HTTP server whose handler sees the connection and may damage answers."""
 
     async def _read_request(
-        self, connection: h11.Connection, client: socket.socket, peer: str
+        self,
+        connection: h11.Connection,
+        client: socket.socket,
+        peer: str,
+        limits: ServerLimits,
     ) -> Request | None:
-        request = await super()._read_request(connection, client, peer)
+        request = await super()._read_request(connection, client, peer, limits)
         if request is None:
             return None
         return WorkRequest(
