--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -124,9 +124,13 @@
     # Choice
 
     async def pick(
-        self, service: str, tried: set[str], deadline: Instant
+        self, service: str, tried: set[str], deadline: Instant, trace: list[str]
     ) -> Pick | None:
-        """Return an endpoint with a connection, or None when none can be used."""
+        """Return an endpoint with a connection, or None when none can be used.
+
+        ``trace`` gets one item for each round of questions: how many endpoints were
+        asked and answered, and the least slowdown, for example ``3/2/1.60``.
+        """
         now = self._clock()
         endpoints = [
             endpoint
@@ -139,7 +143,7 @@
         state = self._services.setdefault(service, _Service())
         if not state.tells_load:
             return await self._pick_without_reports(service, endpoints, deadline)
-        return await self._pick_by_reports(service, state, endpoints, deadline)
+        return await self._pick_by_reports(service, state, endpoints, deadline, trace)
 
     def _refill(self, now: Instant) -> None:
         """Adjust the probe budget to the present size of the fleet."""
@@ -155,6 +159,7 @@
         state: _Service,
         endpoints: list[Endpoint],
         deadline: Instant,
+        trace: list[str],
     ) -> Pick | None:
         by_id = {e.announcement.endpoint_id: e for e in endpoints}
         asked: set[str] = set()
@@ -182,6 +187,8 @@
                 service, state, [by_id[option.endpoint_id] for option in chosen]
             )
             best = await self._best(service, best, answers)
+            least = "none" if best is None else f"{best.slowdown:.2f}"
+            trace.append(f"{len(chosen)}/{len(answers)}/{least}")
             if not state.tells_load:
                 break
             if best is not None and best.slowdown < QUICK_SLOWDOWN:
@@ -438,6 +445,10 @@
     ) -> None:
         """Leave out an endpoint that didn't answer; a stale connection says nothing."""
         is_reused = connection.n_exchanges > 1
+        reason = "reused" if is_reused else "fresh"
+        if not connection.is_connected:
+            reason = "connect"
+        self._metrics.count("probe_failures_total", reason=reason)
         await self.discard(endpoint, connection)
         now = self._clock()
         if is_reused:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -84,6 +84,7 @@
     headers: Headers
     tried: set[str] = field(default_factory=set)
     attempts: list[_Attempt] = field(default_factory=list)
+    trace: list[str] = field(default_factory=list)
     last_response: Response | None = None
     may_have_run: bool = False
 
@@ -210,6 +211,7 @@
             latency_ms=latency_ms,
             deadline_ms=call.deadline - call.started_at,
             attempts=attempts or "none",
+            asked=";".join(call.trace) or "none",
             version=self._view.orders.version,
             index=self._view.orders.index,
             n_endpoints=len(self._view.by_service.get(call.service, ())),
@@ -247,7 +249,9 @@
         while True:
             if self._is_caller_gone(call):
                 raise CallerGoneError
-            pick = await self._balancer.pick(call.service, call.tried, call.deadline)
+            pick = await self._balancer.pick(
+                call.service, call.tried, call.deadline, call.trace
+            )
             now = self._clock()
             if pick is None:
                 return self._give_up(call, ErrorKind.NO_BACKEND_SERVER)
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -49,6 +49,10 @@
         """Return whether only the cold limit of requests may go there."""
         return self.is_unconfirmed or now < self.cold_until
 
+    def set_warmup_left(self, left_ms: float, now: Instant) -> None:
+        """Take how long the endpoint stays cold; 0 or less means that it is warm."""
+        self.cold_until = add_ms(now, left_ms) if left_ms > 0 else Instant(0.0)
+
 
 class FleetView:
     """The beliefs of one entry, changed by the lines of the feeds."""
@@ -133,13 +137,12 @@
         if endpoint is None or known is not announcement:
             return
         endpoint.announcement = announcement
-        left_ms = announcement.warmup_left_ms - age_ms
-        endpoint.cold_until = add_ms(now, max(0.0, left_ms))
+        endpoint.set_warmup_left(announcement.warmup_left_ms - age_ms, now)
 
     def confirm(self, endpoint: Endpoint, warmup_left_ms: float) -> None:
         """Take the coldness that an endpoint told in a health answer just now."""
         endpoint.is_unconfirmed = False
-        endpoint.cold_until = add_ms(self._clock(), warmup_left_ms)
+        endpoint.set_warmup_left(warmup_left_ms, self._clock())
 
     def forget(self, endpoint_id: str, reason: str) -> None:
         """Drop an endpoint whose address answers as another one."""
