--- /dev/null
+++ b/properties/test_agreement_members.py
@@ -0,0 +1,97 @@
+"""The members of the replicated log under any schedule of faults."""
+
+from hypothesis import event, given
+from hypothesis import strategies as st
+
+from pollenfold.core.agreement_messages import Tick
+from pollenfold.tests.core.dynamic_cores import DynamicCores
+
+FAULTS = [
+    "deliver",
+    "deliver",
+    "drop",
+    "duplicate",
+    "pass_time",
+    "run",
+    "run",
+    "crash",
+    "restart",
+    "lose_disk",
+    "replace",
+    "cut_off",
+    "heal",
+    "propose",
+    "propose",
+    "compact",
+]
+STEPS = st.tuples(st.sampled_from(FAULTS), st.integers(0, 31), st.integers(0, 11))
+SCHEDULES = st.lists(STEPS, min_size=20, max_size=60)
+MAX_LOST = 2
+
+
+def n_missing(cores):
+    """Return how many voters of the newest group have lost their disk or are gone."""
+    newest = max(
+        (c.state for c in cores.cores.values() if c.state),
+        key=lambda state: (state.log.last_term, state.log.last_index),
+        default=None,
+    )
+    if newest is None:
+        return MAX_LOST
+    return len(newest.voters - set(cores.cores)) + max(0, 5 - len(newest.voters))
+
+
+def perform(cores, fault, first, second):
+    name = list(cores.cores)[first % len(cores.cores)]
+    core = cores.cores[name]
+    flight = cores.flight
+    match fault:
+        case "deliver":
+            for _ in range(min(second + 1, len(flight))):
+                cores.deliver(cores.random.randrange(len(flight)))
+        case "drop" if flight:
+            flight.pop(first % len(flight))
+        case "duplicate" if flight:
+            flight.append(flight[first % len(flight)])
+        case "pass_time":
+            cores.now += 80 * second
+            cores.step(name, Tick())
+        case "run":
+            cores.run(20 * first)
+        case "crash":
+            core.crash_after = second % 4
+        case "restart":
+            cores.start(name)
+        case "lose_disk" if n_missing(cores) < MAX_LOST:
+            cores.add_disk(name.split("/")[0])
+        case "replace" if n_missing(cores) < MAX_LOST:
+            del cores.cores[name]
+            free = [k for k in "abcdefgh" if k not in {n[0] for n in cores.cores}]
+            cores.add_disk(free[second % len(free)])
+        case "cut_off":
+            cores.cut_off = {k for i, k in enumerate(cores.cores) if first >> i & 1}
+        case "heal":
+            cores.cut_off.clear()
+        case "propose":
+            cores.propose(b"%d" % first, name if second % 2 else None)
+        case "compact":
+            cores.compact(name)
+
+
+@given(SCHEDULES, st.integers(0, 2**16))
+def test_any_schedule_of_losses_and_replacements(schedule, seed):
+    """Guards against two groups, lost changes, and a group that never recovers."""
+    cores = DynamicCores(5, seed)
+    cores.run(4000)
+    for fault, first, second in schedule:
+        perform(cores, fault, first, second)
+    event(f"disks: {min(cores.n_disks, 9)}")
+    cores.cut_off.clear()
+    for name, core in cores.cores.items():
+        if core.state is None or core.crash_after is not None:
+            cores.start(name)
+    cores.run(8000)
+    cores.propose(b"after the faults")
+    cores.run(500)
+    assert [e.command for e, _ in cores.committed][-1:] == [b"after the faults"]
+    assert len(cores.voters()) == 5
