--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -13,6 +13,7 @@
 from ..core.agreement_members import host_of
 from ..core.clock import add_ms
 from ..core.errors import ErrorKind
+from ..core.registry import decode_announcement
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.messages import Request, Response, error_response
 from ..http.server import Handler, HttpServer
@@ -21,6 +22,7 @@
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
 from ..observe.signals import wait_for_stop
+from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
@@ -33,6 +35,7 @@
 LEADER_SILENT_MS = 1_000.0
 """A replica that heard no leader for so long asks the others to take it in again."""
 
+CACHE_INTERVAL_MS = 1_000.0
 STOP_WAIT_MS = 1_500.0
 MAX_ORDER_BYTES = 16 << 20
 
@@ -109,6 +112,37 @@
             }
         )
 
+    # Endpoints after a restart
+
+    def read_cache(self) -> None:
+        """Start with the endpoints and the fleet that were known before."""
+        announcements, n_entries = read_endpoint_cache(self.settings.data_folder)
+        for fields in announcements:
+            try:
+                self.book.take_announcement(decode_announcement(fields))
+            except ValueError as error:
+                self.log.state("bad_cache", detail=str(error))
+        self.feed_server.fleet.report(n_entries, system_clock())
+
+    async def keep_cache(self) -> None:
+        """Write the endpoints whenever others are known, once a second at most."""
+        written: tuple[object, ...] = ()
+        while True:
+            await curio.sleep(CACHE_INTERVAL_MS / 1000)
+            known = sorted(
+                self.book.registry.announcements(), key=lambda a: a.endpoint_id
+            )
+            n_entries = self.feed_server.fleet.get(system_clock())
+            present = (n_entries, *((a.endpoint_id, a.born_ms) for a in known))
+            if present == written or not known:
+                continue
+            try:
+                encoded = [a.encode() for a in known]
+                write_endpoint_cache(self.settings.data_folder, encoded, n_entries)
+            except OSError as error:
+                self.log.state("cache_failed", detail=str(error))
+            written = present
+
     # Joining
 
     def is_member(self) -> bool:
@@ -206,6 +240,7 @@
     of the daemon ends.
     """
     node = ClusterNode(settings)
+    node.read_cache()
     api = HttpServer(make_handler(node), MAX_ORDER_BYTES)
     metrics = HttpServer(node.handle_metrics)
     async with curio.TaskGroup(wait=None) as group:
@@ -218,6 +253,7 @@
         await group.spawn(node.feed_server.run)
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
+        await group.spawn(node.keep_cache)
         await group.spawn(node.log.run)
         node.log.state(
             "started",
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -8,6 +8,7 @@
 import curio
 from curio import socket
 
+from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
 from ..core.registry import Announcement
 from ..observe.events import EventLog
@@ -80,6 +81,7 @@
         self._told_at = clock()
         self._heard_at = clock()
         self._told_entries: list[str] = []
+        self.fleet = FleetSize()
         book.on_change = self._note_change
         book.on_news = self._note_news
 
@@ -144,10 +146,12 @@
 
     def _status(self, is_full: bool) -> dict[str, Any]:
         entries = self._entries()
+        now = self._clock()
+        self.fleet.report(len(entries), now)
         line: dict[str, Any] = {
             "zone": self._zone,
             "index": self._book.orders.index,
-            "n_entries": len(entries),
+            "n_entries": self.fleet.get(now),
             "control": sorted(self._control_hosts()),
         }
         if is_full or entries != self._told_entries:
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -53,6 +53,8 @@
 
 ENTRIES_PER_SNAPSHOT = 256
 MAX_COMMAND_BYTES = 1 << 19
+FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
+
 REOPEN_AFTER_MS = 1000.0
 """Time between attempts to open the data folder after a failed write."""
 
@@ -131,6 +133,7 @@
         self._reopen_at = clock()
         self._applied_index = 0
         self._leader_since: Instant | None = None
+        self._has_heard_leader = False
         self._outbox: list[Message] = []
         self._proposals: dict[int, _Proposal] = {}
         self._resolved: list[_Proposal] = []
@@ -282,6 +285,10 @@
         return min(max(wake_at - self._clock(), 1.0), HEARTBEAT_MS)
 
     def _timeout_ms(self) -> float:
+        if self._members is not None and not self._has_heard_leader:
+            # All replicas may have restarted together, and nothing is served until
+            # one of them leads.
+            return self._random.uniform(*FIRST_ELECTION_TIMEOUTS_MS)
         return self._random.uniform(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
 
     def _open(self) -> None:
@@ -401,6 +408,7 @@
 
     def _observe(self, before: State, state: State) -> None:
         """Log changes of role, and answer proposals that lost their leader."""
+        self._has_heard_leader |= state.leader_id is not None
         if (state.role, state.term) != (before.role, before.term):
             logger.info(
                 "event=role_changed replica={} role={} term={}",
--- a/pollenfold/core/agreement.py
+++ b/pollenfold/core/agreement.py
@@ -87,11 +87,14 @@
     """
     if replica_id not in replica_ids:
         raise ValueError(f"expected one of {sorted(replica_ids)}, got {replica_id}")
+    # Where votes decide alone and not the time since a leader was heard, a restarted
+    # replica may vote at once; that shortens the recovery when all restart together.
+    heard_at = add_ms(now, -ELECTION_TIMEOUT_MIN_MS) if is_dynamic else now
     state = State(
         replica_id,
         tuple(sorted(replica_ids - {replica_id})),
         incarnation,
-        heard_at=now,
+        heard_at=heard_at,
         wake_at=now if is_blank else add_ms(now, timeout_ms),
         rejoin=Rejoin(now),
         is_blank=is_blank,
--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -21,6 +21,10 @@
 It may be cut off from control and go on with its part."""
 
 
+UNKNOWN_FLEET_SIZE = 64
+"""Keeps the part of an entry small until it knows how many there are."""
+
+
 class FleetSize:
     """The number of entries, as the largest one reported lately."""
 
@@ -34,11 +38,11 @@
         self._reports.append((now, n_entries))
 
     def get(self, now: Instant) -> int:
-        """Return the number to divide by, at least 1."""
+        """Return the number to divide by; many while nobody reported one."""
         oldest = add_ms(now, -FLEET_MEMORY_MS)
         while len(self._reports) > 1 and self._reports[0][0] < oldest:
             self._reports.popleft()
-        return max(1, self._reports[0][1]) if self._reports else 1
+        return max(1, self._reports[0][1]) if self._reports else UNKNOWN_FLEET_SIZE
 
 
 class WindowCount:
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -41,9 +41,12 @@
 COLD_SLOWDOWN = 2.0
 """How much longer work takes on a cold endpoint, as far as it is known."""
 
-CROWDED_SLOWDOWN = 4.0
+CROWDED_SLOWDOWN = 2.0
 """Cold endpoints are asked as well when warm ones are at least so slow."""
 
+CROWDED_MEMORY_MS = 12.0
+"""How long a search that found only slow endpoints stands for the next ones."""
+
 PROBE_BURST_S = 5.0
 PROBE_SHARE = 0.75
 """The share of the probe budget that this use of it may take."""
@@ -84,6 +87,8 @@
 
     tells_load: bool = True
     probe_ms: float = 4.0
+    least_slowdown: float = 1.0
+    searched_at: Instant = Instant(0.0)
     cold_sends: dict[str, WindowCount] = field(default_factory=dict)
 
 
@@ -124,10 +129,18 @@
     # Choice
 
     async def pick(
-        self, service: str, tried: set[str], deadline: Instant, trace: list[str]
+        self,
+        service: str,
+        tried: set[str],
+        deadline: Instant,
+        max_slowdown: float,
+        trace: list[str],
     ) -> Pick | None:
         """Return an endpoint with a connection, or None when none can be used.
 
+        A request that needs a slowdown of at most ``max_slowdown`` isn't searched an
+        endpoint for when another one just found none so quick.
+
         ``trace`` gets one item for each round of questions: how many endpoints were
         asked and answered, and the least slowdown, for example ``3/2/1.60``.
         """
@@ -141,6 +154,10 @@
             return None
         self._refill(now)
         state = self._services.setdefault(service, _Service())
+        is_recent = now < add_ms(state.searched_at, CROWDED_MEMORY_MS)
+        if is_recent and state.least_slowdown > max(max_slowdown, CROWDED_SLOWDOWN):
+            trace.append(f"crowded/{state.least_slowdown:.2f}")
+            return None
         if not state.tells_load:
             return await self._pick_without_reports(service, endpoints, deadline)
         return await self._pick_by_reports(service, state, endpoints, deadline, trace)
@@ -195,6 +212,8 @@
                 break
         if best is None:
             return None
+        state.least_slowdown = best.slowdown
+        state.searched_at = self._clock()
         if best.is_cold and not self._take_cold_permit(service, best.endpoint):
             await self.give_back(best.endpoint, best.connection)
             return None
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -26,7 +26,7 @@
 """Three missed lines; then the connection is opened anew, since it may be dead
 without a reset."""
 
-RETRY_PAUSE_MS = 300.0
+RETRY_PAUSE_MS = 150.0
 PING_INTERVAL_MS = 500.0
 OTHER_ZONE_WAIT_MS = 120.0
 """How long another zone's replica waits to be asked for orders that a replica of the
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -11,6 +11,15 @@
 from ..core.allowances import RetryAllowance
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
+from ..core.overload import (
+    CallerAge,
+    Prospect,
+    Verdict,
+    WorkEstimate,
+    acceptable_slowdown,
+    judge,
+    retry_after_ms,
+)
 from ..core.retries import AttemptOutcome
 from ..core.routes import Route, WeightedSplit, find_route
 from ..http.messages import (
@@ -36,9 +45,7 @@
 for, since it tells more than an own one."""
 
 MIN_DEADLINE_MS = 10.0
-RETRY_AFTER_S = 0.15
-RETRY_AFTER_SPREAD_S = 0.15
-NOT_READY_RETRY_AFTER_S = 0.5
+NOT_READY_RETRY_AFTER_MS = 400.0
 
 _HOP_HEADERS = frozenset(
     (
@@ -81,6 +88,8 @@
     service: str
     started_at: Instant
     deadline: Instant
+    target: Instant
+    work: WorkEstimate
     headers: Headers
     tried: set[str] = field(default_factory=set)
     attempts: list[_Attempt] = field(default_factory=list)
@@ -118,6 +127,8 @@
         self._retry_limits = retry_limits
         self._allowances: dict[str, RetryAllowance] = {}
         self._split = WeightedSplit()
+        self._ages: dict[str, CallerAge] = {}
+        self._works: dict[str, WorkEstimate] = {}
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -132,7 +143,7 @@
         configuration = self._view.configuration
         request_id = request.header(self._dialect.request_id) or b""
         if configuration is None:
-            response = self._refusal(ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER_S)
+            response = self._refusal(ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER_MS)
             return self._refuse(request_id, "", response, ErrorKind.NOT_READY)
         host = (request.header(b"host") or b"").decode("latin-1")
         route = find_route(configuration, host, request.path)
@@ -162,17 +173,32 @@
             deadline_ms = float(value)
             limit_ms = deadline_ms if limit_ms is None else min(deadline_ms, limit_ms)
         deadline = add_ms(started_at, 60_000.0 if limit_ms is None else limit_ms)
+        age_ms = 0.0
+        if value is not None:
+            age = self._ages.setdefault(route.name, CallerAge())
+            age_ms = age.observe(deadline_ms, started_at)
+        target = add_ms(started_at, route.target_latency_ms - age_ms)
+        work = self._works.get(route.name)
+        if work is None:
+            work = self._works[route.name] = WorkEstimate(route.target_latency_ms)
         service = self._split.next_service(route)
         headers = [pair for pair in request.headers if pair[0] not in self._dropped]
-        return _Call(request, request_id, route, service, started_at, deadline, headers)
+        return _Call(
+            request,
+            request_id,
+            route,
+            service,
+            started_at,
+            deadline,
+            target,
+            work,
+            headers,
+        )
 
     # Refusals and the end of a call
 
-    def _refusal(self, kind: ErrorKind, retry_after_s: float | None = None) -> Response:
-        if retry_after_s is None:
-            # Spread over time, so that refused callers don't return together.
-            retry_after_s = RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * self._rng.random()
-        return error_response(kind, retry_after_s=round(retry_after_s, 3))
+    def _refusal(self, kind: ErrorKind, after_ms: float) -> Response:
+        return error_response(kind, retry_after_s=round(after_ms / 1000, 3))
 
     def _refuse(
         self, request_id: bytes, route: str, response: Response, kind: ErrorKind
@@ -228,7 +254,9 @@
         else:
             if kind is ErrorKind.DEADLINE_EXCEEDED:
                 kind = ErrorKind.QUEUE_FULL
-            response = self._refusal(kind)
+            left_ms = remaining_ms(call.deadline, self._clock())
+            after_ms = retry_after_ms(left_ms, self._rng.random())
+            response = self._refusal(kind, after_ms)
         self._metrics.count("refused_total", kind=kind.value)
         self._finish(call, response.status, kind.value)
         return response
@@ -249,8 +277,13 @@
         while True:
             if self._is_caller_gone(call):
                 raise CallerGoneError
+            left_ms = remaining_ms(call.target, self._clock())
             pick = await self._balancer.pick(
-                call.service, call.tried, call.deadline, call.trace
+                call.service,
+                call.tried,
+                call.deadline,
+                acceptable_slowdown(call.work.get(), left_ms),
+                call.trace,
             )
             now = self._clock()
             if pick is None:
@@ -258,6 +291,9 @@
             if remaining_ms(call.deadline, now) < MIN_DEADLINE_MS:
                 await self._balancer.give_back(pick.endpoint, pick.connection)
                 return self._give_up(call, ErrorKind.DEADLINE_EXCEEDED)
+            if not n_sent and not self._admits(call, pick, now):
+                await self._balancer.give_back(pick.endpoint, pick.connection)
+                return self._give_up(call, ErrorKind.QUEUE_FULL)
             if n_sent and not allowance.take(self._view.fleet.get(now), now):
                 await self._balancer.give_back(pick.endpoint, pick.connection)
                 self._metrics.count("retries_refused_total", service=call.service)
@@ -277,6 +313,22 @@
             if not may_retry or n_sent >= max(1, call.route.max_attempts):
                 return self._give_up(call, ErrorKind.BACKEND_REFUSED)
 
+    def _admits(self, call: _Call, pick: Pick, now: Instant) -> bool:
+        """Return whether a request is sent where the search found room for it."""
+        prospect = Prospect(
+            call.work.get(),
+            pick.slowdown,
+            pick.load,
+            remaining_ms(call.target, now),
+            remaining_ms(call.deadline, now),
+        )
+        verdict = judge(prospect)
+        call.trace.append(verdict.value)
+        self._metrics.count(
+            "admissions_total", service=call.service, verdict=verdict.value
+        )
+        return verdict is not Verdict.REFUSE
+
     def _allowance(self, service: str) -> RetryAllowance:
         allowance = self._allowances.get(service)
         if allowance is None:
@@ -318,6 +370,8 @@
             )
             await self._balancer.give_back(endpoint, pick.connection)
         self._learn(call, endpoint, outcome, elapsed_ms)
+        if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
+            call.work.observe(elapsed_ms, pick.slowdown)
         if outcome is AttemptOutcome.SERVER_ERROR:
             call.last_response = response
         return outcome, response
--- /dev/null
+++ b/pollenfold/storage/endpoint_cache.py
@@ -0,0 +1,40 @@
+"""The endpoints that a control replica knew, for the time right after a restart.
+
+Endpoints repeat their announcements only every second or two. Until then a group
+that restarted as a whole would send all requests to the few that came first. The
+file is a hint: what it says is checked by the endpoints' own answers, and what must
+hold (departures) is in the replicated log.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+from .journal import sync_folder
+
+FILE_NAME = "endpoints.json"
+
+
+def write_endpoint_cache(
+    folder: Path, announcements: list[list[object]], n_entries: int
+) -> None:
+    """Replace the file; raise OSError when that fails."""
+    fields = {"announcements": announcements, "n_entries": n_entries}
+    temporary = folder / f"{FILE_NAME}.new"
+    with temporary.open("w") as file:
+        json.dump(fields, file)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, folder / FILE_NAME)
+    sync_folder(folder)
+
+
+def read_endpoint_cache(folder: Path) -> tuple[list[list[object]], int]:
+    """Return what was written last; nothing for a missing or damaged file."""
+    try:
+        fields = json.loads((folder / FILE_NAME).read_text())
+        return list(fields["announcements"]), int(fields["n_entries"])
+    except (OSError, ValueError, KeyError, TypeError):
+        return [], 0
