Ask two endpoints first, and slow ones last

Cause: the entries of the smallest zone had spent their part of the probe budget; they asked one endpoint and refused. Fewer questions a request leave room for a second round where the first found nothing quick.

--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -26,6 +26,9 @@
 
 PENALTY_HALF_LIFE_MS = 1_500.0
 MAX_PENALTY = 8.0
+SLOW_MEMORY_MS = 100.0
+"""How long an endpoint that said it is slow is asked only after others."""
+
 UNREACHABLE_AFTER_MS = 150.0
 MAX_UNREACHABLE_MS = 2_000.0
 
@@ -70,6 +73,7 @@
         "_penalty_at",
         "_n_unreachable",
         "unreachable_until",
+        "slow_until",
         "latency_ms",
     )
 
@@ -80,6 +84,15 @@
         self._penalty_at = Instant(0.0)
         self._n_unreachable = 0
         self.unreachable_until = Instant(0.0)
+        self.slow_until = Instant(0.0)
+
+    def mark_slow(self, now: Instant) -> None:
+        """Note that the endpoint said that it is slow now."""
+        self.slow_until = add_ms(now, SLOW_MEMORY_MS)
+
+    def is_doubtful(self, now: Instant) -> bool:
+        """Return whether others should be asked first."""
+        return now < self.slow_until or self.penalty(now) > 0.5
 
     def penalty(self, now: Instant) -> float:
         """Return the present penalty in units of the usual time of a request."""
@@ -131,7 +144,7 @@
 ) -> list[Option]:
     """Return the endpoints to ask next, at random among those that qualify.
 
-    Endpoints with fewer failures come first. Unreachable ones are asked only when
+    Endpoints that failed or were slow lately come last. Unreachable ones are asked only when
     nothing else is left.
     """
     pool = [option for option in options if not option.health.is_unreachable(now)]
@@ -140,7 +153,7 @@
         pool = [option for option in pool if option.is_local] or pool
     if len(pool) > n_wanted:
         pool = rng.sample(pool, min(len(pool), 2 * n_wanted))
-        pool.sort(key=lambda option: option.health.penalty(now) > 0.5)
+        pool.sort(key=lambda option: option.health.is_doubtful(now))
     return pool[:n_wanted]
 
 
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -35,7 +35,7 @@
 PROBE_WAIT_FACTOR = 4.0
 """An endpoint that takes so many times the usual time to answer isn't waited for."""
 
-N_FIRST_PROBES = 3
+N_FIRST_PROBES = 2
 N_NEXT_PROBES = 3
 MAX_ROUNDS = 3
 COLD_SLOWDOWN = 2.0
@@ -48,7 +48,7 @@
 """How long a search that found only slow endpoints stands for the next ones."""
 
 PROBE_BURST_S = 5.0
-PROBE_SHARE = 0.75
+PROBE_SHARE = 0.85
 """The share of the probe budget that this use of it may take."""
 
 CONNECTION_SHARE = 0.8
@@ -441,6 +441,8 @@
         if response.status == 200:
             self._view.confirm(endpoint, _milliseconds(left))
         slowdown = 1.0 if load is None else expected_slowdown(load)
+        if slowdown > QUICK_SLOWDOWN:
+            endpoint.health.mark_slow(now)
         slowdown += endpoint.health.penalty(now)
         if endpoint.announcement.zone != self._settings.zone:
             slowdown += REMOTE_ZONE_SLOWDOWN
