--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -144,8 +144,8 @@
 ) -> list[Option]:
     """Return the endpoints to ask next, at random among those that qualify.
 
-    Endpoints that failed or were slow lately come last. Unreachable ones are asked only when
-    nothing else is left.
+    Endpoints that failed or were slow lately come last. Unreachable ones are asked
+    only when nothing else is left.
     """
     pool = [option for option in options if not option.health.is_unreachable(now)]
     pool = pool or options
