Refuse a route without a time to wait

Cause: an invalid configuration with timeoutMs 0 was accepted; its routes then hid the acknowledged ones. Ruled out: stale feeds (the entry had every version within 150 ms).

--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -77,9 +77,11 @@
     kind = _text(item, "kind")
     if kind not in KINDS:
         raise DocumentError(f"route {name}: unknown kind {kind!r}")
-    timeout_ms = _number(item, "timeoutMs", 0)
-    if timeout_ms > MAX_TIMEOUT_MS:
-        raise DocumentError(f"route {name}: timeoutMs {timeout_ms} is over ten minutes")
+    timeout_ms = _number(item, "timeoutMs", None)
+    if not 0 < timeout_ms <= MAX_TIMEOUT_MS:
+        raise DocumentError(
+            f"route {name}: timeoutMs {timeout_ms:g} is not within ten minutes"
+        )
     parts = _parts(item, name)
     for part in parts:
         if part.service not in services:
@@ -89,7 +91,7 @@
         path_prefix=prefix,
         is_idempotent=KINDS[kind],
         parts=parts,
-        timeout_ms=timeout_ms or None,
+        timeout_ms=timeout_ms,
         target_latency_ms=_number(item, "targetLatencyMs", 1_000),
         priority=int(_number(item, "priority", 0)),
         max_attempts=int(_number(item, "maxAttempts", 1)),
--- /dev/null
+++ b/pollenfold/tests/platform/test_documents.py
@@ -0,0 +1,160 @@
+"""The platform's documents: what is decoded, and what is refused."""
+
+import copy
+import json
+
+import pytest
+
+from pollenfold.core.routes import find_route
+from pollenfold.platform.documents import (
+    DocumentError,
+    decode_announcement,
+    decode_configuration,
+)
+
+SERVICE = {
+    "name": "booking",
+    "healthPath": "/healthz",
+    "maxConns": 220,
+    "warmupS": 3.0,
+    "warmupPerS": 9.2,
+}
+ROUTE = {
+    "name": "r1",
+    "pathPrefix": "/look/",
+    "kind": "safe",
+    "timeoutMs": 1200,
+    "targetLatencyMs": 250,
+    "priority": 2,
+    "service": "booking",
+    "maxAttempts": 2,
+}
+CONFIGURATION = {
+    "version": 7,
+    "services": [SERVICE, {**SERVICE, "name": "workshop"}],
+    "limits": {
+        "headerBytes": 16384,
+        "bodyBytes": 1000,
+        "headerMs": 3000,
+        "idleMs": 15000,
+    },
+    "hosts": [
+        {
+            "host": "A.example",
+            "paths": [
+                ROUTE,
+                {**ROUTE, "name": "r2", "pathPrefix": "/look/deep/", "kind": "unsafe"},
+            ],
+        }
+    ],
+}
+ANNOUNCEMENT = {
+    "address": "10.0.0.9:8080",
+    "born": 1_780_000_000_000,
+    "info": {"service": "booking", "version": "v1", "zone": "a", "slots": 4},
+    "status": {"state": "ready", "sequence": 4, "warmupLeftMs": 500},
+}
+
+
+def edited(document, path, value):
+    """Return a copy with the value at a path; None removes the field."""
+    document = copy.deepcopy(document)
+    *parents, last = path
+    item = document
+    for key in parents:
+        item = item[key]
+    if value is None:
+        del item[last]
+    else:
+        item[last] = value
+    return document
+
+
+def test_configuration_is_decoded():
+    """Guards against a field that lands in the wrong place."""
+    configuration = decode_configuration(json.dumps(CONFIGURATION))
+    assert configuration.version == 7
+    assert configuration.services["booking"].warmup_ms == 3000
+    assert configuration.limits.idle_timeout_ms == 15000
+    assert find_route(configuration, "a.example:80", "/look/x").name == "r1"
+    deep = find_route(configuration, "a.EXAMPLE", "/look/deep/x")
+    assert (deep.name, deep.is_idempotent) == ("r2", False)
+    assert find_route(configuration, "a.example", "/lookup") is None
+    assert find_route(configuration, "b.example", "/look/") is None
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("hosts", 0, "paths", 0, "service"), "nobody"),
+        (("hosts", 0, "paths", 0, "timeoutMs"), 600_001),
+        (("hosts", 0, "paths", 0, "timeoutMs"), 0),
+        (("hosts", 0, "paths", 0, "timeoutMs"), None),
+        (("hosts", 0, "paths", 0, "kind"), "sometimes"),
+        (("hosts", 0, "paths", 0, "pathPrefix"), "look/"),
+        (("hosts", 0, "paths", 1, "pathPrefix"), "/look/"),
+        (("hosts", 0, "paths", 0, "trafficSplit"), []),
+        (
+            ("hosts", 0, "paths", 0, "trafficSplit"),
+            [{"service": "booking", "weight": 0}],
+        ),
+        (("hosts", 0, "paths", 0, "trafficSplit"), [{"service": "booking"}]),
+        (("services", 0, "name"), 5),
+        (("services",), None),
+        (("hosts",), {}),
+        (("version",), "7"),
+        (("version",), None),
+    ],
+)
+def test_invalid_configuration_is_refused(path, value):
+    """Guards against an invalid configuration that comes into force.
+
+    A route without a time to wait was accepted on one day of a hunt.
+    """
+    with pytest.raises(DocumentError):
+        decode_configuration(json.dumps(edited(CONFIGURATION, path, value)))
+
+
+@pytest.mark.parametrize("text", ["", "[]", "7", json.dumps(CONFIGURATION)[:-40]])
+def test_configuration_that_is_no_document_is_refused(text):
+    """Guards against a document that was cut short."""
+    with pytest.raises(DocumentError):
+        decode_configuration(text)
+
+
+def test_announcement_is_decoded():
+    """Guards against fields that are mixed up."""
+    announcement = decode_announcement("i-1", json.dumps(ANNOUNCEMENT).encode())
+    assert (announcement.host, announcement.port) == ("10.0.0.9", 8080)
+    assert announcement.order == (1_780_000_000_000, 4)
+    assert not announcement.is_leaving
+    assert announcement.warmup_left_ms == 500
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("address",), "nowhere"),
+        (("address",), None),
+        (("info",), None),
+        (("info",), "booking"),
+        (("info", "slots"), "4"),
+        (("info", "service"), 4),
+        (("status",), []),
+        (("status", "state"), "resting"),
+        (("status", "sequence"), 4.5),
+        (("status", "sequence"), True),
+        (("born",), "yesterday"),
+    ],
+)
+def test_odd_announcement_is_refused(path, value):
+    """Guards against an endpoint that a broken writer invents."""
+    body = json.dumps(edited(ANNOUNCEMENT, path, value)).encode()
+    with pytest.raises(DocumentError):
+        decode_announcement("i-1", body)
+
+
+def test_unreadable_announcement_is_refused():
+    """Guards against bytes that end the process."""
+    with pytest.raises(DocumentError):
+        decode_announcement("i-1", b"\xff\x00{")
