--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -89,6 +89,7 @@
     started_at: Instant
     deadline: Instant
     target: Instant
+    age_ms: float
     work: WorkEstimate
     headers: Headers
     tried: set[str] = field(default_factory=set)
@@ -191,6 +192,7 @@
             started_at,
             deadline,
             target,
+            age_ms,
             work,
             headers,
         )
@@ -236,6 +238,8 @@
             kind=kind,
             latency_ms=latency_ms,
             deadline_ms=call.deadline - call.started_at,
+            age_ms=call.age_ms,
+            work_ms=call.work.get(),
             attempts=attempts or "none",
             asked=";".join(call.trace) or "none",
             version=self._view.orders.version,
