--- a/pollenfold/core/overload.py
+++ b/pollenfold/core/overload.py
@@ -25,6 +25,7 @@
 FIRST_WORK_SHARE = 0.35
 """The share of the target that work is taken to need before any was measured."""
 
+PATIENCE_SPREAD = 0.2
 DEADLINE_MEMORY_MS = 30_000.0
 MIN_RETRY_AFTER_MS = 100.0
 RETRY_AFTER_SHARES = (0.2, 0.33)
@@ -53,8 +54,10 @@
     """Tells how long ago the caller of a route made its first attempt.
 
     A caller sends the time it has left, so a later attempt sends less than the first.
-    The largest time seen lately is that of first attempts. For example, after
-    deadlines of 1500 a request with 1100 is 400 ms old.
+    The largest time seen lately is that of first attempts. Callers differ in their
+    patience, so a time that is less only by a share of ``PATIENCE_SPREAD`` counts as
+    that of a first attempt. For example, after deadlines of 1500 a request with 1300
+    is new, and one with 1000 is 500 ms old.
     """
 
     __slots__ = ("_largest",)
@@ -71,7 +74,8 @@
         oldest = add_ms(now, -DEADLINE_MEMORY_MS)
         while largest[0][0] < oldest:
             largest.popleft()
-        return largest[0][1] - left_ms
+        first_ms = largest[0][1]
+        return 0.0 if left_ms >= (1 - PATIENCE_SPREAD) * first_ms else first_ms - left_ms
 
 
 class Verdict(Enum):
