--- a/pollenfold/core/overload.py
+++ b/pollenfold/core/overload.py
@@ -75,7 +75,9 @@
         while largest[0][0] < oldest:
             largest.popleft()
         first_ms = largest[0][1]
-        return 0.0 if left_ms >= (1 - PATIENCE_SPREAD) * first_ms else first_ms - left_ms
+        return (
+            0.0 if left_ms >= (1 - PATIENCE_SPREAD) * first_ms else first_ms - left_ms
+        )
 
 
 class Verdict(Enum):
--- /dev/null
+++ b/pollenfold/tests/core/test_allowances.py
@@ -0,0 +1,75 @@
+"""Limits that hold for the sum over all entries."""
+
+import pytest
+
+from pollenfold.core.allowances import (
+    UNKNOWN_FLEET_SIZE,
+    FleetSize,
+    RetryAllowance,
+    TokenBucket,
+    WindowCount,
+    cold_rate_limit,
+    n_cold_permits,
+)
+
+
+def test_largest_fleet_seen_lately_counts():
+    """Guards against parts that grow while some entries are merely cut off."""
+    fleet = FleetSize()
+    assert fleet.get(0.0) == UNKNOWN_FLEET_SIZE
+    fleet.report(19, 0.0)
+    fleet.report(3, 1_000.0)
+    assert fleet.get(2_000.0) == 19
+    assert fleet.get(40_000.0) == 3
+
+
+@pytest.mark.parametrize("n_entries", [1, 7, 19, 94])
+def test_extra_sends_stay_within_the_sum(n_entries):
+    """Guards against retries of all entries that together break the budget."""
+    allowances = [RetryAllowance(0.2, 64, 10_000) for _ in range(n_entries)]
+    n_requests = n_extra = 0
+    for step in range(2_000):
+        now = float(step)
+        allowance = allowances[step % n_entries]
+        allowance.count_request(now)
+        n_requests += 1
+        n_extra += sum(allowance.take(n_entries, now) for _ in range(3))
+    assert 0 < n_extra <= 0.2 * n_requests + 64
+
+
+def test_window_slides():
+    """Guards against a limit that holds only between fixed marks."""
+    count = WindowCount(1_000.0)
+    for now in (0.0, 600.0, 900.0):
+        count.add(now)
+    assert count.get(999.0) == 3
+    assert count.get(1_000.0) == 2
+    assert count.get(1_950.0) == 0
+
+
+def test_token_bucket_fills_at_its_rate():
+    """Guards against permits that are given twice or lost."""
+    bucket = TokenBucket(10.0, 5.0)
+    assert bucket.take(5.0, 0.0)
+    assert not bucket.take(1.0, 50.0)
+    assert bucket.take(1.0, 150.0)
+
+
+@pytest.mark.parametrize("n_entries", [1, 5, 12, 19, 30, 94, 300])
+def test_cold_limit_holds_for_all_entries_together(n_entries):
+    """Guards against a cold endpoint that entries overrun with one request each.
+
+    Half of the entries see only half of the directory.
+    """
+    limit = cold_rate_limit(9.2, 1.5, 5.0)
+    names = [f"e{number}" for number in range(n_entries)]
+    whole = frozenset(names)
+    half = frozenset(names[: n_entries // 2 + 1])
+    for endpoint_id in ("i-1", "i-2", "i-3"):
+        permits = [
+            n_cold_permits(
+                limit, name, half if k % 2 else whole, endpoint_id, n_entries
+            )
+            for k, name in enumerate(names)
+        ]
+        assert 1 <= sum(permits) <= limit
--- /dev/null
+++ b/pollenfold/tests/core/test_orders.py
@@ -0,0 +1,158 @@
+"""Orders of the replicated log, and the announcements they bind."""
+
+import pytest
+
+from pollenfold.core.orders import (
+    MAX_DEPARTURES,
+    Configure,
+    Depart,
+    Evacuate,
+    Orders,
+    decode_order,
+    decode_orders,
+    encode_order,
+)
+from pollenfold.core.registry import (
+    Announcement,
+    Registry,
+    decode_announcement,
+    may_get_work,
+)
+
+
+def announcement(endpoint_id="i-1", **changes):
+    fields = {
+        "endpoint_id": endpoint_id,
+        "service": "s",
+        "host": "10.0.0.1",
+        "port": 80,
+        "zone": "a",
+        "slots": 4,
+        "is_leaving": False,
+        "warmup_left_ms": 0.0,
+        "born_ms": 1000,
+        "sequence": 1,
+    }
+    return Announcement(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    "order", [Configure(3, '{"x": 1}'), Evacuate("a", True), Depart("i-1", 5)]
+)
+def test_orders_survive_encoding(order):
+    """Guards against an order that means something else after the log."""
+    assert decode_order(encode_order(order)) == order
+
+
+@pytest.mark.parametrize("command", [b"", b"\xff", b"[]", b'["configure", "3", 1]'])
+def test_other_bytes_are_no_order(command):
+    """Guards against a damaged command that ends the process."""
+    with pytest.raises(ValueError):
+        decode_order(command)
+
+
+def test_highest_version_is_in_force():
+    """Guards against an older or equal version that replaces the newest."""
+    orders = Orders()
+    assert orders.apply(1, Configure(5, "five"))
+    assert not orders.apply(2, Configure(5, "other five"))
+    assert not orders.apply(3, Configure(4, "four"))
+    assert (orders.version, orders.document, orders.index) == (5, "five", 3)
+
+
+def test_orders_survive_a_snapshot():
+    """Guards against an acknowledged order that a snapshot loses."""
+    orders = Orders()
+    orders.apply(1, Configure(5, "five"))
+    orders.apply(2, Evacuate("a", True))
+    orders.apply(3, Depart("i-1", 7))
+    assert decode_orders(orders.encode()) == orders
+
+
+def test_departures_are_bounded():
+    """Guards against a state that grows with every endpoint that ever left."""
+    orders = Orders()
+    for number in range(MAX_DEPARTURES + 5):
+        orders.apply(number, Depart(f"i-{number}", 1))
+    assert len(orders.departures) == MAX_DEPARTURES
+    assert orders.has_departed(f"i-{MAX_DEPARTURES + 4}", 1)
+
+
+def test_departure_binds_one_life():
+    """Guards against a late announcement that brings a leaver back, and against a
+    restarted endpoint under its old id that gets no work."""
+    orders = Orders()
+    orders.apply(1, Depart("i-1", 1000))
+    assert not may_get_work(announcement(sequence=99), orders)
+    assert may_get_work(announcement(born_ms=1001, sequence=1), orders)
+
+
+def test_evacuated_zone_gets_no_work():
+    """Guards against work in a zone that was taken out."""
+    orders = Orders()
+    orders.apply(1, Evacuate("a", True))
+    assert not may_get_work(announcement(), orders)
+    orders.apply(2, Evacuate("a", False))
+    assert may_get_work(announcement(), orders)
+
+
+def test_older_word_of_one_life_is_ignored():
+    """Guards against an announcement that was delayed on its way."""
+    registry = Registry()
+    assert registry.merge(announcement(sequence=5, is_leaving=True), 0.0)
+    assert not registry.merge(announcement(sequence=4), 1.0)
+    assert registry.get("i-1").is_leaving
+
+
+def test_sequence_starts_anew_with_a_later_life():
+    """Guards against a restarted endpoint whose low sequence counts as old."""
+    registry = Registry()
+    registry.merge(announcement(sequence=50), 0.0)
+    assert registry.merge(announcement(sequence=1, born_ms=2000), 1.0)
+    assert registry.get("i-1").born_ms == 2000
+
+
+def test_address_belongs_to_the_one_born_last():
+    """Guards against requests to the address of an endpoint that is gone."""
+    registry = Registry()
+    registry.merge(announcement("old", born_ms=1000), 0.0)
+    assert registry.merge(announcement("new", born_ms=2000), 1.0)
+    assert registry.get("old") is None
+    assert not registry.merge(announcement("old", born_ms=1000, sequence=9), 2.0)
+    assert registry.get("new") is not None
+
+
+def test_endpoint_may_move_to_another_address():
+    """Guards against an address that stays taken by one that moved away."""
+    registry = Registry()
+    registry.merge(announcement(sequence=1), 0.0)
+    registry.merge(announcement(sequence=2, port=81), 1.0)
+    assert registry.merge(announcement("other", born_ms=500), 2.0)
+
+
+def test_silent_endpoints_expire():
+    """Guards against endpoints that crashed and are kept for ever."""
+    registry = Registry()
+    registry.merge(announcement("quiet"), 0.0)
+    registry.merge(announcement("alive", port=81), 0.0)
+    registry.hear("alive", 500.0)
+    registry.hear("nobody", 500.0)
+    assert registry.expire(400.0) == ["quiet"]
+    assert len(registry) == 1
+
+
+def test_only_news_is_passed_on():
+    """Guards against a message to every entry for each heartbeat."""
+    registry = Registry()
+    registry.merge(announcement(warmup_left_ms=900.0), 0.0)
+    assert not registry.merge(announcement(sequence=2, warmup_left_ms=400.0), 1.0)
+    assert registry.merge(announcement(sequence=3, warmup_left_ms=0.0), 2.0)
+    assert registry.merge(announcement(sequence=4, warmup_left_ms=3000.0), 3.0)
+
+
+def test_announcement_survives_encoding():
+    """Guards against fields that change places on their way to an entry."""
+    known = announcement(warmup_left_ms=12.5, is_leaving=True)
+    assert decode_announcement(known.encode()) == known
+    with pytest.raises(ValueError):
+        decode_announcement(known.encode()[:-1])
