Keep what is held against an endpoint out of the expected wait

Each refusal raised the endpoint's penalty, which counted as waiting time, so the entry refused as if the service were crowded and sent callers away for a fifth of their time. Now the penalty only orders the endpoints, and such callers may come back after 5 to 20 ms.

--- a/pollenfold/core/overload.py
+++ b/pollenfold/core/overload.py
@@ -28,6 +28,7 @@
 PATIENCE_SPREAD = 0.2
 DEADLINE_MEMORY_MS = 30_000.0
 MIN_RETRY_AFTER_MS = 100.0
+QUICK_RETRY_AFTER_MS = (5.0, 20.0)
 RETRY_AFTER_SHARES = (0.2, 0.33)
 """Callers honour up to a third of the time they have left."""
 
@@ -125,6 +126,15 @@
     return Verdict.REFUSE
 
 
+def quick_retry_after_ms(position: float) -> float:
+    """Return when to come back after servers refused a request though they had room.
+
+    Such a refusal is luck, and another attempt may still be in time.
+    """
+    first, last = QUICK_RETRY_AFTER_MS
+    return first + (last - first) * position
+
+
 def retry_after_ms(left_to_deadline_ms: float, position: float) -> float:
     """Return when a refused caller should come back.
 
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -47,6 +47,8 @@
 CROWDED_MEMORY_MS = 12.0
 """How long a search that found only slow endpoints stands for the next ones."""
 
+UNHEALTHY_COST = 10.0
+
 PROBE_BURST_S = 5.0
 PROBE_SHARE = 0.85
 """The share of the probe budget that this use of it may take."""
@@ -72,12 +74,17 @@
 
 @dataclass(slots=True)
 class _Answer:
-    """What one endpoint answered to a probe."""
+    """What one endpoint answered to a probe.
+
+    ``slowdown`` is what its load lets expect. ``cost`` orders the endpoints: it adds
+    what this entry holds against one, which says nothing about the time to wait.
+    """
 
     endpoint: Endpoint
     connection: BackendConnection
     load: ServerLoad | None
     slowdown: float
+    cost: float
     is_cold: bool
 
 
@@ -208,7 +215,7 @@
             trace.append(f"{len(chosen)}/{len(answers)}/{least}")
             if not state.tells_load:
                 break
-            if best is not None and best.slowdown < QUICK_SLOWDOWN:
+            if best is not None and best.cost < QUICK_SLOWDOWN:
                 break
         if best is None:
             return None
@@ -236,7 +243,7 @@
         for answer in answers:
             if answer.is_cold and not self._has_cold_permit(service, answer, now):
                 loser: _Answer | None = answer
-            elif best is None or answer.slowdown < best.slowdown:
+            elif best is None or answer.cost < best.cost:
                 loser, best = best, answer
             else:
                 loser = answer
@@ -443,23 +450,23 @@
         slowdown = 1.0 if load is None else expected_slowdown(load)
         if slowdown > QUICK_SLOWDOWN:
             endpoint.health.mark_slow(now)
-        slowdown += endpoint.health.penalty(now)
+        is_cold = endpoint.is_cold(now)
+        if is_cold:
+            slowdown *= COLD_SLOWDOWN
+        cost = slowdown + endpoint.health.penalty(now)
         if endpoint.announcement.zone != self._settings.zone:
-            slowdown += REMOTE_ZONE_SLOWDOWN
+            cost += REMOTE_ZONE_SLOWDOWN
         if response.status != 200:
             # A health answer may be wrong, so the endpoint stays the last choice.
             endpoint.health.fail(1.0, now)
-            slowdown += 10.0
-        is_cold = endpoint.is_cold(now)
-        if is_cold:
-            slowdown *= COLD_SLOWDOWN
+            cost += UNHEALTHY_COST
         if not connection.is_clean:
             await self.discard(endpoint, connection)
             fresh = await self._connect(endpoint, add_ms(now, CONNECT_TIMEOUT_MS))
             if fresh is None:
                 return None
             connection = fresh
-        return _Answer(endpoint, connection, load, slowdown, is_cold)
+        return _Answer(endpoint, connection, load, slowdown, cost, is_cold)
 
     async def _fail_probe(
         self, endpoint: Endpoint, connection: BackendConnection
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -18,6 +18,7 @@
     WorkEstimate,
     acceptable_slowdown,
     judge,
+    quick_retry_after_ms,
     retry_after_ms,
 )
 from ..core.retries import AttemptOutcome
@@ -33,7 +34,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BackendConnection, Failure, encode_request
-from .balancer import Balancer, Pick
+from .balancer import CROWDED_SLOWDOWN, Balancer, Pick
 from .dialect import Dialect
 from .view import Endpoint, FleetView
 
@@ -260,6 +261,8 @@
                 kind = ErrorKind.QUEUE_FULL
             left_ms = remaining_ms(call.deadline, self._clock())
             after_ms = retry_after_ms(left_ms, self._rng.random())
+            if kind is ErrorKind.BACKEND_REFUSED:
+                after_ms = quick_retry_after_ms(self._rng.random())
             response = self._refusal(kind, after_ms)
         self._metrics.count("refused_total", kind=kind.value)
         self._finish(call, response.status, kind.value)
@@ -315,7 +318,9 @@
                 AttemptOutcome.UNREACHABLE,
             )
             if not may_retry or n_sent >= max(1, call.route.max_attempts):
-                return self._give_up(call, ErrorKind.BACKEND_REFUSED)
+                is_full = pick.slowdown > CROWDED_SLOWDOWN
+                refused = ErrorKind.QUEUE_FULL if is_full else ErrorKind.BACKEND_REFUSED
+                return self._give_up(call, refused)
 
     def _admits(self, call: _Call, pick: Pick, now: Instant) -> bool:
         """Return whether a request is sent where the search found room for it."""
