--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -48,6 +48,8 @@
 """How long a search that found only slow endpoints stands for the next ones."""
 
 UNHEALTHY_COST = 10.0
+MAX_SILENT_ANSWERS = 10
+ASK_AGAIN_MS = 2_000.0
 
 PROBE_BURST_S = 5.0
 PROBE_SHARE = 0.85
@@ -90,14 +92,35 @@
 
 @dataclass(slots=True)
 class _Service:
-    """What the balancer keeps for one service."""
+    """What the balancer keeps for one service.
 
-    tells_load: bool = True
+    ``n_silent`` counts health answers without a load since the last one with it.
+    """
+
+    n_silent: int = 0
+    asked_again_at: Instant = Instant(0.0)
     probe_ms: float = 4.0
     least_slowdown: float = 1.0
     searched_at: Instant = Instant(0.0)
     cold_sends: dict[str, WindowCount] = field(default_factory=dict)
 
+    def note_report(self, has_load: bool) -> None:
+        """Count one health answer."""
+        self.n_silent = 0 if has_load else self.n_silent + 1
+
+    def tells_load(self, now: Instant) -> bool:
+        """Return whether asking the servers of this service is worth while.
+
+        A few answers without a load may be those of a faulty server, so it takes many
+        in a row, and now and then the servers are asked again.
+        """
+        if self.n_silent < MAX_SILENT_ANSWERS:
+            return True
+        if now < add_ms(self.asked_again_at, ASK_AGAIN_MS):
+            return False
+        self.asked_again_at = now
+        return True
+
 
 @dataclass(frozen=True, slots=True)
 class BalancerSettings:
@@ -165,7 +188,7 @@
         if is_recent and state.least_slowdown > max(max_slowdown, CROWDED_SLOWDOWN):
             trace.append(f"crowded/{state.least_slowdown:.2f}")
             return None
-        if not state.tells_load:
+        if not state.tells_load(now):
             return await self._pick_without_reports(service, endpoints, deadline)
         return await self._pick_by_reports(service, state, endpoints, deadline, trace)
 
@@ -213,8 +236,6 @@
             best = await self._best(service, best, answers)
             least = "none" if best is None else f"{best.slowdown:.2f}"
             trace.append(f"{len(chosen)}/{len(answers)}/{least}")
-            if not state.tells_load:
-                break
             if best is not None and best.cost < QUICK_SLOWDOWN:
                 break
         if best is None:
@@ -443,7 +464,8 @@
         endpoint.health.mark_reachable()
         value = find_header(response.headers, dialect.server_load)
         load = None if value is None else dialect.parse_load(value)
-        state.tells_load = load is not None
+        if response.status == 200:
+            state.note_report(load is not None)
         left = find_header(response.headers, dialect.warmup_left_ms)
         if response.status == 200:
             self._view.confirm(endpoint, _milliseconds(left))
