--- /dev/null
+++ b/pollenfold/tests/gateway/conftest.py
@@ -0,0 +1,198 @@
+"""Fixtures of the gateway's tests: a fake backend server, and a whole entry path."""
+
+import random
+from dataclasses import dataclass, field
+
+import curio
+import pytest
+from curio import socket
+
+from pollenfold.core.orders import Orders
+from pollenfold.core.registry import Announcement
+from pollenfold.core.routes import (
+    BackendService,
+    Part,
+    Route,
+    RoutingConfiguration,
+    sorted_routes,
+)
+from pollenfold.gateway.balancer import Balancer, BalancerSettings
+from pollenfold.gateway.forward import Forwarder, RetryLimits
+from pollenfold.gateway.view import FleetView
+from pollenfold.http.messages import Request
+from pollenfold.observe.clock import system_clock
+from pollenfold.observe.events import EventLog
+from pollenfold.observe.exposition import Metrics
+from pollenfold.platform.headers import DIALECT
+
+HEALTHY = (
+    b"HTTP/1.1 200 OK\r\nx-instance-id: %s\r\nx-server-load: %s\r\n"
+    b"%scontent-length: 0\r\n\r\n"
+)
+
+
+def answer(status=200, body=b"whole", request_id=b"q1", *headers):
+    """Return a signed response as bytes."""
+    lines = [b"HTTP/1.1 %d X" % status, b"x-request-id: " + request_id]
+    lines += [b"x-response-signature: s", b"content-length: %d" % len(body), *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+@dataclass
+class Backend:
+    """A fake backend server on a loopback address.
+
+    ``respond`` gets the request bytes and returns the bytes to write, or None to
+    reset the connection without an answer. ``closes`` ends it after an answer.
+    ``requests`` holds the requests that came, health checks apart.
+    """
+
+    name: str
+    respond: object = None
+    load: bytes = b"0,0,6,100"
+    warmup: bytes = b""
+    instance: str = ""
+    delay_ms: float = 0.0
+    closes: bool = False
+    requests: list = field(default_factory=list)
+    n_checks: int = 0
+    n_closed: int = 0
+    port: int = 0
+
+    async def start(self):
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        self.port = sock.getsockname()[1]
+        self.task = await curio.spawn(self._accept, sock, daemon=True)
+
+    async def _accept(self, sock):
+        async with sock:
+            while True:
+                client, _ = await sock.accept()
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client):
+        async with client:
+            buffer = b""
+            while True:
+                try:
+                    data = await client.recv(65536)
+                except OSError:
+                    data = b""
+                if not data:
+                    self.n_closed += 1
+                    return
+                buffer += data
+                if b"\r\n\r\n" not in buffer:
+                    continue
+                request, buffer = buffer, b""
+                if request.startswith(b"GET /healthz"):
+                    self.n_checks += 1
+                    name = (self.instance or self.name).encode()
+                    await client.sendall(HEALTHY % (name, self.load, self.warmup))
+                    continue
+                self.requests.append(request)
+                await curio.sleep(self.delay_ms / 1000)
+                data = answer() if self.respond is None else self.respond(request)
+                if data is None:
+                    client._socket.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                    )
+                    return
+                try:
+                    await client.sendall(data)
+                except OSError:
+                    return
+                if self.closes:
+                    return
+
+
+class Path:
+    """An entry's path of a request to fake backend servers."""
+
+    def __init__(self, backends, zone="a", **route_changes):
+        clock = system_clock
+        self.lines = []
+        self.log = EventLog("e1", clock, write=self._write)
+        self.metrics = Metrics()
+        self.view = FleetView(lambda text: None, clock, self.log)
+        route = {
+            "name": "r1",
+            "path_prefix": "/x/",
+            "is_idempotent": True,
+            "parts": (Part("s", 1.0),),
+            "timeout_ms": 800.0,
+            "target_latency_ms": 200.0,
+            "max_attempts": 2,
+        }
+        route = Route(**{**route, **route_changes})
+        self.view.configuration = RoutingConfiguration(
+            1,
+            {"h.example": sorted_routes([route])},
+            {"s": BackendService("s", "/healthz", 260, 3000.0, 18.0)},
+        )
+        self.view.orders = Orders(index=1, version=1)
+        self.view.fleet.report(1, clock())
+        for number, backend in enumerate(backends):
+            self.announce(backend, sequence=number + 1)
+        settings = BalancerSettings("e1", zone, 1000.0, 1.5, 5.0)
+        rng = random.Random(7)
+        self.balancer = Balancer(self.view, DIALECT, settings, clock, self.metrics, rng)
+        self.forwarder = Forwarder(
+            self.view,
+            self.balancer,
+            DIALECT,
+            RetryLimits(0.2, 64, 10_000.0),
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+        )
+
+    def _write(self, data):
+        self.lines += data.decode().splitlines()
+        return len(data)
+
+    def announce(self, backend, sequence=1, **changes):
+        fields = {
+            "endpoint_id": backend.name,
+            "service": "s",
+            "host": "127.0.0.1",
+            "port": backend.port,
+            "zone": "a",
+            "slots": 6,
+            "is_leaving": False,
+            "warmup_left_ms": 0.0,
+            "born_ms": 1000,
+            "sequence": sequence,
+        }
+        announcement = Announcement(**{**fields, **changes})
+        self.view.take_announcement(announcement.encode(), 0.0)
+
+    async def get(self, method=b"GET", deadline=b"1500", body=b"", **headers):
+        request = Request(
+            method,
+            b"/x/1",
+            [
+                (b"host", b"h.example"),
+                (b"x-request-id", b"q1"),
+                (b"x-deadline-ms", deadline),
+            ],
+            body,
+        )
+        return await self.forwarder.handle(request)
+
+
+@pytest.fixture
+def with_path(run):
+    """Return a function that runs ``body(path, *backends)`` on a whole path."""
+
+    def run_body(body, *backends, **route_changes):
+        async def main():
+            for backend in backends:
+                await backend.start()
+            path = Path(backends, **route_changes)
+            await body(path, *backends)
+
+        run(main)
+
+    return run_body
