--- /dev/null
+++ b/pollenfold/tests/control/test_cluster.py
@@ -0,0 +1,399 @@
+"""Control replicas that find each other from seeds, with their API and feeds."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+import pytest
+
+from pollenfold.control.cluster import ClusterNode, ClusterSettings
+from pollenfold.core.errors import ErrorKind
+from pollenfold.core.orders import Configure, Depart, Evacuate
+from pollenfold.gateway.feeds import FeedIdentity, Feeds
+from pollenfold.gateway.view import FleetView
+from pollenfold.http.messages import Request
+from pollenfold.observe.clock import system_clock
+from pollenfold.observe.events import EventLog
+from pollenfold.platform.control_api import ControlApi
+from pollenfold.platform.documents import decode_configuration
+from pollenfold.tests.core.test_orders import announcement
+from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
+
+PORT_BASE = 21_000
+
+
+@dataclass
+class Running:
+    node: ClusterNode
+    api: ControlApi
+    tasks: list
+
+
+class Cluster:
+    """Replicas on loopback addresses 127.0.0.x, each with a folder of its own."""
+
+    def __init__(self, folder: Path, ports: tuple[int, int]):
+        self.folder = folder
+        self.peer_port, self.feed_port = ports
+        self.running = {}
+        self.seeds = ["127.0.0.1", "127.0.0.2"]
+
+    async def start(self, number, is_first=False):
+        host = f"127.0.0.{number}"
+        settings = ClusterSettings(
+            name=f"core-{number}",
+            zone="a",
+            host=host,
+            peer_port=self.peer_port,
+            feed_port=self.feed_port,
+            api_host=host,
+            api_port=0,
+            metrics_port=0,
+            data_folder=self.folder / str(number),
+            seeds=lambda: self.seeds,
+            reload=lambda: None,
+            is_founder=is_first and number == 1,
+            n_members=3,
+        )
+        node = ClusterNode(settings)
+        node.read_cache()
+        tasks = [
+            await curio.spawn(node.rpc.serve, host, self.peer_port, daemon=True),
+            await curio.spawn(
+                node.feed_server.serve, host, self.feed_port, daemon=True
+            ),
+            await curio.spawn(node.replica.run, daemon=True),
+            await curio.spawn(node.feed_server.run, daemon=True),
+            await curio.spawn(node.feeds.run, daemon=True),
+            await curio.spawn(node.join, daemon=True),
+            await curio.spawn(node.keep_cache, daemon=True),
+        ]
+        api = ControlApi(node, 80, frozenset({"a", "b"}))
+        self.running[number] = Running(node, api, tasks)
+
+    async def stop(self, number):
+        for task in self.running.pop(number).tasks:
+            await task.cancel()
+
+    async def formed(self):
+        """Wait until all agree that exactly the running replicas are the voters."""
+        async with curio.timeout_after(10):
+            while True:
+                nodes = [running.node for running in self.running.values()]
+                sets = {node.replica.voters() for node in nodes}
+                is_led = any(node.replica.is_leader() for node in nodes)
+                if is_led and sets == {frozenset(node.replica_id for node in nodes)}:
+                    return
+                await curio.sleep(0.02)
+
+    def leader(self):
+        return next(k for k, r in self.running.items() if r.node.replica.is_leader())
+
+    async def call(self, number, method, path, document=None):
+        body = b"" if document is None else json.dumps(document).encode()
+        request = Request(method, path.encode(), [], body)
+        return await self.running[number].api.handle(request)
+
+
+@pytest.fixture
+def with_cluster(run, tmp_path, unused_ports):
+    """Return a function that runs ``body(cluster)`` with three replicas formed."""
+
+    def run_body(body):
+        async def main():
+            cluster = Cluster(tmp_path, unused_ports)
+            for number in (1, 2, 3):
+                await cluster.start(number, is_first=True)
+            await cluster.formed()
+            try:
+                await body(cluster)
+            finally:
+                for number in list(cluster.running):
+                    await cluster.stop(number)
+
+        run(main)
+
+    return run_body
+
+
+@pytest.fixture
+def unused_ports():
+    """Return two ports that are free on the loopback addresses."""
+    socks = [curio.tcp_server_socket("0.0.0.0", 0) for _ in range(2)]
+    ports = tuple(sock.getsockname()[1] for sock in socks)
+    for sock in socks:
+        sock._socket.close()
+    return ports
+
+
+def follower(cluster):
+    return next(k for k in cluster.running if k != cluster.leader())
+
+
+def test_order_through_any_replica_is_read_through_any_other(with_cluster):
+    """Guards against a replica that answers with an older configuration."""
+
+    async def body(cluster):
+        for version, number in ((7, follower(cluster)), (8, cluster.leader())):
+            document = {**CONFIGURATION, "version": version}
+            put = await cluster.call(number, b"PUT", "/-/config", document)
+            assert put.status == 200
+            for other in cluster.running:
+                got = await cluster.call(other, b"GET", "/-/config")
+                assert json.loads(got.body)["version"] == version
+
+    with_cluster(body)
+
+
+def test_older_and_equal_versions_are_acknowledged_and_change_nothing(with_cluster):
+    """Guards against other content that is obeyed under a version that is held."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        for version in (7, 3):
+            other = {**CONFIGURATION, "version": version, "hosts": []}
+            put = await cluster.call(2, b"PUT", "/-/config", other)
+            assert put.status == 200
+        got = await cluster.call(3, b"GET", "/-/config")
+        assert json.loads(got.body) == CONFIGURATION
+
+    with_cluster(body)
+
+
+def test_two_operators_race_on_one_version(with_cluster):
+    """Guards against replicas that hold different content under one version."""
+
+    async def body(cluster):
+        calls = [
+            await curio.spawn(
+                cluster.call,
+                number,
+                b"PUT",
+                "/-/config",
+                {**CONFIGURATION, "hosts": [{"host": f"h{number}", "paths": []}]},
+            )
+            for number in cluster.running
+        ]
+        assert {(await call.join()).status for call in calls} == {200}
+        contents = set()
+        for number in cluster.running:
+            contents.add((await cluster.call(number, b"GET", "/-/config")).body)
+        assert len(contents) == 1
+
+    with_cluster(body)
+
+
+def test_invalid_order_is_refused_and_changes_nothing(with_cluster):
+    """Guards against an invalid configuration that comes into force."""
+
+    async def body(cluster):
+        put = await cluster.call(1, b"PUT", "/-/config", {"version": 9})
+        assert put.status == 400
+        assert (await cluster.call(1, b"GET", "/-/config")).status == 503
+        assert (await cluster.call(1, b"POST", "/-/evacuations/x")).status == 404
+        odd = await cluster.call(1, b"PUT", "/-/instances/i-1", {"address": 5})
+        assert odd.status == 400
+        assert (await cluster.call(1, b"PATCH", "/-/config")).status == 404
+
+    with_cluster(body)
+
+
+def test_minority_acknowledges_and_reads_nothing(with_cluster):
+    """Guards against a replica without a majority that answers as if it had one."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        left = cluster.leader()
+        for number in list(cluster.running):
+            if number != left:
+                await cluster.stop(number)
+        newer = {**CONFIGURATION, "version": 8}
+        assert (await cluster.call(left, b"PUT", "/-/config", newer)).status == 503
+        assert (await cluster.call(left, b"GET", "/-/config")).status == 503
+        assert (await cluster.call(left, b"POST", "/-/evacuations/a")).status == 503
+        leaving = {
+            **ANNOUNCEMENT,
+            "status": {**ANNOUNCEMENT["status"], "state": "draining"},
+        }
+        drain = await cluster.call(left, b"PUT", "/-/instances/i-1", leaving)
+        assert drain.status == 503
+
+    with_cluster(body)
+
+
+def test_all_replicas_restart_and_hold_what_was_acknowledged(with_cluster):
+    """Guards against orders or endpoints that a restart of all replicas loses."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        await cluster.call(2, b"POST", "/-/evacuations/a")
+        await cluster.call(3, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        await cluster.call(3, b"DELETE", "/-/instances/i-2")
+        await curio.sleep(1.3)
+        for number in (1, 2, 3):
+            await cluster.stop(number)
+        for number in (1, 2, 3):
+            await cluster.start(number)
+        await cluster.formed()
+        got = await cluster.call(2, b"GET", "/-/config")
+        assert json.loads(got.body) == CONFIGURATION
+        for running in cluster.running.values():
+            assert running.node.book.orders.evacuated == {"a"}
+            assert "i-2" in running.node.book.orders.departures
+            assert running.node.book.registry.get("i-1") is not None
+
+    with_cluster(body)
+
+
+def test_replica_with_a_lost_disk_comes_back_as_a_new_member(with_cluster):
+    """Guards against a lost disk that takes an acknowledged order along."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        lost = cluster.leader()
+        before = cluster.running[lost].node.replica_id
+        await cluster.stop(lost)
+        cluster.folder = cluster.folder / "new"
+        await cluster.start(lost)
+        await cluster.formed()
+        after = cluster.running[lost].node.replica_id
+        assert after != before
+        assert after in cluster.running[lost].node.replica.voters()
+        got = await cluster.call(lost, b"GET", "/-/config")
+        assert json.loads(got.body) == CONFIGURATION
+
+    with_cluster(body)
+
+
+def test_replica_that_is_no_member_refers_callers(with_cluster):
+    """Guards against an acknowledgement by a machine that waits for a place."""
+
+    async def body(cluster):
+        await cluster.start(4)
+        node = cluster.running[4].node
+        async with curio.timeout_after(5):
+            while node.leader_host() is None:
+                await curio.sleep(0.02)
+        beat = await cluster.call(4, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        assert beat.status == 307
+        location = dict(beat.headers)[b"location"].decode()
+        assert location == f"http://127.0.0.{cluster.leader()}:80/-/instances/i-1"
+
+    with_cluster(body)
+
+
+async def entry_view(cluster, name="e1"):
+    """Return the view of an entry that reads the feeds, and the entry's tasks."""
+    log = EventLog(name, system_clock, write=len)
+    view = FleetView(decode_configuration, system_clock, log)
+    feeds = Feeds(
+        FeedIdentity(name, "a"),
+        view,
+        lambda: cluster.seeds,
+        cluster.feed_port,
+        system_clock,
+        log,
+    )
+    return view, await curio.spawn(feeds.run, daemon=True)
+
+
+async def until(condition, timeout_s=5.0):
+    async with curio.timeout_after(timeout_s):
+        while not condition():
+            await curio.sleep(0.01)
+
+
+def test_entry_learns_everything_from_the_feeds(with_cluster):
+    """Guards against an entry that misses an order, an endpoint or a departure."""
+
+    async def body(cluster):
+        view, _ = await entry_view(cluster)
+        await until(lambda: view.control_hosts == {f"127.0.0.{k}" for k in (1, 2, 3)})
+        await cluster.call(3, b"PUT", "/-/config", CONFIGURATION)
+        await until(lambda: view.configuration is not None, 1.5)
+        await cluster.call(2, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        await until(lambda: len(view.by_service.get("booking", ())) == 1, 1.5)
+        assert view.fleet.get(system_clock()) >= 1
+        drain = await cluster.call(1, b"DELETE", "/-/instances/i-1")
+        assert drain.status == 200
+        await until(lambda: not view.by_service.get("booking"), 1.5)
+        late = {**ANNOUNCEMENT, "status": {**ANNOUNCEMENT["status"], "sequence": 99}}
+        await cluster.call(2, b"PUT", "/-/instances/i-1", late)
+        await curio.sleep(0.2)
+        assert not view.by_service.get("booking")
+        reborn = {**late, "born": ANNOUNCEMENT["born"] + 1}
+        await cluster.call(2, b"PUT", "/-/instances/i-1", reborn)
+        await until(lambda: len(view.by_service.get("booking", ())) == 1, 1.5)
+
+    with_cluster(body)
+
+
+def test_entry_goes_on_when_a_replica_is_lost(with_cluster):
+    """Guards against an entry that depends on one replica."""
+
+    async def body(cluster):
+        view, _ = await entry_view(cluster)
+        await until(lambda: len(view.control_hosts) == 3)
+        await cluster.stop(cluster.leader())
+        async with curio.timeout_after(8):
+            while True:
+                put = await cluster.call(
+                    next(iter(cluster.running)), b"PUT", "/-/config", CONFIGURATION
+                )
+                if put.status == 200:
+                    break
+        await until(lambda: view.configuration is not None, 2.0)
+
+    with_cluster(body)
+
+
+def test_zone_that_returns_is_unconfirmed(with_cluster):
+    """Guards against full load on endpoints that turned cold while out."""
+
+    async def body(cluster):
+        view, _ = await entry_view(cluster)
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        await cluster.call(1, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        await until(lambda: len(view.by_service.get("booking", ())) == 1)
+        await cluster.call(1, b"POST", "/-/evacuations/a")
+        await until(lambda: not view.by_service.get("booking"), 1.5)
+        await cluster.call(1, b"DELETE", "/-/evacuations/a")
+        await until(lambda: len(view.by_service.get("booking", ())) == 1, 1.5)
+        endpoint = view.by_service["booking"][0]
+        assert endpoint.is_cold(system_clock())
+        view.confirm(endpoint, 0.0)
+        assert not endpoint.is_cold(system_clock())
+
+    with_cluster(body)
+
+
+def test_garbage_on_the_feed_ends_one_connection_only(with_cluster):
+    """Guards against bytes of another program that end the daemon."""
+
+    async def body(cluster):
+        sock = await curio.open_connection("127.0.0.1", cluster.feed_port)
+        await sock.sendall(b"\x00\xffnot json\n")
+        assert await sock.recv(100) == b""
+        view, _ = await entry_view(cluster)
+        await until(lambda: len(view.control_hosts) == 3)
+
+    with_cluster(body)
+
+
+def test_orders_are_settled_without_the_log(with_cluster):
+    """Guards against a resend that needs a majority though it was acknowledged."""
+
+    async def body(cluster):
+        node = cluster.running[1].node
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        await node.book.announce(announcement(is_leaving=True), 900)
+        for number in (2, 3):
+            await cluster.stop(number)
+        book = node.book
+        assert (await book.submit(Configure(7, "{}"), 200)).is_ok()
+        assert (await book.submit(Depart("i-1", 1000), 200)).is_ok()
+        result = await book.submit(Evacuate("a", False), 200)
+        assert result.error in (ErrorKind.NO_QUORUM, ErrorKind.NOT_LEADER)
+
+    with_cluster(body)
