--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -221,7 +221,7 @@
                 connection.receive_data(data)
             elif type(event) is h11.Request:
                 head = event
-                _check_framing(head)
+                _check_head(head, limits)
                 self._connections[client] = True
             elif type(event) is h11.Data:
                 n_body_bytes += len(event.data)
@@ -278,8 +278,15 @@
         await client.sendall(head + body + end)
 
 
-def _check_framing(head: h11.Request) -> None:
-    """Refuse a head with two framings, which two readers may split differently."""
+def _check_head(head: h11.Request, limits: ServerLimits) -> None:
+    """Refuse a head that is too large or has two framings.
+
+    The parser bounds only a head that comes in several pieces. Two framings may be
+    read differently by two readers.
+    """
+    n_bytes = sum(len(name) + len(value) for name, value in head.headers)
+    if n_bytes + len(head.target) > limits.head_bytes:
+        raise RequestError(ErrorKind.HEAD_TOO_LARGE, f"{n_bytes} bytes", head)
     names = {name for name, _ in head.headers}
     if b"content-length" in names and b"transfer-encoding" in names:
         detail = "both content-length and transfer-encoding"
--- /dev/null
+++ b/pollenfold/tests/platform/test_settings.py
@@ -0,0 +1,127 @@
+"""The platform's settings file, and the headers of its backend servers."""
+
+import pytest
+
+from pollenfold.core.selection import ServerLoad
+from pollenfold.http.messages import Response
+from pollenfold.platform.__main__ import main
+from pollenfold.platform.headers import is_genuine, parse_load
+from pollenfold.platform.settings import SettingsError, SettingsSource
+
+TEXT = """
+unknown = "ignored"
+[self]
+nodeName = "front-a-1"
+ip = "10.1.0.35"
+zone = "a"
+bootstrap = true
+[network]
+internalPorts = [7660,7675]
+seeds = ["10.1.0.38:8146","10.2.0.31:8146"]
+[network.listenAddrs]
+front = "10.1.0.35:8144"
+[network.zones]
+a = "r"
+[terms.faultTolerance]
+machines = 2
+[terms.bounds]
+graceS = 6
+closed = true
+"""
+
+
+@pytest.fixture
+def source(tmp_path):
+    """Return the source of a settings file in a folder of the test."""
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    return SettingsSource(path)
+
+
+def test_settings_are_read(source):
+    """Guards against a field that is read under another name."""
+    settings = source.settings
+    assert settings.name == "front-a-1"
+    assert settings.addresses == {"front": ("10.1.0.35", 8144)}
+    assert source.seed_hosts() == ["10.1.0.38", "10.2.0.31"]
+    assert (settings.is_first_start, settings.n_machines_lost) == (True, 2)
+    assert settings.bound("graceS", 1) == 6
+    assert settings.bound("closed", 3) == 3
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "word"),
+    [
+        ('nodeName = "front-a-1"', "", "nodeName"),
+        ('ip = "10.1.0.35"', "ip = 5", "ip"),
+        ("[7660,7675]", "[7660]", "internalPorts"),
+        ("10.1.0.38:8146", "nowhere", "nowhere"),
+        ("[network]", "[network", "settings.toml"),
+    ],
+)
+def test_bad_settings_end_with_one_clear_line(
+    tmp_path, monkeypatch, capsys, old, new, word
+):
+    """Guards against a trace instead of the name of the field."""
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT.replace(old, new, 1))
+    monkeypatch.setenv("POLLENFOLD_BOOT", str(path))
+    assert main(["entry"]) == 2
+    error = capsys.readouterr().err
+    assert word in error
+    assert error.count("\n") == 1
+
+
+def test_unknown_role_is_refused(capsys):
+    """Guards against a deploy file with a wrong role that starts something."""
+    assert main(["ledger"]) == 2
+    assert "entry or control" in capsys.readouterr().err
+
+
+def test_reload_keeps_the_old_settings_when_the_file_is_bad(source):
+    """Guards against a half-written file that takes the seeds away."""
+    source._path.write_text("[self")
+    source.reload()
+    assert source.seed_hosts() == ["10.1.0.38", "10.2.0.31"]
+    source._path.write_text(TEXT.replace("10.1.0.38", "10.9.0.1"))
+    source.reload()
+    assert source.seed_hosts() == ["10.9.0.1", "10.2.0.31"]
+
+
+def test_missing_file_is_an_error(tmp_path):
+    """Guards against a start without settings."""
+    with pytest.raises(SettingsError):
+        SettingsSource(tmp_path / "none.toml")
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", ServerLoad(3, 0, 8, 1.0)),
+        (b"3,1,8,500", ServerLoad(3, 1, 8, 5.0)),
+        (b"3,1", None),
+        (b"a,b,c", None),
+        (b"-1,0,8", None),
+    ],
+)
+def test_load_header(value, load):
+    """Guards against a malformed load that counts as an idle server."""
+    assert parse_load(value) == load
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_whole"),
+    [
+        (200, [(b"x-response-signature", b"s")], True),
+        (200, [], False),
+        (
+            200,
+            [(b"x-response-signature", b"s"), (b"content-encoding", b"gzip")],
+            False,
+        ),
+        (500, [], True),
+    ],
+)
+def test_success_needs_the_signature(status, headers, is_whole):
+    """Guards against a success that isn't the server's."""
+    assert is_genuine(Response(status, headers), b"q") is is_whole
