--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -153,7 +153,7 @@
         self._rng = rng
         self._pools: dict[str, ConnectionPool] = {}
         self._services: dict[str, _Service] = {}
-        self._probe_budget = TokenBucket(0.0, 1.0)
+        self._probe_budget: TokenBucket | None = None
         self._probe_requests: dict[tuple[str, str], bytes] = {}
 
     # Choice
@@ -192,11 +192,18 @@
             return await self._pick_without_reports(service, endpoints, deadline)
         return await self._pick_by_reports(service, state, endpoints, deadline, trace)
 
+    def _may_probe(self, n_probes: int, now: Instant) -> bool:
+        budget = self._probe_budget
+        return budget is not None and budget.take(n_probes, now)
+
     def _refill(self, now: Instant) -> None:
         """Adjust the probe budget to the present size of the fleet."""
         n_endpoints = len(self._view.endpoints)
         n_entries = self._view.fleet.get(now)
         rate = self._settings.probes_per_s * PROBE_SHARE * n_endpoints / n_entries
+        if self._probe_budget is None:
+            # Full at first: callers that waited for a restart come all at once.
+            self._probe_budget = TokenBucket(rate, rate * PROBE_BURST_S)
         self._probe_budget.rate_per_s = rate
         self._probe_budget.burst = rate * PROBE_BURST_S
 
@@ -222,9 +229,9 @@
             n_wanted = N_NEXT_PROBES if n_round else N_FIRST_PROBES
             if not usable or remaining_ms(deadline, now) <= 0.0:
                 break
-            if n_round and not self._probe_budget.take(n_wanted, now):
-                break
-            if not n_round and not self._probe_budget.take(n_wanted, now):
+            if not self._may_probe(n_wanted, now):
+                if n_round:
+                    break
                 n_wanted = 1
             options = [self._option(e) for e in usable]
             is_local_only = n_round == 0
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import logging
 import random
 import secrets
 from collections.abc import Callable
@@ -172,6 +173,8 @@
 
     Raise OSError when an address is taken, and RuntimeError when a part ends.
     """
+    # The kernel warns of each timeout that a response just met.
+    logging.getLogger("curio").setLevel(logging.ERROR)
     gateway = Gateway(settings, dialect, decode)
     metrics = HttpServer(gateway._handle_platform)
     async with curio.TaskGroup(wait=None) as group:
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -21,12 +21,18 @@
 from ..wire.lines import encode_line, read_lines
 from .view import FleetView
 
-CONNECT_TIMEOUT_MS = 600.0
+CONNECT_TIMEOUT_MS = 250.0
+"""A VM without power doesn't answer; a short wait finds one that is back sooner."""
+
+SEND_TIMEOUT_MS = 600.0
 SILENCE_LIMIT_MS = 1_500.0
 """Three missed lines; then the connection is opened anew, since it may be dead
 without a reset."""
 
-RETRY_PAUSE_MS = 150.0
+RETRY_PAUSE_MS = 300.0
+FIRST_RETRY_PAUSE_MS = 50.0
+"""The pause while no feed is open, when this entry may know nothing yet."""
+
 PING_INTERVAL_MS = 500.0
 OTHER_ZONE_WAIT_MS = 120.0
 """How long another zone's replica waits to be asked for orders that a replica of the
@@ -52,7 +58,7 @@
 
     async def send(self, message: dict[str, Any]) -> None:
         """Send one line; raise OSError or TaskTimeout when that fails."""
-        async with curio.timeout_after(CONNECT_TIMEOUT_MS / 1000), self._lock:
+        async with curio.timeout_after(SEND_TIMEOUT_MS / 1000), self._lock:
             await self._sock.sendall(encode_line(message))
 
 
@@ -129,7 +135,8 @@
                 detail = f"malformed line: {error!r}"
             if self._connected.pop(host, None) is not None:
                 self._log.state("feed_lost", control=host, detail=detail)
-            await curio.sleep(RETRY_PAUSE_MS / 1000)
+            pause_ms = RETRY_PAUSE_MS if self._connected else FIRST_RETRY_PAUSE_MS
+            await curio.sleep(pause_ms / 1000)
 
     async def _read(self, host: str) -> None:
         async with curio.timeout_after(CONNECT_TIMEOUT_MS / 1000):
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -46,7 +46,7 @@
 for, since it tells more than an own one."""
 
 MIN_DEADLINE_MS = 10.0
-NOT_READY_RETRY_AFTER_MS = 400.0
+NOT_READY_RETRY_AFTER_MS = 150.0
 
 _HOP_HEADERS = frozenset(
     (
