--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -248,7 +248,10 @@
         await group.spawn(node.rpc.serve, settings.host, settings.peer_port)
         await group.spawn(node.feed_server.serve, settings.host, settings.feed_port)
         await api.start(settings.api_host, settings.api_port)
-        await metrics.start(settings.host, settings.metrics_port)
+        try:
+            await metrics.start(settings.host, settings.metrics_port)
+        except OSError as error:
+            node.log.state("metrics_unavailable", detail=str(error))
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
         await group.spawn(node.feeds.run)
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -234,7 +234,8 @@
                     break
                 n_wanted = 1
             options = [self._option(e) for e in usable]
-            is_local_only = n_round == 0
+            # What another zone answers costs bytes between zones.
+            is_local_only = n_round < MAX_ROUNDS - 1
             chosen = choose_round(options, n_wanted, is_local_only, now, self._rng)
             asked.update(option.endpoint_id for option in chosen)
             answers = await self._ask(
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -180,7 +180,10 @@
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(wait_for_stop, gateway.reload)
         await gateway.platform.start(settings.ready_host, settings.ready_port)
-        await metrics.start(settings.host, settings.metrics_port)
+        try:
+            await metrics.start(settings.host, settings.metrics_port)
+        except OSError as error:
+            gateway.log.state("metrics_unavailable", detail=str(error))
         await gateway.callers.start(settings.host, settings.caller_port)
         await group.spawn(gateway.feeds.run)
         await group.spawn(gateway.balancer.run)
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -14,8 +14,9 @@
 
 PEER_PORT_OFFSET = 0
 FEED_PORT_OFFSET = 1
-METRICS_PORT_OFFSET = {"entry": 10, "control": 11}
-"""Ports between the first and the last internal one. Two roles may share a VM."""
+
+METRICS_PORTS = {"entry": 7670, "control": 7671}
+"""As in the deploy file, which names one port for all VMs."""
 
 
 def _run_entry(source: SettingsSource) -> None:
@@ -41,7 +42,7 @@
         ready_port=ready_port,
         ready_path="/-/readyz",
         feed_port=settings.first_port + FEED_PORT_OFFSET,
-        metrics_port=settings.first_port + METRICS_PORT_OFFSET["entry"],
+        metrics_port=METRICS_PORTS["entry"],
         seeds=source.seed_hosts,
         reload=source.reload,
         grace_ms=settings.bound("graceS", 6) * 1000,
@@ -68,7 +69,7 @@
         feed_port=settings.first_port + FEED_PORT_OFFSET,
         api_host=api_host,
         api_port=api_port,
-        metrics_port=settings.first_port + METRICS_PORT_OFFSET["control"],
+        metrics_port=METRICS_PORTS["control"],
         data_folder=Path(settings.data_folder or "data"),
         seeds=source.seed_hosts,
         reload=source.reload,
