--- /dev/null
+++ b/benchmarks/soak_backends.py
@@ -0,0 +1,193 @@
+"""Fake backend servers of the soak, behind a link that can be harmed."""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import json
+import time
+from enum import Enum
+
+import curio
+from curio import socket
+
+from pollenfold.http.client import HttpConnection
+from pollenfold.http.messages import Request, Response, find_header
+from pollenfold.http.server import HttpServer
+
+HEARTBEAT_S = 0.8
+WORK_S = 0.01
+
+
+class Link(Enum):
+    """What a proxy does with the bytes between an entry and a backend server."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    RESET = "reset"
+
+
+class LinkProxy:
+    """Passes connections on from one address to another, as its mode says."""
+
+    def __init__(self, host: str) -> None:
+        self._host = host
+        self._target: tuple[str, int] = ("", 0)
+        self._socks: set[socket.socket] = set()
+        self.mode = Link.PASS
+        self.port = 0
+
+    async def start(self, target: tuple[str, int]) -> None:
+        """Listen on a free port and pass connections on to the target."""
+        self._target = target
+        sock = curio.tcp_server_socket(self._host, 0)
+        self.port = sock.getsockname()[1]
+        await curio.spawn(self._accept, sock, daemon=True)
+
+    def cut(self) -> None:
+        """End all connections, as a reset after a cut does."""
+        for sock in list(self._socks):
+            try:
+                sock._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    async def _accept(self, sock: socket.socket) -> None:
+        async with sock:
+            while True:
+                client, _ = await sock.accept()
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: socket.socket) -> None:
+        if self.mode is Link.RESET:
+            await client.close()
+            return
+        server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socks |= {client, server}
+        try:
+            async with client, server:
+                await server.connect(self._target)
+                async with curio.TaskGroup(wait=any) as group:
+                    await group.spawn(self._copy, client, server, False)
+                    await group.spawn(self._copy, server, client, True)
+        except OSError:
+            return
+        finally:
+            self._socks -= {client, server}
+
+    async def _copy(
+        self, source: socket.socket, target: socket.socket, is_back: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await source.recv(65536):
+                if self.mode is Link.DELAY:
+                    await curio.sleep(0.15)
+                while self._holds(is_back):
+                    await curio.sleep(0.05)
+                await target.sendall(data)
+
+    def _holds(self, is_back: bool) -> bool:
+        """Return whether bytes of a direction are held up now."""
+        if self.mode is Link.ONE_WAY:
+            return is_back
+        return self.mode is Link.SILENT
+
+
+class SoakBackend:
+    """A backend server that counts what it runs, and announces itself."""
+
+    def __init__(self, name: str, host: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.link = LinkProxy(host)
+        self.fault = ""
+        self.is_leaving = False
+        self.runs: dict[str, int] = {}
+        self.n_requests = 0
+        self._n_running = 0
+        self._sequence = 0
+        self._born_ms = int(time.time() * 1000)
+        self._seeds: list[str] = []
+        self._control_port = 0
+
+    async def start(self, seeds: list[str], control_port: int) -> None:
+        """Listen and begin to announce."""
+        self._seeds, self._control_port = seeds, control_port
+        server = HttpServer(self._handle)
+        port = await server.start(self.host, 0)
+        await self.link.start((self.host, port))
+        await curio.spawn(self._announce, daemon=True)
+
+    async def come_back(self) -> None:
+        """Start a new life under the same id and address."""
+        self._born_ms = int(time.time() * 1000)
+        self._sequence = 0
+        self.is_leaving = False
+
+    def announcement(self) -> dict[str, object]:
+        """Return the next heartbeat."""
+        self._sequence += 1
+        state = "draining" if self.is_leaving else "ready"
+        return {
+            "address": f"{self.host}:{self.link.port}",
+            "born": self._born_ms,
+            "info": {"service": "s", "version": "v1", "zone": self.zone, "slots": 6},
+            "status": {
+                "state": state,
+                "sequence": self._sequence,
+                "warmupLeftMs": 0,
+            },
+        }
+
+    async def _announce(self) -> None:
+        number = hash(self.name)
+        while True:
+            number += 1
+            host = self._seeds[number % len(self._seeds)]
+            body = json.dumps(self.announcement()).encode()
+            try:
+                async with curio.timeout_after(1.0):
+                    connection = await HttpConnection.open(host, self._control_port)
+                    target = f"/-/instances/{self.name}".encode()
+                    headers = [(b"host", b"x")]
+                    await connection.exchange(b"PUT", target, headers, body)
+                    await connection.close()
+            except (OSError, curio.TaskTimeout):
+                continue
+            finally:
+                await curio.sleep(HEARTBEAT_S)
+
+    async def _handle(self, request: Request) -> Response | None:
+        load = f"{self._n_running},0,6,100".encode()
+        known = [(b"x-instance-id", self.name.encode()), (b"x-server-load", load)]
+        if request.path == "/healthz":
+            return Response(503 if self.is_leaving else 200, known)
+        expected = request.header(b"x-expected-instance")
+        if expected not in (None, self.name.encode()):
+            return Response(421, [*known, (b"x-not-executed", b"1")])
+        request_id = find_header(request.headers, b"x-request-id") or b""
+        self.n_requests += 1
+        if self.fault == "shed":
+            echoed = (b"x-request-id", request_id)
+            return Response(503, [*known, echoed, (b"x-not-executed", b"1")])
+        name = request_id.decode()
+        self.runs[name] = self.runs.get(name, 0) + 1
+        self._n_running += 1
+        try:
+            await curio.sleep(0.3 if self.fault == "late" else WORK_S)
+        finally:
+            self._n_running -= 1
+        if self.fault == "reset":
+            return None
+        signature = hashlib.sha256(request_id).hexdigest().encode()
+        headers = [
+            *known,
+            (b"x-request-id", request_id),
+            (b"x-response-signature", signature),
+        ]
+        if self.fault == "cut":
+            del headers[-1]
+        return Response(200, headers, signature * 3)
--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -21,7 +21,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
-from ..observe.signals import wait_for_stop
+from ..observe.signals import ignore_stop_signals, wait_for_stop
 from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
@@ -270,6 +270,7 @@
             node.log.state("task_failed", task=first_done.name)
             node.log.flush()
             raise first_done.exception or RuntimeError("a task ended too early")
+        ignore_stop_signals()
         node.log.state("stopping", n_in_flight=api.n_in_flight)
         await api.stop()
         async with curio.ignore_after(STOP_WAIT_MS / 1000):
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -18,7 +18,7 @@
 from ..observe.clock import system_clock
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
-from ..observe.signals import wait_for_stop
+from ..observe.signals import ignore_stop_signals, wait_for_stop
 from .balancer import Balancer, BalancerSettings
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
@@ -200,6 +200,7 @@
             gateway.log.state("task_failed", task=first_done.name)
             gateway.log.flush()
             raise first_done.exception or RuntimeError("a task ended too early")
+        ignore_stop_signals()
         await _drain(gateway)
         gateway.log.flush()
         await group.cancel_remaining()
--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -17,6 +17,12 @@
     """Do nothing: the wake-up socket carries the signal number."""
 
 
+def ignore_stop_signals() -> None:
+    """Let a planned stop take its time when it is asked for again."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def wait_for_stop(on_reload: Callable[[], None] | None = None) -> str:
     """Return the name of the signal when the process is told to stop.
 
