--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -116,22 +116,10 @@
                 stderr=log,
             )
 
-    def is_running(self) -> bool:
-        return self.process is not None and self.process.poll() is None
-
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
-    def ended_well(self) -> bool:
-        """Return whether the process ended by itself, or before it had started.
-
-        Another fault may have killed it meanwhile.
-        """
-        assert self.process is not None
-        is_young = time.monotonic() < self.started_at + START_S
-        return self.process.returncode in (0, -signal.SIGKILL) or is_young
-
     def kill(self) -> None:
         if self.process is not None:
             self.signal(signal.SIGCONT)
@@ -346,17 +334,25 @@
         self.note_fault()
 
     async def restart(self, program: Program, number: int, pause_s: float) -> None:
+        process, started_at = program.process, program.started_at
         program.signal(number)
         until = time.monotonic() + 7.0
-        while program.is_running() and time.monotonic() < until:
+        while process.poll() is None and time.monotonic() < until:
             await curio.sleep(0.02)
-        if program.is_running():
+        if process is not program.process:
+            # Another fault has ended this process and started the next one.
+            return
+        if process.poll() is None:
             self.broken(f"{program.name} still runs 7 s after signal {number}")
             program.kill()
-        elif number == signal.SIGTERM and not program.ended_well():
-            self.broken(f"{program.name} ended with {program.process.returncode}")
+        # It may have been killed by another fault, or before it set its handlers.
+        is_young = time.monotonic() < started_at + START_S
+        is_well = process.returncode in (0, -signal.SIGKILL) or is_young
+        if number == signal.SIGTERM and not is_well:
+            self.broken(f"{program.name} ended with {process.returncode}")
         await curio.sleep(pause_s)
-        program.start(self.seeds, False)
+        if process is program.process:
+            program.start(self.seeds, False)
 
     # Orders in calm
 
--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -18,8 +18,8 @@
 
 
 def ignore_stop_signals() -> None:
-    """Let a planned stop take its time when it is asked for again."""
-    for number in STOP_SIGNALS:
+    """Let a planned stop take its time when it is asked for again, or to reload."""
+    for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
         signal.signal(number, signal.SIG_IGN)
 
 
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 
@@ -85,6 +86,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run a role until it is stopped; return the exit status."""
+    # Settings are read after this, so a reload that is asked for now loses nothing.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(arguments) != 1 or arguments[0] not in ROLES:
         expected = " or ".join(ROLES)
         print(f"pollenfold.platform: expected {expected}", file=sys.stderr)
