Use one token bucket, release state of endpoints that left, time refusals by the queue

The adapter's bucket and that of the measurement budget were two classes for one thing. ranked_load and report_weight had only tests as callers; their cases now guard score. The queue's refusals name the time in which the queue is served. Refusal has its own module, which opens the circle between actions and proxy. No behaviour of the adapter changes.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -93,27 +93,6 @@
         return True
 
 
-class TokenBucket:
-    """Permits that come at a rate and are kept up to a burst."""
-
-    def __init__(self, rate_per_s: float, burst: float) -> None:
-        self.rate_per_s = rate_per_s
-        self.burst = burst
-        self._n_permits = burst
-        self._filled_at = Instant(0.0)
-
-    def take(self, n_permits: float, now: Instant) -> bool:
-        """Take permits; return False and take none when there are too few."""
-        elapsed_ms = max(0.0, now - self._filled_at)
-        filled = self._n_permits + self.rate_per_s * elapsed_ms / 1000
-        self._n_permits = min(self.burst, filled)
-        self._filled_at = now
-        if self._n_permits < n_permits:
-            return False
-        self._n_permits -= n_permits
-        return True
-
-
 def cold_rate_limit(rate_per_s: float, burst_factor: float, slack: float) -> float:
     """Return the requests that a cold endpoint bears in any one second."""
     return rate_per_s * burst_factor + slack
--- a/pollenfold/core/measurement.py
+++ b/pollenfold/core/measurement.py
@@ -9,6 +9,7 @@
 
 from .clock import Instant
 from .records import ServiceSpec
+from .token_bucket import TokenBucket
 
 MAX_REPORT_BYTES = 512
 """Longest load report that is read."""
@@ -20,10 +21,6 @@
 """Bytes that a report on a response reserves: the header that asks for it and the
 header that carries it."""
 
-HALF_LIFE_MS = 50.0
-"""Age at which a report has half its weight. Load shifts within milliseconds, and a
-response is a few milliseconds old when its figures are used."""
-
 MAX_LOAD = 4.0
 """Greatest reported load per slot; a larger figure tells nothing more."""
 
@@ -33,46 +30,6 @@
 """The form that nearly every report has; reading it costs less than splitting."""
 
 
-class TokenBucket:
-    """Allows ``rate_per_s`` units a second, and up to ``burst`` at once.
-
-    ``charge`` takes units that were already used and may leave a debt, which must
-    be paid before ``try_take`` allows anything again.
-    """
-
-    __slots__ = ("rate_per_s", "burst", "_level", "_updated")
-
-    def __init__(self, rate_per_s: float, burst: float, now: Instant) -> None:
-        self.rate_per_s = rate_per_s
-        self.burst = burst
-        self._level = 0.0
-        self._updated = now
-
-    def level(self, now: Instant) -> float:
-        """Return the units that are available, negative for a debt."""
-        if now > self._updated:
-            gain = self.rate_per_s * (now - self._updated) / 1000
-            self._level = min(self.burst, self._level + gain)
-            self._updated = now
-        return self._level
-
-    def try_take(self, amount: float, now: Instant) -> bool:
-        """Take the amount if it is available."""
-        if self.level(now) < amount:
-            return False
-        self._level -= amount
-        return True
-
-    def charge(self, amount: float, now: Instant) -> None:
-        """Take the amount in any case."""
-        self.level(now)
-        self._level -= amount
-
-    def give_back(self, amount: float, now: Instant) -> None:
-        """Return units that were taken and not used."""
-        self._level = min(self.burst, self.level(now) + amount)
-
-
 class MeasurementBudget:
     """This entry's part of what a service may spend on load measurement.
 
@@ -186,24 +143,3 @@
     if type(cold) not in (int, bool) or cold not in (0, 1) or slots < 1:
         return None
     return LoadReport(in_flight, slots, bool(cold), now)
-
-
-def report_weight(report: LoadReport, now: Instant) -> float:
-    """Return the weight of a report, 1 when new and halved every 50 ms."""
-    age_ms = max(0.0, now - report.received)
-    return float(0.5 ** (age_ms / HALF_LIFE_MS))
-
-
-def ranked_load(
-    own_in_flight: int, slots: int, report: LoadReport | None, now: Instant
-) -> float:
-    """Return the load to rank an endpoint by; less is better.
-
-    The entry's own requests in flight are certain. A report can only add to them,
-    with a weight that falls with its age, so a server that reports too little gets
-    no better rank.
-    """
-    own = own_in_flight / max(1, slots)
-    if report is None or report.load <= own:
-        return own
-    return own + report_weight(report, now) * (report.load - own)
--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -16,11 +16,11 @@
 from ..http.messages import Response, error_response
 from ..ledger.client import LedgerClient
 from .attempts import backend_headers
+from .refusal import Refusal
 
 if TYPE_CHECKING:
     from ..core.claims import ClaimAnswer
     from ..core.records import ServiceSpec
-    from .proxy import Refusal
 
 MAX_STORED_BODY_BYTES = 64 * 1024
 REPLAY_WAIT_MS = 250.0
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -87,6 +87,13 @@
         self._budgets[spec.name] = (spec, max_entries, budget)
         return budget
 
+    def retain(self, service: str, endpoints: tuple[Endpoint, ...]) -> None:
+        """Forget what was learned of endpoints of a service that are gone."""
+        keys = {endpoint.key for endpoint in endpoints}
+        self._warmup.retain(service, keys)
+        if service in self._outliers:
+            self._outliers[service].retain(keys)
+
     def start(self, endpoint: Endpoint) -> None:
         """Note that a request is sent to the endpoint."""
         detector = self._detector(endpoint.service)
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -4,14 +4,13 @@
 
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..core.records import RequestClass, ServiceSpec, classify
 from ..core.retries import AttemptOutcome, may_retry
-from ..http.messages import Request, Response, error_response, find_header
+from ..http.messages import Request, Response, find_header
 from .actions import ActionRunner
 from .attempts import (
     CANCEL_CHECK_MS,
@@ -26,6 +25,7 @@
 )
 from .forwarding import Forwarder, LostError, is_forwarded
 from .hedges import race
+from .refusal import Refusal
 
 if TYPE_CHECKING:
     from .services import ServiceRuntime, ServiceTable
@@ -34,19 +34,6 @@
 MAX_KEY_BYTES = 200
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A final answer without a whole response of a backend server."""
-
-    kind: ErrorKind
-    run_state: RunState | None = None
-
-    def response(self) -> Response:
-        """Return what the caller is told."""
-        state = self.run_state.value if self.run_state else None
-        return error_response(self.kind, run_state=state)
-
-
 Observer = Callable[[ServiceSpec, RequestClass, int, float], None]
 """Is told the service, class, status and latency in ms of each final response."""
 
@@ -154,7 +141,8 @@
         if caller_key is None:
             kind = runtime.slots.refusal(deadline)
             if kind is not None:
-                return Refusal(kind).response()
+                after_s = runtime.slots.retry_after_s()
+                return Refusal(kind, retry_after_s=after_s).response()
 
         async def dispatch() -> Response | Refusal:
             return await run_attempts(
@@ -222,7 +210,8 @@
         if candidate is None:
             acquired = await runtime.slots.acquire(tried, exchange.deadline)
             if acquired.is_error():
-                return _final(last, Refusal(acquired.error))
+                after_s = runtime.slots.retry_after_s()
+                return _final(last, Refusal(acquired.error, retry_after_s=after_s))
             candidate = acquired.ok
         # The request may have waited in the queue while the lease ended or the
         # process was suspended.
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -145,6 +145,7 @@
                 owners.add(owner)
         self.warmup_owners = tuple(owner for owner in owners if owner is not None)
         await self._drop_absent(present)
+        self._health.retain(self.spec.name, endpoints)
         await self.slots.update(tuple(usable))
 
     async def _drop_absent(self, present: set[str]) -> None:
--- a/pollenfold/entry/slots.py
+++ b/pollenfold/entry/slots.py
@@ -8,7 +8,7 @@
 import curio
 from expression import Error, Ok, Result
 
-from ..core.admission import admit
+from ..core.admission import admit, retry_after_s
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.routing import Candidate, Policy, observe_latency, prefer_zone
@@ -94,6 +94,10 @@
         admitted = self._admit(deadline)
         return admitted.error if admitted.is_error() else None
 
+    def retry_after_s(self) -> int:
+        """Return when a refused caller should come back, in whole seconds."""
+        return retry_after_s(self.n_waiting, self.n_slots(), self.mean_service_ms)
+
     def try_acquire(self, tried: set[str]) -> Candidate | None:
         """Take a slot if there is one now, else return None."""
         if self._waiters:
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -8,7 +8,6 @@
 import curio
 
 from ..core.allowances import (
-    TokenBucket,
     WindowCount,
     cold_rate_limit,
     n_cold_permits,
@@ -23,6 +22,7 @@
     choose_without_reports,
     expected_slowdown,
 )
+from ..core.token_bucket import TokenBucket
 from ..http.messages import Response, find_header
 from ..observe.exposition import Metrics
 from .backend import BackendConnection, ConnectionPool, Failure, encode_request
@@ -194,18 +194,19 @@
 
     def _may_probe(self, n_probes: int, now: Instant) -> bool:
         budget = self._probe_budget
-        return budget is not None and budget.take(n_probes, now)
+        return budget is not None and budget.try_take(n_probes, now)
 
     def _refill(self, now: Instant) -> None:
         """Adjust the probe budget to the present size of the fleet."""
         n_endpoints = len(self._view.endpoints)
         n_entries = self._view.fleet.get(now)
         rate = self._settings.probes_per_s * PROBE_SHARE * n_endpoints / n_entries
+        burst = rate * PROBE_BURST_S
         if self._probe_budget is None:
             # Full at first: callers that waited for a restart come all at once.
-            self._probe_budget = TokenBucket(rate, rate * PROBE_BURST_S)
+            self._probe_budget = TokenBucket(rate, burst, now, level=burst)
         self._probe_budget.rate_per_s = rate
-        self._probe_budget.burst = rate * PROBE_BURST_S
+        self._probe_budget.burst = burst
 
     async def _pick_by_reports(
         self,
--- a/pollenfold/observe/events.py
+++ b/pollenfold/observe/events.py
@@ -15,17 +15,15 @@
 
 import curio
 
-from ..core.allowances import TokenBucket
 from ..core.clock import Clock
+from ..core.token_bucket import TokenBucket
 
 FLUSH_INTERVAL_MS = 100.0
 MAX_BUFFER_BYTES = 256 * 1024
 PIECE_BYTES = 4096
 """A pipe that polls as writable takes this much without blocking (PIPE_BUF)."""
 
-REQUEST_LINES_PER_S = 100.0
-FAILURE_LINES_PER_S = 100.0
-STATE_LINES_PER_S = 200.0
+LINES_PER_S = {"request": 100.0, "failure": 100.0, "state": 200.0}
 BURST_S = 5.0
 
 
@@ -66,9 +64,8 @@
         self._write = write
         self._buffer = bytearray()
         self._buckets = {
-            "request": TokenBucket(REQUEST_LINES_PER_S, REQUEST_LINES_PER_S * BURST_S),
-            "failure": TokenBucket(FAILURE_LINES_PER_S, FAILURE_LINES_PER_S * BURST_S),
-            "state": TokenBucket(STATE_LINES_PER_S, STATE_LINES_PER_S * BURST_S),
+            kind: TokenBucket(rate, rate * BURST_S, clock(), level=rate * BURST_S)
+            for kind, rate in LINES_PER_S.items()
         }
         self._n_unreported = 0
         self.n_dropped = 0
@@ -94,7 +91,7 @@
     def _has_room(self, bucket: str) -> bool:
         """Return whether a line may be added; report lines that were dropped."""
         is_full = len(self._buffer) > MAX_BUFFER_BYTES
-        if is_full or not self._buckets[bucket].take(1.0, self._clock()):
+        if is_full or not self._buckets[bucket].try_take(1.0, self._clock()):
             self.n_dropped += 1
             self._n_unreported += 1
             return False
--- a/pollenfold/tests/core/test_allowances.py
+++ b/pollenfold/tests/core/test_allowances.py
@@ -6,11 +6,11 @@
     UNKNOWN_FLEET_SIZE,
     FleetSize,
     RetryAllowance,
-    TokenBucket,
     WindowCount,
     cold_rate_limit,
     n_cold_permits,
 )
+from pollenfold.core.token_bucket import TokenBucket
 
 
 def test_largest_fleet_seen_lately_counts():
@@ -49,10 +49,10 @@
 
 def test_token_bucket_fills_at_its_rate():
     """Guards against permits that are given twice or lost."""
-    bucket = TokenBucket(10.0, 5.0)
-    assert bucket.take(5.0, 0.0)
-    assert not bucket.take(1.0, 50.0)
-    assert bucket.take(1.0, 150.0)
+    bucket = TokenBucket(10.0, 5.0, 0.0, level=5.0)
+    assert bucket.try_take(5.0, 0.0)
+    assert not bucket.try_take(1.0, 50.0)
+    assert bucket.try_take(1.0, 150.0)
 
 
 @pytest.mark.parametrize("n_entries", [1, 5, 12, 19, 30, 94, 300])
--- a/pollenfold/tests/core/test_measurement.py
+++ b/pollenfold/tests/core/test_measurement.py
@@ -6,13 +6,11 @@
 
 from pollenfold.core.clock import Instant
 from pollenfold.core.measurement import (
-    HALF_LIFE_MS,
     MAX_PROBE_BYTES,
     LoadReport,
     MeasurementBudget,
     parse_load_body,
     parse_load_header,
-    ranked_load,
 )
 from pollenfold.testing.endpoints import make_service
 
@@ -127,19 +125,3 @@
     """Guards against any bytes of a backend server that stop the entry."""
     parse_load_header(data, NOW)
     parse_load_body(data, NOW)
-
-
-@given(st.integers(0, 20), st.integers(0, 10**6), st.integers(1, 10**6))
-def test_no_report_improves_the_rank(own_in_flight, in_flight, slots):
-    """Guards against a lying server that attracts load."""
-    report = LoadReport(in_flight, slots, False, NOW)
-    for age_ms in (0, 10, 1000):
-        own = ranked_load(own_in_flight, 6, None, at(age_ms))
-        assert ranked_load(own_in_flight, 6, report, at(age_ms)) >= own
-
-
-def test_weight_of_a_report_falls_with_its_age():
-    """Guards against a stale report that counts like a new one."""
-    report = LoadReport(6, 6, False, NOW)
-    loads = [ranked_load(0, 6, report, at(n * HALF_LIFE_MS)) for n in range(3)]
-    assert loads == [1.0, 0.5, 0.25]
--- a/pollenfold/tests/core/test_routing.py
+++ b/pollenfold/tests/core/test_routing.py
@@ -3,9 +3,12 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from pollenfold.core.clock import Instant
 from pollenfold.core.routing import (
+    REPORT_HALF_LIFE_MS,
     Candidate,
     least_in_flight,
     observe_failure,
@@ -78,6 +81,27 @@
     assert score(liar, NOW) == score(honest, NOW)
 
 
+@given(st.integers(0, 20), st.integers(0, 10**6), st.sampled_from([0, 10, 1000]))
+def test_no_report_improves_the_rank(n_in_flight, reported, age_ms):
+    """Guards against a lying server that attracts load."""
+    silent, reporting = make_candidates(2, ewma_ms=10.0, n_in_flight=n_in_flight)
+    reporting.reported_in_flight = float(reported)
+    reporting.reported_at = Instant(NOW - age_ms)
+    assert score(reporting, NOW) >= score(silent, NOW)
+
+
+def test_weight_of_a_report_falls_with_its_age():
+    """Guards against a stale report that counts like a new one."""
+    (candidate,) = make_candidates(1, ewma_ms=10.0)
+    usual = score(candidate, NOW)
+    candidate.reported_in_flight = float(candidate.slots)
+    loads = []
+    for n_half_lives in range(3):
+        candidate.reported_at = Instant(NOW - n_half_lives * REPORT_HALF_LIFE_MS)
+        loads.append(score(candidate, NOW) / usual - 1.0)
+    assert loads == pytest.approx([1.0, 0.5, 0.25])
+
+
 def test_requests_spill_to_other_zones_before_they_queue():
     """Guards against queueing in the own zone while another zone is idle."""
     local, remote = make_candidates(2)
