--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -9,7 +9,7 @@
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.retries import AttemptOutcome
 from ..http.client import ExchangeFailure, HttpConnection
-from ..http.messages import Headers, Request, Response, find_header
+from ..http.messages import HOP_HEADERS, Headers, Request, Response, find_header
 from ..http.pool import Pool
 from ..http.readiness import is_closed_by_peer
 from .backends import Backend
@@ -31,23 +31,7 @@
 """Names one exchange on its connection. A server that echoes it lets a duplicated
 response be told from the response to the next request on the connection."""
 
-_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        EXCHANGE_ID,
-        TIMEOUT_HEADER,
-    )
-)
+_OWN_HEADERS = HOP_HEADERS | {EXCHANGE_ID, TIMEOUT_HEADER}
 _ENTRY_HEADERS = frozenset(
     (b"idempotency-key", b"pollenfold-replayed", b"pollenfold-run-state")
 )
@@ -96,13 +80,13 @@
 
 def forwarded_headers(request: Request, extra: Headers) -> Headers:
     """Return the headers to send on: all but those of the caller's connection."""
-    headers = [pair for pair in request.headers if pair[0] not in _HOP_HEADERS]
+    headers = [pair for pair in request.headers if pair[0] not in _OWN_HEADERS]
     return headers + extra
 
 
 def relayed_headers(response: Response) -> Headers:
     """Return the headers of a response that concern the caller."""
-    return [pair for pair in response.headers if pair[0] not in _HOP_HEADERS]
+    return [pair for pair in response.headers if pair[0] not in _OWN_HEADERS]
 
 
 def backend_headers(response: Response) -> Headers:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -24,6 +24,7 @@
 from ..core.retries import AttemptOutcome
 from ..core.routes import Route, WeightedSplit, find_route
 from ..http.messages import (
+    HOP_HEADERS,
     Headers,
     Request,
     Response,
@@ -48,22 +49,6 @@
 MIN_DEADLINE_MS = 10.0
 NOT_READY_RETRY_AFTER_MS = 150.0
 
-_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 
 class CallerGoneError(Exception):
     """The caller closed its connection, so nobody waits for the response."""
@@ -136,7 +121,7 @@
         self._metrics = metrics
         self._rng = rng
         self._dropped = frozenset(
-            (*_HOP_HEADERS, dialect.deadline_ms, dialect.expected_instance)
+            (*HOP_HEADERS, dialect.deadline_ms, dialect.expected_instance)
         )
 
     async def handle(self, request: Request) -> Response | None:
@@ -271,7 +256,7 @@
     def _relay(self, call: _Call, response: Response) -> Response:
         """Pass a backend server's response on."""
         self._finish(call, response.status, "responded")
-        headers = [pair for pair in response.headers if pair[0] not in _HOP_HEADERS]
+        headers = [pair for pair in response.headers if pair[0] not in HOP_HEADERS]
         return Response(response.status, headers, response.body)
 
     # Attempts
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -11,6 +11,23 @@
 Headers = list[tuple[bytes, bytes]]
 """Header names in lower case, with their values, in the order received."""
 
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that concern one connection only and are not passed on."""
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first header ``name`` (lower case), or None."""
--- a/pollenfold/tests/core/cores.py
+++ b/pollenfold/tests/core/cores.py
@@ -162,3 +162,34 @@
             name = leader.replica_id
         if name is not None:
             self.step(name, messages.Propose(command))
+
+
+def perform_fault(cores, name, fault, first, second):
+    """Do one fault of a generated schedule to the named core, lost disks apart."""
+    core = cores.cores[name]
+    flight = cores.flight
+    match fault:
+        case "deliver":
+            for _ in range(min(second + 1, len(flight))):
+                cores.deliver(cores.random.randrange(len(flight)))
+        case "drop" if flight:
+            flight.pop(first % len(flight))
+        case "duplicate" if flight:
+            flight.append(flight[first % len(flight)])
+        case "pass_time":
+            cores.now += 80 * second
+            cores.step(name, messages.Tick())
+        case "run":
+            cores.run(20 * first)
+        case "crash":
+            core.crash_after = second % 4
+        case "restart":
+            cores.start(name)
+        case "cut_off":
+            cores.cut_off = {k for i, k in enumerate(cores.cores) if first >> i & 1}
+        case "heal":
+            cores.cut_off.clear()
+        case "propose":
+            cores.propose(b"%d" % first, name if second % 2 else None)
+        case "compact":
+            cores.compact(name)
--- a/properties/test_agreement.py
+++ b/properties/test_agreement.py
@@ -3,8 +3,7 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.core.agreement_messages import Tick
-from pollenfold.tests.core.cores import Cores
+from pollenfold.tests.core.cores import Cores, perform_fault
 
 FAULTS = [
     "deliver",
@@ -37,35 +36,10 @@
 
 def perform(cores, fault, first, second):
     name = list(cores.cores)[first % len(cores.cores)]
-    core = cores.cores[name]
-    flight = cores.flight
-    match fault:
-        case "deliver":
-            for _ in range(min(second + 1, len(flight))):
-                cores.deliver(cores.random.randrange(len(flight)))
-        case "drop" if flight:
-            flight.pop(first % len(flight))
-        case "duplicate" if flight:
-            flight.append(flight[first % len(flight)])
-        case "pass_time":
-            cores.now += 80 * second
-            cores.step(name, Tick())
-        case "run":
-            cores.run(20 * first)
-        case "crash":
-            core.crash_after = second % 4
-        case "restart":
-            cores.start(name)
-        case "lose_disk" if may_lose_disk(cores, name):
-            cores.lose_disk(name)
-        case "cut_off":
-            cores.cut_off = {k for i, k in enumerate(cores.cores) if first >> i & 1}
-        case "heal":
-            cores.cut_off.clear()
-        case "propose":
-            cores.propose(b"%d" % first, name if second % 2 else None)
-        case "compact":
-            cores.compact(name)
+    if fault != "lose_disk":
+        perform_fault(cores, name, fault, first, second)
+    elif may_lose_disk(cores, name):
+        cores.lose_disk(name)
 
 
 def check_progress(cores):
--- a/properties/test_agreement_members.py
+++ b/properties/test_agreement_members.py
@@ -3,7 +3,7 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.core.agreement_messages import Tick
+from pollenfold.tests.core.cores import perform_fault
 from pollenfold.tests.core.dynamic_cores import DynamicCores
 
 FAULTS = [
@@ -43,39 +43,16 @@
 
 def perform(cores, fault, first, second):
     name = list(cores.cores)[first % len(cores.cores)]
-    core = cores.cores[name]
-    flight = cores.flight
-    match fault:
-        case "deliver":
-            for _ in range(min(second + 1, len(flight))):
-                cores.deliver(cores.random.randrange(len(flight)))
-        case "drop" if flight:
-            flight.pop(first % len(flight))
-        case "duplicate" if flight:
-            flight.append(flight[first % len(flight)])
-        case "pass_time":
-            cores.now += 80 * second
-            cores.step(name, Tick())
-        case "run":
-            cores.run(20 * first)
-        case "crash":
-            core.crash_after = second % 4
-        case "restart":
-            cores.start(name)
-        case "lose_disk" if n_missing(cores) < MAX_LOST:
-            cores.add_disk(name.split("/")[0])
-        case "replace" if n_missing(cores) < MAX_LOST:
+    if fault not in ("lose_disk", "replace"):
+        perform_fault(cores, name, fault, first, second)
+    elif n_missing(cores) < MAX_LOST:
+        machine = name.split("/")[0]
+        if fault == "replace":
             del cores.cores[name]
-            free = [k for k in "abcdefgh" if k not in {n[0] for n in cores.cores}]
-            cores.add_disk(free[second % len(free)])
-        case "cut_off":
-            cores.cut_off = {k for i, k in enumerate(cores.cores) if first >> i & 1}
-        case "heal":
-            cores.cut_off.clear()
-        case "propose":
-            cores.propose(b"%d" % first, name if second % 2 else None)
-        case "compact":
-            cores.compact(name)
+            taken = {other.split("/")[0] for other in cores.cores}
+            free = [letter for letter in "abcdefgh" if letter not in taken]
+            machine = free[second % len(free)]
+        cores.add_disk(machine)
 
 
 @given(SCHEDULES, st.integers(0, 2**16))
