--- /dev/null
+++ b/pollenfold/gateway/cold.py
@@ -0,0 +1,60 @@
+"""Which requests this entry may send to cold endpoints."""
+
+from __future__ import annotations
+
+from ..core.allowances import WindowCount, cold_rate_limit, n_cold_permits
+from ..core.clock import Clock, Instant
+from .settings import BalancerSettings
+from .view import Endpoint, FleetView
+
+
+class ColdPermits:
+    """Counts this entry's requests to each cold endpoint in any one second."""
+
+    def __init__(
+        self, view: FleetView, settings: BalancerSettings, clock: Clock
+    ) -> None:
+        self._view = view
+        self._settings = settings
+        self._clock = clock
+        self._sends: dict[str, WindowCount] = {}
+
+    def has(self, endpoint: Endpoint) -> bool:
+        """Return whether one more request may be sent now."""
+        now = self._clock()
+        return self._count(endpoint).get(now) < self._n_permits(endpoint, now)
+
+    def take(self, endpoint: Endpoint) -> bool:
+        """Count one request, if it may be sent."""
+        if not self.has(endpoint):
+            return False
+        self._count(endpoint).add(self._clock())
+        return True
+
+    def forget_absent(self) -> None:
+        """Drop the counts of endpoints that left."""
+        known = self._view.endpoints
+        self._sends = {k: v for k, v in self._sends.items() if k in known}
+
+    def _count(self, endpoint: Endpoint) -> WindowCount:
+        endpoint_id = endpoint.announcement.endpoint_id
+        return self._sends.setdefault(endpoint_id, WindowCount(1_000.0))
+
+    def _n_permits(self, endpoint: Endpoint, now: Instant) -> int:
+        configuration = self._view.configuration
+        announcement = endpoint.announcement
+        if configuration is None or announcement.service not in configuration.services:
+            return 0
+        settings = self._settings
+        limit = cold_rate_limit(
+            configuration.services[announcement.service].warmup_rate_per_s,
+            settings.cold_burst_factor,
+            settings.cold_slack,
+        )
+        return n_cold_permits(
+            limit,
+            settings.entry_id,
+            self._view.entry_ids,
+            announcement.endpoint_id,
+            self._view.fleet.get(now),
+        )
--- /dev/null
+++ b/pollenfold/gateway/connections.py
@@ -0,0 +1,103 @@
+"""The connections of an entry to all endpoints, under its part of their limits."""
+
+from __future__ import annotations
+
+import curio
+
+from ..core.clock import Clock, Instant, remaining_ms
+from ..observe.exposition import Metrics
+from .backend import BackendConnection, ConnectionPool
+from .view import Endpoint, FleetView
+
+CONNECT_TIMEOUT_MS = 250.0
+
+CONNECTION_SHARE = 0.8
+
+CONNECTION_MARGIN = 4
+
+IDLE_CLOSE_MS = 9_000.0
+
+
+class Connections:
+    """Opens, keeps and closes the connections to endpoints."""
+
+    def __init__(self, view: FleetView, clock: Clock, metrics: Metrics) -> None:
+        self._view = view
+        self._clock = clock
+        self._metrics = metrics
+        self._pools: dict[str, ConnectionPool] = {}
+
+    def pool(self, endpoint: Endpoint) -> ConnectionPool:
+        """Return the connections to an endpoint, under this entry's part."""
+        announcement = endpoint.announcement
+        pool = self._pools.get(announcement.endpoint_id)
+        address = (announcement.host, announcement.port)
+        if pool is None or (pool.host, pool.port) != address:
+            pool = ConnectionPool(*address, 1, self._clock)
+            self._pools[announcement.endpoint_id] = pool
+        pool.limit = self._connection_limit(announcement.service)
+        return pool
+
+    def _connection_limit(self, service: str) -> int:
+        configuration = self._view.configuration
+        if configuration is None or service not in configuration.services:
+            return 1
+        n_entries = self._view.fleet.get(self._clock())
+        n_all = configuration.services[service].max_connections
+        return max(2, int(CONNECTION_SHARE * n_all / n_entries) - CONNECTION_MARGIN)
+
+    async def start(self, endpoint: Endpoint) -> BackendConnection | None:
+        """Return a connection to an endpoint that is open or opening."""
+        try:
+            return await self.pool(endpoint).take()
+        except OSError:
+            endpoint.health.mark_unreachable(self._clock())
+            return None
+
+    async def connect(
+        self, endpoint: Endpoint, deadline: Instant
+    ) -> BackendConnection | None:
+        """Return an open connection to an endpoint, or None when it has none."""
+        connection = await self.start(endpoint)
+        if connection is None:
+            return None
+        left_ms = min(remaining_ms(deadline, self._clock()), CONNECT_TIMEOUT_MS)
+        try:
+            async with curio.timeout_after(left_ms / 1000):
+                await connection.connected()
+            return connection
+        except (OSError, curio.TaskTimeout):
+            await self.fail(endpoint, connection)
+            return None
+
+    async def fail(self, endpoint: Endpoint, connection: BackendConnection) -> None:
+        """Leave out an endpoint that didn't answer; a stale connection says nothing."""
+        is_reused = connection.n_exchanges > 1
+        reason = "reused" if is_reused else "fresh"
+        if not connection.is_connected:
+            reason = "connect"
+        self._metrics.count("probe_failures_total", reason=reason)
+        await self.discard(endpoint, connection)
+        now = self._clock()
+        if is_reused:
+            endpoint.health.fail(0.5, now)
+        else:
+            endpoint.health.mark_unreachable(now)
+
+    async def give_back(
+        self, endpoint: Endpoint, connection: BackendConnection
+    ) -> None:
+        """Return a connection that is no longer used."""
+        await self.pool(endpoint).give_back(connection)
+
+    async def discard(self, endpoint: Endpoint, connection: BackendConnection) -> None:
+        """Close a connection."""
+        await self.pool(endpoint).discard(connection)
+
+    async def close_old(self) -> None:
+        """Close old idle connections, and all to endpoints that left."""
+        for endpoint_id, pool in list(self._pools.items()):
+            is_known = endpoint_id in self._view.endpoints
+            await pool.close_idle(IDLE_CLOSE_MS if is_known else 0.0)
+            if not is_known and not pool.n_open:
+                del self._pools[endpoint_id]
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -19,10 +19,11 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.signals import ignore_stop_signals, wait_for_stop
-from .balancer import Balancer, BalancerSettings
+from .balancer import Balancer
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
 from .forward import Forwarder, RetryLimits
+from .settings import BalancerSettings
 from .view import FleetView
 
 READY_SETTLE_MS = 1_800.0
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -16,8 +16,9 @@
     RoutingConfiguration,
     sorted_routes,
 )
-from pollenfold.gateway.balancer import Balancer, BalancerSettings
+from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder, RetryLimits
+from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
