--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -117,6 +117,8 @@
                     self._flush(reader)
         except OSError as error:
             detail = str(error) or type(error).__name__
+            if reader is None:
+                self._log.state("feed_rejected", peer=address[0], detail=detail)
         finally:
             if reader is not None:
                 self._readers.discard(reader)
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -375,6 +375,8 @@
         sock = await curio.open_connection("127.0.0.1", cluster.feed_port)
         await sock.sendall(b"\x00\xffnot json\n")
         assert await sock.recv(100) == b""
+        logs = [running.node.log._buffer for running in cluster.running.values()]
+        assert sum(log.count(b"event=feed_rejected") for log in logs) == 1
         view, _ = await entry_view(cluster)
         await until(lambda: len(view.control_hosts) == 3)
 
