Load only the used parts of curio in entries, and settings as JSON

Cause: an entry holds 16 MB, most of it modules that curio and the TOML reader import and an entry never calls: asyncio, ssl, multiprocessing, hashlib, tomllib. Ruled out: the lazy loader of the standard library (a second import statement loads the module) and -OO (removes checks), both in docs/MEASURES.md. Control replicas keep all of curio, since loguru and pycapnp need asyncio.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import deque
 
+import xxhash
+
 from .clock import Instant, add_ms
 
 SAFETY_SHARE = 0.8
@@ -119,6 +120,5 @@
     return int(entry_id in selected[:n_selected])
 
 
-def _rendezvous(entry_id: str, endpoint_id: str) -> bytes:
-    name = f"{entry_id} {endpoint_id}".encode()
-    return hashlib.blake2b(name, digest_size=8).digest()
+def _rendezvous(entry_id: str, endpoint_id: str) -> int:
+    return int(xxhash.xxh3_64_intdigest(f"{entry_id} {endpoint_id}".encode()))
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -4,8 +4,8 @@
 
 import gc
 import logging
+import os
 import random
-import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -73,7 +73,7 @@
     ) -> None:
         self.settings = settings
         clock = system_clock
-        rng = random.Random(secrets.randbits(64))
+        rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
         self.view = FleetView(decode, clock, self.log)
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -6,8 +6,7 @@
 import sys
 from pathlib import Path
 
-import curio
-
+from ..curio_subset import load_curio_subset
 from .settings import SettingsError, SettingsSource, settings_path
 
 EXIT_BAD_SETTING = 2
@@ -21,6 +20,9 @@
 
 
 def _run_entry(source: SettingsSource) -> None:
+    load_curio_subset()
+    import curio
+
     from ..gateway.daemon import GatewaySettings, serve_gateway
     from ..gateway.forward import RetryLimits
     from .documents import decode_configuration
@@ -56,6 +58,8 @@
 
 
 def _run_control(source: SettingsSource) -> None:
+    import curio
+
     from ..control.cluster import ClusterSettings, serve_cluster
     from .control_api import make_handler
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import json
 import os
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -55,12 +55,26 @@
 def load_settings(path: Path) -> Settings:
     """Read a settings file; raise SettingsError when it can't be used."""
     try:
-        fields = tomllib.loads(path.read_text())
+        fields = _decode(path.read_text())
     except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return parse_settings(fields)
 
 
+def _decode(text: str) -> dict[str, Any]:
+    """Return the fields of a JSON or TOML file; raise ValueError.
+
+    The deploy file asks for JSON: the TOML reader would take 0.5 MB of every entry
+    for good, to read one short file.
+    """
+    if text.lstrip().startswith("{"):
+        fields: dict[str, Any] = json.loads(text)
+        return fields
+    import tomllib
+
+    return tomllib.loads(text)
+
+
 def parse_settings(fields: dict[str, Any]) -> Settings:
     """Return the settings of decoded fields; raise SettingsError."""
     me = _table(fields, "self")
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -1,12 +1,24 @@
 """The platform's settings file, and the headers of its backend servers."""
 
+import json
+import re
+import tomllib
+from pathlib import Path
+
 import pytest
 
 from pollenfold.core.selection import ServerLoad
 from pollenfold.http.messages import Response
 from pollenfold.platform.__main__ import main
 from pollenfold.platform.headers import is_genuine, parse_load
-from pollenfold.platform.settings import SettingsError, SettingsSource
+from pollenfold.platform.settings import (
+    SettingsError,
+    SettingsSource,
+    load_settings,
+    parse_settings,
+)
+
+TEMPLATE = Path(__file__).parents[3] / "deploy" / "settings.json"
 
 TEXT = """
 unknown = "ignored"
@@ -49,6 +61,32 @@
     assert settings.bound("closed", 3) == 3
 
 
+def render(template, fields):
+    """Fill the template in as the platform does: one level, JSON values."""
+
+    def section(match):
+        return match[2] if match[1] in fields else ""
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, template, flags=re.S)
+    return re.sub(r"\{\{(\w+)\|json\}\}", lambda m: json.dumps(fields[m[1]]), text)
+
+
+@pytest.mark.parametrize("extra", [{}, {"dataDir": "/data/control"}])
+def test_template_gives_the_settings_of_the_plain_file(tmp_path, extra):
+    """Guards against a field that the template of the deploy file leaves out."""
+    fields = tomllib.loads(TEXT)
+    fields["self"] |= extra
+    plain = {
+        k: v
+        for table in fields.values()
+        if type(table) is dict
+        for k, v in table.items()
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(render(TEMPLATE.read_text(), plain))
+    assert load_settings(path) == parse_settings(fields)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "word"),
     [
