Wait longer for health answers when none came

Cause: a search gave an endpoint 12 ms to answer and asked none twice, so a busy moment of all asked endpoints (or of the entry) ended in a refusal. Seen once as a failure of test_instance_at_a_reused_address_gets_nothing beside a load of 6. From the second round on a search that heard nothing waits the longest time, and asks the same endpoints again when there are no others. Ruled out: a longer wait in the first round, which would delay every request when one endpoint of two is silent. The new test failed before for 1, 2 and 3 servers that answer after 40 ms.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -67,6 +67,7 @@
     max_slowdown: float
     trace: list[str]
     asked: set[str] = field(default_factory=set)
+    n_rounds: int = 0
     best: Answer | None = None
 
 
@@ -152,6 +153,10 @@
             if remaining_ms(search.deadline, self._clock()) <= 0.0:
                 break
             usable = self._usable(search)
+            if not usable and search.best is None:
+                # None of them answered, which a busy moment explains as well.
+                search.asked.clear()
+                usable = self._usable(search)
             n_wanted = self._n_permitted(n_round)
             if not n_wanted and not search.asked:
                 return await self._pick_unasked(search)
@@ -204,7 +209,11 @@
         )
         search.asked.update(option.endpoint_id for option in chosen)
         endpoints = [by_id[option.endpoint_id] for option in chosen]
-        answers = await self._prober.ask(search.service, search.state, endpoints)
+        is_patient = search.best is None and search.n_rounds > 0
+        search.n_rounds += 1
+        answers = await self._prober.ask(
+            search.service, search.state, endpoints, is_patient
+        )
         best = search.best = await self._best(search.best, answers)
         least = "none" if best is None else f"{best.slowdown:.2f}"
         search.trace.append(f"{len(chosen)}/{len(answers)}/{least}")
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -105,14 +105,24 @@
         self._requests: dict[tuple[str, str], bytes] = {}
 
     async def ask(
-        self, service: str, state: ServiceState, endpoints: list[Endpoint]
+        self,
+        service: str,
+        state: ServiceState,
+        endpoints: list[Endpoint],
+        is_patient: bool,
     ) -> list[Answer]:
-        """Ask endpoints for their load at the same time."""
+        """Ask endpoints for their load at the same time.
+
+        ``is_patient`` gives them the longest time to answer, for a search in which
+        the ones asked before stayed silent.
+        """
         started_at = self._clock()
         wait_ms = min(
             max(PROBE_WAIT_FACTOR * state.probe_ms, MIN_PROBE_WAIT_MS),
             MAX_PROBE_WAIT_MS,
         )
+        if is_patient:
+            wait_ms = MAX_PROBE_WAIT_MS
         until = add_ms(started_at, wait_ms)
         self._metrics.count("probes_total", len(endpoints), service=service)
         pending = []
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -45,6 +45,7 @@
 
     ``respond`` gets the request bytes and returns the bytes to write, or None to
     reset the connection without an answer. ``closes`` ends it after an answer.
+    ``check_delay_ms`` is how long a health answer takes.
     ``requests`` holds the requests that came, health checks apart.
     """
 
@@ -54,6 +55,7 @@
     warmup: bytes = b""
     instance: str = ""
     delay_ms: float = 0.0
+    check_delay_ms: float = 0.0
     closes: bool = False
     requests: list = field(default_factory=list)
     n_checks: int = 0
@@ -88,6 +90,7 @@
                 request, buffer = buffer, b""
                 if request.startswith(b"GET /healthz"):
                     self.n_checks += 1
+                    await curio.sleep(self.check_delay_ms / 1000)
                     name = (self.instance or self.name).encode()
                     await client.sendall(HEALTHY % (name, self.load, self.warmup))
                     continue
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -304,3 +304,15 @@
             assert part in line
 
     with_path(body, Backend("one"))
+
+
+@pytest.mark.parametrize("n_backends", [1, 2, 3])
+def test_late_health_answers_are_waited_for_when_none_came(with_path, n_backends):
+    """Guards against a refusal while servers run that only answer slowly just now."""
+
+    async def body(path, *servers):
+        for server in servers:
+            server.check_delay_ms = 40.0
+        assert (await path.get()).status == 200
+
+    with_path(body, *(Backend(name) for name in "abc"[:n_backends]))
