Split the path of a request: calls, exchange and the forwarder; encode once

forward.py had 479 lines and four jobs. calls.py holds one request and what is kept for each route, exchange.py one send and its response. A request is encoded once on the parser that reads its response, where a second request was encoded only for the parser's state. BackendConnection.is_stale and has_input were one function twice.

A connection on which a server answered before it had read the whole request is no longer used again: the next request's bytes would have come where the rest of the body was due.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -9,6 +9,7 @@
 import errno
 import socket as sockets
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 import curio
@@ -36,10 +37,55 @@
     """The request was written at least in part and no whole response came."""
 
 
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A request that was checked once and may be sent several times."""
+
+    head: h11.Request
+    body: bytes = b""
+
+    def encode(self, parser: h11.Connection) -> bytes:
+        """Return the request as bytes; ``parser`` then expects its response."""
+        data = parser.send(self.head) or b""
+        if self.body:
+            data += parser.send(h11.Data(data=self.body)) or b""
+        return data + (parser.send(h11.EndOfMessage()) or b"")
+
+
+def outgoing_request(
+    method: bytes, target: bytes, headers: Headers, body: bytes
+) -> OutgoingRequest:
+    """Return a request to send; ``headers`` hold the host and no framing."""
+    framed = headers
+    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        framed = [*headers, (b"content-length", b"%d" % len(body))]
+    return OutgoingRequest(
+        h11.Request(method=method, target=target, headers=framed), body
+    )
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 class BackendConnection:
-    """One connection to a backend server."""
+    """One connection to a backend server.
+
+    An idle connection holds no parser: an entry keeps hundreds of them, and each
+    parser would take some KB.
+    """
 
-    __slots__ = ("_sock", "_raw", "_is_connected", "is_clean", "used_at", "n_exchanges")
+    __slots__ = (
+        "_sock",
+        "_raw",
+        "_is_connected",
+        "_request",
+        "_parser",
+        "_is_all_sent",
+        "is_clean",
+        "used_at",
+        "n_exchanges",
+    )
 
     def __init__(self, host: str, port: int) -> None:
         """Start to connect, without waiting; raise OSError when that fails at once."""
@@ -53,6 +99,9 @@
         self._raw = raw
         self._sock = Socket(raw)
         self._is_connected = code == 0
+        self._request: OutgoingRequest | None = None
+        self._parser: h11.Connection | None = None
+        self._is_all_sent = True
         self.is_clean = True
         self.used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -72,12 +121,11 @@
         """Whether the connection is open."""
         return self._is_connected
 
-    def is_stale(self) -> bool:
-        """Return whether the idle connection can't carry a request any more."""
-        return is_readable(self._raw.fileno())
-
     def has_input(self) -> bool:
-        """Return whether bytes or the end of the stream wait to be read."""
+        """Return whether bytes or the end of the stream wait to be read.
+
+        An idle connection of which this is true can't carry a request any more.
+        """
         return is_readable(self._raw.fileno())
 
     async def close(self) -> None:
@@ -85,15 +133,19 @@
         self.is_clean = False
         await self._sock.close()
 
-    async def send(self, data: bytes) -> bool:
+    async def send(self, request: OutgoingRequest) -> bool:
         """Write a request; return False when not one byte of it was written.
 
         The connection is not clean until ``receive`` has read the whole response. A
-        server may answer before it has read a long request: then the rest isn't sent.
+        server may answer before it has read a long request: then the rest isn't sent,
+        and the connection carries no other request.
         Raise OSError when the connection broke after the first byte.
         """
         self.is_clean = False
         self.n_exchanges += 1
+        self._request = request
+        self._parser = _new_parser()
+        data = request.encode(self._parser)
         view = memoryview(data)
         n_sent = 0
         while n_sent < len(data):
@@ -111,21 +163,23 @@
                 if n_sent == 0:
                     return False
                 raise
+        self._is_all_sent = n_sent == len(data)
         return True
 
     async def receive(
-        self,
-        method: bytes,
-        is_answer: Callable[[Response], bool] | None,
+        self, is_answer: Callable[[Response], bool] | None
     ) -> Response | Failure:
         """Read the response to the request that was sent.
 
         A whole response that ``is_answer`` rejects belongs to an earlier exchange and
         is skipped once.
         """
-        parser = _client_parser(method)
+        request, parser = self._request, self._parser
+        self._request = self._parser = None
+        if request is None or parser is None:
+            raise RuntimeError("no request was sent")
         for _ in range(2):
-            response = await self._read_response(parser, method)
+            response = await self._read_response(parser)
             if isinstance(response, Failure):
                 return response
             if is_answer is None or is_answer(response):
@@ -134,14 +188,13 @@
             if not self.is_clean and not rest:
                 return Failure.LOST
             self.is_clean = False
-            parser = _client_parser(method)
+            parser = _new_parser()
+            request.encode(parser)
             if rest:
                 parser.receive_data(rest)
         return Failure.LOST
 
-    async def _read_response(
-        self, parser: h11.Connection, method: bytes
-    ) -> Response | Failure:
+    async def _read_response(self, parser: h11.Connection) -> Response | Failure:
         head: h11.Response | None = None
         body: list[bytes] = []
         n_body_bytes = 0
@@ -181,29 +234,8 @@
         is_framed = bool(names & _FRAMING) or head.status_code in (204, 304)
         closes = (find_header(list(head.headers), b"connection") or b"").lower()
         is_kept = is_framed and b"close" not in closes and head.http_version == b"1.1"
-        self.is_clean = is_kept and not parser.trailing_data[0]
-
-
-def _client_parser(method: bytes) -> h11.Connection:
-    """Return a parser in the state after a request was sent."""
-    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    parser.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"x")]))
-    parser.send(h11.EndOfMessage())
-    return parser
-
-
-def encode_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes
-) -> bytes:
-    """Return one request as bytes; ``headers`` hold the host and no framing."""
-    framed = headers
-    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
-        framed = [*headers, (b"content-length", b"%d" % len(body))]
-    parser = h11.Connection(h11.CLIENT)
-    data = parser.send(h11.Request(method=method, target=target, headers=framed))
-    if body:
-        data = data + parser.send(h11.Data(data=body))
-    return bytes(data + parser.send(h11.EndOfMessage()))
+        is_over = self._is_all_sent and not parser.trailing_data[0]
+        self.is_clean = is_kept and is_over
 
 
 class ConnectionPool:
@@ -230,7 +262,7 @@
         """
         while self._idle:
             connection = self._idle.pop()
-            if not connection.is_stale():
+            if not connection.has_input():
                 return connection
             self.n_open -= 1
             await connection.close()
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -20,9 +20,10 @@
 from ..observe.exposition import Metrics
 from ..observe.signals import ignore_stop_signals, wait_for_stop
 from .balancer import Balancer
+from .calls import RetryLimits
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
-from .forward import Forwarder, RetryLimits
+from .forward import Forwarder
 from .settings import BalancerSettings
 from .view import FleetView
 
@@ -106,7 +107,7 @@
             limits=self._caller_limits,
             on_rejected=self._log_rejected,
         )
-        self.platform = HttpServer(self._handle_platform)
+        self.platform = HttpServer(self.handle_platform)
         self._is_ready = False
 
     def _caller_limits(self) -> ServerLimits:
@@ -144,7 +145,8 @@
         self.settings.reload()
         self.log.state("settings_reloaded", seeds=",".join(self.settings.seeds()))
 
-    async def _handle_platform(self, request: Request) -> Response:
+    async def handle_platform(self, request: Request) -> Response:
+        """Answer the platform's question for readiness, or with the metrics."""
         if request.path == "/metrics":
             self.metrics.set("log_lines_dropped_total", self.log.n_dropped)
             self.metrics.set("configuration_version", self.view.orders.version)
@@ -177,7 +179,7 @@
     # The kernel warns of each timeout that a response just met.
     logging.getLogger("curio").setLevel(logging.ERROR)
     gateway = Gateway(settings, dialect, decode)
-    metrics = HttpServer(gateway._handle_platform)
+    metrics = HttpServer(gateway.handle_platform)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(wait_for_stop, gateway.reload)
         await gateway.platform.start(settings.ready_host, settings.ready_port)
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -15,7 +15,12 @@
 )
 from ..http.messages import Response, find_header
 from ..observe.exposition import Metrics
-from .backend import BackendConnection, Failure, encode_request
+from .backend import (
+    BackendConnection,
+    Failure,
+    OutgoingRequest,
+    outgoing_request,
+)
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
 from .view import Endpoint, FleetView
@@ -102,7 +107,7 @@
         self._connections = connections
         self._clock = clock
         self._metrics = metrics
-        self._requests: dict[tuple[str, str], bytes] = {}
+        self._requests: dict[tuple[str, str], OutgoingRequest] = {}
 
     async def ask(
         self,
@@ -152,32 +157,32 @@
         connection: BackendConnection,
         until: Instant,
     ) -> bool:
-        data = self._request(service, endpoint)
+        request = self._request(service, endpoint)
         try:
             left_ms = remaining_ms(until, self._clock())
             async with curio.timeout_after(left_ms / 1000):
                 await connection.connected()
-                if await connection.send(data):
+                if await connection.send(request):
                     return True
         except (OSError, curio.TaskTimeout):
             pass
         await self._connections.fail(endpoint, connection)
         return False
 
-    def _request(self, service: str, endpoint: Endpoint) -> bytes:
+    def _request(self, service: str, endpoint: Endpoint) -> OutgoingRequest:
         configuration = self._view.configuration
         known = None if configuration is None else configuration.services.get(service)
         path = "/healthz" if known is None else known.health_path
         announcement = endpoint.announcement
         key = (announcement.endpoint_id, path)
-        data = self._requests.get(key)
-        if data is None:
+        request = self._requests.get(key)
+        if request is None:
             host = f"{announcement.host}:{announcement.port}".encode()
             instance = announcement.endpoint_id.encode()
             headers = [(b"host", host), (self._dialect.expected_instance, instance)]
-            data = encode_request(b"GET", path.encode(), headers, b"")
-            self._requests[key] = data
-        return data
+            request = outgoing_request(b"GET", path.encode(), headers, b"")
+            self._requests[key] = request
+        return request
 
     async def _read(
         self,
@@ -190,7 +195,7 @@
         response: Response | Failure = Failure.LOST
         try:
             async with curio.timeout_after(left_ms / 1000):
-                response = await connection.receive(b"GET", None)
+                response = await connection.receive(None)
         except curio.TaskTimeout:
             pass
         if isinstance(response, Failure):
@@ -246,7 +251,7 @@
         return Answer(endpoint, connection, load, slowdown, cost, is_cold)
 
     def forget_absent(self) -> None:
-        """Drop the encoded questions to endpoints that left."""
+        """Drop the questions to endpoints that left."""
         known = self._view.endpoints
         self._requests = {k: v for k, v in self._requests.items() if k[0] in known}
 
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -23,8 +23,8 @@
     load_curio_subset()
     import curio
 
+    from ..gateway.calls import RetryLimits
     from ..gateway.daemon import GatewaySettings, serve_gateway
-    from ..gateway.forward import RetryLimits
     from .documents import decode_configuration
     from .headers import DIALECT
 
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -17,7 +17,8 @@
     sorted_routes,
 )
 from pollenfold.gateway.balancer import Balancer
-from pollenfold.gateway.forward import Forwarder, RetryLimits
+from pollenfold.gateway.calls import RetryLimits
+from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
 from pollenfold.http.messages import Request
