--- /dev/null
+++ b/pollenfold/tests/gateway/test_backend.py
@@ -0,0 +1,37 @@
+"""Connections to backend servers, apart from the path that uses them."""
+
+import curio
+
+from pollenfold.gateway.backend import ConnectionPool, outgoing_request
+from pollenfold.observe.clock import system_clock
+from pollenfold.tests.gateway.conftest import answer
+
+
+def test_connection_with_an_unsent_rest_of_a_body_is_not_used_again(run):
+    """Guards against the next request's bytes where a server waits for the rest.
+
+    A server may answer before it has read a long body and keep the connection.
+    """
+
+    async def serve(client, address):
+        async with client:
+            await client.recv(100)
+            await client.sendall(answer(413))
+            await curio.sleep(10)
+
+    async def main():
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        port = sock.getsockname()[1]
+        await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+        pool = ConnectionPool("127.0.0.1", port, 5, system_clock)
+        connection = await pool.take()
+        await connection.connected()
+        headers = [(b"host", b"h.example")]
+        request = outgoing_request(b"POST", b"/x/1", headers, bytes(32 << 20))
+        assert await connection.send(request)
+        response = await connection.receive(None)
+        assert response.status == 413
+        await pool.give_back(connection)
+        assert pool.n_open == 0
+
+    run(main)
