--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from ..core.agreement_members import host_of
+from ..core.agreement_members import address_of, host_and_port
 from ..core.clock import add_ms
 from ..core.errors import ErrorKind
 from ..core.registry import decode_announcement
@@ -44,7 +44,8 @@
 class ClusterSettings:
     """Addresses of one control replica and how it finds the others.
 
-    ``seeds`` returns hosts where control replicas may run. ``n_members`` is the
+    ``seeds`` returns hosts where control replicas may run; ``reload`` reads the
+    settings anew and raises ValueError when they can't be used. ``n_members`` is the
     number of voters that the losses to be borne ask for.
     """
 
@@ -77,7 +78,7 @@
         address = f"{settings.host}:{settings.peer_port}"
         settings.data_folder.mkdir(parents=True, exist_ok=True)
         self.replica_id = load_member_id(settings.data_folder, address)
-        members = DynamicMembers(_resolve, settings.n_members, settings.is_founder)
+        members = DynamicMembers(host_and_port, settings.n_members, settings.is_founder)
         self.replica = Replica(
             self.replica_id,
             {self.replica_id: (settings.host, settings.peer_port)},
@@ -154,7 +155,7 @@
         leader_id = self.replica.leader_id()
         if leader_id is None or leader_id == self.replica_id:
             return None
-        return host_of(leader_id).rpartition(":")[0]
+        return host_and_port(leader_id)[0]
 
     async def _handle_join(self, payload: bytes) -> bytes:
         """Take a replica in as a learner, or name the leader."""
@@ -192,7 +193,7 @@
         if result.is_error():
             return
         leader_id = json.loads(result.ok)["leader"]
-        if leader_id and host_of(leader_id) != address:
+        if leader_id and address_of(leader_id) != address:
             await self.book.call(
                 leader_id, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
             )
@@ -219,17 +220,15 @@
         return Response(200, [(b"content-type", b"text/plain")], text)
 
     def reload(self) -> None:
-        """Read the settings anew."""
-        self.settings.reload()
+        """Read the settings anew; settings that can't be used change nothing."""
+        try:
+            self.settings.reload()
+        except ValueError as error:
+            self.log.state("settings_rejected", detail=str(error))
+            return
         self.log.state("settings_reloaded", seeds=",".join(self.settings.seeds()))
 
 
-def _resolve(replica_id: str) -> tuple[str, int]:
-    """Return host and port, which every replica id starts with."""
-    host, _, port = host_of(replica_id).rpartition(":")
-    return host, int(port)
-
-
 async def serve_cluster(
     settings: ClusterSettings, make_handler: Callable[[ClusterNode], Handler]
 ) -> None:
--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -14,7 +14,7 @@
 import curio
 from expression import Error, Ok, Result
 
-from ..core.agreement_members import host_of
+from ..core.agreement_members import host_and_port
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.orders import (
@@ -59,7 +59,7 @@
         self._n_members = n_members
         self._clock = clock
         self._log = log
-        self._clients: dict[str, RpcClient] = {}
+        self._clients: dict[tuple[str, int], RpcClient] = {}
         self._started_at = clock()
         self.orders = Orders()
         self.registry = Registry()
@@ -226,10 +226,10 @@
         self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
     ) -> Result[bytes, ErrorKind]:
         """Call another replica by its id, or by host and port."""
-        host, _, port = host_of(replica_id).rpartition(":")
-        client = self._clients.get(f"{host}:{port}")
+        address = host_and_port(replica_id)
+        client = self._clients.get(address)
         if client is None:
-            client = self._clients[f"{host}:{port}"] = RpcClient(host, int(port))
+            client = self._clients[address] = RpcClient(*address)
         result = await client.call(protocol, payload, timeout_ms)
         if result.is_error():
             # The connection may be dead without a reset.
@@ -269,7 +269,7 @@
     def control_hosts(self) -> frozenset[str]:
         """The hosts of the voters."""
         voters = self._book.replica.voters()
-        return frozenset(host_of(k).rpartition(":")[0] for k in voters)
+        return frozenset(host_and_port(k)[0] for k in voters)
 
     def take_announcement(self, fields: list[object], age_ms: float) -> None:
         """Take an announcement that another replica received."""
--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -66,7 +66,7 @@
     return unwrap_snapshot(log.snapshot.data)[0]
 
 
-def host_of(replica_id: str) -> str:
+def address_of(replica_id: str) -> str:
     """Return the address part of an id, for example ``10.0.0.1`` of ``10.0.0.1/x``.
 
     Two ids with one address are two disks of one machine, of which the earlier one
@@ -75,6 +75,12 @@
     return replica_id.partition("/")[0]
 
 
+def host_and_port(replica_id: str) -> tuple[str, int]:
+    """Return where a replica listens; ``replica_id`` may be a mere address."""
+    host, _, port = address_of(replica_id).rpartition(":")
+    return host, int(port)
+
+
 def with_members(state: State, now: Instant) -> State:
     """Return the state with voters as its log names them."""
     if not state.is_dynamic:
@@ -102,7 +108,7 @@
     if state.role is not Role.LEADER or replica_id in state.voters | state.learners:
         return state
     # An earlier disk of the same machine asks for nothing any more.
-    others = {k for k in state.learners if host_of(k) != host_of(replica_id)}
+    others = {k for k in state.learners if address_of(k) != address_of(replica_id)}
     return _with_peers(state, state.voters, frozenset({*others, replica_id}), now)
 
 
@@ -128,7 +134,7 @@
     replaced = [
         k
         for k in sorted(state.voters - {state.replica_id})
-        if any(host_of(k) == host_of(learner) for learner in ready)
+        if any(address_of(k) == address_of(learner) for learner in ready)
     ]
     if len(state.voters) < n_target and not replaced:
         return Propose(encode_members(state.voters | {ready[0]})), "learner_added"
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -41,8 +41,8 @@
     """Addresses and limits of one entry.
 
     ``seeds`` and ``reload`` belong to the settings source: the hosts of control
-    replicas, and what reads them anew. ``grace_ms`` is the time between the signal to
-    stop and the end.
+    replicas, and what reads them anew, which raises ValueError when it can't use them.
+    ``grace_ms`` is the time between the signal to stop and the end.
     """
 
     entry_id: str
@@ -141,8 +141,12 @@
         return None
 
     def reload(self) -> None:
-        """Read the settings anew."""
-        self.settings.reload()
+        """Read the settings anew; settings that can't be used change nothing."""
+        try:
+            self.settings.reload()
+        except ValueError as error:
+            self.log.state("settings_rejected", detail=str(error))
+            return
         self.log.state("settings_reloaded", seeds=",".join(self.settings.seeds()))
 
     async def handle_platform(self, request: Request) -> Response:
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -134,12 +134,8 @@
         self.settings = load_settings(path)
 
     def reload(self) -> None:
-        """Read the file anew; a file that can't be used leaves the old settings."""
-        try:
-            self.settings = load_settings(self._path)
-        except SettingsError:
-            # The file may be read while it is being written; SIGHUP comes again.
-            return
+        """Read the file anew; raise SettingsError and keep the old settings."""
+        self.settings = load_settings(self._path)
 
     def seed_hosts(self) -> list[str]:
         """Return the present seeds."""
--- a/pollenfold/tests/core/test_agreement_members.py
+++ b/pollenfold/tests/core/test_agreement_members.py
@@ -3,9 +3,9 @@
 import pytest
 
 from pollenfold.core.agreement_members import (
+    address_of,
     decode_members,
     encode_members,
-    host_of,
     unwrap_snapshot,
     wrap_snapshot,
 )
@@ -161,7 +161,7 @@
         voters,
         b"data\nmore",
     )
-    assert host_of("10.0.0.1:7660/aa") == "10.0.0.1:7660"
+    assert address_of("10.0.0.1:7660/aa") == "10.0.0.1:7660"
 
 
 def test_members_survive_compaction(cores):
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -119,7 +119,8 @@
 def test_reload_keeps_the_old_settings_when_the_file_is_bad(source):
     """Guards against a half-written file that takes the seeds away."""
     source._path.write_text("[self")
-    source.reload()
+    with pytest.raises(SettingsError, match="settings.toml"):
+        source.reload()
     assert source.seed_hosts() == ["10.1.0.38", "10.2.0.31"]
     source._path.write_text(TEXT.replace("10.1.0.38", "10.9.0.1"))
     source.reload()
