Tell entries only changes of the fleet, and relayed news only in their zone

Every replica told every entry each announcement, all names of the entries at each change (94 names to 470 readers), the replicas' hosts twice a second, and the whole list of endpoints at each connection. Now a replica tells all readers what endpoints told it, and what other replicas were told only to entries of its zone and to replicas; names as joined and left; the list on request, one replica after the other, and every 10 s from the own zone in case news got lost. An entry builds its lists once for a line, not once for an announcement (115 endpoints: 14 ms of a core before). Ruled out: telling also what was heard only through the own zone, since an entry whose zone's replica is cut off would then forget endpoints that run.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -120,7 +120,8 @@
         announcements, n_entries = read_endpoint_cache(self.settings.data_folder)
         for fields in announcements:
             try:
-                self.book.take_announcement(decode_announcement(fields))
+                announcement = decode_announcement(fields)
+                self.book.take_announcement(announcement, is_direct=False)
             except ValueError as error:
                 self.log.state("bad_cache", detail=str(error))
         self.feed_server.fleet.report(n_entries, system_clock())
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -33,6 +33,7 @@
         self.client = client
         self.name = str(hello.get("name", ""))
         self.role = str(hello.get("role", ""))
+        self.zone = str(hello.get("zone", ""))
         self._pending = bytearray()
         self._moved_at = now
 
@@ -77,10 +78,12 @@
         self._log = log
         self._readers: set[_Reader] = set()
         self._news: dict[str, Announcement] = {}
+        self._relayed: dict[str, Announcement] = {}
         self._is_changed = False
         self._told_at = clock()
         self._heard_at = clock()
-        self._told_entries: list[str] = []
+        self._told_entries: set[str] = set()
+        self._told_control: list[str] = []
         self.fleet = FleetSize()
         book.on_change = self._note_change
         book.on_news = self._note_news
@@ -93,8 +96,18 @@
     def _note_change(self) -> None:
         self._is_changed = True
 
-    def _note_news(self, announcement: Announcement) -> None:
-        self._news[announcement.endpoint_id] = announcement
+    def _note_news(self, announcement: Announcement, is_direct: bool) -> None:
+        news = self._news if is_direct else self._relayed
+        news[announcement.endpoint_id] = announcement
+
+    def _takes_relayed(self, reader: _Reader) -> bool:
+        """Return whether a reader is told what other replicas were told.
+
+        Each replica tells all readers what endpoints told it. A second path, through
+        the replicas of the own zone, is enough for an entry; more would cost bytes
+        between zones that grow with entries times replicas.
+        """
+        return reader.zone == self._zone or reader.role != "entry"
 
     async def serve(self, host: str, port: int) -> None:
         """Listen until cancelled."""
@@ -112,9 +125,9 @@
                     reader = _Reader(client, line, self._clock())
                     self._greet(reader)
                 elif "get" in line:
-                    orders = self._book.orders.encode()
-                    reader.add(encode_line({"orders": orders}))
-                    self._flush(reader)
+                    self._tell(reader, {"orders": self._book.orders.encode()})
+                elif "list" in line:
+                    self._tell(reader, {"announcements": self._announcements()})
         except OSError as error:
             detail = str(error) or type(error).__name__
             if reader is None:
@@ -127,37 +140,61 @@
                 )
 
     def _greet(self, reader: _Reader) -> None:
-        """Tell a new reader everything but the orders, which it asks for."""
+        """Tell a new reader where it is; it asks for orders and endpoints."""
+        self._readers.add(reader)
+        self._log.state("reader_connected", reader=reader.name, role=reader.role)
+        line = {
+            "zone": self._zone,
+            "index": self._book.orders.index,
+            "n_entries": self._n_entries(),
+            # Changes are told relative to what all readers were told before.
+            "entries": sorted(self._told_entries),
+            "control": sorted(self._control_hosts()),
+        }
+        self._tell(reader, line)
+
+    def _tell(self, reader: _Reader, line: dict[str, Any]) -> None:
+        reader.add(encode_line(line))
+        self._flush(reader)
+
+    def _announcements(self) -> list[tuple[list[object], float]]:
+        """Return the endpoints that were heard lately, with the age of their words."""
         now = self._clock()
         oldest = add_ms(now, -FORGET_AFTER_MS)
         registry = self._book.registry
         known = [registry.known(a.endpoint_id) for a in registry.announcements()]
-        self._readers.add(reader)
-        self._log.state("reader_connected", reader=reader.name, role=reader.role)
-        line = self._status(is_full=True)
-        line["announcements"] = [
-            [k.announcement.encode(), now - k.announced_at]
+        return [
+            (k.announcement.encode(), now - k.announced_at)
             for k in known
             if k is not None and k.heard_at > oldest
         ]
-        reader.add(encode_line(line))
-        self._flush(reader)
 
-    def _entries(self) -> list[str]:
-        return sorted({r.name for r in self._readers if r.role == "entry"})
+    def _entries(self) -> set[str]:
+        return {r.name for r in self._readers if r.role == "entry"}
 
-    def _status(self, is_full: bool) -> dict[str, Any]:
-        entries = self._entries()
+    def _n_entries(self) -> int:
+        """Return the number of entries, and note it."""
         now = self._clock()
-        self.fleet.report(len(entries), now)
-        line: dict[str, Any] = {
-            "zone": self._zone,
-            "index": self._book.orders.index,
-            "n_entries": self.fleet.get(now),
-            "control": sorted(self._control_hosts()),
-        }
-        if is_full or entries != self._told_entries:
-            line["entries"] = entries
+        self.fleet.report(len(self._entries()), now)
+        return self.fleet.get(now)
+
+    def _fleet_news(self) -> dict[str, Any]:
+        """Return what changed of the fleet since it was last told.
+
+        Only the names that changed are told: with all of them in each line, a restart
+        of all entries would cost the square of their number.
+        """
+        line: dict[str, Any] = {}
+        entries = self._entries()
+        if entries != self._told_entries:
+            line["n_entries"] = self._n_entries()
+            line["joined"] = sorted(entries - self._told_entries)
+            line["left"] = sorted(self._told_entries - entries)
+            self._told_entries = entries
+        control = sorted(self._control_hosts())
+        if control != self._told_control:
+            line["control"] = control
+            self._told_control = control
         return line
 
     async def run(self) -> None:
@@ -166,25 +203,37 @@
             await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
             now = self._clock()
             is_due = now >= add_ms(self._told_at, KEEP_ALIVE_MS)
-            if not (is_due or self._is_changed or self._news):
+            if not (is_due or self._is_changed or self._news or self._relayed):
                 continue
             line: dict[str, Any] = {"index": self._book.orders.index}
             if is_due:
-                line = self._status(is_full=False)
-                self._told_entries = self._entries()
+                line |= self._fleet_news()
                 self._told_at = now
-            if self._news:
-                line["announcements"] = [[a.encode(), 0] for a in self._news.values()]
             if now >= add_ms(self._heard_at, HEARD_INTERVAL_MS):
+                # Readers forget the size of the fleet unless it is told again.
+                line["n_entries"] = self._n_entries()
                 line["heard"] = sorted(self._book.heard_ids)
                 self._book.heard_ids.clear()
                 self._heard_at = now
-            self._news = {}
-            self._is_changed = False
-            data = encode_line(line)
-            for reader in list(self._readers):
-                reader.add(data)
-                self._flush(reader)
+            self._publish(line)
+
+    def _publish(self, line: dict[str, Any]) -> None:
+        """Write a line, with the news, to all readers."""
+        if self._news:
+            line["announcements"] = [[a.encode(), 0] for a in self._news.values()]
+        data = encode_line(line)
+        relayed = b""
+        if self._relayed:
+            items = [[a.encode(), 0] for a in self._relayed.values()]
+            relayed = encode_line({"announcements": items})
+        self._news = {}
+        self._relayed = {}
+        self._is_changed = False
+        for reader in list(self._readers):
+            reader.add(data)
+            if relayed and self._takes_relayed(reader):
+                reader.add(relayed)
+            self._flush(reader)
 
     def _flush(self, reader: _Reader) -> None:
         if not reader.send(self._clock()):
--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import curio
 from expression import Error, Ok, Result
 
 from ..core.agreement_members import host_and_port
+from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.orders import (
@@ -52,7 +53,8 @@
 
     ``replica`` is set after construction, since a replica takes ``apply``,
     ``snapshot`` and ``restore`` of this object. ``on_change`` is called when the
-    orders changed, ``on_news`` with each announcement that says something new.
+    orders changed, ``on_news`` with each announcement that says something new, and
+    whether the endpoint itself sent it here.
     """
 
     def __init__(self, n_members: int, clock: Clock, log: EventLog) -> None:
@@ -66,7 +68,7 @@
         self.heard_ids: set[str] = set()
         self.replica: Replica
         self.on_change: Callable[[], None] = lambda: None
-        self.on_news: Callable[[Announcement], None] = lambda announcement: None
+        self.on_news: Callable[[Announcement, bool], None] = lambda news, direct: None
 
     # State machine
 
@@ -100,8 +102,11 @@
 
     # Announcements
 
-    def take_announcement(self, announcement: Announcement) -> None:
-        """Keep an announcement, and pass it on when it says something new."""
+    def take_announcement(self, announcement: Announcement, is_direct: bool) -> None:
+        """Keep an announcement, and pass it on when it says something new.
+
+        ``is_direct`` means that it came from the endpoint and not from a replica.
+        """
         if self.registry.merge(announcement, self._clock()):
             self._log.state(
                 "endpoint_announced",
@@ -111,14 +116,14 @@
                 born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
             )
-            self.on_news(announcement)
+            self.on_news(announcement, is_direct)
 
     async def announce(
         self, announcement: Announcement, timeout_ms: float
     ) -> Result[None, ErrorKind]:
         """Take an announcement; Ok for one that leaves once that is agreed on."""
         self.heard_ids.add(announcement.endpoint_id)
-        self.take_announcement(announcement)
+        self.take_announcement(announcement, is_direct=True)
         if not announcement.is_leaving:
             return Ok(None)
         order = Depart(announcement.endpoint_id, announcement.born_ms)
@@ -259,6 +264,8 @@
         self._clock = clock
         self.connected_since: Instant | None = None
         self.entry_ids: frozenset[str] = frozenset()
+        self.fleet = FleetSize()
+        """What others count; this replica goes by its own readers."""
 
     @property
     def orders(self) -> Orders:
@@ -271,9 +278,10 @@
         voters = self._book.replica.voters()
         return frozenset(host_and_port(k)[0] for k in voters)
 
-    def take_announcement(self, fields: list[object], age_ms: float) -> None:
-        """Take an announcement that another replica received."""
-        self._book.take_announcement(decode_announcement(fields))
+    def take_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
+        """Take announcements that another replica received."""
+        for fields, _ in items:
+            self._book.take_announcement(decode_announcement(fields), is_direct=False)
 
     def hear(self, endpoint_ids: list[str]) -> None:
         """Ignore repeated announcements.
@@ -289,5 +297,5 @@
         """Ignore orders, which come through the log."""
         return False
 
-    def take_fleet(self, n_entries: int, control_hosts: list[str]) -> None:
-        """Ignore the fleet, which this replica counts itself."""
+    def take_control_hosts(self, control_hosts: list[str]) -> None:
+        """Ignore them: the voters of the log are known here."""
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -15,7 +15,7 @@
 import curio
 from curio import socket
 
-from ..core.clock import Clock
+from ..core.clock import Clock, add_ms, remaining_ms
 from ..observe.events import EventLog
 from ..wire.connections import open_connection
 from ..wire.lines import encode_line, read_lines
@@ -33,7 +33,16 @@
 FIRST_RETRY_PAUSE_MS = 50.0
 """The pause while no feed is open, when this entry may know nothing yet."""
 
-PING_INTERVAL_MS = 500.0
+LIST_INTERVAL_MS = 10_000.0
+"""How often a replica of the own zone is asked for the list of all endpoints."""
+
+PING_INTERVAL_MS = 1_000.0
+LIST_PAUSE_MS = 1_000.0
+"""The pause between two requests for the list of all endpoints.
+
+Each replica knows nearly all of them, and the lists of all replicas at once would keep
+a slow link and a small core busy for the time in which an entry starts to serve."""
+
 OTHER_ZONE_WAIT_MS = 120.0
 """How long another zone's replica waits to be asked for orders that a replica of the
 own zone may deliver."""
@@ -88,6 +97,10 @@
         self._own_host = own_host
         self._tasks: dict[str, curio.Task] = {}
         self._connected: dict[str, str] = {}
+        self._entries: dict[str, set[str]] = {}
+        """The names of the entries that each replica sees, by its host."""
+
+        self._next_list_at = clock()
 
     @property
     def n_connected(self) -> int:
@@ -133,6 +146,7 @@
                 detail = str(error) or type(error).__name__
             except (ValueError, KeyError, TypeError, IndexError) as error:
                 detail = f"malformed line: {error!r}"
+            self._entries.pop(host, None)
             if self._connected.pop(host, None) is not None:
                 self._log.state("feed_lost", control=host, detail=detail)
             pause_ms = RETRY_PAUSE_MS if self._connected else FIRST_RETRY_PAUSE_MS
@@ -150,32 +164,43 @@
             }
             feed = _Feed(sock)
             await feed.send(hello)
-            pinger = await curio.spawn(self._ping, feed, daemon=True)
+            helpers = [await curio.spawn(self._ping, feed, daemon=True)]
             try:
                 async for line in read_lines(sock, SILENCE_LIMIT_MS):
                     if host not in self._connected:
-                        self._connected[host] = str(line.get("zone", ""))
+                        zone = str(line.get("zone", ""))
+                        self._connected[host] = zone
                         self._log.state("feed_opened", control=host)
+                        asking = self._ask_list(feed, zone == identity.zone)
+                        helpers.append(await curio.spawn(asking, daemon=True))
                     index = self._take(line, host)
                     if index > max(self._view.orders.index, feed.asked_index):
                         feed.asked_index = index
                         await self._ask(feed, host)
             finally:
-                await pinger.cancel()
+                for helper in helpers:
+                    await helper.cancel()
 
     def _take(self, line: dict[str, Any], host: str) -> int:
         """Take one line; return the index of the sender's orders, or 0."""
         view = self._view
         if "orders" in line:
             view.take_orders(line["orders"], host)
-        for fields, age_ms in line.get("announcements", ()):
-            view.take_announcement(fields, float(age_ms))
+        if "announcements" in line:
+            view.take_announcements(line["announcements"])
         if "heard" in line:
             view.hear(line["heard"])
         if "entries" in line:
-            view.entry_ids = frozenset(line["entries"])
+            self._entries[host] = set(line["entries"])
+        if "joined" in line:
+            self._entries[host] |= set(line["joined"])
+            self._entries[host] -= set(line["left"])
+        if "entries" in line or "joined" in line:
+            view.entry_ids = frozenset().union(*self._entries.values())
         if "n_entries" in line:
-            view.take_fleet(int(line["n_entries"]), line["control"])
+            view.fleet.report(int(line["n_entries"]), self._clock())
+        if "control" in line:
+            view.take_control_hosts(line["control"])
         return int(line.get("index", 0))
 
     async def _ask(self, feed: _Feed, host: str) -> None:
@@ -193,6 +218,24 @@
                 # The reader of the feed notices a broken connection.
                 await feed.send({"get": 1})
 
+    async def _ask_list(self, feed: _Feed, is_local: bool) -> None:
+        """Ask for the list of all endpoints, one replica after the other.
+
+        A replica of the own zone is asked again and again, so that news that got lost
+        with a connection or a replica arrive in the end.
+        """
+        while True:
+            now = self._clock()
+            at = max(now, self._next_list_at)
+            self._next_list_at = add_ms(at, LIST_PAUSE_MS)
+            await curio.sleep(remaining_ms(at, now) / 1000)
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                # The reader of the feed notices a broken connection.
+                await feed.send({"list": 1})
+            if not is_local:
+                return
+            await curio.sleep(LIST_INTERVAL_MS / 1000)
+
     async def _ping(self, feed: _Feed) -> None:
         """Show the replica that this entry still listens."""
         with contextlib.suppress(OSError, curio.TaskTimeout):
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -104,14 +104,23 @@
 
     # Endpoints
 
-    def take_announcement(self, fields: list[object], age_ms: float) -> None:
-        """Take an announcement that a control replica received ``age_ms`` ago."""
-        announcement = decode_announcement(fields)
+    def take_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
+        """Take announcements, each with the ms since a control replica received it."""
+        is_changed = False
+        for fields, age_ms in items:
+            is_changed |= self._take_announcement(
+                decode_announcement(fields), float(age_ms)
+            )
+        if is_changed:
+            self._rebuild()
+
+    def _take_announcement(self, announcement: Announcement, age_ms: float) -> bool:
+        """Take one announcement; return whether it said something new."""
         now = self._clock()
         before = self.registry.get(announcement.endpoint_id)
         if not self.registry.merge(announcement, now):
             self._refresh(announcement, now, age_ms)
-            return
+            return False
         endpoint_id = announcement.endpoint_id
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None or before is None or before.born_ms != announcement.born_ms:
@@ -128,7 +137,7 @@
             warmup_left_ms=announcement.warmup_left_ms,
             sequence=announcement.sequence,
         )
-        self._rebuild()
+        return True
 
     def _refresh(self, announcement: Announcement, now: Instant, age_ms: float) -> None:
         """Take the coldness that the newest announcement of an endpoint tells."""
@@ -187,7 +196,6 @@
 
     # The fleet
 
-    def take_fleet(self, n_entries: int, control_hosts: list[str]) -> None:
-        """Take the number of entries and the control replicas from one of these."""
-        self.fleet.report(n_entries, self._clock())
+    def take_control_hosts(self, control_hosts: list[str]) -> None:
+        """Take the hosts of the control replicas from one of these."""
         self.control_hosts = frozenset(control_hosts) or self.control_hosts
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -171,7 +171,7 @@
             "sequence": sequence,
         }
         announcement = Announcement(**{**fields, **changes})
-        self.view.take_announcement(announcement.encode(), 0.0)
+        self.view.take_announcements([(announcement.encode(), 0.0)])
 
     async def get(self, method=b"GET", deadline=b"1500", body=b"", **headers):
         request = Request(
