Prefer endpoints with a free connection for all but one of the questions

The last place stays random, so that new endpoints are found. Ruled out: preferring connected endpoints in all places, which starves an endpoint that joins a service of few.

--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -128,11 +128,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Option:
-    """An endpoint that may get a request, as the selection sees it."""
+    """An endpoint that may get a request, as the selection sees it.
+
+    ``has_idle`` tells that a connection to it is open and free.
+    """
 
     endpoint_id: str
     is_local: bool
     health: EndpointHealth
+    has_idle: bool = False
 
 
 def choose_round(
@@ -144,16 +148,21 @@
 ) -> list[Option]:
     """Return the endpoints to ask next, at random among those that qualify.
 
-    Endpoints that failed or were slow lately come last. Unreachable ones are asked
-    only when nothing else is left.
+    Endpoints that failed or were slow lately come last. All but one of the places go
+    to endpoints with a free connection where there are any, since a new one takes a
+    round trip, a slot for a moment and a part of the endpoint's limit; the last place
+    lets new endpoints in. Unreachable ones are asked only when nothing else is left.
     """
     pool = [option for option in options if not option.health.is_unreachable(now)]
     pool = pool or options
     if is_local_only:
         pool = [option for option in pool if option.is_local] or pool
     if len(pool) > n_wanted:
-        pool = rng.sample(pool, min(len(pool), 2 * n_wanted))
-        pool.sort(key=lambda option: option.health.is_doubtful(now))
+        sample = rng.sample(pool, min(len(pool), 2 * n_wanted))
+        last = min(sample, key=lambda o: o.health.is_doubtful(now))
+        sample.remove(last)
+        sample.sort(key=lambda o: (o.health.is_doubtful(now), not o.has_idle))
+        pool = [*sample[: n_wanted - 1], last]
     return pool[:n_wanted]
 
 
--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -255,6 +255,11 @@
         self._idle: list[BackendConnection] = []
         self._clock = clock
 
+    @property
+    def n_idle(self) -> int:
+        """The number of connections that wait to be used again."""
+        return len(self._idle)
+
     async def take(self) -> BackendConnection | None:
         """Return an idle connection, or one that connects, or None at the limit.
 
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -251,7 +251,8 @@
     def _option(self, endpoint: Endpoint) -> Option:
         announcement = endpoint.announcement
         is_local = announcement.zone == self._settings.zone
-        return Option(announcement.endpoint_id, is_local, endpoint.health)
+        has_idle = self._connections.has_idle(announcement.endpoint_id)
+        return Option(announcement.endpoint_id, is_local, endpoint.health, has_idle)
 
     async def _best(self, best: Answer | None, answers: list[Answer]) -> Answer | None:
         """Return the better of the best so far and the answers; release the rest."""
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -46,6 +46,11 @@
         n_all = configuration.services[service].max_connections
         return max(2, int(CONNECTION_SHARE * n_all / n_entries) - CONNECTION_MARGIN)
 
+    def has_idle(self, endpoint_id: str) -> bool:
+        """Return whether a connection to an endpoint is open and free."""
+        pool = self._pools.get(endpoint_id)
+        return pool is not None and pool.n_idle > 0
+
     async def start(self, endpoint: Endpoint) -> BackendConnection | None:
         """Return a connection to an endpoint that is open or opening."""
         try:
--- a/pollenfold/tests/core/test_selection.py
+++ b/pollenfold/tests/core/test_selection.py
@@ -14,8 +14,8 @@
 )
 
 
-def option(name, is_local=True):
-    return Option(name, is_local, EndpointHealth())
+def option(name, is_local=True, has_idle=False):
+    return Option(name, is_local, EndpointHealth(), has_idle)
 
 
 @pytest.mark.parametrize(
@@ -106,3 +106,20 @@
     busy.health.n_in_flight = 3
     assert choose_without_reports([busy, idle], 0.0, random.Random(2)) is idle
     assert choose_without_reports([], 0.0, random.Random(2)) is None
+
+
+def test_open_connections_are_used_and_new_endpoints_are_found():
+    """Guards against a new connection for nearly every question, and against
+    endpoints that join and are never asked."""
+    options = [option(f"e{n}", has_idle=n < 10) for n in range(20)]
+    rng = random.Random(1)
+    n_new = 0
+    asked = set()
+    for _ in range(400):
+        chosen = choose_round(options, 2, True, 0.0, rng)
+        assert len({o.endpoint_id for o in chosen}) == 2
+        n_new += sum(not o.has_idle for o in chosen)
+        asked |= {o.endpoint_id for o in chosen}
+    # By chance alone half of the 800 questions would need a new connection.
+    assert n_new < 300
+    assert len(asked) == 20
