Listen for callers before the rest of an entry is loaded

Callers were refused a connection before and got 503 after, each time one of their few attempts. Now the listening socket opens before the imports, and a request that comes within 0.4 s of the start waits for the first configuration. The time it waited counts towards its deadline. Ruled out: a longer wait, since an entry that is cut off must refuse at once. AttemptOutcome has a module of its own, so that entries don't load the records.

--- a/pollenfold/entry/attempts.py
+++ b/pollenfold/entry/attempts.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..core.clock import Clock, Instant, remaining_ms
-from ..core.retries import AttemptOutcome
+from ..core.outcomes import AttemptOutcome
 from ..http.client import ExchangeFailure, HttpConnection
 from ..http.messages import HOP_HEADERS, Headers, Request, Response, find_header
 from ..http.pool import Pool
--- a/pollenfold/entry/hedges.py
+++ b/pollenfold/entry/hedges.py
@@ -8,7 +8,7 @@
 import curio
 
 from ..core.clock import add_ms
-from ..core.retries import AttemptOutcome
+from ..core.outcomes import AttemptOutcome
 from .attempts import Attempt, AttemptResult, Exchange, later_result
 
 if TYPE_CHECKING:
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -8,8 +8,9 @@
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
+from ..core.outcomes import AttemptOutcome
 from ..core.records import RequestClass, ServiceSpec, classify
-from ..core.retries import AttemptOutcome, may_retry
+from ..core.retries import may_retry
 from ..http.messages import Request, Response, find_header
 from .actions import ActionRunner
 from .attempts import (
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from ..core.clock import Clock
-from ..core.retries import AttemptOutcome, QuantileEstimate, RatioBudget
+from ..core.outcomes import AttemptOutcome
+from ..core.retries import QuantileEstimate, RatioBudget
 from ..core.routing import Candidate, Policy, observe_failure, probe_score
 from .attempts import Attempt, AttemptResult
 from .backends import Backend, connection_limit, make_backend
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -6,8 +6,8 @@
 
 from ..core.allowances import RetryAllowance
 from ..core.clock import Instant, add_ms
+from ..core.outcomes import AttemptOutcome
 from ..core.overload import CallerAge, WorkEstimate
-from ..core.retries import AttemptOutcome
 from ..core.routes import Route, RoutingConfiguration, WeightedSplit
 from ..http.messages import HOP_HEADERS, Headers, Request, Response
 from .dialect import Dialect
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -6,11 +6,13 @@
 import logging
 import os
 import random
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import curio
 
+from ..core.clock import add_ms
 from ..core.errors import ErrorKind
 from ..core.routes import RoutingConfiguration
 from ..http.messages import Request, Response, error_response
@@ -30,6 +32,14 @@
 READY_SETTLE_MS = 1_800.0
 """How long an entry without endpoints waits for their first announcements."""
 
+FIRST_ORDERS_WAIT_MS = 400.0
+"""How long after its start an entry keeps requests for want of a first configuration.
+
+The first one comes a round trip or two after the start. A caller that is refused
+meanwhile has lost one of its few attempts."""
+
+FIRST_ORDERS_CHECK_MS = 5.0
+
 STOP_NOTICE_MS = 3_000.0
 """How long a stopping entry goes on accepting, until the balancer has left it out."""
 
@@ -40,6 +50,8 @@
 class GatewaySettings:
     """Addresses and limits of one entry.
 
+    ``caller_listener`` listens for callers already, so that none is refused while
+    the entry starts.
     ``seeds`` and ``reload`` belong to the settings source: the hosts of control
     replicas, and what reads them anew, which raises ValueError when it can't use them.
     ``grace_ms`` is the time between the signal to stop and the end.
@@ -48,7 +60,7 @@
     entry_id: str
     zone: str
     host: str
-    caller_port: int
+    caller_listener: socket.socket
     ready_host: str
     ready_port: int
     ready_path: str
@@ -103,7 +115,7 @@
         self.started_at = clock()
         self.is_stopping = False
         self.callers = HttpServer(
-            self.forwarder.handle,
+            self.handle_caller,
             limits=self._caller_limits,
             on_rejected=self._log_rejected,
         )
@@ -140,6 +152,17 @@
             return ErrorKind.NOT_READY
         return None
 
+    async def handle_caller(self, request: Request) -> Response | None:
+        """Answer a caller; just after the start, wait for what it takes to do so."""
+        received_at = system_clock()
+        wait_until = add_ms(self.started_at, FIRST_ORDERS_WAIT_MS)
+        while not self._can_route() and system_clock() < wait_until:
+            await curio.sleep(FIRST_ORDERS_CHECK_MS / 1000)
+        return await self.forwarder.handle(request, received_at)
+
+    def _can_route(self) -> bool:
+        return self.view.configuration is not None and bool(self.view.by_service)
+
     def reload(self) -> None:
         """Read the settings anew; settings that can't be used change nothing."""
         try:
@@ -191,7 +214,7 @@
             await metrics.start(settings.host, settings.metrics_port)
         except OSError as error:
             gateway.log.state("metrics_unavailable", detail=str(error))
-        await gateway.callers.start(settings.host, settings.caller_port)
+        caller_port = await gateway.callers.start_on(settings.caller_listener)
         await group.spawn(gateway.feeds.run)
         await group.spawn(gateway.balancer.run)
         await group.spawn(gateway.log.run)
@@ -199,9 +222,7 @@
         # collector from walking it during calls.
         gc.collect()
         gc.freeze()
-        gateway.log.state(
-            "started", role="entry", zone=settings.zone, port=settings.caller_port
-        )
+        gateway.log.state("started", role="entry", zone=settings.zone, port=caller_port)
         first_done = await group.next_done()
         if first_done is not stop:
             gateway.log.state("task_failed", task=first_done.name)
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..core.clock import Clock, add_ms, remaining_ms
-from ..core.retries import AttemptOutcome
+from ..core.outcomes import AttemptOutcome
 from ..http.messages import Response, find_header
 from ..http.readiness import is_closed_by_peer
 from .backend import BackendConnection, Failure, outgoing_request
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -6,6 +6,7 @@
 
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind, RunState
+from ..core.outcomes import AttemptOutcome
 from ..core.overload import (
     Prospect,
     Verdict,
@@ -14,7 +15,6 @@
     quick_retry_after_ms,
     retry_after_ms,
 )
-from ..core.retries import AttemptOutcome
 from ..core.routes import find_route
 from ..http.messages import HOP_HEADERS, Request, Response, error_response
 from ..observe.events import EventLog
@@ -52,9 +52,14 @@
         self._metrics = metrics
         self._rng = rng
 
-    async def handle(self, request: Request) -> Response | None:
-        """Return the final response, or None when the caller went away."""
-        started_at = self._clock()
+    async def handle(
+        self, request: Request, received_at: Instant | None = None
+    ) -> Response | None:
+        """Return the final response, or None when the caller went away.
+
+        The caller's time counts from ``received_at``, by default from now.
+        """
+        started_at = self._clock() if received_at is None else received_at
         configuration = self._view.configuration
         request_id = request.header(self._dialect.request_id) or b""
         if configuration is None:
--- /dev/null
+++ b/pollenfold/http/listener.py
@@ -0,0 +1,26 @@
+"""Opens the listening socket of a server before the rest of it is loaded."""
+
+from __future__ import annotations
+
+import socket
+
+BACKLOG = 1024
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket; raise OSError when the address is taken.
+
+    Connections that arrive from now on wait for the server. While a process loads its
+    modules, for half a second on a small VM, they would be refused otherwise, and each
+    refusal costs a caller one of its few attempts.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import socket as sockets
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import curio
 import h11
 from curio import socket
+from curio.io import Socket
 
 from ..core.errors import ErrorKind, RunState
+from .listener import open_listener
 from .messages import Request, Response, error_response
 
 Handler = Callable[[Request], Awaitable[Response | None]]
@@ -92,9 +95,13 @@
 
     async def start(self, host: str, port: int) -> int:
         """Listen on the address and return the port, useful with port 0."""
-        sock = curio.tcp_server_socket(host, port, backlog=1024, reuse_address=True)
+        return await self.start_on(open_listener(host, port))
+
+    async def start_on(self, listener: sockets.socket) -> int:
+        """Serve a socket that listens already, and return its port."""
+        sock = Socket(listener)
         self._listener = await curio.spawn(self._accept, sock, daemon=True)
-        return int(sock.getsockname()[1])
+        return int(listener.getsockname()[1])
 
     def announce_stop(self) -> None:
         """End each connection after its next response, and go on accepting."""
@@ -121,7 +128,7 @@
         while self.n_in_flight:
             await curio.sleep(0.005)
 
-    async def _accept(self, sock: socket.socket) -> None:
+    async def _accept(self, sock: Socket) -> None:
         async with sock:
             while True:
                 client, address = await sock.accept()
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from ..curio_subset import load_curio_subset
+from ..http.listener import open_listener
 from .settings import SettingsError, SettingsSource, settings_path
 
 EXIT_BAD_SETTING = 2
@@ -20,6 +21,8 @@
 
 
 def _run_entry(source: SettingsSource) -> None:
+    settings = source.settings
+    caller_listener = open_listener(*settings.addresses["front"])
     load_curio_subset()
     import curio
 
@@ -28,8 +31,6 @@
     from .documents import decode_configuration
     from .headers import DIALECT
 
-    settings = source.settings
-    caller_host, caller_port = settings.addresses["front"]
     ready_host, ready_port = settings.addresses["ready"]
     retry_limits = RetryLimits(
         settings.bound("budgetRatio", 0.1),
@@ -39,8 +40,8 @@
     gateway = GatewaySettings(
         entry_id=settings.name,
         zone=settings.zone,
-        host=caller_host,
-        caller_port=caller_port,
+        host=settings.host,
+        caller_listener=caller_listener,
         ready_host=ready_host,
         ready_port=ready_port,
         ready_path="/-/readyz",
--- a/pollenfold/tests/core/test_retries.py
+++ b/pollenfold/tests/core/test_retries.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from pollenfold.core.outcomes import AttemptOutcome
 from pollenfold.core.records import RequestClass
 from pollenfold.core.retries import (
-    AttemptOutcome,
     QuantileEstimate,
     RatioBudget,
     may_retry,
--- a/pollenfold/tests/entry/test_hedge_lease.py
+++ b/pollenfold/tests/entry/test_hedge_lease.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pollenfold.core.retries import AttemptOutcome
+from pollenfold.core.outcomes import AttemptOutcome
 from pollenfold.entry.attempts import AttemptResult
 from pollenfold.entry.hedges import race
 
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -1,11 +1,18 @@
 """The entry as a daemon, apart from its sockets."""
 
 import json
+import socket
 
+import curio
 import pytest
 
+from pollenfold.core.registry import Announcement
+from pollenfold.core.routes import RoutingConfiguration
 from pollenfold.gateway.calls import RetryLimits
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
+from pollenfold.http.listener import open_listener
+from pollenfold.http.messages import Request
+from pollenfold.observe.clock import system_clock
 from pollenfold.platform.headers import DIALECT
 
 
@@ -20,7 +27,7 @@
         entry_id="e1",
         zone="a",
         host="127.0.0.1",
-        caller_port=0,
+        caller_listener=open_listener("127.0.0.1", 0),
         ready_host="127.0.0.1",
         ready_port=0,
         ready_path="/ready",
@@ -34,7 +41,8 @@
         cold_burst_factor=1.5,
         cold_slack=5.0,
     )
-    return Gateway(settings, DIALECT, json.loads)
+    yield Gateway(settings, DIALECT, json.loads)
+    settings.caller_listener.close()
 
 
 def test_settings_that_cannot_be_used_are_reported(gateway):
@@ -47,3 +55,47 @@
     assert "event=settings_rejected" in text
     assert "expected a table" in text
     assert "settings_reloaded" not in text
+
+
+REQUEST = Request(b"GET", b"/x/1", [(b"host", b"h"), (b"x-request-id", b"q1")], b"")
+ENDPOINT = Announcement("i-1", "s", "10.0.0.1", 80, "a", 4, False, 0.0, 1, 1)
+
+
+def test_request_just_after_the_start_waits_for_the_first_configuration(gateway, run):
+    """Guards against a refusal of callers that come while an entry starts."""
+
+    async def configure():
+        await curio.sleep(0.05)
+        gateway.view.configuration = RoutingConfiguration(1)
+        gateway.view.take_announcements([(ENDPOINT.encode(), 0.0)])
+
+    async def main():
+        await curio.spawn(configure, daemon=True)
+        # The configuration has no route for it, which only it can tell.
+        assert (await gateway.handle_caller(REQUEST)).status == 404
+
+    run(main)
+
+
+def test_request_without_a_configuration_is_refused_in_the_end(gateway, run):
+    """Guards against callers that are kept by an entry that is cut off."""
+
+    async def main():
+        assert (await gateway.handle_caller(REQUEST)).status == 503
+        waited_from = system_clock()
+        assert (await gateway.handle_caller(REQUEST)).status == 503
+        # Only the first moments after the start are worth a wait.
+        assert system_clock() - waited_from < 200.0
+
+    run(main)
+
+
+def test_connections_wait_while_the_process_loads():
+    """Guards against callers that are refused while a process starts."""
+    with open_listener("127.0.0.1", 0) as listener:
+        address = listener.getsockname()
+        with socket.create_connection(address, timeout=5) as early:
+            early.sendall(b"early")
+            client, _ = listener.accept()
+            with client:
+                assert client.recv(10) == b"early"
