Bound the claims in flight at an entry

Beyond 256 claims in flight a request is refused without asking the ledger; with a caller's key the refusal says outcome_unknown, since an earlier request with the key may have run.

--- a/pollenfold/entry/actions.py
+++ b/pollenfold/entry/actions.py
@@ -23,6 +23,10 @@
     from ..core.records import ServiceSpec
 
 MAX_STORED_BODY_BYTES = 64 * 1024
+MAX_CLAIMS_IN_FLIGHT = 256
+"""A ledger that falls behind makes every claim wait; more claims at once would only
+add to what it has to do. At 5 ms a claim they are far more than one entry can send."""
+
 REPLAY_WAIT_MS = 250.0
 """How long a resend waits for the outcome of the request that holds the claim."""
 
@@ -47,6 +51,7 @@
         self._ledger = ledger
         self._entry_id = entry_id
         self._clock = clock
+        self._n_claiming = 0
         self.n_storing = 0
 
     async def run(
@@ -62,8 +67,14 @@
         ``dispatch`` is called at most once, and only after a majority of the ledger
         stored the claim.
         """
+        if self._n_claiming >= MAX_CLAIMS_IN_FLIGHT:
+            return _overloaded(key, is_callers_key)
         register = f"{spec.name}/{key.decode('latin-1')}"
-        claim, claim_id = await self._claim(register, spec, deadline)
+        self._n_claiming += 1
+        try:
+            claim, claim_id = await self._claim(register, spec, deadline)
+        finally:
+            self._n_claiming -= 1
         if isinstance(claim, Claimed):
             response = await self._run_claimed(
                 register, claim_id, is_callers_key, dispatch
@@ -161,6 +172,17 @@
             self.n_storing -= 1
 
 
+def _overloaded(key: bytes, is_callers_key: bool) -> Response:
+    """Refuse a request for which the ledger wasn't asked.
+
+    An earlier request with a caller's key may have run.
+    """
+    state = RunState.OUTCOME_UNKNOWN if is_callers_key else RunState.DID_NOT_RUN
+    response = error_response(ErrorKind.LEDGER_UNAVAILABLE, run_state=state.value)
+    response.headers.append((b"idempotency-key", key))
+    return response
+
+
 def _outcome(response: Response) -> Outcome:
     headers = tuple(response.headers)
     if len(response.body) > MAX_STORED_BODY_BYTES:
