Refuse later attempts at once again

That a wait is short and pays is true after an outage and not in an overload of some seconds, and the share of waits that succeed doesn't tell them apart, since waits do succeed at the cost of others. The quicker first connections to control and the answer that ends a patient search stay.

--- a/pollenfold/core/overload.py
+++ b/pollenfold/core/overload.py
@@ -25,8 +25,6 @@
 FIRST_WORK_SHARE = 0.35
 """The share of the target that work is taken to need before any was measured."""
 
-WAIT_SHARE = 0.5
-RETRY_ONE_IN = 20
 PATIENCE_SPREAD = 0.2
 DEADLINE_MEMORY_MS = 30_000.0
 MIN_RETRY_AFTER_MS = 100.0
@@ -128,41 +126,6 @@
     return Verdict.REFUSE
 
 
-class WaitOutlook:
-    """Tells whether it pays for requests to wait for room at one service.
-
-    After an outage of a second or two all callers come at once, and room appears
-    within a moment. In an overload that lasts it doesn't, and whoever waits is refused
-    all the same, only later. So requests wait while the ones before them mostly found
-    room, and else only one in ``RETRY_ONE_IN``, to notice the end of an overload.
-    """
-
-    __slots__ = ("_found_share",)
-
-    def __init__(self) -> None:
-        self._found_share = 1.0
-
-    def may_wait(self, position: float) -> bool:
-        """Return whether a request may wait; ``position`` is random, 0 to 1."""
-        return self._found_share > 0.5 or position < 1.0 / RETRY_ONE_IN
-
-    def note(self, found_room: bool) -> None:
-        """Take how a wait ended."""
-        self._found_share += 0.1 * (float(found_room) - self._found_share)
-
-
-def longest_wait_ms(age_ms: float, work_ms: float, left_to_deadline_ms: float) -> float:
-    """Return how long a request may wait for room before it is refused.
-
-    A first attempt doesn't wait: its caller comes back as it is told. A later one may
-    be the caller's last, so it waits for a part of the time in which it could still
-    be served. For example, with work of 100 ms and 715 left it waits for 300 ms.
-    """
-    if age_ms <= 0.0:
-        return 0.0
-    return max(0.0, WAIT_SHARE * (left_to_deadline_ms - SPREAD_FACTOR * work_ms))
-
-
 def quick_retry_after_ms(position: float) -> float:
     """Return when to come back after servers refused a request though they had room.
 
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -4,12 +4,10 @@
 
 from dataclasses import dataclass, field
 
-import curio
-
 from ..core.allowances import RetryAllowance
 from ..core.clock import Instant, add_ms
 from ..core.outcomes import AttemptOutcome
-from ..core.overload import CallerAge, WaitOutlook, WorkEstimate
+from ..core.overload import CallerAge, WorkEstimate
 from ..core.routes import Route, RoutingConfiguration, WeightedSplit
 from ..http.messages import HOP_HEADERS, Headers, Request, Response
 from .dialect import Dialect
@@ -33,18 +31,6 @@
     elapsed_ms: float
 
 
-@dataclass(slots=True)
-class RoomQueue:
-    """The requests of one service that wait for room, in the order of arrival.
-
-    Only the one with the turn searches: if all did, they would spend the probe budget
-    of the entry within a second.
-    """
-
-    outlook: WaitOutlook = field(default_factory=WaitOutlook)
-    turn: curio.Lock = field(default_factory=curio.Lock)
-
-
 @dataclass(slots=True)
 class Call:
     """One request on its way, with all that was decided on it."""
@@ -59,7 +45,6 @@
     age_ms: float
     work: WorkEstimate
     allowance: RetryAllowance
-    queue: RoomQueue
     headers: Headers
     tried: set[str] = field(default_factory=set)
     attempts: list[Attempt] = field(default_factory=list)
@@ -103,7 +88,6 @@
         self._ages: dict[str, CallerAge] = {}
         self._works: dict[str, WorkEstimate] = {}
         self._allowances: dict[str, RetryAllowance] = {}
-        self._queues: dict[str, RoomQueue] = {}
         self._dropped = frozenset(
             (*HOP_HEADERS, dialect.deadline_ms, dialect.expected_instance)
         )
@@ -133,7 +117,6 @@
             age_ms=age_ms,
             work=self._work(route),
             allowance=self._allowance(service),
-            queue=self._queues.setdefault(service, RoomQueue()),
             headers=[h for h in request.headers if h[0] not in self._dropped],
         )
 
@@ -162,7 +145,6 @@
         self._ages = {k: v for k, v in self._ages.items() if k in routes}
         self._works = {k: v for k, v in self._works.items() if k in routes}
         self._allowances = {k: v for k, v in self._allowances.items() if k in services}
-        self._queues = {k: v for k, v in self._queues.items() if k in services}
 
 
 def _is_count(value: bytes) -> bool:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -4,9 +4,7 @@
 
 import random
 
-import curio
-
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..core.outcomes import AttemptOutcome
 from ..core.overload import (
@@ -14,7 +12,6 @@
     Verdict,
     acceptable_slowdown,
     judge,
-    longest_wait_ms,
     quick_retry_after_ms,
     retry_after_ms,
 )
@@ -29,12 +26,6 @@
 from .view import Endpoint, FleetView
 
 MIN_DEADLINE_MS = 10.0
-WAIT_STEP_MS = 20.0
-"""The pause before each search of a request that waits for room."""
-
-MAX_TRACE_ITEMS = 12
-"""A request that waited long asked often; its log line shows the first and last."""
-
 NOT_READY_RETRY_AFTER_MS = 150.0
 
 
@@ -131,7 +122,7 @@
             age_ms=call.age_ms,
             work_ms=call.work.get(),
             attempts=call.describe_attempts() or "none",
-            asked=_shorten(call.trace),
+            asked=";".join(call.trace) or "none",
             version=self._view.orders.version,
             index=self._view.orders.index,
             n_endpoints=len(self._view.by_service.get(call.service, ())),
@@ -172,8 +163,6 @@
         while True:
             is_first = n_sent == 0
             pick = await self._search(call, is_first)
-            if is_first and isinstance(pick, ErrorKind):
-                pick = await self._wait_for_room(call, pick)
             if isinstance(pick, ErrorKind):
                 return self._give_up(call, pick)
             outcome, response = await self._attempt(call, pick)
@@ -222,31 +211,6 @@
         self._metrics.count("retries_refused_total", service=call.service)
         return ErrorKind.BACKEND_REFUSED
 
-    async def _wait_for_room(self, call: Call, refused: ErrorKind) -> Pick | ErrorKind:
-        """Search again for a while when there was no room; return what was found."""
-        now = self._clock()
-        left_ms = remaining_ms(call.deadline, now)
-        wait_ms = longest_wait_ms(call.age_ms, call.work.get(), left_ms)
-        outlook = call.queue.outlook
-        if wait_ms < WAIT_STEP_MS or not outlook.may_wait(self._rng.random()):
-            return refused
-        call.trace.append(f"wait/{wait_ms:.0f}")
-        self._metrics.count("waits_total", service=call.service)
-        until = add_ms(now, wait_ms)
-        found: Pick | ErrorKind = refused
-        has_turn = False
-        async with curio.ignore_after(wait_ms / 1000):
-            has_turn = await call.queue.turn.acquire()
-        try:
-            while has_turn and isinstance(found, ErrorKind) and self._clock() < until:
-                await curio.sleep(WAIT_STEP_MS / 1000)
-                found = await self._search(call, is_first=True)
-        finally:
-            if has_turn:
-                await call.queue.turn.release()
-        outlook.note(isinstance(found, Pick))
-        return found
-
     def _admits(self, call: Call, pick: Pick, now: Instant) -> bool:
         """Return whether a request is sent where the search found room for it."""
         prospect = Prospect(
@@ -318,12 +282,3 @@
                 endpoint.health.fail(2.0, now)
             case AttemptOutcome.EXPIRED:
                 endpoint.health.fail(1.0, now)
-
-
-def _shorten(trace: list[str]) -> str:
-    """Return the questions of a search for the log."""
-    if len(trace) > MAX_TRACE_ITEMS:
-        half = MAX_TRACE_ITEMS // 2
-        n_left_out = len(trace) - 2 * half
-        trace = [*trace[:half], f"{n_left_out}_more", *trace[-half:]]
-    return ";".join(trace) or "none"
