Test three mechanisms that no test missed when disabled

Eighteen mechanisms of the gateway and control were disabled one at a time and the tests run. Three survived: a zone that returns taken as warm (the fixture's endpoint was cold for another reason), a second change of the members in flight, a learner that votes before it holds the log.

--- a/pollenfold/tests/core/test_agreement_members.py
+++ b/pollenfold/tests/core/test_agreement_members.py
@@ -6,6 +6,7 @@
     address_of,
     decode_members,
     encode_members,
+    next_members,
     unwrap_snapshot,
     wrap_snapshot,
 )
@@ -128,6 +129,40 @@
         assert len(before ^ after) == 1
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_next_change_waits_until_the_one_before_is_committed(seed):
+    """Guards against two changes in flight, after which two majorities may have no
+    replica in common."""
+    cores = DynamicCores(5, seed=seed)
+    n_in_flight = 0
+    for _ in range(4000):
+        cores.run(1)
+        leader = cores.leader()
+        if leader is None:
+            continue
+        entries = leader.log.between(leader.commit_index + 1, leader.log.last_index)
+        if any(decode_members(entry.command) is not None for entry in entries):
+            n_in_flight += 1
+            assert next_members(leader, cores.n_target, cores.now) is None
+    assert n_in_flight
+    assert machines(cores) == set("abcde")
+
+
+def test_learner_that_cannot_be_reached_stays_one():
+    """Guards against a voter without the log, with which one loss more stops all."""
+    cores = DynamicCores(4, seed=3)
+    cores.run(4000)
+    name = cores.add_disk("f")
+    while name not in cores.leader().learners:
+        cores.run(1)
+    cores.cut_off = {name}
+    cores.run(2000)
+    assert machines(cores) == set("abcd")
+    cores.cut_off = set()
+    cores.run(2000)
+    assert machines(cores) == set("abcdf")
+
+
 def test_learner_never_votes_for_itself(cores):
     """Guards against a replica that starts elections before it is a member."""
     name = cores.add_disk("f")
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -246,6 +246,26 @@
     with_path(body, Backend("cold"))
 
 
+def test_endpoints_of_a_zone_that_returns_count_as_cold_until_they_answer(with_path):
+    """Guards against full load on endpoints that turned cold while out."""
+
+    async def body(path, backend):
+        endpoint = path.view.endpoints["one"]
+        now = system_clock()
+        assert not endpoint.is_cold(now)
+        out = Orders(index=2, version=1, evacuated=frozenset(["a"]))
+        path.view.take_orders(out.encode(), "test")
+        assert path.view.by_service == {}
+        path.view.take_orders(Orders(index=3, version=1).encode(), "test")
+        assert path.view.by_service["s"] == [endpoint]
+        assert endpoint.is_cold(now)
+        backend.warmup = b"x-warmup-remaining-ms: 0\r\n"
+        assert (await path.get()).status == 200
+        assert not endpoint.is_cold(system_clock())
+
+    with_path(body, Backend("one"))
+
+
 def test_service_without_load_reports_is_served(with_path):
     """Guards against a service whose servers don't tell their load."""
 
