--- a/pollenfold/tests/processes/system.py
+++ b/pollenfold/tests/processes/system.py
@@ -188,13 +188,20 @@
         path: str,
         record: dict[str, Any] | None = None,
         timeout_s: float = 3,
+        change_id: str | None = None,
     ) -> tuple[int, dict[str, Any]]:
-        """Send one request to one control replica; status 0 for no response."""
+        """Send one request to one control replica; status 0 for no response.
+
+        A resend of a change must carry the ``change_id`` of the first attempt.
+        """
+        headers = {"authorization": f"Bearer {TOKEN}"}
+        if change_id is not None:
+            headers["pollenfold-change-id"] = change_id
         reply = await exchange(
             (replica.host, replica.operator_port),
             method,
             path,
-            {"authorization": f"Bearer {TOKEN}"},
+            headers,
             b"" if record is None else json.dumps(record).encode(),
             timeout_s,
         )
--- a/pollenfold/tests/processes/test_configuration.py
+++ b/pollenfold/tests/processes/test_configuration.py
@@ -1,5 +1,7 @@
 """Accepted configuration stays in force while control replicas fail."""
 
+import secrets
+
 import curio
 import pytest
 
@@ -26,10 +28,15 @@
 async def post(system, replica, record):
     """Send a record until a leader answers; return the answer's status and fields.
 
-    A reply that leaves the outcome open is followed by a resend, as by an operator.
+    A reply that leaves the outcome open is followed by a resend with the same id, as
+    by an operator. Without the id the resend of a change that was committed is a
+    change of its own, and conflicts with the first.
     """
+    change_id = secrets.token_hex(16)
     for _ in range(50):
-        status, fields = await system.operator(replica, "POST", "/v1/records", record)
+        status, fields = await system.operator(
+            replica, "POST", "/v1/records", record, change_id=change_id
+        )
         if status in (200, 409):
             return status, fields
         assert status in (0, 421, 503), fields
