Share the start and the end of schedules between both cores of the tests

The start now asks for the first members, and Cores.recover ends a schedule. The assertions are the same, with the same times: 4 s and 8 s.

--- a/pollenfold/tests/core/cores.py
+++ b/pollenfold/tests/core/cores.py
@@ -31,6 +31,8 @@
 class Cores:
     """Cores that run one event at a time; ``flight`` holds the undelivered messages."""
 
+    is_dynamic = False
+
     def __init__(self, n_cores, seed=0):
         self.now = 0.0
         self.random = random.Random(seed)
@@ -49,15 +51,20 @@
         core.crash_after = None
         core.state = initial_state(
             name,
-            frozenset(self.cores),
+            self.first_members(name),
             core.incarnation,
             core.is_blank,
             core.stored,
             core.log,
             self.now,
             self.timeout_ms(),
+            is_dynamic=self.is_dynamic,
         )
 
+    def first_members(self, name):
+        """Return the replicas that a core is told of at its start."""
+        return frozenset(self.cores)
+
     def timeout_ms(self):
         return self.random.uniform(400, 800)
 
@@ -145,6 +152,18 @@
                 self.now = min(max(self.now, min(waking, default=end)), end)
             self.tick()
 
+    def recover(self, duration_ms):
+        """End all faults, wait, and check that a new change is committed."""
+        self.cut_off.clear()
+        for name, core in self.cores.items():
+            if core.state is None or core.crash_after is not None:
+                self.start(name)
+        self.run(duration_ms)
+        self.propose(b"after the faults")
+        self.run(500)
+        commands = [entry.command for entry, _ in self.committed]
+        assert commands[-1:] == [b"after the faults"]
+
     def tick(self):
         for name in self.cores:
             self.step(name, messages.Tick())
--- a/pollenfold/tests/core/dynamic_cores.py
+++ b/pollenfold/tests/core/dynamic_cores.py
@@ -4,7 +4,6 @@
 ``b/2``. The checks are those of ``Cores``.
 """
 
-from pollenfold.core.agreement import initial_state
 from pollenfold.core.agreement_members import (
     decode_members,
     founding,
@@ -21,6 +20,8 @@
 class DynamicCores(Cores):
     """Cores that start with a founder; the others join it."""
 
+    is_dynamic = True
+
     def __init__(self, n_machines, seed=0, n_target=N_TARGET):
         self.n_target = n_target
         self.n_disks = 0
@@ -41,21 +42,8 @@
         self.start(name)
         return name
 
-    def start(self, name):
-        core = self.cores[name]
-        core.n_applied = core.log.snapshot.index
-        core.crash_after = None
-        core.state = initial_state(
-            name,
-            frozenset({name}),
-            core.incarnation,
-            False,
-            core.stored,
-            core.log,
-            self.now,
-            self.timeout_ms(),
-            is_dynamic=True,
-        )
+    def first_members(self, name):
+        return frozenset({name})
 
     def deliver(self, position):
         message = self.flight[position]
--- a/properties/test_agreement.py
+++ b/properties/test_agreement.py
@@ -44,14 +44,7 @@
 
 def check_progress(cores):
     """All replicas take part and apply a new change 4 s after the faults stop."""
-    cores.cut_off.clear()
-    for name, core in cores.cores.items():
-        if core.state is None or core.crash_after is not None:
-            cores.start(name)
-    cores.run(4000)
-    cores.propose(b"after the faults")
-    cores.run(500)
-    assert [e.command for e, _ in cores.committed][-1:] == [b"after the faults"]
+    cores.recover(4000)
     for core in cores.cores.values():
         assert not core.is_blank
         assert core.n_applied == len(cores.committed)
--- a/properties/test_agreement_members.py
+++ b/properties/test_agreement_members.py
@@ -63,12 +63,5 @@
     for fault, first, second in schedule:
         perform(cores, fault, first, second)
     event(f"disks: {min(cores.n_disks, 9)}")
-    cores.cut_off.clear()
-    for name, core in cores.cores.items():
-        if core.state is None or core.crash_after is not None:
-            cores.start(name)
-    cores.run(8000)
-    cores.propose(b"after the faults")
-    cores.run(500)
-    assert [e.command for e, _ in cores.committed][-1:] == [b"after the faults"]
+    cores.recover(8000)
     assert len(cores.voters()) == 5
