Take uploads as requests that run at most once

Cause: the configurations of the Lam Vien deployments name the kind 'upload', which the decoder refused, so no configuration was accepted and no request served. Ruled out: a class of its own in the core; nothing decides differently for it. Change: the adapter maps the kind to a non-idempotent route. The test fails without the mapping (unknown kind 'upload').

--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -16,7 +16,10 @@
 )
 
 MAX_TIMEOUT_MS = 600_000
-KINDS = {"safe": True, "unsafe": False}
+KINDS = {"safe": True, "unsafe": False, "upload": False}
+"""Whether requests of a kind are idempotent. An upload is a large request that runs at
+most once, like any other that isn't."""
+
 STATES = {"ready": False, "draining": True}
 
 
--- a/pollenfold/tests/platform/test_documents.py
+++ b/pollenfold/tests/platform/test_documents.py
@@ -56,6 +56,18 @@
 }
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"), [("safe", True), ("unsafe", False), ("upload", False)]
+)
+def test_only_safe_requests_are_idempotent(kind, is_idempotent):
+    """Guards against an upload that is sent twice, or a kind that is refused."""
+    route = {**ROUTE, "kind": kind}
+    document = {**CONFIGURATION, "hosts": [{"host": "a.example", "paths": [route]}]}
+    configuration = decode_configuration(json.dumps(document))
+    assert configuration.hosts["a.example"][0].is_idempotent is is_idempotent
+
+
+
 def edited(document, path, value):
     """Return a copy with the value at a path; None removes the field."""
     document = copy.deepcopy(document)
