Take the news of endpoints from one replica, and send only differences of lists

Cause: on hundreds of entries most bytes between zones were feeds. Each of five replicas told every entry each announcement, the repeated ids, the names of all entries and, on connecting, the list of all endpoints (29 KB x 312 entries x 5 replicas). Ruled out: fewer connections to control; an entry must hear of an order from any replica, since its own may be cut off. Change: all replicas tell the index of the orders; one, the source, tells the rest (core/news_source.py: own zone first, never one that hears no majority). Lists leave out what the reader has by digests of 16 buckets (core/digests.py). Replicas pass on what others heard to entries only, so silence is judged by one complete picture. Regular lines of the other replicas come once a second, pings every two.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -93,7 +93,7 @@
         self.book.replica = self.replica
         self.peers = PeerView(self.book, clock)
         self.feed_server = FeedServer(
-            settings.zone, self.book, lambda: self.peers.control_hosts, clock, self.log
+            settings.zone, self.book, self.peers, clock, self.log
         )
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
@@ -121,7 +121,7 @@
         for fields in announcements:
             try:
                 announcement = decode_announcement(fields)
-                self.book.take_announcement(announcement, is_direct=False)
+                self.book.take_announcement(announcement)
             except ValueError as error:
                 self.log.state("bad_cache", detail=str(error))
         self.feed_server.fleet.report(n_entries, system_clock())
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -10,15 +9,19 @@
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
+from ..core.digests import differing
 from ..core.registry import Announcement
 from ..observe.events import EventLog
 from ..wire.lines import encode_line, read_lines
-from .order_book import OrderBook
+from .order_book import OrderBook, PeerView
 
 PUBLISH_INTERVAL_MS = 20.0
 KEEP_ALIVE_MS = 500.0
+SPARSE_KEEP_ALIVE_MS = 1_000.0
+"""The same for entries that take their news from another replica."""
+
 HEARD_INTERVAL_MS = 3_000.0
-SILENCE_LIMIT_MS = 3_000.0
+SILENCE_LIMIT_MS = 5_000.0
 STUCK_AFTER_MS = 2_000.0
 """A reader that takes nothing for so long is cut off; it connects anew."""
 
@@ -33,7 +36,10 @@
         self.client = client
         self.name = str(hello.get("name", ""))
         self.role = str(hello.get("role", ""))
-        self.zone = str(hello.get("zone", ""))
+        self.is_entry = self.role == "entry"
+        self.takes_news = not self.is_entry
+        """Whether it is told of endpoints and names, or only where the orders are."""
+
         self._pending = bytearray()
         self._moved_at = now
 
@@ -67,23 +73,24 @@
         self,
         zone: str,
         book: OrderBook,
-        control_hosts: Callable[[], frozenset[str]],
+        peers: PeerView,
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._zone = zone
         self._book = book
-        self._control_hosts = control_hosts
+        self._peers = peers
         self._clock = clock
         self._log = log
         self._readers: set[_Reader] = set()
         self._news: dict[str, Announcement] = {}
-        self._relayed: dict[str, Announcement] = {}
         self._is_changed = False
         self._told_at = clock()
+        self._told_all_at = clock()
         self._heard_at = clock()
         self._told_entries: set[str] = set()
         self._told_control: list[str] = []
+        self._told_n_peers = 0
         self.fleet = FleetSize()
         book.on_change = self._note_change
         book.on_news = self._note_news
@@ -96,18 +103,8 @@
     def _note_change(self) -> None:
         self._is_changed = True
 
-    def _note_news(self, announcement: Announcement, is_direct: bool) -> None:
-        news = self._news if is_direct else self._relayed
-        news[announcement.endpoint_id] = announcement
-
-    def _takes_relayed(self, reader: _Reader) -> bool:
-        """Return whether a reader is told what other replicas were told.
-
-        Each replica tells all readers what endpoints told it. A second path, through
-        the replicas of the own zone, is enough for an entry; more would cost bytes
-        between zones that grow with entries times replicas.
-        """
-        return reader.zone == self._zone or reader.role != "entry"
+    def _note_news(self, announcement: Announcement) -> None:
+        self._news[announcement.endpoint_id] = announcement
 
     async def serve(self, host: str, port: int) -> None:
         """Listen until cancelled."""
@@ -120,14 +117,17 @@
         reader: _Reader | None = None
         detail = "closed"
         try:
-            async for line in read_lines(client, SILENCE_LIMIT_MS):
+            async for line in read_lines(client, lambda: SILENCE_LIMIT_MS):
                 if reader is None:
                     reader = _Reader(client, line, self._clock())
                     self._greet(reader)
                 elif "get" in line:
                     self._tell(reader, {"orders": self._book.orders.encode()})
                 elif "list" in line:
-                    self._tell(reader, {"announcements": self._announcements()})
+                    items = self._announcements(line.get("digests"))
+                    self._tell(reader, {"announcements": items})
+                elif "news" in line:
+                    self._set_news(reader, bool(line["news"]))
         except OSError as error:
             detail = str(error) or type(error).__name__
             if reader is None:
@@ -147,30 +147,47 @@
             "zone": self._zone,
             "index": self._book.orders.index,
             "n_entries": self._n_entries(),
-            # Changes are told relative to what all readers were told before.
-            "entries": sorted(self._told_entries),
-            "control": sorted(self._control_hosts()),
+            "n_peers": self._peers.n_connected,
+            "control": sorted(self._peers.control_hosts),
         }
         self._tell(reader, line)
 
+    def _set_news(self, reader: _Reader, takes_news: bool) -> None:
+        """Begin or end to tell an entry of endpoints and of other entries."""
+        if not reader.is_entry or reader.takes_news == takes_news:
+            return
+        reader.takes_news = takes_news
+        if takes_news:
+            # Changes are told relative to what all readers were told before.
+            names = sorted(self._told_entries)
+            self._tell(reader, {"entries": names, "complete_ms": self._complete_ms()})
+
+    def _complete_ms(self) -> float:
+        """Return how long this replica has heard all others, -1 while it doesn't."""
+        since = self._peers.connected_since
+        return -1.0 if since is None else round(self._clock() - since)
+
     def _tell(self, reader: _Reader, line: dict[str, Any]) -> None:
         reader.add(encode_line(line))
         self._flush(reader)
 
-    def _announcements(self) -> list[tuple[list[object], float]]:
-        """Return the endpoints that were heard lately, with the age of their words."""
+    def _announcements(self, digests: object) -> list[tuple[list[object], float]]:
+        """Return the endpoints that were heard lately, with the age of their words.
+
+        Those that the reader has by its digests are left out.
+        """
         now = self._clock()
         oldest = add_ms(now, -FORGET_AFTER_MS)
-        registry = self._book.registry
-        known = [registry.known(a.endpoint_id) for a in registry.announcements()]
-        return [
-            (k.announcement.encode(), now - k.announced_at)
-            for k in known
-            if k is not None and k.heard_at > oldest
-        ]
+        known = {
+            k.announcement.endpoint_id: k
+            for k in self._book.registry.all_known()
+            if k.heard_at > oldest
+        }
+        missing = differing((k.announcement for k in known.values()), digests)
+        return [(a.encode(), now - known[a.endpoint_id].announced_at) for a in missing]
 
     def _entries(self) -> set[str]:
-        return {r.name for r in self._readers if r.role == "entry"}
+        return {r.name for r in self._readers if r.is_entry}
 
     def _n_entries(self) -> int:
         """Return the number of entries, and note it."""
@@ -178,24 +195,29 @@
         self.fleet.report(len(self._entries()), now)
         return self.fleet.get(now)
 
-    def _fleet_news(self) -> dict[str, Any]:
-        """Return what changed of the fleet since it was last told.
+    def _fleet_news(self) -> tuple[dict[str, Any], dict[str, Any]]:
+        """Return what changed of the fleet, for all readers and for those of news.
 
         Only the names that changed are told: with all of them in each line, a restart
         of all entries would cost the square of their number.
         """
-        line: dict[str, Any] = {}
+        for_all: dict[str, Any] = {}
+        names: dict[str, Any] = {}
         entries = self._entries()
         if entries != self._told_entries:
-            line["n_entries"] = self._n_entries()
-            line["joined"] = sorted(entries - self._told_entries)
-            line["left"] = sorted(self._told_entries - entries)
+            for_all["n_entries"] = self._n_entries()
+            names["joined"] = sorted(entries - self._told_entries)
+            names["left"] = sorted(self._told_entries - entries)
             self._told_entries = entries
-        control = sorted(self._control_hosts())
+        control = sorted(self._peers.control_hosts)
         if control != self._told_control:
-            line["control"] = control
+            for_all["control"] = control
             self._told_control = control
-        return line
+        n_peers = self._peers.n_connected
+        if n_peers != self._told_n_peers:
+            for_all["n_peers"] = n_peers
+            self._told_n_peers = n_peers
+        return for_all, names
 
     async def run(self) -> None:
         """Write changes and regular lines to all readers until cancelled."""
@@ -203,36 +225,66 @@
             await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
             now = self._clock()
             is_due = now >= add_ms(self._told_at, KEEP_ALIVE_MS)
-            if not (is_due or self._is_changed or self._news or self._relayed):
-                continue
-            line: dict[str, Any] = {"index": self._book.orders.index}
-            if is_due:
-                line |= self._fleet_news()
-                self._told_at = now
-            if now >= add_ms(self._heard_at, HEARD_INTERVAL_MS):
-                # Readers forget the size of the fleet unless it is told again.
-                line["n_entries"] = self._n_entries()
-                line["heard"] = sorted(self._book.heard_ids)
-                self._book.heard_ids.clear()
-                self._heard_at = now
-            self._publish(line)
-
-    def _publish(self, line: dict[str, Any]) -> None:
-        """Write a line, with the news, to all readers."""
-        if self._news:
-            line["announcements"] = [[a.encode(), 0] for a in self._news.values()]
-        data = encode_line(line)
-        relayed = b""
-        if self._relayed:
-            items = [[a.encode(), 0] for a in self._relayed.values()]
-            relayed = encode_line({"announcements": items})
-        self._news = {}
-        self._relayed = {}
+            if is_due or self._is_changed or self._news:
+                self._publish(now, is_due)
+
+    def _publish(self, now: Instant, is_due: bool) -> None:
+        """Write what is new to all readers, to each what it takes."""
+        for_all: dict[str, Any] = {}
+        names: dict[str, Any] = {}
+        if is_due:
+            for_all, names = self._fleet_news()
+            self._told_at = now
+        is_heard_due = now >= add_ms(self._heard_at, HEARD_INTERVAL_MS)
+        if is_heard_due:
+            # Readers forget the size of the fleet unless it is told again.
+            for_all["n_entries"] = self._n_entries()
+            self._heard_at = now
+        is_all_due = now >= add_ms(self._told_all_at, SPARSE_KEEP_ALIVE_MS)
+        is_told_to_all = self._is_changed or bool(for_all) or is_all_due
+        if is_told_to_all:
+            self._told_all_at = now
+        for_all["index"] = self._book.orders.index
+        news = {**for_all, **names, **self._take_announcements()}
+        for_replicas, for_entries = news, news
+        if is_heard_due:
+            for_replicas, for_entries = self._with_heard(news)
         self._is_changed = False
+        self._write(
+            encode_line(for_replicas),
+            encode_line(for_entries),
+            encode_line(for_all) if is_told_to_all else b"",
+        )
+
+    def _take_announcements(self) -> dict[str, Any]:
+        """Return the announcements that readers weren't told yet."""
+        waiting = self._news.values()
+        self._news = {}
+        return {"announcements": [[a.encode(), 0] for a in waiting]} if waiting else {}
+
+    def _with_heard(
+        self, news: dict[str, Any]
+    ) -> tuple[dict[str, Any], dict[str, Any]]:
+        """Return the news with the repeated announcements, by kind of reader."""
+        book = self._book
+        direct, relayed = book.heard_ids, book.relayed_heard_ids
+        book.heard_ids, book.relayed_heard_ids = set(), set()
+        for_replicas = {**news, "heard": sorted(direct)}
+        heard = sorted(direct | relayed)
+        complete_ms = self._complete_ms()
+        return for_replicas, {**news, "heard": heard, "complete_ms": complete_ms}
+
+    def _write(self, for_replicas: bytes, for_entries: bytes, for_all: bytes) -> None:
+        """Write each reader the line of its kind, where there is one."""
         for reader in list(self._readers):
-            reader.add(data)
-            if relayed and self._takes_relayed(reader):
-                reader.add(relayed)
+            if not reader.is_entry:
+                reader.add(for_replicas)
+            elif reader.takes_news:
+                reader.add(for_entries)
+            elif for_all:
+                reader.add(for_all)
+            else:
+                continue
             self._flush(reader)
 
     def _flush(self, reader: _Reader) -> None:
--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -17,6 +17,7 @@
 from ..core.agreement_members import host_and_port
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.digests import bucket_digests
 from ..core.errors import ErrorKind
 from ..core.orders import (
     Configure,
@@ -53,8 +54,7 @@
 
     ``replica`` is set after construction, since a replica takes ``apply``,
     ``snapshot`` and ``restore`` of this object. ``on_change`` is called when the
-    orders changed, ``on_news`` with each announcement that says something new, and
-    whether the endpoint itself sent it here.
+    orders changed, ``on_news`` with each announcement that says something new.
     """
 
     def __init__(self, n_members: int, clock: Clock, log: EventLog) -> None:
@@ -66,9 +66,13 @@
         self.orders = Orders()
         self.registry = Registry()
         self.heard_ids: set[str] = set()
+        self.relayed_heard_ids: set[str] = set()
+        """Endpoints that other replicas heard again; told to entries only, since
+        passed on between replicas they would keep a dead endpoint alive for ever."""
+
         self.replica: Replica
         self.on_change: Callable[[], None] = lambda: None
-        self.on_news: Callable[[Announcement, bool], None] = lambda news, direct: None
+        self.on_news: Callable[[Announcement], None] = lambda news: None
 
     # State machine
 
@@ -102,11 +106,8 @@
 
     # Announcements
 
-    def take_announcement(self, announcement: Announcement, is_direct: bool) -> None:
-        """Keep an announcement, and pass it on when it says something new.
-
-        ``is_direct`` means that it came from the endpoint and not from a replica.
-        """
+    def take_announcement(self, announcement: Announcement) -> None:
+        """Keep an announcement, and pass it on when it says something new."""
         if self.registry.merge(announcement, self._clock()):
             self._log.state(
                 "endpoint_announced",
@@ -116,14 +117,21 @@
                 born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
             )
-            self.on_news(announcement, is_direct)
+            self.on_news(announcement)
+
+    def hear_relayed(self, endpoint_ids: Iterable[str]) -> None:
+        """Note which endpoints announced themselves again to another replica."""
+        now = self._clock()
+        for endpoint_id in endpoint_ids:
+            self.registry.hear(endpoint_id, now)
+            self.relayed_heard_ids.add(endpoint_id)
 
     async def announce(
         self, announcement: Announcement, timeout_ms: float
     ) -> Result[None, ErrorKind]:
         """Take an announcement; Ok for one that leaves once that is agreed on."""
         self.heard_ids.add(announcement.endpoint_id)
-        self.take_announcement(announcement, is_direct=True)
+        self.take_announcement(announcement)
         if not announcement.is_leaving:
             return Ok(None)
         order = Depart(announcement.endpoint_id, announcement.born_ms)
@@ -263,6 +271,7 @@
         self._book = book
         self._clock = clock
         self.connected_since: Instant | None = None
+        self.n_connected = 0
         self.entry_ids: frozenset[str] = frozenset()
         self.fleet = FleetSize()
         """What others count; this replica goes by its own readers."""
@@ -278,17 +287,18 @@
         voters = self._book.replica.voters()
         return frozenset(host_and_port(k)[0] for k in voters)
 
+    def digests(self) -> list[int]:
+        """Return the digests of the endpoints that are known."""
+        return bucket_digests(self._book.registry.announcements())
+
     def take_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
         """Take announcements that another replica received."""
         for fields, _ in items:
-            self._book.take_announcement(decode_announcement(fields), is_direct=False)
+            self._book.take_announcement(decode_announcement(fields))
 
     def hear(self, endpoint_ids: list[str]) -> None:
-        """Ignore repeated announcements.
-
-        Each replica tells its readers only those that it received itself; passed on
-        between replicas they would keep a dead endpoint alive for ever.
-        """
+        """Note repeated announcements, to tell them to entries."""
+        self._book.hear_relayed(endpoint_ids)
 
     def expire(self) -> None:
         """Keep all; entries decide for themselves what is silent."""
--- a/pollenfold/core/registry.py
+++ b/pollenfold/core/registry.py
@@ -158,6 +158,10 @@
             self.remove(endpoint_id)
         return silent
 
+    def all_known(self) -> Iterable[Known]:
+        """Return the newest announcement of each endpoint and its instants."""
+        return self._known.values()
+
     def announcements(self) -> Iterable[Announcement]:
         """Return the newest announcement of each endpoint."""
         return [known.announcement for known in self._known.values()]
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -2,7 +2,8 @@
 
 An entry holds one connection to each control replica. Each tells the index of its
 orders at once when it changes and regularly besides; the entry asks for the orders
-themselves only where it lacks them, from its own zone first.
+themselves only where it lacks them, from its own zone first. One replica, the source,
+also tells the news of endpoints and entries (``core/news_source.py``).
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 import curio
 from curio import socket
 
-from ..core.clock import Clock, add_ms, remaining_ms
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.news_source import Source, choose_source
 from ..observe.events import EventLog
 from ..wire.connections import open_connection
 from ..wire.lines import encode_line, read_lines
@@ -26,11 +28,18 @@
 what was sent to it is sent again only after a second; a new attempt finds sooner that
 it is back."""
 
+CHECK_INTERVAL_MS = 250.0
+SETTLED_CHECK_INTERVAL_MS = 1_000.0
+"""How often a process looks for replicas to connect to: often while it lacks some."""
+
 SEND_TIMEOUT_MS = 600.0
 SILENCE_LIMIT_MS = 1_500.0
 """Three missed lines; then the connection is opened anew, since it may be dead
 without a reset."""
 
+SPARSE_SILENCE_LIMIT_MS = 3_000.0
+"""The same for a replica that isn't the source; it tells less often."""
+
 RETRY_PAUSE_MS = 300.0
 FIRST_RETRY_PAUSE_MS = 50.0
 """The pause while no feed is open, when this entry may know nothing yet."""
@@ -38,7 +47,10 @@
 LIST_INTERVAL_MS = 10_000.0
 """How often a replica of the own zone is asked for the list of all endpoints."""
 
-PING_INTERVAL_MS = 1_000.0
+PING_INTERVAL_MS = 2_000.0
+FIRST_LIST_WAIT_MS = 300.0
+"""How long a replica that isn't the source waits to be asked for its list first."""
+
 LIST_PAUSE_MS = 1_000.0
 """The pause between two requests for the list of all endpoints.
 
@@ -60,12 +72,21 @@
 
 
 class _Feed:
-    """One open feed; ``asked_index`` is the highest index asked for."""
+    """One open feed.
+
+    ``asked_index`` is the highest index asked for. ``zone`` and ``n_peers`` are what
+    the replica told of itself, once its first line was read. ``complete_since`` is
+    since when it hears all other replicas.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._lock = curio.Lock()
         self.asked_index = 0
+        self.is_new = True
+        self.zone = ""
+        self.n_peers = 0
+        self.complete_since: Instant | None = None
 
     async def send(self, message: dict[str, Any]) -> None:
         """Send one line; raise OSError or TaskTimeout when that fails."""
@@ -98,10 +119,9 @@
         self._log = log
         self._own_host = own_host
         self._tasks: dict[str, curio.Task] = {}
-        self._connected: dict[str, str] = {}
-        self._entries: dict[str, set[str]] = {}
-        """The names of the entries that each replica sees, by its host."""
-
+        self._connected: dict[str, _Feed] = {}
+        self._source: str | None = None
+        self._source_since = clock()
         self._next_list_at = clock()
 
     @property
@@ -119,22 +139,54 @@
             for host in set(self._tasks) - wanted:
                 if host not in self._connected:
                     await self._tasks.pop(host).cancel()
-            self._note_connections()
+            await self._choose_source()
+            self._note_completeness()
+            self._view.n_connected = len(self._connected)
             self._view.expire()
-            await curio.sleep(0.25)
-
-    def _note_connections(self) -> None:
-        """Note since when this entry hears all control replicas.
+            is_settled = wanted <= set(self._connected)
+            pause_ms = SETTLED_CHECK_INTERVAL_MS if is_settled else CHECK_INTERVAL_MS
+            await curio.sleep(pause_ms / 1000)
 
-        Each endpoint announces itself to one of them, so silence means something only
-        while none is missing.
+    async def _choose_source(self) -> None:
+        """Take the news from the best of the open feeds; replicas take all."""
+        if self._identity.role != "entry":
+            return
+        sources = [Source(k, f.zone, f.n_peers) for k, f in self._connected.items()]
+        identity = self._identity
+        n_replicas = len(self._view.control_hosts)
+        best = choose_source(sources, identity.name, identity.zone, n_replicas)
+        if best is None or best == self._source:
+            return
+        before, self._source = self._source, best
+        self._source_since = self._clock()
+        self._log.state("news_source", control=best, before=before or "none")
+        with contextlib.suppress(OSError, curio.TaskTimeout):
+            # The reader of a feed notices a broken connection.
+            if before in self._connected:
+                await self._connected[before].send({"news": 0})
+            feed = self._connected[best]
+            await feed.send({"news": 1})
+            await feed.send({"list": 1, "digests": self._view.digests()})
+
+    def _note_completeness(self) -> None:
+        """Note since when this process hears of all endpoints.
+
+        Each endpoint announces itself to one replica, so silence means something only
+        while the source hears all replicas, or a replica all others.
         """
-        hosts = self._view.control_hosts - {self._own_host}
-        is_connected = bool(hosts) and hosts <= set(self._connected)
-        if not is_connected:
-            self._view.connected_since = None
-        elif self._view.connected_since is None:
-            self._view.connected_since = self._clock()
+        view = self._view
+        if self._identity.role != "entry":
+            hosts = view.control_hosts - {self._own_host}
+            if not hosts <= set(self._connected):
+                view.connected_since = None
+            elif view.connected_since is None:
+                view.connected_since = self._clock()
+            return
+        source = self._connected.get(self._source or "")
+        if source is None or source.complete_since is None:
+            view.connected_since = None
+        else:
+            view.connected_since = max(source.complete_since, self._source_since)
 
     async def _follow(self, host: str) -> None:
         """Read the feed of one replica, again and again."""
@@ -151,9 +203,11 @@
                 detail = str(error) or type(error).__name__
             except (ValueError, KeyError, TypeError, IndexError) as error:
                 detail = f"malformed line: {error!r}"
-            self._entries.pop(host, None)
             if self._connected.pop(host, None) is not None:
                 n_failures = 0
+                if host == self._source:
+                    self._source = None
+                    await self._choose_source()
                 self._log.state("feed_lost", control=host, detail=detail)
             pause_ms = RETRY_PAUSE_MS if self._connected else FIRST_RETRY_PAUSE_MS
             await curio.sleep(pause_ms / 1000)
@@ -172,22 +226,30 @@
             await feed.send(hello)
             helpers = [await curio.spawn(self._ping, feed, daemon=True)]
             try:
-                async for line in read_lines(sock, SILENCE_LIMIT_MS):
+                async for line in read_lines(sock, lambda: self._silence_ms(host)):
                     if host not in self._connected:
-                        zone = str(line.get("zone", ""))
-                        self._connected[host] = zone
+                        feed.zone = str(line.get("zone", ""))
+                        self._connected[host] = feed
                         self._log.state("feed_opened", control=host)
-                        asking = self._ask_list(feed, zone == identity.zone)
+                        asking = self._ask_list(feed, host)
                         helpers.append(await curio.spawn(asking, daemon=True))
-                    index = self._take(line, host)
+                    index = self._take(line, host, feed)
+                    if feed.is_new:
+                        feed.is_new = False
+                        await self._choose_source()
                     if index > max(self._view.orders.index, feed.asked_index):
                         feed.asked_index = index
-                        await self._ask(feed, host)
+                        await self._ask(feed)
             finally:
                 for helper in helpers:
                     await helper.cancel()
 
-    def _take(self, line: dict[str, Any], host: str) -> int:
+    def _silence_ms(self, host: str) -> float:
+        """Return for how long the replica may be silent."""
+        is_told_all = host == self._source or self._identity.role != "entry"
+        return SILENCE_LIMIT_MS if is_told_all else SPARSE_SILENCE_LIMIT_MS
+
+    def _take(self, line: dict[str, Any], host: str, feed: _Feed) -> int:
         """Take one line; return the index of the sender's orders, or 0."""
         view = self._view
         if "orders" in line:
@@ -196,23 +258,28 @@
             view.take_announcements(line["announcements"])
         if "heard" in line:
             view.hear(line["heard"])
-        if "entries" in line:
-            self._entries[host] = set(line["entries"])
-        if "joined" in line:
-            self._entries[host] |= set(line["joined"])
-            self._entries[host] -= set(line["left"])
-        if "entries" in line or "joined" in line:
-            view.entry_ids = frozenset().union(*self._entries.values())
+        if "entries" in line and host == self._source:
+            view.entry_ids = frozenset(line["entries"])
+        if "joined" in line and host == self._source:
+            view.entry_ids = (view.entry_ids | set(line["joined"])) - set(line["left"])
+        if "n_peers" in line:
+            feed.n_peers = int(line["n_peers"])
+        if "complete_ms" in line:
+            complete_ms = float(line["complete_ms"])
+            is_complete = complete_ms >= 0.0
+            since = add_ms(self._clock(), -complete_ms)
+            feed.complete_since = since if is_complete else None
         if "n_entries" in line:
             view.fleet.report(int(line["n_entries"]), self._clock())
         if "control" in line:
             view.take_control_hosts(line["control"])
         return int(line.get("index", 0))
 
-    async def _ask(self, feed: _Feed, host: str) -> None:
+    async def _ask(self, feed: _Feed) -> None:
         """Ask for the orders, at once in the own zone and after a while elsewhere."""
         zone = self._identity.zone
-        if self._connected.get(host) == zone or zone not in self._connected.values():
+        zones = {f.zone for f in self._connected.values()}
+        if feed.zone == zone or zone not in zones:
             await feed.send({"get": 1})
         else:
             await curio.spawn(self._ask_later, feed, daemon=True)
@@ -224,22 +291,24 @@
                 # The reader of the feed notices a broken connection.
                 await feed.send({"get": 1})
 
-    async def _ask_list(self, feed: _Feed, is_local: bool) -> None:
-        """Ask for the list of all endpoints, one replica after the other.
+    async def _ask_list(self, feed: _Feed, host: str) -> None:
+        """Ask for the endpoints that aren't known here, one replica after the other.
 
-        A replica of the own zone is asked again and again, so that news that got lost
-        with a connection or a replica arrive in the end.
+        The source is asked again and again, so that news that got lost with a
+        connection or a replica arrive in the end.
         """
+        await curio.sleep(FIRST_LIST_WAIT_MS / 1000)
+        is_first = True
         while True:
-            now = self._clock()
-            at = max(now, self._next_list_at)
-            self._next_list_at = add_ms(at, LIST_PAUSE_MS)
-            await curio.sleep(remaining_ms(at, now) / 1000)
-            with contextlib.suppress(OSError, curio.TaskTimeout):
-                # The reader of the feed notices a broken connection.
-                await feed.send({"list": 1})
-            if not is_local:
-                return
+            if is_first or host == self._source:
+                now = self._clock()
+                at = max(now, self._next_list_at)
+                self._next_list_at = add_ms(at, LIST_PAUSE_MS)
+                await curio.sleep(remaining_ms(at, now) / 1000)
+                with contextlib.suppress(OSError, curio.TaskTimeout):
+                    # The reader of the feed notices a broken connection.
+                    await feed.send({"list": 1, "digests": self._view.digests()})
+            is_first = False
             await curio.sleep(LIST_INTERVAL_MS / 1000)
 
     async def _ping(self, feed: _Feed) -> None:
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -13,6 +13,7 @@
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
+from ..core.digests import bucket_digests
 from ..core.orders import Orders, decode_orders
 from ..core.registry import (
     Announcement,
@@ -70,6 +71,10 @@
         self.entry_ids: frozenset[str] = frozenset()
         self.control_hosts: frozenset[str] = frozenset()
         self.connected_since: Instant | None = None
+        """Since when this entry hears, through its source of news, of all endpoints
+        that announce themselves; None while it doesn't."""
+
+        self.n_connected = 0
 
     # Orders
 
@@ -160,6 +165,10 @@
             self._log.state("endpoint_forgotten", endpoint=endpoint_id, reason=reason)
             self._rebuild()
 
+    def digests(self) -> list[int]:
+        """Return the digests of the endpoints that are known."""
+        return bucket_digests(self.registry.announcements())
+
     def hear(self, endpoint_ids: list[str]) -> None:
         """Note which endpoints announced themselves again."""
         now = self._clock()
--- /dev/null
+++ b/pollenfold/tests/core/test_digests.py
@@ -0,0 +1,41 @@
+"""Digests of announcements: they differ exactly where the announcements do."""
+
+from dataclasses import replace
+
+import pytest
+
+from pollenfold.core.digests import bucket_digests, differing
+from pollenfold.core.registry import Announcement
+
+KNOWN = [
+    Announcement(f"i-{n}", "s", "10.0.0.1", n, "a", 4, False, 0.0, 1, 1)
+    for n in range(50)
+]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"is_leaving": True},
+        {"born_ms": 2},
+        {"port": 99},
+        {"service": "t"},
+        {"warmup_left_ms": 5.0},
+    ],
+)
+def test_changed_announcement_is_found(change):
+    """Guards against an entry that keeps an old word for want of a difference."""
+    changed = [replace(KNOWN[0], **change), *KNOWN[1:]]
+    assert changed[0] in differing(changed, bucket_digests(KNOWN))
+
+
+def test_order_and_heartbeats_make_no_difference():
+    """Guards against lists that are sent again only because time passed."""
+    later = [replace(a, sequence=9) for a in reversed(KNOWN)]
+    assert differing(later, bucket_digests(KNOWN)) == []
+
+
+@pytest.mark.parametrize("digests", [None, "x", [1, 2], [0] * 16])
+def test_reader_without_usable_digests_gets_all(digests):
+    """Guards against a list that stays empty for a reader of another version."""
+    assert differing(KNOWN, digests) == KNOWN
--- a/pollenfold/tests/platform/test_documents.py
+++ b/pollenfold/tests/platform/test_documents.py
@@ -67,7 +67,6 @@
     assert configuration.hosts["a.example"][0].is_idempotent is is_idempotent
 
 
-
 def edited(document, path, value):
     """Return a copy with the value at a path; None removes the field."""
     document = copy.deepcopy(document)
--- a/pollenfold/wire/lines.py
+++ b/pollenfold/wire/lines.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import curio
@@ -27,20 +27,22 @@
 
 
 async def read_lines(
-    sock: socket.socket, idle_timeout_ms: float
+    sock: socket.socket, idle_timeout_ms: Callable[[], float]
 ) -> AsyncIterator[dict[str, Any]]:
     """Yield each message until the peer closes.
 
+    ``idle_timeout_ms`` is asked before each read, since it may change meanwhile.
     Raise OSError when the connection breaks or nothing came for the timeout, and
     BadLineError for a malformed line.
     """
     buffer = bytearray()
     while True:
+        limit_ms = idle_timeout_ms()
         try:
-            async with curio.timeout_after(idle_timeout_ms / 1000):
+            async with curio.timeout_after(limit_ms / 1000):
                 data = await sock.recv(_READ_BYTES)
         except curio.TaskTimeout:
-            raise TimeoutError(f"nothing received for {idle_timeout_ms} ms") from None
+            raise TimeoutError(f"nothing received for {limit_ms} ms") from None
         if not data:
             return
         buffer += data
