Read further requests of a connection before the first is answered

Cause: an entry read the next request of a connection only after the answer to the one before, so a quick lookup stood behind a slow one, and its caller's time was counted only from then. A planned stop reset connections that the kernel had accepted and the server hadn't, and a close with unread bytes could overtake the answer. Ruled out: running them one after the other with the time counted from arrival; two lookups of 220 ms behind one another miss a target of 600 ms as soon as one is slow. Change: http/caller.py keeps the requests of a connection in order, runs idempotent ones beside each other (8 at most), and closes by shutting its half and taking in the rest; http/request_reader.py reads one request; a body longer than a window is left to the handler, with a bound on the memory of all bodies (http/memory.py). A stop takes over what the kernel accepted, and waits 250 ms for first requests. The stand-in's servers see a caller close by polling the socket now.

--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
+from ..core.clock import Instant
 from ..core.errors import ERROR_TABLE, ErrorKind
 
 Headers = list[tuple[bytes, bytes]]
@@ -37,13 +39,25 @@
     return None
 
 
+class BodyError(Exception):
+    """The rest of a request's body can't be read; ``kind`` tells why."""
+
+    def __init__(self, kind: ErrorKind, detail: str = "") -> None:
+        super().__init__(detail)
+        self.kind = kind
+
+
 @dataclass(slots=True)
 class Request:
-    """One whole request.
+    """One request.
+
+    ``peer`` is the address of the caller. ``descriptor`` is that of the caller's
+    socket, to notice that the caller closed it; -1 stands for none. ``received_at`` is
+    when its head was read: the caller's time runs while the body arrives.
 
-    ``peer`` is the address of the caller. ``body`` is complete: a request whose
-    body ended early never reaches a handler. ``descriptor`` is that of the caller's
-    socket, to notice that the caller closed it; -1 stands for none.
+    ``body`` is complete unless ``read_rest`` is set: a short body that ended early
+    never reaches a handler. Of a long body it is the first part, and each call of
+    ``read_rest`` returns the next one, nothing at the end, or raises BodyError.
     """
 
     method: bytes
@@ -52,6 +66,8 @@
     body: bytes
     peer: str = ""
     descriptor: int = -1
+    received_at: Instant | None = None
+    read_rest: Callable[[], Awaitable[bytes]] | None = None
 
     @property
     def path(self) -> str:
--- a/pollenfold/testing/fault_http.py
+++ b/pollenfold/testing/fault_http.py
@@ -3,22 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
 
 import curio
 import h11
 from curio import socket
 
+from ..http.caller import CallerConnection
 from ..http.messages import Request, Response
-from ..http.server import HttpServer, ServerLimits
+from ..http.readiness import is_closed_by_peer
+from ..http.server import HttpServer
 from .faults import FaultKind
 
-
-@dataclass(slots=True)
-class WorkRequest(Request):
-    """A request with the connection it came on, to see the caller close it."""
-
-    client: Any = None
+CLOSE_CHECK_MS = 5.0
 
 
 @dataclass(slots=True)
@@ -29,36 +25,19 @@
     delay_ms: float = 0.0
 
 
-class FaultServer(HttpServer):
-    """An HTTP server whose handler sees the connection and may damage answers."""
-
-    async def _read_request(
-        self,
-        connection: h11.Connection,
-        client: socket.socket,
-        peer: str,
-        limits: ServerLimits,
-    ) -> Request | None:
-        request = await super()._read_request(connection, client, peer, limits)
-        if request is None:
-            return None
-        return WorkRequest(
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-            peer,
-            client=client,
-        )
-
-    async def _write(
-        self, connection: h11.Connection, client: socket.socket, response: Response
-    ) -> None:
+class FaultConnection(CallerConnection):
+    """A connection that may damage answers."""
+
+    async def _write(self, parser: h11.Connection, response: Response) -> None:
         if not isinstance(response, DamagedResponse):
-            await super()._write(connection, client, response)
+            await super()._write(parser, response)
             return
-        capture = _Capture()
-        await super()._write(connection, capture, response)
+        client, capture = self._client, _Capture()
+        self._client = capture
+        try:
+            await super()._write(parser, response)
+        finally:
+            self._client = client
         whole = capture.data
         if response.kind is FaultKind.TRUNCATED_ANSWER:
             await client.sendall(whole[: len(whole) - len(response.body) // 2 - 1])
@@ -71,6 +50,12 @@
             await client.sendall(whole)
 
 
+class FaultServer(HttpServer):
+    """An HTTP server whose handler may damage answers."""
+
+    connection_class = FaultConnection
+
+
 class _Capture:
     """Takes what is written to a connection."""
 
@@ -81,16 +66,10 @@
 
 
 async def closed_within(request: Request, duration_ms: float) -> bool:
-    """Wait for the duration; return True at once when the caller closes."""
-    assert isinstance(request, WorkRequest)
-    async with curio.ignore_after(max(0, duration_ms) / 1000):
-        try:
-            data = await request.client.recv(1, socket.MSG_PEEK)
-        except OSError:
-            return True
-        if not data:
+    """Wait for the duration; return True soon after the caller closes."""
+    until_s = await curio.clock() + duration_ms / 1000
+    while (left_s := until_s - await curio.clock()) > 0:
+        if is_closed_by_peer(request.descriptor):
             return True
-        # A pipelined request keeps the socket readable, so that a later close
-        # can't be seen.
-        await curio.Event().wait()
+        await curio.sleep(min(left_s, CLOSE_CHECK_MS / 1000))
     return False
--- a/pollenfold/tests/gateway/test_backend.py
+++ b/pollenfold/tests/gateway/test_backend.py
@@ -29,7 +29,7 @@
         headers = [(b"host", b"h.example")]
         request = outgoing_request(b"POST", b"/x/1", headers, bytes(32 << 20))
         assert await connection.send(request)
-        response = await connection.receive(None)
+        response = await connection.receive(lambda response: True)
         assert response.status == 413
         await pool.give_back(connection)
         assert pool.n_open == 0
--- a/pollenfold/tests/http/test_limits.py
+++ b/pollenfold/tests/http/test_limits.py
@@ -5,7 +5,8 @@
 from curio import socket
 
 from pollenfold.http.messages import Response
-from pollenfold.http.server import HttpServer, ServerLimits
+from pollenfold.http.request_reader import ServerLimits
+from pollenfold.http.server import HttpServer
 
 LIMITS = ServerLimits(
     body_bytes=100,
--- /dev/null
+++ b/pollenfold/tests/http/test_pipeline.py
@@ -0,0 +1,197 @@
+"""Several requests on one connection before the first answer, and planned stops."""
+
+import curio
+
+from pollenfold.http.caller import MAX_READ_AHEAD
+from pollenfold.http.messages import Response
+from pollenfold.http.server import HttpServer
+
+GET = b"GET /%s HTTP/1.1\r\nhost: x\r\n\r\n"
+POST = b"POST /%s HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nab"
+
+
+class Service:
+    """A server whose GET requests run beside others, each until its name is let go."""
+
+    def __init__(self):
+        self.started = []
+        self.finished = []
+        self.n_most = 0
+        self.gates = {}
+        self.closing = set()
+        self.server = HttpServer(
+            self.handle, runs_beside_others=lambda request: request.method == b"GET"
+        )
+
+    async def handle(self, request):
+        name = request.path[1:]
+        self.started.append(name)
+        running = len(self.started) - len(self.finished)
+        self.n_most = max(self.n_most, running)
+        try:
+            if name in self.gates:
+                await self.gates[name].wait()
+        finally:
+            self.finished.append(name)
+        return Response(200, [], name.encode(), name in self.closing)
+
+    def hold(self, *names):
+        self.gates |= {name: curio.Event() for name in names}
+
+    async def connect(self):
+        if not hasattr(self, "port"):
+            self.port = await self.server.start("127.0.0.1", 0)
+        return await curio.open_connection("127.0.0.1", self.port)
+
+
+async def until(condition):
+    async with curio.timeout_after(5):
+        while not condition():
+            await curio.sleep(0.005)
+
+
+async def read_all(sock):
+    """Return the bodies of all answers until the end, and the bytes."""
+    data = b""
+    async with curio.timeout_after(5):
+        while piece := await sock.recv(65536):
+            data += piece
+    parts = data.split(b"HTTP/1.1 ")[1:]
+    return [part.split(b"\r\n\r\n", 1)[1].decode() for part in parts], data
+
+
+def test_requests_run_beside_each_other_and_are_answered_in_order(run):
+    """Guards against a quick request that waits for a slow one to end, and against
+    answers that leave in another order than their requests."""
+
+    async def main():
+        service = Service()
+        service.hold("a", "c")
+        sock = await service.connect()
+        await sock.sendall(b"".join(GET % name for name in (b"a", b"b", b"c")))
+        await until(lambda: service.started == ["a", "b", "c"])
+        await service.gates["c"].set()
+        await until(lambda: set(service.finished) == {"b", "c"})
+        await service.gates["a"].set()
+        await sock.shutdown(curio.socket.SHUT_WR)
+        assert (await read_all(sock))[0] == ["a", "b", "c"]
+
+    run(main)
+
+
+def test_request_that_may_run_once_runs_alone(run):
+    """Guards against an order that overtakes, or is run behind an answer that ends
+    the connection."""
+
+    async def main():
+        service = Service()
+        service.hold("a")
+        service.closing = {"b"}
+        sock = await service.connect()
+        await sock.sendall(GET % b"a" + POST % b"b" + POST % b"c" + GET % b"d")
+        await until(lambda: service.started == ["a"])
+        await curio.sleep(0.05)
+        assert service.started == ["a"]
+        await service.gates["a"].set()
+        assert (await read_all(sock))[0] == ["a", "b"]
+        assert service.started == ["a", "b"]
+
+    run(main)
+
+
+def test_what_stands_behind_a_closing_answer_is_ended(run):
+    """Guards against work for requests that the caller sends again elsewhere."""
+
+    async def main():
+        service = Service()
+        service.hold("b")
+        service.closing = {"a"}
+        sock = await service.connect()
+        await sock.sendall(GET % b"a" + GET % b"b")
+        bodies, data = await read_all(sock)
+        assert bodies == ["a"]
+        assert b"connection: close" in data.lower()
+        await until(lambda: service.server.n_in_flight == 0)
+
+    run(main)
+
+
+def test_reading_ahead_is_bounded(run):
+    """Guards against a caller that claims all memory with one connection."""
+
+    async def main():
+        service = Service()
+        names = [b"n%d" % n for n in range(4 * MAX_READ_AHEAD)]
+        service.hold(*(name.decode() for name in names))
+        sock = await service.connect()
+        await sock.sendall(b"".join(GET % name for name in names))
+        await until(lambda: len(service.started) >= MAX_READ_AHEAD)
+        await curio.sleep(0.05)
+        assert service.n_most <= MAX_READ_AHEAD
+        for name in names:
+            await service.gates[name.decode()].set()
+        await sock.shutdown(curio.socket.SHUT_WR)
+        assert (await read_all(sock))[0] == [name.decode() for name in names]
+
+    run(main)
+
+
+def test_stop_answers_what_was_read_and_marks_the_last_answer(run):
+    """Guards against a planned stop that cuts off requests on one connection."""
+
+    async def main():
+        service = Service()
+        service.hold("a", "b")
+        sock = await service.connect()
+        await sock.sendall(GET % b"a" + GET % b"b")
+        await until(lambda: service.started == ["a", "b"])
+        service.server.announce_stop()
+        stop = await curio.spawn(service.server.stop)
+        await service.gates["b"].set()
+        await service.gates["a"].set()
+        bodies, data = await read_all(sock)
+        assert bodies == ["a", "b"]
+        assert data.lower().count(b"connection: close") == 1
+        assert data.lower().rindex(b"connection: close") > data.index(b"\r\n\r\na")
+        await stop.join()
+
+    run(main)
+
+
+def test_stop_serves_a_connection_that_was_just_accepted(run):
+    """Guards against a planned stop that resets connections which the kernel accepted
+    and the server didn't take over yet, or whose first request is on its way."""
+
+    async def main():
+        service = Service()
+        first = await service.connect()
+        sock = curio.socket.socket()
+        sock.setblocking(False)
+        # No task of the server runs between this connect and the stop.
+        sock._socket.connect_ex(("127.0.0.1", service.port))
+        stop = await curio.spawn(service.server.stop)
+        await curio.sleep(0.05)
+        await sock.sendall(POST % b"late")
+        assert (await read_all(sock))[0] == ["late"]
+        await stop.join()
+        await service.server.wait_idle()
+        assert service.finished == ["late"]
+        await first.close()
+
+    run(main)
+
+
+def test_answer_arrives_though_the_caller_still_sends(run):
+    """Guards against a reset that overtakes the answer to a refused request."""
+
+    async def main():
+        service = Service()
+        sock = await service.connect()
+        head = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 2000000\r\n\r\n"
+        await sock.sendall(head + b"x" * 100_000)
+        await curio.sleep(0.05)
+        await sock.sendall(b"x" * 100_000)
+        _, data = await read_all(sock)
+        assert data.startswith(b"HTTP/1.1 413")
+
+    run(main)
