Pass long bodies on in parts, and never take a late copy for an answer

Cause 1: an entry held every body whole, up to 64 MB each. Cause 2: a send had no deadline, so a request hung on a server that took no more of it. Cause 3: a response without a request id counted as the answer to any request. A late second copy of a health answer (503 of a server that leaves) on a connection in use again was passed on as the refusal of an order that ran: found by reading, shown by a test. Ruled out: choosing the server before the body is in; its load is then older by the time that the body takes, and nothing could be sent again. Change: of a body longer than 128 KB the entry passes parts on as the caller sends them, with what is left unread as back-pressure and 4 MB for all bodies. What may be sent again: only what lies whole in the window and provably didn't run. A caller that stops gets 504 or a closed connection, never a promise. A response without an id is the answer only on a connection that asked nothing before; one with an id is no health answer; a connection on which a copy came ends. The caller's time counts from the head of its request.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -8,7 +8,7 @@
 
 import errno
 import socket as sockets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -27,6 +27,12 @@
 SEND_CHECK_MS = 20.0
 """How often a blocked send looks whether the server already answered."""
 
+MAX_COPIED_BYTES = 16 * 1024
+"""A body up to this length is written together with its head, in one call."""
+
+REST_CHECK_MS = 100.0
+"""The same while the caller's next bytes are waited for."""
+
 _FRAMING = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -37,31 +43,57 @@
     """The request was written at least in part and no whole response came."""
 
 
+ReadRest = Callable[[], Awaitable[bytes]]
+"""Returns the next part of a body, and nothing at its end."""
+
+
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
-    """A request that was checked once and may be sent several times."""
+    """A request that was checked once.
+
+    It may be sent several times as long as nothing was taken from ``read_rest``, which
+    gives what follows ``body``.
+    """
 
     head: h11.Request
     body: bytes = b""
+    read_rest: ReadRest | None = None
+
+    def encode(self, parser: h11.Connection) -> list[bytes]:
+        """Return what is at hand as bytes; ``parser`` then expects the response.
 
-    def encode(self, parser: h11.Connection) -> bytes:
-        """Return the request as bytes; ``parser`` then expects its response."""
-        data = parser.send(self.head) or b""
+        A long body stays apart from the head, so that it isn't copied.
+        """
+        data = [parser.send(self.head) or b""]
         if self.body:
-            data += parser.send(h11.Data(data=self.body)) or b""
-        return data + (parser.send(h11.EndOfMessage()) or b"")
+            data.append(parser.send(h11.Data(data=self.body)) or b"")
+        if self.read_rest is None:
+            data.append(parser.send(h11.EndOfMessage()) or b"")
+        return data if len(self.body) > MAX_COPIED_BYTES else [b"".join(data)]
 
 
 def outgoing_request(
-    method: bytes, target: bytes, headers: Headers, body: bytes
+    method: bytes,
+    target: bytes,
+    headers: Headers,
+    body: bytes,
+    read_rest: ReadRest | None = None,
+    length: bytes | None = None,
 ) -> OutgoingRequest:
-    """Return a request to send; ``headers`` hold the host and no framing."""
+    """Return a request to send; ``headers`` hold the host and no framing.
+
+    ``length`` is that of a body of which ``read_rest`` gives the rest; without it such
+    a body is sent in chunks.
+    """
     framed = headers
-    if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+    if read_rest is not None:
+        chunked = (b"transfer-encoding", b"chunked")
+        framing = chunked if length is None else (b"content-length", length)
+        framed = [*headers, framing]
+    elif body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         framed = [*headers, (b"content-length", b"%d" % len(body))]
-    return OutgoingRequest(
-        h11.Request(method=method, target=target, headers=framed), body
-    )
+    head = h11.Request(method=method, target=target, headers=framed)
+    return OutgoingRequest(head, body, read_rest)
 
 
 def _new_parser() -> h11.Connection:
@@ -82,6 +114,7 @@
         "_request",
         "_parser",
         "_is_all_sent",
+        "_had_other_answer",
         "is_clean",
         "used_at",
         "n_exchanges",
@@ -102,6 +135,7 @@
         self._request: OutgoingRequest | None = None
         self._parser: h11.Connection | None = None
         self._is_all_sent = True
+        self._had_other_answer = False
         self.is_clean = True
         self.used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -142,10 +176,36 @@
         Raise OSError when the connection broke after the first byte.
         """
         self.is_clean = False
+        self._is_all_sent = True
         self.n_exchanges += 1
         self._request = request
-        self._parser = _new_parser()
-        data = request.encode(self._parser)
+        parser = self._parser = _new_parser()
+        for position, data in enumerate(request.encode(parser)):
+            n_sent, n_bytes = await self._write(data)
+            if n_sent == 0 and position == 0:
+                return False
+            self._is_all_sent = n_sent == n_bytes
+            if not self._is_all_sent:
+                return True
+        while request.read_rest is not None and self._is_all_sent:
+            piece = await self._next_piece(request.read_rest)
+            if piece is None:
+                self._is_all_sent = False
+                break
+            event = h11.Data(data=piece) if piece else h11.EndOfMessage()
+            n_sent, n_bytes = await self._write(parser.send(event) or b"")
+            if n_sent < n_bytes:
+                self._is_all_sent = False
+            if not piece:
+                break
+        return True
+
+    async def _write(self, data: bytes) -> tuple[int, int]:
+        """Write bytes; return how many, of how many.
+
+        Fewer are written when the server answers before, and none when the connection
+        broke before the first one. Raise OSError when it broke later.
+        """
         view = memoryview(data)
         n_sent = 0
         while n_sent < len(data):
@@ -160,19 +220,28 @@
                 except curio.TaskTimeout:
                     continue
             except OSError:
-                if n_sent == 0:
-                    return False
+                if n_sent == 0 and self._is_all_sent:
+                    return 0, len(data)
                 raise
-        self._is_all_sent = n_sent == len(data)
-        return True
+        return n_sent, len(data)
+
+    async def _next_piece(self, read_rest: ReadRest) -> bytes | None:
+        """Return the next part of the body; None when the server answers before."""
+        while not self.has_input():
+            try:
+                async with curio.timeout_after(REST_CHECK_MS / 1000):
+                    return await read_rest()
+            except curio.TaskTimeout:
+                continue
+        return None
 
     async def receive(
-        self, is_answer: Callable[[Response], bool] | None
+        self, is_answer: Callable[[Response], bool]
     ) -> Response | Failure:
         """Read the response to the request that was sent.
 
         A whole response that ``is_answer`` rejects belongs to an earlier exchange and
-        is skipped once.
+        is skipped once; the connection then carries no other request.
         """
         request, parser = self._request, self._parser
         self._request = self._parser = None
@@ -182,12 +251,12 @@
             response = await self._read_response(parser)
             if isinstance(response, Failure):
                 return response
-            if is_answer is None or is_answer(response):
+            if is_answer(response):
                 return response
             rest = parser.trailing_data[0]
             if not self.is_clean and not rest:
                 return Failure.LOST
-            self.is_clean = False
+            self._had_other_answer = True
             parser = _new_parser()
             request.encode(parser)
             if rest:
@@ -235,7 +304,7 @@
         closes = (find_header(list(head.headers), b"connection") or b"").lower()
         is_kept = is_framed and b"close" not in closes and head.http_version == b"1.1"
         is_over = self._is_all_sent and not parser.trailing_data[0]
-        self.is_clean = is_kept and is_over
+        self.is_clean = is_kept and is_over and not self._had_other_answer
 
 
 class ConnectionPool:
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -51,6 +51,8 @@
     trace: list[str] = field(default_factory=list)
     last_response: Response | None = None
     may_have_run: bool = False
+    is_rest_taken: bool = False
+    """Whether a part of a long body was passed on that isn't kept here."""
 
     def ran_before(self) -> bool:
         """Return whether an earlier attempt may have run."""
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -16,7 +16,8 @@
 from ..core.errors import ErrorKind
 from ..core.routes import RoutingConfiguration
 from ..http.messages import Request, Response, error_response
-from ..http.server import HttpServer, ServerLimits
+from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
+from ..http.server import HttpServer
 from ..observe.clock import system_clock
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
@@ -118,6 +119,8 @@
             self.handle_caller,
             limits=self._caller_limits,
             on_rejected=self._log_rejected,
+            runs_beside_others=self.forwarder.is_idempotent,
+            window_bytes=BODY_WINDOW_BYTES,
         )
         self.platform = HttpServer(self.handle_platform)
         self._is_ready = False
@@ -154,11 +157,10 @@
 
     async def handle_caller(self, request: Request) -> Response | None:
         """Answer a caller; just after the start, wait for what it takes to do so."""
-        received_at = system_clock()
         wait_until = add_ms(self.started_at, FIRST_ORDERS_WAIT_MS)
         while not self._can_route() and system_clock() < wait_until:
             await curio.sleep(FIRST_ORDERS_CHECK_MS / 1000)
-        return await self.forwarder.handle(request, received_at)
+        return await self.forwarder.handle(request)
 
     def _can_route(self) -> bool:
         return self.view.configuration is not None and bool(self.view.by_service)
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -8,14 +8,14 @@
 
 from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.outcomes import AttemptOutcome
-from ..http.messages import Response, find_header
+from ..http.messages import BodyError, Response, find_header
 from ..http.readiness import is_closed_by_peer
-from .backend import BackendConnection, Failure, outgoing_request
+from .backend import BackendConnection, Failure, ReadRest, outgoing_request
 from .calls import Call
 from .dialect import Dialect
 from .view import Endpoint
 
-CALLER_CHECK_MS = 60.0
+CALLER_CHECK_MS = 150.0
 """How often a waiting request looks whether its caller closed the connection."""
 
 RESPONSE_GRACE_MS = 40.0
@@ -42,13 +42,24 @@
 ) -> tuple[AttemptOutcome, Response | None]:
     """Send the request to one endpoint; return how that ended, and a whole response.
 
-    Raise CallerGoneError when nobody waits for an idempotent request any more.
+    Raise CallerGoneError when nobody waits for an idempotent request any more, and
+    BodyError when the caller doesn't send the rest of a body.
     """
+    left_ms = remaining_ms(call.deadline, clock())
     try:
-        if not await _send(call, connection, endpoint, dialect, clock):
+        async with curio.timeout_after(left_ms / 1000):
+            is_sent = await _send(call, connection, endpoint, dialect, left_ms)
+        if not is_sent:
             return AttemptOutcome.UNREACHABLE, None
         call.may_have_run = True
         received = await _wait(call, connection, dialect, clock)
+    except curio.TaskTimeout:
+        # The server takes no more of a long request, or the caller sends no more.
+        call.may_have_run = True
+        return AttemptOutcome.EXPIRED, None
+    except BodyError:
+        call.may_have_run = True
+        raise
     except OSError:
         call.may_have_run = True
         return AttemptOutcome.LOST, None
@@ -62,28 +73,47 @@
     connection: BackendConnection,
     endpoint: Endpoint,
     dialect: Dialect,
-    clock: Clock,
+    left_ms: float,
 ) -> bool:
     """Write the request with the time that is left; return False for no byte sent."""
-    left_ms = int(remaining_ms(call.deadline, clock()))
     endpoint_id = endpoint.announcement.endpoint_id.encode()
     headers = [
         *call.headers,
-        (dialect.deadline_ms, b"%d" % left_ms),
+        (dialect.deadline_ms, b"%d" % int(left_ms)),
         (dialect.expected_instance, endpoint_id),
     ]
     request = call.request
     return await connection.send(
-        outgoing_request(request.method, request.target, headers, request.body)
+        outgoing_request(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            _rest_of(call),
+            request.header(b"content-length"),
+        )
     )
 
 
+def _rest_of(call: Call) -> ReadRest | None:
+    """Return what reads the rest of a long body, and notes that it was begun."""
+    read_rest = call.request.read_rest
+    if read_rest is None:
+        return None
+
+    async def read_and_note() -> bytes:
+        call.is_rest_taken = True
+        return await read_rest()
+
+    return read_and_note
+
+
 async def _wait(
     call: Call, connection: BackendConnection, dialect: Dialect, clock: Clock
 ) -> Response | AttemptOutcome:
     """Wait for the response, and look whether the caller still does."""
     until = add_ms(call.deadline, RESPONSE_GRACE_MS)
-    is_answer = _answers(call.request_id, dialect)
+    is_answer = _answers(call.request_id, dialect, connection.n_exchanges == 1)
     reader = await curio.spawn(connection.receive, is_answer, daemon=True)
     try:
         while not reader.terminated:
@@ -107,12 +137,18 @@
             await reader.cancel()
 
 
-def _answers(request_id: bytes, dialect: Dialect) -> Callable[[Response], bool]:
-    """Return whether a response carries the id of this request, or none."""
+def _answers(
+    request_id: bytes, dialect: Dialect, is_first: bool
+) -> Callable[[Response], bool]:
+    """Return what tells whether a response belongs to this request.
+
+    Backend servers echo the id of a request. A response without one may be a late
+    second copy of a health answer, unless nothing was asked on the connection before.
+    """
 
     def is_answer(response: Response) -> bool:
         echoed = find_header(response.headers, dialect.request_id)
-        return echoed is None or echoed == request_id
+        return is_first if echoed is None else echoed == request_id
 
     return is_answer
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -16,7 +16,13 @@
     retry_after_ms,
 )
 from ..core.routes import find_route
-from ..http.messages import HOP_HEADERS, Request, Response, error_response
+from ..http.messages import (
+    HOP_HEADERS,
+    BodyError,
+    Request,
+    Response,
+    error_response,
+)
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .balancer import CROWDED_SLOWDOWN, Balancer, Pick
@@ -52,13 +58,21 @@
         self._metrics = metrics
         self._rng = rng
 
-    async def handle(
-        self, request: Request, received_at: Instant | None = None
-    ) -> Response | None:
+    def is_idempotent(self, request: Request) -> bool:
+        """Return whether a request may run beside others of its connection."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return False
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = find_route(configuration, host, request.path)
+        return route is not None and route.is_idempotent
+
+    async def handle(self, request: Request) -> Response | None:
         """Return the final response, or None when the caller went away.
 
-        The caller's time counts from ``received_at``, by default from now.
+        The caller's time counts from when the head of the request was read.
         """
+        received_at = request.received_at
         started_at = self._clock() if received_at is None else received_at
         configuration = self._view.configuration
         request_id = request.header(self._dialect.request_id) or b""
@@ -80,6 +94,8 @@
         except CallerGoneError:
             self._finish(call, 0, "caller_gone")
             return None
+        except BodyError as error:
+            return self._end_broken_body(call, error.kind)
         return final
 
     # Refusals and the end of a call
@@ -148,6 +164,21 @@
         self._finish(call, response.status, kind.value)
         return response
 
+    def _end_broken_body(self, call: Call, kind: ErrorKind) -> Response | None:
+        """Answer for a call whose caller didn't send the rest of its body.
+
+        A part of it reached a backend server, so no answer may say that it didn't run.
+        """
+        if kind is ErrorKind.TRUNCATED_BODY:
+            self._finish(call, 0, "caller_gone")
+            return None
+        is_slow = kind is ErrorKind.SLOW_REQUEST
+        kind = ErrorKind.DEADLINE_EXCEEDED if is_slow else kind
+        response = error_response(kind, run_state=RunState.OUTCOME_UNKNOWN.value)
+        response.close = True
+        self._finish(call, response.status, kind.value)
+        return response
+
     def _relay(self, call: Call, response: Response) -> Response:
         """Pass a backend server's response on."""
         self._finish(call, response.status, "responded")
@@ -173,7 +204,8 @@
                 return self._relay(call, response)
             if outcome is AttemptOutcome.EXPIRED:
                 return self._give_up(call, ErrorKind.DEADLINE_EXCEEDED)
-            may_retry = call.route.is_idempotent or outcome in NEVER_RAN
+            is_repeatable = call.route.is_idempotent or outcome in NEVER_RAN
+            may_retry = is_repeatable and not call.is_rest_taken
             if not may_retry or n_sent >= max(1, call.route.max_attempts):
                 is_full = pick.slowdown > CROWDED_SLOWDOWN
                 refused = ErrorKind.QUEUE_FULL if is_full else ErrorKind.BACKEND_REFUSED
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -209,7 +209,7 @@
         response: Response | Failure = Failure.LOST
         try:
             async with curio.timeout_after(left_ms / 1000):
-                response = await connection.receive(None)
+                response = await connection.receive(self._is_health_answer)
         except curio.TaskTimeout:
             pass
         if isinstance(response, Failure):
@@ -217,6 +217,10 @@
             return None
         return await self._judge(state, endpoint, connection, response)
 
+    def _is_health_answer(self, response: Response) -> bool:
+        """Return False for a late second copy of the answer to a request."""
+        return find_header(response.headers, self._dialect.request_id) is None
+
     async def _judge(
         self,
         state: ServiceState,
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -28,10 +28,10 @@
 UNRESERVED_BYTES = 16 * 1024
 """A body may take so much without a reservation, as most requests do."""
 
-BODY_WINDOW_BYTES = 256 * 1024
+BODY_WINDOW_BYTES = 128 * 1024
 """How much of a body is read before the request is handled."""
 
-BODY_BUDGET_BYTES = 8 << 20
+BODY_BUDGET_BYTES = 4 << 20
 """The windows of all connections together."""
 
 
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -46,6 +46,7 @@
 
     ``respond`` gets the request bytes and returns the bytes to write, or None to
     reset the connection without an answer. ``closes`` ends it after an answer.
+    ``before_health`` is written before each health answer.
     ``check_delay_ms`` is how long a health answer takes.
     ``requests`` holds the requests that came, health checks apart.
     """
@@ -62,6 +63,13 @@
     n_checks: int = 0
     n_closed: int = 0
     port: int = 0
+    before_health: bytes = b""
+    clients: list = field(default_factory=list)
+
+    async def send_to_all(self, data):
+        """Write bytes on every open connection that carried a request."""
+        for client in self.clients:
+            await client.sendall(data)
 
     async def start(self):
         sock = curio.tcp_server_socket("127.0.0.1", 0)
@@ -93,9 +101,11 @@
                     self.n_checks += 1
                     await curio.sleep(self.check_delay_ms / 1000)
                     name = (self.instance or self.name).encode()
-                    await client.sendall(HEALTHY % (name, self.load, self.warmup))
+                    healthy = HEALTHY % (name, self.load, self.warmup)
+                    await client.sendall(self.before_health + healthy)
                     continue
                 self.requests.append(request)
+                self.clients.append(client)
                 await curio.sleep(self.delay_ms / 1000)
                 data = answer() if self.respond is None else self.respond(request)
                 if data is None:
--- /dev/null
+++ b/pollenfold/tests/gateway/test_long_bodies.py
@@ -0,0 +1,263 @@
+"""Bodies longer than the window of an entry, from callers and to backend servers."""
+
+import resource
+
+import curio
+import pytest
+
+from pollenfold.http.request_reader import BODY_BUDGET_BYTES, BODY_WINDOW_BYTES
+from pollenfold.http.server import HttpServer
+from pollenfold.tests.gateway.conftest import HEALTHY, Backend, answer
+
+HEAD = (
+    b"POST /x/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: q1\r\n"
+    b"x-deadline-ms: 60000\r\n"
+)
+
+
+class LongBackend(Backend):
+    """A backend server that reads a request of which it knows the length.
+
+    ``first_answer`` is written once ``answer_after`` bytes of a body came; after that
+    it reads on for as long as bytes come. ``bodies`` holds what came of each body.
+    """
+
+    def __init__(self, name, first_answer=None, answer_after=None):
+        super().__init__(name)
+        self.first_answer = first_answer
+        self.answer_after = answer_after
+        self.bodies = []
+
+    async def _serve(self, client):
+        async with client:
+            data = b""
+            while piece := await _receive(client):
+                data += piece
+                if data.startswith(b"GET /healthz"):
+                    await client.sendall(
+                        HEALTHY % (self.name.encode(), self.load, self.warmup)
+                    )
+                    data = b""
+                    continue
+                if b"\r\n\r\n" in data:
+                    await self._take_body(client, data)
+                    return
+
+    async def _take_body(self, client, data):
+        head, body = data.split(b"\r\n\r\n", 1)
+        self.bodies.append(bytearray(body))
+        body = self.bodies[-1]
+        is_chunked = b"chunked" in head.lower()
+        length = 0
+        if not is_chunked:
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+        while True:
+            if self.answer_after is not None and len(body) >= self.answer_after:
+                await client.sendall(self.first_answer)
+                self.answer_after = None
+            is_whole = body.endswith(b"0\r\n\r\n") if is_chunked else False
+            if is_whole or (not is_chunked and len(body) >= length):
+                await client.sendall(answer())
+            piece = await _receive(client)
+            if not piece:
+                return
+            body += piece
+
+
+async def _receive(client):
+    try:
+        return await client.recv(1 << 20)
+    except ConnectionError:
+        return b""
+
+
+async def connect(path):
+    server = HttpServer(path.forwarder.handle, 64 << 20, window_bytes=BODY_WINDOW_BYTES)
+    port = await server.start("127.0.0.1", 0)
+    return server, await curio.open_connection("127.0.0.1", port)
+
+
+async def read_answer(sock):
+    data = b""
+    async with curio.timeout_after(5):
+        while piece := await sock.recv(65536):
+            data += piece
+            if data.endswith(b"whole"):
+                break
+    return data
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_long_body_is_passed_on_as_it_came(with_path, is_chunked):
+    """Guards against bytes that are lost, doubled or changed between two windows."""
+    body = bytes(range(256)) * 8192
+
+    async def main(path, backend):
+        _, sock = await connect(path)
+        if is_chunked:
+            await sock.sendall(HEAD + b"transfer-encoding: chunked\r\n\r\n")
+            for start in range(0, len(body), 100_000):
+                piece = body[start : start + 100_000]
+                await sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+            await sock.sendall(b"0\r\n\r\n")
+        else:
+            await sock.sendall(HEAD + b"content-length: %d\r\n\r\n" % len(body) + body)
+        assert (await read_answer(sock)).startswith(b"HTTP/1.1 200")
+        received = bytes(backend.bodies[0])
+        if is_chunked:
+            assert _unchunk(received) == body
+        else:
+            assert received == body
+
+    with_path(main, LongBackend("one"), is_idempotent=False, timeout_ms=4000.0)
+
+
+def _unchunk(data):
+    body = b""
+    while data:
+        size, data = data.split(b"\r\n", 1)
+        n_bytes = int(size, 16)
+        body, data = body + data[:n_bytes], data[n_bytes + 2 :]
+    return body
+
+
+def test_answer_before_the_body_is_in_reaches_the_caller(with_path):
+    """Guards against other bytes where the rest of a body is due: the connection to
+    the server ends, and the caller's too."""
+    early = answer(413, b"whole")
+
+    async def main(path, backend):
+        _, sock = await connect(path)
+        await sock.sendall(HEAD + b"content-length: 4000000\r\n\r\n")
+        await sock.sendall(b"x" * 600_000)
+        data = await read_answer(sock)
+        assert data.startswith(b"HTTP/1.1 413")
+        assert b"connection: close" in data.lower()
+        await curio.sleep(0.2)
+        assert set(bytes(backend.bodies[0])) <= set(b"x")
+        assert not path.balancer._connections.has_idle("one")
+
+    with_path(main, LongBackend("one", early, 300_000), is_idempotent=False)
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_part_of_a_body_that_is_gone_is_not_sent_again(with_path, is_idempotent):
+    """Guards against a second send with other bytes, and a refusal that is false."""
+    refusal = answer(503, b"whole", b"q1", b"x-not-executed: 1")
+
+    async def main(path, *backends):
+        _, sock = await connect(path)
+        await sock.sendall(HEAD + b"content-length: 1000000\r\n\r\n")
+        await sock.sendall(b"x" * 600_000)
+        data = await read_answer(sock)
+        # The server said that it didn't run the request, so the refusal is true.
+        assert data.startswith(b"HTTP/1.1 503")
+        assert sum(len(b.bodies) for b in backends) == 1
+
+    backends = [LongBackend(name, refusal, 400_000) for name in ("one", "two")]
+    with_path(main, *backends, is_idempotent=is_idempotent)
+
+
+def test_refusal_inside_the_window_is_sent_elsewhere(with_path):
+    """Guards against a long request that gets one try though nothing was lost."""
+    refusal = answer(503, b"whole", b"q1", b"x-not-executed: 1")
+
+    async def main(path, *backends):
+        _, sock = await connect(path)
+        body = b"y" * 100_000
+        await sock.sendall(HEAD + b"content-length: %d\r\n\r\n" % len(body) + body)
+        for backend in backends[1:]:
+            backend.answer_after = None
+        await read_answer(sock)
+        bodies = [bytes(b) for backend in backends for b in backend.bodies]
+        assert len(bodies) == 2
+
+    backends = [LongBackend(name, refusal, 1) for name in ("one", "two")]
+    with_path(main, *backends, is_idempotent=False)
+
+
+def test_caller_that_stops_in_the_middle_gets_no_promise(with_path):
+    """Guards against an answer that says a request didn't run of which a part went
+    out, and against a server that waits for the rest on a connection in use."""
+
+    async def main(path, backend):
+        server, sock = await connect(path)
+        await sock.sendall(HEAD + b"content-length: 4000000\r\n\r\n" + b"x" * 600_000)
+        data = await read_answer(sock)
+        assert data.startswith(b"HTTP/1.1 504")
+        assert b"outcome_unknown" in data
+        assert not path.balancer._connections.has_idle("one")
+        assert server.n_in_flight == 0
+
+    with_path(main, LongBackend("one"), is_idempotent=False, timeout_ms=500.0)
+
+
+def test_server_that_takes_no_more_ends_at_the_deadline(with_path):
+    """Guards against a request that hangs while it is being sent."""
+
+    class Stuck(LongBackend):
+        async def _take_body(self, client, data):
+            self.bodies.append(data)
+            await curio.sleep(30)
+
+    async def main(path, backend):
+        response = await path.get(b"POST", b"400", b"x" * (12 << 20))
+        assert response.status == 504
+
+    with_path(main, Stuck("one"), is_idempotent=False, timeout_ms=400.0)
+
+
+class DiscardingBackend(LongBackend):
+    """A backend server that counts the bytes of bodies, and takes them slowly."""
+
+    async def _take_body(self, client, data):
+        n_bytes = len(data)
+        while n_bytes < 8_000_000:
+            # A larger buffer here would be counted as the entry's memory.
+            piece = await client.recv(65536)
+            if not piece:
+                return
+            n_bytes += len(piece)
+            await curio.sleep(0.001)
+        await client.sendall(answer())
+
+
+def test_many_long_bodies_take_bounded_memory(with_path):
+    """Guards against an entry that holds the bodies of all its callers."""
+    n_callers, n_bytes = 50, 8_000_000
+
+    async def main(path, backend):
+        server, _ = await connect(path)
+        port = server._listening.getsockname()[1]
+        piece = b"x" * 100_000
+
+        async def upload():
+            sock = await curio.open_connection("127.0.0.1", port)
+            await sock.sendall(HEAD + b"content-length: %d\r\n\r\n" % n_bytes)
+            for _ in range(n_bytes // len(piece)):
+                await sock.sendall(piece)
+            return await read_answer(sock)
+
+        before = _resident_bytes()
+        tasks = [await curio.spawn(upload) for _ in range(n_callers)]
+        most = before
+        while not all(task.terminated for task in tasks):
+            most = max(most, _resident_bytes())
+            await curio.sleep(0.01)
+        answers = [await task.join() for task in tasks]
+        assert all(data.startswith(b"HTTP/1.1 200") for data in answers)
+        assert most - before < 20 << 20
+        assert server._traffic.budget.n_free_bytes == BODY_BUDGET_BYTES
+
+    with_path(
+        main,
+        DiscardingBackend("one"),
+        is_idempotent=False,
+        timeout_ms=60_000.0,
+        target_latency_ms=50_000.0,
+    )
+
+
+def _resident_bytes():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
