Bound what a server in trouble may send, and pass long answers on in parts

Cause, found by a test: interim answers without end kept the loop of an entry from all other work (7.3 s for a request with 0.7 s to go), since reading went on as long as bytes were there and nothing bounded their number. A body without end was collected up to 64 MB (60 MB growth seen), and no timeout fired while bytes came. Ruled out: a lower limit alone; it would refuse long answers that are sound. Change: 16 interim answers at most; after 256 KB an answer is passed on while it arrives, with the caller's pace as back-pressure; one that breaks off, or isn't over at the deadline, ends the caller's connection by a reset, in every framing. Reading gives way to other tasks after four reads in a row.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 import curio
 import h11
@@ -18,12 +19,19 @@
 from curio.traps import _read_wait, _write_wait
 
 from ..core.clock import Clock, Instant, add_ms
-from ..http.messages import Headers, Response, find_header
+from ..core.errors import ErrorKind
+from ..http.messages import BodyError, BodySource, Headers, Response, find_header
 from ..http.readiness import is_readable
 
 READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
-MAX_BODY_BYTES = 64 << 20
+RESPONSE_WINDOW_BYTES = 256 * 1024
+"""A longer response is passed on while it arrives."""
+
+MAX_INTERIM = 16
+"""How many interim responses (1xx) may come before a response."""
+
+MAX_READS_AT_ONCE = 4
 SEND_CHECK_MS = 20.0
 """How often a blocked send looks whether the server already answered."""
 
@@ -115,6 +123,7 @@
         "_parser",
         "_is_all_sent",
         "_had_other_answer",
+        "_n_read_at_once",
         "is_clean",
         "used_at",
         "n_exchanges",
@@ -136,6 +145,7 @@
         self._parser: h11.Connection | None = None
         self._is_all_sent = True
         self._had_other_answer = False
+        self._n_read_at_once = 0
         self.is_clean = True
         self.used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -253,6 +263,8 @@
                 return response
             if is_answer(response):
                 return response
+            if response.rest is not None:
+                return Failure.LOST
             rest = parser.trailing_data[0]
             if not self.is_clean and not rest:
                 return Failure.LOST
@@ -264,36 +276,76 @@
         return Failure.LOST
 
     async def _read_response(self, parser: h11.Connection) -> Response | Failure:
-        head: h11.Response | None = None
-        body: list[bytes] = []
-        n_body_bytes = 0
+        """Read a response, whole or, of a long one, as much as the window holds."""
+        try:
+            head = await self._read_head(parser)
+            body: list[bytes] = []
+            n_body_bytes = 0
+            while n_body_bytes < RESPONSE_WINDOW_BYTES:
+                piece = await self._read_piece(parser, head)
+                if not piece:
+                    whole = b"".join(body)
+                    return Response(head.status_code, list(head.headers), whole)
+                body.append(piece)
+                n_body_bytes += len(piece)
+        except (OSError, h11.RemoteProtocolError):
+            return Failure.LOST
+        headers = list(head.headers)
+        length = find_header(headers, b"content-length")
+        rest = BodySource(
+            partial(self._read_rest, parser, head),
+            self.close,
+            None if length is None else int(length),
+        )
+        return Response(head.status_code, headers, b"".join(body), rest=rest)
+
+    async def _read_head(self, parser: h11.Connection) -> h11.Response:
+        """Return the head; raise OSError when the connection ends before it."""
+        n_interim = 0
         while True:
-            try:
-                event = parser.next_event()
-                if event is h11.NEED_DATA:
-                    parser.receive_data(await self._receive_bytes())
-                    continue
-            except (OSError, h11.RemoteProtocolError):
-                return Failure.LOST
+            event = await self._next_event(parser)
             if type(event) is h11.Response:
-                head = event
-            elif type(event) is h11.Data:
-                n_body_bytes += len(event.data)
-                if n_body_bytes > MAX_BODY_BYTES:
-                    return Failure.LOST
-                body.append(bytes(event.data))
+                return event
+            n_interim += 1
+            if type(event) is not h11.InformationalResponse or n_interim > MAX_INTERIM:
+                raise ConnectionAbortedError("no response")
+
+    async def _read_piece(self, parser: h11.Connection, head: h11.Response) -> bytes:
+        """Return a part of the body, or nothing at its end; raise OSError before it."""
+        while True:
+            event = await self._next_event(parser)
+            if type(event) is h11.Data:
+                if event.data:
+                    return bytes(event.data)
             elif type(event) is h11.EndOfMessage:
-                if head is None:
-                    return Failure.LOST
                 self._finish(parser, head)
-                return Response(head.status_code, list(head.headers), b"".join(body))
-            elif type(event) is h11.ConnectionClosed:
-                return Failure.LOST
+                return b""
+            else:
+                raise ConnectionAbortedError("the response broke off")
+
+    async def _read_rest(self, parser: h11.Connection, head: h11.Response) -> bytes:
+        try:
+            return await self._read_piece(parser, head)
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise BodyError(ErrorKind.BACKEND_FAILED, str(error)) from error
+
+    async def _next_event(
+        self, parser: h11.Connection
+    ) -> h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]:
+        while (event := parser.next_event()) is h11.NEED_DATA:
+            parser.receive_data(await self._receive_bytes())
+        return event
 
     async def _receive_bytes(self) -> bytes:
+        self._n_read_at_once += 1
+        if self._n_read_at_once >= MAX_READS_AT_ONCE:
+            # A server that sends without end must not keep the loop from others.
+            self._n_read_at_once = 0
+            await curio.sleep(0)
         try:
             return self._raw.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
+            self._n_read_at_once = 0
             await _read_wait(self._raw)
             return bytes(await self._sock.recv(READ_BYTES))
 
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -19,7 +20,7 @@
 from ..core.errors import ErrorKind, RunState
 from ..observe.clock import system_clock
 from .memory import MemoryBudget
-from .messages import Request, Response, error_response
+from .messages import BodyError, Request, Response, error_response
 from .readiness import is_readable
 from .request_reader import RequestError, RequestReader, ServerLimits
 
@@ -40,6 +41,8 @@
 
 MAX_LINGER_BYTES = 4 << 20
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 _STATUS_WITHOUT_BODY = (204, 304)
 
 
@@ -83,6 +86,7 @@
         self._waiting: deque[_Exchange] = deque()
         self._is_reading_request = False
         self._is_closing = False
+        self._is_broken = False
         self._n_requests = 0
         self._idle_since = system_clock()
 
@@ -103,7 +107,7 @@
                 await self._serve_requests()
                 for exchange in list(self._waiting):
                     await exchange.is_answered.wait()
-                if self._is_closing:
+                if self._is_closing and not self._is_broken:
                     await self._linger()
         except (OSError, h11.LocalProtocolError):
             return
@@ -198,13 +202,19 @@
     async def _answer(self, exchange: _Exchange) -> None:
         """Handle a request and write its answer when its turn comes."""
         response = await self._traffic.handler(exchange.request)
-        await self._wait_for_turn(exchange)
-        if self._is_closing:
-            return
         try:
-            await self._write_in_turn(exchange, response)
+            await self._wait_for_turn(exchange)
+            if not self._is_closing:
+                await self._write_in_turn(exchange, response)
         except (OSError, h11.LocalProtocolError):
             await self._end(exchange)
+        except BodyError:
+            # A reset can't be taken for the end of a whole answer.
+            self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            await self._end(exchange, is_broken=True)
+        finally:
+            if response is not None and response.rest is not None:
+                await response.rest.close()
 
     async def _wait_for_turn(self, exchange: _Exchange | None) -> None:
         """Wait until all requests before this one are answered."""
@@ -243,9 +253,10 @@
         await exchange.reader.release()
         await exchange.is_answered.set()
 
-    async def _end(self, exchange: _Exchange) -> None:
+    async def _end(self, exchange: _Exchange, is_broken: bool = False) -> None:
         """Close after this request; what stands behind it isn't run any further."""
         self._is_closing = True
+        self._is_broken = is_broken
         for later in list(self._waiting):
             if later is not exchange:
                 await self._abandon(later)
@@ -276,12 +287,24 @@
         headers = [*response.headers]
         if response.close:
             headers.append((b"connection", b"close"))
-        if response.status not in _STATUS_WITHOUT_BODY:
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        head = parser.send(h11.Response(status_code=response.status, headers=headers))
-        body = parser.send(h11.Data(data=response.body)) if response.body else b""
-        end = parser.send(h11.EndOfMessage())
-        await self._client.sendall((head or b"") + (body or b"") + (end or b""))
+        rest = response.rest
+        length = len(response.body) if rest is None else rest.length
+        # Without a length the parser sends chunks, or closes for an old caller.
+        if response.status not in _STATUS_WITHOUT_BODY and length is not None:
+            headers.append((b"content-length", b"%d" % length))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = parser.send(head) or b""
+        if response.body:
+            data += parser.send(h11.Data(data=response.body)) or b""
+        while rest is not None:
+            await self._client.sendall(data)
+            piece = await rest.read()
+            if not piece:
+                data = b""
+                break
+            data = parser.send(h11.Data(data=piece)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
+        await self._client.sendall(data)
 
     async def _linger(self) -> None:
         """Say that no more answers follow, and take in what is still on its way."""
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -79,14 +79,32 @@
         return find_header(self.headers, name)
 
 
+@dataclass(slots=True)
+class BodySource:
+    """The rest of a response's body, which is still arriving.
+
+    ``read`` returns the next part, nothing at the end, or raises BodyError when the
+    body broke off. ``close`` must be awaited once, whether it was read to its end or
+    not. ``length`` is that of the whole body where it is known.
+    """
+
+    read: Callable[[], Awaitable[bytes]]
+    close: Callable[[], Awaitable[None]]
+    length: int | None = None
+
+
 @dataclass(slots=True)
 class Response:
-    """One whole response; ``close`` ends the connection after it."""
+    """One response; ``close`` ends the connection after it.
+
+    ``body`` is whole unless ``rest`` gives what follows it.
+    """
 
     status: int
     headers: Headers
     body: bytes = b""
     close: bool = False
+    rest: BodySource | None = None
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/pollenfold/tests/gateway/test_long_bodies.py
+++ b/pollenfold/tests/gateway/test_long_bodies.py
@@ -1,8 +1,11 @@
 """Bodies longer than the window of an entry, from callers and to backend servers."""
 
 import resource
+import struct
+from socket import SO_LINGER, SOL_SOCKET
 
 import curio
+import h11
 import pytest
 
 from pollenfold.http.request_reader import BODY_BUDGET_BYTES, BODY_WINDOW_BYTES
@@ -207,6 +210,64 @@
     with_path(main, Stuck("one"), is_idempotent=False, timeout_ms=400.0)
 
 
+@pytest.mark.parametrize("framing", ["length", "chunks", "close"])
+@pytest.mark.parametrize("ends", ["whole", "cut", "reset"])
+def test_long_answer_is_whole_or_looks_broken(with_path, framing, ends):
+    """Guards against an answer that broke off and reaches its caller as complete."""
+    content = bytes(range(256)) * 4096
+    sent = content if ends == "whole" else content[: len(content) // 2]
+    head = b"HTTP/1.1 200 X\r\nx-request-id: q1\r\nx-response-signature: s\r\n"
+    if framing == "length":
+        data = head + b"content-length: %d\r\n\r\n" % len(content) + sent
+    elif framing == "chunks":
+        end = b"\r\n0\r\n\r\n" if ends == "whole" else b""
+        head += b"transfer-encoding: chunked\r\n\r\n"
+        data = head + b"%x\r\n" % len(content) + sent + end
+    else:
+        data = head + b"\r\n" + sent
+
+    class Sender(LongBackend):
+        async def _take_body(self, client, request):
+            await client.sendall(data)
+            if ends == "reset":
+                await curio.sleep(0.05)
+                client.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+
+    async def main(path, backend):
+        _, sock = await connect(path)
+        await sock.sendall(HEAD + b"content-length: 0\r\n\r\n")
+        body, is_whole = await _read_with_parser(sock)
+        # An answer without a length is whole when its server closes.
+        if ends == "whole" or (framing, ends) == ("close", "cut"):
+            assert is_whole and body == sent
+        else:
+            assert not is_whole
+        assert not path.balancer._connections.has_idle("one") or framing != "close"
+        assert path.view.endpoints["one"].health.n_in_flight == 0
+
+    with_path(main, Sender("one"), is_idempotent=False, timeout_ms=2000.0)
+
+
+async def _read_with_parser(sock):
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    parser.send(h11.EndOfMessage())
+    body = b""
+    async with curio.timeout_after(5):
+        while True:
+            try:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await sock.recv(65536))
+                    continue
+            except (OSError, h11.RemoteProtocolError):
+                return body, False
+            if type(event) is h11.Data:
+                body += event.data
+            elif type(event) is not h11.Response:
+                return body, type(event) is h11.EndOfMessage
+
+
 class DiscardingBackend(LongBackend):
     """A backend server that counts the bytes of bodies, and takes them slowly."""
 
