Open new connections to endpoints only at times while enough free ones are there

Cause: of two questions before each send one went to any endpoint, so that new ones get work. Ruled out: keeping connections open longer; servers close them after 10 s. Change: while six quick endpoints have a free connection, three of four rounds ask only such ones.

--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -21,6 +21,12 @@
 QUICK_SLOWDOWN = 1.5
 """A server whose expected slowdown is below this is taken without asking others."""
 
+ENOUGH_FREE = 6
+"""With so many quick endpoints whose connections are free, others can wait."""
+
+NEW_CONNECTION_SHARE = 0.25
+"""How often an endpoint is asked regardless of its connections all the same."""
+
 REMOTE_ZONE_SLOWDOWN = 0.05
 """Prefers the own zone when two servers are alike: other zones cost bytes."""
 
@@ -151,19 +157,25 @@
     Endpoints that failed or were slow lately come last. All but one of the places go
     to endpoints with a free connection where there are any, since a new one takes a
     round trip, a slot for a moment and a part of the endpoint's limit; the last place
-    lets new endpoints in. Unreachable ones are asked only when nothing else is left.
+    lets new endpoints in. While many free connections are open it does so only at
+    times: an entry with few requests and many endpoints would otherwise open a
+    connection for nearly each request. Unreachable endpoints are asked only when
+    nothing else is left.
     """
     pool = [option for option in options if not option.health.is_unreachable(now)]
     pool = pool or options
     if is_local_only:
         pool = [option for option in pool if option.is_local] or pool
-    if len(pool) > n_wanted:
-        sample = rng.sample(pool, min(len(pool), 2 * n_wanted))
-        last = min(sample, key=lambda o: o.health.is_doubtful(now))
-        sample.remove(last)
-        sample.sort(key=lambda o: (o.health.is_doubtful(now), not o.has_idle))
-        pool = [*sample[: n_wanted - 1], last]
-    return pool[:n_wanted]
+    if len(pool) <= n_wanted:
+        return pool
+    free = [o for o in pool if o.has_idle and not o.health.is_doubtful(now)]
+    if len(free) >= ENOUGH_FREE and rng.random() >= NEW_CONNECTION_SHARE:
+        return rng.sample(free, n_wanted)
+    sample = rng.sample(pool, min(len(pool), 2 * n_wanted))
+    last = min(sample, key=lambda o: o.health.is_doubtful(now))
+    sample.remove(last)
+    sample.sort(key=lambda o: (o.health.is_doubtful(now), not o.has_idle))
+    return [*sample[: n_wanted - 1], last]
 
 
 def choose_without_reports(
--- a/pollenfold/tests/core/test_selection.py
+++ b/pollenfold/tests/core/test_selection.py
@@ -123,3 +123,19 @@
     # By chance alone half of the 800 questions would need a new connection.
     assert n_new < 300
     assert len(asked) == 20
+
+
+def test_entry_with_few_requests_keeps_to_its_connections():
+    """Guards against a new connection for each request where hundreds of endpoints
+    share the questions of an entry that serves one request a second."""
+    rng = random.Random(3)
+    used_at = {f"e{n}": -1e9 for n in range(27)}
+    n_new, n_requests = 0, 120
+    for second in range(n_requests):
+        # Idle connections are closed after 9 s.
+        options = [option(e, has_idle=second - t < 9) for e, t in used_at.items()]
+        for chosen in choose_round(options, 2, True, 1000.0 * second, rng):
+            n_new += not chosen.has_idle
+            used_at[chosen.endpoint_id] = second
+    assert n_new < 0.5 * n_requests
+    assert all(t >= 0 for t in used_at.values())
