--- a/pollenfold/testing/backend_server.py
+++ b/pollenfold/testing/backend_server.py
@@ -302,8 +302,9 @@
         answer = self._answer(200, [(b"x-request-id", request_id.encode())], body)
         for kind in DAMAGE_KINDS:
             if kind in faults:
+                delay_ms = faults[kind].delay_ms
                 return DamagedResponse(
-                    200, answer.headers, body, False, kind, faults[kind].delay_ms
+                    200, answer.headers, body, kind=kind, delay_ms=delay_ms
                 )
         return answer
 
