Judge a replica cut off only after 2 s without a majority, and ask for one list at a start

Test: an entry that starts with three replicas has two sources at most, and takes its news elsewhere when its source is gone.

--- a/pollenfold/core/news_source.py
+++ b/pollenfold/core/news_source.py
@@ -15,26 +15,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Source:
-    """A control replica whose feed is open, and how many others it hears itself."""
+    """A control replica whose feed is open.
+
+    ``is_cut_off`` means that for some time it heard no majority of the others.
+    """
 
     host: str
     zone: str
-    n_peers: int
+    is_cut_off: bool
 
 
-def choose_source(
-    sources: Iterable[Source], entry_id: str, zone: str, n_replicas: int
-) -> str | None:
+def choose_source(sources: Iterable[Source], entry_id: str, zone: str) -> str | None:
     """Return the host of the replica to take news from, or None without any.
 
-    A replica that hears no majority of ``n_replicas`` misses news, so it comes last;
-    then one of the own zone comes first. A hash spreads the entries over the rest.
+    A replica that is cut off misses news, so it comes last; then one of the own zone
+    comes first. A hash spreads the entries over the rest.
     """
 
     def rank(source: Source) -> tuple[bool, bool, int]:
-        has_majority = 2 * (source.n_peers + 1) > n_replicas
         digest = xxhash.xxh3_64_intdigest(f"{entry_id} {source.host}".encode())
-        return not has_majority, source.zone != zone, digest
+        return source.is_cut_off, source.zone != zone, digest
 
     best = min(sources, key=rank, default=None)
     return None if best is None else best.host
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -47,6 +47,11 @@
 LIST_INTERVAL_MS = 10_000.0
 """How often a replica of the own zone is asked for the list of all endpoints."""
 
+CUT_OFF_AFTER_MS = 2_000.0
+"""How long a replica hears no majority before others are asked for news.
+
+After a restart of all replicas each hears the others one by one."""
+
 PING_INTERVAL_MS = 2_000.0
 FIRST_LIST_WAIT_MS = 300.0
 """How long a replica that isn't the source waits to be asked for its list first."""
@@ -74,9 +79,9 @@
 class _Feed:
     """One open feed.
 
-    ``asked_index`` is the highest index asked for. ``zone`` and ``n_peers`` are what
-    the replica told of itself, once its first line was read. ``complete_since`` is
-    since when it hears all other replicas.
+    ``asked_index`` is the highest index asked for. ``zone`` is that of the
+    replica, once its first line was read. ``alone_since`` is since when it hears no
+    majority of the replicas, ``complete_since`` since when it hears all others.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -85,9 +90,22 @@
         self.asked_index = 0
         self.is_new = True
         self.zone = ""
-        self.n_peers = 0
+        self.alone_since: Instant | None = None
         self.complete_since: Instant | None = None
 
+    def take_n_peers(self, n_peers: int, n_replicas: int, now: Instant) -> None:
+        """Take how many other replicas the sender hears, of all ``n_replicas``."""
+        has_majority = 2 * (n_peers + 1) > n_replicas
+        if has_majority:
+            self.alone_since = None
+        elif self.alone_since is None:
+            self.alone_since = now
+
+    def is_cut_off(self, now: Instant) -> bool:
+        """Return whether the replica heard too few others for some time."""
+        since = self.alone_since
+        return since is not None and now >= add_ms(since, CUT_OFF_AFTER_MS)
+
     async def send(self, message: dict[str, Any]) -> None:
         """Send one line; raise OSError or TaskTimeout when that fails."""
         async with curio.timeout_after(SEND_TIMEOUT_MS / 1000), self._lock:
@@ -151,14 +169,16 @@
         """Take the news from the best of the open feeds; replicas take all."""
         if self._identity.role != "entry":
             return
-        sources = [Source(k, f.zone, f.n_peers) for k, f in self._connected.items()]
-        identity = self._identity
-        n_replicas = len(self._view.control_hosts)
-        best = choose_source(sources, identity.name, identity.zone, n_replicas)
+        now = self._clock()
+        sources = [
+            Source(host, feed.zone, feed.is_cut_off(now))
+            for host, feed in self._connected.items()
+        ]
+        best = choose_source(sources, self._identity.name, self._identity.zone)
         if best is None or best == self._source:
             return
         before, self._source = self._source, best
-        self._source_since = self._clock()
+        self._source_since = now
         self._log.state("news_source", control=best, before=before or "none")
         with contextlib.suppress(OSError, curio.TaskTimeout):
             # The reader of a feed notices a broken connection.
@@ -166,7 +186,8 @@
                 await self._connected[before].send({"news": 0})
             feed = self._connected[best]
             await feed.send({"news": 1})
-            await feed.send({"list": 1, "digests": self._view.digests()})
+            if now >= self._next_list_at:
+                await self._request_list(feed)
 
     def _note_completeness(self) -> None:
         """Note since when this process hears of all endpoints.
@@ -252,6 +273,8 @@
     def _take(self, line: dict[str, Any], host: str, feed: _Feed) -> int:
         """Take one line; return the index of the sender's orders, or 0."""
         view = self._view
+        if "control" in line:
+            view.take_control_hosts(line["control"])
         if "orders" in line:
             view.take_orders(line["orders"], host)
         if "announcements" in line:
@@ -263,7 +286,9 @@
         if "joined" in line and host == self._source:
             view.entry_ids = (view.entry_ids | set(line["joined"])) - set(line["left"])
         if "n_peers" in line:
-            feed.n_peers = int(line["n_peers"])
+            feed.take_n_peers(
+                int(line["n_peers"]), len(view.control_hosts), self._clock()
+            )
         if "complete_ms" in line:
             complete_ms = float(line["complete_ms"])
             is_complete = complete_ms >= 0.0
@@ -271,8 +296,6 @@
             feed.complete_since = since if is_complete else None
         if "n_entries" in line:
             view.fleet.report(int(line["n_entries"]), self._clock())
-        if "control" in line:
-            view.take_control_hosts(line["control"])
         return int(line.get("index", 0))
 
     async def _ask(self, feed: _Feed) -> None:
@@ -305,16 +328,18 @@
         is_first = True
         while True:
             if is_first or host == self._source:
-                now = self._clock()
-                at = max(now, self._next_list_at)
-                self._next_list_at = add_ms(at, LIST_PAUSE_MS)
-                await curio.sleep(remaining_ms(at, now) / 1000)
+                while (wait_ms := remaining_ms(self._next_list_at, self._clock())) > 0:
+                    await curio.sleep(wait_ms / 1000)
                 with contextlib.suppress(OSError, curio.TaskTimeout):
                     # The reader of the feed notices a broken connection.
-                    await feed.send({"list": 1, "digests": self._view.digests()})
+                    await self._request_list(feed)
             is_first = False
             await curio.sleep(LIST_INTERVAL_MS / 1000)
 
+    async def _request_list(self, feed: _Feed) -> None:
+        self._next_list_at = add_ms(self._clock(), LIST_PAUSE_MS)
+        await feed.send({"list": 1, "digests": self._view.digests()})
+
     async def _ping(self, feed: _Feed) -> None:
         """Show the replica that this entry still listens."""
         with contextlib.suppress(OSError, curio.TaskTimeout):
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -283,9 +283,14 @@
     with_cluster(body)
 
 
-async def entry_view(cluster, name="e1"):
+async def entry_view(cluster, name="e1", write=lambda data: None):
     """Return the view of an entry that reads the feeds, and the entry's tasks."""
-    log = EventLog(name, system_clock, write=len)
+
+    def write_all(data):
+        write(data)
+        return len(data)
+
+    log = EventLog(name, system_clock, write=write_all)
     view = FleetView(decode_configuration, system_clock, log)
     feeds = Feeds(
         FeedIdentity(name, "a"),
@@ -329,6 +334,39 @@
     with_cluster(body)
 
 
+def test_entry_takes_its_news_elsewhere_when_its_source_is_lost(with_cluster):
+    """Guards against an entry that hears of no endpoint any more, or forgets those it
+    knows, because the one replica that told it of them is gone."""
+
+    async def body(cluster):
+        lines = []
+        view, _ = await entry_view(cluster, write=lines.append)
+
+        def sources():
+            text = b"".join(lines).decode().splitlines()
+            return [
+                line.split("control=")[1].split()[0]
+                for line in text
+                if "event=news_source" in line
+            ]
+
+        await until(lambda: len(view.control_hosts) == 3)
+        await cluster.call(2, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        await until(lambda: "i-1" in view.endpoints)
+        view._log.flush()
+        # Replicas that start together hear each other one by one.
+        assert len(sources()) <= 2
+        lost = int(sources()[-1].rpartition(".")[2])
+        await cluster.stop(lost)
+        other = next(k for k in cluster.running if k != lost)
+        fields = {**ANNOUNCEMENT, "address": "10.0.0.10:8080"}
+        await cluster.call(other, b"PUT", "/-/instances/i-2", fields)
+        await until(lambda: "i-2" in view.endpoints, 4.0)
+        assert "i-1" in view.endpoints
+
+    with_cluster(body)
+
+
 def test_entry_goes_on_when_a_replica_is_lost(with_cluster):
     """Guards against an entry that depends on one replica."""
 
