Fuzz the decoders of outside bytes; reject settings and orders of other types by name

Found: settings with a table or count of another type ended a process by an AttributeError, also at a reload; orders with departures of another type ended the task that reads a feed for good. Both are errors that name the field now. An answer reader and a request reader agree with the parser on where messages end.

--- a/pollenfold/core/orders.py
+++ b/pollenfold/core/orders.py
@@ -167,8 +167,13 @@
 
 
 def decode_orders(fields: dict[str, Any]) -> Orders:
-    """Return the orders that ``Orders.encode`` gave."""
+    """Return the orders that ``Orders.encode`` gave.
+
+    Raise KeyError, ValueError or TypeError for other fields.
+    """
     index = int(fields["index"])
+    if not isinstance(fields["departures"], dict):
+        raise ValueError(f"departures: got {fields['departures']!r}")
     departures = {str(k): int(v) for k, v in fields["departures"].items()}
     return Orders(
         index,
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -44,6 +44,10 @@
 FIRST_RETRY_PAUSE_MS = 50.0
 """The pause while no feed is open, when this entry may know nothing yet."""
 
+FEED_ERRORS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
+"""What a line with other fields than expected may raise; it ends the feed, which is
+then opened anew."""
+
 LIST_INTERVAL_MS = 10_000.0
 """How often a replica of the own zone is asked for the list of all endpoints."""
 
@@ -222,7 +226,7 @@
                 detail = "no connection in time"
             except OSError as error:
                 detail = str(error) or type(error).__name__
-            except (ValueError, KeyError, TypeError, IndexError) as error:
+            except FEED_ERRORS as error:
                 detail = f"malformed line: {error!r}"
             if self._connected.pop(host, None) is not None:
                 n_failures = 0
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -79,13 +79,22 @@
     """Return the settings of decoded fields; raise SettingsError."""
     me = _table(fields, "self")
     network = _table(fields, "network")
-    terms = fields.get("terms", {})
+    terms = _optional_table(fields, "terms")
     ports = _field(network, "network", "internalPorts", list)
     if len(ports) != 2 or not all(type(port) is int for port in ports):
         raise SettingsError(f"network.internalPorts: expected two ports, got {ports}")
     listen = _table(network, "listenAddrs")
-    tolerance = terms.get("faultTolerance", {})
-    bounds = terms.get("bounds", {})
+    tolerance = _optional_table(terms, "faultTolerance")
+    bounds = _optional_table(terms, "bounds")
+    zones = _optional_table(network, "zones")
+    seeds = network.get("seeds", [])
+    if not isinstance(seeds, list):
+        raise SettingsError(f"network.seeds: expected a list, got {seeds!r}")
+    n_machines_lost = tolerance.get("machines", 1)
+    if type(n_machines_lost) is not int or n_machines_lost < 0:
+        raise SettingsError(
+            f"terms.faultTolerance.machines: expected a count, got {n_machines_lost!r}"
+        )
     return Settings(
         name=_field(me, "self", "nodeName", str),
         zone=_field(me, "self", "zone", str),
@@ -93,11 +102,11 @@
         addresses={key: parse_address(value) for key, value in listen.items()},
         first_port=ports[0],
         last_port=ports[1],
-        seeds=tuple(parse_address(seed) for seed in network.get("seeds", [])),
-        zones=frozenset(network.get("zones", {})),
+        seeds=tuple(parse_address(seed) for seed in seeds),
+        zones=frozenset(zones),
         is_first_start=bool(me.get("bootstrap", False)),
         data_folder=str(me.get("dataDir", "")),
-        n_machines_lost=int(tolerance.get("machines", 1)),
+        n_machines_lost=n_machines_lost,
         bounds={k: float(v) for k, v in bounds.items() if type(v) in (int, float)},
     )
 
@@ -109,6 +118,10 @@
     return value
 
 
+def _optional_table(fields: dict[str, Any], name: str) -> dict[str, Any]:
+    return _table(fields, name) if name in fields else {}
+
+
 def _field(fields: dict[str, Any], table: str, name: str, kind: type) -> Any:
     value = fields.get(name)
     if not isinstance(value, kind):
--- /dev/null
+++ b/properties/test_decoders.py
@@ -0,0 +1,283 @@
+"""Decoders of bytes from outside: only their declared errors, whatever comes."""
+
+import json
+import string
+
+import curio
+import h11
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenfold.core.orders import Orders, decode_order
+from pollenfold.core.registry import decode_announcement as decode_fields
+from pollenfold.gateway.backend import BackendConnection
+from pollenfold.gateway.feeds import FEED_ERRORS
+from pollenfold.gateway.outgoing import outgoing_request
+from pollenfold.http.messages import Response
+from pollenfold.http.server import HttpServer
+from pollenfold.platform.documents import (
+    DocumentError,
+    decode_announcement,
+    decode_configuration,
+)
+from pollenfold.platform.headers import parse_load
+from pollenfold.platform.settings import SettingsError, parse_settings
+from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
+
+SCALARS = (
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**20), 10**20)
+    | st.floats()
+    | st.text(string.printable, max_size=8)
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(string.ascii_letters, max_size=6), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def _paths(value, path=()):
+    """Return the path of each place in a document."""
+    yield path
+    items = value.items() if isinstance(value, dict) else ()
+    items = enumerate(value) if isinstance(value, list) else items
+    for key, inner in items:
+        yield from _paths(inner, (*path, key))
+
+
+def _replaced(document, path, value):
+    if not path:
+        return value
+    copied = json.loads(json.dumps(document))
+    place = copied
+    for key in path[:-1]:
+        place = place[key]
+    place[path[-1]] = value
+    return copied
+
+
+@given(st.sampled_from(list(_paths(CONFIGURATION))), VALUES)
+def test_configuration_with_any_value_in_any_place(path, value):
+    """Guards against a configuration that stops a replica or an entry."""
+    document = _replaced(CONFIGURATION, path, value)
+    try:
+        configuration = decode_configuration(json.dumps(document))
+    except DocumentError:
+        return
+    for routes in configuration.hosts.values():
+        for route in routes:
+            assert all(part.service in configuration.services for part in route.parts)
+
+
+@given(st.sampled_from(list(_paths(ANNOUNCEMENT))), VALUES)
+def test_announcement_with_any_value_in_any_place(path, value):
+    """Guards against an announcement that is taken though a field isn't usable, and
+    against one that can't be told on the feeds."""
+    document = _replaced(ANNOUNCEMENT, path, value)
+    try:
+        announcement = decode_announcement("i-1", json.dumps(document).encode())
+    except DocumentError:
+        return
+    encoded = json.loads(json.dumps(announcement.encode()))
+    assert decode_fields(encoded) == announcement
+
+
+@given(st.binary(max_size=60))
+def test_documents_of_any_bytes(data):
+    """Guards against bytes that raise what their reader doesn't expect."""
+    for decode, errors in (
+        (lambda: decode_announcement("i-1", data), DocumentError),
+        (lambda: decode_configuration(data.decode("latin-1")), DocumentError),
+        (lambda: decode_order(data), ValueError),
+    ):
+        try:
+            decode()
+        except errors:
+            pass
+    parse_load(data)
+
+
+SETTINGS = {
+    "self": {"nodeName": "n", "zone": "a", "ip": "10.0.0.1", "bootstrap": True},
+    "network": {
+        "internalPorts": [7660, 7675],
+        "seeds": ["10.0.0.2:80"],
+        "listenAddrs": {"front": "10.0.0.1:80"},
+        "zones": {"a": "r"},
+    },
+    "terms": {"faultTolerance": {"machines": 2}, "bounds": {"graceS": 6}},
+}
+
+
+@given(st.sampled_from(list(_paths(SETTINGS))), VALUES)
+def test_settings_with_any_value_in_any_place(path, value):
+    """Guards against a settings file that ends a process without saying which field."""
+    fields = _replaced(SETTINGS, path, value)
+    if isinstance(fields, dict):
+        try:
+            parse_settings(fields)
+        except SettingsError:
+            pass
+
+
+ORDERS = {
+    "index": 5,
+    "version": 0,
+    "document": "",
+    "evacuated": ["a"],
+    "departures": {"i-1": 5},
+    "since": 0,
+}
+
+
+@given(st.sampled_from(list(_paths(ORDERS))), VALUES)
+def test_orders_with_any_value_in_any_place(path, value):
+    """Guards against a line of a feed that ends the task which reads it."""
+    fields = _replaced(ORDERS, path, value)
+    if isinstance(fields, dict):
+        try:
+            Orders().merged(fields)
+        except FEED_ERRORS:
+            pass
+
+
+PIECES = st.sampled_from(
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\n",
+        b"content-length: 3\r\n",
+        b"content-length: 5\r\n",
+        b"content-length: x\r\n",
+        b"transfer-encoding: chunked\r\n",
+        b"connection: close\r\n",
+        b"\r\n",
+        b"abc",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"0\r\nx: y\r\n\r\n",
+        b"ffffffffffffffffffff\r\n",
+        b"\0\xff",
+    ]
+)
+
+
+@given(st.lists(PIECES, max_size=8), st.booleans())
+def test_answer_reader_agrees_with_the_parser_on_what_is_whole(pieces, is_split):
+    """Guards against a part of an answer that counts as whole, and against an answer
+    that the reader ends at another place than the parser."""
+    data = b"".join(pieces)
+
+    async def main():
+        async def serve(client, address):
+            await client.recv(65536)
+            try:
+                for piece in pieces if is_split else [data]:
+                    await client.sendall(piece)
+            except OSError:
+                return
+
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        server = await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+        connection = BackendConnection("127.0.0.1", sock.getsockname()[1])
+        await connection.connected()
+        await connection.send(outgoing_request(b"GET", b"/", [(b"host", b"x")], b""))
+        async with curio.timeout_after(2):
+            received = await connection.receive(lambda response: True)
+        is_clean = connection.is_clean
+        await connection.close()
+        await server.cancel()
+        return received, is_clean
+
+    received, is_clean = curio.run(main)
+    expected, rest = _parsed(data)
+    if isinstance(received, Response):
+        assert (received.status, received.body) == expected
+        assert not (rest and is_clean)
+    else:
+        assert expected is None
+
+
+def _parsed(data):
+    """Return status and body by the parser alone, and the bytes that follow."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+    parser.send(h11.EndOfMessage())
+    parser.receive_data(data)
+    status, body, is_ended = None, b"", False
+    while True:
+        try:
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            return None, b""
+        if event is h11.NEED_DATA:
+            if is_ended:
+                return None, b""
+            is_ended = True
+            parser.receive_data(b"")
+        elif type(event) is h11.Response:
+            status = event.status_code
+        elif type(event) is h11.Data:
+            body += event.data
+        elif type(event) is h11.EndOfMessage:
+            return (status, body), parser.trailing_data[0]
+        elif type(event) is not h11.InformationalResponse:
+            return None, b""
+
+
+REQUEST_PIECES = st.sampled_from(
+    [
+        b"GET / HTTP/1.1\r\nhost: x\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: x\r\n",
+        b"content-length: 3\r\n\r\n",
+        b"transfer-encoding: chunked\r\n\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"abc",
+        b"\r\n",
+        b"connection: close\r\n",
+        b"expect: 100-continue\r\n",
+        b"\0\xff",
+    ]
+)
+
+
+@given(st.lists(REQUEST_PIECES, max_size=8))
+def test_each_request_that_is_handled_gets_one_answer_in_order(pieces):
+    """Guards against requests that are handled twice, or answered out of turn, by
+    whatever stands between them."""
+    handled = []
+
+    async def main():
+        async def handle(request):
+            handled.append(request.body)
+            await curio.sleep(0.002 if len(handled) % 2 else 0)
+            return Response(200, [(b"x-n", b"%d" % (len(handled) - 1))])
+
+        server = HttpServer(handle, runs_beside_others=lambda r: r.method == b"GET")
+        port = await server.start("127.0.0.1", 0)
+        sock = await curio.open_connection("127.0.0.1", port)
+        data = b""
+        try:
+            await sock.sendall(b"".join(pieces))
+            await sock.shutdown(curio.socket.SHUT_WR)
+            async with curio.timeout_after(3):
+                while piece := await sock.recv(65536):
+                    data += piece
+        except OSError:
+            pass
+        await sock.close()
+        await curio.sleep(0.01)
+        assert server.n_in_flight == 0
+        await server.stop()
+        return data
+
+    data = curio.run(main)
+    n_answers = data.count(b"HTTP/1.1 200")
+    # A bad request behind others is answered after them, with an error.
+    assert n_answers == len(handled)
