--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -24,6 +24,8 @@
 """Greatest request head; bounds the memory that one connection can claim."""
 
 READ_BYTES = 64 * 1024
+READS_PER_TURN = 4
+"""How often a body is read before other tasks have their turn."""
 
 UNRESERVED_BYTES = 16 * 1024
 """A body may take so much without a reservation, as most requests do."""
@@ -100,6 +102,7 @@
         self._head_at = Instant(0.0)
         self._n_body_bytes = 0
         self._n_reserved = 0
+        self._n_reads = 0
         self.is_body_read = False
 
     async def read(self, peer: str) -> Request | None:
@@ -221,6 +224,10 @@
         return None
 
     async def _receive_body_bytes(self) -> bytes:
+        self._n_reads += 1
+        if self._n_reads % READS_PER_TURN == 0:
+            # A caller that sends without a pause must not keep the loop from others.
+            await curio.sleep(0)
         try:
             async with curio.timeout_after(self._limits.idle_timeout_ms / 1000):
                 return bytes(await self._client.recv(READ_BYTES))
