Refuse numbers in configurations that aren't finite

Found by scripts/fuzz: 1e999 in a configuration, which JSON allows and which reads as infinity, ended the handler in place of a refusal, so the operator got no answer. Change: numbers are finite and at most 1e15. Both examples are pinned in the test.

--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -16,6 +16,7 @@
 )
 
 MAX_TIMEOUT_MS = 600_000
+MAX_NUMBER = 1e15
 KINDS = {"safe": True, "unsafe": False, "upload": False}
 """Whether requests of a kind are idempotent. An upload is a large request that runs at
 most once, like any other that isn't."""
@@ -139,11 +140,12 @@
 
 
 def _number(item: Any, name: str, default: float | None) -> float:
-    """Return a number of 0 or more; None as the default makes it required."""
+    """Return a finite number of 0 or more; None as the default makes it required."""
     if not isinstance(item, dict):
         raise DocumentError(f"expected an object with {name}, got {item!r}")
     value = item.get(name, default)
-    if type(value) not in (int, float) or value < 0:
+    # JSON allows 1e999, which reads as infinity, and Python's reader NaN as well.
+    if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
         raise DocumentError(f"{name}: expected a number, got {value!r}")
     return float(value)
 
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -5,7 +5,7 @@
 
 import curio
 import h11
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pollenfold.core.orders import Orders, decode_order
@@ -62,6 +62,8 @@
 
 
 @given(st.sampled_from(list(_paths(CONFIGURATION))), VALUES)
+@example(("services", 0, "maxConns"), float("inf"))
+@example(("hosts", 0, "paths", 0, "targetLatencyMs"), float("nan"))
 def test_configuration_with_any_value_in_any_place(path, value):
     """Guards against a configuration that stops a replica or an entry."""
     document = _replaced(CONFIGURATION, path, value)
