Take in what a caller still sends after a closing answer, instead of resetting it

Cause: the answer that ends a connection woke the reading task by shutting the receiving half; what the caller sent after that was answered by a reset, which may overtake the last answer of a planned stop. Change: the reading task is cancelled, and the connection takes in bytes for half a second. A connection that is closed while idle is not read any further, so that a request which crosses the close counts as unread for its caller. Test: a caller that sends three more requests gets the last answer; broken pipe before.

--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -59,7 +59,7 @@
     n_in_flight: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Exchange:
     """One request with what is needed to answer it in its turn."""
 
@@ -86,7 +86,8 @@
         self._waiting: deque[_Exchange] = deque()
         self._is_reading_request = False
         self._is_closing = False
-        self._is_broken = False
+        self._lingers = False
+        self._task: curio.Task | None = None
         self._n_requests = 0
         self._idle_since = system_clock()
 
@@ -102,12 +103,13 @@
 
     async def serve(self) -> None:
         """Serve the connection until it ends."""
+        self._task = await curio.current_task()
         try:
             async with self._client:
-                await self._serve_requests()
-                for exchange in list(self._waiting):
-                    await exchange.is_answered.wait()
-                if self._is_closing and not self._is_broken:
+                await self._read_until_the_end()
+                while self._waiting and not self._is_closing:
+                    await self._waiting[0].is_answered.wait()
+                if self._lingers:
                     await self._linger()
         except (OSError, h11.LocalProtocolError):
             return
@@ -118,11 +120,24 @@
     async def end_idle(self) -> None:
         """End the connection unless a request is in it or about to be read."""
         if not self.is_busy and not is_readable(self._client.fileno()):
+            # Not read any further: a request that crosses the close stays unread, and
+            # its caller may send it again.
             self._is_closing = True
             await self._client.shutdown(socket.SHUT_RD)
 
     # Reading
 
+    async def _read_until_the_end(self) -> None:
+        """Read requests until the caller ends the connection, or an answer does."""
+        try:
+            await self._serve_requests()
+            # A cancellation that came while this task was about to run is still due.
+            await curio.sleep(0)
+        except curio.TaskCancelled:
+            # Another task wrote the answer that closes, and ended the reading.
+            if not self._is_closing:
+                raise
+
     async def _serve_requests(self) -> None:
         parser = self._new_parser(b"")
         while not self._is_closing:
@@ -211,7 +226,7 @@
         except BodyError:
             # A reset can't be taken for the end of a whole answer.
             self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            await self._end(exchange, is_broken=True)
+            await self._end(exchange, lingers=False)
         finally:
             if response is not None and response.rest is not None:
                 await response.rest.close()
@@ -248,21 +263,25 @@
         await self._leave_queue(exchange)
 
     async def _leave_queue(self, exchange: _Exchange) -> None:
+        if exchange not in self._waiting:
+            return
         self._waiting.remove(exchange)
         self._traffic.n_in_flight -= 1
         await exchange.reader.release()
         await exchange.is_answered.set()
 
-    async def _end(self, exchange: _Exchange, is_broken: bool = False) -> None:
+    async def _end(self, exchange: _Exchange, lingers: bool = True) -> None:
         """Close after this request; what stands behind it isn't run any further."""
         self._is_closing = True
-        self._is_broken = is_broken
+        self._lingers = lingers
+        if exchange.task is not None and self._task is not None:
+            # Ends the reading of further requests. Shutting the receiving half would
+            # do so as well, but reset the connection when more bytes come.
+            await self._task.cancel(blocking=False)
         for later in list(self._waiting):
             if later is not exchange:
                 await self._abandon(later)
         await self._finish(exchange)
-        # Wakes the reading task, which waits for the next request.
-        await self._client.shutdown(socket.SHUT_RD)
 
     async def _abandon(self, exchange: _Exchange) -> None:
         """Give up a request whose answer nobody can get any more."""
@@ -280,7 +299,7 @@
         state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
         response = error_response(error.kind, error.detail, run_state=state)
         response.close = True
-        self._is_closing = True
+        self._is_closing = self._lingers = True
         await self._write(parser, response)
 
     async def _write(self, parser: h11.Connection, response: Response) -> None:
--- a/pollenfold/tests/http/test_pipeline.py
+++ b/pollenfold/tests/http/test_pipeline.py
@@ -195,3 +195,27 @@
         assert data.startswith(b"HTTP/1.1 413")
 
     run(main)
+
+
+def test_last_answer_of_a_stop_arrives_though_the_caller_sends_more(run):
+    """Guards against a reset that overtakes the last answer of a planned stop."""
+
+    async def main():
+        for _ in range(20):
+            service = Service()
+            service.hold("a")
+            sock = await service.connect()
+            await sock.sendall(GET % b"a")
+            await until(lambda: service.started == ["a"])  # noqa: B023
+            service.server.announce_stop()
+            await service.gates["a"].set()
+            # The caller doesn't know yet that the connection ends.
+            for _ in range(3):
+                await sock.sendall(GET % b"late")
+                await curio.sleep(0.005)
+            bodies, _ = await read_all(sock)
+            assert bodies[0] == "a"
+            assert "late" not in bodies[1:] or service.finished.count("late")
+            await service.server.stop()
+
+    run(main)
