Ask the new source for news also when the former one can't be told

Cause, found by reading: the message that ends the news of the former source went first, and a broken connection there skipped the one to the new source; the entry then heard of endpoints only by the list every 10 s. Test: fails before for a broken pipe.

--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -184,14 +184,16 @@
         before, self._source = self._source, best
         self._source_since = now
         self._log.state("news_source", control=best, before=before or "none")
+        feed = self._connected[best]
+        # The reader of a feed notices a broken connection.
         with contextlib.suppress(OSError, curio.TaskTimeout):
-            # The reader of a feed notices a broken connection.
-            if before in self._connected:
-                await self._connected[before].send({"news": 0})
-            feed = self._connected[best]
             await feed.send({"news": 1})
             if now >= self._next_list_at:
                 await self._request_list(feed)
+        former = self._connected.get(before or "")
+        if former is not None:
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                await former.send({"news": 0})
 
     def _note_completeness(self) -> None:
         """Note since when this process hears of all endpoints.
