Tell entries of an earlier version of endpoints as before

An entry that doesn't say in its first line whether it takes news gets them from every replica, so entries and replicas of both versions work together during a roll-out. Test: an entry of the earlier version hears of an endpoint; it didn't before.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -37,8 +37,10 @@
         self.name = str(hello.get("name", ""))
         self.role = str(hello.get("role", ""))
         self.is_entry = self.role == "entry"
-        self.takes_news = not self.is_entry
-        """Whether it is told of endpoints and names, or only where the orders are."""
+        self.takes_news = not self.is_entry or "news" not in hello
+        """Whether it is told of endpoints and names, or only where the orders are.
+
+        An entry of an earlier version doesn't ask, and takes them from every replica."""
 
         self._pending = bytearray()
         self._moved_at = now
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -248,6 +248,7 @@
                 "name": identity.name,
                 "zone": identity.zone,
                 "role": identity.role,
+                "news": 0,
             }
             feed = _Feed(sock)
             await feed.send(hello)
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -21,7 +21,7 @@
     """A connection to the feed that keeps all lines."""
 
     def __init__(self, name, zone, role):
-        self.hello = {"name": name, "zone": zone, "role": role}
+        self.hello = {"name": name, "zone": zone, "role": role, "news": 0}
         self.lines = []
         self.n_bytes = 0
 
@@ -101,6 +101,7 @@
                 await reader.open(port, takes_news)
                 return reader
 
+            connect.port = port
             await body(book, connect)
 
         run(main)
@@ -136,6 +137,19 @@
     with_feed(body)
 
 
+def test_entry_of_an_earlier_version_is_told_of_endpoints(with_feed):
+    """Guards against entries that hear of no endpoint while new versions roll out."""
+
+    async def body(book, connect):
+        reader = Reader("old", "b", "entry")
+        del reader.hello["news"]
+        await reader.open(connect.port, takes_news=False)
+        book.take_announcement(announcement("i-1"))
+        await until(lambda: reader.endpoint_ids() == {"i-1"})
+
+    with_feed(body)
+
+
 def test_entries_without_news_still_learn_the_index_at_once(with_feed):
     """Guards against orders that wait for the regular line of a far replica."""
 
