--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -40,7 +40,7 @@
         self.takes_news = not self.is_entry or "news" not in hello
         """Whether it is told of endpoints and names, or only where the orders are.
 
-        An entry of an earlier version doesn't ask, and takes them from every replica."""
+        An entry of an earlier version doesn't ask; every replica tells it."""
 
         self._pending = bytearray()
         self._moved_at = now
