Ignore further signals from the first one to stop, without a gap

After the first SIGTERM the default handlers came back until the daemon ignored them a few steps later; a second SIGTERM in that moment ended the process. pollenfold's own entry had them for its whole planned stop. Change: the task that waits for the signal sets it aside before anything else runs.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -22,7 +22,7 @@
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
 from ..observe.service import metrics_response, reload_settings, wait_for_end
-from ..observe.signals import ignore_stop_signals, wait_for_stop
+from ..observe.signals import wait_for_stop
 from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
@@ -261,7 +261,6 @@
             founder=settings.is_founder,
         )
         await wait_for_end(group, stop, node.log)
-        ignore_stop_signals()
         node.log.state("stopping", n_in_flight=api.n_in_flight)
         await api.stop()
         async with curio.ignore_after(STOP_WAIT_MS / 1000):
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -22,7 +22,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.service import metrics_response, reload_settings, wait_for_end
-from ..observe.signals import ignore_stop_signals, wait_for_stop
+from ..observe.signals import wait_for_stop
 from .balancer import Balancer
 from .calls import RetryLimits
 from .dialect import Dialect
@@ -221,7 +221,6 @@
         gc.freeze()
         gateway.log.state("started", role="entry", zone=settings.zone, port=caller_port)
         await wait_for_end(group, stop, gateway.log)
-        ignore_stop_signals()
         await _drain(gateway)
         gateway.log.flush()
         await group.cancel_remaining()
