--- a/pollenfold/testing/fault_http.py
+++ b/pollenfold/testing/fault_http.py
@@ -7,6 +7,7 @@
 import curio
 import h11
 from curio import socket
+from curio.traps import _read_wait
 
 from ..http.caller import CallerConnection
 from ..http.messages import Request, Response
@@ -14,8 +15,6 @@
 from ..http.server import HttpServer
 from .faults import FaultKind
 
-CLOSE_CHECK_MS = 5.0
-
 
 @dataclass(slots=True)
 class DamagedResponse(Response):
@@ -66,10 +65,16 @@
 
 
 async def closed_within(request: Request, duration_ms: float) -> bool:
-    """Wait for the duration; return True soon after the caller closes."""
-    until_s = await curio.clock() + duration_ms / 1000
-    while (left_s := until_s - await curio.clock()) > 0:
+    """Wait for the duration; return True at once when the caller closes.
+
+    At once matters: a request that its caller gave up counts as running until then,
+    and the caller may have sent the next one.
+    """
+    async with curio.ignore_after(max(0.0, duration_ms) / 1000):
+        await _read_wait(request.descriptor)
         if is_closed_by_peer(request.descriptor):
             return True
-        await curio.sleep(min(left_s, CLOSE_CHECK_MS / 1000))
+        # A pipelined request keeps the socket readable, so that a later close
+        # can't be seen.
+        await curio.Event().wait()
     return False
