Ask another replica for endpoints when the source knows none

Ruled out: the election (leader 0.3 s after power) and the configuration (0.47 s), which the entries of the third zone had at the same time and served with. Change: a greeting says how many endpoints a replica knows. An entry asks at once for the list of one that knows more than it heard of or was promised, and never one that knows none.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -10,7 +10,7 @@
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
 from ..core.digests import differing
-from ..core.registry import Announcement
+from ..core.registry import Announcement, Known
 from ..observe.events import EventLog
 from ..wire.lines import encode_line, read_lines
 from .order_book import OrderBook, PeerView
@@ -149,6 +149,7 @@
             "zone": self._zone,
             "index": self._book.orders.index,
             "n_entries": self._n_entries(),
+            "n_endpoints": len(self._heard_lately()),
             "n_peers": self._peers.n_connected,
             "control": sorted(self._peers.control_hosts),
         }
@@ -179,18 +180,17 @@
         reader.add(encode_line(line))
         self._flush(reader)
 
+    def _heard_lately(self) -> list[Known]:
+        oldest = add_ms(self._clock(), -FORGET_AFTER_MS)
+        return [k for k in self._book.registry.all_known() if k.heard_at > oldest]
+
     def _announcements(self, digests: object) -> list[tuple[list[object], float]]:
         """Return the endpoints that were heard lately, with the age of their words.
 
         Those that the reader has by its digests are left out.
         """
         now = self._clock()
-        oldest = add_ms(now, -FORGET_AFTER_MS)
-        known = {
-            k.announcement.endpoint_id: k
-            for k in self._book.registry.all_known()
-            if k.heard_at > oldest
-        }
+        known = {k.announcement.endpoint_id: k for k in self._heard_lately()}
         missing = differing((k.announcement for k in known.values()), digests)
         return [(a.encode(), now - known[a.endpoint_id].announced_at) for a in missing]
 
--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -286,6 +286,11 @@
         voters = self._book.replica.voters()
         return frozenset(host_and_port(k)[0] for k in voters)
 
+    @property
+    def n_endpoints(self) -> int:
+        """The number of endpoints that are known, those that leave included."""
+        return len(self._book.registry)
+
     def digests(self) -> list[int]:
         """Return the digests of the endpoints that are known."""
         return bucket_digests(self._book.registry.announcements())
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -84,7 +84,8 @@
     """One open feed.
 
     ``asked_index`` is the highest index asked for. ``zone`` is that of the
-    replica, once its first line was read. ``alone_since`` is since when it hears no
+    replica, once its first line was read, and ``n_endpoints`` how many endpoints it
+    knew then, None when it doesn't say. ``alone_since`` is since when it hears no
     majority of the replicas, ``complete_since`` since when it hears all others.
     """
 
@@ -94,6 +95,7 @@
         self.asked_index = 0
         self.is_new = True
         self.zone = ""
+        self.n_endpoints: int | None = None
         self.alone_since: Instant | None = None
         self.complete_since: Instant | None = None
 
@@ -145,6 +147,8 @@
         self._source: str | None = None
         self._source_since = clock()
         self._next_list_at = clock()
+        self._n_promised = 0
+        """How many endpoints a replica knew whose list is on its way or came."""
 
     @property
     def n_connected(self) -> int:
@@ -188,7 +192,7 @@
         # The reader of a feed notices a broken connection.
         with contextlib.suppress(OSError, curio.TaskTimeout):
             await feed.send({"news": 1})
-            if now >= self._next_list_at:
+            if now >= self._next_list_at and feed.n_endpoints != 0:
                 await self._request_list(feed)
         former = self._connected.get(before or "")
         if former is not None:
@@ -230,15 +234,23 @@
                 detail = str(error) or type(error).__name__
             except FEED_ERRORS as error:
                 detail = f"malformed line: {error!r}"
-            if self._connected.pop(host, None) is not None:
+            if self._lose(host):
                 n_failures = 0
-                if host == self._source:
-                    self._source = None
-                    await self._choose_source()
+                await self._choose_source()
                 self._log.state("feed_lost", control=host, detail=detail)
             pause_ms = RETRY_PAUSE_MS if self._connected else FIRST_RETRY_PAUSE_MS
             await curio.sleep(pause_ms / 1000)
 
+    def _lose(self, host: str) -> bool:
+        """Forget the feed of a replica; return whether it was open."""
+        if self._connected.pop(host, None) is None:
+            return False
+        # The list that it promised may have been lost with it.
+        self._n_promised = 0
+        if host == self._source:
+            self._source = None
+        return True
+
     async def _read(self, host: str, connect_timeout_ms: float) -> None:
         async with curio.timeout_after(connect_timeout_ms / 1000):
             sock = await open_connection(host, self._port)
@@ -257,6 +269,8 @@
                 async for line in read_lines(sock, lambda: self._silence_ms(host)):
                     if host not in self._connected:
                         feed.zone = str(line.get("zone", ""))
+                        if "n_endpoints" in line:
+                            feed.n_endpoints = int(line["n_endpoints"])
                         self._connected[host] = feed
                         self._log.state("feed_opened", control=host)
                         asking = self._ask_list(feed, host)
@@ -265,6 +279,7 @@
                     if feed.is_new:
                         feed.is_new = False
                         await self._choose_source()
+                        await self._ask_better_list(feed)
                     if index > max(self._view.orders.index, feed.asked_index):
                         feed.asked_index = index
                         await self._ask(feed)
@@ -343,8 +358,22 @@
             is_first = False
             await curio.sleep(LIST_INTERVAL_MS / 1000)
 
+    async def _ask_better_list(self, feed: _Feed) -> None:
+        """Ask for the list of a replica that knows more than was heard or promised.
+
+        A replica that lost its disk knows no endpoint for a while, though it may be
+        the source. Waiting for the regular list would leave a starting entry without
+        endpoints until then.
+        """
+        n_known = max(self._n_promised, self._view.n_endpoints)
+        if (feed.n_endpoints or 0) > n_known:
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                # The reader of the feed notices a broken connection.
+                await self._request_list(feed)
+
     async def _request_list(self, feed: _Feed) -> None:
         self._next_list_at = add_ms(self._clock(), LIST_PAUSE_MS)
+        self._n_promised = max(self._n_promised, feed.n_endpoints or 0)
         await feed.send({"list": 1, "digests": self._view.digests()})
 
     async def _ping(self, feed: _Feed) -> None:
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -165,6 +165,11 @@
             self._log.state("endpoint_forgotten", endpoint=endpoint_id, reason=reason)
             self._rebuild()
 
+    @property
+    def n_endpoints(self) -> int:
+        """The number of endpoints that are known, those that leave included."""
+        return len(self.registry)
+
     def digests(self) -> list[int]:
         """Return the digests of the endpoints that are known."""
         return bucket_digests(self.registry.announcements())
