Heed endpoints that say in an answer that they leave or want a rest

Cause: both headers were ignored. An endpoint whose leaving was said only in an answer got requests until an announcement came, and one that asked for a rest with 503 and Retry-After was asked and sent to at once again. Change: any answer with Server-Leaving takes that life of the endpoint out of this entry's work, also against announcements and after it was forgotten; idle connections to it are closed. A 503 with Retry-After gives the endpoint neither requests nor questions until then, a tenth later at random and 60 s at most. While all endpoints of a service rest, a request is refused at once with the time of the first return. An answer of another instance (421) says nothing of the endpoint. Ruled out: telling other entries; the feeds carry announcements only, and the rule binds the machine that got the answer.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -89,7 +89,7 @@
         self._rng = rng
         self._connections = Connections(view, clock, metrics)
         self._prober = Prober(
-            view, dialect, settings.zone, self._connections, clock, metrics
+            view, dialect, settings.zone, self._connections, clock, metrics, rng
         )
         self._cold = ColdPermits(view, settings, clock)
         self._services: dict[str, ServiceState] = {}
@@ -118,6 +118,7 @@
             endpoint
             for endpoint in self._view.by_service.get(service, ())
             if endpoint.announcement.endpoint_id not in tried
+            and not endpoint.is_resting(now)
         ]
         if not endpoints:
             return None
@@ -152,6 +153,9 @@
         for n_round in range(MAX_ROUNDS):
             if remaining_ms(search.deadline, self._clock()) <= 0.0:
                 break
+            search.endpoints = [
+                e for e in search.endpoints if not e.is_resting(self._clock())
+            ]
             usable = self._usable(search)
             if not usable and search.best is None:
                 # None of them answered, which a busy moment explains as well.
@@ -285,8 +289,12 @@
             if endpoint.is_cold(now) and not self._cold.take(endpoint):
                 continue
             connection = await self._connections.connect(endpoint, search.deadline)
-            if connection is not None:
+            if connection is None:
+                continue
+            # The endpoint may have begun to leave while the connection was opened.
+            if self._view.may_get_work(endpoint):
                 return Pick(endpoint, connection, 1.0)
+            await self._connections.give_back(endpoint, connection)
         return None
 
     async def give_back(
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -51,6 +51,9 @@
     trace: list[str] = field(default_factory=list)
     last_response: Response | None = None
     may_have_run: bool = False
+    rest_ms: float | None = None
+    """How long all endpoints of the service still want no work, if they do."""
+
     is_rest_taken: bool = False
     """Whether a part of a long body was passed on that isn't kept here."""
 
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -101,9 +101,10 @@
         await self.pool(endpoint).discard(connection)
 
     async def close_old(self) -> None:
-        """Close old idle connections, and all to endpoints that left."""
+        """Close old idle connections, and all to endpoints that leave or left."""
         for endpoint_id, pool in list(self._pools.items()):
-            is_known = endpoint_id in self._view.endpoints
-            await pool.close_idle(IDLE_CLOSE_MS if is_known else 0.0)
-            if not is_known and not pool.n_open:
+            endpoint = self._view.endpoints.get(endpoint_id)
+            is_used = endpoint is not None and not self._view.is_leaving(endpoint)
+            await pool.close_idle(IDLE_CLOSE_MS if is_used else 0.0)
+            if endpoint is None and not pool.n_open:
                 del self._pools[endpoint_id]
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -179,6 +179,7 @@
             self.metrics.set("feeds_connected", self.feeds.n_connected)
             self.metrics.set("requests_in_flight", self.callers.n_in_flight)
             self.metrics.set("endpoints", len(self.view.endpoints))
+            self.metrics.set("endpoints_resting", self.view.n_resting)
             self.metrics.set("entries", self.view.fleet.get(system_clock()))
             return metrics_response(self.metrics, self.log)
         if request.path != self.settings.ready_path:
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -15,7 +15,8 @@
 
     ``deadline_ms`` says how long the sender waits. With ``expected_instance`` any
     other instance at the address refuses the request. ``not_executed`` marks an
-    answer of a server that did not run the request. ``parse_load`` returns None for a
+    answer of a server that did not run the request, ``leaving`` with the value 1 any
+    answer of a server that leaves. ``parse_load`` returns None for a
     value that it can't read. ``is_genuine`` tells whether a response of a backend
     server is its own whole answer.
     """
@@ -27,5 +28,6 @@
     server_load: bytes
     instance: bytes
     warmup_left_ms: bytes
+    leaving: bytes
     parse_load: Callable[[bytes], ServerLoad | None]
     is_genuine: Callable[[Response], bool]
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -30,6 +30,7 @@
 from .dialect import Dialect
 from .exchange import CallerGoneError, exchange, is_caller_gone
 from .long_response import keep_for_rest
+from .notices import take_notices
 from .view import Endpoint, FleetView
 
 MIN_DEADLINE_MS = 10.0
@@ -160,6 +161,8 @@
             after_ms = retry_after_ms(left_ms, self._rng.random())
             if kind is ErrorKind.BACKEND_REFUSED:
                 after_ms = quick_retry_after_ms(self._rng.random())
+            if call.rest_ms is not None:
+                after_ms = max(after_ms, call.rest_ms)
             response = self._refusal(kind, after_ms)
         self._metrics.count("refused_total", kind=kind.value)
         self._finish(call, response.status, kind.value)
@@ -225,7 +228,11 @@
             call.trace,
         )
         if pick is None:
-            return ErrorKind.NO_BACKEND_SERVER
+            call.rest_ms = self._view.rest_left_ms(call.service)
+            if call.rest_ms is None:
+                return ErrorKind.NO_BACKEND_SERVER
+            call.trace.append(f"resting/{call.rest_ms:.0f}")
+            return ErrorKind.QUEUE_FULL
         refused = self._refuses(call, pick, is_first)
         if refused is None:
             return pick
@@ -292,6 +299,8 @@
             else:
                 await self._balancer.give_back(endpoint, pick.connection)
         self._learn(call, endpoint, outcome, elapsed_ms)
+        if response is not None:
+            take_notices(endpoint, response, self._dialect, self._view, self._rng)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
             call.work.observe(elapsed_ms, pick.slowdown)
         if outcome is AttemptOutcome.SERVER_ERROR and not is_open:
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 
 import curio
@@ -18,6 +19,7 @@
 from .backend import BackendConnection, Failure
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
+from .notices import take_notices
 from .outgoing import OutgoingRequest, outgoing_request
 from .view import Endpoint, FleetView
 
@@ -98,6 +100,7 @@
         connections: Connections,
         clock: Clock,
         metrics: Metrics,
+        rng: random.Random,
     ) -> None:
         self._view = view
         self._dialect = dialect
@@ -105,6 +108,7 @@
         self._connections = connections
         self._clock = clock
         self._metrics = metrics
+        self._rng = rng
         self._requests: dict[tuple[str, str], OutgoingRequest] = {}
 
     async def ask(
@@ -234,6 +238,10 @@
             self._view.forget(endpoint_id, "other_instance")
             return None
         endpoint.health.mark_reachable()
+        take_notices(endpoint, response, dialect, self._view, self._rng)
+        if not self._view.may_get_work(endpoint):
+            await self._connections.give_back(endpoint, connection)
+            return None
         value = find_header(response.headers, dialect.server_load)
         load = None if value is None else dialect.parse_load(value)
         if response.status == 200:
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from ..core.allowances import FleetSize
-from ..core.clock import Clock, Instant, add_ms
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.digests import bucket_digests
 from ..core.orders import Orders
 from ..core.registry import (
@@ -30,21 +30,38 @@
 
 It is several announcement intervals, and longer than an announcement may be late."""
 
+MAX_LEAVING = 4_096
+"""How many lives of endpoints that said that they leave are kept in mind."""
+
 Decode = Callable[[str], RoutingConfiguration]
 
+Life = tuple[str, int]
+"""The id of an endpoint with its start, in ms since 1970 on its own clock."""
+
 
 @dataclass(slots=True)
 class Endpoint:
     """One endpoint with what this entry saw of it.
 
     Until ``cold_until`` it bears only little; ``is_unconfirmed`` means that it may be
-    cold, which the next report of the endpoint itself decides.
+    cold, which the next report of the endpoint itself decides. Until ``rests_until`` it
+    wants neither requests nor questions.
     """
 
     announcement: Announcement
     health: EndpointHealth = field(default_factory=EndpointHealth)
     cold_until: Instant = Instant(0.0)
     is_unconfirmed: bool = False
+    rests_until: Instant = Instant(0.0)
+
+    @property
+    def life(self) -> Life:
+        """What names this life of the endpoint."""
+        return self.announcement.endpoint_id, self.announcement.born_ms
+
+    def is_resting(self, now: Instant) -> bool:
+        """Return whether the endpoint asked for no work at this moment."""
+        return now < self.rests_until
 
     def is_cold(self, now: Instant) -> bool:
         """Return whether only the cold limit of requests may go there."""
@@ -75,6 +92,10 @@
         that announce themselves; None while it doesn't."""
 
         self.n_connected = 0
+        self._leaving: dict[Life, None] = {}
+        """Lives that said in an answer that they leave, the oldest first. They are kept
+        apart from the endpoints, since an endpoint may be forgotten and announced
+        again in the same life."""
 
     # Orders
 
@@ -170,6 +191,31 @@
         """The number of endpoints that are known, those that leave included."""
         return len(self.registry)
 
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Give no new work to this life of an endpoint, which said that it leaves."""
+        if endpoint.life in self._leaving:
+            return
+        self._leaving[endpoint.life] = None
+        while len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        endpoint_id = endpoint.announcement.endpoint_id
+        self._log.state("endpoint_leaving", endpoint=endpoint_id, source="answer")
+        self._rebuild()
+
+    def mark_resting(self, endpoint: Endpoint, rest_ms: float) -> None:
+        """Give an endpoint nothing for a while, which it asked for."""
+        now = self._clock()
+        if not endpoint.is_resting(now):
+            endpoint_id = endpoint.announcement.endpoint_id
+            self._log.state("endpoint_rests", endpoint=endpoint_id, rest_ms=rest_ms)
+        endpoint.rests_until = max(endpoint.rests_until, add_ms(now, rest_ms))
+
+    @property
+    def n_resting(self) -> int:
+        """The number of endpoints that asked for no work at this moment."""
+        now = self._clock()
+        return sum(endpoint.is_resting(now) for endpoint in self.endpoints.values())
+
     def digests(self) -> list[int]:
         """Return the digests of the endpoints that are known."""
         return bucket_digests(self.registry.announcements())
@@ -198,15 +244,35 @@
         self.endpoints = {k: v for k, v in self.endpoints.items() if k in known}
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
-            if may_get_work(endpoint.announcement, self.orders):
+            if self._is_in_work(endpoint):
                 service = endpoint.announcement.service
                 by_service.setdefault(service, []).append(endpoint)
         self.by_service = by_service
 
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint said anywhere that it leaves."""
+        return endpoint.announcement.is_leaving or endpoint.life in self._leaving
+
+    def _is_in_work(self, endpoint: Endpoint) -> bool:
+        is_leaving = self.is_leaving(endpoint)
+        return not is_leaving and may_get_work(endpoint.announcement, self.orders)
+
     def may_get_work(self, endpoint: Endpoint) -> bool:
         """Return whether a new request may go to the endpoint at this moment."""
         current = self.endpoints.get(endpoint.announcement.endpoint_id)
-        return current is endpoint and may_get_work(endpoint.announcement, self.orders)
+        is_resting = endpoint.is_resting(self._clock())
+        return current is endpoint and not is_resting and self._is_in_work(endpoint)
+
+    def rest_left_ms(self, service: str) -> float | None:
+        """Return how long all endpoints of a service still rest; None if one doesn't.
+
+        The first of them takes work again then.
+        """
+        endpoints = self.by_service.get(service, ())
+        now = self._clock()
+        if not endpoints or not all(e.is_resting(now) for e in endpoints):
+            return None
+        return remaining_ms(min(e.rests_until for e in endpoints), now)
 
     # The fleet
 
--- a/pollenfold/platform/headers.py
+++ b/pollenfold/platform/headers.py
@@ -43,6 +43,7 @@
     server_load=b"x-server-load",
     instance=b"x-instance-id",
     warmup_left_ms=b"x-warmup-remaining-ms",
+    leaving=b"server-leaving",
     parse_load=parse_load,
     is_genuine=is_genuine,
 )
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -46,6 +46,7 @@
 
     ``respond`` gets the request bytes and returns the bytes to write, or None to
     reset the connection without an answer. ``closes`` ends it after an answer.
+    ``health`` returns the bytes of a health answer in place of a good one.
     ``before_health`` is written before each health answer.
     ``check_delay_ms`` is how long a health answer takes.
     ``requests`` holds the requests that came, health checks apart.
@@ -53,6 +54,7 @@
 
     name: str
     respond: object = None
+    health: object = None
     load: bytes = b"0,0,6,100"
     warmup: bytes = b""
     instance: str = ""
@@ -102,6 +104,8 @@
                     await curio.sleep(self.check_delay_ms / 1000)
                     name = (self.instance or self.name).encode()
                     healthy = HEALTHY % (name, self.load, self.warmup)
+                    if self.health is not None:
+                        healthy = self.health()
                     await client.sendall(self.before_health + healthy)
                     continue
                 self.requests.append(request)
