Answer a request whose handler raises an unexpected error

Cause: a request that runs beside others of its connection is handled in a task of its own. An unexpected error ended that task unseen: the caller got neither answer nor close, and the count of requests in flight stayed one too high, so a planned stop waited out its grace. Ruled out: requests handled in the task of the connection; there the error closed the connection, but nothing was logged in the daemon's own log.

--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -46,6 +46,7 @@
     UNREACHABLE = "unreachable"
     STORAGE_FAILED = "storage_failed"
     BAD_SETTING = "bad_setting"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,4 +144,7 @@
         503, _UNKNOWN, 1, "the data folder can't be written"
     ),
     ErrorKind.BAD_SETTING: ErrorAnswer(400, _DID_NOT_RUN, None, "invalid setting"),
+    ErrorKind.INTERNAL_ERROR: ErrorAnswer(
+        500, _UNKNOWN, None, "an unexpected error ended the handling of the request"
+    ),
 }
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -28,7 +28,8 @@
 """Answers a request; None closes the connection without an answer."""
 
 OnRejected = Callable[[ErrorKind, str, str], None]
-"""Is told kind, detail and peer of each request that can't reach the handler."""
+"""Is told kind, detail and peer of each request that can't reach the handler, or that
+ends it with an unexpected error."""
 
 MAX_READ_AHEAD = 8
 """How many requests of one connection may wait for their answers."""
@@ -216,7 +217,7 @@
 
     async def _answer(self, exchange: _Exchange) -> None:
         """Handle a request and write its answer when its turn comes."""
-        response = await self._traffic.handler(exchange.request)
+        response = await self._handle(exchange.request)
         try:
             await self._wait_for_turn(exchange)
             if not self._is_closing:
@@ -231,6 +232,21 @@
             if response is not None and response.rest is not None:
                 await response.rest.close()
 
+    async def _handle(self, request: Request) -> Response | None:
+        """Return the handler's response; an error in it promises nothing.
+
+        Otherwise the task of a request that runs beside others would end unseen, its
+        caller would wait in vain, and a planned stop for the request.
+        """
+        try:
+            return await self._traffic.handler(request)
+        except Exception as error:
+            kind = ErrorKind.INTERNAL_ERROR
+            self._traffic.on_rejected(kind, repr(error), self._peer)
+            response = error_response(kind)
+            response.close = True
+            return response
+
     async def _wait_for_turn(self, exchange: _Exchange | None) -> None:
         """Wait until all requests before this one are answered."""
         while self._waiting and self._waiting[0] is not exchange:
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import socket as sockets
 from collections.abc import Callable
 
@@ -29,8 +30,11 @@
 The caller opened it to send one, and has no other answer to go by than this one."""
 
 
-def _ignore_rejected(kind: ErrorKind, detail: str, peer: str) -> None:
-    return None
+def _log_internal_error(kind: ErrorKind, detail: str, peer: str) -> None:
+    """Log what is a fault of this program; other rejections are the caller's."""
+    if kind is ErrorKind.INTERNAL_ERROR:
+        text = "event=request_rejected kind=%s detail=%r peer=%s"
+        logging.getLogger(__name__).error(text, kind.value, detail, peer)
 
 
 def _never(request: Request) -> bool:
@@ -52,7 +56,7 @@
         handler: Handler,
         max_body_bytes: int = 1 << 20,
         limits: Callable[[], ServerLimits] | None = None,
-        on_rejected: OnRejected = _ignore_rejected,
+        on_rejected: OnRejected = _log_internal_error,
         runs_beside_others: Callable[[Request], bool] = _never,
         window_bytes: int | None = None,
     ) -> None:
--- a/pollenfold/tests/http/test_pipeline.py
+++ b/pollenfold/tests/http/test_pipeline.py
@@ -1,7 +1,9 @@
 """Several requests on one connection before the first answer, and planned stops."""
 
 import curio
+import pytest
 
+from pollenfold.core.errors import ErrorKind
 from pollenfold.http.caller import MAX_READ_AHEAD
 from pollenfold.http.messages import Response
 from pollenfold.http.server import HttpServer
@@ -19,8 +21,12 @@
         self.n_most = 0
         self.gates = {}
         self.closing = set()
+        self.broken = set()
+        self.rejected = []
         self.server = HttpServer(
-            self.handle, runs_beside_others=lambda request: request.method == b"GET"
+            self.handle,
+            on_rejected=lambda *rejection: self.rejected.append(rejection),
+            runs_beside_others=lambda request: request.method == b"GET",
         )
 
     async def handle(self, request):
@@ -31,6 +37,8 @@
         try:
             if name in self.gates:
                 await self.gates[name].wait()
+            if name in self.broken:
+                raise KeyError(name)
         finally:
             self.finished.append(name)
         return Response(200, [], name.encode(), name in self.closing)
@@ -219,3 +227,27 @@
             await service.server.stop()
 
     run(main)
+
+
+@pytest.mark.parametrize("method", [GET, POST])
+def test_unexpected_error_of_the_handler_is_answered_and_counted(run, method):
+    """Guards against a caller that waits in vain, and a planned stop that waits out
+    its grace, for a request whose task ended with an error."""
+
+    async def main():
+        service = Service()
+        service.broken.add("b")
+        sock = await service.connect()
+        async with sock:
+            await sock.sendall(GET % b"a" + method % b"b" + POST % b"c")
+            bodies, data = await read_all(sock)
+            assert bodies[0] == "a"
+            assert data.count(b"HTTP/1.1 500") == 1
+            assert b"outcome_unknown" in data
+            assert "c" not in service.started
+        assert service.server.n_in_flight == 0
+        assert [kind for kind, _, _ in service.rejected] == [ErrorKind.INTERNAL_ERROR]
+        async with curio.timeout_after(1):
+            await service.server.wait_idle()
+
+    run(main)
