Pace long bodies on a slow link, and let questions wait for what it has queued

Ruled out: slow work of the entry (0.03 cores), a lost packet (no stall while bodies are read), endpoints (the same ones answer other entries). Change: core/link.py models what the own link has queued. Bodies over 8 KB go out in pieces at three quarters of its rate, which the settings tell; questions wait for the backlog besides; time on the link is no work. Nothing changes where the rate is high or unknown.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -17,10 +17,12 @@
 from curio.io import Socket
 from curio.traps import _read_wait, _write_wait
 
-from ..core.clock import Instant
+from ..core.clock import Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
+from ..core.link import SHORT_BYTES, Link
 from ..http.messages import BodyError, BodySource, Response, find_header
 from ..http.readiness import is_readable
+from ..observe.clock import system_clock
 from .outgoing import OutgoingRequest, ReadRest
 
 READ_BYTES = 64 * 1024
@@ -68,13 +70,17 @@
         "_is_all_sent",
         "_had_other_answer",
         "_n_read_at_once",
+        "_link",
         "is_clean",
         "used_at",
         "n_exchanges",
     )
 
-    def __init__(self, host: str, port: int) -> None:
-        """Start to connect, without waiting; raise OSError when that fails at once."""
+    def __init__(self, host: str, port: int, link: Link) -> None:
+        """Start to connect, without waiting; raise OSError when that fails at once.
+
+        ``link`` paces long bodies.
+        """
         raw = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
         raw.setblocking(False)
         raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
@@ -90,6 +96,7 @@
         self._is_all_sent = True
         self._had_other_answer = False
         self._n_read_at_once = 0
+        self._link = link
         self.is_clean = True
         self.used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -162,9 +169,17 @@
         """
         view = memoryview(data)
         n_sent = 0
+        piece_bytes = self._link.piece_bytes if len(data) > SHORT_BYTES else 0
+        n_permitted = 0 if piece_bytes else len(data)
         while n_sent < len(data):
+            if n_sent == n_permitted:
+                n_permitted = min(len(data), n_sent + piece_bytes)
+                if not await self._wait_for_turn(n_permitted - n_sent):
+                    break
             try:
-                n_sent += self._raw.send(view[n_sent:])
+                n_written = self._raw.send(view[n_sent:n_permitted])
+                n_sent += n_written
+                self._link.note_sent(n_written, system_clock())
             except (BlockingIOError, InterruptedError):
                 if self.has_input():
                     break
@@ -179,6 +194,17 @@
                 raise
         return n_sent, len(data)
 
+    async def _wait_for_turn(self, n_bytes: int) -> bool:
+        """Wait until the link has room; return False when the server answers before."""
+        left_ms = self._link.reserve_piece(n_bytes, system_clock())
+        until = add_ms(system_clock(), left_ms)
+        while not self.has_input():
+            left_ms = remaining_ms(until, system_clock())
+            if left_ms <= 0.0:
+                return True
+            await curio.sleep(min(left_ms, SEND_CHECK_MS) / 1000)
+        return False
+
     async def _next_piece(self, read_rest: ReadRest) -> bytes | None:
         """Return the next part of the body; None when the server answers before."""
         while not self.has_input():
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -8,6 +8,7 @@
 import curio
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.link import Link
 from ..core.selection import (
     QUICK_SLOWDOWN,
     Option,
@@ -82,14 +83,15 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        link: Link,
     ) -> None:
         self._view = view
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._connections = Connections(view, clock, metrics)
+        self._connections = Connections(view, clock, metrics, link)
         self._prober = Prober(
-            view, dialect, settings.zone, self._connections, clock, metrics, rng
+            view, dialect, settings.zone, self._connections, clock, metrics, rng, link
         )
         self._cold = ColdPermits(view, settings, clock)
         self._services: dict[str, ServiceState] = {}
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -5,6 +5,7 @@
 import curio
 
 from ..core.clock import Clock, Instant, remaining_ms
+from ..core.link import Link
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
 from .pool import ConnectionPool
@@ -22,7 +23,10 @@
 class Connections:
     """Opens, keeps and closes the connections to endpoints."""
 
-    def __init__(self, view: FleetView, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, view: FleetView, clock: Clock, metrics: Metrics, link: Link
+    ) -> None:
+        self._link = link
         self._view = view
         self._clock = clock
         self._metrics = metrics
@@ -34,7 +38,7 @@
         pool = self._pools.get(announcement.endpoint_id)
         address = (announcement.host, announcement.port)
         if pool is None or (pool.host, pool.port) != address:
-            pool = ConnectionPool(*address, 1, self._clock)
+            pool = ConnectionPool(*address, 1, self._clock, self._link)
             self._pools[announcement.endpoint_id] = pool
         pool.limit = self._connection_limit(announcement.service)
         return pool
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -14,6 +14,7 @@
 
 from ..core.clock import add_ms
 from ..core.errors import ErrorKind
+from ..core.link import Link
 from ..core.routes import RoutingConfiguration
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
@@ -56,6 +57,7 @@
     the entry starts.
     ``seeds`` and ``reload`` belong to the settings source: the hosts of control
     replicas, and what reads them anew, which raises ValueError when it can't use them.
+    ``link_bytes_per_ms`` is the rate of the VM's own link, 0 when it isn't known.
     ``grace_ms`` is the time between the signal to stop and the end.
     """
 
@@ -75,6 +77,7 @@
     probes_per_s: float
     cold_burst_factor: float
     cold_slack: float
+    link_bytes_per_ms: float = 0.0
 
 
 class Gateway:
@@ -99,7 +102,10 @@
             settings.cold_burst_factor,
             settings.cold_slack,
         )
-        self.balancer = Balancer(self.view, dialect, limits, clock, self.metrics, rng)
+        link = Link(settings.link_bytes_per_ms)
+        self.balancer = Balancer(
+            self.view, dialect, limits, clock, self.metrics, rng, link
+        )
         self.forwarder = Forwarder(
             self.view,
             self.balancer,
@@ -109,6 +115,7 @@
             self.log,
             self.metrics,
             rng,
+            link,
         )
         identity = FeedIdentity(settings.entry_id, settings.zone)
         self.feeds = Feeds(
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -6,6 +6,7 @@
 
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind, RunState
+from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
 from ..core.overload import (
     Prospect,
@@ -50,7 +51,9 @@
         log: EventLog,
         metrics: Metrics,
         rng: random.Random,
+        link: Link,
     ) -> None:
+        self._link = link
         self._view = view
         self._balancer = balancer
         self._dialect = dialect
@@ -91,6 +94,7 @@
         if call is None:
             response = error_response(ErrorKind.BAD_REQUEST, "malformed deadline")
             return self._refuse(request_id, route.name, response, ErrorKind.BAD_REQUEST)
+        self._link.note_received(len(request.body), started_at)
         try:
             final = await self._run(call)
         except CallerGoneError:
@@ -219,7 +223,7 @@
         """Return an endpoint that may get the request, or why none may."""
         if is_caller_gone(call):
             raise CallerGoneError
-        left_ms = remaining_ms(call.target, self._clock())
+        left_ms = remaining_ms(call.target, self._clock()) - self._send_ms(call)
         pick = await self._balancer.pick(
             call.service,
             call.tried,
@@ -257,8 +261,8 @@
             call.work.get(),
             pick.slowdown,
             pick.load,
-            remaining_ms(call.target, now),
-            remaining_ms(call.deadline, now),
+            remaining_ms(call.target, now) - self._send_ms(call),
+            remaining_ms(call.deadline, now) - self._send_ms(call),
         )
         verdict = judge(prospect)
         call.trace.append(verdict.value)
@@ -267,6 +271,10 @@
         )
         return verdict is not Verdict.REFUSE
 
+    def _send_ms(self, call: Call) -> float:
+        """Return how long the link takes to pass the body of a request on."""
+        return self._link.transfer_ms(len(call.request.body))
+
     async def _attempt(
         self, call: Call, pick: Pick
     ) -> tuple[AttemptOutcome, Response | None]:
@@ -302,7 +310,8 @@
         if response is not None:
             take_notices(endpoint, response, self._dialect, self._view, self._rng)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
-            call.work.observe(elapsed_ms, pick.slowdown)
+            work_ms = max(0.0, elapsed_ms - self._send_ms(call))
+            call.work.observe(work_ms, pick.slowdown)
         if outcome is AttemptOutcome.SERVER_ERROR and not is_open:
             call.last_response = response
         return outcome, response
--- a/pollenfold/gateway/pool.py
+++ b/pollenfold/gateway/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..core.clock import Clock, add_ms
+from ..core.link import Link
 from .backend import BackendConnection
 
 
@@ -13,15 +14,18 @@
     grow old and are closed here before the server closes them.
     """
 
-    __slots__ = ("host", "port", "limit", "n_open", "_idle", "_clock")
+    __slots__ = ("host", "port", "limit", "n_open", "_idle", "_clock", "_link")
 
-    def __init__(self, host: str, port: int, limit: int, clock: Clock) -> None:
+    def __init__(
+        self, host: str, port: int, limit: int, clock: Clock, link: Link
+    ) -> None:
         self.host = host
         self.port = port
         self.limit = limit
         self.n_open = 0
         self._idle: list[BackendConnection] = []
         self._clock = clock
+        self._link = link
 
     @property
     def n_idle(self) -> int:
@@ -45,7 +49,7 @@
         """Return a new connection that connects, or None at the limit."""
         if self.n_open >= self.limit:
             return None
-        connection = BackendConnection(self.host, self.port)
+        connection = BackendConnection(self.host, self.port, self._link)
         self.n_open += 1
         return connection
 
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -8,6 +8,7 @@
 import curio
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.link import Link
 from ..core.selection import (
     QUICK_SLOWDOWN,
     REMOTE_ZONE_SLOWDOWN,
@@ -101,6 +102,7 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        link: Link,
     ) -> None:
         self._view = view
         self._dialect = dialect
@@ -109,6 +111,7 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
+        self._link = link
         self._requests: dict[tuple[str, str], OutgoingRequest] = {}
 
     async def ask(
@@ -130,6 +133,9 @@
         )
         if is_patient:
             wait_ms = MAX_PROBE_WAIT_MS
+        # What the own link has queued says nothing of the endpoints.
+        backlog_ms = self._link.backlog_ms(started_at)
+        wait_ms += backlog_ms
         until = add_ms(started_at, wait_ms)
         self._metrics.count("probes_total", len(endpoints), service=service)
         pending = []
@@ -150,7 +156,7 @@
             if answer is not None:
                 answers.append(answer)
         if answers:
-            elapsed_ms = self._clock() - started_at
+            elapsed_ms = max(0.0, self._clock() - started_at - backlog_ms)
             state.probe_ms += 0.1 * (elapsed_ms - state.probe_ms)
         return answers
 
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -54,6 +54,7 @@
         probes_per_s=settings.bound("probesPerS", 10),
         cold_burst_factor=settings.bound("warmupBurstFactor", 1.0),
         cold_slack=settings.bound("coldSlack", 0),
+        link_bytes_per_ms=settings.link_bytes_per_ms,
     )
     curio.run(serve_gateway, gateway, DIALECT, decode_configuration)
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 BOOT_VARIABLE = "POLLENFOLD_BOOT"
+BYTES_PER_MS_OF_MBPS = 125.0
+"""Bytes in a millisecond at 1 Mbit/s."""
+
 DEFAULT_PATH = "/etc/pollenfold/settings.toml"
 
 
@@ -22,6 +26,7 @@
 
     ``addresses`` holds what this process listens on, by purpose. ``seeds`` are
     addresses of control replicas, of which only the hosts are used between processes.
+    ``link_bytes_per_ms`` is the rate of the VM's link, 0 when it isn't told.
     ``is_first_start`` is true only while the whole system starts for the first time.
     """
 
@@ -36,6 +41,7 @@
     is_first_start: bool
     data_folder: str
     n_machines_lost: int
+    link_bytes_per_ms: float
     bounds: dict[str, float]
 
     def seed_hosts(self) -> list[str]:
@@ -107,10 +113,21 @@
         is_first_start=bool(me.get("bootstrap", False)),
         data_folder=str(me.get("dataDir", "")),
         n_machines_lost=n_machines_lost,
+        link_bytes_per_ms=_link_bytes_per_ms(me),
         bounds={k: float(v) for k, v in bounds.items() if type(v) in (int, float)},
     )
 
 
+def _link_bytes_per_ms(me: dict[str, Any]) -> float:
+    """Return the rate of the link, which the file gives in Mbit/s."""
+    rate_mbps = _optional_table(me, "limits").get("linkMbps", 0.0)
+    if type(rate_mbps) not in (int, float) or not 0.0 <= rate_mbps < math.inf:
+        raise SettingsError(
+            f"self.limits.linkMbps: expected a rate in Mbit/s, got {rate_mbps!r}"
+        )
+    return float(rate_mbps) * BYTES_PER_MS_OF_MBPS
+
+
 def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
--- /dev/null
+++ b/pollenfold/tests/core/test_link.py
@@ -0,0 +1,56 @@
+"""The model of the own link: what is queued there, and the pace of long bodies."""
+
+from pollenfold.core.clock import Instant
+from pollenfold.core.link import Link
+
+RATE = 256.0
+"""Bytes a millisecond, some 2 Mbit/s."""
+
+
+def test_unknown_link_queues_and_paces_nothing():
+    """Guards against waits on a machine whose settings don't tell the rate."""
+    link = Link()
+    link.note_received(1 << 20, Instant(0.0))
+    link.note_sent(1 << 20, Instant(0.0))
+    assert link.backlog_ms(Instant(0.0)) == 0.0
+    assert link.piece_bytes == 0
+    assert link.reserve_piece(1 << 20, Instant(0.0)) == 0.0
+
+
+def test_end_of_a_body_can_be_read_before_the_link_is_free():
+    """Guards against questions that time out behind the end of an upload."""
+    link = Link(RATE)
+    link.note_received(25_600, since=Instant(1_000.0))
+    assert link.backlog_ms(Instant(1_060.0)) == 40.0
+    assert link.backlog_ms(Instant(1_200.0)) == 0.0
+
+
+def test_bodies_at_the_same_time_queue_one_behind_the_other():
+    """Guards against a link that is taken to carry two bodies in the time of one."""
+    link = Link(RATE)
+    link.note_received(25_600, since=Instant(0.0))
+    link.note_received(25_600, since=Instant(0.0))
+    assert link.backlog_ms(Instant(0.0)) == 200.0
+
+
+def test_long_bodies_share_a_pace_below_the_rate_of_the_link():
+    """Load pattern: several uploads at once through one entry with a slow link.
+
+    Guards against a burst that the link can't queue; what is lost of it comes a
+    second later.
+    """
+    link = Link(RATE)
+    now = 0.0
+    n_bytes = 0
+    while n_bytes < 3 * 60_000:
+        wait_ms = link.reserve_piece(link.piece_bytes, Instant(now))
+        now += wait_ms
+        link.note_sent(link.piece_bytes, Instant(now))
+        n_bytes += link.piece_bytes
+        assert link.backlog_ms(Instant(now)) <= 20.0
+    assert n_bytes / now <= RATE
+
+
+def test_fast_link_takes_long_pieces():
+    """Guards against thousands of wake-ups for one body on a fast link."""
+    assert Link(125_000.0).piece_bytes >= 1 << 20
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -1,12 +1,14 @@
 """Fixtures of the gateway's tests: a fake backend server, and a whole entry path."""
 
 import random
+import re
 from dataclasses import dataclass, field
 
 import curio
 import pytest
 from curio import socket
 
+from pollenfold.core.link import Link
 from pollenfold.core.orders import Orders
 from pollenfold.core.registry import Announcement
 from pollenfold.core.routes import (
@@ -40,6 +42,13 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def is_whole(data):
+    """Return whether bytes hold a request with all of its body."""
+    head, end, body = data.partition(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head)
+    return bool(end) and (length is None or len(body) >= int(length[1]))
+
+
 @dataclass
 class Backend:
     """A fake backend server on a loopback address.
@@ -65,6 +74,7 @@
     n_checks: int = 0
     n_closed: int = 0
     port: int = 0
+    arrived_at: float = 0.0
     before_health: bytes = b""
     clients: list = field(default_factory=list)
 
@@ -96,7 +106,7 @@
                     self.n_closed += 1
                     return
                 buffer += data
-                if b"\r\n\r\n" not in buffer:
+                if not is_whole(buffer):
                     continue
                 request, buffer = buffer, b""
                 if request.startswith(b"GET /healthz"):
@@ -109,6 +119,7 @@
                     await client.sendall(self.before_health + healthy)
                     continue
                 self.requests.append(request)
+                self.arrived_at = system_clock()
                 self.clients.append(client)
                 await curio.sleep(self.delay_ms / 1000)
                 data = answer() if self.respond is None else self.respond(request)
@@ -128,7 +139,7 @@
 class Path:
     """An entry's path of a request to fake backend servers."""
 
-    def __init__(self, backends, zone="a", **route_changes):
+    def __init__(self, backends, zone="a", link=None, **route_changes):
         clock = system_clock
         self.lines = []
         self.log = EventLog("e1", clock, write=self._write)
@@ -155,7 +166,10 @@
             self.announce(backend, sequence=number + 1)
         settings = BalancerSettings("e1", zone, 1000.0, 1.5, 5.0)
         rng = random.Random(7)
-        self.balancer = Balancer(self.view, DIALECT, settings, clock, self.metrics, rng)
+        self.link = link = link or Link()
+        self.balancer = Balancer(
+            self.view, DIALECT, settings, clock, self.metrics, rng, link
+        )
         self.forwarder = Forwarder(
             self.view,
             self.balancer,
@@ -165,6 +179,7 @@
             self.log,
             self.metrics,
             rng,
+            link,
         )
 
     def _write(self, data):
--- a/pollenfold/tests/gateway/test_backend.py
+++ b/pollenfold/tests/gateway/test_backend.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from pollenfold.core.link import Link
 from pollenfold.gateway.outgoing import outgoing_request
 from pollenfold.gateway.pool import ConnectionPool
 from pollenfold.observe.clock import system_clock
@@ -24,7 +25,7 @@
         sock = curio.tcp_server_socket("127.0.0.1", 0)
         port = sock.getsockname()[1]
         await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
-        pool = ConnectionPool("127.0.0.1", port, 5, system_clock)
+        pool = ConnectionPool("127.0.0.1", port, 5, system_clock, Link())
         connection = await pool.take()
         await connection.connected()
         headers = [(b"host", b"h.example")]
--- /dev/null
+++ b/pollenfold/tests/gateway/test_slow_link.py
@@ -0,0 +1,93 @@
+"""An entry whose own link is slow and carries long bodies."""
+
+import curio
+
+from pollenfold.core.link import Link
+from pollenfold.gateway.outgoing import outgoing_request
+from pollenfold.gateway.pool import ConnectionPool
+from pollenfold.observe.clock import system_clock
+
+from .conftest import Backend
+
+HEADERS = [(b"host", b"h.example")]
+
+
+def with_sink(run, body):
+    """Run ``body(port, arrivals)``; ``arrivals`` gets the instant of each read."""
+    arrivals = []
+
+    async def serve(client, address):
+        async with client:
+            while data := await client.recv(65536):
+                arrivals.append((system_clock(), len(data)))
+
+    async def main():
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+        await body(sock.getsockname()[1], arrivals)
+
+    run(main)
+
+
+def test_long_body_is_written_in_pieces_at_the_pace_of_the_link(run):
+    """Guards against a burst that a slow link can't queue."""
+
+    async def body(port, arrivals):
+        pool = ConnectionPool("127.0.0.1", port, 5, system_clock, Link(256.0))
+        connection = await pool.take()
+        await connection.connected()
+        started_at = system_clock()
+        request = outgoing_request(b"POST", b"/", HEADERS, bytes(60_000))
+        assert await connection.send(request)
+        assert system_clock() - started_at >= 60_000 / 256.0
+        await curio.sleep(0.05)
+        assert sum(n for _, n in arrivals) > 60_000
+        assert max(n for _, n in arrivals) <= 16 * 1024
+
+    with_sink(run, body)
+
+
+def test_short_request_does_not_wait_behind_a_long_one(run):
+    """Load pattern: a lookup while an upload is passed on over a slow link."""
+
+    async def body(port, arrivals):
+        pool = ConnectionPool("127.0.0.1", port, 5, system_clock, Link(256.0))
+        long, short = await pool.take(), await pool.take()
+        await long.connected()
+        await short.connected()
+        upload = outgoing_request(b"POST", b"/", HEADERS, bytes(60_000))
+        task = await curio.spawn(long.send, upload)
+        await curio.sleep(0.02)
+        started_at = system_clock()
+        assert await short.send(outgoing_request(b"GET", b"/", HEADERS, b""))
+        assert system_clock() - started_at < 50.0
+        await task.cancel()
+
+    with_sink(run, body)
+
+
+def test_question_waits_for_what_the_own_link_has_queued(with_path):
+    """Guards against an endpoint that is held unreachable since its answer stood
+    behind an upload on the entry's own link."""
+    backend = Backend("s1", check_delay_ms=60.0)
+
+    async def body(path, backend):
+        path.link.note_received(60 * 256, system_clock())
+        assert (await path.get()).status == 200
+        assert backend.n_checks == 1
+
+    with_path(body, backend, link=Link(256.0))
+
+
+def test_time_on_the_link_is_not_taken_for_work(with_path):
+    """Guards against an estimate of work that holds the time of long bodies."""
+    backend = Backend("s1", delay_ms=20.0)
+
+    async def body(path, backend):
+        for _ in range(20):
+            response = await path.get(b"POST", body=bytes(20_000))
+            assert response.status == 200
+        work = path.forwarder._book._works["r1"]
+        assert work.get() < 65.0
+
+    with_path(body, backend, link=Link(256.0))
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -27,6 +27,8 @@
 ip = "10.1.0.35"
 zone = "a"
 bootstrap = true
+[self.limits]
+linkMbps = 2.0
 [network]
 internalPorts = [7660,7675]
 seeds = ["10.1.0.38:8146","10.2.0.31:8146"]
@@ -59,6 +61,7 @@
     assert (settings.is_first_start, settings.n_machines_lost) == (True, 2)
     assert settings.bound("graceS", 1) == 6
     assert settings.bound("closed", 3) == 3
+    assert settings.link_bytes_per_ms == 250.0
 
 
 def render(template, fields):
@@ -95,6 +98,8 @@
         ("[7660,7675]", "[7660]", "internalPorts"),
         ("10.1.0.38:8146", "nowhere", "nowhere"),
         ("[network]", "[network", "settings.toml"),
+        ("linkMbps = 2.0", "linkMbps = -1", "linkMbps"),
+        ("linkMbps = 2.0", "linkMbps = inf", "linkMbps"),
     ],
 )
 def test_bad_settings_end_with_one_clear_line(
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -8,6 +8,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from pollenfold.core.link import Link
 from pollenfold.core.orders import Orders, decode_order
 from pollenfold.core.registry import decode_announcement as decode_fields
 from pollenfold.gateway.backend import BackendConnection
@@ -186,7 +187,7 @@
 
         sock = curio.tcp_server_socket("127.0.0.1", 0)
         server = await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
-        connection = BackendConnection("127.0.0.1", sock.getsockname()[1])
+        connection = BackendConnection("127.0.0.1", sock.getsockname()[1], Link())
         await connection.connected()
         await connection.send(outgoing_request(b"GET", b"/", [(b"host", b"x")], b""))
         async with curio.timeout_after(2):
