Hold the end of a long request back while its endpoint is slow

Cause: an endpoint begins with the work when the whole request is in. Ruled out: a lost packet (the pace of bodies didn't change it), a full endpoint (asked= 2/2/1.00 in the same lines). Change: before the last piece of a body that takes over 40 ms on the link, the endpoint is asked again; while it says that it is slow, the piece waits, for 1.5 s at most and never past the time that the work needs before its target. The estimate of work counts from the end of the request.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -8,7 +8,7 @@
 
 import errno
 import socket as sockets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from functools import partial
 
@@ -40,6 +40,9 @@
 REST_CHECK_MS = 100.0
 """The same while the caller's next bytes are waited for."""
 
+BeforeEnd = Callable[[], Awaitable[None]]
+"""Is awaited before the end of a long request is sent."""
+
 _FRAMING = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -128,9 +131,13 @@
         self.is_clean = False
         await self._sock.close()
 
-    async def send(self, request: OutgoingRequest) -> bool:
+    async def send(
+        self, request: OutgoingRequest, before_end: BeforeEnd | None = None
+    ) -> bool:
         """Write a request; return False when not one byte of it was written.
 
+        ``before_end`` is awaited before the last piece of a long body that is at hand.
+
         The connection is not clean until ``receive`` has read the whole response. A
         server may answer before it has read a long request: then the rest isn't sent,
         and the connection carries no other request.
@@ -141,8 +148,10 @@
         self.n_exchanges += 1
         self._request = request
         parser = self._parser = _new_parser()
-        for position, data in enumerate(request.encode(parser)):
-            n_sent, n_bytes = await self._write(data)
+        parts = [part for part in request.encode(parser) if part]
+        for position, data in enumerate(parts):
+            is_last = request.read_rest is None and position == len(parts) - 1
+            n_sent, n_bytes = await self._write(data, before_end if is_last else None)
             if n_sent == 0 and position == 0:
                 return False
             self._is_all_sent = n_sent == n_bytes
@@ -161,7 +170,9 @@
                 break
         return True
 
-    async def _write(self, data: bytes) -> tuple[int, int]:
+    async def _write(
+        self, data: bytes, before_end: BeforeEnd | None = None
+    ) -> tuple[int, int]:
         """Write bytes; return how many, of how many.
 
         Fewer are written when the server answers before, and none when the connection
@@ -174,6 +185,8 @@
         while n_sent < len(data):
             if n_sent == n_permitted:
                 n_permitted = min(len(data), n_sent + piece_bytes)
+                if before_end is not None and n_permitted == len(data):
+                    await before_end()
                 if not await self._wait_for_turn(n_permitted - n_sent):
                     break
             try:
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -38,6 +38,9 @@
 UNASKED_MEMORY_MS = 150.0
 """The same while the probe budget is spent."""
 
+ASK_AGAIN_PAUSE_MS = 40.0
+"""How long after an endpoint said that it is slow it is asked again."""
+
 PROBE_BURST_S = 5.0
 PROBE_SHARE = 0.85
 """The share of the probe budget that this use of it may take."""
@@ -299,6 +302,22 @@
             await self._connections.give_back(endpoint, connection)
         return None
 
+    async def wait_until_quick(
+        self, service: str, endpoint: Endpoint, until: Instant
+    ) -> None:
+        """Wait until an endpoint says that it is quick, at most until then.
+
+        Return at once when it can't be asked or doesn't answer.
+        """
+        state = self._services.setdefault(service, ServiceState())
+        while (now := self._clock()) < until and self._may_probe(1, now):
+            answers = await self._prober.ask(service, state, [endpoint], False)
+            for answer in answers:
+                await self.give_back(answer.endpoint, answer.connection)
+            if not answers or answers[0].slowdown < QUICK_SLOWDOWN:
+                return
+            await curio.sleep(ASK_AGAIN_PAUSE_MS / 1000)
+
     async def give_back(
         self, endpoint: Endpoint, connection: BackendConnection
     ) -> None:
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -51,6 +51,9 @@
     trace: list[str] = field(default_factory=list)
     last_response: Response | None = None
     may_have_run: bool = False
+    sent_at: Instant = Instant(0.0)
+    """When the last attempt had sent the whole request."""
+
     rest_ms: float | None = None
     """How long all endpoints of the service still want no work, if they do."""
 
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -10,10 +10,10 @@
 from ..core.outcomes import AttemptOutcome
 from ..http.messages import BodyError, Response, find_header
 from ..http.readiness import is_closed_by_peer
-from .backend import BackendConnection, Failure
+from .backend import BackendConnection, BeforeEnd, Failure
 from .calls import Call
 from .dialect import Dialect
-from .outgoing import ReadRest, outgoing_request
+from .outgoing import OutgoingRequest, ReadRest, outgoing_request
 from .view import Endpoint
 
 CALLER_CHECK_MS = 150.0
@@ -40,19 +40,23 @@
     endpoint: Endpoint,
     dialect: Dialect,
     clock: Clock,
+    before_end: BeforeEnd | None = None,
 ) -> tuple[AttemptOutcome, Response | None]:
     """Send the request to one endpoint; return how that ended, and a whole response.
 
+    ``before_end`` is awaited before the end of a long request is sent.
     Raise CallerGoneError when nobody waits for an idempotent request any more, and
     BodyError when the caller doesn't send the rest of a body.
     """
     left_ms = remaining_ms(call.deadline, clock())
     try:
         async with curio.timeout_after(left_ms / 1000):
-            is_sent = await _send(call, connection, endpoint, dialect, left_ms)
+            request = _request_for(call, endpoint, dialect, left_ms)
+            is_sent = await connection.send(request, before_end)
         if not is_sent:
             return AttemptOutcome.UNREACHABLE, None
         call.may_have_run = True
+        call.sent_at = clock()
         received = await _wait(call, connection, dialect, clock)
     except curio.TaskTimeout:
         # The server takes no more of a long request, or the caller sends no more.
@@ -69,14 +73,10 @@
     return received, None
 
 
-async def _send(
-    call: Call,
-    connection: BackendConnection,
-    endpoint: Endpoint,
-    dialect: Dialect,
-    left_ms: float,
-) -> bool:
-    """Write the request with the time that is left; return False for no byte sent."""
+def _request_for(
+    call: Call, endpoint: Endpoint, dialect: Dialect, left_ms: float
+) -> OutgoingRequest:
+    """Return the request for one endpoint, with the time that is left."""
     endpoint_id = endpoint.announcement.endpoint_id.encode()
     headers = [
         *call.headers,
@@ -84,15 +84,13 @@
         (dialect.expected_instance, endpoint_id),
     ]
     request = call.request
-    return await connection.send(
-        outgoing_request(
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            _rest_of(call),
-            request.header(b"content-length"),
-        )
+    return outgoing_request(
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        _rest_of(call),
+        request.header(b"content-length"),
     )
 
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -4,11 +4,12 @@
 
 import random
 
-from ..core.clock import Clock, Instant, remaining_ms
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
 from ..core.overload import (
+    SPREAD_FACTOR,
     Prospect,
     Verdict,
     acceptable_slowdown,
@@ -26,6 +27,7 @@
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
+from .backend import BeforeEnd
 from .balancer import CROWDED_SLOWDOWN, Balancer, Pick
 from .calls import NEVER_RAN, Attempt, Call, CallBook, RetryLimits
 from .dialect import Dialect
@@ -37,6 +39,12 @@
 MIN_DEADLINE_MS = 10.0
 NOT_READY_RETRY_AFTER_MS = 150.0
 
+STALE_LOAD_MS = 40.0
+"""A load that was told so long before the request is in says little."""
+
+MAX_HOLD_MS = 1_500.0
+"""How long the end of a request is held back at most."""
+
 
 class Forwarder:
     """Serves the callers of one entry."""
@@ -286,7 +294,12 @@
         response: Response | None = None
         try:
             outcome, response = await exchange(
-                call, pick.connection, endpoint, self._dialect, self._clock
+                call,
+                pick.connection,
+                endpoint,
+                self._dialect,
+                self._clock,
+                self._before_end(call, pick),
             )
         finally:
             endpoint.health.n_in_flight -= 1
@@ -310,12 +323,29 @@
         if response is not None:
             take_notices(endpoint, response, self._dialect, self._view, self._rng)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
-            work_ms = max(0.0, elapsed_ms - self._send_ms(call))
-            call.work.observe(work_ms, pick.slowdown)
+            call.work.observe(self._clock() - call.sent_at, pick.slowdown)
         if outcome is AttemptOutcome.SERVER_ERROR and not is_open:
             call.last_response = response
         return outcome, response
 
+    def _before_end(self, call: Call, pick: Pick) -> BeforeEnd | None:
+        """Return what holds the end of a long request back while the endpoint is slow.
+
+        An endpoint begins with the work when the whole request is in, and what it said
+        of its load before a long body went out is old then.
+        """
+        if pick.load is None or self._send_ms(call) < STALE_LOAD_MS:
+            return None
+        until = min(
+            add_ms(call.target, -SPREAD_FACTOR * call.work.get()),
+            add_ms(self._clock(), self._send_ms(call) + MAX_HOLD_MS),
+        )
+
+        async def wait_until_quick() -> None:
+            await self._balancer.wait_until_quick(call.service, pick.endpoint, until)
+
+        return wait_until_quick
+
     def _learn(
         self,
         call: Call,
--- a/pollenfold/tests/gateway/test_slow_link.py
+++ b/pollenfold/tests/gateway/test_slow_link.py
@@ -91,3 +91,55 @@
         assert work.get() < 65.0
 
     with_path(body, backend, link=Link(256.0))
+
+
+async def slow_from_to(backend, from_s, to_s):
+    await curio.sleep(from_s)
+    backend.load = b"0,0,6,700"
+    await curio.sleep(to_s - from_s)
+    backend.load = b"0,0,6,100"
+
+
+def test_end_of_a_long_request_waits_while_its_endpoint_is_slow(with_path):
+    """Load pattern: uploads over a slow link to endpoints whose speed changes.
+
+    Guards against work that begins at a seventh of the speed, since the load was asked
+    for before the body went out.
+    """
+    backend = Backend("s1")
+
+    async def body(path, backend):
+        started_at = system_clock()
+        await curio.spawn(slow_from_to, backend, 0.1, 0.45, daemon=True)
+        response = await path.get(b"POST", body=bytes(40_000), deadline=b"3000")
+        assert response.status == 200
+        assert 450.0 <= backend.arrived_at - started_at <= 650.0
+
+    with_path(body, backend, link=Link(256.0), target_latency_ms=1_500.0)
+
+
+def test_end_of_a_long_request_is_not_held_past_its_target(with_path):
+    """Guards against a request that waits for an endpoint that stays slow."""
+    backend = Backend("s1")
+
+    async def body(path, backend):
+        started_at = system_clock()
+        await curio.spawn(slow_from_to, backend, 0.1, 5.0, daemon=True)
+        response = await path.get(b"POST", body=bytes(40_000), deadline=b"3000")
+        assert response.status == 200
+        assert backend.arrived_at - started_at <= 700.0
+
+    with_path(
+        body, backend, link=Link(256.0), target_latency_ms=800.0, timeout_ms=3_000.0
+    )
+
+
+def test_short_request_is_not_held_back(with_path):
+    """Guards against one more round trip for each request."""
+    backend = Backend("s1")
+
+    async def body(path, backend):
+        assert (await path.get(b"POST", body=bytes(4_000))).status == 200
+        assert backend.n_checks == 1
+
+    with_path(body, backend, link=Link(256.0))
