Split the final answers and the open feed from their large modules

forward.py and feeds.py held two jobs each: the path of a request and its final answers; one open feed and the set of them. No change of behaviour; the tests of the gateway pass.

--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -14,13 +14,13 @@
 from typing import Any
 
 import curio
-from curio import socket
 
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.news_source import Source, choose_source
 from ..observe.events import EventLog
 from ..wire.connections import open_connection
-from ..wire.lines import encode_line, read_lines
+from ..wire.lines import read_lines
+from .feed import Feed
 from .view import FleetView
 
 CONNECT_TIMEOUTS_MS = (60.0, 120.0, 250.0)
@@ -32,7 +32,6 @@
 SETTLED_CHECK_INTERVAL_MS = 1_000.0
 """How often a process looks for replicas to connect to: often while it lacks some."""
 
-SEND_TIMEOUT_MS = 600.0
 SILENCE_LIMIT_MS = 1_500.0
 """Three missed lines; then the connection is opened anew, since it may be dead
 without a reset."""
@@ -51,11 +50,6 @@
 LIST_INTERVAL_MS = 10_000.0
 """How often a replica of the own zone is asked for the list of all endpoints."""
 
-CUT_OFF_AFTER_MS = 2_000.0
-"""How long a replica hears no majority before others are asked for news.
-
-After a restart of all replicas each hears the others one by one."""
-
 PING_INTERVAL_MS = 2_000.0
 FIRST_LIST_WAIT_MS = 300.0
 """How long a replica that isn't the source waits to be asked for its list first."""
@@ -80,44 +74,6 @@
     role: str = "entry"
 
 
-class _Feed:
-    """One open feed.
-
-    ``asked_index`` is the highest index asked for. ``zone`` is that of the
-    replica, once its first line was read, and ``n_endpoints`` how many endpoints it
-    knew then, None when it doesn't say. ``alone_since`` is since when it hears no
-    majority of the replicas, ``complete_since`` since when it hears all others.
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._sock = sock
-        self._lock = curio.Lock()
-        self.asked_index = 0
-        self.is_new = True
-        self.zone = ""
-        self.n_endpoints: int | None = None
-        self.alone_since: Instant | None = None
-        self.complete_since: Instant | None = None
-
-    def take_n_peers(self, n_peers: int, n_replicas: int, now: Instant) -> None:
-        """Take how many other replicas the sender hears, of all ``n_replicas``."""
-        has_majority = 2 * (n_peers + 1) > n_replicas
-        if has_majority:
-            self.alone_since = None
-        elif self.alone_since is None:
-            self.alone_since = now
-
-    def is_cut_off(self, now: Instant) -> bool:
-        """Return whether the replica heard too few others for some time."""
-        since = self.alone_since
-        return since is not None and now >= add_ms(since, CUT_OFF_AFTER_MS)
-
-    async def send(self, message: dict[str, Any]) -> None:
-        """Send one line; raise OSError or TaskTimeout when that fails."""
-        async with curio.timeout_after(SEND_TIMEOUT_MS / 1000), self._lock:
-            await self._sock.sendall(encode_line(message))
-
-
 class Feeds:
     """Keeps one feed for each control replica.
 
@@ -143,7 +99,7 @@
         self._log = log
         self._own_host = own_host
         self._tasks: dict[str, curio.Task] = {}
-        self._connected: dict[str, _Feed] = {}
+        self._connected: dict[str, Feed] = {}
         self._source: str | None = None
         self._source_since = clock()
         self._next_list_at = clock()
@@ -262,7 +218,7 @@
                 "role": identity.role,
                 "news": 0,
             }
-            feed = _Feed(sock)
+            feed = Feed(sock)
             await feed.send(hello)
             helpers = [await curio.spawn(self._ping, feed, daemon=True)]
             try:
@@ -292,7 +248,7 @@
         is_told_all = host == self._source or self._identity.role != "entry"
         return SILENCE_LIMIT_MS if is_told_all else SPARSE_SILENCE_LIMIT_MS
 
-    def _take(self, line: dict[str, Any], host: str, feed: _Feed) -> int:
+    def _take(self, line: dict[str, Any], host: str, feed: Feed) -> int:
         """Take one line; return the index of the sender's orders, or 0."""
         view = self._view
         if "control" in line:
@@ -320,7 +276,7 @@
             view.fleet.report(int(line["n_entries"]), self._clock())
         return int(line.get("index", 0))
 
-    async def _ask(self, feed: _Feed) -> None:
+    async def _ask(self, feed: Feed) -> None:
         """Ask for the orders, at once in the own zone and after a while elsewhere."""
         zone = self._identity.zone
         zones = {f.zone for f in self._connected.values()}
@@ -333,14 +289,14 @@
         orders = self._view.orders
         return {"get": 1, "index": orders.index, "version": orders.version}
 
-    async def _ask_later(self, feed: _Feed) -> None:
+    async def _ask_later(self, feed: Feed) -> None:
         await curio.sleep(OTHER_ZONE_WAIT_MS / 1000)
         if self._view.orders.index < feed.asked_index:
             with contextlib.suppress(OSError, curio.TaskTimeout):
                 # The reader of the feed notices a broken connection.
                 await feed.send(self._request_for_orders())
 
-    async def _ask_list(self, feed: _Feed, host: str) -> None:
+    async def _ask_list(self, feed: Feed, host: str) -> None:
         """Ask for the endpoints that aren't known here, one replica after the other.
 
         The source is asked again and again, so that news that got lost with a
@@ -358,7 +314,7 @@
             is_first = False
             await curio.sleep(LIST_INTERVAL_MS / 1000)
 
-    async def _ask_better_list(self, feed: _Feed) -> None:
+    async def _ask_better_list(self, feed: Feed) -> None:
         """Ask for the list of a replica that knows more than was heard or promised.
 
         A replica that lost its disk knows no endpoint for a while, though it may be
@@ -371,12 +327,12 @@
                 # The reader of the feed notices a broken connection.
                 await self._request_list(feed)
 
-    async def _request_list(self, feed: _Feed) -> None:
+    async def _request_list(self, feed: Feed) -> None:
         self._next_list_at = add_ms(self._clock(), LIST_PAUSE_MS)
         self._n_promised = max(self._n_promised, feed.n_endpoints or 0)
         await feed.send({"list": 1, "digests": self._view.digests()})
 
-    async def _ping(self, feed: _Feed) -> None:
+    async def _ping(self, feed: Feed) -> None:
         """Show the replica that this entry still listens."""
         with contextlib.suppress(OSError, curio.TaskTimeout):
             while True:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -5,7 +5,7 @@
 import random
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.errors import ErrorKind, RunState
+from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
 from ..core.overload import (
@@ -14,19 +14,16 @@
     Verdict,
     acceptable_slowdown,
     judge,
-    quick_retry_after_ms,
-    retry_after_ms,
 )
 from ..core.routes import find_route
 from ..http.messages import (
-    HOP_HEADERS,
     BodyError,
     Request,
     Response,
-    error_response,
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
+from .answers import FinalAnswers
 from .backend import BeforeEnd
 from .balancer import CROWDED_SLOWDOWN, Balancer, Pick
 from .calls import NEVER_RAN, Attempt, Call, CallBook, RetryLimits
@@ -70,6 +67,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._answers = FinalAnswers(view, clock, log, metrics, rng)
 
     def is_idempotent(self, request: Request) -> bool:
         """Return whether a request may run beside others of its connection."""
@@ -89,118 +87,30 @@
         started_at = self._clock() if received_at is None else received_at
         configuration = self._view.configuration
         request_id = request.header(self._dialect.request_id) or b""
+        refuse = self._answers.refuse
         if configuration is None:
-            response = self._refusal(ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER_MS)
-            return self._refuse(request_id, "", response, ErrorKind.NOT_READY)
+            after_ms = NOT_READY_RETRY_AFTER_MS
+            return refuse(request_id, ErrorKind.NOT_READY, after_ms=after_ms)
         self._book.retain(configuration)
         host = (request.header(b"host") or b"").decode("latin-1")
         route = find_route(configuration, host, request.path)
         if route is None:
-            response = error_response(ErrorKind.NO_ROUTE)
-            return self._refuse(request_id, "", response, ErrorKind.NO_ROUTE)
+            return refuse(request_id, ErrorKind.NO_ROUTE)
         call = self._book.call(request, request_id, route, started_at)
         if call is None:
-            response = error_response(ErrorKind.BAD_REQUEST, "malformed deadline")
-            return self._refuse(request_id, route.name, response, ErrorKind.BAD_REQUEST)
+            detail = "malformed deadline"
+            kind = ErrorKind.BAD_REQUEST
+            return refuse(request_id, kind, route=route.name, detail=detail)
         self._link.note_received(len(request.body), started_at)
         try:
             final = await self._run(call)
         except CallerGoneError:
-            self._finish(call, 0, "caller_gone")
+            self._answers.finish(call, 0, "caller_gone")
             return None
         except BodyError as error:
-            return self._end_broken_body(call, error.kind)
+            return self._answers.end_broken_body(call, error.kind)
         return final
 
-    # Refusals and the end of a call
-
-    def _refusal(self, kind: ErrorKind, after_ms: float) -> Response:
-        return error_response(kind, retry_after_s=round(after_ms / 1000, 3))
-
-    def _refuse(
-        self, request_id: bytes, route: str, response: Response, kind: ErrorKind
-    ) -> Response:
-        """Log a request that is refused before a call is made of it."""
-        self._metrics.count("refused_total", kind=kind.value)
-        self._log.request(
-            "request_refused",
-            True,
-            request=request_id.decode("latin-1"),
-            route=route,
-            status=response.status,
-            kind=kind.value,
-            version=self._view.orders.version,
-        )
-        return response
-
-    def _finish(self, call: Call, status: int, kind: str) -> None:
-        """Count and log the end of a call, with what decided it."""
-        latency_ms = self._clock() - call.started_at
-        name = call.route.name
-        self._metrics.count("requests_total", route=name, status=str(status))
-        self._metrics.observe("request_ms", latency_ms, route=name)
-        self._log.request(
-            "request_done",
-            not 200 <= status < 300,
-            request=call.request_id.decode("latin-1"),
-            route=name,
-            service=call.service,
-            status=status,
-            kind=kind,
-            latency_ms=latency_ms,
-            deadline_ms=call.deadline - call.started_at,
-            age_ms=call.age_ms,
-            work_ms=call.work.get(),
-            attempts=call.describe_attempts() or "none",
-            asked=";".join(call.trace) or "none",
-            version=self._view.orders.version,
-            index=self._view.orders.index,
-            n_endpoints=len(self._view.by_service.get(call.service, ())),
-        )
-
-    def _give_up(self, call: Call, kind: ErrorKind) -> Response:
-        """Answer for a call that ends without a response to pass on."""
-        if call.last_response is not None:
-            return self._relay(call, call.last_response)
-        if call.may_have_run:
-            is_late = kind is ErrorKind.DEADLINE_EXCEEDED
-            kind = kind if is_late else ErrorKind.BACKEND_FAILED
-            response = error_response(kind, run_state=RunState.OUTCOME_UNKNOWN.value)
-        else:
-            if kind is ErrorKind.DEADLINE_EXCEEDED:
-                kind = ErrorKind.QUEUE_FULL
-            left_ms = remaining_ms(call.deadline, self._clock())
-            after_ms = retry_after_ms(left_ms, self._rng.random())
-            if kind is ErrorKind.BACKEND_REFUSED:
-                after_ms = quick_retry_after_ms(self._rng.random())
-            if call.rest_ms is not None:
-                after_ms = max(after_ms, call.rest_ms)
-            response = self._refusal(kind, after_ms)
-        self._metrics.count("refused_total", kind=kind.value)
-        self._finish(call, response.status, kind.value)
-        return response
-
-    def _end_broken_body(self, call: Call, kind: ErrorKind) -> Response | None:
-        """Answer for a call whose caller didn't send the rest of its body.
-
-        A part of it reached a backend server, so no answer may say that it didn't run.
-        """
-        if kind is ErrorKind.TRUNCATED_BODY:
-            self._finish(call, 0, "caller_gone")
-            return None
-        is_slow = kind is ErrorKind.SLOW_REQUEST
-        kind = ErrorKind.DEADLINE_EXCEEDED if is_slow else kind
-        response = error_response(kind, run_state=RunState.OUTCOME_UNKNOWN.value)
-        response.close = True
-        self._finish(call, response.status, kind.value)
-        return response
-
-    def _relay(self, call: Call, response: Response) -> Response:
-        """Pass a backend server's response on."""
-        self._finish(call, response.status, "responded")
-        headers = [pair for pair in response.headers if pair[0] not in HOP_HEADERS]
-        return Response(response.status, headers, response.body, rest=response.rest)
-
     # Attempts
 
     async def _run(self, call: Call) -> Response:
@@ -211,21 +121,21 @@
             is_first = n_sent == 0
             pick = await self._search(call, is_first)
             if isinstance(pick, ErrorKind):
-                return self._give_up(call, pick)
+                return self._answers.give_up(call, pick)
             outcome, response = await self._attempt(call, pick)
             call.tried.add(pick.endpoint.announcement.endpoint_id)
             if outcome is not AttemptOutcome.UNREACHABLE:
                 n_sent += 1
             if outcome is AttemptOutcome.RESPONDED and response is not None:
-                return self._relay(call, response)
+                return self._answers.relay(call, response)
             if outcome is AttemptOutcome.EXPIRED:
-                return self._give_up(call, ErrorKind.DEADLINE_EXCEEDED)
+                return self._answers.give_up(call, ErrorKind.DEADLINE_EXCEEDED)
             is_repeatable = call.route.is_idempotent or outcome in NEVER_RAN
             may_retry = is_repeatable and not call.is_rest_taken
             if not may_retry or n_sent >= max(1, call.route.max_attempts):
                 is_full = pick.slowdown > CROWDED_SLOWDOWN
                 refused = ErrorKind.QUEUE_FULL if is_full else ErrorKind.BACKEND_REFUSED
-                return self._give_up(call, refused)
+                return self._answers.give_up(call, refused)
 
     async def _search(self, call: Call, is_first: bool) -> Pick | ErrorKind:
         """Return an endpoint that may get the request, or why none may."""
--- a/pollenfold/tests/gateway/test_feeds.py
+++ b/pollenfold/tests/gateway/test_feeds.py
@@ -2,13 +2,14 @@
 
 import pytest
 
-from pollenfold.gateway.feeds import FeedIdentity, Feeds, _Feed
+from pollenfold.gateway.feed import Feed
+from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 
 
-class FakeFeed(_Feed):
+class FakeFeed(Feed):
     """An open feed that keeps what was sent, or fails to send."""
 
     def __init__(self, zone, error=None, n_endpoints=None):
