--- /dev/null
+++ b/pollenfold/tests/benchmarks/test_ablation.py
@@ -0,0 +1,28 @@
+"""The list of mechanisms that can be switched off one at a time."""
+
+import shutil
+
+import pytest
+
+from benchmarks.ablation import ROOT, chosen, load_mechanisms
+
+MECHANISMS = load_mechanisms()
+
+
+@pytest.mark.parametrize("mechanism", MECHANISMS, ids=lambda m: m.name)
+def test_change_fits_the_present_code(mechanism, tmp_path):
+    """Guards against a list that no longer switches anything off."""
+    path = tmp_path / mechanism.file
+    path.parent.mkdir(parents=True)
+    shutil.copy(ROOT / mechanism.file, path)
+    before = path.read_text()
+    mechanism.switch_off(tmp_path)
+    after = path.read_text()
+    assert after != before
+    compile(after, str(path), "exec")
+
+
+def test_unknown_name_is_refused():
+    """Guards against a run that measures everything for a misspelt name."""
+    with pytest.raises(ValueError, match="unknown: pennalties"):
+        chosen(["pennalties"], MECHANISMS)
