Let a replica that doesn't know a leaving endpoint ask before it goes by its clock

Cause: a replica that had lost its disk took a server that left for one born before its own time of day. With a clock that had jumped back the departure didn't bind that life, so the server came into use again with its next delayed announcement; with one that had jumped ahead it also bound the next life, which got no work. Change: such a replica waits up to 0.4 s for the lists of the others, which it asks for at its start; only what nobody knows goes by the clock.

--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -40,6 +40,12 @@
 
 FORWARD_TIMEOUT_MS = 700.0
 RETRY_PAUSE_MS = 40.0
+UNKNOWN_WAIT_MS = 400.0
+"""How long a replica waits to hear of an endpoint that leaves, which it doesn't know.
+
+The endpoint itself waits a second for the answer."""
+
+UNKNOWN_CHECK_MS = 10.0
 FOUNDING_WAIT_MS = 6_000.0
 """How long a young group waits for all its members before it takes orders.
 
@@ -142,12 +148,19 @@
     ) -> Result[None, ErrorKind]:
         """Agree that the present life of an endpoint leaves.
 
-        An endpoint that nobody announced here is taken to have been born before
-        ``now_ms``, which is in ms since 1970.
+        A replica that just started with an empty disk waits a moment for what the
+        others know. An endpoint that none of them knows is taken to have been born
+        before ``now_ms``, which is in ms since 1970; the clock may have jumped, so
+        that would bind the wrong lives of one that is known.
         """
+        deadline = add_ms(self._clock(), timeout_ms)
+        wait_until = min(deadline, add_ms(self._clock(), UNKNOWN_WAIT_MS))
+        while endpoint_id not in self.registry and self._clock() < wait_until:
+            await curio.sleep(UNKNOWN_CHECK_MS / 1000)
         known = self.registry.get(endpoint_id)
         born_ms = now_ms if known is None else known.born_ms
-        return await self.submit(Depart(endpoint_id, born_ms), timeout_ms)
+        left_ms = remaining_ms(deadline, self._clock())
+        return await self.submit(Depart(endpoint_id, born_ms), left_ms)
 
     # Orders
 
--- a/pollenfold/core/registry.py
+++ b/pollenfold/core/registry.py
@@ -102,6 +102,9 @@
     def __len__(self) -> int:
         return len(self._known)
 
+    def __contains__(self, endpoint_id: str) -> bool:
+        return endpoint_id in self._known
+
     def get(self, endpoint_id: str) -> Announcement | None:
         """Return the newest announcement of an endpoint."""
         known = self._known.get(endpoint_id)
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -437,3 +437,75 @@
         assert result.error in (ErrorKind.NO_QUORUM, ErrorKind.NOT_LEADER)
 
     with_cluster(body)
+
+
+BORN_MS = ANNOUNCEMENT["born"]
+
+
+@pytest.mark.parametrize("step_ms", [-5_000, 60_000])
+def test_leave_at_a_replica_that_lost_its_disk_binds_the_life_that_leaves(
+    with_cluster, step_ms
+):
+    """Guards against a server that left and is in use again, or a new life of it that
+    gets no work, since a replica knew it only by a clock that had jumped."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        books = [running.node.book for running in cluster.running.values()]
+        await until(lambda: all(book.registry.get("i-1") for book in books))
+        await cluster.stop(3)
+        cluster.folder = cluster.folder / "new"
+        await cluster.start(3)
+        book = cluster.running[3].node.book
+        assert book.registry.get("i-1") is None
+        left = await book.depart("i-1", BORN_MS + step_ms, 5_000)
+        assert left.is_ok()
+        await until(lambda: "i-1" in book.orders.departures)
+        assert book.orders.has_departed("i-1", BORN_MS)
+        assert not book.orders.has_departed("i-1", BORN_MS + 1)
+
+    with_cluster(body)
+
+
+def test_server_that_left_stays_out_when_everything_restarts_from_old_lists(
+    with_cluster,
+):
+    """Guards against a server that left, or a zone that is out, in use again after a
+    restart: the lists on disk still hold the server, and an announcement of it that
+    was delayed comes afterwards."""
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        await cluster.call(1, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
+        other = {**ANNOUNCEMENT, "address": "10.0.0.9:80"}
+        await cluster.call(2, b"PUT", "/-/instances/i-2", other)
+        # Each replica writes its list, in which the server still serves.
+        await curio.sleep(1.3)
+        assert (await cluster.call(2, b"DELETE", "/-/instances/i-1")).status == 200
+        for number in (1, 2, 3):
+            await cluster.stop(number)
+        for number in (1, 2, 3):
+            await cluster.start(number)
+        view, _ = await entry_view(cluster)
+        seen = set()
+
+        def has_settled():
+            seen.update(e.announcement.endpoint_id for e in in_work(view))
+            return len(view.control_hosts) == 3 and "i-2" in seen
+
+        await until(has_settled)
+        status = {**ANNOUNCEMENT["status"], "sequence": 99}
+        late = {**ANNOUNCEMENT, "status": status}
+        await cluster.call(3, b"PUT", "/-/instances/i-1", late)
+        await curio.sleep(0.3)
+        has_settled()
+        assert seen == {"i-2"}
+
+    with_cluster(body)
+
+
+def in_work(view):
+    """Return the endpoints that an entry with a configuration sends to."""
+    if view.configuration is None:
+        return []
+    return [e for endpoints in view.by_service.values() for e in endpoints]
