Keep to fewer connections, and outlast a link that is full of bodies being read

Change: three free connections are enough, and one round in ten lets an endpoint in that has none. A patient round waits besides for what 64 KB take on the link, for a body that is still being read isn't known yet.

--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -21,10 +21,10 @@
 QUICK_SLOWDOWN = 1.5
 """A server whose expected slowdown is below this is taken without asking others."""
 
-ENOUGH_FREE = 6
+ENOUGH_FREE = 3
 """With so many quick endpoints whose connections are free, others can wait."""
 
-NEW_CONNECTION_SHARE = 0.25
+NEW_CONNECTION_SHARE = 0.1
 """How often an endpoint is asked regardless of its connections all the same."""
 
 REMOTE_ZONE_SLOWDOWN = 0.05
@@ -172,7 +172,7 @@
     if len(free) >= ENOUGH_FREE and rng.random() >= NEW_CONNECTION_SHARE:
         return rng.sample(free, n_wanted)
     sample = rng.sample(pool, min(len(pool), 2 * n_wanted))
-    last = min(sample, key=lambda o: o.health.is_doubtful(now))
+    last = min(sample, key=lambda o: (o.health.is_doubtful(now), o.has_idle))
     sample.remove(last)
     sample.sort(key=lambda o: (o.health.is_doubtful(now), not o.has_idle))
     return [*sample[: n_wanted - 1], last]
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -31,6 +31,10 @@
 PROBE_WAIT_FACTOR = 4.0
 """An endpoint that takes so many times the usual time to answer isn't waited for."""
 
+UNSEEN_BYTES = 64 * 1024
+"""What may be on its way to this entry ahead of an answer, unseen: bodies of callers
+are known only when they were read."""
+
 FIRST_ANSWER_CHECK_MS = 2.0
 
 COLD_SLOWDOWN = 2.0
@@ -132,7 +136,7 @@
             MAX_PROBE_WAIT_MS,
         )
         if is_patient:
-            wait_ms = MAX_PROBE_WAIT_MS
+            wait_ms = MAX_PROBE_WAIT_MS + self._link.transfer_ms(UNSEEN_BYTES)
         # What the own link has queued says nothing of the endpoints.
         backlog_ms = self._link.backlog_ms(started_at)
         wait_ms += backlog_ms
--- a/pollenfold/tests/gateway/test_slow_link.py
+++ b/pollenfold/tests/gateway/test_slow_link.py
@@ -143,3 +143,16 @@
         assert backend.n_checks == 1
 
     with_path(body, backend, link=Link(256.0))
+
+
+def test_search_outlasts_a_link_that_is_full_of_bodies_still_being_read(with_path):
+    """Load pattern: a lookup while several callers send uploads over a slow link.
+
+    Guards against a refusal for want of a server when no answer could come through.
+    """
+    backend = Backend("s1", check_delay_ms=250.0)
+
+    async def body(path, backend):
+        assert (await path.get()).status == 200
+
+    with_path(body, backend, link=Link(256.0), timeout_ms=2_000.0)
