Try late copies of answers without a body, and rests in the soak

Copies of answers to HEAD, of 204, 304 and interim answers, together with and apart from the answer, and a chunked head without its body: 30 cases, no fault found. The soak's servers say Server-Leaving while they leave and ask for rests.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -328,7 +328,9 @@
                 backend.link.cut()
             case "backend":
                 backend = self.rng.choice(self.backends)
-                backend.fault = self.rng.choice(("shed", "reset", "cut", "late"))
+                backend.fault = self.rng.choice(
+                    ("shed", "rest", "reset", "cut", "late")
+                )
                 await curio.sleep(pause_s)
                 backend.fault = ""
         self.note_fault()
--- a/benchmarks/soak_backends.py
+++ b/benchmarks/soak_backends.py
@@ -163,6 +163,8 @@
     async def _handle(self, request: Request) -> Response | None:
         load = f"{self._n_running},0,6,100".encode()
         known = [(b"x-instance-id", self.name.encode()), (b"x-server-load", load)]
+        if self.is_leaving:
+            known.append((b"server-leaving", b"1"))
         if request.path == "/healthz":
             return Response(503 if self.is_leaving else 200, known)
         expected = request.header(b"x-expected-instance")
@@ -170,9 +172,11 @@
             return Response(421, [*known, (b"x-not-executed", b"1")])
         request_id = find_header(request.headers, b"x-request-id") or b""
         self.n_requests += 1
-        if self.fault == "shed":
-            echoed = (b"x-request-id", request_id)
-            return Response(503, [*known, echoed, (b"x-not-executed", b"1")])
+        if self.fault in ("shed", "rest"):
+            refused = [*known, (b"x-request-id", request_id), (b"x-not-executed", b"1")]
+            if self.fault == "rest":
+                refused.append((b"retry-after", b"0.7"))
+            return Response(503, refused)
         name = request_id.decode()
         self.runs[name] = self.runs.get(name, 0) + 1
         self._n_running += 1
--- a/pollenfold/tests/gateway/test_late_copies.py
+++ b/pollenfold/tests/gateway/test_late_copies.py
@@ -57,3 +57,49 @@
         assert len(backend.requests) == 3
 
     with_path(body, Backend("one"))
+
+
+def head_only(status, *headers):
+    """Return an answer to another request whose body isn't sent."""
+    lines = [b"HTTP/1.1 %d X" % status, b"x-request-id: q0", *headers]
+    return b"\r\n".join([*lines, b"x-response-signature: s"]) + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD", b"POST"])
+@pytest.mark.parametrize("is_apart", [False, True])
+@pytest.mark.parametrize(
+    "copy",
+    [
+        head_only(200, b"content-length: 5"),
+        head_only(204),
+        head_only(304, b"content-length: 5"),
+        head_only(103) + OTHER,
+        head_only(200, b"transfer-encoding: chunked"),
+    ],
+    ids=["head", "no_content", "not_modified", "interim", "chunked_head"],
+)
+def test_late_copy_without_its_body_never_lends_its_head_to_the_answer(
+    with_path, copy, method, is_apart
+):
+    """Guards against the head of one answer with the bytes of the next: the copy of an
+    answer to HEAD names a length that it doesn't have."""
+
+    async def body(path, backend):
+        whole = head_only(200, b"content-length: 5").replace(b"q0", b"q1")
+        whole = whole if method == b"HEAD" else answer()
+        backend.respond = lambda request: copy if is_apart else copy + whole
+        task = await curio.spawn(path.get, method)
+        if is_apart:
+            while not backend.requests:
+                await curio.sleep(0.005)
+            await curio.sleep(0.05)
+            await backend.send_to_all(whole)
+        response = await task.join()
+        expected = b"" if method == b"HEAD" else b"whole"
+        is_own = (response.status, response.body) == (200, expected)
+        assert is_own or response.status in (502, 504)
+        if is_own:
+            assert (b"x-request-id", b"q1") in response.headers
+        assert not path.balancer._connections.has_idle("one")
+
+    with_path(body, Backend("one"), is_idempotent=method != b"POST")
