Propose an evacuation once, so that it can't come back after it was withdrawn

Orders went out twice around a change of the leader; a second copy of an evacuation that was withdrawn in between came into force. Ruled out: configurations (the highest version holds) and departures (they bind one life); a second copy of these changes nothing, so they are still proposed again. Change: an evacuation is proposed again only when it certainly was not; else the operator gets 503, whose outcome is unknown, and resends. A leader says whether a forwarded order may be committed; a replica of an earlier version reads that as before. Measured: both cases of the new test failed before (acknowledged, and in force after the withdrawal) and pass now.

--- a/pollenfold/control/order_book.py
+++ b/pollenfold/control/order_book.py
@@ -38,6 +38,10 @@
 BARRIER = b"\0"
 """A command that changes nothing; reads use it to be sure of the newest state."""
 
+MAY_BE_COMMITTED = b"\0"
+"""The answer to a forwarded command whose outcome the leader doesn't know. A replica of
+an earlier version reads it as index 0, which is none."""
+
 FORWARD_TIMEOUT_MS = 700.0
 RETRY_PAUSE_MS = 40.0
 UNKNOWN_WAIT_MS = 400.0
@@ -168,13 +172,18 @@
         """Bring an order into force.
 
         Ok means that it is committed, or that what is committed makes it needless.
-        After an error it may still come into force.
+        After an error it may still come into force. An evacuation is proposed once: a
+        second copy could come into force after it was withdrawn.
         """
         if self._is_settled(order):
             return Ok(None)
         if isinstance(order, Configure) and self._is_founding():
             return Error(ErrorKind.NOT_READY)
-        return await self._commit(encode_order(order), timeout_ms)
+        deadline = add_ms(self._clock(), timeout_ms)
+        is_repeatable = not isinstance(order, Evacuate)
+        command = encode_order(order)
+        committed = await self._commit_index(command, deadline, is_repeatable)
+        return Error(committed.error) if committed.is_error() else Ok(None)
 
     def _is_settled(self, order: Order) -> bool:
         match order:
@@ -203,19 +212,13 @@
             await curio.sleep(0.01)
         return Ok(self.orders)
 
-    async def _commit(
-        self, command: bytes, timeout_ms: float
-    ) -> Result[None, ErrorKind]:
-        deadline = add_ms(self._clock(), timeout_ms)
-        committed = await self._commit_index(command, deadline)
-        return Error(committed.error) if committed.is_error() else Ok(None)
-
     async def _commit_index(
-        self, command: bytes, deadline: Instant
+        self, command: bytes, deadline: Instant, is_repeatable: bool = True
     ) -> Result[int, ErrorKind]:
         """Commit a command through whoever leads; return its index.
 
-        A command may be committed twice when an answer is lost; orders are idempotent.
+        A repeatable command may be committed twice when an answer is lost. Any other
+        is proposed again only after ``NOT_LEADER``, which says that it wasn't.
         """
         error = ErrorKind.NOT_LEADER
         while (left_ms := remaining_ms(deadline, self._clock())) > 0.0:
@@ -226,6 +229,8 @@
             if result.is_ok():
                 return result
             error = result.error
+            if not is_repeatable and error is not ErrorKind.NOT_LEADER:
+                break
             await curio.sleep(RETRY_PAUSE_MS / 1000)
         return Error(error)
 
@@ -238,15 +243,23 @@
         result = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
         if result.is_error():
             return Error(result.error)
+        if result.ok == MAY_BE_COMMITTED:
+            return Error(ErrorKind.NO_QUORUM)
         index = int.from_bytes(result.ok, "big")
         return Ok(index) if index else Error(ErrorKind.NOT_LEADER)
 
     async def handle_forwarded(self, command: bytes) -> bytes:
-        """Commit another replica's command; the answer is its index, or empty."""
+        """Commit another replica's command; the answer is its index.
+
+        It is empty when the command won't be committed, and ``MAY_BE_COMMITTED`` when
+        that isn't known.
+        """
         if not self.replica.is_leader():
             return b""
         result = await self.replica.propose(command, FORWARD_TIMEOUT_MS)
-        return b"" if result.is_error() else result.ok.to_bytes(8, "big")
+        if result.is_ok():
+            return result.ok.to_bytes(8, "big")
+        return b"" if result.error is ErrorKind.NOT_LEADER else MAY_BE_COMMITTED
 
     async def call(
         self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -6,6 +6,7 @@
 
 import curio
 import pytest
+from expression import Error
 
 from pollenfold.control.cluster import ClusterNode, ClusterSettings
 from pollenfold.core.errors import ErrorKind
@@ -509,3 +510,49 @@
     if view.configuration is None:
         return []
     return [e for endpoints in view.by_service.values() for e in endpoints]
+
+
+@pytest.mark.parametrize("is_lost_at_leader", [False, True])
+def test_order_whose_answer_was_lost_is_not_sent_out_twice(
+    with_cluster, is_lost_at_leader
+):
+    """Guards against an evacuation that comes back into force after it was withdrawn,
+    since a replica proposed it again when it had no answer to the first time."""
+
+    async def body(cluster):
+        here, leader = follower(cluster), cluster.leader()
+        book = cluster.running[here].node.book
+        leading = cluster.running[leader].node
+        call, propose = book.call, leading.replica.propose
+        n_lost = []
+
+        async def withdraw():
+            n_lost.append(1)
+            back = await leading.book.submit(Evacuate("a", False), 2_000)
+            assert back.is_ok()
+
+        async def losing_call(*arguments):
+            result = await call(*arguments)
+            if not n_lost:
+                await withdraw()
+                return Error(ErrorKind.UNREACHABLE)
+            return result
+
+        async def losing_propose(*arguments):
+            result = await propose(*arguments)
+            leading.replica.propose = propose
+            await withdraw()
+            assert result.is_ok()
+            return Error(ErrorKind.NO_QUORUM)
+
+        if is_lost_at_leader:
+            leading.replica.propose = losing_propose
+        else:
+            book.call = losing_call
+        out = await book.submit(Evacuate("a", True), 1_500)
+        assert n_lost
+        assert out.is_error()
+        await leading.book.read(2_000)
+        assert leading.book.orders.evacuated == frozenset()
+
+    with_cluster(body)
