End a held request with its caller, and say only what was shown of slow links

Cause, found by reading: while the end of a request was held back, nobody looked whether its caller was still there, so work began that nobody waited for. Change: the caller is looked at each time the endpoint is asked; the request then ends unfinished. Comments no longer claim losses on a full link, which no log showed. Measured: the new test fails without the look (the endpoint ran the request) and passes.

--- a/pollenfold/core/link.py
+++ b/pollenfold/core/link.py
@@ -1,7 +1,6 @@
 """What the link of this VM has queued, worked out from what went over it.
 
-A long body fills a slow link for a while. Whatever else is sent then waits behind it,
-and what the link can't queue is lost and sent again only after a second or more. So
+A long body fills a slow link for a while, and whatever else is sent waits behind it. So
 long bodies are written in pieces at a pace below the rate of the link, and silence is
 held against a server only when the link had time to carry its answer.
 """
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import curio
@@ -303,18 +304,22 @@
         return None
 
     async def wait_until_quick(
-        self, service: str, endpoint: Endpoint, until: Instant
+        self,
+        service: str,
+        endpoint: Endpoint,
+        until: Instant,
+        is_over: Callable[[], bool],
     ) -> None:
         """Wait until an endpoint says that it is quick, at most until then.
 
-        Return at once when it can't be asked or doesn't answer.
+        Return at once when it can't be asked or doesn't answer, or when ``is_over``.
         """
         state = self._services.setdefault(service, ServiceState())
         while (now := self._clock()) < until and self._may_probe(1, now):
             answers = await self._prober.ask(service, state, [endpoint], False)
             for answer in answers:
                 await self.give_back(answer.endpoint, answer.connection)
-            if not answers or answers[0].slowdown < QUICK_SLOWDOWN:
+            if not answers or answers[0].slowdown < QUICK_SLOWDOWN or is_over():
                 return
             await curio.sleep(ASK_AGAIN_PAUSE_MS / 1000)
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -242,7 +242,8 @@
         """Return what holds the end of a long request back while the endpoint is slow.
 
         An endpoint begins with the work when the whole request is in, and what it said
-        of its load before a long body went out is old then.
+        of its load before a long body went out is old then. A request whose caller
+        left meanwhile isn't finished.
         """
         if pick.load is None or self._send_ms(call) < STALE_LOAD_MS:
             return None
@@ -252,7 +253,11 @@
         )
 
         async def wait_until_quick() -> None:
-            await self._balancer.wait_until_quick(call.service, pick.endpoint, until)
+            await self._balancer.wait_until_quick(
+                call.service, pick.endpoint, until, lambda: is_caller_gone(call)
+            )
+            if is_caller_gone(call):
+                raise CallerGoneError
 
         return wait_until_quick
 
--- a/pollenfold/tests/core/test_link.py
+++ b/pollenfold/tests/core/test_link.py
@@ -36,8 +36,7 @@
 def test_long_bodies_share_a_pace_below_the_rate_of_the_link():
     """Load pattern: several uploads at once through one entry with a slow link.
 
-    Guards against a burst that the link can't queue; what is lost of it comes a
-    second later.
+    Guards against a queue on the link that short messages would wait behind.
     """
     link = Link(RATE)
     now = 0.0
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -202,7 +202,7 @@
         announcement = Announcement(**{**fields, **changes})
         self.view.take_announcements([(announcement.encode(), 0.0)])
 
-    async def get(self, method=b"GET", deadline=b"1500", body=b"", **headers):
+    async def get(self, method=b"GET", deadline=b"1500", body=b"", descriptor=-1):
         request = Request(
             method,
             b"/x/1",
@@ -212,6 +212,7 @@
                 (b"x-deadline-ms", deadline),
             ],
             body,
+            descriptor=descriptor,
         )
         return await self.forwarder.handle(request)
 
--- a/pollenfold/tests/gateway/test_slow_link.py
+++ b/pollenfold/tests/gateway/test_slow_link.py
@@ -1,5 +1,7 @@
 """An entry whose own link is slow and carries long bodies."""
 
+import socket as sockets
+
 import curio
 
 from pollenfold.core.link import Link
@@ -30,7 +32,7 @@
 
 
 def test_long_body_is_written_in_pieces_at_the_pace_of_the_link(run):
-    """Guards against a burst that a slow link can't queue."""
+    """Guards against a queue on a slow link that short requests would wait behind."""
 
     async def body(port, arrivals):
         pool = ConnectionPool("127.0.0.1", port, 5, system_clock, Link(256.0))
@@ -134,6 +136,33 @@
     )
 
 
+def test_request_that_is_held_back_ends_with_its_caller(with_path):
+    """Guards against work that begins though nobody waits for it any more."""
+    backend = Backend("s1")
+
+    async def body(path, backend):
+        await curio.spawn(slow_from_to, backend, 0.1, 5.0, daemon=True)
+        caller, entry = sockets.socketpair()
+        with caller, entry:
+            task = await curio.spawn(
+                path.get, b"POST", b"3000", bytes(40_000), entry.fileno()
+            )
+            await curio.sleep(0.4)
+            caller.close()
+            assert await task.join() is None
+        await curio.sleep(0.05)
+        assert not backend.requests
+
+    with_path(
+        body,
+        backend,
+        link=Link(256.0),
+        target_latency_ms=2_000.0,
+        timeout_ms=3_000.0,
+        is_idempotent=False,
+    )
+
+
 def test_short_request_is_not_held_back(with_path):
     """Guards against one more round trip for each request."""
     backend = Backend("s1")
