Test the memory of a search and the preference for the own zone

Switching mechanisms off one at a time (scripts/ablation) showed three whose absence no test of the gateway noticed: the memory of a search that found only slow servers, the cost of another zone, and that the own zone is asked first. Each has a test now, which fails without it.

--- /dev/null
+++ b/pollenfold/tests/gateway/test_search.py
@@ -0,0 +1,63 @@
+"""The search of an endpoint: what it remembers, and what it prefers."""
+
+from pollenfold.gateway.probes import ServiceState
+
+from .conftest import Backend
+
+SLOW = b"6,6,6,500"
+
+
+def test_search_that_just_found_only_slow_servers_isn_t_repeated(with_path):
+    """Load pattern: a burst on a service whose servers are all slow.
+
+    Guards against questions for each request of the burst, which are load themselves.
+    """
+    backend = Backend("s1", load=SLOW)
+
+    async def body(path, backend):
+        assert (await path.get()).status == 503
+        n_checks = backend.n_checks
+        assert n_checks > 0
+        assert (await path.get()).status == 503
+        assert backend.n_checks == n_checks
+        assert any("asked=crowded/" in line for line in path.lines + flushed(path))
+
+    with_path(body, backend)
+
+
+def flushed(path):
+    path.log.flush()
+    return path.lines
+
+
+def test_server_of_the_own_zone_wins_where_two_are_alike(with_path):
+    """Guards against requests that cross zones, which costs bytes, for nothing."""
+    near, far = Backend("near"), Backend("far")
+
+    async def body(path, near, far):
+        path.announce(far, sequence=9, zone="b")
+        endpoints = [path.view.endpoints["far"], path.view.endpoints["near"]]
+        answers = await path.balancer._prober.ask("s", ServiceState(), endpoints, False)
+        best = min(answers, key=lambda answer: answer.cost)
+        assert len(answers) == 2
+        assert best.endpoint.announcement.endpoint_id == "near"
+        assert answers[0].slowdown == answers[1].slowdown
+
+    with_path(body, near, far)
+
+
+def test_other_zones_are_not_asked_while_the_own_zone_is_quick(with_path):
+    """Guards against questions and requests that cross zones though servers nearby
+    have room."""
+    near = [Backend(f"near{number}") for number in range(3)]
+    far = [Backend(f"far{number}") for number in range(3)]
+
+    async def body(path, *backends):
+        for backend in far:
+            path.announce(backend, sequence=9, zone="b")
+        for _ in range(10):
+            assert (await path.get()).status == 200
+        assert sum(backend.n_checks for backend in far) == 0
+        assert sum(backend.n_checks for backend in near) >= 20
+
+    with_path(body, *near, *far)
