--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -7,11 +7,16 @@
 import pytest
 
 from pollenfold.core.registry import Announcement
-from pollenfold.core.routes import RoutingConfiguration
+from pollenfold.core.routes import (
+    Part,
+    Route,
+    RoutingConfiguration,
+    sorted_routes,
+)
 from pollenfold.gateway.calls import RetryLimits
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.http.listener import open_listener
-from pollenfold.http.messages import Request
+from pollenfold.http.messages import Request, Response
 from pollenfold.observe.clock import system_clock
 from pollenfold.platform.headers import DIALECT
 
@@ -99,3 +104,36 @@
             client, _ = listener.accept()
             with client:
                 assert client.recv(10) == b"early"
+
+
+@pytest.mark.parametrize(("is_idempotent", "n_most"), [(True, 2), (False, 1)])
+def test_idempotent_requests_of_one_connection_run_side_by_side(
+    gateway, run, is_idempotent, n_most
+):
+    """Guards against a lookup that waits for the one before it, and against an order
+    that runs beside another and behind an answer that closes the connection."""
+    route = Route("r1", "/x/", is_idempotent, (Part("s", 1.0),), 800.0, 200.0, 2)
+    configuration = RoutingConfiguration(1, {"h": sorted_routes([route])}, {})
+    running = []
+
+    async def handle(request):
+        running.append(1)
+        n_running = len(running)
+        await curio.sleep(0.1)
+        running.pop()
+        return Response(200, [], b"%d" % n_running)
+
+    async def main():
+        gateway.view.configuration = configuration
+        gateway.view.take_announcements([(ENDPOINT.encode(), 0.0)])
+        gateway.forwarder.handle = handle
+        port = await gateway.callers.start_on(gateway.settings.caller_listener)
+        sock = await curio.open_connection("127.0.0.1", port)
+        async with sock:
+            await sock.sendall(b"GET /x/1 HTTP/1.1\r\nhost: h\r\n\r\n" * 2)
+            data = b""
+            while data.count(b"HTTP/1.1 200") < 2:
+                data += await sock.recv(65536)
+        assert data.endswith(b"%d" % n_most)
+
+    run(main)
