--- a/pollenfold/tests/core/test_link.py
+++ b/pollenfold/tests/core/test_link.py
@@ -39,6 +39,7 @@
     Guards against a queue on the link that short messages would wait behind.
     """
     link = Link(RATE)
+    assert link.piece_bytes > 0
     now = 0.0
     n_bytes = 0
     while n_bytes < 3 * 60_000:
