Log and count declared limits of endpoints, without heeding them

An entry now logs endpoint_limited, endpoint_limit_ended and malformed_limit, counts limited_sends_total by kind (request or probe) and shows endpoints_limited.

--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -190,6 +190,7 @@
             self.metrics.set("requests_in_flight", self.caller_server.n_in_flight)
             self.metrics.set("endpoints", len(self.view.endpoints))
             self.metrics.set("endpoints_resting", self.view.n_backing_off)
+            self.metrics.set("endpoints_limited", self.view.n_limited)
             self.metrics.set("entries", self.view.fleet.get(system_clock()))
             return metrics_response(self.metrics, self.log)
         if request.path != self.settings.ready_path:
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -17,6 +17,8 @@
     instance that may execute the request; any other instance at the address refuses
     it. ``not_executed`` marks a response of a server that did not execute the request,
     ``leaving`` with the value 1 any response of a server that is leaving.
+    ``declared_limit`` in any response is the number of requests per second that the
+    server takes from all entries together.
     ``parse_load`` returns None for a malformed value. ``is_genuine`` returns whether a
     response was produced by the backend server itself and is complete.
     """
@@ -29,5 +31,6 @@
     instance: bytes
     warmup_left_ms: bytes
     leaving: bytes
+    declared_limit: bytes
     parse_load: Callable[[bytes], ServerLoad | None]
     is_genuine: Callable[[Response], bool]
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -206,6 +206,7 @@
         """Send the request to one endpoint; return the outcome and any response."""
         endpoint = pick.endpoint
         started_at = self._clock()
+        self._count_limited_send(endpoint)
         endpoint.health.n_in_flight += 1
         outcome = AttemptOutcome.LOST
         response: Response | None = None
@@ -240,8 +241,9 @@
                 await self._balancer.release(endpoint, pick.connection)
         self._record_outcome(call, endpoint, outcome, elapsed_ms)
         if response is not None:
+            is_success = outcome is AttemptOutcome.RESPONDED and response.status < 300
             apply_response_notices(
-                endpoint, response, self._dialect, self._view, self._rng
+                endpoint, response, self._dialect, self._view, self._rng, is_success
             )
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
             call.work_estimate.observe(self._clock() - call.sent_at, pick.slowdown)
@@ -249,6 +251,11 @@
             call.last_response = response
         return outcome, response
 
+    def _count_limited_send(self, endpoint: Endpoint) -> None:
+        if endpoint.declared_limit is not None:
+            service = endpoint.announcement.service
+            self._metrics.count("limited_sends_total", service=service, kind="request")
+
     def _before_final_piece(self, call: Call, pick: Pick) -> BeforeFinalPiece | None:
         """Return a function that delays the end of a long request to a slow endpoint.
 
--- a/pollenfold/gateway/notices.py
+++ b/pollenfold/gateway/notices.py
@@ -1,9 +1,10 @@
-"""Notices in the response headers of backend servers: leaving and back-off."""
+"""Notices in the headers of backend servers: leaving, back-off, declared limit."""
 
 from __future__ import annotations
 
 import random
 
+from ..http.declared_limit import parse_declared_limit
 from ..http.messages import Response, find_header
 from ..http.retry_after import parse_backoff_ms, spread_backoff_ms
 from .dialect import Dialect
@@ -18,19 +19,39 @@
     dialect: Dialect,
     view: FleetView,
     rng: random.Random,
+    is_success: bool,
 ) -> None:
-    """Apply the leaving and Retry-After headers of a response to its endpoint.
+    """Apply what a response says of its endpoint in its headers.
 
-    A response of another instance at the address (status 421) is ignored.
+    A response of another instance at the address (status 421) is ignored. Only a
+    success, as ``is_success`` tells, ends a declared limit by not repeating it: a
+    failure may be made before the server adds its headers.
     """
     if response.status == 421:
         return
     headers = response.headers
     if find_header(headers, dialect.leaving) == LEAVING:
         view.mark_leaving(endpoint)
+    _apply_declared_limit(
+        endpoint, find_header(headers, dialect.declared_limit), view, is_success
+    )
     retry_after = find_header(headers, b"retry-after")
     if response.status != 503 or retry_after is None:
         return
     backoff_ms = parse_backoff_ms(retry_after, find_header(headers, b"date"))
     if backoff_ms is not None:
         view.start_backoff(endpoint, spread_backoff_ms(backoff_ms, rng.random()))
+
+
+def _apply_declared_limit(
+    endpoint: Endpoint, value: bytes | None, view: FleetView, is_success: bool
+) -> None:
+    if value is None:
+        if is_success:
+            view.end_declared_limit(endpoint)
+        return
+    limit_per_s = parse_declared_limit(value)
+    if limit_per_s is None:
+        view.reject_declared_limit(endpoint, value)
+    else:
+        view.set_declared_limit(endpoint, limit_per_s)
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -149,6 +149,11 @@
             connection = await self._connections.acquire(endpoint)
             if connection is not None:
                 pending.append((endpoint, connection))
+        n_limited = sum(e.declared_limit is not None for e, _ in pending)
+        if n_limited:
+            self._metrics.count(
+                "limited_sends_total", n_limited, service=service, kind="probe"
+            )
         sent = [
             (endpoint, connection)
             for endpoint, connection in pending
@@ -253,7 +258,10 @@
             self._view.forget(endpoint_id, "other_instance")
             return None
         endpoint.health.mark_reachable()
-        apply_response_notices(endpoint, response, dialect, self._view, self._rng)
+        is_success = response.status == 200
+        apply_response_notices(
+            endpoint, response, dialect, self._view, self._rng, is_success
+        )
         if not self._view.accepts_new_requests(endpoint):
             await self._connections.release(endpoint, connection)
             return None
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -13,6 +13,7 @@
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.declared_limit import DeclaredLimit
 from ..core.digests import bucket_digests
 from ..core.registry import (
     Announcement,
@@ -33,6 +34,11 @@
 MAX_LEAVING_INCARNATIONS = 4_096
 """How many incarnations of endpoints that announced that they are leaving are kept."""
 
+LIMIT_LOG_INTERVAL_MS = 1_000.0
+"""The minimum time between two log lines on changes of one endpoint's limit."""
+
+MAX_LOGGED_VALUE_BYTES = 40
+
 Decode = Callable[[str], RoutingConfiguration]
 
 Incarnation = tuple[str, int]
@@ -46,6 +52,7 @@
     Until ``cold_until`` only the cold limit of requests may be sent to it;
     ``is_unconfirmed`` means that it may be cold, which its own next report decides.
     Until ``backoff_until`` it must receive neither requests nor probes.
+    ``declared_limit`` is the limit that it declares in its responses, if any.
     """
 
     announcement: Announcement
@@ -53,6 +60,9 @@
     cold_until: Instant = Instant(0.0)
     is_unconfirmed: bool = False
     backoff_until: Instant = Instant(0.0)
+    declared_limit: DeclaredLimit | None = None
+    has_malformed_limit: bool = False
+    """Whether the last limit that it declared was malformed."""
 
     @property
     def incarnation(self) -> Incarnation:
@@ -216,6 +226,59 @@
             self._log.state("endpoint_rests", endpoint=endpoint_id, rest_ms=backoff_ms)
         endpoint.backoff_until = max(endpoint.backoff_until, add_ms(now, backoff_ms))
 
+    def set_declared_limit(self, endpoint: Endpoint, limit_per_s: float) -> None:
+        """Apply the limit that an endpoint has just declared."""
+        now = self._clock()
+        endpoint.has_malformed_limit = False
+        limit = endpoint.declared_limit
+        if limit is None:
+            limit = endpoint.declared_limit = DeclaredLimit(limit_per_s, now)
+            self._log_declared_limit(endpoint, limit_per_s, "none")
+            limit.logged_at = now
+            return
+        before = limit.set_rate(limit_per_s, now)
+        is_log_due = now >= add_ms(limit.logged_at, LIMIT_LOG_INTERVAL_MS)
+        if limit_per_s != before and is_log_due:
+            self._log_declared_limit(endpoint, limit_per_s, before)
+            limit.logged_at = now
+
+    def _log_declared_limit(
+        self, endpoint: Endpoint, limit_per_s: float, before: object
+    ) -> None:
+        endpoint_id = endpoint.announcement.endpoint_id
+        self._log.state(
+            "endpoint_limited",
+            endpoint=endpoint_id,
+            limit_per_s=limit_per_s,
+            before=before,
+        )
+
+    def end_declared_limit(self, endpoint: Endpoint) -> None:
+        """Remove the limit of an endpoint that no longer declares one."""
+        limit, endpoint.declared_limit = endpoint.declared_limit, None
+        if limit is not None:
+            self._log.state(
+                "endpoint_limit_ended",
+                endpoint=endpoint.announcement.endpoint_id,
+                limit_per_s=limit.rate_per_s,
+            )
+
+    def reject_declared_limit(self, endpoint: Endpoint, value: bytes) -> None:
+        """Log a malformed limit, once until the endpoint declares a valid one."""
+        if endpoint.has_malformed_limit:
+            return
+        endpoint.has_malformed_limit = True
+        self._log.state(
+            "malformed_limit",
+            endpoint=endpoint.announcement.endpoint_id,
+            value=value[:MAX_LOGGED_VALUE_BYTES].decode("latin-1"),
+        )
+
+    @property
+    def n_limited(self) -> int:
+        """The number of endpoints that declare a limit."""
+        return sum(e.declared_limit is not None for e in self.endpoints.values())
+
     @property
     def n_backing_off(self) -> int:
         """The number of endpoints that are backing off at this moment."""
--- a/pollenfold/platform/headers.py
+++ b/pollenfold/platform/headers.py
@@ -44,6 +44,7 @@
     instance=b"x-instance-id",
     warmup_left_ms=b"x-warmup-remaining-ms",
     leaving=b"server-leaving",
+    declared_limit=b"server-limit",
     parse_load=parse_load,
     is_genuine=is_genuine,
 )
