--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -58,7 +58,9 @@
     each connection after a response. ``health`` returns the bytes of a health response
     in place of the healthy one. ``before_health`` is written before each health
     response. ``check_delay_ms`` is how long a health response takes. ``requests`` holds
-    the received requests without the health checks.
+    the received requests without the health checks. All responses declare the
+    ``limit``, if there is one. ``arrived_ms`` has the arrivals of requests and health
+    checks.
     """
 
     name: str
@@ -66,11 +68,13 @@
     health: object = None
     load: bytes = b"0,0,6,100"
     warmup: bytes = b""
+    limit: bytes = b""
     instance: str = ""
     delay_ms: float = 0.0
     check_delay_ms: float = 0.0
     closes_after_response: bool = False
     requests: list = field(default_factory=list)
+    arrived_ms: list = field(default_factory=list)
     n_checks: int = 0
     n_closed: int = 0
     port: int = 0
@@ -109,11 +113,13 @@
                 if not is_complete(buffer):
                     continue
                 request, buffer = buffer, b""
+                self.arrived_ms.append(system_clock())
                 if request.startswith(b"GET /healthz"):
                     self.n_checks += 1
                     await curio.sleep(self.check_delay_ms / 1000)
                     name = (self.instance or self.name).encode()
-                    healthy = HEALTHY % (name, self.load, self.warmup)
+                    extra = self.warmup + self._limit_header()
+                    healthy = HEALTHY % (name, self.load, extra)
                     if self.health is not None:
                         healthy = self.health()
                     await client.sendall(self.before_health + healthy)
@@ -122,9 +128,7 @@
                 self.arrived_at = system_clock()
                 self.clients.append(client)
                 await curio.sleep(self.delay_ms / 1000)
-                data = (
-                    signed_response() if self.respond is None else self.respond(request)
-                )
+                data = self._respond(request)
                 if data is None:
                     client._socket.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
@@ -137,11 +141,31 @@
                 if self.closes_after_response:
                     return
 
+    def _limit_header(self):
+        return b"server-limit: %s\r\n" % self.limit if self.limit else b""
+
+    def _respond(self, request):
+        if self.respond is not None:
+            return self.respond(request)
+        header = self._limit_header().strip()
+        return signed_response(200, b"whole", b"q1", *([header] if header else []))
+
 
 class CallPath:
-    """An entry's call path from a request to fake backend servers."""
+    """The call path of one of several entries from a request to fake backend servers.
+
+    ``entry_ids`` are the entries that this one knows, itself among them.
+    """
 
-    def __init__(self, backends, zone="a", link=None, **route_changes):
+    def __init__(
+        self,
+        backends,
+        zone="a",
+        link=None,
+        entry_id="e1",
+        entry_ids=("e1",),
+        **route_changes,
+    ):
         clock = system_clock
         self.lines = []
         self.log = EventLog("e1", clock, write=self._write)
@@ -163,10 +187,11 @@
             {"s": BackendService("s", "/healthz", 260, 3000.0, 18.0)},
         )
         self.view.replicated_state = ReplicatedState(index=1, version=1)
-        self.view.fleet.report(1, clock())
+        self.view.fleet.report(len(entry_ids), clock())
+        self.view.entry_ids = frozenset(entry_ids)
         for number, backend in enumerate(backends):
             self.announce(backend, sequence=number + 1)
-        settings = BalancerSettings("e1", zone, 1000.0, 1.5, 5.0)
+        settings = BalancerSettings(entry_id, zone, 1000.0, 1.5, 5.0)
         rng = random.Random(7)
         self.link = link = link or Link()
         self.balancer = Balancer(
