Keep to the limits that backend servers declare

Seen: a server that declared 3.1 requests/s got 61 requests in 4 s, 24 are allowed; callers noticed nothing. Cause: entries acted on none of it, neither with requests nor with load probes, which count as requests and were two of three. Ruled out: each entry taking the whole limit (no code read it). The class: a limit on a sum over entries, of which a share is less than one request; dividing a rate by the entries gives each a fraction that is either rounded up and breaks the sum, or rounded down and starves the server.

The limit is now handed out in whole permits (ceil(4 L) per window of at least 4 s), which all entries divide in the same way by rendezvous hashing over the same list of entries. An entry sends its permits evenly spaced, without a probe, since a probe would use one up. A limit above the fair share attracts no more than that share. One entry probes a limited server that was silent for 2.5 s; others only after a time that grows with their number, so a limit that ends is noticed and the sum stays bounded. Only a success without the header ends a limit. If all servers of a service are limited, a request is refused at once, not executed, with the time until a permit.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -25,6 +25,12 @@
 """Keeps the share of an entry small until the number of entries is known."""
 
 
+RATE_WINDOW_MS = 5_000.0
+MIN_RATE_MS = 500.0
+"""The shortest time over which a rate is computed, so that the first events don't
+count as a high rate."""
+
+
 class FleetSize:
     """The largest number of entries that was reported recently."""
 
@@ -65,6 +71,23 @@
         return len(instants)
 
 
+class RequestRate:
+    """The rate of events over the last ``RATE_WINDOW_MS``, or since the first one."""
+
+    def __init__(self, now: Instant) -> None:
+        self._started_at = now
+        self._count = WindowCount(RATE_WINDOW_MS)
+
+    def add(self, now: Instant) -> None:
+        """Count one event."""
+        self._count.add(now)
+
+    def get(self, now: Instant) -> float:
+        """Return the events per second."""
+        elapsed_ms = min(RATE_WINDOW_MS, max(now - self._started_at, MIN_RATE_MS))
+        return 1000 * self._count.get(now) / elapsed_ms
+
+
 class RetryAllowance:
     """This entry's share of the retries to one service.
 
@@ -124,5 +147,34 @@
     return int(entry_id in selected[:n_selected])
 
 
+def divide_permits(
+    n_permits: int,
+    entry_id: str,
+    entry_ids: frozenset[str],
+    subject: str,
+    n_entries: int,
+) -> int:
+    """Return this entry's share of a whole number of permits for a subject.
+
+    All get the same number, and the remainder goes to the entries that rendezvous
+    hashing ranks first. Entries with the same directory never exceed the total
+    together. An entry that isn't in its own directory gets none, as others don't count
+    it.
+    """
+    if entry_id not in entry_ids:
+        return 0
+    n_each, n_remaining = divmod(n_permits, max(n_entries, len(entry_ids)))
+    if not n_remaining:
+        return n_each
+    rank = rendezvous_rank(entry_id, entry_ids, subject)
+    return n_each + int(rank < n_remaining)
+
+
+def rendezvous_rank(entry_id: str, entry_ids: frozenset[str], subject: str) -> int:
+    """Return how many entries rendezvous hashing ranks before this one."""
+    own = _rendezvous(entry_id, subject)
+    return sum(_rendezvous(other, subject) < own for other in entry_ids)
+
+
 def _rendezvous(entry_id: str, endpoint_id: str) -> int:
     return int(xxhash.xxh3_64_intdigest(f"{entry_id} {endpoint_id}".encode()))
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -23,6 +23,7 @@
 from .cold_permits import ColdPermits
 from .connections import Connections
 from .dialect import Dialect
+from .limit_permits import LimitPermits
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .settings import BalancerSettings
 from .view import Endpoint, FleetView
@@ -99,6 +100,7 @@
             view, dialect, settings.zone, self._connections, clock, metrics, rng, link
         )
         self._cold_permits = ColdPermits(view, settings, clock)
+        self._limit_permits = LimitPermits(view, settings, clock)
         self._probe_states: dict[str, ServiceProbeState] = {}
         self._probe_budget: TokenBucket | None = None
 
@@ -115,18 +117,30 @@
         """Return an endpoint with a connection, or None if none is usable.
 
         The request needs a slowdown of at most ``max_slowdown``. No search is made if
-        another request's search has just found no endpoint that fast.
+        another request's search has just found no endpoint that fast. An endpoint that
+        declares a limit gets the request without a probe, if this entry has a permit.
 
         For each round of probes an item is appended to ``trace``: the number of probed
         endpoints, the number of responses and the least slowdown, as in ``3/2/1.60``.
         """
         now = self._clock()
+        is_first_attempt = not tried_endpoint_ids
+        if is_first_attempt:
+            self._limit_permits.count_request(service)
         endpoints = [
             endpoint
             for endpoint in self._view.by_service.get(service, ())
             if endpoint.announcement.endpoint_id not in tried_endpoint_ids
             and not endpoint.is_backing_off(now)
         ]
+        limited = [e for e in endpoints if e.declared_limit is not None]
+        if limited:
+            endpoints = [e for e in endpoints if e.declared_limit is None]
+            # A retry goes to an endpoint whose load was just reported, if there is one.
+            if is_first_attempt or not endpoints:
+                pick = await self._pick_limited(limited, not endpoints, deadline, trace)
+                if pick is not None:
+                    return pick
         if not endpoints:
             return None
         self._update_probe_budget(now)
@@ -139,6 +153,75 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
+    async def _pick_limited(
+        self,
+        limited: list[Endpoint],
+        includes_failing: bool,
+        deadline: Instant,
+        trace: list[str],
+    ) -> Pick | None:
+        """Select a limited endpoint for which this entry has a permit, if any.
+
+        Its load isn't probed, since a probe counts against its limit. Endpoints that
+        failed lately are selected only if ``includes_failing`` is true.
+        """
+        now = self._clock()
+        candidates = [
+            endpoint
+            for endpoint in limited
+            if self._limit_permits.has_permit(endpoint)
+            and (includes_failing or not _is_failing(endpoint, now))
+        ]
+        candidates.sort(key=self._limited_order)
+        for endpoint in candidates[:MAX_ROUNDS]:
+            pick = await self._connect_permitted(endpoint, deadline)
+            if pick is not None:
+                trace.append("limited")
+                return pick
+        return None
+
+    def _limited_order(self, endpoint: Endpoint) -> tuple[bool, Instant]:
+        """Prefer the own zone, then the endpoint whose permit waits longest."""
+        is_remote = endpoint.announcement.zone != self._settings.zone
+        return is_remote, self._limit_permits.next_permit_at(endpoint)
+
+    async def _connect_permitted(
+        self, endpoint: Endpoint, deadline: Instant
+    ) -> Pick | None:
+        """Acquire the permits for an endpoint and connect to it."""
+        if not self._acquire_permits(endpoint):
+            return None
+        connection = await self._connections.connect(endpoint, deadline)
+        if connection is None:
+            return None
+        # The endpoint may have started to leave while the connection was opened.
+        if self._view.accepts_new_requests(endpoint):
+            return Pick(endpoint, connection, 1.0)
+        await self._connections.release(endpoint, connection)
+        return None
+
+    def _acquire_permits(self, endpoint: Endpoint) -> bool:
+        """Count a request to a cold or limited endpoint if it is permitted."""
+        if not self._has_permits(endpoint):
+            return False
+        if endpoint.is_cold(self._clock()):
+            self._cold_permits.acquire(endpoint)
+        return self._limit_permits.acquire(endpoint)
+
+    def _has_permits(self, endpoint: Endpoint) -> bool:
+        is_cold = endpoint.is_cold(self._clock())
+        if is_cold and not self._cold_permits.has_permit(endpoint):
+            return False
+        return self._limit_permits.has_permit(endpoint)
+
+    def permit_wait_ms(self, service: str) -> float | None:
+        """Return the ms until the first endpoint of a service may get a request.
+
+        Return None if the service has no endpoints, or one that neither declares a
+        limit nor backs off.
+        """
+        return self._limit_permits.wait_ms(service)
+
     def _acquire_probes(self, n_probes: int, now: Instant) -> bool:
         budget = self._probe_budget
         return budget is not None and budget.try_acquire(n_probes, now)
@@ -193,6 +276,8 @@
             for endpoint in search.endpoints
             if endpoint.announcement.endpoint_id not in search.probed_ids
             and not endpoint.is_backing_off(now)
+            # The limit may have been declared since the search began.
+            and endpoint.declared_limit is None
         ]
         preferred = [
             endpoint
@@ -239,7 +324,7 @@
         """Select the best endpoint, or return None if it may no longer get requests."""
         search.probe_state.least_slowdown = best.slowdown
         search.probe_state.last_search_at = self._clock()
-        is_permitted = not best.is_cold or self._cold_permits.acquire(best.endpoint)
+        is_permitted = self._acquire_permits(best.endpoint)
         # The endpoint may have started to leave while it was probed.
         if not is_permitted or not self._view.accepts_new_requests(best.endpoint):
             await self._connections.release(best.endpoint, best.connection)
@@ -278,7 +363,7 @@
     ) -> ProbeResult | None:
         """Return the best result, and release the connections of the others."""
         for result in results:
-            if result.is_cold and not self._cold_permits.has_permit(result.endpoint):
+            if not self._has_permits(result.endpoint):
                 rejected: ProbeResult | None = result
             elif best is None or result.cost < best.cost:
                 rejected, best = best, result
@@ -305,15 +390,9 @@
                 if e.announcement.endpoint_id == candidate.endpoint_id
             )
             remaining.remove(endpoint)
-            if endpoint.is_cold(now) and not self._cold_permits.acquire(endpoint):
-                continue
-            connection = await self._connections.connect(endpoint, search.deadline)
-            if connection is None:
-                continue
-            # The endpoint may have started to leave while the connection was opened.
-            if self._view.accepts_new_requests(endpoint):
-                return Pick(endpoint, connection, 1.0)
-            await self._connections.release(endpoint, connection)
+            pick = await self._connect_permitted(endpoint, search.deadline)
+            if pick is not None:
+                return pick
         return None
 
     async def wait_until_fast(
@@ -325,11 +404,15 @@
     ) -> None:
         """Wait until an endpoint reports that it is fast, but not beyond ``until``.
 
-        Return immediately if it can't be probed or doesn't respond, or if
-        ``is_cancelled`` returns true.
+        Return immediately if it can't be probed, declares a limit or doesn't respond,
+        or if ``is_cancelled`` returns true.
         """
         state = self._probe_states.setdefault(service, ServiceProbeState())
-        while (now := self._clock()) < until and self._acquire_probes(1, now):
+        while (
+            (now := self._clock()) < until
+            and endpoint.declared_limit is None
+            and self._acquire_probes(1, now)
+        ):
             results = await self._prober.probe(service, state, [endpoint], False)
             for result in results:
                 await self.release(result.endpoint, result.connection)
@@ -352,3 +435,28 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._cold_permits.forget_absent()
+            self._limit_permits.forget_absent()
+            await self._check_limits()
+
+    async def _check_limits(self) -> None:
+        """Probe limited endpoints that haven't responded for some time.
+
+        Without it, an entry that saw a limit once and has no permit would never learn
+        that the limit has ended.
+        """
+        for service, endpoints in list(self._view.by_service.items()):
+            due = [
+                endpoint
+                for endpoint in endpoints
+                if self._view.accepts_new_requests(endpoint)
+                and self._limit_permits.acquire_check(endpoint)
+            ]
+            if due:
+                state = self._probe_states.setdefault(service, ServiceProbeState())
+                for result in await self._prober.probe(service, state, due, False):
+                    await self.release(result.endpoint, result.connection)
+
+
+def _is_failing(endpoint: Endpoint, now: Instant) -> bool:
+    health = endpoint.health
+    return health.is_unreachable(now) or health.is_deprioritized(now)
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -59,7 +59,8 @@
     """When the last attempt finished sending the request."""
 
     backoff_ms: float | None = None
-    """The time until the first endpoint's back-off ends, if all are backing off."""
+    """The time until the first endpoint may get a request, if all back off or are at
+    the limit that they declared."""
 
     is_body_streamed: bool = False
     """Whether the rest of a long body was read, to be forwarded: the request can't be
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -95,7 +95,7 @@
         rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
-        self.view = FleetView(decode, clock, self.log)
+        self.view = FleetView(decode, clock, self.log, rng)
         limits = BalancerSettings(
             settings.entry_id,
             settings.zone,
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -49,10 +49,12 @@
     if the caller doesn't send its whole body.
     """
     left_ms = remaining_ms(call.deadline, clock())
+    request = _build_request(call, endpoint, dialect, left_ms)
     try:
         async with curio.timeout_after(left_ms / 1000):
-            request = _build_request(call, endpoint, dialect, left_ms)
-            is_sent = await connection.send(request, before_final_piece)
+            is_sent = await _send(
+                connection, request, endpoint, clock, before_final_piece
+            )
         if not is_sent:
             return AttemptOutcome.UNREACHABLE, None
         call.may_have_executed = True
@@ -73,6 +75,24 @@
     return received, None
 
 
+async def _send(
+    connection: BackendConnection,
+    request: OutgoingRequest,
+    endpoint: Endpoint,
+    clock: Clock,
+    before_final_piece: BeforeFinalPiece | None,
+) -> bool:
+    """Send the request, and record in the endpoint's limit when it was sent."""
+    limit = endpoint.declared_limit
+    if limit is None:
+        return await connection.send(request, before_final_piece)
+    limit.begin_send()
+    try:
+        return await connection.send(request, before_final_piece)
+    finally:
+        limit.end_send(clock())
+
+
 def _build_request(
     call: Call, endpoint: Endpoint, dialect: Dialect, left_ms: float
 ) -> OutgoingRequest:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -155,10 +155,11 @@
             call.decision_trace,
         )
         if pick is None:
-            call.backoff_ms = self._view.backoff_left_ms(call.service)
+            call.backoff_ms = self._balancer.permit_wait_ms(call.service)
             if call.backoff_ms is None:
                 return ErrorKind.NO_BACKEND_SERVER
-            call.decision_trace.append(f"resting/{call.backoff_ms:.0f}")
+            reason = "limited" if self._view.has_limited(call.service) else "resting"
+            call.decision_trace.append(f"{reason}/{call.backoff_ms:.0f}")
             return ErrorKind.QUEUE_FULL
         refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
         if refusal_kind is None:
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 from ..core.allowances import FleetSize
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.clock import Clock, Instant, add_ms
 from ..core.declared_limit import DeclaredLimit
 from ..core.digests import bucket_digests
 from ..core.registry import (
@@ -85,10 +86,17 @@
 class FleetView:
     """The view of one entry, updated by the lines of the feeds."""
 
-    def __init__(self, decode: Decode, clock: Clock, log: EventLog) -> None:
+    def __init__(
+        self,
+        decode: Decode,
+        clock: Clock,
+        log: EventLog,
+        rng: random.Random | None = None,
+    ) -> None:
         self._decode = decode
         self._clock = clock
         self._log = log
+        self._rng = rng or random.Random()
         self.replicated_state = ReplicatedState()
         self.configuration: RoutingConfiguration | None = None
         self.registry = Registry()
@@ -232,7 +240,9 @@
         endpoint.has_malformed_limit = False
         limit = endpoint.declared_limit
         if limit is None:
-            limit = endpoint.declared_limit = DeclaredLimit(limit_per_s, now)
+            limit = endpoint.declared_limit = DeclaredLimit(
+                limit_per_s, now, self._rng.random()
+            )
             self._log_declared_limit(endpoint, limit_per_s, "none")
             limit.logged_at = now
             return
@@ -336,16 +346,10 @@
             current is endpoint and not is_backing_off and self._is_eligible(endpoint)
         )
 
-    def backoff_left_ms(self, service: str) -> float | None:
-        """Return the ms until the first endpoint of a service ends its back-off.
-
-        Return None when the service has no endpoints or one isn't backing off.
-        """
+    def has_limited(self, service: str) -> bool:
+        """Return whether an endpoint of a service declares a limit."""
         endpoints = self.by_service.get(service, ())
-        now = self._clock()
-        if not endpoints or not all(e.is_backing_off(now) for e in endpoints):
-            return None
-        return remaining_ms(min(e.backoff_until for e in endpoints), now)
+        return any(endpoint.declared_limit is not None for endpoint in endpoints)
 
     # The fleet
 
