Let no response to an earlier request raise or end a declared limit

A request that a server works on for a second may be answered after it has declared a limit. Its response without the header ended the limit, and this entry then sent at its usual rate until it saw the limit again. A limit is now raised and ended only by responses to requests sent no earlier than the newest one whose response declared it. The test test_slow_response_from_before_the_limit_does_not_end_it fails without that comparison. Further tests: end of a limit, limit of 0, refusal while all servers are at their limit, malformed values, a new incarnation, a limited server that fails.

--- a/pollenfold/core/declared_limit.py
+++ b/pollenfold/core/declared_limit.py
@@ -79,15 +79,17 @@
 class DeclaredLimit:
     """The limit that one incarnation of an endpoint declares, and its use so far.
 
-    ``seen_at`` is when a response last declared it, ``logged_at`` when it was last
-    logged. ``phase``, from 0 to 1, differs by entry, so that entries that see the limit
-    at the same moment don't all use their first permits at once. ``share_inputs`` are
-    the values for which the present share was computed.
+    ``seen_at`` is when a response last declared it, ``asked_at`` when the newest
+    request was sent whose response did, ``logged_at`` when it was last logged.
+    ``phase``, from 0 to 1, differs by entry, so that entries that see the limit at the
+    same moment don't all use their first permits at once. ``share_inputs`` are the
+    values for which the present share was computed.
     """
 
     __slots__ = (
         "rate_per_s",
         "seen_at",
+        "asked_at",
         "logged_at",
         "share_inputs",
         "_phase",
@@ -101,6 +103,7 @@
     def __init__(self, rate_per_s: float, now: Instant, phase: float = 0.0) -> None:
         self.rate_per_s = rate_per_s
         self.seen_at = now
+        self.asked_at = now
         self.logged_at = now
         self.share_inputs: tuple[float, frozenset[str], int] | None = None
         self._phase = phase
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -244,7 +244,13 @@
         if response is not None:
             is_success = outcome is AttemptOutcome.RESPONDED and response.status < 300
             apply_response_notices(
-                endpoint, response, self._dialect, self._view, self._rng, is_success
+                endpoint,
+                response,
+                self._dialect,
+                self._view,
+                self._rng,
+                is_success,
+                started_at,
             )
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
             call.work_estimate.observe(self._clock() - call.sent_at, pick.slowdown)
--- a/pollenfold/gateway/notices.py
+++ b/pollenfold/gateway/notices.py
@@ -4,6 +4,7 @@
 
 import random
 
+from ..core.clock import Instant
 from ..http.declared_limit import parse_declared_limit
 from ..http.messages import Response, find_header
 from ..http.retry_after import parse_backoff_ms, spread_backoff_ms
@@ -20,21 +21,25 @@
     view: FleetView,
     rng: random.Random,
     is_success: bool,
+    asked_at: Instant,
 ) -> None:
     """Apply what a response says of its endpoint in its headers.
 
     A response of another instance at the address (status 421) is ignored. Only a
     success, as ``is_success`` tells, ends a declared limit by not repeating it: a
-    failure may be made before the server adds its headers.
+    failure may be made before the server adds its headers. ``asked_at`` is when the
+    request or probe was sent.
     """
     if response.status == 421:
         return
     headers = response.headers
     if find_header(headers, dialect.leaving) == LEAVING:
         view.mark_leaving(endpoint)
-    _apply_declared_limit(
-        endpoint, find_header(headers, dialect.declared_limit), view, is_success
-    )
+    limit = find_header(headers, dialect.declared_limit)
+    if limit is not None:
+        _apply_declared_limit(endpoint, limit, view, asked_at)
+    elif is_success:
+        view.end_declared_limit(endpoint, asked_at)
     retry_after = find_header(headers, b"retry-after")
     if response.status != 503 or retry_after is None:
         return
@@ -44,14 +49,10 @@
 
 
 def _apply_declared_limit(
-    endpoint: Endpoint, value: bytes | None, view: FleetView, is_success: bool
+    endpoint: Endpoint, value: bytes, view: FleetView, asked_at: Instant
 ) -> None:
-    if value is None:
-        if is_success:
-            view.end_declared_limit(endpoint)
-        return
     limit_per_s = parse_declared_limit(value)
     if limit_per_s is None:
         view.reject_declared_limit(endpoint, value)
     else:
-        view.set_declared_limit(endpoint, limit_per_s)
+        view.set_declared_limit(endpoint, limit_per_s, asked_at)
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -163,7 +163,7 @@
             until = await self._wait_for_any([c for _, c in sent], until)
         results = []
         for endpoint, connection in sent:
-            result = await self._receive(state, endpoint, connection, until)
+            result = await self._receive(state, endpoint, connection, started_at, until)
             if result is not None:
                 results.append(result)
         if results:
@@ -220,6 +220,7 @@
         state: ServiceProbeState,
         endpoint: Endpoint,
         connection: BackendConnection,
+        asked_at: Instant,
         until: Instant,
     ) -> ProbeResult | None:
         left_ms = max(1.0, remaining_ms(until, self._clock()))
@@ -232,7 +233,7 @@
         if isinstance(response, Failure):
             await self._connections.record_failure(endpoint, connection)
             return None
-        return await self._evaluate(state, endpoint, connection, response)
+        return await self._evaluate(state, endpoint, connection, asked_at, response)
 
     def _is_health_response(self, response: Response) -> bool:
         """Return False for a late duplicate of the response to a request."""
@@ -243,6 +244,7 @@
         state: ServiceProbeState,
         endpoint: Endpoint,
         connection: BackendConnection,
+        asked_at: Instant,
         response: Response,
     ) -> ProbeResult | None:
         """Apply a health response to the state of the endpoint; return its result.
@@ -260,7 +262,7 @@
         endpoint.health.mark_reachable()
         is_success = response.status == 200
         apply_response_notices(
-            endpoint, response, dialect, self._view, self._rng, is_success
+            endpoint, response, dialect, self._view, self._rng, is_success, asked_at
         )
         if not self._view.accepts_new_requests(endpoint):
             await self._connections.release(endpoint, connection)
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -234,8 +234,14 @@
             self._log.state("endpoint_rests", endpoint=endpoint_id, rest_ms=backoff_ms)
         endpoint.backoff_until = max(endpoint.backoff_until, add_ms(now, backoff_ms))
 
-    def set_declared_limit(self, endpoint: Endpoint, limit_per_s: float) -> None:
-        """Apply the limit that an endpoint has just declared."""
+    def set_declared_limit(
+        self, endpoint: Endpoint, limit_per_s: float, asked_at: Instant
+    ) -> None:
+        """Apply the limit that an endpoint declared in a response.
+
+        ``asked_at`` is when the request was sent. A response to an earlier request than
+        the newest one may lower a limit, but it neither raises nor ends it.
+        """
         now = self._clock()
         endpoint.has_malformed_limit = False
         limit = endpoint.declared_limit
@@ -244,8 +250,11 @@
                 limit_per_s, now, self._rng.random()
             )
             self._log_declared_limit(endpoint, limit_per_s, "none")
-            limit.logged_at = now
+            limit.asked_at = asked_at
             return
+        if limit_per_s > limit.rate_per_s and asked_at < limit.asked_at:
+            return
+        limit.asked_at = max(limit.asked_at, asked_at)
         before = limit.set_rate(limit_per_s, now)
         is_log_due = now >= add_ms(limit.logged_at, LIMIT_LOG_INTERVAL_MS)
         if limit_per_s != before and is_log_due:
@@ -263,15 +272,17 @@
             before=before,
         )
 
-    def end_declared_limit(self, endpoint: Endpoint) -> None:
+    def end_declared_limit(self, endpoint: Endpoint, asked_at: Instant) -> None:
         """Remove the limit of an endpoint that no longer declares one."""
-        limit, endpoint.declared_limit = endpoint.declared_limit, None
-        if limit is not None:
-            self._log.state(
-                "endpoint_limit_ended",
-                endpoint=endpoint.announcement.endpoint_id,
-                limit_per_s=limit.rate_per_s,
-            )
+        limit = endpoint.declared_limit
+        if limit is None or asked_at < limit.asked_at:
+            return
+        endpoint.declared_limit = None
+        self._log.state(
+            "endpoint_limit_ended",
+            endpoint=endpoint.announcement.endpoint_id,
+            limit_per_s=limit.rate_per_s,
+        )
 
     def reject_declared_limit(self, endpoint: Endpoint, value: bytes) -> None:
         """Log a malformed limit, once until the endpoint declares a valid one."""
--- a/pollenfold/tests/gateway/test_declared_limits.py
+++ b/pollenfold/tests/gateway/test_declared_limits.py
@@ -63,3 +63,145 @@
         assert statuses.count(200) == len(statuses)
 
     run(main)
+
+
+async def limited_and_peer(run_body, limit=b"3.1", n_peers=1):
+    """Run a body with a call path that has seen the limit of one server."""
+    limited = Backend("limited", limit=limit)
+    peers = [Backend(f"peer{number}") for number in range(n_peers)]
+    for backend in (limited, *peers):
+        await backend.start()
+    path = CallPath([limited, *peers])
+    while path.view.endpoints["limited"].declared_limit is None:
+        await path.get()
+    await run_body(path, limited, *peers)
+
+
+def test_slow_response_from_before_the_limit_does_not_end_it(run):
+    """Guards against a limit that ends with a response which the server made before it
+    declared the limit, but which arrives after it."""
+
+    async def main():
+        backend = Backend("one", delay_ms=300.0)
+        await backend.start()
+        path = CallPath([backend])
+        slow = await curio.spawn(path.get)
+        while not backend.requests:
+            await curio.sleep(0.005)
+        endpoint = path.view.endpoints["one"]
+        path.view.set_declared_limit(endpoint, 2.0, path.forwarder._clock())
+        assert (await slow.join()).status == 200
+        assert endpoint.declared_limit is not None
+        assert endpoint.declared_limit.rate_per_s == 2.0
+
+    run(main)
+
+
+def test_server_that_stops_declaring_a_limit_gets_its_work_again(run):
+    """Guards against a server that is kept out after its limit has ended."""
+
+    async def body(path, limited, peer):
+        await curio.spawn(path.balancer.run_maintenance, daemon=True)
+        limited.limit = b""
+        await send_steadily([path], 20, 4.0)
+        n_before = len(limited.requests)
+        await send_steadily([path], 20, 2.0)
+        assert len(limited.requests) - n_before >= 10
+
+    run(limited_and_peer, body)
+
+
+def test_limit_of_zero_ends_without_requests(run):
+    """Guards against a server that declared a limit of 0 and is never looked at again,
+    and against requests to it meanwhile."""
+
+    async def body(path, limited, peer):
+        await curio.spawn(path.balancer.run_maintenance, daemon=True)
+        n_requests = len(limited.requests)
+        since_ms = path.forwarder._clock()
+        await send_steadily([path], 20, 3.0)
+        assert len(limited.requests) == n_requests
+        assert largest_sum(limited.arrived_ms, since_ms) <= allowed_in_window(0.0)
+        limited.limit = b""
+        await send_steadily([path], 20, 4.0)
+        assert len(limited.requests) > n_requests
+
+    run(limited_and_peer, body, b"0")
+
+
+def test_request_is_refused_at_once_while_all_servers_are_at_their_limit(run):
+    """Guards against a request that waits for a permit until its deadline, and against
+    a refusal without a time to return or after an execution."""
+
+    async def body(path, limited):
+        n_before = len(limited.requests)
+        started_at = path.forwarder._clock()
+        response = await path.get()
+        assert path.forwarder._clock() - started_at < 100
+        assert response.status == 503
+        assert b"did_not_run" in response.body
+        assert 0 < float(dict(response.headers)[b"retry-after"]) <= 4
+        assert len(limited.requests) == n_before
+        path.log.flush()
+        assert any("asked=limited/" in line for line in path.lines)
+
+    run(limited_and_peer, body, b"0.5", 0)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"-1", b"nan", b"inf", b"1e3", b"3,1", b"soon", b"\xb2", b"9" * 4000, b"+2", b"."],
+)
+def test_malformed_limit_changes_nothing_and_is_logged_once(run, value):
+    """Guards against a server that is kept out by a value that is no limit, and
+    against a log line for each of its responses."""
+
+    async def main():
+        backend = Backend("one", limit=value)
+        await backend.start()
+        path = CallPath([backend])
+        statuses = await send_steadily([path], 50, 0.5)
+        assert set(statuses) == {200}
+        assert path.view.endpoints["one"].declared_limit is None
+        path.log.flush()
+        lines = [line for line in path.lines if "event=malformed_limit" in line]
+        assert len(lines) == 1
+        assert len(lines[0]) < 400
+
+    run(main)
+
+
+def test_malformed_limit_leaves_the_declared_one_in_force(run):
+    """Guards against a limit that ends because of a malformed value."""
+
+    async def body(path, limited, peer):
+        limited.limit = b"many"
+        n_before = len(limited.requests)
+        await send_steadily([path], 30, 3.0)
+        assert len(limited.requests) - n_before <= allowed_in_window(2.0)
+        assert path.view.endpoints["limited"].declared_limit.rate_per_s == 2.0
+
+    run(limited_and_peer, body, b"2.0")
+
+
+def test_new_incarnation_is_not_bound_by_the_limit_of_the_one_before(run):
+    """Guards against a restarted server that is held to a limit it never declared."""
+
+    async def body(path, limited, peer):
+        limited.limit = b""
+        path.announce(limited, sequence=1, born_ms=2000)
+        assert path.view.endpoints["limited"].declared_limit is None
+
+    run(limited_and_peer, body)
+
+
+def test_limited_server_that_fails_is_not_preferred(run):
+    """Guards against requests to a limited server that fails while others serve."""
+
+    async def body(path, limited, peer):
+        limited.respond = lambda request: None
+        statuses = await send_steadily([path], 30, 4.0)
+        assert statuses.count(200) >= len(statuses) - 2
+        assert len(limited.requests) < 20
+
+    run(limited_and_peer, body)
