Tell all entries of a server's limit and of its end through the feeds

Seen in a test: at a low limit only a few of sixteen entries may send to the server, and the others kept it out for a minute or more after its limit had ended, since they don't see its responses; with hundreds of entries for a quarter of an hour. Weighed: a probe by each entry now and then (at 312 entries and a limit of one request a second these probes alone fill the limit) and gossip between entries (one more protocol). What an entry saw itself later than a report stands.

Tests: test_all_entries_learn_within_seconds_that_a_limit_ended[0] and [0.5], test_report_on_a_limit_reaches_all_subscribers_once and the cases of old, early and malformed reports; the code before has no reports to fail with, so they show the new behaviour only.

--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -19,6 +19,12 @@
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.digests import bucket_digests
 from ..core.errors import ErrorKind
+from ..core.limit_report import (
+    LimitReport,
+    SeenReport,
+    decode_limit_report,
+    seen_report,
+)
 from ..core.registry import Announcement, Registry, decode_announcement
 from ..core.replicated_state import (
     Command,
@@ -85,6 +91,8 @@
         self.replica: Replica
         self.on_change: Callable[[], None] = lambda: None
         self.on_update: Callable[[Announcement], None] = lambda announcement: None
+        self.on_limit_report: Callable[[str], None] = lambda endpoint_id: None
+        self._limit_reports: dict[str, SeenReport] = {}
 
     # State machine
 
@@ -131,6 +139,32 @@
             )
             self.on_update(announcement)
 
+    def merge_limit_reports(self, items: Iterable[object]) -> None:
+        """Merge what entries saw of the endpoints' limits, and publish what is new.
+
+        Raise ValueError if an item is malformed.
+        """
+        now = self._clock()
+        for fields in items:
+            seen = seen_report(decode_limit_report(fields), now)
+            report = seen.report
+            announcement = self.registry.get(report.endpoint_id)
+            if announcement is None or announcement.born_ms != report.born_ms:
+                continue
+            known = self._limit_reports.get(report.endpoint_id)
+            if known is not None and not seen.supersedes(known):
+                continue
+            self._limit_reports[report.endpoint_id] = seen
+            self.on_limit_report(report.endpoint_id)
+
+    def limit_reports(self) -> list[LimitReport]:
+        """Return the newest report on each known endpoint, with its present age."""
+        now = self._clock()
+        self._limit_reports = {
+            k: v for k, v in self._limit_reports.items() if k in self.registry
+        }
+        return [seen.aged_report(now) for seen in self._limit_reports.values()]
+
     def refresh_relayed(self, endpoint_ids: Iterable[str]) -> None:
         """Record endpoints that announced themselves again to another replica."""
         now = self._clock()
@@ -334,6 +368,10 @@
         for fields, _ in items:
             self._cluster_state.merge_announcement(decode_announcement(fields))
 
+    def apply_limit_reports(self, items: Iterable[object]) -> None:
+        """Merge reports on limits that another replica received."""
+        self._cluster_state.merge_limit_reports(items)
+
     def renew_endpoints(self, endpoint_ids: list[str]) -> None:
         """Record repeated announcements, to send their ids to entries."""
         self._cluster_state.refresh_relayed(endpoint_ids)
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -87,6 +87,7 @@
         self._log = log
         self._subscribers: set[_Subscriber] = set()
         self._pending_updates: dict[str, Announcement] = {}
+        self._changed_limits: set[str] = set()
         self._is_changed = False
         self._published_at = clock()
         self._published_to_all_at = clock()
@@ -97,6 +98,7 @@
         self.fleet = FleetSize()
         cluster_state.on_change = self._mark_changed
         cluster_state.on_update = self._queue_update
+        cluster_state.on_limit_report = self._queue_limit_report
 
     @property
     def n_subscribers(self) -> int:
@@ -109,6 +111,9 @@
     def _queue_update(self, announcement: Announcement) -> None:
         self._pending_updates[announcement.endpoint_id] = announcement
 
+    def _queue_limit_report(self, endpoint_id: str) -> None:
+        self._changed_limits.add(endpoint_id)
+
     async def serve(self, host: str, port: int) -> None:
         """Listen until cancelled."""
         await curio.tcp_server(host, port, self._serve_subscriber, reuse_address=True)
@@ -129,6 +134,8 @@
                 elif "list" in line:
                     items = self._announcements(line.get("digests"))
                     self._send_line(subscriber, {"announcements": items})
+                elif "limits" in line:
+                    self._merge_limit_reports(subscriber, line["limits"])
                 elif "news" in line:
                     self._set_wants_updates(subscriber, bool(line["news"]))
         except OSError as error:
@@ -145,6 +152,16 @@
                     detail=detail,
                 )
 
+    def _merge_limit_reports(
+        self, subscriber: _Subscriber, items: list[object]
+    ) -> None:
+        try:
+            self._cluster_state.merge_limit_reports(items)
+        except (ValueError, TypeError) as error:
+            self._log.state(
+                "malformed_report", reader=subscriber.name, detail=str(error)
+            )
+
     def _register(self, subscriber: _Subscriber) -> None:
         """Add a subscriber and send the current index and sizes.
 
@@ -181,10 +198,14 @@
         subscriber.wants_updates = wants_updates
         if wants_updates:
             # Later changes are relative to what was last sent to all subscribers.
-            names = sorted(self._published_entries)
-            self._send_line(
-                subscriber, {"entries": names, "complete_ms": self._complete_ms()}
-            )
+            line: dict[str, Any] = {
+                "entries": sorted(self._published_entries),
+                "complete_ms": self._complete_ms(),
+            }
+            reports = self._cluster_state.limit_reports()
+            if reports:
+                line["limits"] = [report.encode() for report in reports]
+            self._send_line(subscriber, line)
 
     def _complete_ms(self) -> float:
         """Return how long this replica has been connected to all others, else -1."""
@@ -252,7 +273,8 @@
             await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
             now = self._clock()
             is_keep_alive_due = now >= add_ms(self._published_at, KEEP_ALIVE_MS)
-            if is_keep_alive_due or self._is_changed or self._pending_updates:
+            has_updates = bool(self._pending_updates or self._changed_limits)
+            if is_keep_alive_due or self._is_changed or has_updates:
                 self._publish(now, is_keep_alive_due)
 
     def _publish(self, now: Instant, is_keep_alive_due: bool) -> None:
@@ -284,10 +306,20 @@
         )
 
     def _pop_updates(self) -> dict[str, Any]:
-        """Remove and return the announcements that weren't published yet."""
+        """Remove and return the announcements and limits not published yet."""
+        line: dict[str, Any] = {}
         updates = self._pending_updates.values()
-        self._pending_updates = {}
-        return {"announcements": [[a.encode(), 0] for a in updates]} if updates else {}
+        if updates:
+            line["announcements"] = [[a.encode(), 0] for a in updates]
+            self._pending_updates = {}
+        if self._changed_limits:
+            line["limits"] = [
+                report.encode()
+                for report in self._cluster_state.limit_reports()
+                if report.endpoint_id in self._changed_limits
+            ]
+            self._changed_limits.clear()
+        return line
 
     def _with_repeated(
         self, updates: dict[str, Any]
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -127,6 +127,7 @@
                 if host not in self._connected:
                     await self._tasks.pop(host).cancel()
             await self._choose_source()
+            await self._send_limit_reports()
             self._update_connected_since()
             self._view.n_connected = len(self._connected)
             self._view.expire()
@@ -160,6 +161,17 @@
             with contextlib.suppress(OSError, curio.TaskTimeout):
                 await former.send({"news": 0})
 
+    async def _send_limit_reports(self) -> None:
+        """Send the update source what this entry saw of the endpoints' limits."""
+        source = self._connected.get(self._source or "")
+        if source is None:
+            return
+        reports = self._view.take_limit_reports()
+        if reports:
+            # The task that reads the feed detects a broken connection.
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                await source.send({"limits": reports})
+
     def _update_connected_since(self) -> None:
         """Update since when this process receives the announcements of all endpoints.
 
@@ -268,6 +280,8 @@
             view.apply_announcements(line["announcements"])
         if "heard" in line:
             view.renew_endpoints(line["heard"])
+        if "limits" in line:
+            view.apply_limit_reports(line["limits"])
         if "entries" in line and host == self._source:
             view.entry_ids = frozenset(line["entries"])
         if "joined" in line and host == self._source:
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -234,3 +234,50 @@
             await wait_until(lambda: subscriber.entries() == expected)  # noqa: B023
 
     with_feed(body)
+
+
+def limit_reports(subscriber):
+    return [
+        (endpoint_id, rate_per_s)
+        for line in subscriber.lines
+        for endpoint_id, _, rate_per_s, _ in line.get("limits", ())
+    ]
+
+
+def test_report_on_a_limit_reaches_all_subscribers_once(with_feed):
+    """Guards against entries that learn too late, or never, that a server's limit
+    changed, and against reports that replicas send back and forth."""
+
+    async def body(cluster_state, connect):
+        cluster_state.merge_announcement(announcement("i-1"))
+        reporter, other = await connect("e1"), await connect("e2")
+        replica = await connect("c2", role="control")
+        await reporter.send({"limits": [["i-1", 1, 3.1, 10]]})
+        await reporter.send({"limits": [["i-2", 1, 3.1, 10], ["i-1", 7, 1.0, 0]]})
+        await other.send({"limits": [["i-1", 1, 3.0, 0]]})
+        await wait_until(lambda: limit_reports(other) and limit_reports(replica))
+        await replica.send({"limits": [["i-1", 1, 3.1, 0]]})
+        late = await connect("e3")
+        await wait_until(lambda: limit_reports(late))
+        await curio.sleep(0.1)
+        for subscriber in (other, replica, late):
+            assert limit_reports(subscriber) == [("i-1", 3.1)]
+        await reporter.send({"limits": [["i-1", 1, None, 0]]})
+        await wait_until(lambda: limit_reports(other)[-1] == ("i-1", None))
+
+    with_feed(body)
+
+
+def test_malformed_report_changes_nothing(with_feed):
+    """Guards against a damaged report that stops a feed or changes a limit."""
+
+    async def body(cluster_state, connect):
+        cluster_state.merge_announcement(announcement("i-1"))
+        sender, other = await connect("e1"), await connect("e2")
+        await sender.send({"limits": [["i-1", 1, "many", 0]]})
+        await sender.send({"limits": 3})
+        await other.send({"limits": [["i-1", 1, 2.0, 0]]})
+        for subscriber in (sender, other):
+            await wait_until(lambda s=subscriber: limit_reports(s) == [("i-1", 2.0)])
+
+    with_feed(body)
--- a/pollenfold/tests/gateway/test_declared_limits.py
+++ b/pollenfold/tests/gateway/test_declared_limits.py
@@ -3,6 +3,7 @@
 import curio
 import pytest
 
+from pollenfold.core.limit_report import decode_limit_report
 from pollenfold.tests.gateway.conftest import Backend, CallPath
 
 WINDOW_MS = 4_000.0
@@ -38,6 +39,17 @@
     return statuses
 
 
+async def relay_reports(paths):
+    """Exchange reports among entries, as the control replicas do."""
+    while True:
+        await curio.sleep(0.2)
+        for path in paths:
+            reports = path.view.take_limit_reports()
+            for other in paths:
+                if other is not path:
+                    other.view.apply_limit_reports(reports)
+
+
 @pytest.mark.parametrize("n_entries", [1, 16])
 def test_sum_of_all_entries_keeps_to_a_declared_limit(run, n_entries):
     """Guards against a server that gets far more requests and probes than the limit
@@ -205,3 +217,81 @@
         assert len(limited.requests) < 20
 
     run(limited_and_peer, body)
+
+
+@pytest.mark.parametrize("limit", [b"0", b"0.5"])
+def test_all_entries_learn_within_seconds_that_a_limit_ended(run, limit):
+    """Guards against a server that gets hardly any work after its limit has ended,
+    since entries without a permit don't see its responses."""
+
+    async def main():
+        limited, peer = Backend("limited", limit=limit), Backend("peer")
+        await limited.start()
+        await peer.start()
+        names = [f"e{number}" for number in range(16)]
+        paths = [
+            CallPath([limited, peer], entry_id=name, entry_ids=names) for name in names
+        ]
+        for path in paths:
+            await curio.spawn(path.balancer.run_maintenance, daemon=True)
+        await curio.spawn(relay_reports, paths, daemon=True)
+        await send_steadily(paths, 60, 2.0)
+        since_ms = paths[0].forwarder._clock()
+        await send_steadily(paths, 60, 4.0)
+        bound = allowed_in_window(float(limit))
+        assert largest_sum(limited.arrived_ms, since_ms) <= bound
+        limited.limit = b""
+        await send_steadily(paths, 60, 4.0)
+        endpoints = [path.view.endpoints["limited"] for path in paths]
+        assert not any(endpoint.declared_limit for endpoint in endpoints)
+
+    run(main)
+
+
+def test_report_older_than_what_this_entry_saw_is_ignored(run):
+    """Guards against a limit that a delayed report ends, or that one starts again."""
+
+    async def body(path, limited, peer):
+        path.view.apply_limit_reports([["limited", 1000, None, 60_000]])
+        assert path.view.endpoints["limited"].declared_limit.rate_per_s == 3.1
+        path.view.apply_limit_reports([["limited", 1000, None, 0]])
+        assert path.view.endpoints["limited"].declared_limit is None
+        path.view.apply_limit_reports([["limited", 1000, 2.0, 5_000]])
+        assert path.view.endpoints["limited"].declared_limit is None
+
+    run(limited_and_peer, body)
+
+
+def test_report_applies_to_one_incarnation_which_may_be_announced_later(run):
+    """Guards against a starting entry that overruns a limit that others know, and
+    against a new incarnation that is bound by a report on the one before it."""
+
+    async def main():
+        backend = Backend("one")
+        await backend.start()
+        path = CallPath([])
+        path.view.apply_limit_reports([["one", 1000, 2.0, 0]])
+        path.announce(backend)
+        assert path.view.endpoints["one"].declared_limit.rate_per_s == 2.0
+        path.announce(backend, born_ms=2000)
+        assert path.view.endpoints["one"].declared_limit is None
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [],
+        "one",
+        ["one", 1000, -1.0, 0],
+        ["one", 1000, float("nan"), 0],
+        ["one", 1000, 2.0, float("inf")],
+        ["one", "1000", 2.0, 0],
+        ["one", 1000, 2.0, -1],
+    ],
+)
+def test_malformed_report_is_rejected(fields):
+    """Guards against a damaged report that changes what an entry believes."""
+    with pytest.raises(ValueError):
+        decode_limit_report(fields)
