--- a/pollenfold/core/declared_limit.py
+++ b/pollenfold/core/declared_limit.py
@@ -22,9 +22,10 @@
 """Factor on the time between two requests, since requests that left at regular
 intervals may arrive closer together."""
 
-CHECK_INTERVAL_MS = 2_500.0
+CHECK_INTERVAL_MS = 4_500.0
 """How long after the last response a limited endpoint is probed by one entry, so that
-the end of its limit is noticed without requests."""
+the end of its limit is noticed without requests. It exceeds the window, since entries
+with different lists of entries may each take themselves for that one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,13 +43,11 @@
     fallback_ms: float
 
     def interval_ms(self, rate_per_s: float, fair_rate_per_s: float) -> float:
-        """Return the time between two requests of this entry; infinite without permits.
+        """Return the time between two requests of this entry, which has permits.
 
         ``fair_rate_per_s`` is what the endpoint would get if all endpoints of its
         service got the same. A limit above it doesn't attract more.
         """
-        if not self.n_permits:
-            return float("inf")
         excess = max(1.0, rate_per_s / fair_rate_per_s) if fair_rate_per_s else 1.0
         return INTERVAL_MARGIN * self.window_ms / self.n_permits * excess
 
@@ -133,12 +132,12 @@
         together with a later one.
         """
         share = self._share
-        if share is None or self._n_sending:
+        if share is None or not share.n_permits or self._n_sending:
             return Instant(float("inf"))
         interval_ms = share.interval_ms(self.rate_per_s, fair_rate_per_s)
         if self._used_at is None:
-            interval_ms *= self._phase
-        return add_ms(self._used_at or self._declared_at, interval_ms)
+            return add_ms(self._declared_at, interval_ms * self._phase)
+        return add_ms(self._used_at, interval_ms)
 
     def use_permit(self, now: Instant) -> None:
         """Record that a request is about to be sent."""
