Send a limited server all of what it declared

A margin of 5% on the time between two requests guarded against requests that leave evenly and arrive closer together.

--- a/pollenfold/core/declared_limit.py
+++ b/pollenfold/core/declared_limit.py
@@ -18,10 +18,6 @@
 WINDOW_MS = 4_000.0
 """The window over which a declared limit is counted."""
 
-INTERVAL_MARGIN = 1.05
-"""Factor on the time between two requests, since requests that left at regular
-intervals may arrive closer together."""
-
 CHECK_INTERVAL_MS = 4_500.0
 """How long after the last response a limited endpoint is probed by one entry, so that
 the end of its limit is noticed without requests. It exceeds the window, since entries
@@ -49,7 +45,7 @@
         service got the same. A limit above it doesn't attract more.
         """
         excess = max(1.0, rate_per_s / fair_rate_per_s) if fair_rate_per_s else 1.0
-        return INTERVAL_MARGIN * self.window_ms / self.n_permits * excess
+        return self.window_ms / self.n_permits * excess
 
 
 def divide_limit(
@@ -62,7 +58,7 @@
     """Return the share of one entry in a declared limit.
 
     ``n_entries`` is the greatest number of entries reported recently, which may exceed
-    the number of known ``entry_ids``. For example, 13 permits per 4.2 s stand for a
+    the number of known ``entry_ids``. For example, 13 permits per 4.19 s stand for a
     limit of 3.1 requests/s; of 16 entries, 13 get one each.
     """
     n_total = ceil(rate_per_s * WINDOW_MS / 1000)
