Let the soak's servers declare limits

Two servers at a time declare limits, malformed ones too, while faults overlap; in the calm phases one declares 2 requests/s and the requests and probes of all entries are counted over 4 s (17 allowed). A source of random numbers of its own leaves the faults of the seeds kept as regression tests as they were.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -39,6 +39,13 @@
 CALM_BEFORE_COMMANDS_S = 3.2
 """Time after the last fault until processes are expected to be available again."""
 
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMITS = ("0", "0.5", "3.1", "40", "soon", "")
+"""Limits that backend servers declare during phases with faults; one is malformed."""
+
+MAX_LIMITED = 2
+
 REFUSALS = (408, 421, 429, 503)
 ZONES = ("a", "b", "c")
 
@@ -143,6 +150,10 @@
     folder: Path
     n_cycles: int
     rng: random.Random = field(default_factory=random.Random)
+    limit_rng: random.Random = field(default_factory=random.Random)
+    """Draws limits. With a source of their own they don't change the faults that are
+    drawn by the seeds kept as regression tests."""
+
     violations: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     n_served: int = 0
@@ -155,6 +166,7 @@
 
     def __post_init__(self) -> None:
         self.rng.seed(self.seed)
+        self.limit_rng.seed(-1 - self.seed)
         network = f"127.{10 + self.seed % 200}"
         self.controls = [self._program("control", network, 1, k) for k in range(3)]
         self.entries = [self._program("entry", network, 2, k) for k in range(3)]
@@ -369,8 +381,37 @@
         if process is program.process:
             program.start(self.seeds, False)
 
+    async def vary_limits(self) -> None:
+        """Let some backend servers declare limits until cancelled."""
+        while True:
+            await curio.sleep(self.limit_rng.uniform(0.2, 1.0))
+            limited = [backend for backend in self.backends if backend.limit]
+            if len(limited) == MAX_LIMITED:
+                limited[0].limit = ""
+            self.limit_rng.choice(self.backends).limit = self.limit_rng.choice(LIMITS)
+
+    def end_limits(self) -> None:
+        for backend in self.backends:
+            backend.limit = ""
+
     # Commands in calm phases
 
+    async def declare_limit(self) -> None:
+        """Let a server declare a limit, to which all entries together must keep."""
+        backend = self.limit_rng.choice(self.backends)
+        backend.limit = f"{LIMIT_PER_S}"
+        # Each entry has seen it by then.
+        await curio.sleep(1.0)
+        since = time.monotonic()
+        await curio.sleep(LIMIT_WINDOW_S)
+        n_arrived = sum(at >= since for at in backend.arrived_s)
+        backend.limit = ""
+        if n_arrived > 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5:
+            self.add_violation(
+                f"{backend.name}: {n_arrived} requests and probes in "
+                f"{LIMIT_WINDOW_S} s at a declared limit of {LIMIT_PER_S} a second"
+            )
+
     async def drain_backend(self) -> None:
         """Drain a backend server; after the limit it must receive no requests."""
         backend = self.rng.choice([b for b in self.backends if not b.is_leaving])
@@ -434,6 +475,7 @@
     async def _cycle(self) -> None:
         deadline = time.monotonic() + 3.0
         tasks = []
+        limits_task = await curio.spawn(self.vary_limits, daemon=True)
         while time.monotonic() < deadline:
             tasks.append(await curio.spawn(self.inject_fault))
             if self.rng.random() < 0.5:
@@ -441,12 +483,16 @@
             await curio.sleep(self.rng.uniform(0.2, 0.9))
         for task in tasks:
             await task.join()
+        await limits_task.cancel()
+        self.end_limits()
         await curio.sleep(CALM_BEFORE_COMMANDS_S)
         await self.put_configuration()
         self.is_disk_lost = False
         drain_task = await curio.spawn(self.drain_backend)
+        limit_task = await curio.spawn(self.declare_limit)
         await self.zone_out_and_in()
         await drain_task.join()
+        await limit_task.join()
 
     async def _recover(self) -> None:
         """Kill all processes; acknowledged configuration and service must recover."""
--- a/benchmarks/soak_backends.py
+++ b/benchmarks/soak_backends.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import time
+from collections import deque
 from enum import Enum
 
 import curio
@@ -109,6 +110,12 @@
         self.host = host
         self.link = LinkProxy(host)
         self.fault = ""
+        self.limit = ""
+        """The limit on requests per second that all responses declare, if any."""
+
+        self.arrived_s: deque[float] = deque(maxlen=10_000)
+        """When requests and health checks arrived."""
+
         self.is_leaving = False
         self.executions: dict[str, int] = {}
         self.n_requests = 0
@@ -173,6 +180,9 @@
         ]
         if self.is_leaving:
             common_headers.append((b"server-leaving", b"1"))
+        if self.limit:
+            common_headers.append((b"server-limit", self.limit.encode()))
+        self.arrived_s.append(time.monotonic())
         if request.path == "/healthz":
             return Response(503 if self.is_leaving else 200, common_headers)
         expected = request.header(b"x-expected-instance")
