Keep scarce permits for requests that can still be in time

Load pattern: all servers of a service declare limits far below the demand, and refused callers return when their target has passed. Half of the permits went to responses that were late for certain, while requests that could be in time were refused. A permit of an endpoint whose limit is below its fair share now serves a request that can't be in time only if it was unused for half a second. test_scarce_permits_go_to_requests_that_can_be_in_time failed before.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -44,6 +44,10 @@
 SLOW_ENDPOINT_PROBE_INTERVAL_MS = 40.0
 """How long after an endpoint reported being slow it is probed again."""
 
+SPARE_PERMIT_MS = 500.0
+"""How long a permit for a limited endpoint must be unused before it serves a request
+that can't be in time."""
+
 PROBE_BURST_S = 5.0
 PROBE_BUDGET_SHARE = 0.85
 """The share of the configured probe rate that searches may use."""
@@ -78,6 +82,21 @@
     best: ProbeResult | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _LimitedChoice:
+    """The choice among limited endpoints for one request.
+
+    Endpoints that failed lately are chosen only if ``includes_failing`` is true.
+    ``can_be_in_time`` is whether an idle endpoint would meet the request's target.
+    """
+
+    endpoints: list[Endpoint]
+    includes_failing: bool
+    can_be_in_time: bool
+    deadline: Instant
+    trace: list[str]
+
+
 class Balancer:
     """Selects endpoints for the requests of one entry."""
 
@@ -138,7 +157,10 @@
             endpoints = [e for e in endpoints if e.declared_limit is None]
             # A retry goes to an endpoint whose load was just reported, if there is one.
             if is_first_attempt or not endpoints:
-                pick = await self._pick_limited(limited, not endpoints, deadline, trace)
+                choice = _LimitedChoice(
+                    limited, not endpoints, max_slowdown >= 1.0, deadline, trace
+                )
+                pick = await self._pick_limited(choice)
                 if pick is not None:
                     return pick
         if not endpoints:
@@ -153,33 +175,37 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
-    async def _pick_limited(
-        self,
-        limited: list[Endpoint],
-        includes_failing: bool,
-        deadline: Instant,
-        trace: list[str],
-    ) -> Pick | None:
+    async def _pick_limited(self, choice: _LimitedChoice) -> Pick | None:
         """Select a limited endpoint for which this entry has a permit, if any.
 
-        Its load isn't probed, since a probe counts against its limit. Endpoints that
-        failed lately are selected only if ``includes_failing`` is true.
+        Its load isn't probed, since a probe counts against its limit.
         """
         now = self._clock()
         candidates = [
             endpoint
-            for endpoint in limited
-            if self._limit_permits.has_permit(endpoint)
-            and (includes_failing or not _is_failing(endpoint, now))
+            for endpoint in choice.endpoints
+            if self._may_use_permit(endpoint, choice.can_be_in_time)
+            and (choice.includes_failing or not _is_failing(endpoint, now))
         ]
         candidates.sort(key=self._limited_order)
         for endpoint in candidates[:MAX_ROUNDS]:
-            pick = await self._connect_permitted(endpoint, deadline)
+            pick = await self._connect_permitted(endpoint, choice.deadline)
             if pick is not None:
-                trace.append("limited")
+                choice.trace.append("limited")
                 return pick
         return None
 
+    def _may_use_permit(self, endpoint: Endpoint, can_be_in_time: bool) -> bool:
+        """Return whether there is a permit for a request.
+
+        A late response has little value, so a scarce permit is kept for a request that
+        can be in time, unless none has come for it.
+        """
+        is_kept = not can_be_in_time and self._limit_permits.is_scarce(endpoint)
+        unused_ms = SPARE_PERMIT_MS if is_kept else 0.0
+        available_at = self._limit_permits.next_permit_at(endpoint)
+        return add_ms(available_at, unused_ms) <= self._clock()
+
     def _limited_order(self, endpoint: Endpoint) -> tuple[bool, Instant]:
         """Prefer the own zone, then the endpoint whose permit waits longest."""
         is_remote = endpoint.announcement.zone != self._settings.zone
--- a/pollenfold/gateway/limit_permits.py
+++ b/pollenfold/gateway/limit_permits.py
@@ -39,6 +39,11 @@
         """Return whether a request may be sent now, without counting it."""
         return self.next_permit_at(endpoint) <= self._clock()
 
+    def is_scarce(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint takes less than its fair share of requests."""
+        limit = endpoint.declared_limit
+        return limit is not None and limit.rate_per_s < self._fair_rate_per_s(endpoint)
+
     def acquire(self, endpoint: Endpoint) -> bool:
         """Count one request if it may be sent; return whether it may."""
         if not self.has_permit(endpoint):
--- a/pollenfold/tests/gateway/test_declared_limits.py
+++ b/pollenfold/tests/gateway/test_declared_limits.py
@@ -295,3 +295,41 @@
     """Guards against a damaged report that changes what an entry believes."""
     with pytest.raises(ValueError):
         decode_limit_report(fields)
+
+
+def test_scarce_permits_go_to_requests_that_can_be_in_time(run):
+    """Load pattern: all servers declare limits far below the demand, and refused
+    callers return when their target has passed.
+
+    Guards against permits used for late responses while others could be in time.
+    """
+
+    async def body(path, limited):
+        in_time, late = [], []
+
+        async def call(deadline, statuses):
+            statuses.append((await path.get(deadline=deadline)).status)
+
+        for _ in range(100):
+            await curio.spawn(call, b"800", late)
+            await curio.sleep(0.02)
+            await curio.spawn(call, b"1500", in_time)
+            await curio.sleep(0.02)
+        assert in_time.count(200) >= 0.75 * 10 * 4
+        assert late.count(200) <= 0.1 * in_time.count(200)
+
+    run(limited_and_peer, body, b"10", 0)
+
+
+def test_unused_permits_serve_late_requests(run):
+    """Guards against late requests that are refused though nobody else wants to use
+    the permits."""
+
+    async def body(path, limited):
+        statuses = []
+        for _ in range(5):
+            await curio.sleep(0.7)
+            statuses.append((await path.get(deadline=b"800")).status)
+        assert statuses.count(200) >= 4
+
+    run(limited_and_peer, body, b"10", 0)
