Move declared limits out of the fleet view

DeclaredLimits updates the limits of endpoints and exchanges reports; Endpoint has a module of its own. No decision changes; tests of limits, feeds and notices pass.

--- /dev/null
+++ b/pollenfold/gateway/endpoint.py
@@ -0,0 +1,53 @@
+"""One endpoint as an entry knows it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..core.clock import Instant, add_ms
+from ..core.declared_limit import DeclaredLimit
+from ..core.registry import Announcement
+from ..core.selection import EndpointHealth
+
+Incarnation = tuple[str, int]
+"""The id of an endpoint and its start time, in ms since 1970 on its own clock."""
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One endpoint with what this entry observed of it.
+
+    Until ``cold_until`` only the cold limit of requests may be sent to it;
+    ``is_unconfirmed`` means that it may be cold, which its own next report decides.
+    Until ``backoff_until`` it must receive neither requests nor probes.
+    ``declared_limit`` is the limit that it declares in its responses, if any.
+    """
+
+    announcement: Announcement
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+    cold_until: Instant = Instant(0.0)
+    is_unconfirmed: bool = False
+    backoff_until: Instant = Instant(0.0)
+    declared_limit: DeclaredLimit | None = None
+    unlimited_at: Instant = Instant(0.0)
+    """When a success last showed that it declares no limit."""
+
+    has_malformed_limit: bool = False
+    """Whether the last limit that it declared was malformed."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """What identifies this incarnation of the endpoint."""
+        return self.announcement.endpoint_id, self.announcement.born_ms
+
+    def is_backing_off(self, now: Instant) -> bool:
+        """Return whether the endpoint asked for a back-off that has not ended."""
+        return now < self.backoff_until
+
+    def is_cold(self, now: Instant) -> bool:
+        """Return whether only the cold limit of requests may be sent to it."""
+        return self.is_unconfirmed or now < self.cold_until
+
+    def set_warmup_left(self, left_ms: float, now: Instant) -> None:
+        """Set how long the endpoint stays cold; 0 or less means that it is warm."""
+        self.cold_until = add_ms(now, left_ms) if left_ms > 0 else Instant(0.0)
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -166,7 +166,7 @@
         source = self._connected.get(self._source or "")
         if source is None:
             return
-        reports = self._view.take_limit_reports()
+        reports = self._view.limits.take_reports()
         if reports:
             # The task that reads the feed detects a broken connection.
             with contextlib.suppress(OSError, curio.TaskTimeout):
--- a/pollenfold/gateway/notices.py
+++ b/pollenfold/gateway/notices.py
@@ -39,7 +39,7 @@
     if limit is not None:
         _apply_declared_limit(endpoint, limit, view, asked_at)
     elif is_success:
-        view.end_declared_limit(endpoint, asked_at)
+        view.limits.end(endpoint, asked_at)
     retry_after = find_header(headers, b"retry-after")
     if response.status != 503 or retry_after is None:
         return
@@ -53,6 +53,6 @@
 ) -> None:
     limit_per_s = parse_declared_limit(value)
     if limit_per_s is None:
-        view.reject_declared_limit(endpoint, value)
+        view.limits.reject(endpoint, value)
     else:
-        view.set_declared_limit(endpoint, limit_per_s, asked_at)
+        view.limits.declare(endpoint, limit_per_s, asked_at)
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -9,19 +9,11 @@
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Any
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
-from ..core.declared_limit import DeclaredLimit
 from ..core.digests import bucket_digests
-from ..core.limit_report import (
-    LimitReport,
-    SeenReport,
-    decode_limit_report,
-    seen_report,
-)
 from ..core.registry import (
     Announcement,
     Registry,
@@ -30,8 +22,10 @@
 )
 from ..core.replicated_state import ReplicatedState
 from ..core.routes import RoutingConfiguration
-from ..core.selection import EndpointHealth
 from ..observe.events import EventLog
+from .declared_limits import DeclaredLimits
+from .endpoint import Endpoint as Endpoint
+from .endpoint import Incarnation as Incarnation
 
 ENDPOINT_EXPIRY_MS = 12_000.0
 """An endpoint without announcements for this long is removed.
@@ -41,57 +35,8 @@
 MAX_LEAVING_INCARNATIONS = 4_096
 """How many incarnations of endpoints that announced that they are leaving are kept."""
 
-LIMIT_LOG_INTERVAL_MS = 1_000.0
-"""The minimum time between two log lines on changes of one endpoint's limit."""
-
-MAX_LIMIT_REPORTS = 4_096
-MAX_LOGGED_VALUE_BYTES = 40
-
 Decode = Callable[[str], RoutingConfiguration]
 
-Incarnation = tuple[str, int]
-"""The id of an endpoint and its start time, in ms since 1970 on its own clock."""
-
-
-@dataclass(slots=True)
-class Endpoint:
-    """One endpoint with what this entry observed of it.
-
-    Until ``cold_until`` only the cold limit of requests may be sent to it;
-    ``is_unconfirmed`` means that it may be cold, which its own next report decides.
-    Until ``backoff_until`` it must receive neither requests nor probes.
-    ``declared_limit`` is the limit that it declares in its responses, if any.
-    """
-
-    announcement: Announcement
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    cold_until: Instant = Instant(0.0)
-    is_unconfirmed: bool = False
-    backoff_until: Instant = Instant(0.0)
-    declared_limit: DeclaredLimit | None = None
-    unlimited_at: Instant = Instant(0.0)
-    """When a success last showed that it declares no limit."""
-
-    has_malformed_limit: bool = False
-    """Whether the last limit that it declared was malformed."""
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """What identifies this incarnation of the endpoint."""
-        return self.announcement.endpoint_id, self.announcement.born_ms
-
-    def is_backing_off(self, now: Instant) -> bool:
-        """Return whether the endpoint asked for a back-off that has not ended."""
-        return now < self.backoff_until
-
-    def is_cold(self, now: Instant) -> bool:
-        """Return whether only the cold limit of requests may be sent to it."""
-        return self.is_unconfirmed or now < self.cold_until
-
-    def set_warmup_left(self, left_ms: float, now: Instant) -> None:
-        """Set how long the endpoint stays cold; 0 or less means that it is warm."""
-        self.cold_until = add_ms(now, left_ms) if left_ms > 0 else Instant(0.0)
-
 
 class FleetView:
     """The view of one entry, updated by the lines of the feeds."""
@@ -106,7 +51,7 @@
         self._decode = decode
         self._clock = clock
         self._log = log
-        self._rng = rng or random.Random()
+        self.limits = DeclaredLimits(clock, log, rng or random.Random())
         self.replicated_state = ReplicatedState()
         self.configuration: RoutingConfiguration | None = None
         self.registry = Registry()
@@ -120,11 +65,6 @@
         of all endpoints; None while it doesn't."""
 
         self.n_connected = 0
-        self._limit_reports: dict[str, SeenReport] = {}
-        """The newest report on each endpoint, of this or another entry; kept apart from
-        the endpoints, which may be announced later."""
-
-        self._unsent_limit_reports: set[str] = set()
         self._leaving: dict[Incarnation, None] = {}
         """Incarnations that announced in a response that they are leaving, oldest
         first. They are kept apart from the endpoints, since an endpoint may be removed
@@ -188,7 +128,7 @@
             or previous.born_ms != announcement.born_ms
         ):
             endpoint = Endpoint(announcement)
-            self._apply_limit_report(endpoint)
+            self.limits.apply_known_report(endpoint)
         endpoint.announcement = announcement
         self.endpoints[endpoint_id] = endpoint
         self._update_warmup(announcement, now, age_ms)
@@ -250,148 +190,12 @@
             self._log.state("endpoint_rests", endpoint=endpoint_id, rest_ms=backoff_ms)
         endpoint.backoff_until = max(endpoint.backoff_until, add_ms(now, backoff_ms))
 
-    def set_declared_limit(
-        self, endpoint: Endpoint, limit_per_s: float, asked_at: Instant
-    ) -> None:
-        """Apply the limit that an endpoint declared in a response.
-
-        ``asked_at`` is when the request was sent. A response to an earlier request than
-        the newest one may lower a limit, but it neither raises nor ends it.
-        """
-        endpoint.has_malformed_limit = False
-        limit = endpoint.declared_limit
-        if limit is None:
-            limit = self._start_limit(endpoint, limit_per_s, "answer")
-            limit.asked_at = asked_at
-            self._queue_limit_report(endpoint, limit_per_s)
-            return
-        if limit_per_s > limit.rate_per_s and asked_at < limit.asked_at:
-            return
-        limit.asked_at = max(limit.asked_at, asked_at)
-        self._change_limit(endpoint, limit, limit_per_s, "answer")
-        self._queue_limit_report(endpoint, limit_per_s)
-
-    def _start_limit(
-        self, endpoint: Endpoint, limit_per_s: float, source: str
-    ) -> DeclaredLimit:
-        limit = DeclaredLimit(limit_per_s, self._clock(), self._rng.random())
-        endpoint.declared_limit = limit
-        self._log_limit(endpoint, limit, "none", source)
-        return limit
-
-    def _change_limit(
-        self, endpoint: Endpoint, limit: DeclaredLimit, limit_per_s: float, source: str
-    ) -> None:
-        now = self._clock()
-        before = limit.set_rate(limit_per_s, now)
-        is_log_due = now >= add_ms(limit.logged_at, LIMIT_LOG_INTERVAL_MS)
-        if limit_per_s != before and is_log_due:
-            self._log_limit(endpoint, limit, before, source)
-            limit.logged_at = now
-
-    def _log_limit(
-        self, endpoint: Endpoint, limit: DeclaredLimit, before: object, source: str
-    ) -> None:
-        self._log.state(
-            "endpoint_limited",
-            endpoint=endpoint.announcement.endpoint_id,
-            limit_per_s=limit.rate_per_s,
-            before=before,
-            source=source,
-        )
-
-    def end_declared_limit(self, endpoint: Endpoint, asked_at: Instant) -> None:
-        """Remove the limit of an endpoint that no longer declares one."""
-        endpoint.unlimited_at = self._clock()
-        limit = endpoint.declared_limit
-        if limit is None or asked_at < limit.asked_at:
-            return
-        self._end_limit(endpoint, limit, "answer")
-        self._queue_limit_report(endpoint, None)
-
-    def _end_limit(self, endpoint: Endpoint, limit: DeclaredLimit, source: str) -> None:
-        endpoint.declared_limit = None
-        self._log.state(
-            "endpoint_limit_ended",
-            endpoint=endpoint.announcement.endpoint_id,
-            limit_per_s=limit.rate_per_s,
-            source=source,
-        )
-
-    # Reports of entries on declared limits
-
-    def _queue_limit_report(self, endpoint: Endpoint, rate_per_s: float | None) -> None:
-        """Queue a report on an endpoint's limit, unless the others know it already."""
-        endpoint_id, born_ms = endpoint.incarnation
-        known = self._limit_reports.get(endpoint_id)
-        report = LimitReport(endpoint_id, born_ms, rate_per_s, 0.0)
-        if known is not None and known.report.is_similar(report):
-            return
-        self._keep_limit_report(SeenReport(report, self._clock()))
-        self._unsent_limit_reports.add(endpoint_id)
-
-    def _keep_limit_report(self, seen: SeenReport) -> None:
-        endpoint_id = seen.report.endpoint_id
-        self._limit_reports.pop(endpoint_id, None)
-        self._limit_reports[endpoint_id] = seen
-        while len(self._limit_reports) > MAX_LIMIT_REPORTS:
-            del self._limit_reports[next(iter(self._limit_reports))]
-
-    def take_limit_reports(self) -> list[list[object]]:
-        """Return the reports to send to a control replica, and forget them."""
-        endpoint_ids, self._unsent_limit_reports = self._unsent_limit_reports, set()
-        now = self._clock()
-        return [
-            self._limit_reports[k].aged_report(now).encode()
-            for k in endpoint_ids
-            if k in self._limit_reports
-        ]
-
     def apply_limit_reports(self, items: Iterable[object]) -> None:
-        """Apply what other entries saw, as far as it is newer than what this one saw.
+        """Apply what other entries saw of the endpoints' limits.
 
         Raise ValueError if an item is malformed.
         """
-        now = self._clock()
-        for fields in items:
-            seen = seen_report(decode_limit_report(fields), now)
-            endpoint_id = seen.report.endpoint_id
-            known = self._limit_reports.get(endpoint_id)
-            if known is not None and known.seen_at >= seen.seen_at:
-                continue
-            self._keep_limit_report(seen)
-            self._unsent_limit_reports.discard(endpoint_id)
-            endpoint = self.endpoints.get(endpoint_id)
-            if endpoint is not None:
-                self._apply_limit_report(endpoint)
-
-    def _apply_limit_report(self, endpoint: Endpoint) -> None:
-        endpoint_id, born_ms = endpoint.incarnation
-        seen = self._limit_reports.get(endpoint_id)
-        if seen is None or seen.report.born_ms != born_ms:
-            return
-        limit, rate_per_s = endpoint.declared_limit, seen.report.rate_per_s
-        own_seen_at = endpoint.unlimited_at if limit is None else limit.seen_at
-        if seen.seen_at <= own_seen_at:
-            return
-        if limit is None:
-            if rate_per_s is not None:
-                self._start_limit(endpoint, rate_per_s, "report")
-        elif rate_per_s is None:
-            self._end_limit(endpoint, limit, "report")
-        else:
-            self._change_limit(endpoint, limit, rate_per_s, "report")
-
-    def reject_declared_limit(self, endpoint: Endpoint, value: bytes) -> None:
-        """Log a malformed limit, once until the endpoint declares a valid one."""
-        if endpoint.has_malformed_limit:
-            return
-        endpoint.has_malformed_limit = True
-        self._log.state(
-            "malformed_limit",
-            endpoint=endpoint.announcement.endpoint_id,
-            value=value[:MAX_LOGGED_VALUE_BYTES].decode("latin-1"),
-        )
+        self.limits.apply_reports(items, self.endpoints)
 
     @property
     def n_limited(self) -> int:
--- a/pollenfold/tests/gateway/test_declared_limits.py
+++ b/pollenfold/tests/gateway/test_declared_limits.py
@@ -44,7 +44,7 @@
     while True:
         await curio.sleep(0.2)
         for path in paths:
-            reports = path.view.take_limit_reports()
+            reports = path.view.limits.take_reports()
             for other in paths:
                 if other is not path:
                     other.view.apply_limit_reports(reports)
@@ -101,7 +101,7 @@
         while not backend.requests:
             await curio.sleep(0.005)
         endpoint = path.view.endpoints["one"]
-        path.view.set_declared_limit(endpoint, 2.0, path.forwarder._clock())
+        path.view.limits.declare(endpoint, 2.0, path.forwarder._clock())
         assert (await slow.join()).status == 200
         assert endpoint.declared_limit is not None
         assert endpoint.declared_limit.rate_per_s == 2.0
