Move the selection of cold and limited endpoints out of the balancer

Permits joins the permits of cold and of limited endpoints, which three callers asked for one after the other; Pick has a module of its own. No decision changes; the tests of the gateway pass.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -13,17 +13,16 @@
 from ..core.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     EndpointCandidate,
-    ServerLoad,
     choose_probe_targets,
     choose_without_reports,
 )
 from ..core.token_bucket import TokenBucket
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
-from .cold_permits import ColdPermits
 from .connections import Connections
 from .dialect import Dialect
-from .limit_permits import LimitPermits
+from .permits import LimitedChoice, Permits
+from .pick import Pick as Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .settings import BalancerSettings
 from .view import Endpoint, FleetView
@@ -44,29 +43,11 @@
 SLOW_ENDPOINT_PROBE_INTERVAL_MS = 40.0
 """How long after an endpoint reported being slow it is probed again."""
 
-SPARE_PERMIT_MS = 500.0
-"""How long a permit for a limited endpoint must be unused before it serves a request
-that can't be in time."""
-
 PROBE_BURST_S = 5.0
 PROBE_BUDGET_SHARE = 0.85
 """The share of the configured probe rate that searches may use."""
 
 
-@dataclass(slots=True)
-class Pick:
-    """The endpoint selected for a request, with a connection that is ready for it.
-
-    ``slowdown`` is the expected latency there as a multiple of the usual latency.
-    ``load`` is the load that the endpoint has just reported, if any.
-    """
-
-    endpoint: Endpoint
-    connection: BackendConnection
-    slowdown: float
-    load: ServerLoad | None = None
-
-
 @dataclass(slots=True)
 class _Search:
     """The search for an endpoint for one request, with its results so far."""
@@ -82,21 +63,6 @@
     best: ProbeResult | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class _LimitedChoice:
-    """The choice among limited endpoints for one request.
-
-    Endpoints that failed lately are chosen only if ``includes_failing`` is true.
-    ``can_be_in_time`` is whether an idle endpoint would meet the request's target.
-    """
-
-    endpoints: list[Endpoint]
-    includes_failing: bool
-    can_be_in_time: bool
-    deadline: Instant
-    trace: list[str]
-
-
 class Balancer:
     """Selects endpoints for the requests of one entry."""
 
@@ -118,8 +84,7 @@
         self._prober = Prober(
             view, dialect, settings.zone, self._connections, clock, metrics, rng, link
         )
-        self._cold_permits = ColdPermits(view, settings, clock)
-        self._limit_permits = LimitPermits(view, settings, clock)
+        self._permits = Permits(view, settings, self._connections, clock)
         self._probe_states: dict[str, ServiceProbeState] = {}
         self._probe_budget: TokenBucket | None = None
 
@@ -145,7 +110,7 @@
         now = self._clock()
         is_first_attempt = not tried_endpoint_ids
         if is_first_attempt:
-            self._limit_permits.count_request(service)
+            self._permits.count_request(service)
         endpoints = [
             endpoint
             for endpoint in self._view.by_service.get(service, ())
@@ -157,10 +122,10 @@
             endpoints = [e for e in endpoints if e.declared_limit is None]
             # A retry goes to an endpoint whose load was just reported, if there is one.
             if is_first_attempt or not endpoints:
-                choice = _LimitedChoice(
+                choice = LimitedChoice(
                     limited, not endpoints, max_slowdown >= 1.0, deadline, trace
                 )
-                pick = await self._pick_limited(choice)
+                pick = await self._permits.pick_limited(choice)
                 if pick is not None:
                     return pick
         if not endpoints:
@@ -175,78 +140,13 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
-    async def _pick_limited(self, choice: _LimitedChoice) -> Pick | None:
-        """Select a limited endpoint for which this entry has a permit, if any.
-
-        Its load isn't probed, since a probe counts against its limit.
-        """
-        now = self._clock()
-        candidates = [
-            endpoint
-            for endpoint in choice.endpoints
-            if self._may_use_permit(endpoint, choice.can_be_in_time)
-            and (choice.includes_failing or not _is_failing(endpoint, now))
-        ]
-        candidates.sort(key=self._limited_order)
-        for endpoint in candidates[:MAX_ROUNDS]:
-            pick = await self._connect_permitted(endpoint, choice.deadline)
-            if pick is not None:
-                choice.trace.append("limited")
-                return pick
-        return None
-
-    def _may_use_permit(self, endpoint: Endpoint, can_be_in_time: bool) -> bool:
-        """Return whether there is a permit for a request.
-
-        A late response has little value, so a scarce permit is kept for a request that
-        can be in time, unless none has come for it.
-        """
-        is_kept = not can_be_in_time and self._limit_permits.is_scarce(endpoint)
-        unused_ms = SPARE_PERMIT_MS if is_kept else 0.0
-        available_at = self._limit_permits.next_permit_at(endpoint)
-        return add_ms(available_at, unused_ms) <= self._clock()
-
-    def _limited_order(self, endpoint: Endpoint) -> tuple[bool, Instant]:
-        """Prefer the own zone, then the endpoint whose permit waits longest."""
-        is_remote = endpoint.announcement.zone != self._settings.zone
-        return is_remote, self._limit_permits.next_permit_at(endpoint)
-
-    async def _connect_permitted(
-        self, endpoint: Endpoint, deadline: Instant
-    ) -> Pick | None:
-        """Acquire the permits for an endpoint and connect to it."""
-        if not self._acquire_permits(endpoint):
-            return None
-        connection = await self._connections.connect(endpoint, deadline)
-        if connection is None:
-            return None
-        # The endpoint may have started to leave while the connection was opened.
-        if self._view.accepts_new_requests(endpoint):
-            return Pick(endpoint, connection, 1.0)
-        await self._connections.release(endpoint, connection)
-        return None
-
-    def _acquire_permits(self, endpoint: Endpoint) -> bool:
-        """Count a request to a cold or limited endpoint if it is permitted."""
-        if not self._has_permits(endpoint):
-            return False
-        if endpoint.is_cold(self._clock()):
-            self._cold_permits.acquire(endpoint)
-        return self._limit_permits.acquire(endpoint)
-
-    def _has_permits(self, endpoint: Endpoint) -> bool:
-        is_cold = endpoint.is_cold(self._clock())
-        if is_cold and not self._cold_permits.has_permit(endpoint):
-            return False
-        return self._limit_permits.has_permit(endpoint)
-
     def permit_wait_ms(self, service: str) -> float | None:
         """Return the ms until the first endpoint of a service may get a request.
 
         Return None if the service has no endpoints, or one that neither declares a
         limit nor backs off.
         """
-        return self._limit_permits.wait_ms(service)
+        return self._permits.wait_ms(service)
 
     def _acquire_probes(self, n_probes: int, now: Instant) -> bool:
         budget = self._probe_budget
@@ -350,7 +250,7 @@
         """Select the best endpoint, or return None if it may no longer get requests."""
         search.probe_state.least_slowdown = best.slowdown
         search.probe_state.last_search_at = self._clock()
-        is_permitted = self._acquire_permits(best.endpoint)
+        is_permitted = self._permits.acquire(best.endpoint)
         # The endpoint may have started to leave while it was probed.
         if not is_permitted or not self._view.accepts_new_requests(best.endpoint):
             await self._connections.release(best.endpoint, best.connection)
@@ -389,7 +289,7 @@
     ) -> ProbeResult | None:
         """Return the best result, and release the connections of the others."""
         for result in results:
-            if not self._has_permits(result.endpoint):
+            if not self._permits.has(result.endpoint):
                 rejected: ProbeResult | None = result
             elif best is None or result.cost < best.cost:
                 rejected, best = best, result
@@ -416,7 +316,7 @@
                 if e.announcement.endpoint_id == candidate.endpoint_id
             )
             remaining.remove(endpoint)
-            pick = await self._connect_permitted(endpoint, search.deadline)
+            pick = await self._permits.connect(endpoint, search.deadline)
             if pick is not None:
                 return pick
         return None
@@ -460,8 +360,7 @@
             await curio.sleep(1.0)
             await self._connections.close_idle()
             self._prober.forget_absent()
-            self._cold_permits.forget_absent()
-            self._limit_permits.forget_absent()
+            self._permits.forget_absent()
             await self._check_limits()
 
     async def _check_limits(self) -> None:
@@ -475,14 +374,9 @@
                 endpoint
                 for endpoint in endpoints
                 if self._view.accepts_new_requests(endpoint)
-                and self._limit_permits.acquire_check(endpoint)
+                and self._permits.acquire_check(endpoint)
             ]
             if due:
                 state = self._probe_states.setdefault(service, ServiceProbeState())
                 for result in await self._prober.probe(service, state, due, False):
                     await self.release(result.endpoint, result.connection)
-
-
-def _is_failing(endpoint: Endpoint, now: Instant) -> bool:
-    health = endpoint.health
-    return health.is_unreachable(now) or health.is_deprioritized(now)
