Let cold and declared limits rank entries with one function

n_cold_permits sorted the whole directory to learn whether this entry is among the first; rendezvous_rank tells the same without a sort. No difference for directories of 0 to 312 entries and three endpoints, with an entry outside of the directory among them.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -143,8 +143,9 @@
     if n_permits:
         return n_permits
     n_selected = int(limit_per_s / 2)
-    selected = sorted(entry_ids, key=lambda k: _rendezvous(k, endpoint_id))
-    return int(entry_id in selected[:n_selected])
+    if entry_id not in entry_ids:
+        return 0
+    return int(rendezvous_rank(entry_id, entry_ids, endpoint_id) < n_selected)
 
 
 def divide_permits(
