--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -21,11 +21,12 @@
 from .backend import BackendConnection
 from .connections import Connections
 from .dialect import Dialect
+from .endpoint import Endpoint
 from .permits import LimitedChoice, Permits
-from .pick import Pick as Pick
+from .pick import Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .settings import BalancerSettings
-from .view import Endpoint, FleetView
+from .view import FleetView
 
 N_FIRST_PROBES = 2
 N_NEXT_PROBES = 3
--- a/pollenfold/gateway/cold_permits.py
+++ b/pollenfold/gateway/cold_permits.py
@@ -4,8 +4,9 @@
 
 from ..core.allowances import WindowCount, cold_rate_limit, n_cold_permits
 from ..core.clock import Clock, Instant
+from .endpoint import Endpoint
 from .settings import BalancerSettings
-from .view import Endpoint, FleetView
+from .view import FleetView
 
 
 class ColdPermits:
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -8,8 +8,9 @@
 from ..core.link import Link
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
+from .endpoint import Endpoint
 from .pool import ConnectionPool
-from .view import Endpoint, FleetView
+from .view import FleetView
 
 CONNECT_TIMEOUT_MS = 250.0
 
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -13,8 +13,8 @@
 from .backend import BackendConnection, BeforeFinalPiece, Failure
 from .calls import Call
 from .dialect import Dialect
+from .endpoint import Endpoint
 from .outgoing import OutgoingRequest, ReadRemainingBody, outgoing_request
-from .view import Endpoint
 
 CALLER_CHECK_INTERVAL_MS = 150.0
 """How often a waiting request checks whether its caller closed the connection."""
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -24,14 +24,16 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BeforeFinalPiece
-from .balancer import OVERLOADED_SLOWDOWN, Balancer, Pick
+from .balancer import OVERLOADED_SLOWDOWN, Balancer
 from .calls import NOT_EXECUTED_OUTCOMES, Attempt, Call, CallFactory, RetryLimits
 from .dialect import Dialect
+from .endpoint import Endpoint
 from .exchange import CallerGoneError, exchange, is_caller_gone
 from .final_responses import FinalResponses
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
-from .view import Endpoint, FleetView
+from .pick import Pick
+from .view import FleetView
 
 MIN_DEADLINE_MS = 10.0
 NOT_READY_RETRY_AFTER_MS = 150.0
--- a/pollenfold/gateway/limit_permits.py
+++ b/pollenfold/gateway/limit_permits.py
@@ -5,8 +5,9 @@
 from ..core.allowances import RequestRate
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.declared_limit import CHECK_INTERVAL_MS, DeclaredLimit, divide_limit
+from .endpoint import Endpoint
 from .settings import BalancerSettings
-from .view import Endpoint, FleetView
+from .view import FleetView
 
 
 class LimitPermits:
--- a/pollenfold/gateway/long_response.py
+++ b/pollenfold/gateway/long_response.py
@@ -8,8 +8,9 @@
 from ..core.errors import ErrorKind
 from ..http.messages import BodyError, BodySource, Response
 from ..observe.events import EventLog
-from .balancer import Balancer, Pick
+from .balancer import Balancer
 from .calls import Call
+from .pick import Pick
 
 ABORTED_RESPONSE_PENALTY = 2.0
 
--- a/pollenfold/gateway/notices.py
+++ b/pollenfold/gateway/notices.py
@@ -9,7 +9,8 @@
 from ..http.messages import Response, find_header
 from ..http.retry_after import parse_backoff_ms, spread_backoff_ms
 from .dialect import Dialect
-from .view import Endpoint, FleetView
+from .endpoint import Endpoint
+from .view import FleetView
 
 LEAVING = b"1"
 
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -20,9 +20,10 @@
 from .backend import BackendConnection, Failure
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
+from .endpoint import Endpoint
 from .notices import apply_response_notices
 from .outgoing import OutgoingRequest, outgoing_request
-from .view import Endpoint, FleetView
+from .view import FleetView
 
 MIN_PROBE_WAIT_MS = 12.0
 
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -24,8 +24,7 @@
 from ..core.routes import RoutingConfiguration
 from ..observe.events import EventLog
 from .declared_limits import DeclaredLimits
-from .endpoint import Endpoint as Endpoint
-from .endpoint import Incarnation as Incarnation
+from .endpoint import Endpoint, Incarnation
 
 ENDPOINT_EXPIRY_MS = 12_000.0
 """An endpoint without announcements for this long is removed.
