Log what decided each retry: retries used, share and number of entries

Callers see no difference. After mass kills of entries a service got more retries than the budget allows, and a retry's line told neither how many retries the entry had used nor its share, so a share that a new process gets again could not be told from a share that is divided by too few entries. No decision changes.

Tests: test_log_line_shows_why_a_retry_was_permitted; gateway tests of forwarding pass.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -108,10 +108,18 @@
         """Count one request of a caller for the service."""
         self._requests.add(now)
 
+    def n_retries(self, now: Instant) -> int:
+        """Return how many retries this entry sent in the window that ends now."""
+        return self._extra.get(now)
+
+    def share(self, n_entries: int, now: Instant) -> float:
+        """Return how many retries this entry may send in the window that ends now."""
+        share = self._ratio * self._requests.get(now) + self._n_extra / n_entries
+        return SAFETY_FACTOR * share
+
     def try_acquire(self, n_entries: int, now: Instant) -> bool:
         """Count one retry and return True, or return False above the share."""
-        share = self._ratio * self._requests.get(now) + self._n_extra / n_entries
-        if self._extra.get(now) + 1 > SAFETY_FACTOR * share:
+        if self._extra.get(now) + 1 > self.share(n_entries, now):
             return False
         self._extra.add(now)
         return True
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -178,10 +178,18 @@
             return ErrorKind.DEADLINE_EXCEEDED
         if is_first_attempt:
             return None if self._admits(call, pick, now) else ErrorKind.QUEUE_FULL
-        if call.retry_allowance.try_acquire(self._view.fleet.get(now), now):
-            return None
-        self._metrics.count("retries_refused_total", service=call.service)
-        return ErrorKind.BACKEND_REFUSED
+        return None if self._acquire_retry(call, now) else ErrorKind.BACKEND_REFUSED
+
+    def _acquire_retry(self, call: Call, now: Instant) -> bool:
+        """Count a retry if the budget permits it, and trace what decided it."""
+        allowance = call.retry_allowance
+        n_entries = self._view.fleet.get(now)
+        n_before, share = allowance.n_retries(now), allowance.share(n_entries, now)
+        call.decision_trace.append(f"retry/{n_before}/{share:.1f}/{n_entries}")
+        is_permitted = allowance.try_acquire(n_entries, now)
+        name = "retries_total" if is_permitted else "retries_refused_total"
+        self._metrics.count(name, service=call.service)
+        return is_permitted
 
     def _admits(self, call: Call, pick: Pick, now: Instant) -> bool:
         """Return whether a first attempt may be sent to the selected endpoint."""
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -1,5 +1,7 @@
 """Request forwarding by an entry to backend servers that misbehave."""
 
+import re
+
 import curio
 import pytest
 
@@ -356,6 +358,21 @@
     with_path(body, Backend("one"))
 
 
+def test_log_line_shows_why_a_retry_was_permitted(with_path):
+    """Guards against retries beyond the budget whose cause isn't in the log."""
+
+    async def body(path, *backends):
+        backends[0].respond = backends[1].respond = lambda request: None
+        await path.get()
+        path.log.flush()
+        line = next(line for line in path.lines if "event=request_done" in line)
+        n_entries = path.view.fleet.get(0.0)
+        assert re.search(rf"retry/0/[0-9.]+/{n_entries}\b", line)
+        assert path.metrics.get("retries_total", service="s") == 1
+
+    with_path(body, Backend("one"), Backend("two"))
+
+
 @pytest.mark.parametrize("n_backends", [1, 2, 3])
 def test_slow_health_responses_are_waited_for_if_there_are_no_others(
     with_path, n_backends
