Use a share of the extra retries only after a whole window with that share

Cause: a limit over a window was kept by processes that end within the window. RetryAllowance lived in memory, so each new process got its share of the extra retries again (449 of 655 retries came from later lives). Ruled out: a number of entries reported too small (16 in all 1,260 decisions), arrivals that aren't charged (at most 19 of 513).

Change: an entry uses the smallest share of the extra retries that it had in the last window, 0 before it started. The retries in any window are then at most the shares at the start of the window, whose sum is the limit; this also covers shares that move between entries or grow. An entry that wasn't told the number of entries for 30 s has no share. The extra retries are divided in whole retries, the remainder by rendezvous hashing, so that a limit below one retry for each entry is still used.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -43,6 +43,11 @@
             self._reports.pop()
         self._reports.append((now, n_entries))
 
+    def is_current(self, now: Instant) -> bool:
+        """Return whether a number was reported within ``FLEET_SIZE_WINDOW_MS``."""
+        oldest = add_ms(now, -FLEET_SIZE_WINDOW_MS)
+        return bool(self._reports) and self._reports[-1][0] >= oldest
+
     def get(self, now: Instant) -> int:
         """Return the divisor; ``UNKNOWN_FLEET_SIZE`` before the first report."""
         oldest = add_ms(now, -FLEET_SIZE_WINDOW_MS)
@@ -88,43 +93,6 @@
         return 1000 * self._count.get(now) / elapsed_ms
 
 
-class RetryAllowance:
-    """This entry's share of the retries to one service.
-
-    In any window all entries together may send ``ratio`` times the requests for the
-    service plus ``n_extra`` as retries. The share of an entry is ``ratio`` times its
-    own requests plus its share of ``n_extra``, reduced by ``SAFETY_FACTOR``. For
-    example, with a ratio of 0.2, 64 extra retries and 16 entries, an entry that
-    received 100 requests in the window may send 0.8 * (20 + 4) = 19 retries.
-    """
-
-    def __init__(self, ratio: float, n_extra: float, window_ms: float) -> None:
-        self._ratio = ratio
-        self._n_extra = n_extra
-        self._requests = WindowCount(window_ms)
-        self._extra = WindowCount(window_ms)
-
-    def count_request(self, now: Instant) -> None:
-        """Count one request of a caller for the service."""
-        self._requests.add(now)
-
-    def n_retries(self, now: Instant) -> int:
-        """Return how many retries this entry sent in the window that ends now."""
-        return self._extra.get(now)
-
-    def share(self, n_entries: int, now: Instant) -> float:
-        """Return how many retries this entry may send in the window that ends now."""
-        share = self._ratio * self._requests.get(now) + self._n_extra / n_entries
-        return SAFETY_FACTOR * share
-
-    def try_acquire(self, n_entries: int, now: Instant) -> bool:
-        """Count one retry and return True, or return False above the share."""
-        if self._extra.get(now) + 1 > self.share(n_entries, now):
-            return False
-        self._extra.add(now)
-        return True
-
-
 def cold_rate_limit(rate_per_s: float, burst_factor: float, slack: float) -> float:
     """Return how many requests a cold endpoint may receive in any one second.
 
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -1,10 +1,9 @@
-"""The state of a request on its way through an entry, and of routes and services."""
+"""The state of a request on its way through an entry, and of routes."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from ..core.allowances import RetryAllowance
 from ..core.clock import Instant, add_ms
 from ..core.outcomes import AttemptOutcome
 from ..core.overload import CallerAge, WorkEstimate
@@ -46,7 +45,6 @@
     target_at: Instant
     age_ms: float
     work_estimate: WorkEstimate
-    retry_allowance: RetryAllowance
     headers: Headers
     tried_endpoint_ids: set[str] = field(default_factory=set)
     attempts: list[Attempt] = field(default_factory=list)
@@ -84,34 +82,19 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class RetryLimits:
-    """Limits the retries that all entries together may send to one service.
-
-    In any window of ``window_ms`` the limit is ``ratio`` times the requests for the
-    service, plus ``n_extra``.
-    """
-
-    ratio: float
-    n_extra: float
-    window_ms: float
-
-
 class CallFactory:
-    """Creates the calls of an entry and holds its statistics of routes and services.
+    """Creates the calls of an entry and holds its statistics of routes.
 
-    The state of routes and services that are no longer in the configuration is
-    dropped, so that the memory of an entry doesn't grow with each change.
+    The state of routes that are no longer in the configuration is dropped, so that the
+    memory of an entry doesn't grow with each change.
     """
 
-    def __init__(self, dialect: Dialect, retry_limits: RetryLimits) -> None:
+    def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
-        self._retry_limits = retry_limits
         self._version = 0
         self._split = WeightedSplit()
         self._caller_ages: dict[str, CallerAge] = {}
         self._work_estimates: dict[str, WorkEstimate] = {}
-        self._retry_allowances: dict[str, RetryAllowance] = {}
         self._dropped_headers = frozenset(
             (*HOP_HEADERS, dialect.deadline_ms, dialect.expected_instance)
         )
@@ -140,7 +123,6 @@
             target_at=add_ms(started_at, route.target_latency_ms - age_ms),
             age_ms=age_ms,
             work_estimate=self._work_estimate(route),
-            retry_allowance=self._retry_allowance(service),
             headers=[h for h in request.headers if h[0] not in self._dropped_headers],
         )
 
@@ -152,29 +134,17 @@
             )
         return estimate
 
-    def _retry_allowance(self, service: str) -> RetryAllowance:
-        allowance = self._retry_allowances.get(service)
-        if allowance is None:
-            limits = self._retry_limits
-            allowance = RetryAllowance(limits.ratio, limits.n_extra, limits.window_ms)
-            self._retry_allowances[service] = allowance
-        return allowance
-
     def retain(self, configuration: RoutingConfiguration) -> None:
-        """Drop the state of routes and services that a new configuration lacks."""
+        """Drop the state of routes that a new configuration lacks."""
         if configuration.version == self._version:
             return
         self._version = configuration.version
         routes = {r.name for host in configuration.hosts.values() for r in host}
-        services = configuration.services
         self._split.retain(routes)
         self._caller_ages = {k: v for k, v in self._caller_ages.items() if k in routes}
         self._work_estimates = {
             k: v for k, v in self._work_estimates.items() if k in routes
         }
-        self._retry_allowances = {
-            k: v for k, v in self._retry_allowances.items() if k in services
-        }
 
 
 def _is_decimal(value: bytes) -> bool:
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -15,6 +15,7 @@
 from ..core.clock import add_ms
 from ..core.errors import ErrorKind
 from ..core.link import Link
+from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import RoutingConfiguration
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
@@ -25,7 +26,6 @@
 from ..observe.exposition import Metrics
 from ..observe.signals import wait_for_stop
 from .balancer import Balancer
-from .calls import RetryLimits
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
 from .forward import Forwarder
@@ -43,6 +43,8 @@
 
 FIRST_CONFIGURATION_POLL_MS = 5.0
 
+RETRY_SHARE_INTERVAL_MS = 1_000.0
+
 STOP_NOTICE_MS = 3_000.0
 """How long a stopping entry accepts connections, until the balancer drops it."""
 
@@ -107,11 +109,14 @@
         self.balancer = Balancer(
             self.view, dialect, limits, clock, self.metrics, rng, link
         )
+        self.retry_budget = RetryBudget(
+            settings.retry_limits, settings.entry_id, clock()
+        )
         self.forwarder = Forwarder(
             self.view,
             self.balancer,
             dialect,
-            settings.retry_limits,
+            self.retry_budget,
             clock,
             self.log,
             self.metrics,
@@ -174,6 +179,14 @@
     def _can_route(self) -> bool:
         return self.view.configuration is not None and bool(self.view.by_service)
 
+    async def update_retry_share(self) -> None:
+        """Keep this entry's share of the retries up to date until cancelled."""
+        while True:
+            self.retry_budget.update_share(
+                self.view.fleet, self.view.entry_ids, system_clock()
+            )
+            await curio.sleep(RETRY_SHARE_INTERVAL_MS / 1000)
+
     def reload(self) -> None:
         """Reload the settings."""
         settings = self.settings
@@ -226,6 +239,7 @@
         caller_port = await gateway.caller_server.start_on(settings.caller_listener)
         await group.spawn(gateway.feeds.run)
         await group.spawn(gateway.balancer.run_maintenance)
+        await group.spawn(gateway.update_retry_share)
         await group.spawn(gateway.log.run)
         # The objects that exist now live as long as the process; freezing them keeps
         # the garbage collector from traversing them while requests are handled.
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -15,6 +15,7 @@
     acceptable_slowdown,
     decide_admission,
 )
+from ..core.retry_budget import RetryBudget
 from ..core.routes import Route, RoutingConfiguration, find_route
 from ..http.messages import (
     BodyError,
@@ -25,7 +26,7 @@
 from ..observe.exposition import Metrics
 from .backend import BeforeFinalPiece
 from .balancer import OVERLOADED_SLOWDOWN, Balancer
-from .calls import NOT_EXECUTED_OUTCOMES, Attempt, Call, CallFactory, RetryLimits
+from .calls import NOT_EXECUTED_OUTCOMES, Attempt, Call, CallFactory
 from .dialect import Dialect
 from .endpoint import Endpoint
 from .exchange import CallerGoneError, exchange, is_caller_gone
@@ -54,7 +55,7 @@
         view: FleetView,
         balancer: Balancer,
         dialect: Dialect,
-        retry_limits: RetryLimits,
+        retry_budget: RetryBudget,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -65,7 +66,8 @@
         self._view = view
         self._balancer = balancer
         self._dialect = dialect
-        self._call_factory = CallFactory(dialect, retry_limits)
+        self._call_factory = CallFactory(dialect)
+        self._retry_budget = retry_budget
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -116,7 +118,7 @@
 
     async def _forward(self, call: Call) -> Response:
         """Send the request to one endpoint after another, as far as retries allow."""
-        call.retry_allowance.count_request(call.started_at)
+        self._retry_budget.count_request(call.service, call.started_at)
         n_sent = 0
         while True:
             is_first_attempt = n_sent == 0
@@ -182,14 +184,15 @@
 
     def _acquire_retry(self, call: Call, now: Instant) -> bool:
         """Count a retry if the budget permits it, and trace what decided it."""
-        allowance = call.retry_allowance
-        n_entries = self._view.fleet.get(now)
-        n_before, share = allowance.n_retries(now), allowance.share(n_entries, now)
-        call.decision_trace.append(f"retry/{n_before}/{share:.1f}/{n_entries}")
-        is_permitted = allowance.try_acquire(n_entries, now)
-        name = "retries_total" if is_permitted else "retries_refused_total"
+        fleet = self._view.fleet
+        self._retry_budget.update_share(fleet, self._view.entry_ids, now)
+        decision = self._retry_budget.try_acquire(call.service, now)
+        call.decision_trace.append(
+            f"retry/{decision.n_before}/{decision.share:.1f}/{fleet.get(now)}"
+        )
+        name = "retries_total" if decision.is_permitted else "retries_refused_total"
         self._metrics.count(name, service=call.service)
-        return is_permitted
+        return decision.is_permitted
 
     def _admits(self, call: Call, pick: Pick, now: Instant) -> bool:
         """Return whether a first attempt may be sent to the selected endpoint."""
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -26,7 +26,7 @@
     load_curio_subset()
     import curio
 
-    from ..gateway.calls import RetryLimits
+    from ..core.retry_budget import RetryLimits
     from ..gateway.daemon import GatewaySettings, serve_gateway
     from .documents import decode_configuration
     from .headers import DIALECT
--- a/pollenfold/tests/core/test_allowances.py
+++ b/pollenfold/tests/core/test_allowances.py
@@ -5,7 +5,6 @@
 from pollenfold.core.allowances import (
     UNKNOWN_FLEET_SIZE,
     FleetSize,
-    RetryAllowance,
     WindowCount,
     cold_rate_limit,
     n_cold_permits,
@@ -24,20 +23,6 @@
     assert fleet.get(40_000.0) == 3
 
 
-@pytest.mark.parametrize("n_entries", [1, 7, 19, 94])
-def test_retries_stay_within_the_total_allowance(n_entries):
-    """Guards against retries of all entries that together exceed the allowance."""
-    allowances = [RetryAllowance(0.2, 64, 10_000) for _ in range(n_entries)]
-    n_requests = n_extra = 0
-    for step in range(2_000):
-        now = float(step)
-        allowance = allowances[step % n_entries]
-        allowance.count_request(now)
-        n_requests += 1
-        n_extra += sum(allowance.try_acquire(n_entries, now) for _ in range(3))
-    assert 0 < n_extra <= 0.2 * n_requests + 64
-
-
 def test_window_slides():
     """Guards against a limit that holds only in windows with fixed boundaries."""
     count = WindowCount(1_000.0)
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -8,9 +8,11 @@
 import pytest
 from curio import socket
 
+from pollenfold.core.clock import add_ms
 from pollenfold.core.link import Link
 from pollenfold.core.registry import Announcement
 from pollenfold.core.replicated_state import ReplicatedState
+from pollenfold.core.retry_budget import RetryBudget, RetryLimits
 from pollenfold.core.routes import (
     BackendService,
     Route,
@@ -19,7 +21,6 @@
     sorted_routes,
 )
 from pollenfold.gateway.balancer import Balancer
-from pollenfold.gateway.calls import RetryLimits
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
@@ -151,6 +152,15 @@
         return signed_response(200, b"whole", b"q1", *([header] if header else []))
 
 
+def settled_retry_budget(view, entry_id):
+    """Return the budget of an entry that has had its share for a whole window."""
+    limits = RetryLimits(0.2, 64, 10_000.0)
+    started_at = add_ms(system_clock(), -2 * limits.window_ms)
+    budget = RetryBudget(limits, entry_id, started_at)
+    budget.update_share(view.fleet, view.entry_ids, started_at)
+    return budget
+
+
 class CallPath:
     """The call path of one of several entries from a request to fake backend servers.
 
@@ -201,7 +211,7 @@
             self.view,
             self.balancer,
             DIALECT,
-            RetryLimits(0.2, 64, 10_000.0),
+            settled_retry_budget(self.view, entry_id),
             clock,
             self.log,
             self.metrics,
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -7,13 +7,13 @@
 import pytest
 
 from pollenfold.core.registry import Announcement
+from pollenfold.core.retry_budget import RetryLimits
 from pollenfold.core.routes import (
     Route,
     RoutingConfiguration,
     WeightedService,
     sorted_routes,
 )
-from pollenfold.gateway.calls import RetryLimits
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request, Response
--- a/properties/test_retry_budget.py
+++ b/properties/test_retry_budget.py
@@ -1,6 +1,6 @@
 """The sum over all entries of the retries that they send to one service.
 
-The tests simulate entries that use ``RetryAllowance`` as a gateway does, with what
+The tests simulate entries that use ``RetryBudget`` as a gateway does, with what
 control reports of the other entries, under faults that end, stop, freeze or cut off
 entries in series. The sum is taken over all lives of all entries.
 """
@@ -13,7 +13,8 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from pollenfold.core.allowances import FleetSize, RetryAllowance
+from pollenfold.core.allowances import FleetSize
+from pollenfold.core.retry_budget import RetryBudget, RetryLimits
 
 WINDOW_MS = 10_000.0
 RATIO = 0.2
@@ -37,7 +38,8 @@
         self.name = name
         self.fleet = FleetSize()
         self.entry_ids = frozenset()
-        self.allowance = RetryAllowance(RATIO, n_extra, WINDOW_MS)
+        limits = RetryLimits(RATIO, n_extra, WINDOW_MS)
+        self.budget = RetryBudget(limits, name, now)
 
     def learn(self, entry_ids, n_entries, now):
         """Apply a report of control."""
@@ -45,7 +47,7 @@
         self.fleet.report(n_entries, now)
 
     def try_retry(self, now):
-        return self.allowance.try_acquire(self.fleet.get(now), now)
+        return self.budget.try_acquire("s", now).is_permitted
 
 
 class Simulation:
@@ -93,9 +95,11 @@
             if self.heard_at[name] > oldest and self.states[name] != "down"
         )
         self.fleet.report(len(present), self.now)
-        for name in self.names:
+        for name, life in self.lives.items():
             if self.states[name] == "runs":
-                self.lives[name].learn(present, self.fleet.get(self.now), self.now)
+                life.learn(present, self.fleet.get(self.now), self.now)
+            if self.states[name] in ("runs", "cut_off"):
+                life.budget.update_share(life.fleet, life.entry_ids, self.now)
 
     def call(self):
         """A caller's request reaches a random entry, whose servers refuse it."""
@@ -106,7 +110,7 @@
         if self.states[name] not in ("runs", "cut_off"):
             return
         life = self.lives[name]
-        life.allowance.count_request(self.now)
+        life.budget.count_request("s", self.now)
         for _ in range(RETRIES_WANTED):
             if life.try_retry(self.now):
                 self.retries.append(self.now + self.rng.uniform(0.0, ARRIVAL_MS))
