Give a restarted entry no permits for cold servers in its first second

Callers: nothing seen; found while looking for the cause of the retries beyond the budget elsewhere. A cold server may get a limited number of requests in any second, and each process counted its own only, so an entry that was killed and was back within a second could use its share twice.

Change: no cold permits in the first second of a process.

Test: test_restarted_entry_leaves_a_cold_server_alone_for_a_second failed before (200 from the second process, 503 expected) and passes. Gateway tests pass.

--- a/pollenfold/gateway/cold_permits.py
+++ b/pollenfold/gateway/cold_permits.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 from ..core.allowances import WindowCount, cold_rate_limit, n_cold_permits
-from ..core.clock import Clock, Instant
+from ..core.clock import Clock, Instant, add_ms
 from .endpoint import Endpoint
 from .settings import BalancerSettings
 from .view import FleetView
 
+WINDOW_MS = 1_000.0
+"""The window over which the requests to a cold endpoint are limited."""
+
 
 class ColdPermits:
-    """Counts this entry's requests to each cold endpoint in any one second."""
+    """Counts this entry's requests to each cold endpoint in any one second.
+
+    There are no permits in the first second of a process, since an earlier process of
+    this entry may have used them.
+    """
 
     def __init__(
         self, view: FleetView, settings: BalancerSettings, clock: Clock
@@ -23,6 +30,8 @@
     def has_permit(self, endpoint: Endpoint) -> bool:
         """Return whether one more request may be sent now, without counting it."""
         now = self._clock()
+        if now <= add_ms(self._settings.started_at, WINDOW_MS):
+            return False
         return self._count(endpoint).get(now) < self._n_permits(endpoint, now)
 
     def acquire(self, endpoint: Endpoint) -> bool:
@@ -39,7 +48,7 @@
 
     def _count(self, endpoint: Endpoint) -> WindowCount:
         endpoint_id = endpoint.announcement.endpoint_id
-        return self._recent_sends.setdefault(endpoint_id, WindowCount(1_000.0))
+        return self._recent_sends.setdefault(endpoint_id, WindowCount(WINDOW_MS))
 
     def _n_permits(self, endpoint: Endpoint, now: Instant) -> int:
         configuration = self._view.configuration
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -104,6 +104,7 @@
             settings.probes_per_s,
             settings.cold_burst_factor,
             settings.cold_slack,
+            clock(),
         )
         link = Link(settings.link_bytes_per_ms)
         self.balancer = Balancer(
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -164,7 +164,8 @@
 class CallPath:
     """The call path of one of several entries from a request to fake backend servers.
 
-    ``entry_ids`` are the entries that this one knows, itself among them.
+    ``entry_ids`` are the entries that this one knows, itself among them. It has run
+    for long unless ``started_at`` says when it started.
     """
 
     def __init__(
@@ -174,6 +175,7 @@
         link=None,
         entry_id="e1",
         entry_ids=("e1",),
+        started_at=None,
         **route_changes,
     ):
         clock = system_clock
@@ -201,7 +203,9 @@
         self.view.entry_ids = frozenset(entry_ids)
         for number, backend in enumerate(backends):
             self.announce(backend, sequence=number + 1)
-        settings = BalancerSettings(entry_id, zone, 1000.0, 1.5, 5.0)
+        if started_at is None:
+            started_at = add_ms(clock(), -60_000.0)
+        settings = BalancerSettings(entry_id, zone, 1000.0, 1.5, 5.0, started_at)
         rng = random.Random(7)
         self.link = link = link or Link()
         self.balancer = Balancer(
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -5,10 +5,11 @@
 import curio
 import pytest
 
+from pollenfold.core.clock import add_ms
 from pollenfold.core.replicated_state import ReplicatedState
 from pollenfold.gateway.probes import MAX_PROBE_WAIT_MS, ServiceProbeState
 from pollenfold.observe.clock import system_clock
-from pollenfold.tests.gateway.conftest import Backend, signed_response
+from pollenfold.tests.gateway.conftest import Backend, CallPath, signed_response
 
 REFUSAL = (
     b"HTTP/1.1 503 X\r\nx-not-executed: 1\r\nx-request-id: q1\r\n"
@@ -255,6 +256,26 @@
     with_path(body, Backend("cold"))
 
 
+def test_restarted_entry_leaves_a_cold_server_alone_for_a_second(with_path):
+    """Guards against a cold server that gets the share of an entry twice in a second,
+    from the process that was killed and from the one that replaces it."""
+
+    async def body(path, cold):
+        cold.load = b"1,0,6,100"
+        cold.warmup = b"x-warmup-remaining-ms: 2500\r\n"
+        cold_until = add_ms(system_clock(), 2_500.0)
+        path.view.endpoints["cold"].cold_until = cold_until
+        await path.get()
+        restarted = CallPath([cold], started_at=system_clock())
+        restarted.view.endpoints["cold"].cold_until = cold_until
+        assert (await restarted.get()).status == 503
+        assert len(cold.requests) == 1
+        await curio.sleep(1.05)
+        assert (await restarted.get()).status == 200
+
+    with_path(body, Backend("cold"))
+
+
 def test_endpoints_of_a_returned_zone_are_cold_until_a_health_response(with_path):
     """Guards against full load on endpoints that became cold during the evacuation."""
 
--- a/pollenfold/tests/gateway/test_limits.py
+++ b/pollenfold/tests/gateway/test_limits.py
@@ -1,5 +1,7 @@
 """Callers that disconnect, and the probe budget shared by several entries."""
 
+from dataclasses import replace
+
 import curio
 import pytest
 
@@ -93,8 +95,8 @@
         paths = [CallPath(backends) for _ in range(n_entries)]
         limit_per_s = 10.0
         for path in paths:
-            path.balancer._settings = type(path.balancer._settings)(
-                "e1", "a", limit_per_s, 1.5, 5.0
+            path.balancer._settings = replace(
+                path.balancer._settings, probes_per_s=limit_per_s
             )
             path.view.fleet.report(n_entries, 0.0)
         started_at = paths[0].forwarder._clock()
