Log a digest that identifies a request whose attempt was lost

Callers see no difference. A line of request_done had nothing by which the same request in another attempt of a caller could be found, so a request that ends each server that runs it could not be told from servers that end of something else. No decision changes. It is computed only after a lost attempt.

Test: test_log_line_of_a_lost_attempt_identifies_the_request.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -64,6 +64,10 @@
     """Whether the rest of a long body was read, to be forwarded: the request can't be
     sent again, since that part isn't kept in memory."""
 
+    digest: str = ""
+    """Identifies the same request in other attempts of callers; computed only once an
+    attempt was lost."""
+
     def may_have_executed_before(self) -> bool:
         """Return whether an earlier attempt may have executed the request.
 
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -19,6 +19,7 @@
     ``leaving`` with the value 1 any response of a server that is leaving.
     ``declared_limit`` in any response is the number of requests per second that the
     server takes from all entries together.
+    ``credentials`` name the headers that identify a caller.
     ``parse_load`` returns None for a malformed value. ``is_genuine`` returns whether a
     response was produced by the backend server itself and is complete.
     """
@@ -32,5 +33,6 @@
     warmup_left_ms: bytes
     leaving: bytes
     declared_limit: bytes
+    credentials: tuple[bytes, ...]
     parse_load: Callable[[bytes], ServerLoad | None]
     is_genuine: Callable[[Response], bool]
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -67,6 +67,7 @@
             request=call.request_id.decode("latin-1"),
             route=name,
             service=call.service,
+            digest=call.digest or "none",
             status=status,
             kind=kind,
             latency_ms=latency_ms,
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -34,6 +34,7 @@
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
 from .pick import Pick
+from .request_digest import request_digest
 from .view import FleetView
 
 MIN_DEADLINE_MS = 10.0
@@ -254,6 +255,8 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._record_outcome(call, endpoint, outcome, elapsed_ms)
+        if outcome is AttemptOutcome.LOST:
+            call.digest = call.digest or request_digest(call.request, self._dialect)
         if response is not None:
             is_success = outcome is AttemptOutcome.RESPONDED and response.status < 300
             apply_response_notices(
--- a/pollenfold/platform/headers.py
+++ b/pollenfold/platform/headers.py
@@ -45,6 +45,7 @@
     warmup_left_ms=b"x-warmup-remaining-ms",
     leaving=b"server-leaving",
     declared_limit=b"server-limit",
+    credentials=(b"authorization", b"x-credential"),
     parse_load=parse_load,
     is_genuine=is_genuine,
 )
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -379,6 +379,21 @@
     with_path(body, Backend("one"))
 
 
+def test_log_line_of_a_lost_attempt_identifies_the_request(with_path):
+    """Guards against one request that fails again and again, in attempts with different
+    ids, and looks in the log like many different ones."""
+
+    async def body(path, backend):
+        backend.respond = lambda request: None
+        for content in (b"same", b"same", b"other"):
+            await path.get(b"POST", body=content)
+        path.log.flush()
+        digests = re.findall(r" digest=([0-9a-f]{32}) ", "\n".join(path.lines))
+        assert digests[0] == digests[1] != digests[2]
+
+    with_path(body, Backend("one"), is_idempotent=False)
+
+
 def test_log_line_shows_why_a_retry_was_permitted(with_path):
     """Guards against retries beyond the budget whose cause isn't in the log."""
 
