--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -60,7 +60,8 @@
     in place of the healthy one. ``before_health`` is written before each health
     response. ``check_delay_ms`` is how long a health response takes. ``requests`` holds
     the received requests without the health checks. All responses declare the
-    ``limit``, if there is one. ``arrived_ms`` has the arrivals of requests and health
+    ``limit``, if there is one. The server ends when a request contains ``ends_at``.
+    ``arrived_ms`` has the arrivals of requests and health
     checks.
     """
 
@@ -78,10 +79,13 @@
     arrived_ms: list = field(default_factory=list)
     n_checks: int = 0
     n_closed: int = 0
+    n_ended: int = 0
     port: int = 0
     arrived_at: float = 0.0
     before_health: bytes = b""
+    ends_at: bytes = b""
     clients: list = field(default_factory=list)
+    connections: set = field(default_factory=set)
 
     async def send_to_all(self, data):
         """Write bytes on every open connection that carried a request."""
@@ -89,10 +93,20 @@
             await client.sendall(data)
 
     async def start(self):
-        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        sock = curio.tcp_server_socket("127.0.0.1", self.port)
         self.port = sock.getsockname()[1]
         self.task = await curio.spawn(self._accept, sock, daemon=True)
 
+    async def end(self):
+        """Close the listener and reset all connections, as a process that dies."""
+        self.n_ended += 1
+        await self.task.cancel()
+        for client in list(self.connections):
+            client._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+            )
+            client._socket.shutdown(socket.SHUT_RD)
+
     async def _accept(self, sock):
         async with sock:
             while True:
@@ -100,9 +114,17 @@
                 await curio.spawn(self._serve, client, daemon=True)
 
     async def _serve(self, client):
+        self.connections.add(client)
+        try:
+            await self._serve_requests(client)
+        finally:
+            self.connections.discard(client)
+
+    async def _serve_requests(self, client):
+        n_ended = self.n_ended
         async with client:
             buffer = b""
-            while True:
+            while self.n_ended == n_ended:
                 try:
                     data = await client.recv(65536)
                 except OSError:
@@ -129,6 +151,10 @@
                 self.arrived_at = system_clock()
                 self.clients.append(client)
                 await curio.sleep(self.delay_ms / 1000)
+                if self.ends_at and self.ends_at in request:
+                    await self.end()
+                if self.n_ended != n_ended:
+                    return
                 data = self._respond(request)
                 if data is None:
                     client._socket.setsockopt(
@@ -243,10 +269,17 @@
         announcement = Announcement(**{**fields, **changes})
         self.view.apply_announcements([(announcement.encode(), 0.0)])
 
-    async def get(self, method=b"GET", deadline=b"1500", body=b"", descriptor=-1):
+    async def get(
+        self,
+        method=b"GET",
+        deadline=b"1500",
+        body=b"",
+        descriptor=-1,
+        target=b"/x/1",
+    ):
         request = Request(
             method,
-            b"/x/1",
+            target,
             [
                 (b"host", b"h.example"),
                 (b"x-request-id", b"q1"),
