Show that repeated refusals and cut heads don't reach callers

A refusal that a server writes once more on a kept connection refuses no other request and causes no second run (32 cases); a response that ends in its head is never passed on as a success (a cut at each byte of four heads). Both hold on the present code, so no decision changes.

--- a/pollenfold/tests/gateway/test_backend.py
+++ b/pollenfold/tests/gateway/test_backend.py
@@ -99,3 +99,30 @@
         assert len(set(map(id, backend.clients))) == 1
 
     with_path(body, backend)
+
+
+WHOLE_HEADS = [
+    (b"x-response-signature: s", b"content-length: 5"),
+    (b"content-length: 5", b"x-response-signature: s"),
+    (b"x-response-signature: s", b"connection: close"),
+    (b"x-response-signature: s", b"transfer-encoding: chunked"),
+]
+
+
+@pytest.mark.parametrize("headers", WHOLE_HEADS)
+def test_response_that_ends_in_its_head_is_never_a_success(with_path, headers):
+    """Guards against a success with an empty or short body, when a server stops in the
+    middle of the head of its response and closes the connection."""
+    head = b"\r\n".join([b"HTTP/1.1 200 OK", b"x-request-id: q1", *headers])
+    head += b"\r\n\r\n"
+
+    async def body(path, backend):
+        backend.closes_after_response = True
+        for n_bytes in range(len(head)):
+            backend.respond = lambda request, n=n_bytes: head[:n]
+            response = await path.get(b"POST")
+            assert response.status == 502
+            assert response.remaining_body is None
+        assert len(backend.requests) == len(head)
+
+    with_path(body, Backend("one"), is_idempotent=False)
--- a/pollenfold/tests/gateway/test_late_copies.py
+++ b/pollenfold/tests/gateway/test_late_copies.py
@@ -110,3 +110,55 @@
         assert not path.balancer._connections.has_idle("one")
 
     with_path(body, Backend("one"), is_idempotent=method != b"POST")
+
+
+EARLIER_REFUSALS = [
+    b"HTTP/1.1 503 X\r\nx-not-executed: 1\r\nx-request-id: q0\r\n"
+    b"content-length: 0\r\n\r\n",
+    b"HTTP/1.1 429 X\r\nx-not-executed: 1\r\nx-request-id: q0\r\n"
+    b"content-length: 4\r\n\r\nfull",
+    b"HTTP/1.1 421 X\r\nx-request-id: q0\r\ncontent-length: 0\r\n\r\n",
+    b"HTTP/1.1 400 X\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("when", ["idle", "before", "with", "while_running"])
+@pytest.mark.parametrize("refusal", EARLIER_REFUSALS)
+def test_refusal_that_is_written_once_more_refuses_no_other_request(
+    with_path, refusal, when, is_idempotent
+):
+    """Guards against a caller that is told its request hasn't run though it has, and
+    against a second run, when a server writes an earlier refusal once more on a kept
+    connection. A refusal without an id belongs to a request that had none."""
+
+    async def body(path, one, two):
+        one.respond = lambda request: EARLIER_REFUSALS[0].replace(b"q0", b"q1")
+        two.respond = lambda request: signed_response()
+        while not one.requests:
+            await path.get()
+        n_refused = len(one.requests)
+        one.respond = lambda request: signed_response()
+        two.requests.clear()
+        path.view.forget("two", "test")
+        one.delay_ms = 60.0 if when == "while_running" else 0.0
+        if when == "idle":
+            await one.clients[-1].sendall(refusal)
+            idle = path.balancer._connections.pool(path.view.endpoints["one"])._idle
+            while not any(connection.has_input() for connection in idle):
+                await curio.sleep(0.005)
+        if when == "with":
+            one.respond = lambda request: refusal + signed_response()
+        if when == "before":
+            one.before_health = refusal
+        task = await curio.spawn(path.get, b"GET" if is_idempotent else b"POST")
+        if when == "while_running":
+            while len(one.requests) == n_refused:
+                await curio.sleep(0.005)
+            await one.clients[-1].sendall(refusal)
+        response = await task.join()
+        assert (response.status, response.body) == (200, b"whole")
+        assert len(one.requests) == n_refused + 1
+        assert not two.requests
+
+    with_path(body, Backend("one"), Backend("two"), is_idempotent=is_idempotent)
