Refuse requests that come after a planned stop closed the listener

Callers, as other operators reported: requests that came late in the grace period of a planned stop were accepted and passed on, and cut off without a response at its end.

Cause: stop() closes the listener and idle connections, and a connection with a pending request went on accepting further ones until the end of the process. Change: a request that is read after that is refused with 503 stopping, did_not_run, and closes the connection; the first request of a connection, which was in transit, is still handled.

Test: test_request_that_comes_after_the_stop_is_refused failed before for GET and POST (the late request was handled). Tests of pollenfold/http pass.

--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -58,6 +58,9 @@
     budget: MemoryBudget
     window_bytes: int
     is_stopping: bool = False
+    has_stopped: bool = False
+    """Whether no further request is accepted on the connections that are still open."""
+
     n_in_flight: int = 0
 
 
@@ -68,6 +71,9 @@
     parser: h11.Connection
     reader: RequestReader
     request: Request
+    is_late: bool = False
+    """Whether the request came after the server stopped."""
+
     task: curio.Task | None = None
     is_done: curio.Event = field(default_factory=curio.Event)
 
@@ -166,7 +172,9 @@
             if request is None or self._is_closing:
                 await reader.release()
                 return
-            exchange = _Exchange(parser, reader, request)
+            # The first request of a connection was in transit when the server stopped.
+            is_late = self._shared.has_stopped and self._n_requests > 0
+            exchange = _Exchange(parser, reader, request, is_late)
             self._waiting.append(exchange)
             self._is_reading_request = False
             self._n_requests += 1
@@ -223,7 +231,10 @@
 
     async def _respond(self, exchange: _Exchange) -> None:
         """Handle a request and write its response once all earlier ones are written."""
-        response = await self._handle(exchange.request)
+        if exchange.is_late:
+            response: Response | None = _refusal_of_late(exchange.request)
+        else:
+            response = await self._handle(exchange.request)
         try:
             await self._wait_for_turn(exchange)
             if not self._is_closing:
@@ -360,3 +371,15 @@
                 if not data:
                     return
                 n_bytes += len(data)
+
+
+def _refusal_of_late(request: Request) -> Response:
+    """Return the refusal of a request that came after the server stopped.
+
+    An earlier request with the same key may have been executed.
+    """
+    has_key = request.header(b"idempotency-key") is not None
+    state = RunState.OUTCOME_UNKNOWN.value if has_key else None
+    response = error_response(ErrorKind.STOPPING, run_state=state)
+    response.close = True
+    return response
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -109,7 +109,7 @@
         self._shared.is_stopping = True
 
     async def stop(self) -> None:
-        """Close the listener and the idle connections.
+        """Close the listener and the idle connections; refuse further requests.
 
         A connection in the kernel's accept queue may carry a request, so it is
         accepted first and given ``FIRST_REQUEST_WAIT_MS`` to send it.
@@ -119,6 +119,7 @@
             await self._accept_queued(self._listening_socket)
             await self._accept_task.cancel()
             self._listening_socket.close()
+        self._shared.has_stopped = True
         for connection in list(self._connections):
             if connection.is_new:
                 await curio.spawn(self._close_new_if_idle, connection, daemon=True)
--- a/pollenfold/tests/http/test_pipeline.py
+++ b/pollenfold/tests/http/test_pipeline.py
@@ -189,6 +189,31 @@
     run(main)
 
 
+@pytest.mark.parametrize("late", [GET, POST])
+def test_request_that_comes_after_the_stop_is_refused(run, late):
+    """Guards against a request that is accepted late in the grace period of a planned
+    stop, and cut off without a response at its end."""
+
+    async def main():
+        service = Service()
+        service.hold("a")
+        sock = await service.connect()
+        await sock.sendall(GET % b"a")
+        await wait_until(lambda: service.started == ["a"])
+        await service.server.stop()
+        await sock.sendall(late % b"late")
+        await curio.sleep(0.05)
+        await service.gates["a"].set()
+        _, data = await read_all(sock)
+        assert service.started == ["a"]
+        assert data.index(b"HTTP/1.1 200") < data.index(b"HTTP/1.1 503")
+        assert b"pollenfold-run-state: did_not_run" in data
+        assert b'"error": "stopping"' in data
+        await service.server.wait_idle()
+
+    run(main)
+
+
 def test_response_arrives_while_the_caller_still_sends(run):
     """Guards against a reset that precedes the response to a rejected request."""
 
