Give each pending request a final response before a planned stop ends

Callers, as other operators reported: at the end of the grace period of a planned stop requests were cut off without a response, among them requests that may not be repeated.

Cause: a stop waited for the requests in flight until shortly before the end of the grace period, and then ended the process with those whose servers had not responded. Change: from the stop on, no request has a deadline later than 0.2 s before the end. So one that can't be done in time is refused, and one that was sent gets 504, outcome_unknown.

Test: test_stop_answers_a_request_whose_server_does_not_respond_in_time failed before for GET and POST (end of stream in place of a response). Gateway tests pass.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -32,7 +32,7 @@
     elapsed_ms: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Call:
     """One request in progress, with the decisions made for it so far."""
 
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -49,6 +49,8 @@
 """How long a stopping entry accepts connections, until the balancer drops it."""
 
 STOP_MARGIN_MS = 500.0
+FINAL_RESPONSE_MS = 200.0
+"""How long before the end of a stop pending requests get their final responses."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,7 +260,8 @@
 async def _drain(gateway: Gateway) -> None:
     """Shut down: report unready, close the listener, wait for requests in flight."""
     gateway.is_stopping = True
-    stop_at = system_clock() + gateway.settings.grace_ms - STOP_MARGIN_MS
+    stop_at = add_ms(system_clock(), gateway.settings.grace_ms - STOP_MARGIN_MS)
+    gateway.forwarder.limit_deadlines(add_ms(stop_at, -FINAL_RESPONSE_MS))
     gateway.caller_server.announce_stop()
     gateway.log.state("stopping", n_in_flight=gateway.caller_server.n_in_flight)
     await curio.sleep(STOP_NOTICE_MS / 1000)
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -131,13 +131,14 @@
     call: Call, connection: BackendConnection, dialect: Dialect, clock: Clock
 ) -> Response | AttemptOutcome:
     """Wait for the response, and check meanwhile whether the caller is still there."""
-    until = add_ms(call.deadline, RESPONSE_GRACE_MS)
     is_expected = _response_matcher(
         call.request_id, dialect, connection.n_exchanges == 1
     )
     reader = await curio.spawn(connection.receive, is_expected, daemon=True)
     try:
         while not reader.terminated:
+            # The deadline moves if this process is stopped meanwhile.
+            until = add_ms(call.deadline, RESPONSE_GRACE_MS)
             left_ms = remaining_ms(until, clock())
             if left_ms <= 0.0:
                 return AttemptOutcome.EXPIRED
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -77,6 +77,8 @@
         self._metrics = metrics
         self._rng = rng
         self._final_responses = FinalResponses(view, clock, log, metrics, rng)
+        self._active_calls: set[Call] = set()
+        self._latest_deadline = Instant(float("inf"))
 
     def is_idempotent(self, request: Request) -> bool:
         """Return whether a request may run concurrently with others on a connection."""
@@ -86,6 +88,15 @@
         route = _find_request_route(request, configuration)
         return route is not None and route.is_idempotent
 
+    def limit_deadlines(self, latest: Instant) -> None:
+        """End all requests, present and later ones, by ``latest`` at the latest.
+
+        A process that stops calls it, so that each request gets a final response.
+        """
+        self._latest_deadline = latest
+        for call in self._active_calls:
+            call.deadline = min(call.deadline, latest)
+
     async def handle(self, request: Request) -> Response | None:
         """Return the final response, or None if the caller is gone.
 
@@ -108,7 +119,9 @@
             detail = "malformed deadline"
             kind = ErrorKind.BAD_REQUEST
             return refuse(request_id, kind, route=route.name, detail=detail)
+        call.deadline = min(call.deadline, self._latest_deadline)
         self._link.record_received(len(request.body), started_at)
+        self._active_calls.add(call)
         try:
             final = await self._forward(call)
         except CallerGoneError:
@@ -116,6 +129,8 @@
             return None
         except BodyError as error:
             return self._final_responses.end_incomplete_request(call, error.kind)
+        finally:
+            self._active_calls.discard(call)
         return final
 
     # Attempts
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from dataclasses import replace
 
 import curio
 import pytest
@@ -9,16 +10,19 @@
 from pollenfold.core.registry import Announcement
 from pollenfold.core.retry_budget import RetryLimits
 from pollenfold.core.routes import (
+    BackendService,
     Route,
     RoutingConfiguration,
     WeightedService,
     sorted_routes,
 )
+from pollenfold.gateway import daemon
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request, Response
 from pollenfold.observe.clock import system_clock
 from pollenfold.platform.headers import DIALECT
+from pollenfold.tests.gateway.conftest import Backend
 
 
 @pytest.fixture
@@ -141,3 +145,47 @@
         assert data.endswith(b"%d" % max_concurrent)
 
     run(main)
+
+
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+def test_stop_answers_a_request_whose_server_does_not_respond_in_time(
+    gateway, run, monkeypatch, method
+):
+    """Guards against requests that are cut off without a response at the end of the
+    grace period of a planned stop."""
+    monkeypatch.setattr(daemon, "STOP_NOTICE_MS", 300.0)
+    gateway.settings = replace(gateway.settings, grace_ms=1_500.0)
+    services = (WeightedService("s", 1.0),)
+    route = Route("r1", "/x/", method == b"GET", services, 20_000.0, 10_000.0, 2)
+    request = (
+        method + b" /x/1 HTTP/1.1\r\nhost: h\r\nx-request-id: q1\r\n"
+        b"x-deadline-ms: 20000\r\ncontent-length: 0\r\n\r\n"
+    )
+
+    async def main():
+        backend = Backend("i-1", delay_ms=30_000.0)
+        await backend.start()
+        gateway.view.configuration = RoutingConfiguration(
+            1,
+            {"h": sorted_routes([route])},
+            {"s": BackendService("s", "/healthz", 260, 3000.0, 18.0)},
+        )
+        endpoint = replace(ENDPOINT, host="127.0.0.1", port=backend.port)
+        gateway.view.apply_announcements([(endpoint.encode(), 0.0)])
+        port = await gateway.caller_server.start_on(gateway.settings.caller_listener)
+        early = await curio.open_connection("127.0.0.1", port)
+        await early.sendall(request)
+        while not backend.requests:
+            await curio.sleep(0.005)
+        stop = await curio.spawn(daemon._drain, gateway)
+        await curio.sleep(0.1)
+        late = await curio.open_connection("127.0.0.1", port)
+        await late.sendall(request)
+        await stop.join()
+        for sock in (early, late):
+            async with curio.timeout_after(1):
+                response = await sock.recv(65536)
+            assert response.split(b" ")[1] == b"504"
+            assert b"pollenfold-run-state: outcome_unknown" in response
+
+    run(main)
