Let the soak's servers end of a request

In the calm phases one request is repeated at all entries, and each server that runs it ends for 1.5 s. Later than 3 s after the third end it may reach a server three times at most. The draws have a source of their own, so the faults of the seeds that are kept as regression tests don't change.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -14,6 +14,7 @@
 import argparse
 import hashlib
 import json
+import math
 import os
 import random
 import shutil
@@ -27,7 +28,7 @@
 
 import curio
 
-from benchmarks.soak_backends import Link, SoakBackend
+from benchmarks.soak_backends import DEADLY, Link, SoakBackend
 from pollenfold.http.client import HttpConnection
 from pollenfold.http.messages import Response, find_header
 
@@ -41,6 +42,12 @@
 
 LIMIT_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
+DEADLY_S = 6.0
+NEWS_LIMIT_S = 3.0
+MAX_LATE_DEADLY = 3
+"""How often a request may reach a server later than ``NEWS_LIMIT_S`` after it has ended
+the third."""
+
 LIMITS = ("0", "0.5", "3.1", "40", "soon", "")
 """Limits that backend servers declare during phases with faults; one is malformed."""
 
@@ -154,6 +161,7 @@
     """Draws limits. With a source of their own they don't change the faults that are
     drawn by the seeds kept as regression tests."""
 
+    deadly_rng: random.Random = field(default_factory=random.Random)
     violations: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     n_served: int = 0
@@ -167,6 +175,7 @@
     def __post_init__(self) -> None:
         self.rng.seed(self.seed)
         self.limit_rng.seed(-1 - self.seed)
+        self.deadly_rng.seed(-1_000_000 - self.seed)
         network = f"127.{10 + self.seed % 200}"
         self.controls = [self._program("control", network, 1, k) for k in range(3)]
         self.entries = [self._program("entry", network, 2, k) for k in range(3)]
@@ -412,6 +421,34 @@
                 f"{LIMIT_WINDOW_S} s at a declared limit of {LIMIT_PER_S} a second"
             )
 
+    async def send_deadly_request(self, number: int) -> None:
+        """Repeat a request that ends each server which runs it, at all entries.
+
+        Some time after it has ended the third, it must reach hardly any server.
+        """
+        for backend in self.backends:
+            backend.deadly_arrived_s.clear()
+        path = f"/safe/{DEADLY}-{number}"
+        headers = [(b"host", b"h.example"), (b"x-deadline-ms", b"1000")]
+        deadline = time.monotonic() + DEADLY_S
+        while time.monotonic() < deadline:
+            host = self.deadly_rng.choice(self.entries).host
+            request_id = f"{DEADLY}-{number}-{time.monotonic()}".encode()
+            id_header = (b"x-request-id", request_id)
+            await exchange(
+                host, CALLER_PORT, b"GET", path, [*headers, id_header], b"", 1.5
+            )
+            await curio.sleep(self.deadly_rng.uniform(0.0, 0.2))
+        arrived = sorted(at for b in self.backends for at in b.deadly_arrived_s)
+        third_at = arrived[2] if len(arrived) > 2 else math.inf
+        n_late = sum(at > third_at + NEWS_LIMIT_S for at in arrived)
+        print(f"seed={self.seed} deadly={len(arrived)} late={n_late}", flush=True)
+        if n_late > MAX_LATE_DEADLY:
+            self.add_violation(
+                f"{path} ended {len(arrived)} servers, {n_late} of them later than "
+                f"{NEWS_LIMIT_S} s after the third"
+            )
+
     async def drain_backend(self) -> None:
         """Drain a backend server; after the limit it must receive no requests."""
         backend = self.rng.choice([b for b in self.backends if not b.is_leaving])
@@ -464,15 +501,15 @@
             self.add_violation("the first configuration was not acknowledged")
         callers = [await curio.spawn(self.run_caller, k) for k in range(8)]
         await curio.sleep(2.0)
-        for _ in range(self.n_cycles):
-            await self._cycle()
+        for number in range(self.n_cycles):
+            await self._cycle(number)
         await self._recover()
         self.is_over = True
         for caller in callers:
             await caller.join()
         self._check_executions()
 
-    async def _cycle(self) -> None:
+    async def _cycle(self, number: int) -> None:
         deadline = time.monotonic() + 3.0
         tasks = []
         limits_task = await curio.spawn(self.vary_limits, daemon=True)
@@ -490,7 +527,9 @@
         self.is_disk_lost = False
         drain_task = await curio.spawn(self.drain_backend)
         limit_task = await curio.spawn(self.declare_limit)
+        deadly_task = await curio.spawn(self.send_deadly_request, number)
         await self.zone_out_and_in()
+        await deadly_task.join()
         await drain_task.join()
         await limit_task.join()
 
@@ -549,7 +588,9 @@
         async with curio.timeout_after(timeout_s):
             connection = await HttpConnection.open(host, port)
             try:
-                all_headers = [(b"host", host.encode()), *headers]
+                all_headers = headers
+                if find_header(headers, b"host") is None:
+                    all_headers = [(b"host", host.encode()), *headers]
                 result = await connection.exchange(
                     method, path.encode(), all_headers, body
                 )
--- a/benchmarks/soak_backends.py
+++ b/benchmarks/soak_backends.py
@@ -18,6 +18,11 @@
 
 HEARTBEAT_S = 0.8
 WORK_S = 0.01
+DOWN_S = 1.5
+"""How long a server is down that ended running a deadly request."""
+
+DEADLY = "deadly"
+"""Part of the path of a request that ends each server which runs it."""
 
 
 class Link(Enum):
@@ -42,15 +47,26 @@
         self._host = host
         self._target: tuple[str, int] = ("", 0)
         self._socks: set[socket.socket] = set()
+        self._accept_task: curio.Task | None = None
         self.mode = Link.PASS
         self.port = 0
 
     async def start(self, target: tuple[str, int]) -> None:
         """Listen on a free port and forward connections to the target."""
         self._target = target
-        sock = curio.tcp_server_socket(self._host, 0)
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Listen on a free port, or again on the same one."""
+        sock = curio.tcp_server_socket(self._host, self.port)
         self.port = sock.getsockname()[1]
-        await curio.spawn(self._accept, sock, daemon=True)
+        self._accept_task = await curio.spawn(self._accept, sock, daemon=True)
+
+    async def end(self) -> None:
+        """Refuse connections and close the open ones, as if the process had ended."""
+        if self._accept_task is not None:
+            await self._accept_task.cancel()
+        self.close_connections()
 
     def close_connections(self) -> None:
         """Shut down all connections, like a reset at the end of a network partition."""
@@ -116,6 +132,9 @@
         self.arrived_s: deque[float] = deque(maxlen=10_000)
         """When requests and health checks arrived."""
 
+        self.deadly_arrived_s: list[float] = []
+        """When deadly requests arrived, of which each ends the server."""
+
         self.is_leaving = False
         self.executions: dict[str, int] = {}
         self.n_requests = 0
@@ -139,6 +158,12 @@
         self._sequence = 0
         self.is_leaving = False
 
+    async def _end_and_start_again(self) -> None:
+        await self.link.end()
+        await curio.sleep(DOWN_S)
+        await self.start_new_incarnation()
+        await self.link.listen()
+
     def announcement(self) -> dict[str, object]:
         """Return the next announcement."""
         self._sequence += 1
@@ -190,6 +215,11 @@
             return Response(421, [*common_headers, (b"x-not-executed", b"1")])
         request_id = find_header(request.headers, b"x-request-id") or b""
         self.n_requests += 1
+        if DEADLY in request.path:
+            self.deadly_arrived_s.append(time.monotonic())
+            await curio.sleep(WORK_S)
+            await curio.spawn(self._end_and_start_again, daemon=True)
+            return None
         if self.fault == "shed":
             refused = [
                 *common_headers,
