--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -34,7 +34,7 @@
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
 from .pick import Pick
-from .request_digest import request_digest
+from .suspects import Suspects
 from .view import FleetView
 
 MIN_DEADLINE_MS = 10.0
@@ -77,6 +77,7 @@
         self._metrics = metrics
         self._rng = rng
         self._final_responses = FinalResponses(view, clock, log, metrics, rng)
+        self._suspects = Suspects(view.quarantine, balancer, dialect, clock)
         self._active_calls: set[Call] = set()
         self._latest_deadline = Instant(float("inf"))
 
@@ -137,7 +138,7 @@
 
     async def _forward(self, call: Call) -> Response:
         """Send the request to one endpoint after another, as far as retries allow."""
-        if self._is_quarantined(call):
+        if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
         self._retry_budget.count_request(call.service, call.started_at)
         n_sent = 0
@@ -178,7 +179,7 @@
             call.deadline,
             acceptable_slowdown(call.work_estimate.get(), left_ms),
             call.decision_trace,
-            self._avoided_endpoint_ids(call),
+            self._suspects.avoided_endpoint_ids(call),
         )
         if pick is None:
             call.backoff_ms = self._balancer.permit_wait_ms(call.service)
@@ -198,7 +199,7 @@
     ) -> ErrorKind | None:
         """Return why a request may not be sent to the selected endpoint, if so."""
         # Others may have reported the request while an endpoint was selected.
-        if self._is_quarantined(call):
+        if self._suspects.is_quarantined(call):
             return ErrorKind.QUARANTINED
         now = self._clock()
         if remaining_ms(call.deadline, now) < MIN_DEADLINE_MS:
@@ -246,9 +247,7 @@
         endpoint = pick.endpoint
         started_at = self._clock()
         self._count_limited_send(endpoint)
-        is_suspect = self._is_suspect(call)
-        if is_suspect:
-            self._view.quarantine.begin_run(endpoint)
+        end_run = self._suspects.begin_run(call, endpoint)
         endpoint.health.n_in_flight += 1
         outcome = AttemptOutcome.LOST
         response: Response | None = None
@@ -263,8 +262,7 @@
             )
         finally:
             endpoint.health.n_in_flight -= 1
-            if is_suspect:
-                self._view.quarantine.end_run(endpoint)
+            end_run()
             elapsed_ms = self._clock() - started_at
             call.attempts.append(
                 Attempt(
@@ -285,9 +283,9 @@
                 await self._balancer.release(endpoint, pick.connection)
         self._record_outcome(call, endpoint, outcome, elapsed_ms)
         if outcome is AttemptOutcome.LOST:
-            await self._record_lost_run(call, endpoint, started_at)
+            await self._suspects.record_lost_run(call, endpoint, started_at)
         elif outcome in COMPLETED_OUTCOMES and not has_remaining_body:
-            await self._record_completed_run(call)
+            await self._suspects.record_completed_run(call)
         if response is not None:
             is_success = outcome is AttemptOutcome.RESPONDED and response.status < 300
             apply_response_notices(
@@ -305,48 +303,6 @@
             call.last_response = response
         return outcome, response
 
-    # Requests that end servers
-
-    def _digest(self, call: Call) -> str:
-        call.digest = call.digest or request_digest(call.request, self._dialect)
-        return call.digest
-
-    def _is_quarantined(self, call: Call) -> bool:
-        quarantine = self._view.quarantine
-        return not quarantine.is_empty and quarantine.is_quarantined(self._digest(call))
-
-    def _is_suspect(self, call: Call) -> bool:
-        quarantine = self._view.quarantine
-        return not quarantine.is_empty and quarantine.is_suspect(self._digest(call))
-
-    def _avoided_endpoint_ids(self, call: Call) -> frozenset[str]:
-        """Return the endpoints that already run a request under suspicion.
-
-        With one of them at a time on an endpoint, its end tells which one caused it.
-        """
-        if self._is_suspect(call):
-            return self._view.quarantine.busy_endpoint_ids()
-        return frozenset()
-
-    async def _record_lost_run(
-        self, call: Call, endpoint: Endpoint, started_at: Instant
-    ) -> None:
-        """Record the run of a lost request, if its endpoint ended meanwhile.
-
-        An endpoint runs a request only after it has received all of it.
-        """
-        digest = self._digest(call)
-        ended_at = self._clock()
-        is_sent = call.sent_at >= started_at
-        if is_sent and await self._balancer.has_ended(endpoint):
-            await self._view.quarantine.record_end(
-                digest, endpoint, started_at, ended_at
-            )
-
-    async def _record_completed_run(self, call: Call) -> None:
-        if self._is_suspect(call):
-            await self._view.quarantine.record_completion(self._digest(call))
-
     def _count_limited_send(self, endpoint: Endpoint) -> None:
         if endpoint.declared_limit is not None:
             service = endpoint.announcement.service
