--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -27,8 +27,9 @@
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
-from .cluster_state import ClusterState, PeerView
+from .cluster_state import ClusterState
 from .feed_server import FeedServer
+from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
 from .replica import DynamicMembers, Replica
 
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -9,15 +9,12 @@
 
 import json
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
 
 import curio
 from expression import Error, Ok, Result
 
 from ..core.agreement_members import host_and_port
-from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.digests import bucket_digests
 from ..core.errors import ErrorKind
 from ..core.limit_report import (
     LimitReport,
@@ -26,7 +23,7 @@
     seen_report,
 )
 from ..core.quarantine import Quarantine
-from ..core.registry import Announcement, Registry, decode_announcement
+from ..core.registry import Announcement, Registry
 from ..core.replicated_state import (
     Command,
     Configure,
@@ -352,70 +349,3 @@
             return f"{zone}:{'out' if is_out else 'in'}"
         case Depart(endpoint_id, born_ms):
             return f"{endpoint_id}:{born_ms}"
-
-
-class PeerView:
-    """Merges endpoint updates from the feeds of the other control replicas.
-
-    It implements the subset of an entry's view that ``Feeds`` uses. Commands arrive
-    through the log, so the replicated state is never requested from a feed.
-    """
-
-    def __init__(self, cluster_state: ClusterState) -> None:
-        self._cluster_state = cluster_state
-        self.connected_since: Instant | None = None
-        self.n_connected = 0
-        self.entry_ids: frozenset[str] = frozenset()
-        self.fleet = FleetSize()
-        """Fleet size reported by others; this replica counts its own subscribers."""
-
-    @property
-    def replicated_state(self) -> ReplicatedState:
-        """An empty state with the highest index, so that ``Feeds`` requests none."""
-        return ReplicatedState(index=1 << 62)
-
-    @property
-    def control_hosts(self) -> frozenset[str]:
-        """The hosts of the voters."""
-        voters = self._cluster_state.replica.voters()
-        return frozenset(host_and_port(k)[0] for k in voters)
-
-    @property
-    def n_endpoints(self) -> int:
-        """The number of known endpoints, including those that are leaving."""
-        return len(self._cluster_state.registry)
-
-    def digests(self) -> list[int]:
-        """Return the bucket digests of the known endpoints."""
-        return bucket_digests(self._cluster_state.registry.announcements())
-
-    def apply_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
-        """Merge announcements that another replica received."""
-        for fields, _ in items:
-            self._cluster_state.merge_announcement(decode_announcement(fields))
-
-    def apply_limit_reports(self, items: Iterable[object]) -> None:
-        """Merge reports on limits that another replica received."""
-        self._cluster_state.merge_limit_reports(items)
-
-    def apply_quarantine_reports(self, items: Iterable[object]) -> None:
-        """Merge reports on requests that end servers from another replica."""
-        self._cluster_state.merge_quarantine_reports(items)
-
-    def renew_endpoints(self, endpoint_ids: list[str]) -> None:
-        """Record repeated announcements, to send their ids to entries."""
-        self._cluster_state.refresh_relayed(endpoint_ids)
-
-    def expire(self) -> None:
-        """Release requests whose time in quarantine is over.
-
-        All endpoints are kept; entries expire unresponsive ones themselves.
-        """
-        self._cluster_state.expire_quarantine()
-
-    def apply_replicated_state(self, fields: dict[str, Any], source: str) -> bool:
-        """Ignore the state, since commands arrive through the log."""
-        return False
-
-    def set_control_hosts(self, control_hosts: list[str]) -> None:
-        """Ignore the hosts, since the log names the voters."""
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -14,7 +14,8 @@
 from ..core.registry import Announcement, EndpointRecord
 from ..observe.events import EventLog
 from ..wire.lines import encode_line, read_lines
-from .cluster_state import ClusterState, PeerView
+from .cluster_state import ClusterState
+from .peer_view import PeerView
 
 PUBLISH_INTERVAL_MS = 20.0
 KEEP_ALIVE_MS = 500.0
