Tell processes that start only of requests that ended several servers

Callers: nothing seen; found while reading. queue_all awaited while it went through the quarantine, which may change meanwhile, and it queued each request that ran on a server when it ended, so that after the end of a zone each change of an update source sent them all again.

Change: a list is taken first, and only requests with more than one end are sent to a process that starts or becomes the update source. Later reports carry all ends of a request, so nothing is lost for good. Changes are logged by what was logged before, so a release by expiry is logged as well.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -139,9 +139,11 @@
                     items = self._announcements(line.get("digests"))
                     self._send_line(subscriber, {"announcements": items})
                 elif "limits" in line:
-                    self._merge_limit_reports(subscriber, line["limits"])
+                    merge = self._cluster_state.merge_limit_reports
+                    self._merge(subscriber, merge, line["limits"])
                 elif "quarantine" in line:
-                    self._merge_quarantine_reports(subscriber, line["quarantine"])
+                    merge = self._cluster_state.merge_quarantine_reports
+                    self._merge(subscriber, merge, line["quarantine"])
                 elif "news" in line:
                     self._set_wants_updates(subscriber, bool(line["news"]))
         except OSError as error:
@@ -158,22 +160,13 @@
                     detail=detail,
                 )
 
-    def _merge_limit_reports(
-        self, subscriber: _Subscriber, items: list[object]
-    ) -> None:
-        self._merge(subscriber, self._cluster_state.merge_limit_reports, items)
-
-    def _merge_quarantine_reports(
-        self, subscriber: _Subscriber, items: list[object]
-    ) -> None:
-        self._merge(subscriber, self._cluster_state.merge_quarantine_reports, items)
-
     def _merge(
         self,
         subscriber: _Subscriber,
         merge: Callable[[list[object]], None],
         items: list[object],
     ) -> None:
+        """Merge the reports of an entry; log malformed ones and go on."""
         try:
             merge(items)
         except (ValueError, TypeError) as error:
@@ -230,8 +223,8 @@
             self._send_quarantine(subscriber)
 
     def _send_quarantine(self, subscriber: _Subscriber) -> None:
-        """Send what is known of requests that end servers."""
-        reports = list(self._cluster_state.quarantine.reports(self._clock()))
+        """Send what is known of requests that ended more than one server."""
+        reports = self._cluster_state.quarantine.repeated_reports(self._clock())
         if reports:
             self._send_line(subscriber, {"quarantine": reports})
 
--- a/pollenfold/core/quarantine.py
+++ b/pollenfold/core/quarantine.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from math import isfinite
 
@@ -188,11 +187,17 @@
         """Return what is known of a request as JSON values, with ages in ms."""
         return self._suspects[digest].encode(digest, now)
 
-    def reports(self, now: Instant) -> Iterator[list[object]]:
-        """Return the reports on all requests with runs."""
-        for digest, suspect in self._suspects.items():
-            if suspect.runs:
-                yield suspect.encode(digest, now)
+    def repeated_digests(self) -> list[str]:
+        """Return the requests under which more than one server ended.
+
+        A process that starts is told of these. Most others ran beside such a request,
+        and are many when a zone ends.
+        """
+        return [k for k, v in self._suspects.items() if len(v.runs) > 1]
+
+    def repeated_reports(self, now: Instant) -> list[list[object]]:
+        """Return the reports on the requests of ``repeated_digests``."""
+        return [self.report(digest, now) for digest in self.repeated_digests()]
 
     def merge(self, fields: object, now: Instant) -> str | None:
         """Merge a report of another process; return the digest if it told news.
--- a/pollenfold/gateway/quarantine.py
+++ b/pollenfold/gateway/quarantine.py
@@ -23,6 +23,9 @@
         self._log = log
         self._quarantine = Quarantine()
         self._unsent: dict[str, None] = {}
+        self._logged: set[str] = set()
+        """The digests that were last logged as quarantined."""
+
         self._running_at: dict[str, int] = {}
         self.has_reports = curio.Event()
 
@@ -56,30 +59,30 @@
         """Record that a server ended while it ran a request."""
         endpoint_id, born_ms = endpoint.incarnation
         run = EndedRun(endpoint_id, born_ms, started_at, ended_at)
-        was_quarantined = self.is_quarantined(digest)
         if self._quarantine.add_run(digest, run):
             self._log.state("server_ended", endpoint=endpoint_id, digest=digest)
-            self._log_if_quarantined(digest, was_quarantined, "answer")
+            self._log_change(digest, "answer")
             await self._queue(digest)
 
     async def record_completion(self, digest: str) -> None:
         """Record that a server completed a request, which clears it."""
-        was_quarantined = self.is_quarantined(digest)
         if self._quarantine.clear(digest, self._clock()):
-            self._log_if_released(digest, was_quarantined, "answer")
+            self._log_change(digest, "answer")
             await self._queue(digest)
 
-    def _log_if_quarantined(
-        self, digest: str, was_quarantined: bool, source: str
-    ) -> None:
-        if not was_quarantined and self.is_quarantined(digest):
+    def _log_change(self, digest: str, source: str) -> None:
+        """Log that a request was quarantined or released since the last call."""
+        is_quarantined = self.is_quarantined(digest)
+        if is_quarantined == (digest in self._logged):
+            return
+        if is_quarantined:
+            self._logged.add(digest)
             servers = ",".join(self.ended_endpoint_ids(digest))
             self._log.state(
                 "request_quarantined", digest=digest, endpoints=servers, source=source
             )
-
-    def _log_if_released(self, digest: str, was_quarantined: bool, source: str) -> None:
-        if was_quarantined and not self.is_quarantined(digest):
+        else:
+            self._logged.discard(digest)
             self._log.state("request_released", digest=digest, source=source)
 
     # Suspects that run on a server
@@ -110,9 +113,9 @@
         await self.has_reports.set()
 
     async def queue_all(self) -> None:
-        """Queue what is known of all requests, for a replica that may lack it."""
-        for report in self._quarantine.reports(self._clock()):
-            await self._queue(str(report[0]))
+        """Queue what a control replica may lack that becomes the update source."""
+        for digest in self._quarantine.repeated_digests():
+            await self._queue(digest)
 
     def take_reports(self) -> list[list[object]]:
         """Return the reports to send to a control replica, and forget them."""
@@ -129,12 +132,12 @@
         """Merge what others know; raise ValueError if an item is malformed."""
         now = self._clock()
         for fields in items:
-            before = set(self._quarantine.quarantined_digests())
             digest = self._quarantine.merge(fields, now)
             if digest is not None:
-                self._log_if_quarantined(digest, digest in before, "report")
-                self._log_if_released(digest, digest in before, "report")
+                self._log_change(digest, "report")
 
     def expire(self) -> None:
         """Forget requests whose time under suspicion or in quarantine is over."""
         self._quarantine.expire(self._clock())
+        for digest in [k for k in self._logged if not self.is_quarantined(k)]:
+            self._log_change(digest, "expiry")
