Bound the runs of a request that goes on ending servers without an error

Callers: nothing seen; found while reading. When more than 16 servers had ended in succession under one request, as entries that are cut off may let happen, dropping a run raised StopIteration, which ended the handling of the request with an internal error, or the feed that brought the report.

Change: if all runs are in succession, the newest is dropped.

Test: test_request_that_goes_on_ending_servers_stays_within_the_bound failed before (StopIteration) and passes.

--- a/pollenfold/core/quarantine.py
+++ b/pollenfold/core/quarantine.py
@@ -82,7 +82,8 @@
         self.runs = sorted([*self.runs, run], key=_order)
         if len(self.runs) > MAX_RUNS:
             kept = self.succession()
-            self.runs.remove(next(run for run in self.runs if run not in kept))
+            others = (run for run in self.runs if run not in kept)
+            self.runs.remove(next(others, self.runs[-1]))
         return True
 
     def clear(self, at: Instant) -> bool:
--- a/pollenfold/tests/core/test_quarantine.py
+++ b/pollenfold/tests/core/test_quarantine.py
@@ -105,6 +105,15 @@
     assert quarantine.is_quarantined(DIGEST)
 
 
+def test_request_that_goes_on_ending_servers_stays_within_the_bound():
+    """Guards against an error in an entry that learns of more ends than it keeps, for
+    example of entries that were cut off and weren't told of the quarantine."""
+    quarantine = quarantine_of(*in_succession(3 * MAX_RUNS))
+    assert quarantine.is_quarantined(DIGEST)
+    report = quarantine.report(DIGEST, 100_000.0)
+    assert Quarantine().merge(report, 0.0) == DIGEST
+
+
 def test_reports_carry_the_state_to_another_clock():
     """Guards against a quarantine that only the entry knows which saw the ends."""
     quarantine = quarantine_of(*in_succession(3))
