Bring a leaving server of the soak back only after it was checked

Traced in the entries' logs: a server that was leaving ended of the deadly request, and its next incarnation announced itself as ready 1.7 s later, so the requests were allowed. The check stays as it is; the stand-in no longer starts the next incarnation before the check is over.

--- a/benchmarks/soak_backends.py
+++ b/benchmarks/soak_backends.py
@@ -161,6 +161,10 @@
     async def _end_and_start_again(self) -> None:
         await self.link.end()
         await curio.sleep(DOWN_S)
+        # A leaving server comes back only after the check of its departure: the next
+        # incarnation may receive requests, which would look like those of this one.
+        while self.is_leaving:
+            await curio.sleep(0.05)
         await self.start_new_incarnation()
         await self.link.listen()
 
