Drop the retry counts of services that are no longer configured

Callers: nothing seen; found by reading the change once more. RetryBudget replaced the allowances of CallFactory, which dropped the state of services that a configuration lacks, and kept its own for good, so that the memory of an entry grew with each service that was ever configured.

Change: counts of removed services are dropped once a second, as before with each configuration. Test: test_counts_of_removed_services_are_dropped (the method is new).

--- a/pollenfold/core/retry_budget.py
+++ b/pollenfold/core/retry_budget.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Container
 from dataclasses import dataclass
 
 from .allowances import SAFETY_FACTOR, FleetSize, WindowCount, rendezvous_rank
@@ -142,6 +143,10 @@
             )
         self._n_extra.record(self._n_permits if fleet.is_current(now) else 0, now)
 
+    def retain(self, services: Container[str]) -> None:
+        """Drop the counts of services that the configuration lacks."""
+        self._services = {k: v for k, v in self._services.items() if k in services}
+
     def count_request(self, service: str, now: Instant) -> None:
         """Count one request of a caller for a service."""
         self._counts(service).requests.add(now)
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -188,6 +188,8 @@
             self.retry_budget.update_share(
                 self.view.fleet, self.view.entry_ids, system_clock()
             )
+            if self.view.configuration is not None:
+                self.retry_budget.retain(self.view.configuration.services)
             await curio.sleep(RETRY_SHARE_INTERVAL_MS / 1000)
 
     def reload(self) -> None:
--- a/pollenfold/tests/core/test_retry_budget.py
+++ b/pollenfold/tests/core/test_retry_budget.py
@@ -107,3 +107,12 @@
     assert budget.try_acquire("s", now).is_permitted
     budget.update_share(fleet, names, now + 1.0)
     assert not budget.try_acquire("s", now + 1.0).is_permitted
+
+
+def test_counts_of_removed_services_are_dropped():
+    """Guards against memory that grows with each service that was ever configured."""
+    budget = RetryBudget(LIMITS, "e1", 0.0)
+    budget.count_request("old", 0.0)
+    budget.count_request("kept", 0.0)
+    budget.retain({"kept"})
+    assert set(budget._services) == {"kept"}
