Log which state an entry requests, receives and judges a missing route by

A request without a route now logs host, path, the index that the entry holds and the highest that a replica announced; requests for the state and received copies are logged. No decision changes.

--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -25,6 +25,7 @@
         self._cluster_state = cluster_state
         self.connected_since: Instant | None = None
         self.n_connected = 0
+        self.announced_index = 0
         self.entry_ids: frozenset[str] = frozenset()
         self.fleet = FleetSize()
         """Fleet size reported by others; this replica counts its own subscribers."""
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -293,7 +293,7 @@
         if "control" in line:
             view.set_control_hosts(line["control"])
         if "orders" in line:
-            view.apply_replicated_state(line["orders"], host)
+            self._apply_state(line["orders"], host)
         if "announcements" in line:
             view.apply_announcements(line["announcements"])
         if "heard" in line:
@@ -317,7 +317,21 @@
             feed.complete_since = since if is_complete else None
         if "n_entries" in line:
             view.fleet.report(int(line["n_entries"]), self._clock())
-        return int(line.get("index", 0))
+        index = int(line.get("index", 0))
+        view.announced_index = max(view.announced_index, index)
+        return index
+
+    def _apply_state(self, fields: dict[str, Any], host: str) -> None:
+        """Apply a copy of the replicated state; log it even if it was not newer."""
+        is_applied = self._view.apply_replicated_state(fields, host)
+        self._log.state(
+            "state_received",
+            control=host,
+            index=fields.get("index"),
+            version=fields.get("version"),
+            n_document_chars=len(fields.get("document") or ""),
+            applied=is_applied,
+        )
 
     async def _request_state(self, feed: Feed) -> None:
         """Request the replicated state: immediately in the own zone, else delayed."""
@@ -330,6 +344,12 @@
 
     def _state_request(self) -> dict[str, Any]:
         replicated_state = self._view.replicated_state
+        self._log.state(
+            "state_requested",
+            index=replicated_state.index,
+            version=replicated_state.version,
+            announced_index=self._view.announced_index,
+        )
         return {
             "get": 1,
             "index": replicated_state.index,
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -13,6 +13,8 @@
 from .calls import Call
 from .view import FleetView
 
+MAX_LOGGED_URL_CHARS = 200
+
 
 class FinalResponses:
     """Builds the final response to each accepted request, and logs and counts it."""
@@ -39,8 +41,12 @@
         route: str = "",
         detail: str = "",
         after_ms: float | None = None,
+        url: str = "",
     ) -> Response:
-        """Refuse a request for which no ``Call`` was created."""
+        """Refuse a request for which no ``Call`` was created.
+
+        ``url``, for the log only, is the host and path for which there is no route.
+        """
         after_s = None if after_ms is None else after_ms / 1000
         response = error_response(kind, detail, retry_after_s=after_s)
         self._metrics.count("refused_total", kind=kind.value)
@@ -51,7 +57,10 @@
             route=route,
             status=response.status,
             kind=kind.value,
+            url=url[:MAX_LOGGED_URL_CHARS],
             version=self._view.replicated_state.version,
+            index=self._view.replicated_state.index,
+            announced_index=self._view.announced_index,
         )
         return response
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -114,7 +114,8 @@
         self._call_factory.retain(configuration)
         route = _find_request_route(request, configuration)
         if route is None:
-            return refuse(request_id, ErrorKind.NO_ROUTE)
+            url = _request_host(request) + request.path
+            return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
         call = self._call_factory.create_call(request, request_id, route, started_at)
         if call is None:
             detail = "malformed deadline"
@@ -359,5 +360,8 @@
 def _find_request_route(
     request: Request, configuration: RoutingConfiguration
 ) -> Route | None:
-    host = (request.header(b"host") or b"").decode("latin-1")
-    return find_route(configuration, host, request.path)
+    return find_route(configuration, _request_host(request), request.path)
+
+
+def _request_host(request: Request) -> str:
+    return (request.header(b"host") or b"").decode("latin-1")
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -66,6 +66,9 @@
         of all endpoints; None while it doesn't."""
 
         self.n_connected = 0
+        self.announced_index = 0
+        """The highest index of the replicated state that any replica announced."""
+
         self._leaving: dict[Incarnation, None] = {}
         """Incarnations that announced in a response that they are leaving, oldest
         first. They are kept apart from the endpoints, since an endpoint may be removed
