Say that a route doesn't exist only on a confirmed configuration

Cause: the entry denied each route that its own copy of the configuration lacks, although it had been told of a newer state, and although nobody but one replica stood behind the copy.

Change: control replicas confirm on request which index was the last one (the leader's commit index once a majority answered a heartbeat sent afterwards; nothing is written; all entries that wait share a round). An entry asks once a second; without a confirmation from the last 2.5 s, or while a newer index is announced, an unknown route gets 503 not_confirmed, did_not_run. Known routes are served as before.

Two tests that expect 404 now confirm the state first, since that is what they are about.

--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -42,6 +42,10 @@
 BARRIER = b"\0"
 """A no-op command; reads commit one so that they are linearizable."""
 
+CONFIRM_INDEX = b""
+"""Asks the leader for its commit index, confirmed by a majority. A leader of an earlier
+version fails to handle it, so that nothing is confirmed."""
+
 MAY_BE_COMMITTED = b"\0"
 """The response to a forwarded command whose outcome the leader doesn't know. Replicas
 of earlier versions read it as index 0, which means not committed."""
@@ -271,11 +275,34 @@
         committed = await self._commit_index(BARRIER, deadline)
         if committed.is_error():
             return Error(committed.error)
-        while self.replica.applied_index() < committed.ok:
+        if not await self._wait_until_applied(committed.ok, deadline):
+            return Error(ErrorKind.NO_QUORUM)
+        return Ok(self.replicated_state)
+
+    async def confirm(self, timeout_ms: float) -> Result[int, ErrorKind]:
+        """Return the index of a state that has all commands acknowledged before.
+
+        Unlike ``read`` this writes nothing to the log: the leader returns its commit
+        index once a majority has answered a heartbeat that it sent afterwards.
+        """
+        deadline = add_ms(self._clock(), timeout_ms)
+        if self.replica.is_leader():
+            confirmed = await self.replica.confirm_index(timeout_ms)
+        else:
+            confirmed = await self._forward(CONFIRM_INDEX, timeout_ms)
+        if confirmed.is_error():
+            return Error(confirmed.error)
+        if not await self._wait_until_applied(confirmed.ok, deadline):
+            return Error(ErrorKind.NO_QUORUM)
+        return Ok(self.replicated_state.index)
+
+    async def _wait_until_applied(self, index: int, deadline: Instant) -> bool:
+        """Wait until this replica applied an index; return False after the deadline."""
+        while self.replica.applied_index() < index:
             if self._clock() >= deadline:
-                return Error(ErrorKind.NO_QUORUM)
+                return False
             await curio.sleep(0.01)
-        return Ok(self.replicated_state)
+        return True
 
     async def _commit_index(
         self, command: bytes, deadline: Instant, is_repeatable: bool = True
@@ -321,6 +348,9 @@
         """
         if not self.replica.is_leader():
             return b""
+        if command == CONFIRM_INDEX:
+            confirmed = await self.replica.confirm_index(FORWARD_TIMEOUT_MS)
+            return b"" if confirmed.is_error() else confirmed.ok.to_bytes(8, "big")
         result = await self.replica.propose(command, FORWARD_TIMEOUT_MS)
         if result.is_ok():
             return result.ok.to_bytes(8, "big")
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -15,6 +15,7 @@
 from ..observe.events import EventLog
 from ..wire.lines import encode_line, read_lines
 from .cluster_state import ClusterState
+from .confirmer import Confirmer
 from .peer_view import PeerView
 
 PUBLISH_INTERVAL_MS = 20.0
@@ -99,6 +100,7 @@
         self._published_control: list[str] = []
         self._published_n_peers = 0
         self.fleet = FleetSize()
+        self._confirmer = Confirmer(cluster_state, log)
         cluster_state.on_change = self._mark_changed
         cluster_state.on_update = self._queue_update
         cluster_state.on_limit_report = self._queue_limit_report
@@ -144,6 +146,8 @@
                 elif "quarantine" in line:
                     merge = self._cluster_state.merge_quarantine_reports
                     self._merge(subscriber, merge, line["quarantine"])
+                elif "confirm" in line:
+                    await self._request_confirmation(subscriber, line["confirm"])
                 elif "news" in line:
                     self._set_wants_updates(subscriber, bool(line["news"]))
         except OSError as error:
@@ -205,6 +209,19 @@
             else replicated_state.encode()
         )
 
+    async def _request_confirmation(
+        self, subscriber: _Subscriber, request_id: object
+    ) -> None:
+        if type(request_id) is not int:
+            self._log.state("malformed_report", reader=subscriber.name, detail="id")
+            return
+
+        def respond(request_id: int, index: int) -> None:
+            if subscriber in self._subscribers:
+                self._send_line(subscriber, {"confirmed": [request_id, index]})
+
+        await self._confirmer.request(subscriber.name, request_id, respond)
+
     def _set_wants_updates(self, subscriber: _Subscriber, wants_updates: bool) -> None:
         """Start or stop sending an entry updates on endpoints and other entries."""
         if not subscriber.is_entry or subscriber.wants_updates == wants_updates:
@@ -289,16 +306,23 @@
         return for_all, names
 
     async def run(self) -> None:
-        """Send changes and keep-alives to all subscribers until cancelled."""
-        while True:
-            await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
-            now = self._clock()
-            is_keep_alive_due = now >= add_ms(self._published_at, KEEP_ALIVE_MS)
-            has_updates = bool(
-                self._pending_updates or self._changed_limits or self._changed_digests
-            )
-            if is_keep_alive_due or self._is_changed or has_updates:
-                self._publish(now, is_keep_alive_due)
+        """Send changes, keep-alives and confirmations until cancelled."""
+        confirmer = await curio.spawn(self._confirmer.run, daemon=True)
+        try:
+            while True:
+                await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
+                self._publish_if_due()
+        finally:
+            await confirmer.cancel()
+
+    def _publish_if_due(self) -> None:
+        now = self._clock()
+        is_keep_alive_due = now >= add_ms(self._published_at, KEEP_ALIVE_MS)
+        has_updates = bool(
+            self._pending_updates or self._changed_limits or self._changed_digests
+        )
+        if is_keep_alive_due or self._is_changed or has_updates:
+            self._publish(now, is_keep_alive_due)
 
     def _publish(self, now: Instant, is_keep_alive_due: bool) -> None:
         """Send all subscribers the pending changes, filtered by subscriber kind."""
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -44,6 +44,7 @@
     Send,
     Tick,
 )
+from ..core.agreement_state import majority_contact_at
 from ..core.clock import Clock, Instant, add_ms
 from ..core.errors import ErrorKind
 from ..storage.agreement import AgreementStorage, OpenJournal
@@ -55,6 +56,8 @@
 MAX_COMMAND_BYTES = 1 << 19
 FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
 
+CONFIRM_POLL_MS = 5.0
+
 REOPEN_AFTER_MS = 1000.0
 """Time between attempts to reopen the data folder after a failed write."""
 
@@ -275,6 +278,26 @@
             }
         return proposal.result or Error(ErrorKind.NO_QUORUM)
 
+    async def confirm_index(self, timeout_ms: float) -> Result[int, ErrorKind]:
+        """Return the commit index once a majority confirmed this leader since the call.
+
+        Each majority that commits a command shares a replica with the one that answered
+        heartbeats sent after the call. So no other leader had committed more by then.
+        """
+        state, asked_at = self._state, self._clock()
+        if state is None or not self.is_leader():
+            return Error(ErrorKind.NOT_LEADER)
+        index, term = state.commit_index, state.term
+        deadline = add_ms(asked_at, timeout_ms)
+        while (now := self._clock()) < deadline:
+            state = self._state
+            if state is None or state.role is not Role.LEADER or state.term != term:
+                return Error(ErrorKind.NOT_LEADER)
+            if majority_contact_at(state, now) > asked_at:
+                return Ok(index)
+            await curio.sleep(CONFIRM_POLL_MS / 1000)
+        return Error(ErrorKind.NO_QUORUM)
+
     # Steps
 
     def _sleep_ms(self) -> float:
--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -42,6 +42,7 @@
     NO_QUORUM = "no_quorum"
     NOT_LEADER = "not_leader"
     NOT_READY = "not_ready"
+    NOT_CONFIRMED = "not_confirmed"
     FLEET_FULL = "fleet_full"
     BAD_FRAME = "bad_frame"
     UNREACHABLE = "unreachable"
@@ -142,6 +143,12 @@
         421, _DID_NOT_RUN, 1, "this control replica is not the leader"
     ),
     ErrorKind.NOT_READY: ErrorResponse(503, _DID_NOT_RUN, 1, "still starting"),
+    ErrorKind.NOT_CONFIRMED: ErrorResponse(
+        503,
+        _DID_NOT_RUN,
+        1,
+        "no route is known here, and the configuration may be out of date",
+    ),
     ErrorKind.FLEET_FULL: ErrorResponse(
         503, _DID_NOT_RUN, 2, "the fleet has its greatest number of entries"
     ),
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -204,6 +204,8 @@
                 "configuration_version", self.view.replicated_state.version
             )
             self.metrics.set("orders_index", self.view.replicated_state.index)
+            is_current = self.view.is_state_current()
+            self.metrics.set("configuration_confirmed", float(is_current))
             self.metrics.set("feeds_connected", self.feeds.n_connected)
             self.metrics.set("requests_in_flight", self.caller_server.n_in_flight)
             self.metrics.set("endpoints", len(self.view.endpoints))
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -21,6 +21,7 @@
 from ..observe.events import EventLog
 from ..wire.connections import open_connection
 from ..wire.lines import read_lines
+from .confirmation_requests import ConfirmationRequests
 from .feed import Feed
 from .view import FleetView
 
@@ -116,6 +117,8 @@
 
     async def run(self) -> None:
         """Keep all feeds open until cancelled."""
+        if self._identity.role == "entry":
+            await curio.spawn(self._confirmation_requests().run, daemon=True)
         while True:
             wanted = set(self._seeds()) | set(self._view.control_hosts)
             wanted.discard(self._own_host)
@@ -135,6 +138,29 @@
             pause_ms = SETTLED_CHECK_INTERVAL_MS if is_settled else CHECK_INTERVAL_MS
             await curio.sleep(pause_ms / 1000)
 
+    def _confirmation_requests(self) -> ConfirmationRequests:
+        view = self._view
+        return ConfirmationRequests(
+            view.confirmations,
+            self._feeds_by_preference,
+            view.is_state_current,
+            self._clock,
+            self._log,
+        )
+
+    def _feeds_by_preference(self) -> list[Feed]:
+        """Return the open feeds: the update source, then those that aren't isolated."""
+        now = self._clock()
+        hosts = sorted(
+            self._connected,
+            key=lambda host: (
+                host != self._source,
+                self._connected[host].is_isolated(now),
+                host,
+            ),
+        )
+        return [self._connected[host] for host in hosts]
+
     async def _choose_source(self) -> None:
         """Choose the best open feed as update source; replicas use all feeds."""
         if self._identity.role != "entry":
@@ -300,6 +326,9 @@
             view.renew_endpoints(line["heard"])
         if "limits" in line:
             view.apply_limit_reports(line["limits"])
+        if "confirmed" in line:
+            request_id, index = line["confirmed"]
+            view.confirmations.record(int(request_id), int(index))
         if "quarantine" in line:
             view.apply_quarantine_reports(line["quarantine"])
         if "entries" in line and host == self._source:
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -13,6 +13,7 @@
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
+from ..core.confirmation import Confirmations
 from ..core.digests import bucket_digests
 from ..core.registry import (
     Announcement,
@@ -69,6 +70,7 @@
         self.announced_index = 0
         """The highest index of the replicated state that any replica announced."""
 
+        self.confirmations = Confirmations()
         self._leaving: dict[Incarnation, None] = {}
         """Incarnations that announced in a response that they are leaving, oldest
         first. They are kept apart from the endpoints, since an endpoint may be removed
@@ -100,6 +102,18 @@
         self._rebuild()
         return True
 
+    def is_state_current(self) -> bool:
+        """Return whether the replicated state held is known to be the newest.
+
+        A majority of the replicas must have confirmed it lately, and no replica may
+        have announced a newer one. Only then may a caller be told that a route doesn't
+        exist.
+        """
+        index = self.replicated_state.index
+        if index < self.announced_index:
+            return False
+        return self.confirmations.is_current(index, self._clock())
+
     def _mark_unconfirmed(self, zone: str) -> None:
         for endpoint in self.endpoints.values():
             if endpoint.announcement.zone == zone:
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -225,6 +225,7 @@
             {"s": BackendService("s", "/healthz", 260, 3000.0, 18.0)},
         )
         self.view.replicated_state = ReplicatedState(index=1, version=1)
+        self.confirm()
         self.view.fleet.report(len(entry_ids), clock())
         self.view.entry_ids = frozenset(entry_ids)
         for number, backend in enumerate(backends):
@@ -253,6 +254,11 @@
         self.lines += data.decode().splitlines()
         return len(data)
 
+    def confirm(self, index=1):
+        """Let a majority of the control replicas confirm an index."""
+        confirmations = self.view.confirmations
+        confirmations.record(confirmations.begin(system_clock()), index)
+
     def announce(self, backend, sequence=1, **changes):
         fields = {
             "endpoint_id": backend.name,
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -76,6 +76,8 @@
     async def configure():
         await curio.sleep(0.05)
         gateway.view.configuration = RoutingConfiguration(1)
+        confirmations = gateway.view.confirmations
+        confirmations.record(confirmations.begin(system_clock()), 0)
         gateway.view.apply_announcements([(ENDPOINT.encode(), 0.0)])
 
     async def main():
--- a/pollenfold/tests/gateway/test_missing_route.py
+++ b/pollenfold/tests/gateway/test_missing_route.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pollenfold.core.confirmation import Confirmations
 from pollenfold.http.messages import find_header
 from pollenfold.tests.gateway.conftest import Backend
 
@@ -22,3 +23,18 @@
         assert (await path.get()).status == 200
 
     with_path(body, Backend("one"))
+
+
+def test_route_is_not_denied_before_a_majority_confirmed_the_state(with_path):
+    """Guards against 404 from a process that just started beside one replica that may
+    lack the last changes, or that has lost all replicas since."""
+
+    async def body(path, backend):
+        path.view.confirmations = Confirmations()
+        assert (await path.get(target=b"/new/1")).status == 503
+        path.confirm(index=2)
+        assert (await path.get(target=b"/new/1")).status == 503
+        path.confirm(index=1)
+        assert (await path.get(target=b"/new/1")).status == 404
+
+    with_path(body, Backend("one"))
