--- a/pollenfold/storage/journal.py
+++ b/pollenfold/storage/journal.py
@@ -13,13 +13,23 @@
 
 _HEADER = struct.Struct(">IQ")
 MAX_ENTRY_BYTES = 1 << 22
-"""A larger length field can only come from a corrupt file."""
+"""A larger length field can only come from a corrupt file, since larger entries are
+not written."""
 
 
 def _frame(entry: bytes) -> bytes:
     return _HEADER.pack(len(entry), xxhash.xxh3_64_intdigest(entry)) + entry
 
 
+def _check_sizes(entries: list[bytes]) -> Result[None, Failure]:
+    """Return ``STORAGE_FAILED`` for an entry that couldn't be read again."""
+    n_bytes = max(map(len, entries), default=0)
+    if n_bytes <= MAX_ENTRY_BYTES:
+        return Ok(None)
+    detail = f"expected entries of at most {MAX_ENTRY_BYTES} bytes, got {n_bytes}"
+    return Error(Failure(ErrorKind.STORAGE_FAILED, detail))
+
+
 def _read_entries(data: bytes) -> tuple[list[bytes], int]:
     """Return the complete entries and the length in bytes of the part they fill."""
     entries = []
@@ -79,9 +89,15 @@
         return cls(path, descriptor), entries
 
     def append(self, entries: list[bytes]) -> Result[None, Failure]:
-        """Write and sync the entries; return ``STORAGE_FAILED`` if that fails."""
+        """Write and sync the entries; return ``STORAGE_FAILED`` if that fails.
+
+        An entry over ``MAX_ENTRY_BYTES`` is refused, and then nothing is written.
+        """
         if self._has_failed:
             return Error(Failure(ErrorKind.STORAGE_FAILED, "an earlier write failed"))
+        checked = _check_sizes(entries)
+        if checked.is_error():
+            return checked
         data = memoryview(b"".join(_frame(entry) for entry in entries))
         try:
             while data:
@@ -93,7 +109,13 @@
         return Ok(None)
 
     def rewrite(self, entries: list[bytes]) -> Result[None, Failure]:
-        """Replace all entries atomically; return ``STORAGE_FAILED`` if that fails."""
+        """Replace all entries atomically; return ``STORAGE_FAILED`` if that fails.
+
+        An entry over ``MAX_ENTRY_BYTES`` is refused, and then nothing changes.
+        """
+        checked = _check_sizes(entries)
+        if checked.is_error():
+            return checked
         temporary = self.path.with_suffix(".new")
         descriptor = None
         try:
--- a/pollenfold/tests/storage/test_journal.py
+++ b/pollenfold/tests/storage/test_journal.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pollenfold.core.errors import ErrorKind
-from pollenfold.storage.journal import Journal
+from pollenfold.storage.journal import MAX_ENTRY_BYTES, Journal
 
 ENTRIES = [b"first", b"", b"third" * 100]
 
@@ -75,3 +75,16 @@
     monkeypatch.setattr(os, "fsync", fail_fsync)
     assert journal.rewrite(ENTRIES).error.kind is ErrorKind.STORAGE_FAILED
     assert len(os.listdir("/proc/self/fd")) == n_open
+
+
+@pytest.mark.parametrize("write", [Journal.append, Journal.rewrite])
+def test_oversized_entry_is_refused_and_loses_nothing(tmp_path, write):
+    """Guards against an entry that is acknowledged although the next opening of the
+    file takes it for corruption and drops it with all entries after it."""
+    path = tmp_path / "log"
+    journal, _ = Journal.open(path)
+    assert journal.append([b"before"]).is_ok()
+    result = write(journal, [b"first", b"x" * (MAX_ENTRY_BYTES + 1)])
+    assert result.error.kind is ErrorKind.STORAGE_FAILED
+    assert journal.append([b"x" * MAX_ENTRY_BYTES, b"after"]).is_ok()
+    assert Journal.open(path)[1] == [b"before", b"x" * MAX_ENTRY_BYTES, b"after"]
