Accept configurations of up to 4 MiB

What operators saw: a valid configuration with 4,200 routes (734,572 bytes as a command) got no clear response, however often it was sent; the leader logged 'ValueError: expected a command of 1 to 524288 bytes' for each try, and the followers forwarded the next one.

Cause: a log entry holds a command of at most 512 KiB, the API takes bodies of 16 MiB, and nothing between them answered for good.

Weighed: larger frames, which replicas of earlier versions close the connection for; a document in several entries, which makes each reader put them together; and compression. A command over 512 KiB is now compressed with zlib (14,000 routes: 3.06 MB to 359 KB, 4,200 routes: 915 KB to 108 KB, in the generator of the tests). Smaller ones are encoded as before. Decompression stops at 4 MiB; malformed data is a ValueError, which the state machine logs. What exceeds 4 MiB, or 768 KiB compressed, is answered with 413 at once.

--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -26,6 +26,7 @@
 from ..core.registry import Announcement, Registry
 from ..core.replicated_state import (
     Command,
+    CommandSizeError,
     Configure,
     Depart,
     Evacuate,
@@ -233,7 +234,8 @@
         """Commit a command.
 
         Ok means that it is committed, or redundant after what is committed. After an
-        error it may still be committed. An evacuation isn't retried after an unknown
+        error it may still be committed, except after ``BODY_TOO_LARGE``, which no
+        repetition changes. An evacuation isn't retried after an unknown
         outcome: a second copy could be applied after the evacuation was withdrawn.
         """
         if self._is_redundant(command):
@@ -242,7 +244,11 @@
             return Error(ErrorKind.NOT_READY)
         deadline = add_ms(self._clock(), timeout_ms)
         is_repeatable = not isinstance(command, Evacuate)
-        encoded = encode_command(command)
+        try:
+            encoded = encode_command(command)
+        except CommandSizeError as error:
+            self._log.state("command_too_large", detail=str(error))
+            return Error(ErrorKind.BODY_TOO_LARGE)
         committed = await self._commit_index(encoded, deadline, is_repeatable)
         return Error(committed.error) if committed.is_error() else Ok(None)
 
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -22,6 +22,7 @@
     is_leader,
     step,
 )
+from ..core.agreement_log import MAX_COMMAND_BYTES
 from ..core.agreement_members import (
     decode_members,
     founder_state,
@@ -52,7 +53,6 @@
 from .peer_calls import PeerCalls
 
 ENTRIES_PER_SNAPSHOT = 256
-MAX_COMMAND_BYTES = 1 << 19
 FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
 
 REOPEN_AFTER_MS = 1000.0
--- a/pollenfold/core/agreement_log.py
+++ b/pollenfold/core/agreement_log.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass
 
+MAX_COMMAND_BYTES = 3 << 18
+"""The largest command of an entry. A message with one such entry stays below the limit
+of 1 MiB for a frame."""
+
 ENTRY_OVERHEAD_BYTES = 64
 """An upper bound of the bytes that the encoding of an entry adds to its command."""
 
--- a/pollenfold/core/replicated_state.py
+++ b/pollenfold/core/replicated_state.py
@@ -10,6 +10,20 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from .agreement_log import MAX_COMMAND_BYTES
+from .compression import compress, decompress
+
+MAX_PLAIN_COMMAND_BYTES = 4 << 20
+"""The largest command before compression. It bounds what a replica decompresses, and
+keeps a line with the replicated state below the limit of the feeds."""
+
+COMPRESS_ABOVE_BYTES = 1 << 19
+"""Earlier versions accept uncompressed commands up to this size, and no larger ones, so
+whatever they accept stays readable for them."""
+
+COMPRESSED_PREFIX = b"\x00zlib\x00"
+"""The prefix of a compressed command; JSON doesn't start with these bytes."""
+
 MAX_DEPARTURES = 1_000
 """Departures kept; older ones belong to endpoints that no longer announce."""
 
@@ -41,8 +55,16 @@
 Command = Configure | Evacuate | Depart
 
 
+class CommandSizeError(ValueError):
+    """A command is too large for the replicated log."""
+
+
 def encode_command(command: Command) -> bytes:
-    """Return the command as the bytes of a log entry."""
+    """Return the command as the bytes of a log entry, compressed if it is large.
+
+    Raise CommandSizeError if it has more than ``MAX_PLAIN_COMMAND_BYTES``, or more
+    than ``MAX_COMMAND_BYTES`` after compression.
+    """
     match command:
         case Configure(version, document):
             fields: list[Any] = ["configure", version, document]
@@ -50,11 +72,28 @@
             fields = ["evacuate", zone, is_out]
         case Depart(endpoint_id, born_ms):
             fields = ["depart", endpoint_id, born_ms]
-    return json.dumps(fields, separators=(",", ":")).encode()
+    encoded = json.dumps(fields, separators=(",", ":")).encode()
+    if len(encoded) > MAX_PLAIN_COMMAND_BYTES:
+        raise CommandSizeError(
+            f"expected a command of at most {MAX_PLAIN_COMMAND_BYTES} bytes, "
+            f"got {len(encoded)}"
+        )
+    if len(encoded) <= COMPRESS_ABOVE_BYTES:
+        return encoded
+    compressed = COMPRESSED_PREFIX + compress(encoded)
+    if len(compressed) > MAX_COMMAND_BYTES:
+        raise CommandSizeError(
+            f"expected a command of at most {MAX_COMMAND_BYTES} bytes after "
+            f"compression, got {len(compressed)}"
+        )
+    return compressed
 
 
 def decode_command(command: bytes) -> Command:
     """Decode a command; raise ValueError if the bytes are not a valid command."""
+    if command.startswith(COMPRESSED_PREFIX):
+        compressed = command[len(COMPRESSED_PREFIX) :]
+        command = decompress(compressed, MAX_PLAIN_COMMAND_BYTES)
     try:
         match json.loads(command):
             case ["configure", int(version), str(document)]:
@@ -63,7 +102,7 @@
                 return Evacuate(zone, is_out)
             case ["depart", str(endpoint_id), int(born_ms)]:
                 return Depart(endpoint_id, born_ms)
-    except UnicodeDecodeError as error:
+    except (UnicodeDecodeError, RecursionError) as error:
         raise ValueError(str(error)) from error
     raise ValueError("expected a command of the replicated log")
 
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -124,6 +124,8 @@
         )
         if error is None:
             return json_response(200, {})
+        if error is ErrorKind.BODY_TOO_LARGE:
+            return error_response(error)
         response = error_response(error, retry_after_s=0.2)
         response.status = 503
         return response
--- a/pollenfold/tests/core/test_replicated_state.py
+++ b/pollenfold/tests/core/test_replicated_state.py
@@ -2,9 +2,12 @@
 
 import json
 import random
+import tracemalloc
+import zlib
 
 import pytest
 
+from pollenfold.core.agreement_log import MAX_COMMAND_BYTES
 from pollenfold.core.registry import (
     Announcement,
     Registry,
@@ -12,7 +15,11 @@
     decode_announcement,
 )
 from pollenfold.core.replicated_state import (
+    COMPRESS_ABOVE_BYTES,
+    COMPRESSED_PREFIX,
     MAX_DEPARTURES,
+    MAX_PLAIN_COMMAND_BYTES,
+    CommandSizeError,
     Configure,
     Depart,
     Evacuate,
@@ -21,6 +28,7 @@
     decode_replicated_state,
     encode_command,
 )
+from pollenfold.testing.configurations import large_configuration
 
 
 def announcement(endpoint_id="i-1", **changes):
@@ -47,6 +55,80 @@
     assert decode_command(encode_command(command)) == command
 
 
+def plain_command(document):
+    """Return a command as earlier versions encode it."""
+    return json.dumps(["configure", 3, document], separators=(",", ":")).encode()
+
+
+def test_command_that_earlier_versions_accept_is_encoded_as_they_do():
+    """Guards against a replica of an earlier version that can't read a configuration
+    which it accepts itself, and against one whose entries can't be read any more."""
+    n_other_bytes = len(plain_command(""))
+    document = "x" * (COMPRESS_ABOVE_BYTES - n_other_bytes)
+    for text in ("{}", document):
+        assert encode_command(Configure(3, text)) == plain_command(text)
+    larger = encode_command(Configure(3, document + "x"))
+    assert larger.startswith(COMPRESSED_PREFIX)
+    assert decode_command(larger) == Configure(3, document + "x")
+    assert decode_command(plain_command(document + "x")) == decode_command(larger)
+
+
+def test_configuration_of_14000_routes_fits_into_an_entry():
+    """Guards against a limit below the configurations that must be accepted."""
+    document = json.dumps(large_configuration(14_000))
+    encoded = encode_command(Configure(1, document))
+    assert len(encoded) < MAX_COMMAND_BYTES / 2
+    assert decode_command(encoded).document == document
+
+
+def test_command_over_the_limits_is_refused():
+    """Guards against a command that no log entry can hold, before or after its
+    compression."""
+    rng = random.Random(1)
+    for document in (
+        "x" * MAX_PLAIN_COMMAND_BYTES,
+        rng.randbytes(MAX_COMMAND_BYTES).hex(),
+    ):
+        with pytest.raises(CommandSizeError):
+            encode_command(Configure(1, document))
+
+
+COMPRESSED = zlib.compress(plain_command("{}"))
+
+
+@pytest.mark.parametrize(
+    "compressed",
+    [
+        b"",
+        b"\x00",
+        COMPRESSED[:-1],
+        COMPRESSED[:-1] + b"\xff",
+        COMPRESSED + b"\x00",
+        zlib.compress(b"[" * 100_000),
+        zlib.compress(b"\xff"),
+        zlib.compress(COMPRESSED_PREFIX + COMPRESSED),
+    ],
+)
+def test_malformed_compressed_command_is_rejected(compressed):
+    """Guards against a truncated or corrupt command that terminates the process."""
+    with pytest.raises(ValueError):
+        decode_command(COMPRESSED_PREFIX + compressed)
+
+
+def test_decompression_is_bounded():
+    """Guards against a small entry that takes up all memory when it is decompressed."""
+    n_bytes = 64 * MAX_PLAIN_COMMAND_BYTES
+    bomb = COMPRESSED_PREFIX + zlib.compress(bytes(n_bytes))
+    tracemalloc.start()
+    try:
+        with pytest.raises(ValueError):
+            decode_command(bomb)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 4 * MAX_PLAIN_COMMAND_BYTES
+
+
 @pytest.mark.parametrize("command", [b"", b"\xff", b"[]", b'["configure", "3", 1]'])
 def test_malformed_command_is_rejected(command):
     """Guards against a malformed command that terminates the process."""
