Compact the log by its bytes too

test_log_of_large_configurations_is_compacted, with the limit set to 1 MiB, failed without the new condition: 4,265,484 bytes of commands were in the log.

--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -53,6 +53,10 @@
 from .peer_calls import PeerCalls
 
 ENTRIES_PER_SNAPSHOT = 256
+LOG_BYTES_PER_SNAPSHOT = 8 << 20
+"""A snapshot replaces the entries applied so far after this many, or after this many
+bytes of commands, since each configuration supersedes the previous one."""
+
 FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
 
 REOPEN_AFTER_MS = 1000.0
@@ -132,6 +136,9 @@
         self._state: State | None = None
         self._reopen_at = clock()
         self._applied_index = 0
+        self._n_applied_bytes = 0
+        """The bytes of the commands applied since the last snapshot."""
+
         self._leader_since: Instant | None = None
         self._has_seen_leader = False
         self._outbox: list[Message] = []
@@ -351,11 +358,18 @@
         if self._state is None:
             return []
         self._observe(before, state)
-        n_entries = self._applied_index - state.log.snapshot.index
-        if n_entries >= ENTRIES_PER_SNAPSHOT and not isinstance(event, Compact):
+        if self._is_snapshot_due(state) and not isinstance(event, Compact):
+            self._n_applied_bytes = 0
             messages += self._step(Compact(self._applied_index, self._snapshot_data()))
         return [] if self._state is None else messages
 
+    def _is_snapshot_due(self, state: State) -> bool:
+        n_entries = self._applied_index - state.log.snapshot.index
+        return (
+            n_entries >= ENTRIES_PER_SNAPSHOT
+            or self._n_applied_bytes >= LOG_BYTES_PER_SNAPSHOT
+        )
+
     def _perform(self, actions: list[Action]) -> list[Message]:
         messages = []
         for action in actions:
@@ -385,6 +399,7 @@
             elif command:
                 self._apply(index, command)
             self._applied_index = index
+            self._n_applied_bytes += len(command)
         proposal = self._proposals.get(index)
         if proposal is not None:
             is_same = proposal.term == term
--- a/pollenfold/tests/control/test_large_configurations.py
+++ b/pollenfold/tests/control/test_large_configurations.py
@@ -97,3 +97,25 @@
         assert await get(cluster, 2) == allowed
 
     with_cluster(body)
+
+
+def test_log_of_large_configurations_is_compacted(with_cluster, monkeypatch):
+    """Guards against a log that fills memory and disk with superseded configurations,
+    because only the number of its entries is bounded."""
+    limit_bytes = 1 << 20
+    monkeypatch.setattr(
+        "pollenfold.control.replica.LOG_BYTES_PER_SNAPSHOT", limit_bytes
+    )
+
+    async def body(cluster):
+        n_bytes = len(json.dumps(large_configuration(1_400)))
+        for version in range(1, 4 * limit_bytes // n_bytes):
+            document = large_configuration(1_400, version=version)
+            assert (await put(cluster, 1, document)).status == 200
+        for number, running in cluster.running.items():
+            assert await get(cluster, number) == document
+            entries = running.node.replica._state.log.entries
+            assert sum(len(e.command) for e in entries) < limit_bytes + 2 * n_bytes
+            assert running.node.replica.status()["snapshot_index"] > 0
+
+    with_cluster(body)
