--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -63,7 +63,11 @@
             return voters
     if not log.snapshot.index:
         return frozenset()
-    return unwrap_snapshot(log.snapshot.data)[0]
+    # Only the first line is copied: this runs for each batch of entries, and the state
+    # machine may have megabytes.
+    data = log.snapshot.data
+    members_command = data[: max(0, data.find(b"\n"))]
+    return decode_members(members_command) or frozenset()
 
 
 def address_of(replica_id: str) -> str:
