Find a route by its prefix instead of trying all routes

What callers saw: each request to a host with many routes cost the entry time in proportion to their number, twice a request with pipelining (the check whether it may run concurrently looks the route up too).

find_route now looks up the path's beginning in a dict by prefix, once for each different length of a prefix, the longest first. That holds for prefixes with and without a slash at their end, and the work depends neither on the number of routes nor on the length of the path or its slashes. The tuples of RoutingConfiguration.hosts keep their meaning.

--- a/pollenfold/core/routes.py
+++ b/pollenfold/core/routes.py
@@ -59,6 +59,32 @@
     idle_timeout_ms: float = 60_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class PrefixIndex:
+    """The routes of one host by prefix, and the lengths of the prefixes, longest first.
+
+    Looking up each length takes time in proportion to the number of different lengths,
+    which are few, and neither to the number of routes nor to the length of the path.
+    """
+
+    routes: dict[str, Route]
+    lengths: tuple[int, ...]
+
+    def find(self, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        for length in self.lengths:
+            route = self.routes.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
+def prefix_index(routes: tuple[Route, ...]) -> PrefixIndex:
+    """Return the index of a host's routes; the first of equal prefixes counts."""
+    by_prefix = {route.path_prefix: route for route in reversed(routes)}
+    return PrefixIndex(by_prefix, tuple(sorted(set(map(len, by_prefix)), reverse=True)))
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
     """Routes by lower-case host, the longest prefix first, and services by name."""
@@ -67,6 +93,12 @@
     hosts: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services: dict[str, BackendService] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    indexes: dict[str, PrefixIndex] = field(init=False, repr=False, compare=False)
+    """The routes of each host by prefix."""
+
+    def __post_init__(self) -> None:
+        indexes = {host: prefix_index(routes) for host, routes in self.hosts.items()}
+        object.__setattr__(self, "indexes", indexes)
 
 
 def sorted_routes(routes: list[Route]) -> tuple[Route, ...]:
@@ -83,10 +115,8 @@
     ``A.example:80`` and the path ``/x/1`` match the route ``/x/`` of ``a.example``.
     """
     name = host.rpartition(":")[0] if ":" in host else host
-    for route in configuration.hosts.get(name.lower(), ()):
-        if path.startswith(route.path_prefix):
-            return route
-    return None
+    index = configuration.indexes.get(name.lower())
+    return None if index is None else index.find(path)
 
 
 class WeightedSplit:
--- a/pollenfold/tests/core/test_routes.py
+++ b/pollenfold/tests/core/test_routes.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import pytest
+
 from pollenfold.core.routes import (
     Route,
     RoutingConfiguration,
@@ -55,3 +57,28 @@
     )
     split.retain({"kept"})
     assert split._credits == {}
+
+
+class CountingPath(str):
+    """A path that counts the comparisons with prefixes and the prefixes taken of it."""
+
+    n_operations = 0
+
+    def startswith(self, *arguments):
+        self.n_operations += 1
+        return super().startswith(*arguments)
+
+    def __getitem__(self, key):
+        self.n_operations += 1
+        return super().__getitem__(key)
+
+
+@pytest.mark.parametrize("path", ["/b99/x", "/none/x", "/" * 16_000])
+def test_lookup_cost_is_independent_of_the_number_of_routes(path):
+    """Guards against a search through all routes of a host for each request, and
+    against work in proportion to the slashes that a caller sends."""
+    routes = sorted_routes([route(f"r{k}", f"/b{k:05}/") for k in range(5_000)])
+    configuration = RoutingConfiguration(1, {"h": routes})
+    counting_path = CountingPath(path)
+    find_route(configuration, "h", counting_path)
+    assert counting_path.n_operations <= 5
