--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -111,6 +111,11 @@
         """The number of open connections."""
         return len(self._subscribers)
 
+    @property
+    def n_confirmation_rounds(self) -> int:
+        """How often this replica asked a majority for a confirmation."""
+        return self._confirmer.n_rounds
+
     def _mark_changed(self) -> None:
         self._is_changed = True
 
