--- /dev/null
+++ b/properties/test_document_difference.py
@@ -0,0 +1,57 @@
+"""Differences between documents: any two texts, and configurations with one change."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenfold.core.document_difference import (
+    apply_difference,
+    difference,
+    document_digest,
+)
+
+TEXTS = st.text(alphabet='ab{}", é', max_size=60) | st.text()
+
+
+@given(base=TEXTS, target=TEXTS)
+def test_applied_difference_gives_the_target(base, target):
+    """Guards against an entry whose document isn't the committed one."""
+    operations = json.loads(json.dumps(difference(base, target)))
+    applied = apply_difference(base, operations)
+    assert applied == target
+    assert document_digest(applied) == document_digest(target)
+
+
+ROUTES = st.lists(st.integers(0, 30), min_size=1, max_size=40)
+
+
+def document(routes):
+    """Return a document with routes that may repeat, as services and weights do."""
+    return json.dumps(
+        [{"name": f"route-{n}", "split": [{"weight": n}]} for n in routes]
+    )
+
+
+@given(routes=ROUTES, data=st.data())
+def test_one_changed_object_needs_few_operations(routes, data):
+    """Guards against a difference that is cut into many runs by repeated objects."""
+    position = data.draw(st.integers(0, len(routes) - 1))
+    changed = list(routes)
+    changed[position] = 31
+    operations = difference(document(routes), document(changed))
+    assert len(operations) <= 3
+    inserted = sum(len(k) for k in operations if isinstance(k, str))
+    assert inserted <= len(document([31])) + 4
+
+
+@given(routes=ROUTES, position=st.integers(0, 40), n_new=st.integers(1, 5))
+def test_added_and_removed_routes_insert_little(routes, position, n_new):
+    """Guards against whole documents for changes of a few routes."""
+    distinct = list(dict.fromkeys(routes))
+    new = range(100, 100 + n_new)
+    longer = [*distinct[:position], *new, *distinct[position:]]
+    for base, target in ((distinct, longer), (longer, distinct)):
+        operations = difference(document(base), document(target))
+        inserted = sum(len(k) for k in operations if isinstance(k, str))
+        assert inserted <= len(document(new)) + len(document([100])) + 60
