Send entries differences of the configuration, checked by a digest

Cause: a configuration travelled whole to each entry, also when only a weight changed. Ruled out: links of the replicas, which carry 1000 Mbit/s there.

Change: a request for the state says that the entry understands transfers. The replica then sends the document as a difference from the version that the entry holds, or whole if it doesn't have that version, compressed above 4 KB. It keeps the last documents by version up to 8 MB, records each one as it is applied or restored, and computes a transfer once for all subscribers. The entry checks the digest; on a mismatch it logs document_mismatch and requests the whole document, from another replica where there is one. Entries of earlier versions send no such field and get the document as before; replicas of earlier versions ignore the field.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -17,6 +17,7 @@
 from .cluster_state import ClusterState
 from .confirmer import Confirmer
 from .peer_view import PeerView
+from .state_responses import StateResponses
 
 PUBLISH_INTERVAL_MS = 20.0
 KEEP_ALIVE_MS = 500.0
@@ -99,6 +100,7 @@
         self._published_entries: set[str] = set()
         self._published_control: list[str] = []
         self._published_n_peers = 0
+        self._responses = StateResponses()
         self.fleet = FleetSize()
         self._confirmer = Confirmer(cluster_state, log)
         cluster_state.on_change = self._mark_changed
@@ -118,6 +120,7 @@
 
     def _mark_changed(self) -> None:
         self._is_changed = True
+        self._responses.record(self._cluster_state.replicated_state)
 
     def _queue_update(self, announcement: Announcement) -> None:
         self._pending_updates[announcement.endpoint_id] = announcement
@@ -206,13 +209,7 @@
 
     def _state_for(self, line: dict[str, Any]) -> dict[str, Any]:
         """Return the replicated state without the parts the subscriber already has."""
-        replicated_state = self._cluster_state.replicated_state
-        index, version = int(line.get("index", 0)), int(line.get("version", 0))
-        return (
-            replicated_state.encode_since(index, version)
-            if index
-            else replicated_state.encode()
-        )
+        return self._responses.encode(self._cluster_state.replicated_state, line)
 
     async def _request_confirmation(
         self, subscriber: _Subscriber, request_id: object
--- a/pollenfold/core/document_difference.py
+++ b/pollenfold/core/document_difference.py
@@ -134,9 +134,13 @@
     return length
 
 
-def apply_difference(base: str, operations: Iterable[object]) -> str:
-    """Return the target; raise ValueError if an operation is malformed."""
+def apply_difference(base: str, operations: Iterable[object], max_chars: int) -> str:
+    """Return the target.
+
+    Raise ValueError if an operation is malformed or the target longer than allowed.
+    """
     parts: list[str] = []
+    n_chars = 0
     for operation in operations:
         match operation:
             case str(text):
@@ -145,4 +149,7 @@
                 parts.append(base[start:end])
             case _:
                 raise ValueError(f"expected a text or a run, got {operation!r:.60}")
+        n_chars += len(parts[-1])
+        if n_chars > max_chars:
+            raise ValueError(f"expected a target of at most {max_chars} characters")
     return "".join(parts)
--- a/pollenfold/core/state_fetch.py
+++ b/pollenfold/core/state_fetch.py
@@ -99,7 +99,7 @@
         source.is_stalled = False
 
     def record_failure(self, host: str, now: Instant) -> None:
-        """Record that a request couldn't be sent."""
+        """Record that a request couldn't be sent, or that its response is unusable."""
         source = self._sources.get(host)
         if source is not None:
             source.progress_at = None
--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -10,6 +10,7 @@
 from ..core.clock import Clock, remaining_ms
 from ..core.state_fetch import StateFetch
 from ..observe.events import EventLog
+from ..wire.document_transfer import DocumentMismatchError, decode_transfer
 from .feed import Feed
 
 if TYPE_CHECKING:
@@ -29,6 +30,8 @@
         self._feeds: dict[str, Feed] = {}
         self._fetch = StateFetch(zone, view.replicated_state.index)
         self._changed = curio.Event()
+        self._needs_whole = False
+        """Whether a difference didn't lead to the document of the replica."""
 
     def open(self, host: str, feed: Feed) -> None:
         """Use an open feed."""
@@ -52,7 +55,16 @@
 
     async def apply(self, fields: dict[str, Any], host: str) -> None:
         """Apply a copy of the replicated state; log it even if it was not newer."""
+        try:
+            fields = self._with_document(fields)
+        except DocumentMismatchError as error:
+            self._log.state("document_mismatch", control=host, detail=str(error))
+            self._needs_whole = True
+            self._fetch.record_failure(host, self._clock())
+            await self._changed.set()
+            return
         is_applied = self._view.apply_replicated_state(fields, host)
+        self._needs_whole &= not is_applied
         self._fetch.receive(host, int(fields["index"]), self._clock())
         self._log.state(
             "state_received",
@@ -60,10 +72,22 @@
             index=fields.get("index"),
             version=fields.get("version"),
             n_document_chars=len(fields.get("document") or ""),
+            base_version=_base_version(fields),
             applied=is_applied,
         )
         await self._changed.set()
 
+    def _with_document(self, fields: dict[str, Any]) -> dict[str, Any]:
+        """Return the fields with the document, if they have a newer one as a transfer.
+
+        Raise DocumentMismatchError if it can't be built.
+        """
+        held = self._view.replicated_state
+        if "transfer" not in fields or int(fields["index"]) <= held.index:
+            return fields
+        document = decode_transfer(fields["transfer"], held.version, held.document)
+        return {**fields, "document": document}
+
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
@@ -94,10 +118,17 @@
         request = {
             "get": 1,
             "index": replicated_state.index,
-            "version": replicated_state.version,
+            "version": 0 if self._needs_whole else replicated_state.version,
+            "transfer": 1,
         }
         try:
             await self._feeds[host].send(request)
         except (OSError, curio.TaskTimeout):
             # The task that reads the feed detects a broken connection.
             self._fetch.record_failure(host, self._clock())
+
+
+def _base_version(fields: dict[str, Any]) -> object:
+    """Return the version that the document was sent as a difference from, or None."""
+    transfer = fields.get("transfer")
+    return transfer.get("base_version") if isinstance(transfer, dict) else None
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -11,11 +11,17 @@
 from pollenfold.control.quarantine_api import handle_quarantine
 from pollenfold.core.digests import bucket_digests
 from pollenfold.core.registry import Announcement
-from pollenfold.core.replicated_state import Evacuate, encode_command
+from pollenfold.core.replicated_state import (
+    Configure,
+    Evacuate,
+    ReplicatedState,
+    encode_command,
+)
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.wire.connections import open_connection
+from pollenfold.wire.document_transfer import decode_transfer
 from pollenfold.wire.lines import encode_line
 
 
@@ -351,3 +357,107 @@
             await wait_until(lambda s=subscriber: limit_reports(s) == [("i-1", 2.0)])
 
     with_feed(body)
+
+
+def document(version, weight=50, n_routes=1_400):
+    """Return a configuration of which only the version and one weight change."""
+    routes = [
+        {
+            "name": f"route-{number}",
+            "pathPrefix": f"/path-{number}/",
+            "split": [
+                {"service": "booking", "weight": weight if number == 70 else 50},
+                {"service": "workshop", "weight": 50},
+            ],
+        }
+        for number in range(n_routes)
+    ]
+    return json.dumps({"version": version, "routes": routes})
+
+
+def configure(cluster_state, version, *args):
+    text = document(version, *args)
+    command = Configure(version, text)
+    cluster_state.apply(version, encode_command(command))
+    return text
+
+
+async def request_state(subscriber, **request):
+    """Return the response to a request for the state, and its length in bytes."""
+    n_bytes, n_lines = subscriber.n_bytes, len(subscriber.lines)
+    await subscriber.send({"get": 1, **request})
+
+    def responses():
+        return [line for line in subscriber.lines[n_lines:] if "orders" in line]
+
+    await wait_until(responses)
+    return responses()[0]["orders"], subscriber.n_bytes - n_bytes
+
+
+def test_change_of_one_weight_costs_an_entry_few_bytes(with_feed):
+    """Guards against a whole document over each entry's link for a small change."""
+
+    async def body(cluster_state, connect):
+        entry = await connect("e1", wants_updates=False)
+        held = configure(cluster_state, 1)
+        newest = configure(cluster_state, 2, 60)
+        fields, n_bytes = await request_state(entry, index=1, version=1, transfer=1)
+        assert n_bytes < len(newest) / 100
+        assert "document" not in fields
+        assert decode_transfer(fields["transfer"], 1, held) == newest
+
+    with_feed(body)
+
+
+@pytest.mark.parametrize("held", [(0, 0), (1, 9), (1, 0)])
+def test_entry_without_a_known_version_gets_the_whole_document_compressed(
+    with_feed, held
+):
+    """Guards against an entry that can't get a document since it starts, holds a
+    version that the replica no longer has, or couldn't apply a difference."""
+
+    async def body(cluster_state, connect):
+        entry = await connect("e1", wants_updates=False)
+        configure(cluster_state, 1)
+        newest = configure(cluster_state, 2, 60)
+        index, version = held
+        fields, n_bytes = await request_state(
+            entry, index=index, version=version, transfer=1
+        )
+        assert n_bytes < len(newest) / 4
+        assert decode_transfer(fields["transfer"], version, "another") == newest
+
+    with_feed(body)
+
+
+def test_entry_of_an_earlier_version_gets_the_document_as_it_is(with_feed):
+    """Guards against an entry of an earlier version that can't read a difference while
+    versions are mixed."""
+
+    async def body(cluster_state, connect):
+        entry = await connect("old", wants_updates=False)
+        configure(cluster_state, 1)
+        newest = configure(cluster_state, 2, 60)
+        fields, _ = await request_state(entry, index=1, version=1)
+        assert fields["document"] == newest
+        assert "transfer" not in fields
+
+    with_feed(body)
+
+
+def test_state_restored_from_a_snapshot_is_sent_to_entries_of_any_version(with_feed):
+    """Guards against a replica that sends nothing, or a wrong difference, after it
+    restored a snapshot and doesn't know the versions before it."""
+
+    async def body(cluster_state, connect):
+        entry = await connect("e1", wants_updates=False)
+        held = configure(cluster_state, 1)
+        restored = ReplicatedState(9, 5, document(5, 60))
+        cluster_state.restore(json.dumps(restored.encode()).encode())
+        newest = configure(cluster_state, 10, 70)
+        for version, base in ((1, held), (3, "unknown"), (5, restored.document)):
+            fields, _ = await request_state(entry, index=1, version=version, transfer=1)
+            assert decode_transfer(fields["transfer"], version, base) == newest
+            assert fields["transfer"]["base_version"] in (0, version)
+
+    with_feed(body)
--- a/pollenfold/tests/gateway/test_state_transfer.py
+++ b/pollenfold/tests/gateway/test_state_transfer.py
@@ -6,11 +6,13 @@
 import curio
 import pytest
 
+from pollenfold.core.document_difference import document_digest
 from pollenfold.core.replicated_state import ReplicatedState
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
+from pollenfold.wire.document_transfer import encode_transfer
 from pollenfold.wire.lines import encode_line
 
 DOCUMENT = "x" * 60_000
@@ -28,13 +30,15 @@
 
     It announces each index set by ``announce`` and sends the state of that moment on
     request; messages on one feed queue behind each other. With ``is_silent`` it ignores
-    requests. ``requests`` holds the requests for the state.
+    requests. ``transfer`` is sent in place of the document to an entry that holds a
+    version. ``requests`` holds the requests for the state.
     """
 
     host: str
     zone: str
     bytes_per_ms: float = SLOW_BYTES_PER_MS
     is_silent: bool = False
+    transfer: object = None
     state: ReplicatedState = field(default_factory=ReplicatedState)
     requests: list = field(default_factory=list)
     sockets: list = field(default_factory=list)
@@ -50,12 +54,16 @@
             for line in map(json.loads, lines):
                 if "get" in line:
                     self.requests.append(line)
-                    await self._send_state(client)
+                    await self._send_state(client, line)
 
-    async def _send_state(self, client):
+    async def _send_state(self, client, request):
         if self.is_silent:
             return
-        data = encode_line({"orders": self.state.encode()})
+        fields = self.state.encode()
+        if self.transfer is not None and request["version"]:
+            del fields["document"]
+            fields["transfer"] = self.transfer
+        data = encode_line({"orders": fields})
         n_bytes = int(self.bytes_per_ms * PIECE_MS)
         async with self.lock:
             for start in range(0, len(data), n_bytes):
@@ -202,3 +210,56 @@
         assert system_clock() - started_at < 100.0
 
     with_replicas(zones_abc(), body)
+
+
+GOOD_DIGEST = document_digest("one two")
+
+
+@pytest.mark.parametrize(
+    "transfer",
+    [
+        {"base_version": 1, "digest": "0" * 32, "operations": [[0, 3], " two"]},
+        {"base_version": 1, "digest": GOOD_DIGEST, "operations": [[0, 99]]},
+        {"base_version": 1, "digest": GOOD_DIGEST, "operations": 5},
+        {"base_version": 7, "digest": GOOD_DIGEST, "operations": ["one two"]},
+        {"base_version": 1, "digest": GOOD_DIGEST, "compressed": "AAAA"},
+        {},
+        [],
+    ],
+)
+def test_wrong_difference_is_replaced_by_the_whole_document(with_replicas, transfer):
+    """Guards against an entry that uses a document which no replica holds, or that
+    never gets the newest one, when a difference doesn't fit what it holds."""
+
+    async def body(replicas, view):
+        for replica in replicas:
+            replica.transfer = transfer
+            await replica.announce(ReplicatedState(1, 1, "one"))
+        await wait_until(lambda: view.replicated_state.version == 1)
+        for replica in replicas:
+            await replica.announce(ReplicatedState(2, 2, "one two"))
+        await wait_until(lambda: view.replicated_state.version == 2, 1.0)
+        assert view.replicated_state.document == "one two"
+        versions = [line["version"] for k in replicas for line in k.requests]
+        assert sorted(versions) == [0, 0, 1]
+        assert b"event=document_mismatch" in view._log._buffer
+
+    with_replicas(zones_abc(), body)
+
+
+def test_difference_is_applied_to_the_held_document(with_replicas):
+    """Guards against a whole document for an entry that holds the base."""
+
+    async def body(replicas, view):
+        transfer = encode_transfer(1, "one", "one two")
+        for replica in replicas:
+            replica.transfer = transfer
+            await replica.announce(ReplicatedState(1, 1, "one"))
+        await wait_until(lambda: view.replicated_state.version == 1)
+        for replica in replicas:
+            await replica.announce(ReplicatedState(2, 2, "one two"))
+        await wait_until(lambda: view.replicated_state.version == 2)
+        assert view.replicated_state.document == "one two"
+        assert n_requests(replicas) == [2, 0, 0]
+
+    with_replicas(zones_abc(), body)
--- a/properties/test_document_difference.py
+++ b/properties/test_document_difference.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -18,11 +19,20 @@
 def test_applied_difference_gives_the_target(base, target):
     """Guards against an entry whose document isn't the committed one."""
     operations = json.loads(json.dumps(difference(base, target)))
-    applied = apply_difference(base, operations)
+    applied = apply_difference(base, operations, len(target))
     assert applied == target
     assert document_digest(applied) == document_digest(target)
 
 
+def test_malformed_operation_is_refused():
+    """Guards against a malformed difference that ends a process or fills its memory."""
+    for operations in ([[0, 4]], [[-1, 2]], [[2, 1]], [7], [["0", 1]], [[0, 1, 2]]):
+        with pytest.raises(ValueError):
+            apply_difference("abc", operations, 100)
+    with pytest.raises(ValueError):
+        apply_difference("abc", [[0, 3]] * 40, 100)
+
+
 ROUTES = st.lists(st.integers(0, 30), min_size=1, max_size=40)
 
 
