Decode a configuration in small steps

A generator yields after each route: the JSON text is scanned item by item down to the routes, and routes are decoded one by one, each released when it was decoded. The prefix index and the matching order are built with them, so no step is long at the end. Equal lists of services are stored once, which saves two objects for most routes.

The scan is compared with json.loads on arbitrary values and truncated texts.

--- a/pollenfold/core/routes.py
+++ b/pollenfold/core/routes.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import chain
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,26 +81,67 @@
         return None
 
 
-def prefix_index(routes: tuple[Route, ...]) -> PrefixIndex:
+class HostRoutes:
+    """Collects the routes of one host, in time independent of their number for each."""
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        self._by_length: dict[int, list[Route]] = {}
+
+    def add(self, route: Route) -> bool:
+        """Add a route; return False if there is one with the same prefix already."""
+        prefix = route.path_prefix
+        if prefix in self._by_prefix:
+            return False
+        self._by_prefix[prefix] = route
+        self._by_length.setdefault(len(prefix), []).append(route)
+        return True
+
+    def in_matching_order(self) -> tuple[Route, ...]:
+        """Return the routes, the longest prefix first."""
+        lists = (self._by_length[length] for length in self._lengths())
+        return tuple(chain.from_iterable(lists))
+
+    def index(self) -> PrefixIndex:
+        """Return the index of the routes."""
+        return PrefixIndex(self._by_prefix, self._lengths())
+
+    def _lengths(self) -> tuple[int, ...]:
+        return tuple(sorted(self._by_length, reverse=True))
+
+
+def prefix_index(routes: Iterable[Route]) -> PrefixIndex:
     """Return the index of a host's routes; the first of equal prefixes counts."""
-    by_prefix = {route.path_prefix: route for route in reversed(routes)}
-    return PrefixIndex(by_prefix, tuple(sorted(set(map(len, by_prefix)), reverse=True)))
+    host_routes = HostRoutes()
+    for route in routes:
+        host_routes.add(route)
+    return host_routes.index()
 
 
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """Routes by lower-case host, the longest prefix first, and services by name."""
+    """Routes by lower-case host, the longest prefix first, and services by name.
+
+    ``indexes`` has the same routes by prefix and ``route_names`` their names; both are
+    built from ``hosts`` if they aren't given.
+    """
 
     version: int = 0
     hosts: dict[str, tuple[Route, ...]] = field(default_factory=dict)
     services: dict[str, BackendService] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
-    indexes: dict[str, PrefixIndex] = field(init=False, repr=False, compare=False)
-    """The routes of each host by prefix."""
+    indexes: dict[str, PrefixIndex] = field(
+        default_factory=dict, repr=False, compare=False
+    )
+    route_names: set[str] = field(default_factory=set, repr=False, compare=False)
 
     def __post_init__(self) -> None:
-        indexes = {host: prefix_index(routes) for host, routes in self.hosts.items()}
-        object.__setattr__(self, "indexes", indexes)
+        if not self.indexes:
+            indexes = {host: prefix_index(rs) for host, rs in self.hosts.items()}
+            object.__setattr__(self, "indexes", indexes)
+        if not self.route_names:
+            names = {route.name for routes in self.hosts.values() for route in routes}
+            object.__setattr__(self, "route_names", names)
 
 
 def sorted_routes(routes: list[Route]) -> tuple[Route, ...]:
--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from typing import Any
 
 from ..core.registry import Announcement
 from ..core.routes import (
     BackendService,
     CallerLimits,
+    HostRoutes,
     Route,
     RoutingConfiguration,
     WeightedService,
-    sorted_routes,
 )
+from ..core.slices import Steps, run_at_once
+from .json_scan import scan_json
 
 MAX_TIMEOUT_MS = 600_000
 MAX_NUMBER = 1e15
@@ -24,14 +27,27 @@
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+Splits = dict[tuple[tuple[str, float], ...], tuple[WeightedService, ...]]
+"""The services of routes by name and weight. Equal ones are stored once, since most
+routes share theirs with many others."""
+
+
 class DocumentError(ValueError):
     """A document is invalid; the message names the field."""
 
 
 def decode_configuration(text: str) -> RoutingConfiguration:
     """Decode a complete configuration; raise DocumentError if it is invalid."""
+    return run_at_once(configuration_steps(text))
+
+
+def configuration_steps(text: str) -> Steps[RoutingConfiguration]:
+    """Decode a complete configuration in small steps, one for each route.
+
+    Raise DocumentError if it is invalid.
+    """
     try:
-        fields = json.loads(text)
+        fields = yield from scan_json(text)
     except (ValueError, RecursionError) as error:
         raise DocumentError(f"expected JSON: {error}") from error
     if not isinstance(fields, dict):
@@ -40,22 +56,44 @@
     for item in _list_field(fields, "services"):
         service = _decode_service(item)
         services[service.name] = service
-    hosts: dict[str, list[Route]] = {}
+        yield
+    hosts: dict[str, HostRoutes] = {}
+    names: set[str] = set()
+    splits: Splits = {}
     for item in _list_field(fields, "hosts"):
-        routes = hosts.setdefault(_text_field(item, "host").lower(), [])
-        routes += [_decode_route(path, services) for path in _list_field(item, "paths")]
-    for host, routes in hosts.items():
-        prefixes = [route.path_prefix for route in routes]
-        if len(set(prefixes)) < len(prefixes):
-            raise DocumentError(f"host {host}: two routes with one pathPrefix")
+        host = _text_field(item, "host").lower()
+        host_routes = hosts.setdefault(host, HostRoutes())
+        for path in _popped(_list_field(item, "paths")):
+            route = _decode_route(path, services, splits)
+            if not host_routes.add(route):
+                raise DocumentError(f"host {host}: two routes with one pathPrefix")
+            names.add(route.name)
+            yield
+    sorted_hosts = {}
+    for host, host_routes in hosts.items():
+        sorted_hosts[host] = host_routes.in_matching_order()
+        yield
     return RoutingConfiguration(
         _decode_version(fields),
-        {host: sorted_routes(routes) for host, routes in hosts.items()},
+        sorted_hosts,
         services,
         _decode_limits(fields.get("limits", {})),
+        {host: host_routes.index() for host, host_routes in hosts.items()},
+        names,
     )
 
 
+def _popped(items: list[Any]) -> Iterator[Any]:
+    """Yield the items in order and remove them from the list.
+
+    So each is released when it has been decoded; releasing thousands at the end would
+    be one long step.
+    """
+    items.reverse()
+    while items:
+        yield items.pop()
+
+
 def _decode_version(fields: dict[str, Any]) -> int:
     version = fields.get("version")
     if type(version) is not int or version < 1:
@@ -73,7 +111,9 @@
     )
 
 
-def _decode_route(item: Any, services: dict[str, BackendService]) -> Route:
+def _decode_route(
+    item: Any, services: dict[str, BackendService], splits: Splits
+) -> Route:
     name = _text_field(item, "name")
     prefix = _text_field(item, "pathPrefix")
     if not prefix.startswith("/"):
@@ -86,10 +126,14 @@
         raise DocumentError(
             f"route {name}: timeoutMs {timeout_ms:g} is not within ten minutes"
         )
-    weighted_services = _decode_traffic_split(item, name)
-    for weighted in weighted_services:
-        if weighted.service not in services:
-            raise DocumentError(f"route {name}: unknown service {weighted.service!r}")
+    parts = _decode_traffic_split(item, name)
+    weighted_services = splits.get(parts)
+    if weighted_services is None:
+        for service, _ in parts:
+            if service not in services:
+                raise DocumentError(f"route {name}: unknown service {service!r}")
+        weighted_services = tuple(WeightedService(*part) for part in parts)
+        splits[parts] = weighted_services
     return Route(
         name=name,
         path_prefix=prefix,
@@ -104,19 +148,18 @@
 
 def _decode_traffic_split(
     item: dict[str, Any], route_name: str
-) -> tuple[WeightedService, ...]:
+) -> tuple[tuple[str, float], ...]:
+    """Return the services of a route with their weights."""
     split = item.get("trafficSplit")
     if split is None:
-        return (WeightedService(_text_field(item, "service"), 1.0),)
-    weighted_services = tuple(
-        WeightedService(
-            _text_field(part, "service"), _number_field(part, "weight", None)
-        )
+        return ((_text_field(item, "service"), 1.0),)
+    parts = tuple(
+        (_text_field(part, "service"), _number_field(part, "weight", None))
         for part in _list_field(item, "trafficSplit")
     )
-    if not weighted_services or sum(part.weight for part in weighted_services) <= 0:
+    if not parts or sum(weight for _, weight in parts) <= 0:
         raise DocumentError(f"route {route_name}: trafficSplit has no weight")
-    return weighted_services
+    return parts
 
 
 def _decode_limits(item: Any) -> CallerLimits:
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -5,12 +5,14 @@
 
 import curio
 import h11
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pollenfold.core.link import Link
 from pollenfold.core.registry import decode_announcement as decode_fields
 from pollenfold.core.replicated_state import ReplicatedState, decode_command
+from pollenfold.core.slices import run_at_once
 from pollenfold.gateway.backend import BackendConnection
 from pollenfold.gateway.feeds import FEED_ERRORS
 from pollenfold.gateway.outgoing import outgoing_request
@@ -22,6 +24,7 @@
     decode_configuration,
 )
 from pollenfold.platform.headers import parse_load
+from pollenfold.platform.json_scan import scan_json
 from pollenfold.platform.settings import SettingsError, parse_settings
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
 
@@ -80,6 +83,23 @@
             )
 
 
+@given(VALUES, st.integers(0, 300), st.sampled_from([None, 1, "\t"]))
+@example({"a": [[[[[{"b": []}]]]], {"a": {}}]}, 300, 2)
+def test_json_in_steps_equals_json_at_once(value, n_chars, indent):
+    """Guards against a document that entries decode to something else than what the
+    operator's document says, or accept although it is truncated."""
+    text = json.dumps(value, indent=indent)
+    for json_text in (text, text[:n_chars], " " + text + "\n"):
+        try:
+            expected = json.loads(json_text)
+        except ValueError:
+            with pytest.raises(ValueError):
+                run_at_once(scan_json(json_text))
+        else:
+            scanned = run_at_once(scan_json(json_text))
+            assert json.dumps(scanned) == json.dumps(expected)
+
+
 @given(st.sampled_from(list(_value_paths(ANNOUNCEMENT))), VALUES)
 def test_announcement_with_any_value_at_any_path(path, value):
     """Guards against accepting an announcement with an unusable field, and against
