Put a large configuration in force without holding up requests

What callers saw: while an entry decoded a configuration, it read and answered nothing: 15 ms of a core for 1,400 routes and 199 ms for 14,000, which is 35 and 460 ms on an entry that has 0.43 of a core.

FleetView now hands received states to a StateLoader. A state comes into force in one step with its configuration. While a configuration is decoded, newer states add their departures and evacuated zones at once; a withdrawn evacuation waits for the configuration before it, since the operator may have changed the routes first. When it is decoded, the newest state received is next, so none is lost and versions in between are skipped, but a version under way is finished: with one version every third of a second an entry would otherwise never finish one. Requests for the state go by the newest state received (received_state), answers by the one in force (replicated_state). The routes of the replaced configuration are released in slices too.

A document that is invalid here no longer closes the feed: the configuration in force stays, with its index, and the other parts of the state apply.

--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -35,6 +35,11 @@
         """An empty state with the highest index, so that ``Feeds`` requests none."""
         return ReplicatedState(index=1 << 62)
 
+    @property
+    def received_state(self) -> ReplicatedState:
+        """The same, since no state is loaded from feeds."""
+        return self.replicated_state
+
     @property
     def control_hosts(self) -> frozenset[str]:
         """The hosts of the voters."""
@@ -78,5 +83,8 @@
         """Ignore the state, since commands arrive through the log."""
         return False
 
+    async def finish_loading(self) -> None:
+        """Do nothing, since no state is loaded from feeds."""
+
     def set_control_hosts(self, control_hosts: list[str]) -> None:
         """Ignore the hosts, since the log names the voters."""
--- a/pollenfold/core/slices.py
+++ b/pollenfold/core/slices.py
@@ -19,7 +19,7 @@
 """After each slice other tasks run for at least this long, so that a computation takes
 at most half of the process's time and delays a request by little more than a slice."""
 
-MIN_STEPS = 64
+MIN_STEPS = 256
 """A slice has at least this many steps, so that a short computation always ends in the
 first one, even while the machine is busy."""
 
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -16,7 +16,6 @@
 from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
-from ..core.routes import RoutingConfiguration
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
 from ..http.server import HttpServer
@@ -30,6 +29,7 @@
 from .feeds import FeedIdentity, Feeds
 from .forward import Forwarder
 from .settings import BalancerSettings
+from .state_loader import Decode
 from .view import FleetView
 
 READY_SETTLE_MS = 1_800.0
@@ -92,7 +92,7 @@
         self,
         settings: GatewaySettings,
         dialect: Dialect,
-        decode: Callable[[str], RoutingConfiguration],
+        decode: Decode,
     ) -> None:
         self.settings = settings
         clock = system_clock
@@ -227,7 +227,7 @@
 async def serve_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
-    decode: Callable[[str], RoutingConfiguration],
+    decode: Decode,
 ) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
 
--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -27,7 +27,7 @@
         self._clock = clock
         self._log = log
         self._feeds: dict[str, Feed] = {}
-        self._fetch = StateFetch(zone, view.replicated_state.index)
+        self._fetch = StateFetch(zone, view.received_state.index)
         self._changed = curio.Event()
 
     def open(self, host: str, feed: Feed) -> None:
@@ -53,6 +53,7 @@
     async def apply(self, fields: dict[str, Any], host: str) -> None:
         """Apply a copy of the replicated state; log it even if it was not newer."""
         is_applied = self._view.apply_replicated_state(fields, host)
+        await self._view.finish_loading()
         self._fetch.receive(host, int(fields["index"]), self._clock())
         self._log.state(
             "state_received",
@@ -83,7 +84,7 @@
         return remaining_ms(wake_at, self._clock())
 
     async def _send_request(self, host: str) -> None:
-        replicated_state = self._view.replicated_state
+        replicated_state = self._view.received_state
         self._log.state(
             "state_requested",
             control=host,
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any
 
 from ..core.allowances import FleetSize
@@ -27,6 +27,7 @@
 from .declared_limits import DeclaredLimits
 from .endpoint import Endpoint, Incarnation
 from .quarantine import RequestQuarantine
+from .state_loader import Decode, StateLoader
 
 ENDPOINT_EXPIRY_MS = 12_000.0
 """An endpoint without announcements for this long is removed.
@@ -36,8 +37,6 @@
 MAX_LEAVING_INCARNATIONS = 4_096
 """How many incarnations of endpoints that announced that they are leaving are kept."""
 
-Decode = Callable[[str], RoutingConfiguration]
-
 
 class FleetView:
     """The view of one entry, updated by the lines of the feeds."""
@@ -49,9 +48,11 @@
         log: EventLog,
         rng: random.Random | None = None,
     ) -> None:
-        self._decode = decode
         self._clock = clock
         self._log = log
+        self._loader = StateLoader(
+            decode, lambda: self.replicated_state, self._put_in_force, clock, log
+        )
         self.limits = DeclaredLimits(clock, log, rng or random.Random())
         self.quarantine = RequestQuarantine(clock, log)
         self.replicated_state = ReplicatedState()
@@ -78,14 +79,35 @@
 
     # Replicated state
 
+    @property
+    def received_state(self) -> ReplicatedState:
+        """The newest state received; its configuration may not be in force yet."""
+        return self._loader.received
+
     def apply_replicated_state(self, fields: dict[str, Any], source: str) -> bool:
-        """Apply a copy of the replicated state; return whether it was newer."""
-        if int(fields["index"]) <= self.replicated_state.index:
+        """Apply a copy of the replicated state; return whether it was newer.
+
+        It is in force on return unless its document is large (``state_loader.py``).
+        """
+        received = self.received_state
+        if int(fields["index"]) <= received.index:
             return False
-        replicated_state = self.replicated_state.merged(fields)
+        self._loader.receive(received.merged(fields), source)
+        return True
+
+    async def finish_loading(self) -> None:
+        """Start the task that puts a large document in force, if there is one."""
+        await self._loader.start()
+
+    def _put_in_force(
+        self,
+        replicated_state: ReplicatedState,
+        configuration: RoutingConfiguration | None,
+        source: str,
+    ) -> None:
         previous, self.replicated_state = self.replicated_state, replicated_state
-        if replicated_state.version > previous.version:
-            self.configuration = self._decode(replicated_state.document)
+        if configuration is not None:
+            self.configuration = configuration
             self._log.state(
                 "configuration_in_force",
                 version=replicated_state.version,
@@ -100,7 +122,6 @@
             zones = ",".join(sorted(replicated_state.evacuated)) or "none"
             self._log.state("zones_out", zones=zones, index=replicated_state.index)
         self._rebuild()
-        return True
 
     def is_state_current(self) -> bool:
         """Return whether the replicated state held is known to be the newest.
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -28,7 +28,7 @@
 
     from ..core.retry_budget import RetryLimits
     from ..gateway.daemon import GatewaySettings, serve_gateway
-    from .documents import decode_configuration
+    from .documents import configuration_steps
     from .headers import DIALECT
 
     ready_host, ready_port = settings.addresses["ready"]
@@ -56,7 +56,7 @@
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
     )
-    curio.run(serve_gateway, gateway, DIALECT, decode_configuration)
+    curio.run(serve_gateway, gateway, DIALECT, configuration_steps)
 
 
 def _run_control(source: SettingsSource) -> None:
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -20,6 +20,7 @@
     WeightedService,
     sorted_routes,
 )
+from pollenfold.core.slices import in_one_step
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.settings import BalancerSettings
@@ -208,7 +209,9 @@
         self.lines = []
         self.log = EventLog("e1", clock, write=self._write)
         self.metrics = Metrics()
-        self.view = FleetView(lambda text: None, clock, self.log)
+        self.view = FleetView(
+            in_one_step(lambda text: RoutingConfiguration()), clock, self.log
+        )
         route = {
             "name": "r1",
             "path_prefix": "/x/",
--- a/pollenfold/tests/gateway/test_feeds.py
+++ b/pollenfold/tests/gateway/test_feeds.py
@@ -3,6 +3,8 @@
 import curio
 import pytest
 
+from pollenfold.core.routes import RoutingConfiguration
+from pollenfold.core.slices import in_one_step
 from pollenfold.gateway.endpoint import Endpoint
 from pollenfold.gateway.feed import Feed
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
@@ -30,7 +32,9 @@
 
 def make_feeds():
     log = EventLog("e1", system_clock, write=len)
-    view = FleetView(lambda text: None, system_clock, log)
+    view = FleetView(
+        in_one_step(lambda text: RoutingConfiguration()), system_clock, log
+    )
     return Feeds(FeedIdentity("e1", "a"), view, lambda: [], 1, system_clock, log)
 
 
--- a/pollenfold/tests/gateway/test_state_transfer.py
+++ b/pollenfold/tests/gateway/test_state_transfer.py
@@ -7,6 +7,8 @@
 import pytest
 
 from pollenfold.core.replicated_state import ReplicatedState
+from pollenfold.core.routes import RoutingConfiguration
+from pollenfold.core.slices import in_one_step
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
 from pollenfold.observe.clock import system_clock
@@ -88,7 +90,9 @@
         async def main():
             port = await serve(replicas)
             log = EventLog("e1", system_clock, write=len)
-            view = FleetView(lambda text: None, system_clock, log)
+            view = FleetView(
+                in_one_step(lambda text: RoutingConfiguration()), system_clock, log
+            )
             feeds = Feeds(
                 FeedIdentity("e1", "a"), view, lambda: HOSTS, port, system_clock, log
             )
