--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -28,7 +28,7 @@
         self._clock = clock
         self._log = log
         self._feeds: dict[str, Feed] = {}
-        self._fetch = StateFetch(zone, view.replicated_state.index)
+        self._fetch = StateFetch(zone, view.received_state.index)
         self._changed = curio.Event()
         self._needs_whole = False
         """Whether a difference didn't lead to the document of the replica."""
@@ -65,6 +65,7 @@
             return
         is_applied = self._view.apply_replicated_state(fields, host)
         self._needs_whole &= not is_applied
+        await self._view.finish_loading()
         self._fetch.receive(host, int(fields["index"]), self._clock())
         self._log.state(
             "state_received",
@@ -82,7 +83,7 @@
 
         Raise DocumentMismatchError if it can't be built.
         """
-        held = self._view.replicated_state
+        held = self._view.received_state
         if "transfer" not in fields or int(fields["index"]) <= held.index:
             return fields
         document = decode_transfer(fields["transfer"], held.version, held.document)
@@ -107,7 +108,7 @@
         return remaining_ms(wake_at, self._clock())
 
     async def _send_request(self, host: str) -> None:
-        replicated_state = self._view.replicated_state
+        replicated_state = self._view.received_state
         self._log.state(
             "state_requested",
             control=host,
--- a/pollenfold/tests/gateway/test_state_transfer.py
+++ b/pollenfold/tests/gateway/test_state_transfer.py
@@ -8,6 +8,8 @@
 
 from pollenfold.core.document_difference import document_digest
 from pollenfold.core.replicated_state import ReplicatedState
+from pollenfold.core.routes import RoutingConfiguration
+from pollenfold.core.slices import in_one_step
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
 from pollenfold.observe.clock import system_clock
@@ -96,7 +98,9 @@
         async def main():
             port = await serve(replicas)
             log = EventLog("e1", system_clock, write=len)
-            view = FleetView(lambda text: None, system_clock, log)
+            view = FleetView(
+                in_one_step(lambda text: RoutingConfiguration()), system_clock, log
+            )
             feeds = Feeds(
                 FeedIdentity("e1", "a"), view, lambda: HOSTS, port, system_clock, log
             )
