Choose another port when one is in use on a host of the state transfer tests

Seen once in a run beside other tests: "Address already in use" on the second loopback address, since the port was free on the first one only.

--- a/pollenfold/tests/gateway/test_state_transfer.py
+++ b/pollenfold/tests/gateway/test_state_transfer.py
@@ -115,12 +115,27 @@
 
 async def serve(replicas):
     """Serve all replicas on one port of their hosts; return the port."""
-    port = 0
-    for replica in replicas:
-        sock = curio.tcp_server_socket(replica.host, port)
-        port = sock.getsockname()[1]
+    socks = bind([replica.host for replica in replicas])
+    for replica, sock in zip(replicas, socks, strict=True):
         await curio.spawn(curio.network.run_server, sock, replica.serve, daemon=True)
-    return port
+    return socks[0].getsockname()[1]
+
+
+def bind(hosts, n_attempts=20):
+    """Listen on one port of all hosts.
+
+    A port that is free on the first host may be in use on another one.
+    """
+    socks = [curio.tcp_server_socket(hosts[0], 0)]
+    port = socks[0].getsockname()[1]
+    try:
+        socks += [curio.tcp_server_socket(host, port) for host in hosts[1:]]
+    except OSError:
+        socks[0]._socket.close()
+        if not n_attempts:
+            raise
+        return bind(hosts, n_attempts - 1)
+    return socks
 
 
 async def wait_until(condition, timeout_s=5.0):
