Test differences of the configuration across restarts of all replicas

The test puts configurations through a cluster of three replicas, before and after all of them restart, and checks from which version an entry built each document. Feeds wake the task that requests the state only while some replica is ahead, not with each line.

--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -47,7 +47,8 @@
     async def announce(self, host: str, index: int) -> None:
         """Record the index that a replica announced."""
         self._fetch.announce(host, index, self._clock())
-        await self._changed.set()
+        if self._fetch.wake_at() is not None:
+            await self._changed.set()
 
     def record_part(self, host: str) -> None:
         """Record that a part of a line arrived."""
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -337,6 +337,38 @@
     with_cluster(body)
 
 
+def test_entry_follows_changes_of_the_configuration_across_restarts(with_cluster):
+    """Guards against an entry that gets no configuration, or whole ones only, after
+    replicas restarted and lost the versions that they had sent before."""
+
+    async def body(cluster):
+        lines = []
+        view, _ = await entry_view(cluster, write=lines.append)
+
+        async def configure(version, number):
+            document = {**CONFIGURATION, "version": version}
+            put = await cluster.call(number, b"PUT", "/-/config", document)
+            assert put.status == 200
+            await wait_until(lambda: view.replicated_state.version == version)
+            assert json.loads(view.replicated_state.document) == document
+            view._log.flush()
+            text = b"".join(lines).decode()
+            received = text.split(f" version={version} n_document_chars=")[1]
+            return received.split("base_version=")[1].split()[0]
+
+        assert await configure(7, 1) == "0"
+        assert await configure(8, 2) == "7"
+        for number in (1, 2, 3):
+            await cluster.stop(number)
+        for number in (1, 2, 3):
+            await cluster.start(number)
+        await cluster.wait_until_formed()
+        assert await configure(9, 3) in ("0", "8")
+        assert await configure(10, 1) == "9"
+
+    with_cluster(body)
+
+
 def test_entry_fails_over_when_its_update_source_is_lost(with_cluster):
     """Guards against an entry that receives no more endpoints, or drops the known ones,
     after the loss of the replica that was its update source."""
