Prefer replicas of the own zone again after one unusable response

Callers: nothing seen; found by reading. A replica whose response didn't fit ranked behind those of other zones until it was asked again, which never happened while they responded, so that all later states crossed zones.

Change: a newer state forgives the failures of all replicas whose response isn't awaited. Test: test_own_zone_is_preferred_again_after_a_failure asked "far" before.

--- a/pollenfold/core/state_fetch.py
+++ b/pollenfold/core/state_fetch.py
@@ -92,17 +92,15 @@
             return
         if index < source.asked_index:
             self._fail(source, now)
-        else:
-            source.n_failures = 0
-            self._n_stalls = 0
+            return
         source.progress_at = None
-        source.is_stalled = False
+        source.n_failures = 0
+        self._n_stalls = 0
 
     def record_failure(self, host: str, now: Instant) -> None:
         """Record that a request couldn't be sent, or that its response is unusable."""
         source = self._sources.get(host)
         if source is not None:
-            source.progress_at = None
             self._fail(source, now)
 
     def _hold(self, index: int, now: Instant) -> None:
@@ -110,8 +108,15 @@
         for source in self._sources.values():
             # The next announcement of the own zone may be queued behind this response.
             source.announced_at = now
+            if source.progress_at is None:
+                source.n_failures = 0
 
     def _fail(self, source: _Source, now: Instant) -> None:
+        """Stop waiting for a response, and pause before the next request."""
+        source.progress_at = None
+        self._count_failure(source, now)
+
+    def _count_failure(self, source: _Source, now: Instant) -> None:
         source.retry_at = add_ms(now, _doubled(RETRY_PAUSE_MS, source.n_failures))
         source.n_failures += 1
 
@@ -163,7 +168,8 @@
             if now >= add_ms(source.progress_at, timeout_ms):
                 source.is_stalled = True
                 self._n_stalls += 1
-                self._fail(source, now)
+                # The response may still arrive, so it is still awaited.
+                self._count_failure(source, now)
 
     def _is_ahead(self, source: _Source) -> bool:
         return source.index > self._held_index
--- a/pollenfold/tests/core/test_state_fetch.py
+++ b/pollenfold/tests/core/test_state_fetch.py
@@ -126,6 +126,20 @@
     assert entry.asks_after(RETRY_PAUSE_MS) == "near"
 
 
+def test_own_zone_is_preferred_again_after_a_failure():
+    """Guards against bytes between zones for good after one unusable response."""
+    entry = Subscriber()
+    for host in ("near", "far"):
+        entry.announce(host, 1)
+    assert entry.asks() == "near"
+    entry.fetch.record_failure("near", entry.clock())
+    assert entry.asks() == "far"
+    entry.receive("far", 1)
+    for host in ("far", "near"):
+        entry.announce(host, 2)
+    assert entry.asks() == "near"
+
+
 @pytest.mark.parametrize("event", ["close", "failure"])
 def test_lost_feed_frees_the_request(event):
     """Guards against an entry that waits for a response on a closed connection."""
