Drop the state of removed routes a few with each request

The first request after each change of the configuration waited while CallFactory built the set of all route names and compared the state of every route with it, in proportion to the routes of the configuration.

A route that was removed and added again under its name within that time keeps its state, as it does when both changes arrive between two requests.

The test of the weighted split checks the two functions that replace retain, and that the credits of other routes stay.

--- a/pollenfold/core/routes.py
+++ b/pollenfold/core/routes.py
@@ -190,6 +190,10 @@
         credits[best] -= sum(weighted.weight for weighted in weighted_services)
         return weighted_services[best].service
 
-    def retain(self, names: set[str]) -> None:
-        """Remove the credits of routes that are not among ``names``."""
-        self._credits = {k: v for k, v in self._credits.items() if k in names}
+    def route_names(self) -> Iterable[str]:
+        """Return the names of the routes that have credits."""
+        return self._credits.keys()
+
+    def discard(self, route_name: str) -> None:
+        """Remove the credits of a route, if it has any."""
+        self._credits.pop(route_name, None)
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -16,6 +16,9 @@
 
 MAX_DEADLINE_DIGITS = 9
 
+CHECKS_PER_REQUEST = 32
+"""How many routes with state are compared with a new configuration per request."""
+
 NOT_EXECUTED_OUTCOMES = frozenset(
     (AttemptOutcome.NOT_STARTED, AttemptOutcome.UNREACHABLE)
 )
@@ -96,6 +99,7 @@
     def __init__(self, dialect: Dialect) -> None:
         self._dialect = dialect
         self._version = 0
+        self._unchecked_names: list[str] = []
         self._split = WeightedSplit()
         self._caller_ages: dict[str, CallerAge] = {}
         self._work_estimates: dict[str, WorkEstimate] = {}
@@ -139,16 +143,23 @@
         return estimate
 
     def retain(self, configuration: RoutingConfiguration) -> None:
-        """Drop the state of routes that a new configuration lacks."""
-        if configuration.version == self._version:
-            return
-        self._version = configuration.version
-        routes = {r.name for host in configuration.hosts.values() for r in host}
-        self._split.retain(routes)
-        self._caller_ages = {k: v for k, v in self._caller_ages.items() if k in routes}
-        self._work_estimates = {
-            k: v for k, v in self._work_estimates.items() if k in routes
-        }
+        """Drop the state of routes that a new configuration lacks.
+
+        Each call checks a few routes, since a request waits for it.
+        """
+        if configuration.version != self._version:
+            self._version = configuration.version
+            self._unchecked_names = [
+                *self._split.route_names(),
+                *self._caller_ages,
+                *self._work_estimates,
+            ]
+        for _ in range(min(CHECKS_PER_REQUEST, len(self._unchecked_names))):
+            name = self._unchecked_names.pop()
+            if name not in configuration.route_names:
+                self._split.discard(name)
+                self._caller_ages.pop(name, None)
+                self._work_estimates.pop(name, None)
 
 
 def _is_decimal(value: bytes) -> bool:
--- a/pollenfold/tests/core/test_routes.py
+++ b/pollenfold/tests/core/test_routes.py
@@ -52,11 +52,14 @@
 def test_split_drops_removed_routes():
     """Guards against a memory leak: state that grows with each configuration."""
     split = WeightedSplit()
-    split.next_service(
-        route("gone", "/", WeightedService("a", 1), WeightedService("b", 1))
-    )
-    split.retain({"kept"})
-    assert split._credits == {}
+    for name in ("gone", "kept"):
+        split.next_service(
+            route(name, "/", WeightedService("a", 1), WeightedService("b", 1))
+        )
+    assert list(split.route_names()) == ["gone", "kept"]
+    for name in ("gone", "never"):
+        split.discard(name)
+    assert list(split._credits) == ["kept"]
 
 
 class CountingPath(str):
