--- a/pollenfold/gateway/state_loader.py
+++ b/pollenfold/gateway/state_loader.py
@@ -16,8 +16,8 @@
 
 from ..core.clock import Clock
 from ..core.replicated_state import ReplicatedState
-from ..core.routes import Route, RoutingConfiguration
-from ..core.slices import PAUSE_MS, SlicedComputation, Steps
+from ..core.routes import RoutingConfiguration
+from ..core.slices import MIN_STEPS, PAUSE_MS, SlicedComputation, Steps
 from ..observe.events import EventLog
 
 Decode = Callable[[str], Steps[RoutingConfiguration]]
@@ -124,12 +124,12 @@
 
     def _replace(self, configuration: RoutingConfiguration) -> None:
         """Release the routes of the previous configuration in slices."""
-        hosts = self._configuration.hosts.values()
-        routes = [route for host_routes in hosts for route in host_routes]
+        is_small = len(self._configuration.route_names) <= MIN_STEPS
+        steps = _release_steps(self._configuration)
+        next(steps)
         self._configuration = configuration
-        release = SlicedComputation(_release_steps(routes), self._clock)
-        if not release.run_slice():
-            self._release = release
+        if not is_small:
+            self._release = SlicedComputation(steps, self._clock)
 
     def _restrict(self) -> None:
         """Apply what the newest state forbids to the state in force."""
@@ -172,8 +172,20 @@
         )
 
 
-def _release_steps(routes: list[Route]) -> Steps[None]:
-    """Release thousands of objects one by one."""
-    while routes:
-        routes.pop()
+def _release_steps(configuration: RoutingConfiguration) -> Steps[None]:
+    """Release the thousands of objects of a configuration step by step.
+
+    The caller drops its own reference between the first step and the second.
+    """
+    indexes = list(configuration.indexes.values())
+    hosts = list(configuration.hosts.values())
+    del configuration
+    yield
+    while indexes:
+        indexes.pop()
         yield
+    while hosts:
+        routes = list(hosts.pop())
+        while routes:
+            routes.pop()
+            yield
--- a/pollenfold/tests/gateway/test_state_loader.py
+++ b/pollenfold/tests/gateway/test_state_loader.py
@@ -1,6 +1,7 @@
 """Replicated states whose configurations are decoded in slices."""
 
 import json
+import sys
 
 import curio
 import pytest
@@ -53,6 +54,11 @@
         assert view.apply_replicated_state(item.encode(), "test")
 
 
+def n_used_elsewhere(routes):
+    """Return how many of the routes have references besides the list and the call."""
+    return sum(sys.getrefcount(routes[k]) > 2 for k in range(len(routes)))
+
+
 async def until_loaded(view):
     """Finish loading; return the versions in force meanwhile, and their indices."""
     seen = []
@@ -198,3 +204,25 @@
         assert list(view.by_service) == ["s"]
 
     run(main)
+
+
+def test_routes_of_a_replaced_configuration_are_released_in_steps(run):
+    """Guards against a pause when thousands of routes are released at once, and against
+    memory that the previous configuration keeps."""
+
+    async def main():
+        view = make_view(configuration_steps)
+        for version in (1, 2):
+            document = json.dumps(large_configuration(4_000, version=version))
+            receive(view, state(version, version, document))
+            while view.configuration is None or view.configuration.version < version:
+                view._loader._run_slice()
+            if version == 1:
+                hosts = view.configuration.hosts.values()
+                previous = [route for routes in hosts for route in routes]
+                del hosts
+        assert n_used_elsewhere(previous) > 3_000
+        await until_loaded(view)
+        assert n_used_elsewhere(previous) == 0
+
+    run(main)
