Let a confirmation expire before an accepted change must be in force

A review of the fix found: an entry whose feeds are held up right after a confirmation said 404 for a new route until 2,381 ms after the configuration was acknowledged, though it must be in force after 2,000 ms. Cause: the confirmation was valid for a fixed 2.5 s. It is now valid for three quarters of the time that the deployment's terms give (1.5 s of 2 s), and entries ask every 0.9 s.

--- a/pollenfold/core/confirmation.py
+++ b/pollenfold/core/confirmation.py
@@ -11,9 +11,12 @@
 
 from .clock import Instant, add_ms
 
-CONFIRMATION_VALIDITY_MS = 2_500.0
-"""How long after it was requested a confirmation is valid. It spans two requests, so
-that one lost response changes nothing."""
+VALIDITY_SHARE = 0.75
+"""The validity of a confirmation as a share of the time within which an accepted
+change must be in force everywhere. What was confirmed before that time must not deny
+a route afterwards."""
+
+DEFAULT_VALIDITY_MS = 1_500.0
 
 MAX_CONFIRMATIONS = 16
 
@@ -26,10 +29,11 @@
 
     For example, after ``request_id = confirmations.begin(now)`` and
     ``confirmations.record(request_id, 7)`` the state at index 7 is current until
-    ``CONFIRMATION_VALIDITY_MS`` after ``now``, and the one at index 6 isn't.
+    ``validity_ms`` after ``now``, and the one at index 6 isn't.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, validity_ms: float = DEFAULT_VALIDITY_MS) -> None:
+        self.validity_ms = validity_ms
         self._next_id = 1
         self._pending: dict[int, Instant] = {}
         self._confirmed: deque[tuple[Instant, int]] = deque(maxlen=MAX_CONFIRMATIONS)
@@ -54,7 +58,7 @@
 
         A state that is newer than a valid confirmation is current as well.
         """
-        oldest = add_ms(now, -CONFIRMATION_VALIDITY_MS)
+        oldest = add_ms(now, -self.validity_ms)
         return any(
             requested_at >= oldest and confirmed_index <= index
             for requested_at, confirmed_index in self._confirmed
--- a/pollenfold/gateway/confirmation_requests.py
+++ b/pollenfold/gateway/confirmation_requests.py
@@ -12,7 +12,9 @@
 from ..observe.events import EventLog
 from .feed import Feed
 
-REQUEST_INTERVAL_MS = 1_000.0
+REQUEST_INTERVAL_SHARE = 0.6
+"""The time between two requests as a share of the validity of a confirmation."""
+
 FIRST_INTERVALS_MS = (100.0, 200.0, 400.0)
 """The first intervals while nothing is confirmed. They grow, so that entries without a
 quorum don't load the replicas that are left."""
@@ -60,7 +62,7 @@
 
     def _interval_ms(self) -> float:
         if self._was_current or self._n_unconfirmed >= len(FIRST_INTERVALS_MS):
-            return REQUEST_INTERVAL_MS
+            return REQUEST_INTERVAL_SHARE * self._confirmations.validity_ms
         return FIRST_INTERVALS_MS[self._n_unconfirmed]
 
     def _update(self) -> None:
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -13,6 +13,7 @@
 import curio
 
 from ..core.clock import add_ms
+from ..core.confirmation import VALIDITY_SHARE, Confirmations
 from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
@@ -64,6 +65,7 @@
     they are invalid.
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
+    Accepted changes must be in force everywhere within ``apply_ms``.
     """
 
     entry_id: str
@@ -83,6 +85,7 @@
     cold_burst_factor: float
     cold_slack: float
     link_bytes_per_ms: float = 0.0
+    apply_ms: float = 2_000.0
 
 
 class Gateway:
@@ -99,7 +102,8 @@
         rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
-        self.view = FleetView(decode, clock, self.log, rng)
+        confirmations = Confirmations(VALIDITY_SHARE * settings.apply_ms)
+        self.view = FleetView(decode, clock, self.log, rng, confirmations)
         limits = BalancerSettings(
             settings.entry_id,
             settings.zone,
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -47,6 +47,7 @@
         clock: Clock,
         log: EventLog,
         rng: random.Random | None = None,
+        confirmations: Confirmations | None = None,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -71,7 +72,7 @@
         self.announced_index = 0
         """The highest index of the replicated state that any replica announced."""
 
-        self.confirmations = Confirmations()
+        self.confirmations = confirmations or Confirmations()
         self._leaving: dict[Incarnation, None] = {}
         """Incarnations that announced in a response that they are leaving, oldest
         first. They are kept apart from the endpoints, since an endpoint may be removed
@@ -124,11 +125,11 @@
         self._rebuild()
 
     def is_state_current(self) -> bool:
-        """Return whether the replicated state held is known to be the newest.
+        """Return whether the replicated state in force was the newest until lately.
 
-        A majority of the replicas must have confirmed it lately, and no replica may
-        have announced a newer one. Only then may a caller be told that a route doesn't
-        exist.
+        A majority of the replicas must have confirmed it within the validity of a
+        confirmation, and no replica may have announced a newer one. Only then may a
+        caller be told that a route doesn't exist.
         """
         index = self.replicated_state.index
         if index < self.announced_index:
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -55,6 +55,7 @@
         cold_burst_factor=settings.bound("warmupBurstFactor", 1.0),
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
+        apply_ms=settings.bound("applyMs", 2_000.0),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_steps)
 
--- a/pollenfold/tests/control/test_confirmation.py
+++ b/pollenfold/tests/control/test_confirmation.py
@@ -6,18 +6,12 @@
 from pollenfold.control.confirmer import Confirmer
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
-from pollenfold.tests.control.test_cluster import (  # noqa: F401
-    Cluster,
-    entry_view,
-    unused_ports,
-    wait_until,
-    with_cluster,
-)
+from pollenfold.tests.control.test_cluster import entry_view, wait_until
 from pollenfold.tests.control.test_stale_start import cut_off
 from pollenfold.tests.platform.test_documents import CONFIGURATION
 
 
-def test_each_replica_confirms_the_last_acknowledged_change(with_cluster):  # noqa: F811
+def test_each_replica_confirms_the_last_acknowledged_change(with_cluster):
     """Guards against a follower that confirms an index from before a change."""
 
     async def body(cluster):
@@ -33,7 +27,7 @@
     with_cluster(body)
 
 
-def test_leader_that_was_deposed_without_knowing_confirms_nothing(with_cluster):  # noqa: F811
+def test_leader_that_was_deposed_without_knowing_confirms_nothing(with_cluster):
     """Guards against a former leader that confirms its state after the others elected
     another one and accepted a change."""
 
@@ -88,7 +82,7 @@
     run(main)
 
 
-def test_all_entries_learn_that_their_state_is_current(with_cluster):  # noqa: F811
+def test_all_entries_learn_that_their_state_is_current(with_cluster):
     """Guards against entries that refuse to say 404 though all replicas are there."""
 
     async def body(cluster):
--- a/pollenfold/tests/control/test_stale_start.py
+++ b/pollenfold/tests/control/test_stale_start.py
@@ -12,12 +12,7 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.exposition import Metrics
 from pollenfold.platform.headers import DIALECT
-from pollenfold.tests.control.test_cluster import (  # noqa: F401
-    entry_view,
-    unused_ports,
-    wait_until,
-    with_cluster,
-)
+from pollenfold.tests.control.test_cluster import entry_view, wait_until
 from pollenfold.tests.gateway.conftest import settled_retry_budget
 from pollenfold.tests.platform.test_documents import CONFIGURATION, ROUTE
 from pollenfold.wire.frames import Protocol
@@ -60,7 +55,7 @@
     return response.status
 
 
-def test_entry_beside_a_replica_that_is_behind_denies_no_route(with_cluster):  # noqa: F811
+def test_entry_beside_a_replica_that_is_behind_denies_no_route(with_cluster):
     """Guards against 404 for a route that every entry served before it restarted, from
     a process that took the first replica it reached for up to date."""
 
@@ -91,3 +86,28 @@
                 await curio.sleep(0.02)
 
     with_cluster(body)
+
+
+def test_no_route_is_denied_after_a_change_must_be_in_force(with_cluster):
+    """Guards against 404 on the word of a confirmation that is older than the change,
+    while the lines of the feeds wait behind other bytes on a full link."""
+    apply_ms = 2_000.0
+
+    async def body(cluster):
+        await cluster.call(1, b"PUT", "/-/config", CONFIGURATION)
+        view, task = await entry_view(cluster)
+        await wait_until(view.is_state_current)
+        n_confirmed = len(view.confirmations._confirmed)
+        await wait_until(lambda: len(view.confirmations._confirmed) > n_confirmed)
+        await task.cancel()
+        view.apply_replicated_state = lambda *args: False
+        announced_index = view.announced_index
+        assert (await cluster.call(1, b"PUT", "/-/config", NEWER)).status == 200
+        acknowledged_at = system_clock()
+        while (sent_ms := system_clock() - acknowledged_at) < apply_ms + 1_000.0:
+            view.announced_index = announced_index
+            status = await status_of(view, b"/new/1")
+            assert sent_ms < apply_ms or status == 503
+            await curio.sleep(0.05)
+
+    with_cluster(body)
--- a/properties/test_confirmation.py
+++ b/properties/test_confirmation.py
@@ -3,7 +3,10 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from pollenfold.core.confirmation import CONFIRMATION_VALIDITY_MS, Confirmations
+from pollenfold.core.confirmation import Confirmations
+
+APPLY_MS = 2_000.0
+"""Accepted changes must be in force everywhere within this time."""
 
 STEP_MS = 100.0
 ACTIONS = st.one_of(
@@ -75,7 +78,7 @@
     for action in actions:
         world.step(*action)
         if world.confirmations.is_current(world.entry_index, world.now):
-            oldest = world.now - CONFIRMATION_VALIDITY_MS
+            oldest = world.now - APPLY_MS
             n_due = sum(accepted_at < oldest for accepted_at in world.accepted)
             assert n_due <= world.entry_index
 
@@ -87,4 +90,4 @@
     confirmations.record(request_id, 7)
     assert not confirmations.is_current(6, 100.0)
     assert confirmations.is_current(7, 100.0)
-    assert not confirmations.is_current(7, CONFIRMATION_VALIDITY_MS + 1.0)
+    assert not confirmations.is_current(7, APPLY_MS)
