Ask for confirmations on connections of their own

Cause: an error closes the connection to the leader, and both shared one. Entries ask every second, so this would recur during each roll of control. Confirmations now have connections of their own. test_failed_confirmation_ends_no_forwarded_command failed before; the tests of the cluster pass.

--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -82,6 +82,10 @@
         self._clock = clock
         self._log = log
         self._clients: dict[tuple[str, int], RpcClient] = {}
+        self._confirmation_clients: dict[tuple[str, int], RpcClient] = {}
+        """Confirmations have connections of their own: one that fails closes its
+        connection, and a command on the same one would be lost with it."""
+
         self._started_at = clock()
         self.replicated_state = ReplicatedState()
         self.registry = Registry()
@@ -338,7 +342,13 @@
         leader_id = self.replica.leader_id()
         if leader_id is None:
             return Error(ErrorKind.NOT_LEADER)
-        result = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
+        if command == CONFIRM_INDEX:
+            clients = self._confirmation_clients
+            result = await _call(
+                clients, leader_id, Protocol.OPERATOR, command, timeout_ms
+            )
+        else:
+            result = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
         if result.is_error():
             return Error(result.error)
         if result.ok == MAY_BE_COMMITTED:
@@ -366,15 +376,26 @@
         self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
     ) -> Result[bytes, ErrorKind]:
         """Call another replica by its id, or by host and port."""
-        address = host_and_port(replica_id)
-        client = self._clients.get(address)
-        if client is None:
-            client = self._clients[address] = RpcClient(*address)
-        result = await client.call(protocol, payload, timeout_ms)
-        if result.is_error():
-            # The connection may be half-open: lost without a reset.
-            await client.close()
-        return result
+        return await _call(self._clients, replica_id, protocol, payload, timeout_ms)
+
+
+async def _call(
+    clients: dict[tuple[str, int], RpcClient],
+    replica_id: str,
+    protocol: Protocol,
+    payload: bytes,
+    timeout_ms: float,
+) -> Result[bytes, ErrorKind]:
+    """Call a replica with its client among ``clients``, which may be created."""
+    address = host_and_port(replica_id)
+    client = clients.get(address)
+    if client is None:
+        client = clients[address] = RpcClient(*address)
+    result = await client.call(protocol, payload, timeout_ms)
+    if result.is_error():
+        # The connection may be half-open: lost without a reset.
+        await client.close()
+    return result
 
 
 def _subject(command: Command) -> str:
--- a/pollenfold/tests/control/test_confirmation.py
+++ b/pollenfold/tests/control/test_confirmation.py
@@ -3,12 +3,16 @@
 import curio
 from expression import Ok
 
+from pollenfold.control.cluster_state import ClusterState
 from pollenfold.control.confirmer import Confirmer
+from pollenfold.core.replicated_state import Evacuate
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.tests.control.test_cluster import entry_view, wait_until
 from pollenfold.tests.control.test_stale_start import cut_off
 from pollenfold.tests.platform.test_documents import CONFIGURATION
+from pollenfold.wire.frames import Protocol
+from pollenfold.wire.rpc import RpcServer
 
 
 def test_each_replica_confirms_the_last_acknowledged_change(with_cluster):
@@ -52,11 +56,50 @@
     with_cluster(body)
 
 
+class Follower:
+    """Stands in for a replica that knows its leader."""
+
+    def __init__(self, leader_id):
+        self._leader_id = leader_id
+
+    def is_leader(self):
+        return False
+
+    def leader_id(self):
+        return self._leader_id
+
+
+def test_failed_confirmation_ends_no_forwarded_command(run, unused_ports):
+    """Guards against an operator's command that is lost because a leader of an earlier
+    version couldn't handle a confirmation on the same connection."""
+
+    async def handle(command):
+        if not command:
+            raise ValueError("expected a command")
+        await curio.sleep(0.1)
+        return (7).to_bytes(8, "big")
+
+    async def main():
+        port = unused_ports[0]
+        server = RpcServer({Protocol.OPERATOR: handle})
+        await curio.spawn(server.serve, "127.0.0.1", port, daemon=True)
+        await curio.sleep(0.05)
+        state = ClusterState(3, system_clock, EventLog("c", system_clock, write=len))
+        state.replica = Follower(f"127.0.0.1:{port}/x")
+        assert (await state.submit(Evacuate("a", True), 900.0)).is_ok()
+        command = await curio.spawn(state.submit, Evacuate("a", False), 900.0)
+        await curio.sleep(0.03)
+        assert (await state.confirm(600.0)).is_error()
+        assert (await command.join()).is_ok()
+
+    run(main)
+
+
 def test_entries_that_wait_together_share_one_round(run):
     """Guards against a round of all replicas for each of hundreds of entries that start
     at the same moment."""
 
-    class ClusterState:
+    class CountingState:
         n_calls = 0
 
         async def confirm(self, timeout_ms):
@@ -65,7 +108,7 @@
             return Ok(5)
 
     async def main():
-        state, responses = ClusterState(), {}
+        state, responses = CountingState(), {}
         confirmer = Confirmer(state, EventLog("c1", system_clock, write=len))
         await curio.spawn(confirmer.run, daemon=True)
         for number in range(312):
