End a control replica whose confirmations have stopped

It is now a task of the daemon, whose end ends the process, as for the other tasks, so that it starts again. The number of its rounds is among the metrics.

--- a/benchmarks/confirmation_cost.py
+++ b/benchmarks/confirmation_cost.py
@@ -63,8 +63,15 @@
         node = ClusterNode(settings)
         await curio.spawn(node.rpc.serve, host, peer_port, daemon=True)
         await curio.spawn(node.feed_server.serve, host, feed_port, daemon=True)
-        for run in (node.replica.run, node.feed_server.run, node.feeds.run, node.join):
-            await curio.spawn(run, daemon=True)
+        tasks = (
+            node.replica.run,
+            node.feed_server.run,
+            node.feed_server.run_confirmations,
+            node.feeds.run,
+            node.join,
+        )
+        for task in tasks:
+            await curio.spawn(task, daemon=True)
         nodes.append(node)
     async with curio.timeout_after(FORM_TIMEOUT_S):
         while any(len(node.replica.voters()) < N_REPLICAS for node in nodes):
--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -222,6 +222,7 @@
             "configuration_version", self.cluster_state.replicated_state.version
         )
         metrics.set("readers", self.feed_server.n_subscribers)
+        metrics.set("confirmation_rounds", self.feed_server.n_confirmation_rounds)
         metrics.set("endpoints", len(self.cluster_state.registry))
         quarantined = self.cluster_state.quarantine.quarantined_digests()
         metrics.set("requests_quarantined", len(quarantined))
@@ -257,6 +258,7 @@
             node.log.state("metrics_unavailable", detail=str(error))
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
+        await group.spawn(node.feed_server.run_confirmations)
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -308,14 +308,14 @@
         return for_all, names
 
     async def run(self) -> None:
-        """Send changes, keep-alives and confirmations until cancelled."""
-        confirmer = await curio.spawn(self._confirmer.run, daemon=True)
-        try:
-            while True:
-                await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
-                self._publish_if_due()
-        finally:
-            await confirmer.cancel()
+        """Send changes and keep-alives to all subscribers until cancelled."""
+        while True:
+            await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
+            self._publish_if_due()
+
+    async def run_confirmations(self) -> None:
+        """Answer the subscribers' requests for confirmations until cancelled."""
+        await self._confirmer.run()
 
     def _publish_if_due(self) -> None:
         now = self._clock()
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -66,6 +66,7 @@
             ),
             await curio.spawn(node.replica.run, daemon=True),
             await curio.spawn(node.feed_server.run, daemon=True),
+            await curio.spawn(node.feed_server.run_confirmations, daemon=True),
             await curio.spawn(node.feeds.run, daemon=True),
             await curio.spawn(node.join, daemon=True),
             await curio.spawn(node.persist_endpoints, daemon=True),
