Keep the configuration in force whatever error its decoding ends with

No document is known that does this; it was shown with a MemoryError. All errors are now handled as an invalid document. test_decoder_that_fails_unexpectedly_leaves_the_state_in_force failed before.

--- a/pollenfold/gateway/state_loader.py
+++ b/pollenfold/gateway/state_loader.py
@@ -109,8 +109,10 @@
         try:
             if not self._computation.run_slice():
                 return
-        except ValueError as error:
-            self._reject(state, source, str(error))
+        except Exception as error:
+            # Whatever fails, the state must not come into force without its
+            # configuration: the entry would take its former routes for the newest.
+            self._reject(state, source, str(error) or repr(error))
         else:
             if self._received.version == state.version:
                 state = self._received
--- a/pollenfold/tests/gateway/test_state_loader.py
+++ b/pollenfold/tests/gateway/test_state_loader.py
@@ -226,3 +226,23 @@
         assert n_used_elsewhere(previous) == 0
 
     run(main)
+
+
+def test_decoder_that_fails_unexpectedly_leaves_the_state_in_force():
+    """Guards against a state that comes into force without its configuration, so that
+    the entry denies the new routes as if its former configuration were the newest."""
+
+    def failing_steps(text):
+        yield
+        if text == "8":
+            raise MemoryError
+        return RoutingConfiguration(int(text))
+
+    view = make_view(failing_steps)
+    receive(view, state(1, 7), state(2, 8))
+    view.announced_index = 2
+    view.confirmations.record(view.confirmations.begin(system_clock()), 2)
+    assert (view.replicated_state.index, view.configuration.version) == (1, 7)
+    assert not view.is_state_current()
+    receive(view, state(3, 9))
+    assert (view.replicated_state.index, view.configuration.version) == (3, 9)
