Bound the metrics by route

The metrics page of an entry had some 18 lines for each route that ever had a request and is rendered in one step on the only loop: 5.1 ms of a core with 100 routes, 73 ms with 1,400 and 727 ms with 14,000 (1.6 and 16.7 MB of text; measured with two statuses a route). Series of removed routes stayed too.

The first 100 routes that get requests have series of their own, all others share the route '(other)'. The log names the route of each request as before.

test_metrics_are_bounded_with_many_routes failed before (150 series where 101 are allowed).

--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -9,11 +9,14 @@
 from ..core.overload import retry_after_ms, short_retry_after_ms
 from ..http.messages import HOP_HEADERS, Response, error_response
 from ..observe.events import EventLog
-from ..observe.exposition import Metrics
+from ..observe.exposition import BoundedLabel, Metrics
 from .calls import Call
 from .view import FleetView
 
 MAX_LOGGED_URL_CHARS = 200
+MAX_ROUTE_SERIES = 100
+"""How many routes have metrics of their own. Each has 18 lines in the metrics page,
+which is rendered in one step."""
 
 
 class FinalResponses:
@@ -31,6 +34,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._route_label = BoundedLabel(MAX_ROUTE_SERIES)
         self._rng = rng
 
     def refuse(
@@ -68,8 +72,9 @@
         """Count and log the end of a call, with the decisions that led to it."""
         latency_ms = self._clock() - call.started_at
         name = call.route.name
-        self._metrics.count("requests_total", route=name, status=str(status))
-        self._metrics.observe("request_ms", latency_ms, route=name)
+        label = self._route_label.get(name)
+        self._metrics.count("requests_total", route=label, status=str(status))
+        self._metrics.observe("request_ms", latency_ms, route=label)
         self._log.request(
             "request_done",
             not 200 <= status < 300,
--- a/pollenfold/observe/exposition.py
+++ b/pollenfold/observe/exposition.py
@@ -6,6 +6,9 @@
 
 LATENCY_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 800, 1300, 2000, 3500)
 
+OTHER = "(other)"
+"""The label value of all series beyond a limit."""
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -64,6 +67,26 @@
         return "\n".join(lines) + "\n"
 
 
+class BoundedLabel:
+    """Limits how many values a label has, and with them the series of a metric.
+
+    The first values keep series of their own, and all others share one.
+    """
+
+    def __init__(self, max_values: int) -> None:
+        self._max_values = max_values
+        self._values: set[str] = set()
+
+    def get(self, value: str) -> str:
+        """Return the value to use for the label."""
+        if value in self._values:
+            return value
+        if len(self._values) == self._max_values:
+            return OTHER
+        self._values.add(value)
+        return value
+
+
 def _format_labels(labels: Labels) -> str:
     pairs = ",".join(f'{name}="{_escape(value)}"' for name, value in labels)
     return "{" + pairs + "}" if pairs else ""
--- a/pollenfold/tests/gateway/test_forward.py
+++ b/pollenfold/tests/gateway/test_forward.py
@@ -7,6 +7,12 @@
 
 from pollenfold.core.clock import add_ms
 from pollenfold.core.replicated_state import ReplicatedState
+from pollenfold.core.routes import (
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+    sorted_routes,
+)
 from pollenfold.gateway.probes import MAX_PROBE_WAIT_MS, ServiceProbeState
 from pollenfold.observe.clock import system_clock
 from pollenfold.tests.gateway.conftest import Backend, CallPath, signed_response
@@ -421,3 +427,30 @@
         assert (await path.get()).status == 200
 
     with_path(body, *(Backend(name) for name in "abc"[:n_backends]))
+
+
+def test_metrics_are_bounded_with_many_routes(with_path):
+    """Guards against an entry that is busy for half a second with each read of its
+    metrics, after requests to thousands of routes."""
+
+    async def body(path, backend):
+        routes = [
+            Route(f"r{k}", f"/{k}/", True, (WeightedService("s", 1.0),), 800.0)
+            for k in range(150)
+        ]
+        path.view.configuration = RoutingConfiguration(
+            2,
+            {"h.example": sorted_routes(routes)},
+            path.view.configuration.services,
+        )
+        for number in range(len(routes)):
+            assert (await path.get(target=b"/%d/x" % number)).status == 200
+        counts = [
+            line
+            for line in path.metrics.render().splitlines()
+            if "_total{route" in line
+        ]
+        assert len(counts) <= 101
+        assert sum(float(line.split()[-1]) for line in counts) == len(routes)
+
+    with_path(body, Backend("one"))
--- a/pollenfold/tests/observe/test_events.py
+++ b/pollenfold/tests/observe/test_events.py
@@ -2,7 +2,7 @@
 
 from pollenfold.core.clock import ManualClock
 from pollenfold.observe.events import MAX_BUFFER_BYTES, EventLog, format_value
-from pollenfold.observe.exposition import Metrics
+from pollenfold.observe.exposition import OTHER, BoundedLabel, Metrics
 
 
 def make_log(write):
@@ -75,3 +75,11 @@
     assert 'pollenfold_request_ms_bucket{route="r1",le="10"} 3' in lines
     assert 'pollenfold_request_ms_bucket{route="r1",le="+Inf"} 4' in lines
     assert 'pollenfold_request_ms_count{route="r1"} 4' in lines
+
+
+def test_series_of_a_label_are_bounded():
+    """Guards against a metrics page, rendered in one step on the only loop, and memory
+    that grow with each route that ever had a request."""
+    label = BoundedLabel(2)
+    assert [label.get(value) for value in "abcab"] == ["a", "b", OTHER, "a", "b"]
+    assert label.get("c") == OTHER
