Put states without a configuration in force

An entry without a configuration took each state for one whose configuration it had rejected, since both versions were 0, and kept index 0: its readiness and its answers went by an index that was too low until the first configuration arrived.

The property test of the loader found it: arbitrary states, documents that take several slices or are invalid, and slices in any order. It failed before, passes now with 200 and with 20,000 examples, and fails if the newest state is lost, departures wait or a configuration is put in force with another state.

--- a/pollenfold/gateway/state_loader.py
+++ b/pollenfold/gateway/state_loader.py
@@ -50,7 +50,7 @@
         self._source = ""
         self._decoding: tuple[ReplicatedState, str] | None = None
         self._computation: SlicedComputation[RoutingConfiguration] | None = None
-        self._rejected_version = 0
+        self._rejected_version: int | None = None
         self._configuration = RoutingConfiguration()
         self._release: SlicedComputation[None] | None = None
         self._is_running = False
