Take callers' size limits from the configuration in force

What callers saw: - an entry that knows no configuration answered 413 to a body of 2,000,000 bytes, by a default of 1 MiB that no configuration has; likewise 431 for heads over 16 KiB; - after a version with higher limits was in force and confirmed, a kept or idle connection got 413 and 431 without end, a new one didn't; - while a newer state was announced, or the state held wasn't confirmed, a request over the old limit got 413 or 431 although the new configuration allows it.

Cause: the limits were read once for each connection, without asking whether the state that they come from is current. Ruled out: a parser that is replaced only between requests is not enough, since the reader of an idle connection's next request already waits with it.

Change: HttpServer asks for the limits of each request, last when its head is complete; those count until its end. The reader owns the parser and replaces it when headerBytes changed before further bytes of the head are parsed, so an incomplete head still takes no more than headerBytes and one read. A request over a limit gets 413 or 431 only on a current, confirmed state; otherwise 503 not_ready without a configuration (bodies over 1 MiB, heads over 16 KiB) or not_confirmed, also when the limit was raised after the head was read. The Retry-After of not_confirmed, 0.25 s, moves to the error table, and its text no longer names routes only. The idle timeout is that announced with the connection's last response. The servers of operators, cluster and the other entry keep fixed limits.

The fixture of an unstarted gateway moves to conftest.py; test_request_reader passes the bytes instead of the parser, its assertions are the same.

--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -61,7 +61,7 @@
 
     status: int
     run_state: RunState
-    retry_after_s: int | None
+    retry_after_s: float | None
     text: str
 
 
@@ -146,8 +146,8 @@
     ErrorKind.NOT_CONFIRMED: ErrorResponse(
         503,
         _DID_NOT_RUN,
-        1,
-        "no route is known here, and the configuration may be out of date",
+        0.25,
+        "refused by a configuration that may be out of date",
     ),
     ErrorKind.FLEET_FULL: ErrorResponse(
         503, _DID_NOT_RUN, 2, "the fleet has its greatest number of entries"
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import lru_cache
 
 import curio
 
@@ -17,8 +18,9 @@
 from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
+from ..core.routes import CallerLimits
 from ..http.messages import Request, Response, error_response
-from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
+from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits, SizeRefusal
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
 from ..observe.daemon import metrics_response, reload_settings, wait_for_stop_task
@@ -28,7 +30,7 @@
 from .balancer import Balancer
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
-from .forward import Forwarder
+from .forward import NOT_READY_RETRY_AFTER_MS, Forwarder
 from .settings import BalancerSettings
 from .state_loader import Decode
 from .view import FleetView
@@ -44,6 +46,12 @@
 
 FIRST_CONFIGURATION_POLL_MS = 5.0
 
+NOT_READY = SizeRefusal(ErrorKind.NOT_READY, NOT_READY_RETRY_AFTER_MS / 1000)
+NOT_CONFIRMED = SizeRefusal(ErrorKind.NOT_CONFIRMED)
+
+LIMITS_WITHOUT_CONFIGURATION = ServerLimits(size_refusal=lambda: NOT_READY)
+"""Bounds memory until the first configuration, which may allow larger requests."""
+
 RETRY_SHARE_INTERVAL_MS = 1_000.0
 
 STOP_NOTICE_MS = 3_000.0
@@ -149,15 +157,15 @@
     def _caller_limits(self) -> ServerLimits:
         configuration = self.view.configuration
         if configuration is None:
-            return ServerLimits()
-        limits = configuration.limits
-        return ServerLimits(
-            body_bytes=limits.body_bytes,
-            head_bytes=limits.head_bytes,
-            head_timeout_ms=limits.head_timeout_ms,
-            idle_timeout_ms=limits.idle_timeout_ms + 1_000.0,
-            announced_idle_s=max(1, int(limits.idle_timeout_ms / 1000)),
-        )
+            return LIMITS_WITHOUT_CONFIGURATION
+        return _server_limits(configuration.limits, self._size_refusal)
+
+    def _size_refusal(self) -> SizeRefusal | None:
+        """Return what is said instead of "too large", or None on a current state.
+
+        "Too large" is a claim about the newest configuration, like "no such route".
+        """
+        return None if self.view.is_state_current() else NOT_CONFIRMED
 
     def _log_rejected(self, kind: ErrorKind, detail: str, peer: str) -> None:
         self.metrics.count("refused_total", kind=kind.value)
@@ -228,6 +236,24 @@
         return Response(200, []) if kind is None else error_response(kind)
 
 
+@lru_cache(maxsize=2)
+def _server_limits(
+    limits: CallerLimits, size_refusal: Callable[[], SizeRefusal | None]
+) -> ServerLimits:
+    """Return the limits of the caller port.
+
+    They are cached, since they are asked for several times for each request.
+    """
+    return ServerLimits(
+        body_bytes=limits.body_bytes,
+        head_bytes=limits.head_bytes,
+        head_timeout_ms=limits.head_timeout_ms,
+        idle_timeout_ms=limits.idle_timeout_ms + 1_000.0,
+        announced_idle_s=max(1, int(limits.idle_timeout_ms / 1000)),
+        size_refusal=size_refusal,
+    )
+
+
 async def serve_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -39,7 +39,6 @@
 
 MIN_DEADLINE_MS = 10.0
 NOT_READY_RETRY_AFTER_MS = 150.0
-NOT_CONFIRMED_RETRY_AFTER_MS = 250.0
 
 COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
 """Outcomes after which the endpoint has run the request and is still there."""
@@ -117,9 +116,7 @@
         if route is None:
             url = _request_host(request) + request.path
             if not self._view.is_state_current():
-                after_ms = NOT_CONFIRMED_RETRY_AFTER_MS
-                kind = ErrorKind.NOT_CONFIRMED
-                return refuse(request_id, kind, url=url, after_ms=after_ms)
+                return refuse(request_id, ErrorKind.NOT_CONFIRMED, url=url)
             return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
         call = self._call_factory.create_call(request, request_id, route, started_at)
         if call is None:
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -89,7 +89,7 @@
         client: socket.socket,
         peer: str,
         shared: SharedState,
-        limits: ServerLimits,
+        limits: Callable[[], ServerLimits],
     ) -> None:
         self._client = client
         self._peer = peer
@@ -102,6 +102,7 @@
         self._task: curio.Task | None = None
         self._n_requests = 0
         self._idle_since = system_clock()
+        self._idle_timeout_ms = limits().idle_timeout_ms
 
     @property
     def is_busy(self) -> bool:
@@ -151,63 +152,52 @@
                 raise
 
     async def _serve_requests(self) -> None:
-        parser = self._new_parser(b"")
+        unread = b""
         while not self._is_closing:
             reader = RequestReader(
                 self._client,
-                parser,
+                unread,
                 self._limits,
                 self._shared.budget,
                 self._shared.window_bytes,
                 self._idle_left_ms,
                 self._on_request_head,
-                self._continue_sender(parser),
+                self._send_continue,
             )
             try:
                 request = await reader.read(self._peer)
             except RequestError as error:
                 await reader.release()
-                await self._reject(parser, error)
+                await self._reject(reader.parser, error)
                 return
             if request is None or self._is_closing:
                 await reader.release()
                 return
             # The first request of a connection was in transit when the server stopped.
             is_late = self._shared.has_stopped and self._n_requests > 0
-            exchange = _Exchange(parser, reader, request, is_late)
+            exchange = _Exchange(reader.parser, reader, request, is_late)
             self._waiting.append(exchange)
             self._is_reading_request = False
             self._n_requests += 1
             self._shared.n_in_flight += 1
             if not await self._dispatch(exchange):
                 return
-            parser = self._new_parser(parser.trailing_data[0])
-
-    def _new_parser(self, data: bytes) -> h11.Connection:
-        parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
-        )
-        if data:
-            parser.receive_data(data)
-        return parser
+            unread = reader.parser.trailing_data[0]
 
     def _idle_left_ms(self) -> float:
         """Return the remaining idle time, the full timeout if requests are pending."""
-        limit_ms = self._limits.idle_timeout_ms
         if self._waiting:
-            return limit_ms
-        return remaining_ms(add_ms(self._idle_since, limit_ms), system_clock())
+            return self._idle_timeout_ms
+        idle_until = add_ms(self._idle_since, self._idle_timeout_ms)
+        return remaining_ms(idle_until, system_clock())
 
     def _on_request_head(self) -> None:
         self._is_reading_request = True
 
-    def _continue_sender(self, parser: h11.Connection) -> Callable[[], Awaitable[None]]:
-        async def send_continue() -> None:
-            await self._wait_for_turn(None)
-            event = h11.InformationalResponse(status_code=100, headers=[])
-            await self._client.sendall(parser.send(event) or b"")
-
-        return send_continue
+    async def _send_continue(self, parser: h11.Connection) -> None:
+        await self._wait_for_turn(None)
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        await self._client.sendall(parser.send(event) or b"")
 
     async def _dispatch(self, exchange: _Exchange) -> bool:
         """Handle a request, inline or concurrently; return whether to read on."""
@@ -282,8 +272,11 @@
         has_next_request = len(self._waiting) > 1 or self._is_reading_request
         if is_last or (self._shared.is_stopping and not has_next_request):
             response.close = True
-        if self._limits.announced_idle_s and not response.close:
-            value = b"timeout=%d" % self._limits.announced_idle_s
+        limits = self._limits()
+        # A connection isn't closed before the time that its last response announced.
+        self._idle_timeout_ms = limits.idle_timeout_ms
+        if limits.announced_idle_s and not response.close:
+            value = b"timeout=%d" % limits.announced_idle_s
             response.headers.append((b"keep-alive", value))
         await self._write(exchange.parser, response)
         if response.close or exchange.parser.our_state is not h11.DONE:
@@ -333,7 +326,12 @@
             return
         # An earlier complete request with the same key may have been executed.
         state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
-        response = error_response(error.kind, error.detail, run_state=state)
+        response = error_response(
+            error.kind,
+            error.detail,
+            run_state=state,
+            retry_after_s=error.retry_after_s,
+        )
         response.close = True
         self._is_closing = self._should_linger = True
         await self._write(parser, response)
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -37,6 +37,25 @@
 """Memory limit for the body windows of all connections together."""
 
 
+@dataclass(frozen=True, slots=True)
+class SizeRefusal:
+    """The response to a request over a size limit that may be out of date.
+
+    ``retry_after_s`` of None stands for the value of the error table.
+    """
+
+    kind: ErrorKind
+    retry_after_s: float | None = None
+
+
+CHANGED_LIMITS = SizeRefusal(ErrorKind.NOT_CONFIRMED)
+"""For a request over the limit at the time of its head, but not over the one since."""
+
+
+def _limits_are_final() -> SizeRefusal | None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
     """Size limits and timeouts for requests from callers.
@@ -44,7 +63,9 @@
     ``head_timeout_ms`` counts from the first byte of a request to the end of its head,
     ``idle_timeout_ms`` while nothing arrives. The latter also limits how long a body
     waits for memory. ``announced_idle_s`` is the idle timeout that responses announce
-    in ``Keep-Alive``; 0 omits the header.
+    in ``Keep-Alive``; 0 omits the header. ``size_refusal`` is called for a request that
+    is too large; it returns what is said instead, or None if the limits are known to be
+    the newest ones.
     """
 
     body_bytes: int = 1 << 20
@@ -52,20 +73,27 @@
     head_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 60_000.0
     announced_idle_s: int = 0
+    size_refusal: Callable[[], SizeRefusal | None] = _limits_are_final
 
 
 class RequestError(Exception):
     """A request that can't reach the handler; ``kind`` selects the error response.
 
-    ``head`` is the request's head if it was read completely.
+    ``head`` is the request's head if it was read completely. ``retry_after_s``
+    overrides the value of the error table.
     """
 
     def __init__(
-        self, kind: ErrorKind, detail: str = "", head: h11.Request | None = None
+        self,
+        kind: ErrorKind,
+        detail: str = "",
+        head: h11.Request | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(detail)
         self.kind = kind
         self.detail = detail
+        self.retry_after_s = retry_after_s
         names = () if head is None else (name for name, _ in head.headers)
         self.has_key = b"idempotency-key" in names
 
@@ -75,25 +103,27 @@
 
     Of a body longer than ``window_bytes``, only that many bytes are read before the
     request is returned.
-    ``parser`` is new for each request and holds the bytes received after the previous
-    one. ``on_head`` is called when the head is complete. ``idle_left_ms`` returns how
-    much longer to wait for the first byte.
+    ``unread`` are the bytes received after the previous request. ``limits`` returns the
+    limits in force: those at the time when the head is complete count for the rest of
+    the request. ``on_head`` is called when the head is complete. ``idle_left_ms``
+    returns how much longer to wait for the first byte.
     """
 
     def __init__(
         self,
         client: socket.socket,
-        parser: h11.Connection,
-        limits: ServerLimits,
+        unread: bytes,
+        limits: Callable[[], ServerLimits],
         budget: MemoryBudget,
         window_bytes: int,
         idle_left_ms: Callable[[], float],
         on_head: Callable[[], None],
-        send_continue: Callable[[], Awaitable[None]],
+        send_continue: Callable[[h11.Connection], Awaitable[None]],
     ) -> None:
         self._client = client
-        self._parser = parser
-        self._limits = limits
+        self._limits_in_force = limits
+        self._limits = limits()
+        self.parser = _new_parser(self._limits, unread)
         self._budget = budget
         self._window_bytes = window_bytes
         self._idle_left_ms = idle_left_ms
@@ -174,18 +204,30 @@
             if type(event) is h11.Request:
                 self._head = event
                 self._head_received_at = system_clock()
+                self._limits = self._limits_in_force()
                 _check_head(event, self._limits)
                 self._on_head()
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            if self._head_deadline_s is None and self._parser.trailing_data[0]:
+            if self._head_deadline_s is None and self.parser.trailing_data[0]:
                 wait_s = self._limits.head_timeout_ms / 1000
                 self._head_deadline_s = await curio.clock() + wait_s
             data = await self._receive_head_bytes()
             if data is None:
                 return None
-            self._parser.receive_data(data)
+            self._renew_limits()
+            self.parser.receive_data(data)
+
+    def _renew_limits(self) -> None:
+        """Let changed limits count for the head that is arriving.
+
+        h11 takes the limit of an incomplete head only when a parser is created.
+        """
+        limits = self._limits_in_force()
+        if limits.head_bytes != self._limits.head_bytes:
+            self.parser = _new_parser(limits, self.parser.trailing_data[0])
+        self._limits = limits
 
     async def _read_piece(self) -> bytes:
         """Return the next piece of the body, or ``b""`` at its end."""
@@ -194,23 +236,29 @@
             if type(event) is h11.Data:
                 self._n_body_bytes += len(event.data)
                 if self._n_body_bytes > self._limits.body_bytes:
-                    raise RequestError(ErrorKind.BODY_TOO_LARGE, head=self._head)
+                    kind, limits = ErrorKind.BODY_TOO_LARGE, self._limits_in_force()
+                    raise _size_error(kind, self._n_body_bytes, limits, self._head)
                 if event.data:
                     return bytes(event.data)
             elif type(event) is h11.EndOfMessage:
                 self.is_body_read = True
             elif event is h11.NEED_DATA:
-                if self._parser.they_are_waiting_for_100_continue:
-                    await self._send_continue()
-                self._parser.receive_data(await self._receive_body_bytes())
+                if self.parser.they_are_waiting_for_100_continue:
+                    await self._send_continue(self.parser)
+                self.parser.receive_data(await self._receive_body_bytes())
             else:
                 raise RequestError(ErrorKind.TRUNCATED_BODY, head=self._head)
         return b""
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
-            return self._parser.next_event()
+            return self.parser.next_event()
         except h11.RemoteProtocolError as error:
+            if error.error_status_hint == 431:
+                n_bytes = len(self.parser.trailing_data[0])
+                limits = self._limits_in_force()
+                kind = ErrorKind.HEAD_TOO_LARGE
+                raise _size_error(kind, n_bytes, limits, self._head) from error
             kind = _protocol_error_kind(error, self._head)
             raise RequestError(kind, str(error), self._head) from error
 
@@ -248,8 +296,9 @@
     which allows request smuggling.
     """
     n_bytes = sum(len(name) + len(value) for name, value in head.headers)
-    if n_bytes + len(head.target) > limits.head_bytes:
-        raise RequestError(ErrorKind.HEAD_TOO_LARGE, f"{n_bytes} bytes", head)
+    n_bytes += len(head.target)
+    if n_bytes > limits.head_bytes:
+        raise _size_error(ErrorKind.HEAD_TOO_LARGE, n_bytes, limits, head)
     names = {name for name, _ in head.headers}
     if b"content-length" in names and b"transfer-encoding" in names:
         detail = "both content-length and transfer-encoding"
@@ -257,14 +306,38 @@
     length = find_header(list(head.headers), b"content-length")
     if length is not None and int(length) > limits.body_bytes:
         # Fail before the body, so the caller needn't send one that is rejected.
-        raise RequestError(ErrorKind.BODY_TOO_LARGE, f"{int(length)} bytes", head)
+        raise _size_error(ErrorKind.BODY_TOO_LARGE, int(length), limits, head)
+
+
+def _new_parser(limits: ServerLimits, data: bytes) -> h11.Connection:
+    parser = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+    if data:
+        parser.receive_data(data)
+    return parser
+
+
+def _size_error(
+    kind: ErrorKind, n_bytes: int, limits: ServerLimits, head: h11.Request | None
+) -> RequestError:
+    """Return the error for a head or body over the limit that counts for it.
+
+    ``limits`` are those in force now. Callers take "too large" as final, so it is said
+    only if the same request would be refused again.
+    """
+    is_head = kind is ErrorKind.HEAD_TOO_LARGE
+    limit_bytes = limits.head_bytes if is_head else limits.body_bytes
+    refusal = limits.size_refusal()
+    if refusal is None and n_bytes <= limit_bytes:
+        refusal = CHANGED_LIMITS
+    if refusal is None:
+        return RequestError(kind, f"{n_bytes} bytes", head)
+    detail = f"{n_bytes} bytes, limit not confirmed"
+    return RequestError(refusal.kind, detail, head, refusal.retry_after_s)
 
 
 def _protocol_error_kind(
     error: h11.RemoteProtocolError, head: h11.Request | None
 ) -> ErrorKind:
-    if error.error_status_hint == 431:
-        return ErrorKind.HEAD_TOO_LARGE
     if head is not None and "without sending complete message body" in str(error):
         return ErrorKind.TRUNCATED_BODY
     return ErrorKind.BAD_REQUEST
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -61,7 +61,10 @@
         allows_concurrency: Callable[[Request], bool] = _never_concurrent,
         window_bytes: int | None = None,
     ) -> None:
-        """Create a server; ``limits`` is called for each connection.
+        """Create a server; ``limits`` returns the limits in force.
+
+        It is called several times for each request, so that a change counts for the
+        connections that are open.
 
         With ``window_bytes``, the handler gets longer bodies in parts
         (``Request.read_remaining_body``); otherwise each body is buffered completely.
@@ -167,7 +170,7 @@
 
     async def _serve(self, client: Socket, peer: str) -> None:
         connection_class = self.connection_class
-        connection = connection_class(client, peer, self._shared, self._limits())
+        connection = connection_class(client, peer, self._shared, self._limits)
         self._connections.add(connection)
         try:
             await connection.serve()
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures of the gateway's tests: a fake backend server and an entry's call path."""
 
+import json
 import random
 import re
 from dataclasses import dataclass, field
@@ -22,9 +23,11 @@
 )
 from pollenfold.core.slices import in_one_step
 from pollenfold.gateway.balancer import Balancer
+from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
+from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
@@ -314,3 +317,32 @@
         run(main)
 
     return run_body
+
+
+@pytest.fixture
+def gateway():
+    """Return a gateway that isn't started and whose settings fail to reload."""
+
+    def reload():
+        raise ValueError("settings.json: expected a table")
+
+    settings = GatewaySettings(
+        entry_id="e1",
+        zone="a",
+        host="127.0.0.1",
+        caller_listener=open_listener("127.0.0.1", 0),
+        ready_host="127.0.0.1",
+        ready_port=0,
+        ready_path="/ready",
+        feed_port=1,
+        metrics_port=0,
+        seeds=lambda: ["10.0.0.1"],
+        reload=reload,
+        grace_ms=6_000.0,
+        retry_limits=RetryLimits(0.2, 64, 10_000.0),
+        probes_per_s=10.0,
+        cold_burst_factor=1.5,
+        cold_slack=5.0,
+    )
+    yield Gateway(settings, DIALECT, json.loads)
+    settings.caller_listener.close()
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -1,6 +1,5 @@
 """The gateway daemon: reload, requests during the start, pipelined requests."""
 
-import json
 import socket
 from dataclasses import replace
 
@@ -8,7 +7,6 @@
 import pytest
 
 from pollenfold.core.registry import Announcement
-from pollenfold.core.retry_budget import RetryLimits
 from pollenfold.core.routes import (
     BackendService,
     Route,
@@ -17,43 +15,12 @@
     sorted_routes,
 )
 from pollenfold.gateway import daemon
-from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request, Response
 from pollenfold.observe.clock import system_clock
-from pollenfold.platform.headers import DIALECT
 from pollenfold.tests.gateway.conftest import Backend
 
 
-@pytest.fixture
-def gateway():
-    """Return a gateway that isn't started and whose settings fail to reload."""
-
-    def reload():
-        raise ValueError("settings.json: expected a table")
-
-    settings = GatewaySettings(
-        entry_id="e1",
-        zone="a",
-        host="127.0.0.1",
-        caller_listener=open_listener("127.0.0.1", 0),
-        ready_host="127.0.0.1",
-        ready_port=0,
-        ready_path="/ready",
-        feed_port=1,
-        metrics_port=0,
-        seeds=lambda: ["10.0.0.1"],
-        reload=reload,
-        grace_ms=6_000.0,
-        retry_limits=RetryLimits(0.2, 64, 10_000.0),
-        probes_per_s=10.0,
-        cold_burst_factor=1.5,
-        cold_slack=5.0,
-    )
-    yield Gateway(settings, DIALECT, json.loads)
-    settings.caller_listener.close()
-
-
 def test_invalid_settings_are_reported(gateway):
     """Guards against a reload that fails without a log line."""
     lines = []
--- a/pollenfold/tests/http/test_request_reader.py
+++ b/pollenfold/tests/http/test_request_reader.py
@@ -1,7 +1,6 @@
 """Reading one request from a connection, and the memory budget for bodies."""
 
 import curio
-import h11
 
 from pollenfold.http.memory import MemoryBudget
 from pollenfold.http.request_reader import RequestReader, ServerLimits
@@ -35,12 +34,11 @@
                 await curio.sleep(0)
 
         limits = ServerLimits(body_bytes=1 << 30)
-        parser = h11.Connection(h11.SERVER)
         client = FastClient(n_pieces * 65536)
         reader = RequestReader(
             client,
-            parser,
-            limits,
+            b"",
+            lambda: limits,
             MemoryBudget(1 << 20),
             1 << 30,
             lambda: 1000.0,
