Send the rest of a long line as soon as a connection accepts it

Cause: what a connection didn't accept at once waited in the send buffer until the replica had the next line for that subscriber, up to a second later. A document longer than the buffers of the connection came in parts, one a line. Ruled out: the links of the replicas (1000 Mbit/s) and a busy replica, whose log shows no pause.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -50,6 +50,11 @@
         self._send_buffer = bytearray()
         self._last_progress_at = now
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether the send buffer holds bytes that the socket didn't accept."""
+        return bool(self._send_buffer)
+
     def enqueue(self, data: bytes) -> None:
         """Append encoded lines to the send buffer."""
         self._send_buffer += data
@@ -312,6 +317,7 @@
         while True:
             await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
             self._publish_if_due()
+            self._send_pending()
 
     async def run_confirmations(self) -> None:
         """Answer the subscribers' requests for confirmations until cancelled."""
@@ -326,6 +332,12 @@
         if is_keep_alive_due or self._is_changed or has_updates:
             self._publish(now, is_keep_alive_due)
 
+    def _send_pending(self) -> None:
+        """Send what the connections didn't accept when it was queued."""
+        for subscriber in list(self._subscribers):
+            if subscriber.has_pending:
+                self._flush(subscriber)
+
     def _publish(self, now: Instant, is_keep_alive_due: bool) -> None:
         """Send all subscribers the pending changes, filtered by subscriber kind."""
         for_all: dict[str, Any] = {}
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -5,6 +5,7 @@
 
 import curio
 import pytest
+from curio import socket
 
 from pollenfold.control.cluster_state import ClusterState
 from pollenfold.control.feed_server import FeedServer
@@ -111,6 +112,7 @@
                 return subscriber
 
             connect.port = port
+            connect.listener = sock
             await body(cluster_state, connect)
 
         run(main)
@@ -394,6 +396,23 @@
     return responses()[0]["orders"], subscriber.n_bytes - n_bytes
 
 
+def test_long_document_is_sent_without_waiting_for_the_next_line(with_feed):
+    """Guards against an entry that waits for the rest of a configuration until the
+    replica has something else to send, since the document is longer than the buffer of
+    the connection."""
+
+    async def body(cluster_state, connect):
+        # Accepted connections inherit the buffer size.
+        connect.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 32 * 1024)
+        entry = await connect("e1", wants_updates=False)
+        newest = configure(cluster_state, 1, 50, 10_000)
+        async with curio.timeout_after(2):
+            fields, _ = await request_state(entry)
+        assert fields["document"] == newest
+
+    with_feed(body)
+
+
 def test_change_of_one_weight_costs_an_entry_few_bytes(with_feed):
     """Guards against a whole document over each entry's link for a small change."""
 
