Don't fetch a whole document for a difference that is merely outdated

Cause: two replicas were asked, since the first one sent no byte for 500 ms. The response of the second one was a difference from the version that the response of the first one had just replaced; the entry took that for a mismatch.

Change: such a response leads to a request from the version that the entry holds now. Any other one that doesn't fit still leads to the whole document.

Failing first: test_difference_from_a_former_version_does_not_lead_to_a_ whole_document saw the second request name version 0 in place of 2.

--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -30,6 +30,9 @@
         self._feeds: dict[str, Feed] = {}
         self._fetch = StateFetch(zone, view.received_state.index)
         self._changed = curio.Event()
+        self._requested_versions: dict[str, int] = {}
+        """By replica, the version that the last request to it named."""
+
         self._needs_whole = False
         """Whether a difference didn't lead to the document of the replica."""
 
@@ -41,6 +44,7 @@
     async def close(self, host: str) -> None:
         """Stop using a feed that ended."""
         if self._feeds.pop(host, None) is not None:
+            self._requested_versions.pop(host, None)
             self._fetch.close(host)
             await self._changed.set()
 
@@ -60,7 +64,7 @@
             fields = self._with_document(fields)
         except DocumentMismatchError as error:
             self._log.state("document_mismatch", control=host, detail=str(error))
-            self._needs_whole = True
+            self._needs_whole |= not self._is_outdated(fields, host)
             self._fetch.record_failure(host, self._clock())
             await self._changed.set()
             return
@@ -90,6 +94,15 @@
         document = decode_transfer(fields["transfer"], held.version, held.document)
         return {**fields, "document": document}
 
+    def _is_outdated(self, fields: dict[str, Any], host: str) -> bool:
+        """Return whether a difference is from the version held when it was requested.
+
+        Another replica may have delivered a newer version since then.
+        """
+        requested = self._requested_versions.get(host, 0)
+        is_from_requested = _base_version(fields) == requested != 0
+        return is_from_requested and requested != self._view.received_state.version
+
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
@@ -117,10 +130,12 @@
             version=replicated_state.version,
             announced_index=self._view.announced_index,
         )
+        version = 0 if self._needs_whole else replicated_state.version
+        self._requested_versions[host] = version
         request = {
             "get": 1,
             "index": replicated_state.index,
-            "version": 0 if self._needs_whole else replicated_state.version,
+            "version": version,
             "transfer": 1,
         }
         try:
--- a/pollenfold/tests/gateway/test_state_transfer.py
+++ b/pollenfold/tests/gateway/test_state_transfer.py
@@ -72,6 +72,10 @@
                 await client.sendall(data[start : start + n_bytes])
                 await curio.sleep(PIECE_MS / 1000)
 
+    async def respond(self):
+        """Respond to the last request, which was ignored."""
+        await self._send_state(self.sockets[0], self.requests[-1])
+
     async def announce(self, state):
         """Hold a state and announce its index."""
         self.state = state
@@ -153,6 +157,12 @@
     return state
 
 
+async def announce_states(replicas, state):
+    """Let all replicas announce a state."""
+    for replica in replicas:
+        await replica.announce(state)
+
+
 def zones_abc(**options):
     return [SlowReplica(h, z, **options) for h, z in zip(HOSTS, "abc", strict=True)]
 
@@ -284,3 +294,37 @@
         assert n_requests(replicas) == [2, 0, 0]
 
     with_replicas(zones_abc(), body)
+
+
+def test_difference_from_a_former_version_does_not_lead_to_a_whole_document(
+    with_replicas,
+):
+    """Guards against a whole document over a link that is slow already: two replicas
+    were asked, and the response of the second is a difference from the version that
+    the first one replaced meanwhile."""
+
+    first = "{a route} " * 20
+    second = f"{first} two"
+    third = f"{second} three"
+
+    async def body(replicas, view):
+        near, far, _ = replicas
+        await announce_states(replicas, ReplicatedState(1, 1, first))
+        await wait_until(lambda: view.replicated_state.version == 1)
+        near.is_silent = far.is_silent = True
+        await near.announce(ReplicatedState(2, 2, second))
+        await far.announce(ReplicatedState(3, 3, third))
+        await wait_until(lambda: far.requests)
+        # Both were asked from version 1; the responses come one after the other.
+        near.is_silent = far.is_silent = False
+        near.transfer = encode_transfer(1, first, second)
+        await near.respond()
+        await wait_until(lambda: view.replicated_state.version == 2)
+        far.transfer = encode_transfer(1, first, third)
+        await far.respond()
+        far.transfer = encode_transfer(2, second, third)
+        await wait_until(lambda: view.replicated_state.version == 3)
+        assert b"event=document_mismatch" in view._log._buffer
+        assert [line["version"] for line in far.requests] == [1, 2]
+
+    with_replicas(zones_abc(), body)
