--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -17,7 +17,7 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.platform.control_api import ControlApi
-from pollenfold.platform.documents import configuration_steps
+from pollenfold.platform.documents import configuration_decoder
 from pollenfold.tests.core.test_replicated_state import announcement
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
 
@@ -293,7 +293,7 @@
         return len(data)
 
     log = EventLog(name, system_clock, write=write_all)
-    view = FleetView(configuration_steps, system_clock, log)
+    view = FleetView(configuration_decoder(), system_clock, log)
     feeds = Feeds(
         FeedIdentity(name, "a"),
         view,
--- a/pollenfold/tests/control/test_large_configurations.py
+++ b/pollenfold/tests/control/test_large_configurations.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from pollenfold.core.routes import find_route
 from pollenfold.testing.configurations import large_configuration
-from pollenfold.tests.control.test_cluster import follower
+from pollenfold.tests.control.test_cluster import entry_view, follower, wait_until
 
 N_ROUTES = (4_200, 14_000)
 
@@ -119,3 +120,25 @@
             assert running.node.replica.status()["snapshot_index"] > 0
 
     with_cluster(body)
+
+
+def test_entry_follows_large_configurations(with_cluster):
+    """Guards against an entry that loses a version of a large configuration, or waits
+    for its decoding with a departure."""
+
+    async def body(cluster):
+        view, _ = await entry_view(cluster)
+        for version in (1, 2, 3):
+            document = large_configuration(N_ROUTES[-1], version=version)
+            document["hosts"][0]["paths"][0]["timeoutMs"] = version
+            assert (await put(cluster, version, document)).status == 200
+        left = await cluster.call(1, b"DELETE", "/-/instances/i-1")
+        assert left.status == 200
+        await wait_until(lambda: "i-1" in view.replicated_state.departures, 3.0)
+        await wait_until(lambda: view.replicated_state.version == 3)
+        assert view.configuration.version == 3
+        host = document["hosts"][0]
+        path = host["paths"][0]["pathPrefix"]
+        assert find_route(view.configuration, host["host"], path).timeout_ms == 3
+
+    with_cluster(body)
