--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -21,8 +21,8 @@
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
 from .endpoint import Endpoint
+from .health_requests import HealthRequests
 from .notices import apply_response_notices
-from .outgoing import OutgoingRequest, outgoing_request
 from .view import FleetView
 
 MIN_PROBE_WAIT_MS = 12.0
@@ -119,7 +119,7 @@
         self._metrics = metrics
         self._rng = rng
         self._link = link
-        self._requests: dict[tuple[str, str], OutgoingRequest] = {}
+        self._health_requests = HealthRequests(view, dialect)
 
     async def probe(
         self,
@@ -158,7 +158,7 @@
         sent = [
             (endpoint, connection)
             for endpoint, connection in pending
-            if await self._send(service, endpoint, connection, until)
+            if await self._send(endpoint, connection, until)
         ]
         if uses_longest_wait:
             until = await self._wait_for_any([c for _, c in sent], until)
@@ -184,12 +184,11 @@
 
     async def _send(
         self,
-        service: str,
         endpoint: Endpoint,
         connection: BackendConnection,
         until: Instant,
     ) -> bool:
-        request = self._request(service, endpoint)
+        request = self._health_requests.get(endpoint)
         try:
             left_ms = remaining_ms(until, self._clock())
             async with curio.timeout_after(left_ms / 1000):
@@ -201,21 +200,6 @@
         await self._connections.record_failure(endpoint, connection)
         return False
 
-    def _request(self, service: str, endpoint: Endpoint) -> OutgoingRequest:
-        configuration = self._view.configuration
-        known = None if configuration is None else configuration.services.get(service)
-        path = "/healthz" if known is None else known.health_path
-        announcement = endpoint.announcement
-        key = (announcement.endpoint_id, path)
-        request = self._requests.get(key)
-        if request is None:
-            host = f"{announcement.host}:{announcement.port}".encode()
-            instance = announcement.endpoint_id.encode()
-            headers = [(b"host", host), (self._dialect.expected_instance, instance)]
-            request = outgoing_request(b"GET", path.encode(), headers, b"")
-            self._requests[key] = request
-        return request
-
     async def _receive(
         self,
         state: ServiceProbeState,
@@ -300,8 +284,7 @@
 
     def forget_absent(self) -> None:
         """Drop the prepared requests to endpoints that are no longer known."""
-        known = self._view.endpoints
-        self._requests = {k: v for k, v in self._requests.items() if k[0] in known}
+        self._health_requests.forget_absent()
 
 
 def _milliseconds(value: bytes | None) -> float:
