Tell entries the hosts and zones of the other entries

An entry that reaches no endpoint has to find an entry that does, and that one has to tell entries from strangers. The host is the source address of the entry's feed, not what it claims, and only entries whose hello says that they take requests are named.

Without control the last peers stay. An odd item is skipped and the others hold.

Connections of the feed are bound to the entry's own address, where it belongs to the VM: a VM with several addresses would otherwise choose one by the route.

Tests of the feed server, cluster, feeds and wire pass.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -15,6 +15,7 @@
 from ..observe.events import EventLog
 from ..wire.lines import encode_line, read_lines
 from .cluster_state import ClusterState
+from .entry_hosts import EntryHosts
 from .peer_view import PeerView
 
 PUBLISH_INTERVAL_MS = 20.0
@@ -34,8 +35,19 @@
 class _Subscriber:
     """One connection that receives the feed."""
 
-    def __init__(self, client: socket.socket, hello: dict[str, Any], now: Instant):
+    def __init__(
+        self, client: socket.socket, hello: dict[str, Any], host: str, now: Instant
+    ):
         self.client = client
+        self.host = host
+        self.zone = str(hello.get("zone", ""))
+        self.is_peer = bool(hello.get("relay", 0))
+        """Whether it takes requests from other entries."""
+
+        self.connected_at = now
+        self.n_hosts_change = 0
+        """The number of the last change of entry hosts that it received."""
+
         self.name = str(hello.get("name", ""))
         self.role = str(hello.get("role", ""))
         self.is_entry = self.role == "entry"
@@ -98,6 +110,7 @@
         self._published_entries: set[str] = set()
         self._published_control: list[str] = []
         self._published_n_peers = 0
+        self._entry_hosts = EntryHosts()
         self.fleet = FleetSize()
         cluster_state.on_change = self._mark_changed
         cluster_state.on_update = self._queue_update
@@ -131,7 +144,7 @@
         try:
             async for line in read_lines(client, lambda: IDLE_TIMEOUT_MS):
                 if subscriber is None:
-                    subscriber = _Subscriber(client, line, self._clock())
+                    subscriber = _Subscriber(client, line, address[0], self._clock())
                     self._register(subscriber)
                 elif "get" in line:
                     self._send_line(subscriber, {"orders": self._state_for(line)})
@@ -210,6 +223,7 @@
         if not subscriber.is_entry or subscriber.wants_updates == wants_updates:
             return
         subscriber.wants_updates = wants_updates
+        subscriber.n_hosts_change = 0
         if wants_updates:
             # Later changes are relative to what was last sent to all subscribers.
             line: dict[str, Any] = {
@@ -258,6 +272,22 @@
     def _entries(self) -> set[str]:
         return {r.name for r in self._subscribers if r.is_entry}
 
+    def _update_entry_hosts(self) -> None:
+        """Record host and zone of the entries that take requests from others.
+
+        Of several connections of one entry the newest one counts.
+        """
+        peers = [r for r in self._subscribers if r.is_entry and r.is_peer]
+        peers.sort(key=lambda r: r.connected_at)
+        self._entry_hosts.update({r.name: (r.host, r.zone) for r in peers})
+
+    def _enqueue_entry_hosts(self, subscriber: _Subscriber) -> None:
+        """Enqueue the next changes of entry hosts that an entry hasn't received."""
+        zones, number = self._entry_hosts.changes_since(subscriber.n_hosts_change)
+        subscriber.n_hosts_change = number
+        if zones:
+            subscriber.enqueue(encode_line({"peers": zones}))
+
     def _n_entries(self) -> int:
         """Record the current number of entries; return the fleet size."""
         now = self._clock()
@@ -306,6 +336,7 @@
         names: dict[str, Any] = {}
         if is_keep_alive_due:
             for_all, names = self._fleet_changes()
+            self._update_entry_hosts()
             self._published_at = now
         is_refresh_due = now >= add_ms(self._refreshed_at, REFRESH_INTERVAL_MS)
         if is_refresh_due:
@@ -326,6 +357,7 @@
             encode_line(for_replicas),
             encode_line(for_entries),
             encode_line(for_all) if is_sent_to_all else b"",
+            is_keep_alive_due,
         )
 
     def _pop_updates(self) -> dict[str, Any]:
@@ -364,13 +396,21 @@
         complete_ms = self._complete_ms()
         return for_replicas, {**updates, "heard": repeated, "complete_ms": complete_ms}
 
-    def _write(self, for_replicas: bytes, for_entries: bytes, for_all: bytes) -> None:
+    def _write(
+        self,
+        for_replicas: bytes,
+        for_entries: bytes,
+        for_all: bytes,
+        includes_hosts: bool,
+    ) -> None:
         """Send each subscriber the line of its kind, if there is one."""
         for subscriber in list(self._subscribers):
             if not subscriber.is_entry:
                 subscriber.enqueue(for_replicas)
             elif subscriber.wants_updates:
                 subscriber.enqueue(for_entries)
+                if includes_hosts:
+                    self._enqueue_entry_hosts(subscriber)
             elif for_all:
                 subscriber.enqueue(for_all)
             else:
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -69,11 +69,17 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedIdentity:
-    """How a subscriber identifies itself; ``role`` is ``entry`` or ``control``."""
+    """How a subscriber identifies itself; ``role`` is ``entry`` or ``control``.
+
+    Connections come from ``host`` if it is given. ``is_peer`` is whether the entry
+    takes requests from other entries.
+    """
 
     name: str
     zone: str
     role: str = "entry"
+    host: str = ""
+    is_peer: bool = False
 
 
 class Feeds:
@@ -245,7 +251,7 @@
 
     async def _read(self, host: str, connect_timeout_ms: float) -> None:
         async with curio.timeout_after(connect_timeout_ms / 1000):
-            sock = await open_connection(host, self._port)
+            sock = await open_connection(host, self._port, self._identity.host)
         async with sock:
             identity = self._identity
             hello = {
@@ -253,6 +259,7 @@
                 "zone": identity.zone,
                 "role": identity.role,
                 "news": 0,
+                "relay": int(identity.is_peer),
             }
             feed = Feed(sock)
             await feed.send(hello)
@@ -304,8 +311,12 @@
             view.apply_quarantine_reports(line["quarantine"])
         if "entries" in line and host == self._source:
             view.entry_ids = frozenset(line["entries"])
+            view.peer_directory.replace(view.entry_ids)
         if "joined" in line and host == self._source:
             view.entry_ids = (view.entry_ids | set(line["joined"])) - set(line["left"])
+            view.peer_directory.remove(line["left"])
+        if "peers" in line and host == self._source:
+            view.peer_directory.apply(line["peers"], self._identity.name)
         if "n_peers" in line:
             feed.record_n_peers(
                 int(line["n_peers"]), len(view.control_hosts), self._clock()
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -25,6 +25,7 @@
 from ..observe.events import EventLog
 from .declared_limits import DeclaredLimits
 from .endpoint import Endpoint, Incarnation
+from .peers import Peer, PeerDirectory
 from .quarantine import RequestQuarantine
 
 ENDPOINT_EXPIRY_MS = 12_000.0
@@ -60,6 +61,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.fleet = FleetSize()
         self.entry_ids: frozenset[str] = frozenset()
+        self.peer_directory = PeerDirectory(clock)
         self.control_hosts: frozenset[str] = frozenset()
         self.connected_since: Instant | None = None
         """Since when this entry receives, through its update source, the announcements
@@ -235,6 +237,7 @@
         Requests whose time in quarantine is over are released.
         """
         self.quarantine.expire()
+        self.peer_directory.expire()
         now = self._clock()
         oldest = add_ms(now, -ENDPOINT_EXPIRY_MS)
         if self.connected_since is None or self.connected_since > oldest:
@@ -281,6 +284,11 @@
 
     # The fleet
 
+    @property
+    def peers(self) -> dict[str, Peer]:
+        """The other entries that take requests from this one, by entry id."""
+        return self.peer_directory.by_id
+
     def set_control_hosts(self, control_hosts: list[str]) -> None:
         """Set the hosts of the control replicas, as reported by one of them."""
         self.control_hosts = frozenset(control_hosts) or self.control_hosts
