Let a server refuse addresses and share its memory, and connections choose their source

Prepares the port for peers: it takes connections only from entries of the fleet, its bodies share the 4 MB of an entry with those of callers, and a connection to a peer comes from the address under which the fleet knows this entry. Without the new arguments nothing changes.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -24,6 +24,7 @@
 from ..http.messages import BodyError, BodySource, Response, find_header
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
+from ..wire.connections import bind_source
 from .outgoing import OutgoingRequest, ReadRemainingBody
 
 READ_BYTES = 64 * 1024
@@ -87,14 +88,17 @@
         "n_exchanges",
     )
 
-    def __init__(self, host: str, port: int, link: Link) -> None:
+    def __init__(self, host: str, port: int, link: Link, source_host: str = "") -> None:
         """Start connecting without waiting; raise OSError on an immediate failure.
 
-        ``link`` paces long bodies.
+        ``link`` paces long bodies. The connection comes from ``source_host`` if that is
+        an address of this VM.
         """
         raw = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
         raw.setblocking(False)
         raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        if source_host:
+            bind_source(raw, source_host)
         code = raw.connect_ex((host, port))
         if code not in (0, errno.EINPROGRESS):
             raw.close()
--- a/pollenfold/gateway/pool.py
+++ b/pollenfold/gateway/pool.py
@@ -14,10 +14,25 @@
     idle and are closed here before the server closes them.
     """
 
-    __slots__ = ("host", "port", "limit", "n_open", "_idle", "_clock", "_link")
+    __slots__ = (
+        "host",
+        "port",
+        "limit",
+        "n_open",
+        "_idle",
+        "_clock",
+        "_link",
+        "_source_host",
+    )
 
     def __init__(
-        self, host: str, port: int, limit: int, clock: Clock, link: Link
+        self,
+        host: str,
+        port: int,
+        limit: int,
+        clock: Clock,
+        link: Link,
+        source_host: str = "",
     ) -> None:
         self.host = host
         self.port = port
@@ -26,6 +41,7 @@
         self._idle: list[BackendConnection] = []
         self._clock = clock
         self._link = link
+        self._source_host = source_host
 
     @property
     def n_idle(self) -> int:
@@ -50,7 +66,9 @@
         """Return a new connection that is connecting, or None at the limit."""
         if self.n_open >= self.limit:
             return None
-        connection = BackendConnection(self.host, self.port, self._link)
+        connection = BackendConnection(
+            self.host, self.port, self._link, self._source_host
+        )
         self.n_open += 1
         return connection
 
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -60,9 +60,14 @@
         on_rejected: OnRejected = _log_internal_error,
         allows_concurrency: Callable[[Request], bool] = _never_concurrent,
         window_bytes: int | None = None,
+        is_permitted: Callable[[str], bool] | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create a server; ``limits`` is called for each connection.
 
+        Connections from addresses for which ``is_permitted`` is false are closed at
+        once. ``budget`` limits the memory of bodies together with other servers.
+
         With ``window_bytes``, the handler gets longer bodies in parts
         (``Request.read_remaining_body``); otherwise each body is buffered completely.
 
@@ -75,11 +80,13 @@
             handler,
             allows_concurrency,
             on_rejected,
-            MemoryBudget(
+            budget
+            or MemoryBudget(
                 BODY_BUDGET_BYTES if window_bytes else BUFFERED_BODY_BUDGET_BYTES
             ),
             window_bytes or MAX_BUFFERED_BODY_BYTES,
         )
+        self._is_permitted = is_permitted
         self._connections: set[CallerConnection] = set()
         self._accept_task: curio.Task | None = None
         self._listening_socket: sockets.socket | None = None
@@ -162,6 +169,9 @@
             return
 
     async def _spawn_connection(self, client: Socket, peer: str) -> None:
+        if self._is_permitted is not None and not self._is_permitted(peer):
+            await client.close()
+            return
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await curio.spawn(self._serve, client, peer, daemon=True)
 
