--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import curio
 
@@ -24,6 +25,23 @@
 for, because it says more about the outcome than one made by the entry."""
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseWaits:
+    """How to wait for a response.
+
+    Its sender has until ``grace_ms`` after the deadline. ``check_interval_ms`` is how
+    often it is checked whether the caller is gone and, with ``is_lost``, whether the
+    response can't be expected any more.
+    """
+
+    grace_ms: float = RESPONSE_GRACE_MS
+    check_interval_ms: float = CALLER_CHECK_INTERVAL_MS
+    is_lost: Callable[[], Awaitable[bool]] | None = None
+
+
+DEFAULT_WAITS = ResponseWaits()
+
+
 class CallerGoneError(Exception):
     """The caller closed its connection and no longer waits for the response."""
 
@@ -59,7 +77,10 @@
             return AttemptOutcome.UNREACHABLE, None
         call.may_have_executed = True
         call.sent_at = clock()
-        received = await _receive_response(call, connection, dialect, clock)
+        is_expected = _response_matcher(
+            call.request_id, dialect, connection.n_exchanges == 1
+        )
+        received = await receive_response(call, connection, is_expected, clock)
     except curio.TaskTimeout:
         # The server stopped reading a long request, or the caller stopped sending it.
         call.may_have_executed = True
@@ -109,12 +130,12 @@
         request.target,
         headers,
         request.body,
-        _body_reader(call),
+        body_reader(call),
         request.header(b"content-length"),
     )
 
 
-def _body_reader(call: Call) -> ReadRemainingBody | None:
+def body_reader(call: Call) -> ReadRemainingBody | None:
     """Return the reader of the rest of a long body; it records that it was used."""
     read_remaining_body = call.request.read_remaining_body
     if read_remaining_body is None:
@@ -127,24 +148,23 @@
     return read_and_record
 
 
-async def _receive_response(
-    call: Call, connection: BackendConnection, dialect: Dialect, clock: Clock
+async def receive_response(
+    call: Call,
+    connection: BackendConnection,
+    is_expected: Callable[[Response], bool],
+    clock: Clock,
+    waits: ResponseWaits = DEFAULT_WAITS,
 ) -> Response | AttemptOutcome:
     """Wait for the response, and check meanwhile whether the caller is still there."""
-    is_expected = _response_matcher(
-        call.request_id, dialect, connection.n_exchanges == 1
-    )
     reader = await curio.spawn(connection.receive, is_expected, daemon=True)
     try:
         while not reader.terminated:
             # The deadline moves if this process is stopped meanwhile.
-            until = add_ms(call.deadline, RESPONSE_GRACE_MS)
+            until = add_ms(call.deadline, waits.grace_ms)
             left_ms = remaining_ms(until, clock())
             if left_ms <= 0.0:
                 return AttemptOutcome.EXPIRED
-            async with curio.ignore_after(
-                min(left_ms, CALLER_CHECK_INTERVAL_MS) / 1000
-            ):
+            async with curio.ignore_after(min(left_ms, waits.check_interval_ms) / 1000):
                 await reader.wait()
             if reader.terminated:
                 break
@@ -152,6 +172,8 @@
             # aborting it could leave it partly executed.
             if call.route.is_idempotent and is_caller_gone(call):
                 raise CallerGoneError
+            if waits.is_lost is not None and await waits.is_lost():
+                return AttemptOutcome.LOST
         received: Response | Failure = reader.result
         if isinstance(received, Failure):
             return AttemptOutcome.LOST
