Add the port for peers and the client that relays requests to it

An entry that is cut off from all endpoints refuses its callers although other entries have room. It can now send a request to a peer, which handles it like one of its own callers and never passes it on; which requests go to which peer is decided elsewhere, so nothing changes yet for callers.

A hop carries what is left of the deadline and of the latency target, the service that the passing entry chose and the attempts that are left. The peer counts the request in the retry budget; one that an endpoint may already have received counts as a retry there. The response comes back with the endpoint, the number of sends, the peer's load and whether it is the endpoint's, in a header of its own that ends at the passing entry. Notices of the endpoint (leaving, limit, back-off) are applied at both entries.

A request that may be repeated gives up a peer that answers no question any more.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -10,6 +10,7 @@
 from ..core.routes import Route, RoutingConfiguration, WeightedSplit
 from ..http.messages import HOP_HEADERS, Headers, Request, Response
 from .dialect import Dialect
+from .relay_headers import RELAY_HEADERS, RelayedRequest
 
 DEFAULT_TIMEOUT_MS = 60_000.0
 """Applies to a request without a deadline on a route without a timeout."""
@@ -30,6 +31,11 @@
     slowdown: float
     outcome: AttemptOutcome
     elapsed_ms: float
+    n_sends: int = 1
+    """How many endpoints got the request: several if a peer sent it to them."""
+
+    born_ms: int = 0
+    """When the endpoint started, by its own clock."""
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +70,18 @@
     """Whether the rest of a long body was read, to be forwarded: the request can't be
     sent again, since that part isn't kept in memory."""
 
+    max_attempts: int = 1
+    """To how many endpoints the request may be sent."""
+
+    is_relayed: bool = False
+    """Whether it came from another entry, so that it isn't relayed again."""
+
+    is_repeat: bool = False
+    """Whether another entry has already sent it to an endpoint."""
+
+    is_endpoint_response: bool = False
+    """Whether the final response is one of an endpoint, not of this entry."""
+
     digest: str = ""
     """Identifies the same request in other attempts of callers; computed only once an
     attempt was lost."""
@@ -78,6 +96,14 @@
             attempt.outcome not in NOT_EXECUTED_OUTCOMES for attempt in self.attempts
         )
 
+    def n_sends(self) -> int:
+        """Return how many endpoints got the request, through this entry or peers."""
+        return sum(
+            attempt.n_sends
+            for attempt in self.attempts
+            if attempt.outcome is not AttemptOutcome.UNREACHABLE
+        )
+
     def describe_attempts(self) -> str:
         """Return the attempts as text, for example ``i-1:responded:1.60:84ms``."""
         return ";".join(
@@ -100,13 +126,26 @@
         self._caller_ages: dict[str, CallerAge] = {}
         self._work_estimates: dict[str, WorkEstimate] = {}
         self._dropped_headers = frozenset(
-            (*HOP_HEADERS, dialect.deadline_ms, dialect.expected_instance)
+            (
+                *HOP_HEADERS,
+                *RELAY_HEADERS,
+                dialect.deadline_ms,
+                dialect.expected_instance,
+            )
         )
 
     def create_call(
-        self, request: Request, request_id: bytes, route: Route, started_at: Instant
+        self,
+        request: Request,
+        request_id: bytes,
+        route: Route,
+        started_at: Instant,
+        relayed: RelayedRequest | None = None,
     ) -> Call | None:
-        """Return the call of a request, or None if its deadline is malformed."""
+        """Return the call of a request, or None if its deadline is malformed.
+
+        ``relayed`` is what the passing entry says of the request, if it came from one.
+        """
         value = request.header(self._dialect.deadline_ms)
         if value is not None and not _is_decimal(value):
             return None
@@ -114,22 +153,39 @@
         age_ms = 0.0
         if value is not None:
             limits_ms.append(float(value))
+        if value is not None and relayed is None:
             age = self._caller_ages.setdefault(route.name, CallerAge())
             age_ms = age.observe(float(value), started_at)
-        service = self._split.next_service(route)
+        target_ms = route.target_latency_ms - age_ms
+        if relayed is not None:
+            target_ms = min(target_ms, relayed.target_ms)
         return Call(
             request=request,
             request_id=request_id,
             route=route,
-            service=service,
+            service=self._choose_service(route, relayed),
             started_at=started_at,
             deadline=add_ms(started_at, min(limits_ms, default=DEFAULT_TIMEOUT_MS)),
-            target_at=add_ms(started_at, route.target_latency_ms - age_ms),
+            target_at=add_ms(started_at, target_ms),
             age_ms=age_ms,
             work_estimate=self._work_estimate(route),
             headers=[h for h in request.headers if h[0] not in self._dropped_headers],
+            max_attempts=_max_attempts(route, relayed),
+            is_relayed=relayed is not None,
+            is_repeat=relayed is not None and relayed.is_repeat,
         )
 
+    def _choose_service(self, route: Route, relayed: RelayedRequest | None) -> str:
+        """Return the service that the passing entry chose, if the route still has it.
+
+        Choosing again would change the shares of the services.
+        """
+        if relayed is not None:
+            services = {part.service for part in route.weighted_services if part.weight}
+            if relayed.service in services:
+                return relayed.service
+        return self._split.next_service(route)
+
     def _work_estimate(self, route: Route) -> WorkEstimate:
         estimate = self._work_estimates.get(route.name)
         if estimate is None:
@@ -151,5 +207,10 @@
         }
 
 
+def _max_attempts(route: Route, relayed: RelayedRequest | None) -> int:
+    n_attempts = max(1, route.max_attempts)
+    return n_attempts if relayed is None else min(n_attempts, relayed.max_attempts)
+
+
 def _is_decimal(value: bytes) -> bool:
     return value.isdigit() and len(value) <= MAX_DEADLINE_DIGITS
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -17,8 +17,13 @@
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import RoutingConfiguration
+from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
-from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
+from ..http.request_reader import (
+    BODY_BUDGET_BYTES,
+    BODY_WINDOW_BYTES,
+    ServerLimits,
+)
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
 from ..observe.daemon import metrics_response, reload_settings, wait_for_stop_task
@@ -29,6 +34,8 @@
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
 from .forward import Forwarder
+from .peer_port import PeerPort
+from .relay import RelayClient
 from .settings import BalancerSettings
 from .view import FleetView
 
@@ -64,6 +71,7 @@
     they are invalid.
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
+    ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
     """
 
     entry_id: str
@@ -83,6 +91,7 @@
     cold_burst_factor: float
     cold_slack: float
     link_bytes_per_ms: float = 0.0
+    relay_port: int = 0
 
 
 class Gateway:
@@ -126,18 +135,48 @@
             rng,
             link,
         )
-        identity = FeedIdentity(settings.entry_id, settings.zone)
+        self.relay_client = RelayClient(
+            dialect,
+            self.view,
+            settings.relay_port,
+            settings.host,
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+            link,
+        )
+        identity = FeedIdentity(
+            settings.entry_id,
+            settings.zone,
+            host=settings.host,
+            is_peer=settings.relay_port > 0,
+        )
         self.feeds = Feeds(
             identity, self.view, settings.seeds, settings.feed_port, clock, self.log
         )
         self.started_at = clock()
         self.is_stopping = False
+        budget = MemoryBudget(BODY_BUDGET_BYTES)
         self.caller_server = HttpServer(
             self.handle_caller,
             limits=self._caller_limits,
             on_rejected=self._log_rejected,
             allows_concurrency=self.forwarder.is_idempotent,
             window_bytes=BODY_WINDOW_BYTES,
+            budget=budget,
+        )
+        self.peer_port = PeerPort(
+            self.forwarder,
+            self.view.peer_directory,
+            lambda: frozenset(self.view.by_service),
+            lambda: self.caller_server.n_in_flight,
+            self._caller_limits,
+            self._log_rejected,
+            budget,
+            clock,
+            self.log,
+            self.metrics,
         )
         self.platform_server = HttpServer(self.handle_platform)
         self._is_ready = False
@@ -205,7 +244,8 @@
             )
             self.metrics.set("orders_index", self.view.replicated_state.index)
             self.metrics.set("feeds_connected", self.feeds.n_connected)
-            self.metrics.set("requests_in_flight", self.caller_server.n_in_flight)
+            self.metrics.set("requests_in_flight", self.peer_port.n_in_flight)
+            self.metrics.set("peers", len(self.view.peers))
             self.metrics.set("endpoints", len(self.view.endpoints))
             self.metrics.set("endpoints_resting", self.view.n_backing_off)
             self.metrics.set("endpoints_limited", self.view.n_limited)
@@ -243,6 +283,8 @@
         except OSError as error:
             gateway.log.state("metrics_unavailable", detail=str(error))
         caller_port = await gateway.caller_server.start_on(settings.caller_listener)
+        await _start_peer_port(gateway)
+        await group.spawn(gateway.relay_client.run_maintenance)
         await group.spawn(gateway.feeds.run)
         await group.spawn(gateway.feeds.send_quarantine_reports)
         await group.spawn(gateway.balancer.run_maintenance)
@@ -259,16 +301,30 @@
         await group.cancel_remaining()
 
 
+async def _start_peer_port(gateway: Gateway) -> None:
+    """Listen for peers; without the port the entry serves its own callers only."""
+    settings = gateway.settings
+    if not settings.relay_port:
+        return
+    try:
+        await gateway.peer_port.server.start(settings.host, settings.relay_port)
+    except OSError as error:
+        gateway.log.state("peer_port_unavailable", detail=str(error))
+
+
 async def _drain(gateway: Gateway) -> None:
     """Shut down: report unready, close the listener, wait for requests in flight."""
     gateway.is_stopping = True
     stop_at = add_ms(system_clock(), gateway.settings.grace_ms - STOP_MARGIN_MS)
     gateway.forwarder.limit_deadlines(add_ms(stop_at, -FINAL_RESPONSE_MS))
     gateway.caller_server.announce_stop()
-    gateway.log.state("stopping", n_in_flight=gateway.caller_server.n_in_flight)
+    gateway.peer_port.announce_stop()
+    gateway.log.state("stopping", n_in_flight=gateway.peer_port.n_in_flight)
     await curio.sleep(STOP_NOTICE_MS / 1000)
     await gateway.caller_server.stop()
+    await gateway.peer_port.server.stop()
     remaining_ms = max(0.0, stop_at - system_clock())
     async with curio.ignore_after(remaining_ms / 1000):
         await gateway.caller_server.wait_idle()
-    gateway.log.state("stopped", n_in_flight=gateway.caller_server.n_in_flight)
+        await gateway.peer_port.server.wait_idle()
+    gateway.log.state("stopped", n_in_flight=gateway.peer_port.n_in_flight)
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -138,6 +138,7 @@
 
     def relay(self, call: Call, response: Response) -> Response:
         """Pass on the response of a backend server, without hop-by-hop headers."""
+        call.is_endpoint_response = True
         self.finish(call, response.status, "responded")
         headers = [pair for pair in response.headers if pair[0] not in HOP_HEADERS]
         return Response(
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -34,6 +34,7 @@
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
 from .pick import Pick
+from .relay_headers import RelayedRequest
 from .suspects import Suspects
 from .view import FleetView
 
@@ -103,6 +104,26 @@
 
         The caller's deadline counts from when the head of the request was read.
         """
+        call = self._create_call(request, None)
+        return call if isinstance(call, Response) else await self._handle_call(call)
+
+    async def handle_relayed(
+        self, request: Request, relayed: RelayedRequest
+    ) -> tuple[Response | None, Call | None]:
+        """Handle a request that another entry passed on.
+
+        Return the final response, which is None if that entry is gone, and the call,
+        which is None if the request was refused before it became one.
+        """
+        call = self._create_call(request, relayed)
+        if isinstance(call, Response):
+            return call, None
+        return await self._handle_call(call), call
+
+    def _create_call(
+        self, request: Request, relayed: RelayedRequest | None
+    ) -> Call | Response:
+        """Return the call of a request, or the refusal of one that can't become one."""
         received_at = request.received_at
         started_at = self._clock() if received_at is None else received_at
         configuration = self._view.configuration
@@ -116,13 +137,18 @@
         if route is None:
             url = _request_host(request) + request.path
             return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
-        call = self._call_factory.create_call(request, request_id, route, started_at)
+        call = self._call_factory.create_call(
+            request, request_id, route, started_at, relayed
+        )
         if call is None:
             detail = "malformed deadline"
             kind = ErrorKind.BAD_REQUEST
             return refuse(request_id, kind, route=route.name, detail=detail)
         call.deadline = min(call.deadline, self._latest_deadline)
         self._link.record_received(len(request.body), started_at)
+        return call
+
+    async def _handle_call(self, call: Call) -> Response | None:
         self._active_calls.add(call)
         try:
             final = await self._forward(call)
@@ -141,10 +167,11 @@
         """Send the request to one endpoint after another, as far as retries allow."""
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
-        self._retry_budget.count_request(call.service, call.started_at)
+        if not call.is_repeat:
+            self._retry_budget.count_request(call.service, call.started_at)
         n_sent = 0
         while True:
-            is_first_attempt = n_sent == 0
+            is_first_attempt = n_sent == 0 and not call.is_repeat
             pick = await self._select_endpoint(call, is_first_attempt)
             if isinstance(pick, ErrorKind):
                 return self._final_responses.finish_failed(call, pick)
@@ -160,7 +187,7 @@
                 )
             is_repeatable = call.route.is_idempotent or outcome in NOT_EXECUTED_OUTCOMES
             may_retry = is_repeatable and not call.is_body_streamed
-            if not may_retry or n_sent >= max(1, call.route.max_attempts):
+            if not may_retry or n_sent >= call.max_attempts:
                 is_overloaded = pick.slowdown > OVERLOADED_SLOWDOWN
                 refusal_kind = (
                     ErrorKind.QUEUE_FULL if is_overloaded else ErrorKind.BACKEND_REFUSED
@@ -271,6 +298,7 @@
                     pick.slowdown,
                     outcome,
                     elapsed_ms,
+                    born_ms=endpoint.announcement.born_ms,
                 )
             )
             has_remaining_body = (
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -2,12 +2,50 @@
 
 from __future__ import annotations
 
+import json
+import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 
-from ..http.messages import Response
-from .calls import Call
+import curio
+
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.errors import ErrorKind, RunState
+from ..core.link import Link
+from ..core.outcomes import AttemptOutcome
+from ..http.messages import BodyError, BodySource, Response, find_header
+from ..observe.events import EventLog
+from ..observe.exposition import Metrics
+from .backend import BackendConnection
+from .calls import Attempt, Call
+from .dialect import Dialect
+from .exchange import ResponseWaits, body_reader, receive_response
+from .notices import apply_response_notices
+from .outgoing import OutgoingRequest, outgoing_request
 from .peers import Peer
+from .reach_questions import PeerConnection, ReachQuestions, ReachReport
+from .relay_headers import (
+    RELAY_REQUEST,
+    RelayedRequest,
+    RelayNotice,
+    decode_relay_notice,
+    encode_relayed_request,
+    without_relay_headers,
+)
+from .view import FleetView
+
+RESPONSE_GRACE_MS = 100.0
+"""How long after the deadline the response of a peer is waited for: the peer itself
+waits 40 ms for that of an endpoint."""
+
+CALLER_CHECK_INTERVAL_MS = 50.0
+"""How often it is checked whether the caller is gone. The peer checks as well, and both
+together must notice well within half a second."""
+
+HANG_CHECK_AFTER_MS = 300.0
+"""How long after it was sent a request that may be repeated asks whether the peer still
+responds at all."""
 
 
 class RelayOutcome(Enum):
@@ -29,15 +67,16 @@
     """The deadline passed; the request may have been executed."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RelayResult:
     """The end of a relayed request.
 
-    ``response`` is that of the endpoint with RESPONDED, the peer's own otherwise, or
-    None. ``endpoint_id`` names the endpoint that responded last, or is empty.
-    ``peer_in_flight`` is the number of requests in flight at the peer, if it said so.
-    ``reached`` is whether an endpoint of the service responded to the peer for this
-    request, or None if the peer didn't say.
+    ``response`` is that of the endpoint with RESPONDED, else the peer's own or None,
+    and ``error_kind`` is the kind of the peer's own error. ``endpoint_id`` names the
+    endpoint that got the request last, or is empty. ``peer_in_flight`` is the number of
+    requests in flight at the peer, and ``reached`` whether the peer reaches endpoints
+    of the service; None if the peer didn't say. ``n_sends`` is the number of endpoints
+    that got the request.
     """
 
     outcome: RelayOutcome
@@ -45,23 +84,305 @@
     endpoint_id: str = ""
     peer_in_flight: int | None = None
     reached: bool | None = None
+    error_kind: ErrorKind | None = None
+    n_sends: int = 0
+    born_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ReachReport:
-    """The services whose endpoints a peer reaches, and its requests in flight."""
+class RelayClient:
+    """Sends requests to the peer ports of other entries."""
 
-    services: frozenset[str]
-    n_in_flight: int
+    def __init__(
+        self,
+        dialect: Dialect,
+        view: FleetView,
+        port: int,
+        source_host: str,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        rng: random.Random,
+        link: Link,
+    ) -> None:
+        self._dialect = dialect
+        self._view = view
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._questions = ReachQuestions(view, port, source_host, clock, metrics, link)
 
+    async def ask_reach(self, peer: Peer) -> ReachReport | None:
+        """Return which services a peer reaches, or None if it doesn't respond."""
+        return await self._questions.ask(peer)
 
-class RelayClient:
-    """Sends requests to peers."""
+    async def run_maintenance(self) -> None:
+        """Close idle connections and forget absent peers until cancelled."""
+        await self._questions.run_maintenance()
 
     async def relay(self, call: Call, peer: Peer) -> RelayResult:
-        """Send a request to a peer and return how it ended."""
-        raise NotImplementedError
+        """Send a request to a peer and return how it ended.
 
-    async def ask_reach(self, peer: Peer) -> ReachReport | None:
-        """Return which services a peer reaches, or None if it doesn't respond."""
-        raise NotImplementedError
+        The attempt is added to those of the call, and what the response says of its
+        endpoint is applied here as well. Raise CallerGoneError if the caller of an
+        idempotent request is gone, and BodyError if the caller doesn't send its whole
+        body.
+        """
+        started_at = self._clock()
+        result = RelayResult(RelayOutcome.LOST, n_sends=1)
+        try:
+            connection = await self._questions.connect(peer, call.deadline)
+            if connection is None:
+                result = RelayResult(RelayOutcome.UNREACHABLE)
+            else:
+                result = await self._exchange(call, peer, connection)
+        finally:
+            self._record(call, peer, result, started_at)
+        self._apply_notices(result, started_at)
+        return result
+
+    def _record(
+        self, call: Call, peer: Peer, result: RelayResult, started_at: Instant
+    ) -> None:
+        elapsed_ms = self._clock() - started_at
+        target = f"{peer.entry_id}/{result.endpoint_id}"
+        outcome = AttemptOutcome(result.outcome.value)
+        attempt = Attempt(target, 0.0, outcome, elapsed_ms, n_sends=result.n_sends)
+        call.attempts.append(attempt)
+        self._metrics.count("relays_total", service=call.service, outcome=outcome.value)
+        self._log.request(
+            "request_relayed",
+            result.outcome is not RelayOutcome.RESPONDED,
+            request=call.request_id.decode("latin-1"),
+            peer=peer.entry_id,
+            host=peer.host,
+            endpoint=result.endpoint_id or "none",
+            outcome=outcome.value,
+            kind="none" if result.error_kind is None else result.error_kind.value,
+            n_sends=result.n_sends,
+            n_in_flight="unknown"
+            if result.peer_in_flight is None
+            else result.peer_in_flight,
+            left_ms=remaining_ms(call.deadline, started_at),
+            elapsed_ms=elapsed_ms,
+        )
+
+    def _apply_notices(self, result: RelayResult, asked_at: Instant) -> None:
+        """Apply what the endpoint said of itself, if it is the incarnation known here.
+
+        After this entry has passed on that the endpoint leaves, it must not send it
+        further requests on a path of its own.
+        """
+        endpoint = self._view.endpoints.get(result.endpoint_id)
+        response = result.response
+        if result.outcome is not RelayOutcome.RESPONDED or response is None:
+            return
+        if endpoint is None or endpoint.announcement.born_ms != result.born_ms:
+            return
+        is_success = response.status < 300
+        apply_response_notices(
+            endpoint,
+            response,
+            self._dialect,
+            self._view,
+            self._rng,
+            is_success,
+            asked_at,
+        )
+
+    async def _exchange(
+        self,
+        call: Call,
+        peer: Peer,
+        peer_connection: PeerConnection,
+    ) -> RelayResult:
+        """Send the request on a connection, and release or hold the connection."""
+        may_have_executed = call.may_have_executed
+        is_held = False
+        try:
+            received = await self._send_and_receive(
+                call, peer, peer_connection.connection
+            )
+            if isinstance(received, RelayOutcome):
+                n_sends = 0 if received is RelayOutcome.UNREACHABLE else 1
+                return RelayResult(received, n_sends=n_sends)
+            result = _result(received, self._dialect)
+            if result.outcome is RelayOutcome.NOT_STARTED:
+                call.may_have_executed = may_have_executed
+            if received.remaining_body is not None:
+                if result.outcome is RelayOutcome.RESPONDED:
+                    self._hold_for_body(call, peer, peer_connection, received)
+                    is_held = True
+                else:
+                    received.remaining_body = None
+            return result
+        finally:
+            if not is_held:
+                await peer_connection.pool.release(peer_connection.connection)
+
+    async def _send_and_receive(
+        self, call: Call, peer: Peer, connection: BackendConnection
+    ) -> Response | RelayOutcome:
+        left_ms = remaining_ms(call.deadline, self._clock())
+        if left_ms < 1.0:
+            return RelayOutcome.UNREACHABLE
+        request = self._request(call, left_ms)
+        try:
+            async with curio.timeout_after(left_ms / 1000):
+                if not await connection.send(request):
+                    return RelayOutcome.UNREACHABLE
+            call.may_have_executed = True
+            call.sent_at = self._clock()
+            waits = ResponseWaits(
+                RESPONSE_GRACE_MS,
+                CALLER_CHECK_INTERVAL_MS,
+                self._hang_check(call, peer),
+            )
+            is_expected = _response_matcher(call.request_id, self._dialect)
+            received = await receive_response(
+                call, connection, is_expected, self._clock, waits
+            )
+        except curio.TaskTimeout:
+            call.may_have_executed = True
+            return RelayOutcome.EXPIRED
+        except BodyError:
+            call.may_have_executed = True
+            raise
+        except OSError:
+            call.may_have_executed = True
+            return RelayOutcome.LOST
+        if isinstance(received, AttemptOutcome):
+            return RelayOutcome(received.value)
+        return received
+
+    def _request(self, call: Call, left_ms: float) -> OutgoingRequest:
+        """Return the request with the remaining time and attempts as its limits."""
+        n_sends = call.n_sends()
+        relayed = RelayedRequest(
+            service=call.service,
+            target_ms=call.target_at - self._clock(),
+            max_attempts=max(1, call.max_attempts - n_sends),
+            is_repeat=n_sends > 0,
+        )
+        headers = [
+            *call.headers,
+            (self._dialect.deadline_ms, b"%d" % int(left_ms)),
+            (RELAY_REQUEST, encode_relayed_request(relayed)),
+        ]
+        request = call.request
+        return outgoing_request(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            body_reader(call),
+            request.header(b"content-length"),
+        )
+
+    def _hang_check(
+        self, call: Call, peer: Peer
+    ) -> Callable[[], Awaitable[bool]] | None:
+        """Return a check whether the peer has stopped responding to anything.
+
+        A request that mustn't be repeated is awaited until its deadline instead, since
+        giving it up earlier would help nobody.
+        """
+        if not call.route.is_idempotent:
+            return None
+        check_from = add_ms(self._clock(), HANG_CHECK_AFTER_MS)
+
+        async def is_hanging() -> bool:
+            if self._clock() < check_from:
+                return False
+            await self._questions.refresh(peer)
+            return self._questions.is_hanging(peer)
+
+        return is_hanging
+
+    def _hold_for_body(
+        self,
+        call: Call,
+        peer: Peer,
+        peer_connection: PeerConnection,
+        response: Response,
+    ) -> None:
+        """Hold the connection until the rest of a long response has been passed on."""
+        source = response.remaining_body
+        if source is None:
+            raise ValueError("the response has no remaining body to stream")
+
+        async def read() -> bytes:
+            left_ms = remaining_ms(call.deadline, self._clock())
+            try:
+                if left_ms <= 0.0:
+                    raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "deadline")
+                async with curio.timeout_after(left_ms / 1000):
+                    return await source.read()
+            except (BodyError, curio.TaskTimeout) as error:
+                self._log.request(
+                    "response_broken_off",
+                    True,
+                    request=call.request_id.decode("latin-1"),
+                    peer=peer.entry_id,
+                    detail=str(error) or "deadline",
+                )
+                raise BodyError(ErrorKind.BACKEND_FAILED) from error
+
+        async def close() -> None:
+            await peer_connection.pool.release(peer_connection.connection)
+
+        response.remaining_body = BodySource(read, close, source.length)
+
+
+def _response_matcher(
+    request_id: bytes, dialect: Dialect
+) -> Callable[[Response], bool]:
+    """Return a check whether a response belongs to a request.
+
+    A peer's own errors carry no request id.
+    """
+
+    def is_expected(response: Response) -> bool:
+        echoed = find_header(response.headers, dialect.request_id)
+        return echoed is None or echoed == request_id
+
+    return is_expected
+
+
+def _result(response: Response, dialect: Dialect) -> RelayResult:
+    """Return what a response of a peer means for the request."""
+    notice = decode_relay_notice(response.headers)
+    response.headers = without_relay_headers(response.headers)
+    if notice is None:
+        # The peer refused the request before it was handled, for example as too large.
+        notice = RelayNotice(False, "", 0, 0, 0, False)
+        result = RelayResult(RelayOutcome.LOST, response)
+    else:
+        result = RelayResult(
+            RelayOutcome.LOST,
+            response,
+            notice.endpoint_id,
+            notice.n_in_flight,
+            notice.is_reached,
+            n_sends=notice.n_sends,
+            born_ms=notice.born_ms,
+        )
+    if notice.is_from_endpoint:
+        if dialect.is_genuine(response):
+            result.outcome = RelayOutcome.RESPONDED
+        return result
+    run_state = find_header(response.headers, b"pollenfold-run-state")
+    result.error_kind = _error_kind(response)
+    if run_state == RunState.DID_NOT_RUN.value.encode():
+        result.outcome = RelayOutcome.NOT_STARTED
+    elif result.error_kind is ErrorKind.DEADLINE_EXCEEDED:
+        result.outcome = RelayOutcome.EXPIRED
+    return result
+
+
+def _error_kind(response: Response) -> ErrorKind | None:
+    """Return the kind that the body of an error response names, if it does."""
+    try:
+        return ErrorKind(json.loads(response.body)["error"])
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
--- /dev/null
+++ b/pollenfold/gateway/relay_headers.py
@@ -0,0 +1,143 @@
+"""The headers that two entries exchange with a relayed request and its response.
+
+They are trusted only on connections between entries. What a caller or a backend server
+sends under these names is dropped.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from typing import Any
+
+from ..http.messages import Headers, find_header
+
+RELAY_REQUEST = b"pollenfold-relay-request"
+RELAY_RESPONSE = b"pollenfold-relay-response"
+RELAY_HEADERS = frozenset((RELAY_REQUEST, RELAY_RESPONSE))
+
+MAX_VALUE_BYTES = 2_048
+MAX_NAME_CHARS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedRequest:
+    """What the passing entry says of a request.
+
+    ``target_ms`` is the time left until the latency target, negative when it passed.
+    ``max_attempts`` is the number of endpoints to which the request may still be sent.
+    ``is_repeat`` is whether an endpoint may already have received it.
+    """
+
+    service: str
+    target_ms: float
+    max_attempts: int
+    is_repeat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RelayNotice:
+    """What the peer says of a response.
+
+    ``is_from_endpoint`` is False for the peer's own refusals and errors. The endpoint
+    and its start time are those of the last attempt; the id is empty without one.
+    ``n_sends`` is the number of endpoints that got the request. ``is_reached`` is
+    whether the peer reaches endpoints of the service.
+    """
+
+    is_from_endpoint: bool
+    endpoint_id: str
+    born_ms: int
+    n_sends: int
+    n_in_flight: int
+    is_reached: bool
+
+
+def encode_relayed_request(request: RelayedRequest) -> bytes:
+    """Return the value of the header of a request."""
+    return _encode(
+        {
+            "service": request.service,
+            "target_ms": round(request.target_ms, 1),
+            "max_attempts": request.max_attempts,
+            "is_repeat": request.is_repeat,
+        }
+    )
+
+
+def decode_relayed_request(headers: Headers) -> RelayedRequest | None:
+    """Return what a peer says of its request, or None if that is malformed."""
+    fields = _decode(headers, RELAY_REQUEST)
+    service = fields.get("service")
+    target_ms = fields.get("target_ms")
+    max_attempts = fields.get("max_attempts")
+    is_repeat = fields.get("is_repeat")
+    if (
+        _is_name(service)
+        and type(target_ms) in (int, float)
+        and math.isfinite(target_ms)
+        and _is_count(max_attempts)
+        and type(is_repeat) is bool
+    ):
+        return RelayedRequest(service, float(target_ms), max_attempts, is_repeat)
+    return None
+
+
+def encode_relay_notice(notice: RelayNotice) -> bytes:
+    """Return the value of the header of a response."""
+    return _encode(
+        {
+            "is_from_endpoint": notice.is_from_endpoint,
+            "endpoint": notice.endpoint_id,
+            "born_ms": notice.born_ms,
+            "n_sends": notice.n_sends,
+            "n_in_flight": notice.n_in_flight,
+            "is_reached": notice.is_reached,
+        }
+    )
+
+
+def decode_relay_notice(headers: Headers) -> RelayNotice | None:
+    """Return what a peer says of its response, or None if that is malformed."""
+    fields = _decode(headers, RELAY_RESPONSE)
+    is_from_endpoint = fields.get("is_from_endpoint")
+    endpoint_id = fields.get("endpoint")
+    counts = [fields.get(name) for name in ("born_ms", "n_sends", "n_in_flight")]
+    is_reached = fields.get("is_reached")
+    if (
+        type(is_from_endpoint) is bool
+        and (endpoint_id == "" or _is_name(endpoint_id))
+        and all(_is_count(count) for count in counts)
+        and type(is_reached) is bool
+    ):
+        return RelayNotice(is_from_endpoint, endpoint_id, *counts, is_reached)
+    return None
+
+
+def without_relay_headers(headers: Headers) -> Headers:
+    """Return the headers without those that are used between entries."""
+    return [pair for pair in headers if pair[0] not in RELAY_HEADERS]
+
+
+def _encode(fields: dict[str, Any]) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _decode(headers: Headers, name: bytes) -> dict[str, Any]:
+    value = find_header(headers, name)
+    if value is None or len(value) > MAX_VALUE_BYTES:
+        return {}
+    try:
+        fields = json.loads(value)
+    except (ValueError, RecursionError):
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARS
+
+
+def _is_count(value: object) -> bool:
+    return type(value) is int and 0 <= value < 1 << 53
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -8,13 +8,14 @@
 
 from ..curio_subset import load_curio_subset
 from ..http.listener import open_listener
-from .settings import SettingsError, SettingsSource, settings_path
+from .settings import Settings, SettingsError, SettingsSource, settings_path
 
 EXIT_BAD_SETTING = 2
 EXIT_FAILED = 1
 
 PEER_PORT_OFFSET = 0
 FEED_PORT_OFFSET = 1
+RELAY_PORT_OFFSET = 2
 
 METRICS_PORTS = {"entry": 7670, "control": 7671}
 """The same ports as in the deploy file, which sets one per role for all VMs."""
@@ -55,10 +56,17 @@
         cold_burst_factor=settings.bound("warmupBurstFactor", 1.0),
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
+        relay_port=_relay_port(settings),
     )
     curio.run(serve_gateway, gateway, DIALECT, decode_configuration)
 
 
+def _relay_port(settings: Settings) -> int:
+    """Return the port of entries for their peers, or 0 if there is none to spare."""
+    port = settings.first_port + RELAY_PORT_OFFSET
+    return port if port <= settings.last_port else 0
+
+
 def _run_control(source: SettingsSource) -> None:
     import curio
 
