Relay requests to a peer while an entry is cut off from its endpoints

Requests, probes and connections now report whether endpoints respond. Failures start a check: health requests on new connections to endpoints of all services, then questions to peers of the own and of other zones. A cut drops the idle connections, and requests go to a peer that reaches their service; after a refusal or an unreachable peer to a second and third one. Trials every 100 ms find the restored path. A request that finds no endpoint to respond while old connections live on is relayed as well, if a peer's report is younger than the failures. A request that may be repeated and hangs on a silent connection is given up for a retry through a peer; any other one is awaited.

A peer's own requests and relayed ones count once: the peer that sends a request counts it in the retry budget. A lost request whose endpoint then refuses a connection counts for the quarantine only if a check finds no cut; without that, four cuts with a request in flight quarantined it (test_lost_requests_of_a_cut_entry_quarantine_nothing failed).

--- a/pollenfold/core/peer_choice.py
+++ b/pollenfold/core/peer_choice.py
@@ -101,12 +101,22 @@
 
         return end
 
-    def reaches(self, entry_id: str, service: str, now: Instant) -> bool:
-        """Return whether a peer recently reached the endpoints of a service."""
+    def reaches(
+        self,
+        entry_id: str,
+        service: str,
+        now: Instant,
+        since: Instant = Instant(float("-inf")),
+    ) -> bool:
+        """Return whether a peer recently reached the endpoints of a service.
+
+        Only a report that came after ``since`` counts.
+        """
         state = self._states.get(entry_id)
         if state is None or now < state.avoided_until:
             return False
-        is_current = now - state.reported_at <= REPORT_LIFETIME_MS
+        oldest = max(since, add_ms(now, -REPORT_LIFETIME_MS))
+        is_current = state.reported_at >= oldest
         return is_current and service in state.services
 
     def choose(
--- a/pollenfold/core/reach.py
+++ b/pollenfold/core/reach.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from .clock import Instant, add_ms
@@ -82,6 +82,14 @@
         return not self.n_responded and bool(self.services & self.peer_services)
 
 
+@dataclass(slots=True)
+class _FailedService:
+    """The endpoints of a service that failed since any of them last responded."""
+
+    since: Instant
+    endpoint_ids: set[str] = field(default_factory=set)
+
+
 class Reach:
     """The evidence of one entry on its path to the endpoints.
 
@@ -94,7 +102,7 @@
         self.is_cut = False
         self._failed: set[str] = set()
         self._failed_since = Instant(float("-inf"))
-        self._failed_by_service: dict[str, set[str]] = {}
+        self._failed_by_service: dict[str, _FailedService] = {}
         self._responded_at: dict[str, Instant] = {}
         self._last_response_at = Instant(float("-inf"))
         self._cut_at = Instant(float("-inf"))
@@ -122,7 +130,8 @@
         if not self._failed:
             self._failed_since = now
         self._failed.add(endpoint_id)
-        self._failed_by_service.setdefault(service, set()).add(endpoint_id)
+        failed = self._failed_by_service.setdefault(service, _FailedService(now))
+        failed.endpoint_ids.add(endpoint_id)
 
     def observe_waiting(
         self, service: str, endpoint_id: str, since: Instant, now: Instant
@@ -150,6 +159,12 @@
         """Return from when on the reports of other entries say something of a cut."""
         return add_ms(self._failed_since, FRESH_RESPONSE_MS)
 
+    def ask_service_at(self, service: str) -> Instant:
+        """Return from when on reports show that a service which fails here is up."""
+        failed = self._failed_by_service.get(service)
+        since = Instant(float("-inf")) if failed is None else failed.since
+        return add_ms(since, FRESH_RESPONSE_MS)
+
     def is_stale(self, now: Instant) -> bool:
         """Return whether the last response is too old to say that endpoints respond."""
         return now - self._last_response_at > FRESH_RESPONSE_MS
@@ -166,8 +181,8 @@
         )
 
     def _is_failing(self, service: str) -> bool:
-        n_failed = len(self._failed_by_service.get(service, ()))
-        return n_failed >= N_SUSPICIOUS_ENDPOINTS
+        failed = self._failed_by_service.get(service)
+        return failed is not None and len(failed.endpoint_ids) >= N_SUSPICIOUS_ENDPOINTS
 
     # Decisions
 
@@ -234,7 +249,7 @@
             s: at for s, at in self._responded_at.items() if s in services
         }
         self._failed_by_service = {
-            s: ids for s, ids in self._failed_by_service.items() if s in services
+            s: failed for s, failed in self._failed_by_service.items() if s in services
         }
 
     def _restart_healing(self) -> None:
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -10,6 +10,7 @@
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.link import Link
+from ..core.reach import Contact
 from ..core.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     EndpointCandidate,
@@ -25,6 +26,7 @@
 from .permits import LimitedChoice, Permits
 from .pick import Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
+from .reach_monitor import ReachMonitor
 from .settings import BalancerSettings
 from .view import FleetView
 
@@ -76,14 +78,24 @@
         metrics: Metrics,
         rng: random.Random,
         link: Link,
+        monitor: ReachMonitor,
     ) -> None:
+        self._monitor = monitor
         self._view = view
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._connections = Connections(view, clock, metrics, link)
+        self._connections = Connections(view, clock, metrics, link, monitor)
         self._prober = Prober(
-            view, dialect, settings.zone, self._connections, clock, metrics, rng, link
+            view,
+            dialect,
+            settings.zone,
+            self._connections,
+            clock,
+            metrics,
+            rng,
+            link,
+            monitor,
         )
         self._permits = Permits(view, settings, self._connections, clock)
         self._probe_states: dict[str, ServiceProbeState] = {}
@@ -179,6 +191,8 @@
         for n_round in range(MAX_ROUNDS):
             if remaining_ms(search.deadline, self._clock()) <= 0.0:
                 break
+            if self._monitor.is_cut:
+                break
             candidates = self._probe_candidates(search)
             if not candidates and search.best is None:
                 # None responded. That may only be a short peak of load, so probe again.
@@ -194,6 +208,7 @@
             await self._probe_round(search, candidates, n_wanted, is_local_only)
             if search.best is not None and search.best.cost < EARLY_ACCEPT_SLOWDOWN:
                 break
+        search.probe_state.is_unreached = search.best is None
         return None if search.best is None else await self._accept(search, search.best)
 
     def _probe_candidates(self, search: _Search) -> list[Endpoint]:
@@ -310,25 +325,36 @@
     async def _pick_without_reports(self, search: _Search) -> Pick | None:
         """Select by this entry's own measurements; a cold endpoint needs a permit."""
         remaining = list(search.endpoints)
+        search.probe_state.is_unreached = False
         for _ in range(MAX_ROUNDS):
+            if self._monitor.is_cut:
+                break
             now = self._clock()
             warm = [e for e in remaining if not e.is_cold(now)]
             candidate = choose_without_reports(
                 [self._endpoint_candidate(e) for e in warm or remaining], now, self._rng
             )
             if candidate is None:
-                return None
+                break
             endpoint = next(
                 e
                 for e in remaining
                 if e.announcement.endpoint_id == candidate.endpoint_id
             )
             remaining.remove(endpoint)
+            is_permitted = self._permits.has(endpoint)
             pick = await self._permits.connect(endpoint, search.deadline)
             if pick is not None:
+                search.probe_state.is_unreached = False
                 return pick
+            search.probe_state.is_unreached |= is_permitted
         return None
 
+    def is_unreached(self, service: str) -> bool:
+        """Return whether no endpoint responded that the last search contacted."""
+        state = self._probe_states.get(service)
+        return state is not None and state.is_unreached
+
     async def wait_until_fast(
         self,
         service: str,
@@ -360,7 +386,12 @@
 
     async def has_ended(self, endpoint: Endpoint) -> bool:
         """Return whether the process of an endpoint has ended, as far as it shows."""
-        return await self._connections.is_refused(endpoint)
+        if not await self._connections.is_refused(endpoint):
+            return False
+        # The links of an entry that is cut off may refuse connections as well.
+        self._monitor.observe(endpoint, Contact.UNOPENED)
+        await self._monitor.check_now()
+        return not self._monitor.is_cut
 
     async def release(self, endpoint: Endpoint, connection: BackendConnection) -> None:
         """Return a connection to the pool of its endpoint, or close it."""
@@ -373,6 +404,7 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
+            self._monitor.forget_absent()
             await self._check_limits()
 
     async def _check_limits(self) -> None:
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -82,6 +82,12 @@
     is_endpoint_response: bool = False
     """Whether the final response is one of an endpoint, not of this entry."""
 
+    is_retry_acquired: bool = False
+    """Whether the retry budget has already permitted the next attempt."""
+
+    relay_trace: list[str] = field(default_factory=list)
+    """The peers to which the request was relayed, with the outcome of each."""
+
     digest: str = ""
     """Identifies the same request in other attempts of callers; computed only once an
     attempt was lost."""
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -8,14 +8,19 @@
 
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.link import Link
+from ..core.reach import Contact
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
 from .endpoint import Endpoint
 from .pool import ConnectionPool
+from .reach_monitor import ReachMonitor
 from .view import FleetView
 
 CONNECT_TIMEOUT_MS = 250.0
 
+SLOW_CONNECT_MS = 80.0
+"""After this time a connection that doesn't open is reason to check the path."""
+
 END_CHECK_TIMEOUT_MS = 50.0
 """How long a lost request waits to learn whether its endpoint ended. The VM of a
 process that ended refuses a connection at once."""
@@ -31,9 +36,16 @@
     """Opens, keeps and closes the connections to endpoints."""
 
     def __init__(
-        self, view: FleetView, clock: Clock, metrics: Metrics, link: Link
+        self,
+        view: FleetView,
+        clock: Clock,
+        metrics: Metrics,
+        link: Link,
+        monitor: ReachMonitor,
     ) -> None:
         self._link = link
+        self._monitor = monitor
+        monitor.on_change = self._reset_paths
         self._view = view
         self._clock = clock
         self._metrics = metrics
@@ -69,6 +81,7 @@
             return await self.pool(endpoint).acquire()
         except OSError:
             endpoint.health.mark_unreachable(self._clock())
+            await self._monitor.observe_failure(endpoint, Contact.UNOPENED)
             return None
 
     async def connect(
@@ -80,13 +93,28 @@
             return None
         left_ms = min(remaining_ms(deadline, self._clock()), CONNECT_TIMEOUT_MS)
         try:
-            async with curio.timeout_after(left_ms / 1000):
-                await connection.wait_until_connected()
+            await self._wait_until_connected(endpoint, connection, left_ms)
             return connection
         except (OSError, curio.TaskTimeout):
             await self.record_failure(endpoint, connection)
             return None
 
+    async def _wait_until_connected(
+        self, endpoint: Endpoint, connection: BackendConnection, left_ms: float
+    ) -> None:
+        """Wait for a connection; raise TaskTimeout after the time, or in a cut."""
+        while left_ms > SLOW_CONNECT_MS:
+            async with curio.ignore_after(SLOW_CONNECT_MS / 1000):
+                await connection.wait_until_connected()
+            if connection.is_connected:
+                return
+            await self._monitor.observe_failure(endpoint, Contact.UNOPENED)
+            if self._monitor.is_cut:
+                raise curio.TaskTimeout
+            left_ms -= SLOW_CONNECT_MS
+        async with curio.timeout_after(left_ms / 1000):
+            await connection.wait_until_connected()
+
     async def is_refused(self, endpoint: Endpoint) -> bool:
         """Return whether the endpoint refuses a connection: its process has ended.
 
@@ -122,6 +150,7 @@
         reason = "reused" if is_reused else "fresh"
         if not connection.is_connected:
             reason = "connect"
+        contact = Contact.UNANSWERED if connection.is_connected else Contact.UNOPENED
         self._metrics.count("probe_failures_total", reason=reason)
         await self.discard(endpoint, connection)
         now = self._clock()
@@ -129,6 +158,18 @@
             endpoint.health.add_penalty(0.5, now)
         else:
             endpoint.health.mark_unreachable(now)
+        await self._monitor.observe_failure(endpoint, contact)
+
+    async def _reset_paths(self) -> None:
+        """Close all idle connections and forget which endpoints were unreachable.
+
+        An idle connection that lived through a cut may hang, and so may one that the
+        endpoint has closed meanwhile. Failures of a cut say nothing about an endpoint.
+        """
+        for pool in list(self._pools.values()):
+            await pool.close_idle(0.0)
+        for endpoint in self._view.endpoints.values():
+            endpoint.health.mark_reachable()
 
     async def release(self, endpoint: Endpoint, connection: BackendConnection) -> None:
         """Return a connection to the pool of its endpoint, or close it."""
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -35,6 +35,7 @@
 from .feeds import FeedIdentity, Feeds
 from .forward import Forwarder
 from .peer_port import PeerPort
+from .reach_monitor import ReachMonitor
 from .relay import RelayClient
 from .settings import BalancerSettings
 from .view import FleetView
@@ -118,33 +119,46 @@
             clock(),
         )
         link = Link(settings.link_bytes_per_ms)
-        self.balancer = Balancer(
-            self.view, dialect, limits, clock, self.metrics, rng, link
-        )
-        self.retry_budget = RetryBudget(
-            settings.retry_limits, settings.entry_id, clock()
+        self.relay_client = RelayClient(
+            dialect,
+            self.view,
+            settings.relay_port,
+            settings.host,
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+            link,
         )
-        self.forwarder = Forwarder(
+        self.monitor = ReachMonitor(
             self.view,
-            self.balancer,
             dialect,
-            self.retry_budget,
+            settings.zone,
+            self.relay_client,
             clock,
             self.log,
             self.metrics,
             rng,
             link,
         )
-        self.relay_client = RelayClient(
-            dialect,
+        self.balancer = Balancer(
+            self.view, dialect, limits, clock, self.metrics, rng, link, self.monitor
+        )
+        self.retry_budget = RetryBudget(
+            settings.retry_limits, settings.entry_id, clock()
+        )
+        self.forwarder = Forwarder(
             self.view,
-            settings.relay_port,
-            settings.host,
+            self.balancer,
+            dialect,
+            self.retry_budget,
             clock,
             self.log,
             self.metrics,
             rng,
             link,
+            self.monitor,
+            self.relay_client,
         )
         identity = FeedIdentity(
             settings.entry_id,
@@ -169,7 +183,7 @@
         self.peer_port = PeerPort(
             self.forwarder,
             self.view.peer_directory,
-            lambda: frozenset(self.view.by_service),
+            self.monitor,
             lambda: self.caller_server.n_in_flight,
             self._caller_limits,
             self._log_rejected,
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -59,10 +59,12 @@
     dialect: Dialect,
     clock: Clock,
     before_final_piece: BeforeFinalPiece | None = None,
+    is_lost: Callable[[], Awaitable[bool]] | None = None,
 ) -> tuple[AttemptOutcome, Response | None]:
     """Send the request to one endpoint; return the outcome and any response.
 
-    ``before_final_piece`` is awaited before the final piece of a long request is sent.
+    ``before_final_piece`` is awaited before the final piece of a long request is sent,
+    ``is_lost`` from time to time to decide whether a response can still be expected.
     Raise CallerGoneError if the caller of an idempotent request is gone, and BodyError
     if the caller doesn't send its whole body.
     """
@@ -80,7 +82,8 @@
         is_expected = _response_matcher(
             call.request_id, dialect, connection.n_exchanges == 1
         )
-        received = await receive_response(call, connection, is_expected, clock)
+        waits = ResponseWaits(is_lost=is_lost)
+        received = await receive_response(call, connection, is_expected, clock, waits)
     except curio.TaskTimeout:
         # The server stopped reading a long request, or the caller stopped sending it.
         call.may_have_executed = True
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -85,6 +85,7 @@
             work_ms=call.work_estimate.get(),
             attempts=call.describe_attempts() or "none",
             asked=";".join(call.decision_trace) or "none",
+            relayed=";".join(call.relay_trace) or "none",
             version=self._view.replicated_state.version,
             index=self._view.replicated_state.index,
             n_endpoints=len(self._view.by_service.get(call.service, ())),
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
@@ -15,6 +16,7 @@
     acceptable_slowdown,
     decide_admission,
 )
+from ..core.reach import Contact
 from ..core.retry_budget import RetryBudget
 from ..core.routes import Route, RoutingConfiguration, find_route
 from ..http.messages import (
@@ -34,7 +36,10 @@
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
 from .pick import Pick
+from .reach_monitor import ReachMonitor
+from .relay import RelayClient
 from .relay_headers import RelayedRequest
+from .relaying import Relaying
 from .suspects import Suspects
 from .view import FleetView
 
@@ -44,6 +49,9 @@
 COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
 """Outcomes after which the endpoint has run the request and is still there."""
 
+RESPONSE_OUTCOMES = (*COMPLETED_OUTCOMES, AttemptOutcome.NOT_STARTED)
+"""Outcomes with a response of the endpoint."""
+
 STALE_LOAD_MS = 40.0
 """If sending the body takes at least this long, the reported load is out of date by the
 time the request is complete."""
@@ -66,8 +74,11 @@
         metrics: Metrics,
         rng: random.Random,
         link: Link,
+        monitor: ReachMonitor,
+        relay_client: RelayClient,
     ) -> None:
         self._link = link
+        self._monitor = monitor
         self._view = view
         self._balancer = balancer
         self._dialect = dialect
@@ -79,6 +90,16 @@
         self._rng = rng
         self._final_responses = FinalResponses(view, clock, log, metrics, rng)
         self._suspects = Suspects(view.quarantine, balancer, dialect, clock)
+        self._relaying = Relaying(
+            monitor,
+            relay_client,
+            self._final_responses,
+            self._acquire_retry,
+            balancer.is_unreached,
+            clock,
+            metrics,
+            rng,
+        )
         self._active_calls: set[Call] = set()
         self._latest_deadline = Instant(float("inf"))
 
@@ -167,12 +188,22 @@
         """Send the request to one endpoint after another, as far as retries allow."""
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
-        if not call.is_repeat:
-            self._retry_budget.count_request(call.service, call.started_at)
         n_sent = 0
+        is_counted = call.is_repeat
         while True:
+            final = await self._relaying.relay_if_cut(call)
+            if final is not None:
+                return final
             is_first_attempt = n_sent == 0 and not call.is_repeat
             pick = await self._select_endpoint(call, is_first_attempt)
+            if pick is ErrorKind.NO_BACKEND_SERVER:
+                final = await self._relaying.relay_if_unreached(call)
+                if final is not None:
+                    return final
+            if not is_counted:
+                # A request that is relayed is counted by the peer.
+                self._retry_budget.count_request(call.service, call.started_at)
+                is_counted = True
             if isinstance(pick, ErrorKind):
                 return self._final_responses.finish_failed(call, pick)
             outcome, response = await self._attempt(call, pick)
@@ -234,10 +265,14 @@
             return ErrorKind.DEADLINE_EXCEEDED
         if is_first_attempt:
             return None if self._admits(call, pick, now) else ErrorKind.QUEUE_FULL
-        return None if self._acquire_retry(call, now) else ErrorKind.BACKEND_REFUSED
+        return None if self._acquire_retry(call) else ErrorKind.BACKEND_REFUSED
 
-    def _acquire_retry(self, call: Call, now: Instant) -> bool:
+    def _acquire_retry(self, call: Call) -> bool:
         """Count a retry if the budget permits it, and trace what decided it."""
+        if call.is_retry_acquired:
+            call.is_retry_acquired = False
+            return True
+        now = self._clock()
         fleet = self._view.fleet
         self._retry_budget.update_share(fleet, self._view.entry_ids, now)
         decision = self._retry_budget.try_acquire(call.service, now)
@@ -287,6 +322,7 @@
                 self._dialect,
                 self._clock,
                 self._before_final_piece(call, pick),
+                partial(self._is_abandoned, call, endpoint),
             )
         finally:
             endpoint.health.n_in_flight -= 1
@@ -332,6 +368,25 @@
             call.last_response = response
         return outcome, response
 
+    async def _is_abandoned(self, call: Call, endpoint: Endpoint) -> bool:
+        """Return whether a sent request is given up, to be relayed to a peer.
+
+        The connections of an entry that was cut off may hang. Only a request that may
+        be repeated is given up, and only if it can be.
+        """
+        await self._monitor.observe_waiting(endpoint, call.sent_at)
+        has_attempts = call.n_sends() + 1 < call.max_attempts
+        if not (
+            self._monitor.is_silent
+            and call.route.is_idempotent
+            and has_attempts
+            and not call.is_body_streamed
+            and await self._monitor.find_peer_for(call.service)
+        ):
+            return False
+        call.is_retry_acquired = self._acquire_retry(call)
+        return call.is_retry_acquired
+
     def _count_limited_send(self, endpoint: Endpoint) -> None:
         if endpoint.declared_limit is not None:
             service = endpoint.announcement.service
@@ -371,6 +426,10 @@
         now = self._clock()
         service = call.service
         self._metrics.count("attempts_total", service=service, outcome=outcome.value)
+        if outcome in RESPONSE_OUTCOMES:
+            self._monitor.observe(endpoint, Contact.RESPONDED)
+        else:
+            self._monitor.observe(endpoint, Contact.UNANSWERED)
         match outcome:
             case AttemptOutcome.RESPONDED:
                 endpoint.health.observe(elapsed_ms)
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -16,6 +16,7 @@
 from .calls import Call
 from .forward import Forwarder
 from .peers import PeerDirectory
+from .reach_monitor import ReachMonitor
 from .relay_headers import (
     RELAY_REQUEST,
     RELAY_RESPONSE,
@@ -45,15 +46,15 @@
 class PeerPort:
     """Serves the requests of peers like those of callers, and says what it reaches.
 
-    ``reached_services`` returns the services whose endpoints this entry reaches,
-    ``n_caller_requests`` the number of requests of its own callers in flight.
+    ``monitor`` knows which endpoints this entry reaches; ``n_caller_requests`` returns
+    the number of requests of its own callers in flight.
     """
 
     def __init__(
         self,
         forwarder: Forwarder,
         peers: PeerDirectory,
-        reached_services: Callable[[], frozenset[str]],
+        monitor: ReachMonitor,
         n_caller_requests: Callable[[], int],
         caller_limits: Callable[[], ServerLimits],
         on_rejected: OnRejected,
@@ -64,7 +65,7 @@
     ) -> None:
         self._forwarder = forwarder
         self._peers = peers
-        self._reached_services = reached_services
+        self._monitor = monitor
         self._n_caller_requests = n_caller_requests
         self._caller_limits = caller_limits
         self._clock = clock
@@ -119,6 +120,7 @@
         if request.header(RELAY_REQUEST) is None:
             is_question = request.method == b"GET" and request.path == REACH_PATH
             if is_question:
+                await self._monitor.refresh_reach()
                 return self._report_reach()
             return error_response(ErrorKind.NOT_FOUND)
         relayed = decode_relayed_request(request.headers)
@@ -138,7 +140,7 @@
         return json_response(200, report)
 
     def _services(self) -> list[str]:
-        return [] if self.is_stopping else sorted(self._reached_services())
+        return [] if self.is_stopping else sorted(self._monitor.reached_services())
 
     def _notice(self, call: Call | None, service: str) -> RelayNotice:
         attempts = [] if call is None else call.attempts
@@ -150,5 +152,5 @@
             born_ms=0 if last is None else last.born_ms,
             n_sends=0 if call is None else call.n_sends(),
             n_in_flight=self.n_in_flight,
-            is_reached=is_reached or service in self._reached_services(),
+            is_reached=is_reached or service in self._monitor.reached_services(),
         )
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.link import Link
+from ..core.reach import Contact
 from ..core.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     REMOTE_ZONE_SLOWDOWN,
@@ -23,6 +24,7 @@
 from .endpoint import Endpoint
 from .health_requests import HealthRequests
 from .notices import apply_response_notices
+from .reach_monitor import ReachMonitor
 from .view import FleetView
 
 MIN_PROBE_WAIT_MS = 12.0
@@ -76,6 +78,9 @@
     n_without_load: int = 0
     last_reprobe_at: Instant = Instant(0.0)
     mean_probe_ms: float = 4.0
+    is_unreached: bool = False
+    """Whether none of the endpoints contacted in the last search responded."""
+
     least_slowdown: float = 1.0
     last_search_at: Instant = Instant(0.0)
 
@@ -110,7 +115,9 @@
         metrics: Metrics,
         rng: random.Random,
         link: Link,
+        monitor: ReachMonitor,
     ) -> None:
+        self._monitor = monitor
         self._view = view
         self._dialect = dialect
         self._zone = zone
@@ -239,6 +246,7 @@
         dialect = self._dialect
         now = self._clock()
         endpoint_id = endpoint.announcement.endpoint_id
+        self._monitor.observe(endpoint, Contact.RESPONDED)
         instance = find_header(response.headers, dialect.instance)
         if response.status == 421 or instance not in (None, endpoint_id.encode()):
             await self._connections.release(endpoint, connection)
--- /dev/null
+++ b/pollenfold/gateway/reach_monitor.py
@@ -0,0 +1,375 @@
+"""Checks whether this entry is cut off from the endpoints, and when a cut is over.
+
+``core/reach.py`` decides; this module contacts endpoints and peers. A check runs only
+after failures gave reason for it. While the entry is cut off, a bounded number of
+trials contacts endpoints on new connections, and some peers are asked for their reach.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import curio
+
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.link import Link
+from ..core.peer_choice import PeerCandidate, PeerTable
+from ..core.reach import CheckResult, Contact, Reach
+from ..http.messages import Response
+from ..observe.events import EventLog
+from ..observe.exposition import Metrics
+from .backend import BackendConnection
+from .dialect import Dialect
+from .endpoint import Endpoint
+from .health_requests import HealthRequests
+from .notices import apply_response_notices
+from .peers import Peer
+from .relay import RelayClient
+from .view import FleetView
+
+N_CHECKED_ENDPOINTS = 6
+N_CHECKED_PER_SERVICE = 2
+CHECK_TIMEOUT_MS = 120.0
+"""How long an endpoint has to respond to a check, beyond the backlog of the link."""
+
+N_TRIED_ENDPOINTS = 2
+TRIAL_INTERVAL_MS = 100.0
+"""Together they bound what an entry sends to endpoints while it is cut off."""
+
+N_ASKED_PEERS = 4
+MAX_ASK_ROUNDS = 3
+"""A check asks so many peers, and others when none of them reaches an endpoint, since
+most entries may be cut off at the same time."""
+
+N_REFRESHED_PEERS = 2
+REFRESH_INTERVAL_MS = 300.0
+
+CONTACT_INTERVAL_MS = 100.0
+"""How often an entry without requests contacts endpoints at most, to answer peers that
+ask what it reaches."""
+
+
+class ReachMonitor:
+    """The belief of one entry on its path to the endpoints, and what checks it.
+
+    ``on_change`` is called when a cut begins and when it ends.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        dialect: Dialect,
+        zone: str,
+        relay_client: RelayClient,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        rng: random.Random,
+        link: Link,
+    ) -> None:
+        self.reach = Reach()
+        self.peer_table = PeerTable()
+        self._view = view
+        self._dialect = dialect
+        self._zone = zone
+        self._relay_client = relay_client
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._link = link
+        self._health_requests = HealthRequests(view, dialect)
+        self._check: curio.Task | None = None
+        self._refresh: curio.Task | None = None
+        self._search: curio.Task | None = None
+        self._next_refresh_at = Instant(float("-inf"))
+        self._next_contact_at = Instant(float("-inf"))
+        self.on_change: Callable[[], Awaitable[None]] = _do_nothing
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether this entry is cut off from the endpoints."""
+        return self.reach.is_cut
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it is cut off and its open connections are silent as well."""
+        return self.reach.is_silent(self._clock())
+
+    # Evidence
+
+    def observe(self, endpoint: Endpoint, contact: Contact) -> None:
+        """Record the result of a request, a probe or a connection."""
+        announcement = endpoint.announcement
+        self.reach.observe(
+            announcement.service, announcement.endpoint_id, contact, self._clock()
+        )
+
+    async def observe_failure(self, endpoint: Endpoint, contact: Contact) -> None:
+        """Record a failure, and start a check if there is reason for it."""
+        self.observe(endpoint, contact)
+        await self._start_check_if_needed()
+
+    async def observe_waiting(self, endpoint: Endpoint, since: Instant) -> None:
+        """Record that a request has had no response ``since`` it was sent."""
+        announcement = endpoint.announcement
+        self.reach.observe_waiting(
+            announcement.service, announcement.endpoint_id, since, self._clock()
+        )
+        await self._start_check_if_needed()
+
+    async def _start_check_if_needed(self) -> None:
+        if self.reach.needs_check(self._clock()) and not self._is_checking():
+            self._check = await curio.spawn(self._run_check, daemon=True)
+
+    def _is_checking(self) -> bool:
+        return self._check is not None and not self._check.terminated
+
+    async def wait_for_check(self) -> None:
+        """Wait for the result of the check that is running, if there is one."""
+        if self._check is not None:
+            await self._check.wait()
+
+    async def check_now(self) -> None:
+        """Check whether this entry is cut off, and wait for the result."""
+        if not self.is_cut and not self._is_checking():
+            self._check = await curio.spawn(self._run_check, daemon=True)
+        await self.wait_for_check()
+
+    def reached_services(self) -> frozenset[str]:
+        """Return the services whose endpoints respond to this entry."""
+        return self.reach.reached_services(self._clock())
+
+    async def refresh_reach(self) -> None:
+        """Contact some endpoints if no response is recent, before it is reported."""
+        now = self._clock()
+        if self.reach.is_cut or not self.reach.is_stale(now):
+            return
+        if self._refresh is None or self._refresh.terminated:
+            if now < self._next_contact_at:
+                return
+            self._next_contact_at = add_ms(now, CONTACT_INTERVAL_MS)
+            endpoints = self._choose_endpoints(N_CHECKED_ENDPOINTS)
+            self._refresh = await curio.spawn(self._contact, endpoints, daemon=True)
+        await self._refresh.wait()
+
+    # Checks
+
+    async def _run_check(self) -> None:
+        started_at = self._clock()
+        endpoints = self._choose_endpoints(N_CHECKED_ENDPOINTS)
+        n_responded = await self._contact(endpoints)
+        n_peers, peer_services = 0, frozenset[str]()
+        if not n_responded:
+            n_peers, peer_services = await self._ask_peers(self.reach.ask_at())
+        services = frozenset(e.announcement.service for e in endpoints)
+        check = CheckResult(
+            services, len(endpoints), n_responded, peer_services, n_peers
+        )
+        now = self._clock()
+        is_cut = self.reach.conclude_check(check, started_at, now)
+        result = "cut" if is_cut else "reached" if n_responded else "unconfirmed"
+        self._metrics.count("reach_checks_total", result=result)
+        if not is_cut:
+            return
+        self._log.state(
+            "endpoints_unreachable",
+            endpoints=len(endpoints),
+            responded=n_responded,
+            services=",".join(sorted(services)),
+            peers_asked=n_peers,
+            peers_reach=",".join(sorted(peer_services)),
+            check_ms=now - started_at,
+        )
+        await self._change()
+        await curio.spawn(self._run_trials, daemon=True)
+
+    async def _change(self) -> None:
+        self._metrics.set("is_cut", float(self.is_cut))
+        await self.on_change()
+
+    def _choose_endpoints(self, n_wanted: int) -> list[Endpoint]:
+        """Return endpoints of as many services as possible, at random.
+
+        Endpoints that declare a limit or back off are left out.
+        """
+        now = self._clock()
+        groups = []
+        for endpoints in self._view.by_service.values():
+            usable = [
+                e
+                for e in endpoints
+                if e.declared_limit is None and not e.is_backing_off(now)
+            ]
+            n_sampled = min(len(usable), N_CHECKED_PER_SERVICE)
+            groups.append(self._rng.sample(usable, n_sampled))
+        self._rng.shuffle(groups)
+        ranked = [
+            group[position]
+            for position in range(N_CHECKED_PER_SERVICE)
+            for group in groups
+            if position < len(group)
+        ]
+        return ranked[:n_wanted]
+
+    async def _contact(self, endpoints: Iterable[Endpoint]) -> int:
+        """Contact endpoints concurrently; return how many responded."""
+        tasks = [await curio.spawn(self._contact_one, e) for e in endpoints]
+        return sum([await task.join() for task in tasks])
+
+    async def _contact_one(self, endpoint: Endpoint) -> bool:
+        """Send a health request on a new connection; return whether it is responded."""
+        announcement = endpoint.announcement
+        started_at = self._clock()
+        timeout_ms = CHECK_TIMEOUT_MS + self._link.backlog_ms(started_at)
+        self._metrics.count("probes_total", service=announcement.service)
+        try:
+            connection = BackendConnection(
+                announcement.host, announcement.port, self._link
+            )
+        except OSError:
+            return False
+        try:
+            async with curio.timeout_after(timeout_ms / 1000):
+                await connection.wait_until_connected()
+                if not await connection.send(self._health_requests.get(endpoint)):
+                    return False
+                response = await connection.receive(lambda _: True)
+        except (OSError, curio.TaskTimeout):
+            return False
+        finally:
+            await connection.close()
+        if not isinstance(response, Response):
+            return False
+        self._apply(endpoint, response, started_at)
+        return True
+
+    def _apply(self, endpoint: Endpoint, response: Response, asked_at: Instant) -> None:
+        self.observe(endpoint, Contact.RESPONDED)
+        is_success = response.status == 200
+        apply_response_notices(
+            endpoint,
+            response,
+            self._dialect,
+            self._view,
+            self._rng,
+            is_success,
+            asked_at,
+        )
+
+    # Peers
+
+    def peers(self) -> tuple[dict[str, Peer], list[PeerCandidate]]:
+        """Return the peers by entry id, and as candidates."""
+        peers = self._view.peers
+        candidates = [
+            PeerCandidate(peer.entry_id, peer.zone == self._zone)
+            for peer in peers.values()
+        ]
+        return peers, candidates
+
+    async def _ask_peers(self, ask_at: Instant) -> tuple[int, frozenset[str]]:
+        """Ask peers until one reaches endpoints; return how many, and the services."""
+        await curio.sleep(remaining_ms(ask_at, self._clock()) / 1000)
+        asked: set[str] = set()
+        services: frozenset[str] = frozenset()
+        for _ in range(MAX_ASK_ROUNDS):
+            chosen = await self._refresh_peers(N_ASKED_PEERS, asked)
+            asked.update(chosen)
+            now = self._clock()
+            services = frozenset(
+                service
+                for service in self._view.by_service
+                if any(self.peer_table.reaches(k, service, now) for k in asked)
+            )
+            if services or not chosen:
+                break
+        return len(asked), services
+
+    async def _refresh_peers(
+        self, n_wanted: int, excluded: Iterable[str] = ()
+    ) -> list[str]:
+        """Ask peers for their reach concurrently; return which were asked."""
+        peers, candidates = self.peers()
+        self.peer_table.retain(peers)
+        chosen = self.peer_table.choose_to_ask(
+            candidates, n_wanted, frozenset(excluded), self._clock(), self._rng
+        )
+        tasks = [await curio.spawn(self._ask, peers[c.entry_id]) for c in chosen]
+        for task in tasks:
+            await task.join()
+        return [c.entry_id for c in chosen]
+
+    async def _ask(self, peer: Peer) -> None:
+        report = await self._relay_client.ask_reach(peer)
+        now = self._clock()
+        if report is None:
+            self.peer_table.record_unreachable(peer.entry_id, now)
+        else:
+            self.peer_table.record_report(
+                peer.entry_id, report.services, report.n_in_flight, now
+            )
+
+    async def find_peer_for(self, service: str) -> bool:
+        """Return whether a peer reaches a service; ask some if none is known to.
+
+        Unless this entry is known to be cut off, only reports count that are younger
+        than the failures here, since the service may have just gone down.
+        """
+        since = Instant(float("-inf"))
+        if not self.is_cut:
+            since = self.reach.ask_service_at(service)
+            await curio.sleep(remaining_ms(since, self._clock()) / 1000)
+        if self._knows_peer_for(service, since):
+            return True
+        if self._clock() >= self._next_refresh_at:
+            self._next_refresh_at = add_ms(self._clock(), REFRESH_INTERVAL_MS)
+            self._search = await curio.spawn(
+                self._refresh_peers, N_ASKED_PEERS, daemon=True
+            )
+        if self._search is not None:
+            await self._search.wait()
+        return self._knows_peer_for(service, since)
+
+    def _knows_peer_for(self, service: str, since: Instant) -> bool:
+        now = self._clock()
+        return any(
+            self.peer_table.reaches(entry_id, service, now, since)
+            for entry_id in self._view.peers
+        )
+
+    # The way back
+
+    async def _run_trials(self) -> None:
+        """Try the path and keep up with peers until the cut is over."""
+        while self.is_cut:
+            started_at = self._clock()
+            endpoints = self._choose_endpoints(N_TRIED_ENDPOINTS)
+            trial = await curio.spawn(self._contact, endpoints)
+            if started_at >= self._next_refresh_at:
+                self._next_refresh_at = add_ms(started_at, REFRESH_INTERVAL_MS)
+                await self._refresh_peers(N_REFRESHED_PEERS)
+            n_responded = await trial.join()
+            now = self._clock()
+            if self.reach.observe_trials(len(endpoints), n_responded, now):
+                self._log.state(
+                    "endpoints_reachable",
+                    cut_ms=self.reach.cut_ms(now),
+                    endpoints=len(endpoints),
+                    responded=n_responded,
+                )
+                await self._change()
+                return
+            pause_ms = TRIAL_INTERVAL_MS - (now - started_at)
+            await curio.sleep(max(pause_ms, TRIAL_INTERVAL_MS / 4) / 1000)
+
+    def forget_absent(self) -> None:
+        """Drop what is known of endpoints, services and entries that are gone."""
+        self._health_requests.forget_absent()
+        self.reach.retain(frozenset(self._view.by_service))
+        self.peer_table.retain(self._view.peers)
+
+
+async def _do_nothing() -> None:
+    pass
--- /dev/null
+++ b/pollenfold/gateway/relaying.py
@@ -0,0 +1,156 @@
+"""Passes requests on to peers while this entry doesn't reach the endpoints."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ..core.clock import Clock, remaining_ms
+from ..core.errors import ErrorKind
+from ..http.messages import Response
+from ..observe.exposition import Metrics
+from .calls import Call
+from .exchange import CallerGoneError, is_caller_gone
+from .final_responses import FinalResponses
+from .peers import Peer
+from .reach_monitor import ReachMonitor
+from .relay import RelayClient, RelayOutcome, RelayResult
+
+MAX_PEERS = 3
+"""How many peers a request is passed on to, one after the other."""
+
+MIN_RELAY_MS = 15.0
+"""With less time left a request isn't passed on."""
+
+AcquireRetry = Callable[[Call], bool]
+"""Counts a retry of a request if the budget permits it."""
+
+
+class Relaying:
+    """Passes the requests of this entry's callers on to peers.
+
+    A request that a peer passed on is never passed on again.
+    """
+
+    def __init__(
+        self,
+        monitor: ReachMonitor,
+        client: RelayClient,
+        final_responses: FinalResponses,
+        acquire_retry: AcquireRetry,
+        is_unreached: Callable[[str], bool],
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._monitor = monitor
+        self._client = client
+        self._final_responses = final_responses
+        self._acquire_retry = acquire_retry
+        self._is_unreached = is_unreached
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+
+    async def relay_if_cut(self, call: Call) -> Response | None:
+        """Return the final response if this entry is cut off and a peer took the call.
+
+        Return None if the request may be sent to an endpoint.
+        """
+        if not self._monitor.is_cut or not _may_relay(call):
+            return None
+        if not await self._monitor.find_peer_for(call.service):
+            return None
+        return await self._relay(call)
+
+    async def relay_if_unreached(self, call: Call) -> Response | None:
+        """Return the final response if a peer took a call that reached no endpoint.
+
+        None of the endpoints that this entry tried responded. If peers don't reach the
+        service either, it is down, and None is returned.
+        """
+        if not _may_relay(call) or not self._is_unreached(call.service):
+            return None
+        await self._monitor.wait_for_check()
+        if not await self._monitor.find_peer_for(call.service):
+            return None
+        return await self._relay(call)
+
+    async def _relay(self, call: Call) -> Response | None:
+        """Pass a call on to one peer after another; return the final response.
+
+        Return None if no peer could take it, so that no endpoint received it.
+        """
+        excluded: set[str] = set()
+        refusal_kind: ErrorKind | None = None
+        while len(excluded) < MAX_PEERS:
+            if is_caller_gone(call):
+                raise CallerGoneError
+            if remaining_ms(call.deadline, self._clock()) < MIN_RELAY_MS:
+                refusal_kind = ErrorKind.DEADLINE_EXCEEDED
+                break
+            peer = self._choose_peer(call, excluded)
+            if peer is None:
+                break
+            # A repeat of what an endpoint may have received is a retry.
+            if call.n_sends() and not self._acquire_retry(call):
+                refusal_kind = ErrorKind.BACKEND_REFUSED
+                break
+            excluded.add(peer.entry_id)
+            result = await self._relay_to(call, peer)
+            if result.outcome is RelayOutcome.RESPONDED and result.response is not None:
+                return self._final_responses.relay(call, result.response)
+            if result.outcome is RelayOutcome.EXPIRED:
+                refusal_kind = ErrorKind.DEADLINE_EXCEEDED
+                break
+            if result.outcome is RelayOutcome.NOT_STARTED:
+                refusal_kind = result.error_kind or ErrorKind.BACKEND_REFUSED
+            if result.outcome is RelayOutcome.LOST:
+                refusal_kind = ErrorKind.BACKEND_FAILED
+            if not _may_relay(call):
+                break
+        if refusal_kind is None:
+            return None
+        return self._final_responses.finish_failed(call, refusal_kind)
+
+    def _choose_peer(self, call: Call, excluded: set[str]) -> Peer | None:
+        peers, candidates = self._monitor.peers()
+        chosen = self._monitor.peer_table.choose(
+            candidates, call.service, excluded, self._clock(), self._rng
+        )
+        return None if chosen is None else peers[chosen.entry_id]
+
+    async def _relay_to(self, call: Call, peer: Peer) -> RelayResult:
+        started_at = self._clock()
+        end_relay = self._monitor.peer_table.begin_relay(peer.entry_id)
+        outcome = "abandoned"
+        try:
+            result = await self._client.relay(call, peer)
+            outcome = result.outcome.value
+        finally:
+            end_relay()
+            call.relay_trace.append(f"{peer.entry_id}:{outcome}")
+            self._metrics.count("relayed_total", outcome=outcome)
+            self._metrics.observe("relay_ms", self._clock() - started_at)
+        self._record(call, peer, result)
+        return result
+
+    def _record(self, call: Call, peer: Peer, result: RelayResult) -> None:
+        """Update what is known of the peer from the end of a relayed request."""
+        table, now = self._monitor.peer_table, self._clock()
+        if result.peer_in_flight is not None:
+            table.record_load(peer.entry_id, result.peer_in_flight)
+        if result.outcome in (RelayOutcome.UNREACHABLE, RelayOutcome.LOST):
+            table.record_unreachable(peer.entry_id, now)
+        elif result.reached is False:
+            table.record_unreached(peer.entry_id, call.service, now)
+        elif result.reached:
+            table.record_served(peer.entry_id, call.service, now)
+
+
+def _may_relay(call: Call) -> bool:
+    """Return whether a request may be sent to an endpoint through a peer."""
+    is_repeatable = call.route.is_idempotent or not call.may_have_executed
+    has_attempts = call.n_sends() < call.max_attempts
+    is_complete = not call.is_body_streamed
+    return not call.is_relayed and is_repeatable and has_attempts and is_complete
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -22,9 +22,14 @@
 )
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder
+from pollenfold.gateway.peer_port import PeerPort
+from pollenfold.gateway.reach_monitor import ReachMonitor
+from pollenfold.gateway.relay import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
+from pollenfold.http.memory import MemoryBudget
 from pollenfold.http.messages import Request
+from pollenfold.http.request_reader import ServerLimits
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.observe.exposition import Metrics
@@ -202,9 +207,13 @@
         entry_id="e1",
         entry_ids=("e1",),
         started_at=None,
+        host="127.0.0.1",
+        relay_port=0,
         **route_changes,
     ):
         clock = system_clock
+        self.entry_id, self.zone, self.host = entry_id, zone, host
+        self.relay_port = relay_port
         self.lines = []
         self.log = EventLog("e1", clock, write=self._write)
         self.metrics = Metrics()
@@ -234,8 +243,30 @@
         settings = BalancerSettings(entry_id, zone, 1000.0, 1.5, 5.0, started_at)
         rng = random.Random(7)
         self.link = link = link or Link()
+        self.relay_client = RelayClient(
+            DIALECT,
+            self.view,
+            relay_port,
+            host,
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+            link,
+        )
+        self.monitor = ReachMonitor(
+            self.view,
+            DIALECT,
+            zone,
+            self.relay_client,
+            clock,
+            self.log,
+            self.metrics,
+            rng,
+            link,
+        )
         self.balancer = Balancer(
-            self.view, DIALECT, settings, clock, self.metrics, rng, link
+            self.view, DIALECT, settings, clock, self.metrics, rng, link, self.monitor
         )
         self.forwarder = Forwarder(
             self.view,
@@ -247,7 +278,29 @@
             self.metrics,
             rng,
             link,
+            self.monitor,
+            self.relay_client,
         )
+        self.peer_port = PeerPort(
+            self.forwarder,
+            self.view.peer_directory,
+            self.monitor,
+            lambda: 0,
+            ServerLimits,
+            lambda kind, detail, peer: None,
+            MemoryBudget(1 << 20),
+            clock,
+            self.log,
+            self.metrics,
+        )
+
+    async def connect_peers(self, paths):
+        """Take requests of other entries, and know how to reach them."""
+        zones = {}
+        for path in paths:
+            zones.setdefault(path.zone, {})[path.entry_id] = path.host
+        self.view.peer_directory.apply(zones, self.entry_id)
+        await self.peer_port.server.start(self.host, self.relay_port)
 
     def _write(self, data):
         self.lines += data.decode().splitlines()
--- a/pollenfold/tests/gateway/links.py
+++ b/pollenfold/tests/gateway/links.py
@@ -69,7 +69,11 @@
                 client._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
                 await client.close()
                 continue
-            server = await curio.open_connection("127.0.0.1", self.port)
+            try:
+                server = await curio.open_connection("127.0.0.1", self.port)
+            except OSError:
+                await client.close()
+                continue
             self._pairs.append((client, server))
             await curio.spawn(self._copy, client, server, daemon=True)
             await curio.spawn(self._copy, server, client, daemon=True)
--- a/pollenfold/tests/gateway/test_cut_entry.py
+++ b/pollenfold/tests/gateway/test_cut_entry.py
@@ -1,5 +1,7 @@
 """Entries that are cut off from all endpoints while others reach them."""
 
+import socket
+
 import curio
 import pytest
 
@@ -18,18 +20,34 @@
     for backend in backends:
         await backend.start()
     entry_ids = tuple(f"e{number}" for number in range(n_entries))
+    relay_port = free_port()
     paths, links = [], []
-    for entry_id in entry_ids:
-        path = CallPath([], entry_id=entry_id, entry_ids=entry_ids, **route_changes)
+    for number, entry_id in enumerate(entry_ids):
+        path = CallPath(
+            [],
+            entry_id=entry_id,
+            entry_ids=entry_ids,
+            host=f"127.0.7.{number + 1}",
+            relay_port=relay_port,
+            **route_changes,
+        )
         own_links = [Link(backend.port) for backend in backends]
         for backend, link in zip(backends, own_links, strict=True):
             await link.start()
             path.announce(backend, port=link.own_port)
         paths.append(path)
         links.append(own_links)
+    for path in paths:
+        await path.connect_peers(paths)
     return backends, paths, links
 
 
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
 async def cut_all(links, mode):
     for link in links:
         await link.cut(mode)
@@ -76,3 +94,170 @@
         assert statuses == [200] * 12
 
     run(main)
+
+
+async def cut_entry(mode="refuse", **route_changes):
+    """Return a fleet of two in which the first entry knows that it is cut off."""
+    backends, paths, links = await start_fleet(**route_changes)
+    for path in paths:
+        assert (await path.get()).status == 200
+    await cut_all(links[0], mode)
+    while not paths[0].monitor.is_cut:
+        await paths[0].get()
+    return backends, paths, links
+
+
+def logged(path, event):
+    path.log.flush()
+    return [line for line in path.lines if f"event={event} " in line]
+
+
+@pytest.mark.parametrize("mode", ["refuse", "hang"])
+def test_entry_uses_its_own_path_again_soon_after_it_is_restored(run, mode):
+    """Guards against an entry that goes on relaying, or that fails requests, after its
+    links are restored."""
+
+    async def main():
+        backends, (path, other), links = await cut_entry(mode)
+        await cut_all(links[0], "pass")
+        await curio.sleep(1.0)
+        n_relayed = path.metrics.get("relayed_total", outcome="responded")
+        for _ in range(10):
+            assert (await path.get()).status == 200
+        assert path.metrics.get("relayed_total", outcome="responded") == n_relayed
+        assert len(logged(path, "endpoints_unreachable")) == 1
+        assert len(logged(path, "endpoints_reachable")) == 1
+        assert path.metrics.get("is_cut") == 0.0
+
+    run(main)
+
+
+def test_servers_that_all_ended_make_no_entry_relay(run):
+    """Guards against entries that pass requests on to one another in circles while the
+    servers of a service are down."""
+
+    async def main():
+        backends, paths, _ = await start_fleet(3)
+        for path in paths:
+            assert (await path.get()).status == 200
+        for backend in backends:
+            await backend.end()
+        n_asked = 0
+        for _ in range(10):
+            for path in paths:
+                assert (await path.get()).status == 503
+                n_asked += path.metrics.get("relayed_requests_total", service="s")
+        assert not any(path.monitor.is_cut for path in paths)
+        assert n_asked == 0
+
+    run(main)
+
+
+def test_request_that_was_sent_before_the_cut_is_repeated_only_if_it_may_be(run):
+    """Guards against requests that wait for a hanging endpoint until their deadline,
+    and against a second run of one that must not be repeated."""
+
+    async def main():
+        backends, (path, other), links = await start_fleet(is_idempotent=True)
+        assert (await path.get()).status == 200
+        assert (await other.get()).status == 200
+        for backend in backends:
+            backend.delay_ms = 150.0
+        task = await curio.spawn(path.get)
+        await curio.sleep(0.05)
+        await cut_all(links[0], "hang")
+        await curio.spawn(path.get)
+        response = await task.join()
+        assert response.status == 200
+        assert path.metrics.get("retries_total", service="s") == 1
+
+    run(main)
+
+
+def test_request_that_must_not_be_repeated_is_awaited_at_a_hanging_endpoint(run):
+    """Guards against a second run of a request that was sent before the cut."""
+
+    async def main():
+        backends, (path, other), links = await start_fleet(is_idempotent=False)
+        assert (await path.get()).status == 200
+        assert (await other.get()).status == 200
+        for backend in backends:
+            backend.delay_ms = 150.0
+        n_before = sum(len(backend.requests) for backend in backends)
+        task = await curio.spawn(path.get, b"POST", b"1000", b"order")
+        await curio.sleep(0.05)
+        await cut_all(links[0], "hang")
+        assert (await path.get()).status == 200
+        response = await task.join()
+        assert response.status == 504
+        assert dict(response.headers)[b"pollenfold-run-state"] == b"outcome_unknown"
+        assert sum(len(backend.requests) for backend in backends) == n_before + 2
+
+    run(main)
+
+
+def test_request_is_relayed_once_and_counted_once(run):
+    """Guards against requests that travel from one cut entry to the next, and against
+    retries for requests that two entries count."""
+
+    async def main():
+        _, paths, links = await start_fleet(3)
+        for path in paths:
+            assert (await path.get()).status == 200
+        for number in (0, 1):
+            await cut_all(links[number], "refuse")
+        for _ in range(10):
+            for path in paths:
+                assert (await path.get()).status == 200
+        assert [path.monitor.is_cut for path in paths] == [True, True, False]
+        now = system_clock()
+        counts = [
+            path.forwarder._retry_budget._counts("s").requests.get(now)
+            for path in paths
+        ]
+        assert sum(counts) == 33
+        assert counts[2] >= 29
+        assert paths[2].metrics.get("relayed_requests_total", service="s") == 20
+
+    run(main)
+
+
+def test_log_leads_from_a_request_to_the_peer_that_took_it(run):
+    """Guards against a request at a cut entry whose way can't be found in the log."""
+
+    async def main():
+        _, (path, _), _ = await cut_entry()
+        await path.get()
+        done = logged(path, "request_done")[-1]
+        assert "relayed=e1:responded" in done
+        cut = logged(path, "endpoints_unreachable")
+        assert len(cut) == 1
+        assert "responded=0" in cut[0]
+        assert "peers_reach=s" in cut[0]
+        assert path.metrics.get("is_cut") == 1.0
+        assert "relay_ms_count" in path.metrics.render()
+
+    run(main)
+
+
+def test_lost_requests_of_a_cut_entry_quarantine_nothing(run):
+    """Guards against a request that is refused everywhere because an entry lost its
+    links to the servers that ran it, and was refused connections afterwards."""
+
+    async def main():
+        backends, (path, other), links = await start_fleet()
+        assert (await other.get()).status == 200
+        for _ in range(4):
+            for backend in backends:
+                backend.delay_ms = 100.0
+            task = await curio.spawn(path.get)
+            await curio.sleep(0.05)
+            await cut_all(links[0], "refuse")
+            await task.join()
+            await cut_all(links[0], "pass")
+            while path.monitor.is_cut:
+                await curio.sleep(0.05)
+        assert path.view.quarantine.n_quarantined == 0
+        assert not logged(path, "server_ended")
+
+    run(main)
