--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -33,6 +33,9 @@
 CHECK_TIMEOUT_MS = 120.0
 """How long an endpoint has to respond to a check, beyond the backlog of the link."""
 
+FIRST_RESPONSE_MS = 30.0
+"""How long a check waits for the first endpoint before it contacts the others."""
+
 N_TRIED_ENDPOINTS = 2
 TRIAL_INTERVAL_MS = 100.0
 """Together they bound what an entry sends to endpoints while it is cut off."""
@@ -159,7 +162,7 @@
     async def _run_check(self) -> None:
         started_at = self._clock()
         endpoints = self._choose_endpoints(N_CHECKED_ENDPOINTS)
-        n_responded = await self._contact(endpoints)
+        n_responded = await self._contact_in_steps(endpoints)
         n_peers, peer_services = 0, frozenset[str]()
         if not n_responded:
             n_peers, peer_services = await self._ask_peers(self.reach.ask_at())
@@ -213,6 +216,20 @@
         ]
         return ranked[:n_wanted]
 
+    async def _contact_in_steps(self, endpoints: list[Endpoint]) -> int:
+        """Contact one endpoint, and the others unless it responds soon.
+
+        Most checks find that endpoints respond.
+        """
+        first = await curio.spawn(self._contact, endpoints[:1])
+        async with curio.ignore_after(FIRST_RESPONSE_MS / 1000):
+            await first.wait()
+        if first.terminated and first.result:
+            return 1
+        others: int = await self._contact(endpoints[1:])
+        n_first: int = await first.join()
+        return n_first + others
+
     async def _contact(self, endpoints: Iterable[Endpoint]) -> int:
         """Contact endpoints concurrently; return how many responded."""
         tasks = [await curio.spawn(self._contact_one, e) for e in endpoints]
