Bound how long a request waits for a peer, and not at all at an isolated entry

An entry that is cut off from its peers as well held each request for the time-outs of questions to them, up to 1.2 s, before it refused it. The wait is limited to 250 ms, and there is none after a check to which neither an endpoint nor a peer responded.

--- a/pollenfold/core/reach.py
+++ b/pollenfold/core/reach.py
@@ -67,7 +67,7 @@
 
     ``services`` are those of the endpoints that were contacted; ``n_contacted`` and
     ``n_responded`` count these endpoints. ``peer_services`` are the services that other
-    entries reach, as ``n_peers`` of them reported.
+    entries reach, as the ``n_peers`` that answered reported.
     """
 
     services: frozenset[str]
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -72,6 +72,9 @@
         link: Link,
     ) -> None:
         self.reach = Reach()
+        self.is_isolated = False
+        """Whether neither an endpoint nor a peer responded to the last check."""
+
         self.peer_table = PeerTable()
         self._view = view
         self._dialect = dialect
@@ -170,6 +173,7 @@
         check = CheckResult(
             services, len(endpoints), n_responded, peer_services, n_peers
         )
+        self.is_isolated = not n_responded and not n_peers
         now = self._clock()
         is_cut = self.reach.conclude_check(check, started_at, now)
         result = "cut" if is_cut else "reached" if n_responded else "unconfirmed"
@@ -181,7 +185,7 @@
             endpoints=len(endpoints),
             responded=n_responded,
             services=",".join(sorted(services)),
-            peers_asked=n_peers,
+            peers_answered=n_peers,
             peers_reach=",".join(sorted(peer_services)),
             check_ms=now - started_at,
         )
@@ -287,13 +291,16 @@
         return peers, candidates
 
     async def _ask_peers(self, ask_at: Instant) -> tuple[int, frozenset[str]]:
-        """Ask peers until one reaches endpoints; return how many, and the services."""
+        """Ask peers until one reaches endpoints; return how many answered, and the
+        services that these reach."""
         await curio.sleep(remaining_ms(ask_at, self._clock()) / 1000)
         asked: set[str] = set()
+        n_answered = 0
         services: frozenset[str] = frozenset()
         for _ in range(MAX_ASK_ROUNDS):
-            chosen = await self._refresh_peers(N_ASKED_PEERS, asked)
+            chosen, n_new = await self._refresh_peers(N_ASKED_PEERS, asked)
             asked.update(chosen)
+            n_answered += n_new
             now = self._clock()
             services = frozenset(
                 service
@@ -302,23 +309,23 @@
             )
             if services or not chosen:
                 break
-        return len(asked), services
+        return n_answered, services
 
     async def _refresh_peers(
         self, n_wanted: int, excluded: Iterable[str] = ()
-    ) -> list[str]:
-        """Ask peers for their reach concurrently; return which were asked."""
+    ) -> tuple[list[str], int]:
+        """Ask peers for their reach; return which were asked, and how many answered."""
         peers, candidates = self.peers()
         self.peer_table.retain(peers)
         chosen = self.peer_table.choose_to_ask(
             candidates, n_wanted, frozenset(excluded), self._clock(), self._rng
         )
         tasks = [await curio.spawn(self._ask, peers[c.entry_id]) for c in chosen]
-        for task in tasks:
-            await task.join()
-        return [c.entry_id for c in chosen]
+        n_answered = sum([await task.join() for task in tasks])
+        return [c.entry_id for c in chosen], n_answered
 
-    async def _ask(self, peer: Peer) -> None:
+    async def _ask(self, peer: Peer) -> bool:
+        """Ask a peer for its reach; return whether it answered."""
         report = await self._relay_client.ask_reach(peer)
         now = self._clock()
         if report is None:
@@ -327,6 +334,7 @@
             self.peer_table.record_report(
                 peer.entry_id, report.services, report.n_in_flight, now
             )
+        return report is not None
 
     async def find_peer_for(self, service: str) -> bool:
         """Return whether a peer reaches a service; ask some if none is known to.
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+import curio
+
 from ..core.clock import Clock, remaining_ms
 from ..core.errors import ErrorKind
 from ..http.messages import Response
@@ -19,6 +21,9 @@
 MAX_PEERS = 3
 """How many peers a request is passed on to, one after the other."""
 
+MAX_SEARCH_MS = 250.0
+"""How long a request that reached no endpoint waits for a peer that does."""
+
 MIN_RELAY_MS = 15.0
 """With less time left a request isn't passed on."""
 
@@ -71,10 +76,13 @@
         """
         if not _may_relay(call) or not self._is_unreached(call.service):
             return None
-        await self._monitor.wait_for_check()
-        if not await self._monitor.find_peer_for(call.service):
+        if self._monitor.is_isolated:
             return None
-        return await self._relay(call)
+        has_peer = False
+        async with curio.ignore_after(MAX_SEARCH_MS / 1000):
+            await self._monitor.wait_for_check()
+            has_peer = await self._monitor.find_peer_for(call.service)
+        return await self._relay(call) if has_peer else None
 
     async def _relay(self, call: Call) -> Response | None:
         """Pass a call on to one peer after another; return the final response.
