Give up sending a relayed response that the passing entry doesn't read

A passing entry that hangs, or whose link went silent, let its peer wait in a send without end: the wait for more of the endpoint's body ends at the deadline, the send did not. The peer held the connection to the endpoint and its share of the connection limit until TCP gave up, after a quarter of an hour. A response to a peer now carries until when it may be sent, 250 ms after the request's deadline, and the connection is reset then. Callers' connections are unchanged.

test_passing_entry_that_reads_nothing_more_is_given_up failed before (still in flight after 1.1 s with a deadline of 0.6 s).

--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -32,6 +32,10 @@
 HEAD_MARGIN_BYTES = 4_096
 """How much a head may grow by the headers between entries."""
 
+SEND_MARGIN_MS = 250.0
+"""How long after its deadline a response is still sent. The passing entry waits 100 ms;
+if it hangs, it must not hold the connection to the endpoint any longer."""
+
 REFUSAL_LOG_INTERVAL_MS = 1_000.0
 
 REACHING_OUTCOMES = (
@@ -130,6 +134,8 @@
             value = encode_relay_notice(self._notice(call, relayed.service))
             headers = without_relay_headers(response.headers)
             response.headers = [*headers, (RELAY_RESPONSE, value)]
+            if call is not None:
+                response.send_until = add_ms(call.deadline, SEND_MARGIN_MS)
         return response
 
     def _report_reach(self) -> Response:
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -285,7 +285,15 @@
         if self._limits.announced_idle_s and not response.close:
             value = b"timeout=%d" % self._limits.announced_idle_s
             response.headers.append((b"keep-alive", value))
-        await self._write(exchange.parser, response)
+        if response.send_until is None:
+            await self._write(exchange.parser, response)
+        else:
+            left_ms = remaining_ms(response.send_until, system_clock())
+            try:
+                async with curio.timeout_after(left_ms / 1000):
+                    await self._write(exchange.parser, response)
+            except curio.TaskTimeout:
+                raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "not read") from None
         if response.close or exchange.parser.our_state is not h11.DONE:
             await self._close_after(exchange)
             return
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -99,7 +99,8 @@
     """One response; ``close`` ends the connection after it.
 
     ``body`` is complete unless ``remaining_body`` is set, which provides the remaining
-    body.
+    body. After ``send_until``, nobody waits for the response any more: a connection on
+    which it isn't sent completely by then is reset.
     """
 
     status: int
@@ -107,6 +108,7 @@
     body: bytes = b""
     close: bool = False
     remaining_body: BodySource | None = None
+    send_until: Instant | None = None
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -28,6 +28,7 @@
     configuration,
     unused_port,
 )
+from pollenfold.tests.gateway.test_long_bodies import LongBackend
 from pollenfold.tests.gateway.test_relay import exchange, read_response, request
 
 RELAYED = RelayedRequest("s", 120.5, 1, True)
@@ -352,3 +353,36 @@
     fields = {**json.loads(VALUE), **change}
     headers = [(RELAY_REQUEST, json.dumps(fields).encode())]
     assert decode_relayed_request(headers) is None
+
+
+class EndlessBackend(LongBackend):
+    """Sends a response that fills all buffers on the way."""
+
+    async def _read_body(self, client, data):
+        head = b"HTTP/1.1 200 X\r\nx-request-id: q1\r\nx-response-signature: s\r\n"
+        await client.sendall(head + b"content-length: 100000000\r\n\r\n")
+        for _ in range(1_000):
+            await client.sendall(b"x" * 100_000)
+
+
+def test_passing_entry_that_reads_nothing_more_is_given_up(run):
+    """Guards against a peer that holds a server's connection, and a part of the memory
+    for bodies, for a passing entry that hangs."""
+
+    async def main():
+        backend = EndlessBackend("one")
+        await backend.start()
+        entry = await start_entry()
+        entry.announce(backend)
+        entry.know(Entry(2, entry.relay_port).peer)
+        sock = await connect_from("127.0.0.2", entry)
+        await sock.sendall(request(extra=FORGED, deadline_ms=600))
+        started_at = system_clock()
+        while not entry.gateway.peer_port.server.n_in_flight:
+            await curio.sleep(0.01)
+        while entry.gateway.peer_port.server.n_in_flight:
+            assert system_clock() - started_at < 600 + 500
+            await curio.sleep(0.01)
+        assert entry.view.endpoints["one"].health.n_in_flight == 0
+
+    run(main)
