End a hop when its caller is gone, and share the connections of a peer

A passing entry waited for the response to a request that mustn't be repeated although its caller was gone, and the peer couldn't know: before its own send it would have passed the request on to an endpoint. The hop is closed now for each request; the peer, which sees its caller gone, sends it no further, or completes what an endpoint has already begun, as for callers of its own. The caller is also looked at just before the send.

Each entry takes its share of 1,536 connections to a peer, 4 to 64: with 312 entries, 64 each would have used up the 4,000 file descriptors of the few peers that still reach endpoints.

test_request_that_must_not_be_aborted_is_completed_by_the_peer, test_connections_of_all_entries_fit_one_peer.

--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -31,12 +31,14 @@
 
     Its sender has until ``grace_ms`` after the deadline. ``check_interval_ms`` is how
     often it is checked whether the caller is gone and, with ``is_lost``, whether the
-    response can't be expected any more.
+    response can't be expected any more. A non-idempotent request is given up for a
+    caller that is gone only with ``completes_alone``: the receiver then completes it.
     """
 
     grace_ms: float = RESPONSE_GRACE_MS
     check_interval_ms: float = CALLER_CHECK_INTERVAL_MS
     is_lost: Callable[[], Awaitable[bool]] | None = None
+    completes_alone: bool = False
 
 
 DEFAULT_WAITS = ResponseWaits()
@@ -170,7 +172,8 @@
                 break
             # A non-idempotent request is awaited even if its caller is gone, since
             # aborting it could leave it partly executed.
-            if call.route.is_idempotent and is_caller_gone(call):
+            may_abort = call.route.is_idempotent or waits.completes_alone
+            if may_abort and is_caller_gone(call):
                 raise CallerGoneError
             if waits.is_lost is not None and await waits.is_lost():
                 return AttemptOutcome.LOST
--- a/pollenfold/gateway/reach_questions.py
+++ b/pollenfold/gateway/reach_questions.py
@@ -31,6 +31,11 @@
 sent on such a connection has an unknown outcome."""
 
 MAX_PEER_CONNECTIONS = 64
+MIN_PEER_CONNECTIONS = 4
+MAX_ALL_PEER_CONNECTIONS = 1_536
+"""How many connections all other entries together may open to one peer, so that they
+leave it most of its file descriptors (some 4,000)."""
+
 MAX_REPORT_BYTES = 64 * 1024
 MAX_IN_FLIGHT = 1 << 31
 IDLE_CLOSE_MS = 9_000.0
@@ -102,8 +107,14 @@
                 self._source_host,
             )
             state = self._states[key] = _PeerState(pool)
+        state.pool.limit = self._connection_limit()
         return state
 
+    def _connection_limit(self) -> int:
+        """Return this entry's share of the connections that a peer can take."""
+        share = MAX_ALL_PEER_CONNECTIONS // self._view.fleet.get(self._clock())
+        return max(MIN_PEER_CONNECTIONS, min(MAX_PEER_CONNECTIONS, share))
+
     async def ask(self, peer: Peer) -> ReachReport | None:
         """Return what a peer reaches, or None if it doesn't respond."""
         await self.refresh(peer)
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -20,7 +20,13 @@
 from .backend import BackendConnection
 from .calls import Attempt, Call
 from .dialect import Dialect
-from .exchange import ResponseWaits, body_reader, receive_response
+from .exchange import (
+    CallerGoneError,
+    ResponseWaits,
+    body_reader,
+    is_caller_gone,
+    receive_response,
+)
 from .notices import apply_response_notices
 from .outgoing import OutgoingRequest, outgoing_request
 from .peers import Peer
@@ -124,18 +130,20 @@
         """Send a request to a peer and return how it ended.
 
         The attempt is added to those of the call, and what the response says of its
-        endpoint is applied here as well. Raise CallerGoneError if the caller of an
-        idempotent request is gone, and BodyError if the caller doesn't send its whole
-        body.
+        endpoint is applied here as well. Raise CallerGoneError if the caller is gone;
+        the peer then sends the request no further, or completes it if it mustn't be
+        aborted. Raise BodyError if the caller doesn't send its whole body.
         """
         started_at = self._clock()
-        result = RelayResult(RelayOutcome.LOST, n_sends=1)
+        result = RelayResult(RelayOutcome.UNREACHABLE)
         try:
             connection = await self._questions.connect(peer, call.deadline)
-            if connection is None:
-                result = RelayResult(RelayOutcome.UNREACHABLE)
-            else:
+            if connection is not None:
                 result = await self._exchange(call, peer, connection)
+        except (CallerGoneError, BodyError):
+            if call.may_have_executed:
+                result = RelayResult(RelayOutcome.LOST, n_sends=1)
+            raise
         finally:
             self._record(call, peer, result, started_at)
         self._apply_notices(result, started_at)
@@ -226,6 +234,8 @@
         left_ms = remaining_ms(call.deadline, self._clock())
         if left_ms < 1.0:
             return RelayOutcome.UNREACHABLE
+        if is_caller_gone(call):
+            raise CallerGoneError
         request = self._request(call, left_ms)
         try:
             async with curio.timeout_after(left_ms / 1000):
@@ -237,6 +247,7 @@
                 RESPONSE_GRACE_MS,
                 CALLER_CHECK_INTERVAL_MS,
                 self._hang_check(call, peer),
+                completes_alone=True,
             )
             is_expected = _response_matcher(call.request_id, self._dialect)
             received = await receive_response(
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -223,6 +223,21 @@
     run(main)
 
 
+@pytest.mark.parametrize(("n_entries", "limit"), [(2, 64), (117, 13), (312, 4)])
+def test_connections_of_all_entries_fit_one_peer(run, n_entries, limit):
+    """Guards against entries that use up the file descriptors of the few that still
+    reach endpoints."""
+
+    async def main():
+        entry = Entry(2, 1)
+        entry.view.fleet.report(n_entries, system_clock())
+        questions = entry.gateway.relay_client._questions
+        assert questions._state(Entry(3, 1).peer).pool.limit == limit
+        assert limit * n_entries < 2_000
+
+    run(main)
+
+
 @pytest.mark.parametrize(
     "answer",
     [
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -179,6 +179,44 @@
     with_entries(body, Backend("one", delay_ms=1_000), is_idempotent=True)
 
 
+def test_request_that_must_not_be_aborted_is_completed_by_the_peer(with_entries):
+    """Guards against a request that is aborted half done, and against a passing entry
+    that holds a connection for a caller that is gone."""
+
+    async def body(passing, reaching, backend):
+        sock = await send(passing, request())
+        while not backend.requests:
+            await curio.sleep(0.005)
+        n_closed = backend.n_closed
+        await sock.close()
+        closed_at = system_clock()
+        while passing.server.n_in_flight:
+            assert system_clock() - closed_at < 200
+            await curio.sleep(0.005)
+        while reaching.gateway.peer_port.server.n_in_flight:
+            await curio.sleep(0.005)
+        assert backend.n_closed == n_closed
+        (line,) = reaching.logged("request_done")
+        assert "status=200" in line and "relayed=True" in line
+
+    with_entries(body, Backend("one", delay_ms=600))
+
+
+def test_request_of_a_caller_that_is_gone_is_not_relayed(with_entries):
+    """Guards against requests that reach a server after their caller closed."""
+
+    async def body(passing, reaching, backend):
+        passing.delay_ms = 200.0
+        sock = await send(passing, request())
+        while not passing.calls:
+            await curio.sleep(0.005)
+        await sock.close()
+        await curio.sleep(0.4)
+        assert backend.requests == []
+
+    with_entries(body, Backend("one"))
+
+
 def test_long_upload_is_passed_on_in_windows(with_entries):
     """Guards against a body that a passing entry holds completely, changes or sends a
     second time."""
