--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -22,6 +22,7 @@
     is_leader,
     step,
 )
+from ..core.agreement_log import MAX_COMMAND_BYTES
 from ..core.agreement_members import (
     decode_members,
     founder_state,
@@ -44,6 +45,7 @@
     Send,
     Tick,
 )
+from ..core.agreement_state import majority_contact_at
 from ..core.clock import Clock, Instant, add_ms
 from ..core.errors import ErrorKind
 from ..storage.agreement import AgreementStorage, OpenJournal
@@ -52,9 +54,14 @@
 from .peer_calls import PeerCalls
 
 ENTRIES_PER_SNAPSHOT = 256
-MAX_COMMAND_BYTES = 1 << 19
+LOG_BYTES_PER_SNAPSHOT = 8 << 20
+"""A snapshot replaces the entries applied so far after this many, or after this many
+bytes of commands, since each configuration supersedes the previous one."""
+
 FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
 
+CONFIRM_POLL_MS = 5.0
+
 REOPEN_AFTER_MS = 1000.0
 """Time between attempts to reopen the data folder after a failed write."""
 
@@ -132,6 +139,9 @@
         self._state: State | None = None
         self._reopen_at = clock()
         self._applied_index = 0
+        self._n_applied_bytes = 0
+        """The bytes of the commands applied since the last snapshot."""
+
         self._leader_since: Instant | None = None
         self._has_seen_leader = False
         self._outbox: list[Message] = []
@@ -275,6 +285,26 @@
             }
         return proposal.result or Error(ErrorKind.NO_QUORUM)
 
+    async def confirm_index(self, timeout_ms: float) -> Result[int, ErrorKind]:
+        """Return the commit index once a majority confirmed this leader since the call.
+
+        Each majority that commits a command shares a replica with the one that answered
+        heartbeats sent after the call. So no other leader had committed more by then.
+        """
+        state, asked_at = self._state, self._clock()
+        if state is None or not self.is_leader():
+            return Error(ErrorKind.NOT_LEADER)
+        index, term = state.commit_index, state.term
+        deadline = add_ms(asked_at, timeout_ms)
+        while (now := self._clock()) < deadline:
+            state = self._state
+            if state is None or state.role is not Role.LEADER or state.term != term:
+                return Error(ErrorKind.NOT_LEADER)
+            if majority_contact_at(state, now) > asked_at:
+                return Ok(index)
+            await curio.sleep(CONFIRM_POLL_MS / 1000)
+        return Error(ErrorKind.NO_QUORUM)
+
     # Steps
 
     def _sleep_ms(self) -> float:
@@ -351,11 +381,18 @@
         if self._state is None:
             return []
         self._observe(before, state)
-        n_entries = self._applied_index - state.log.snapshot.index
-        if n_entries >= ENTRIES_PER_SNAPSHOT and not isinstance(event, Compact):
+        if self._is_snapshot_due(state) and not isinstance(event, Compact):
+            self._n_applied_bytes = 0
             messages += self._step(Compact(self._applied_index, self._snapshot_data()))
         return [] if self._state is None else messages
 
+    def _is_snapshot_due(self, state: State) -> bool:
+        n_entries = self._applied_index - state.log.snapshot.index
+        return (
+            n_entries >= ENTRIES_PER_SNAPSHOT
+            or self._n_applied_bytes >= LOG_BYTES_PER_SNAPSHOT
+        )
+
     def _perform(self, actions: list[Action]) -> list[Message]:
         messages = []
         for action in actions:
@@ -385,6 +422,7 @@
             elif command:
                 self._apply(index, command)
             self._applied_index = index
+            self._n_applied_bytes += len(command)
         proposal = self._proposals.get(index)
         if proposal is not None:
             is_same = proposal.term == term
