Say not ready while an entry is cut off, and end its checks with the process

An entry that relays costs its callers a hop, and its bytes cross the network twice. New connections go to other entries where the platform can choose: while fewer than half of a zone are cut off, or all of it. Otherwise the platform uses all entries of the zone, and relaying serves them.

The checks are ended when the entry stops. They start no tasks of their own for each endpoint, which outlived the kernel's shutdown in test_one_health_response_is_enough_when_other_servers_are_unresponsive.

--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -220,6 +220,8 @@
             return ErrorKind.STOPPING
         if self.view.configuration is None:
             return ErrorKind.NOT_READY
+        if self.monitor.is_cut:
+            return ErrorKind.NO_BACKEND_SERVER
         is_settled = system_clock() - self.started_at > READY_SETTLE_MS
         if not self.view.endpoints and not is_settled:
             return ErrorKind.NOT_READY
@@ -343,4 +345,5 @@
     async with curio.ignore_after(remaining_ms / 1000):
         await gateway.caller_server.wait_idle()
         await gateway.peer_port.server.wait_idle()
+    await gateway.monitor.stop()
     gateway.log.state("stopped", n_in_flight=gateway.peer_port.n_in_flight)
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -89,6 +89,8 @@
         self._check: curio.Task | None = None
         self._refresh: curio.Task | None = None
         self._search: curio.Task | None = None
+        self._trials: curio.Task | None = None
+        self._is_stopped = False
         self._next_refresh_at = Instant(float("-inf"))
         self._next_contact_at = Instant(float("-inf"))
         self.on_change: Callable[[], Awaitable[None]] = _do_nothing
@@ -126,7 +128,11 @@
         await self._start_check_if_needed()
 
     async def _start_check_if_needed(self) -> None:
-        if self.reach.needs_check(self._clock()) and not self._is_checking():
+        if self.reach.needs_check(self._clock()):
+            await self._start_check()
+
+    async def _start_check(self) -> None:
+        if not self._is_stopped and not self._is_checking():
             self._check = await curio.spawn(self._run_check, daemon=True)
 
     def _is_checking(self) -> bool:
@@ -139,10 +145,17 @@
 
     async def check_now(self) -> None:
         """Check whether this entry is cut off, and wait for the result."""
-        if not self.is_cut and not self._is_checking():
-            self._check = await curio.spawn(self._run_check, daemon=True)
+        if not self.is_cut:
+            await self._start_check()
         await self.wait_for_check()
 
+    async def stop(self) -> None:
+        """End all checks and trials."""
+        self._is_stopped = True
+        for task in (self._check, self._refresh, self._search, self._trials):
+            if task is not None:
+                await task.cancel()
+
     def reached_services(self) -> frozenset[str]:
         """Return the services whose endpoints respond to this entry."""
         return self.reach.reached_services(self._clock())
@@ -190,7 +203,7 @@
             check_ms=now - started_at,
         )
         await self._change()
-        await curio.spawn(self._run_trials, daemon=True)
+        self._trials = await curio.spawn(self._run_trials, daemon=True)
 
     async def _change(self) -> None:
         self._metrics.set("is_cut", float(self.is_cut))
@@ -225,45 +238,72 @@
 
         Most checks find that endpoints respond.
         """
-        first = await curio.spawn(self._contact, endpoints[:1])
-        async with curio.ignore_after(FIRST_RESPONSE_MS / 1000):
-            await first.wait()
-        if first.terminated and first.result:
-            return 1
-        others: int = await self._contact(endpoints[1:])
-        n_first: int = await first.join()
-        return n_first + others
-
-    async def _contact(self, endpoints: Iterable[Endpoint]) -> int:
-        """Contact endpoints concurrently; return how many responded."""
-        tasks = [await curio.spawn(self._contact_one, e) for e in endpoints]
-        return sum([await task.join() for task in tasks])
-
-    async def _contact_one(self, endpoint: Endpoint) -> bool:
-        """Send a health request on a new connection; return whether it is responded."""
-        announcement = endpoint.announcement
+        n_responded = await self._contact(endpoints[:1], FIRST_RESPONSE_MS)
+        return n_responded or await self._contact(endpoints)
+
+    async def _contact(
+        self, endpoints: list[Endpoint], timeout_ms: float = CHECK_TIMEOUT_MS
+    ) -> int:
+        """Send health requests on new connections; return how many are responded.
+
+        All are under way before the first response is awaited, so that the time-out
+        is one for all. No task is started, since one that starts others when the
+        process ends would outlive it.
+        """
         started_at = self._clock()
-        timeout_ms = CHECK_TIMEOUT_MS + self._link.backlog_ms(started_at)
+        until = add_ms(started_at, timeout_ms + self._link.backlog_ms(started_at))
+        connections = [(e, self._open_connection(e)) for e in endpoints]
+        sent = [
+            (endpoint, connection)
+            for endpoint, connection in connections
+            if connection is not None and await self._send(endpoint, connection, until)
+        ]
+        responded = [
+            await self._receive(endpoint, connection, until)
+            for endpoint, connection in sent
+        ]
+        return sum(responded)
+
+    def _open_connection(self, endpoint: Endpoint) -> BackendConnection | None:
+        announcement = endpoint.announcement
         self._metrics.count("probes_total", service=announcement.service)
         try:
-            connection = BackendConnection(
-                announcement.host, announcement.port, self._link
-            )
+            return BackendConnection(announcement.host, announcement.port, self._link)
         except OSError:
-            return False
+            return None
+
+    async def _send(
+        self, endpoint: Endpoint, connection: BackendConnection, until: Instant
+    ) -> bool:
+        """Send a health request, or close the connection if that fails."""
+        is_sent = False
         try:
-            async with curio.timeout_after(timeout_ms / 1000):
+            async with curio.timeout_after(remaining_ms(until, self._clock()) / 1000):
                 await connection.wait_until_connected()
-                if not await connection.send(self._health_requests.get(endpoint)):
-                    return False
-                response = await connection.receive(lambda _: True)
+                is_sent = await connection.send(self._health_requests.get(endpoint))
         except (OSError, curio.TaskTimeout):
+            is_sent = False
+        finally:
+            if not is_sent:
+                await connection.close()
+        return is_sent
+
+    async def _receive(
+        self, endpoint: Endpoint, connection: BackendConnection, until: Instant
+    ) -> bool:
+        """Receive a health response and close the connection."""
+        sent_at = self._clock()
+        left_ms = max(1.0, remaining_ms(until, sent_at))
+        try:
+            async with curio.timeout_after(left_ms / 1000):
+                response = await connection.receive(lambda _: True)
+        except curio.TaskTimeout:
             return False
         finally:
             await connection.close()
         if not isinstance(response, Response):
             return False
-        self._apply(endpoint, response, started_at)
+        self._apply(endpoint, response, sent_at)
         return True
 
     def _apply(self, endpoint: Endpoint, response: Response, asked_at: Instant) -> None:
@@ -371,11 +411,10 @@
         while self.is_cut:
             started_at = self._clock()
             endpoints = self._choose_endpoints(N_TRIED_ENDPOINTS)
-            trial = await curio.spawn(self._contact, endpoints)
+            n_responded = await self._contact(endpoints)
             if started_at >= self._next_refresh_at:
                 self._next_refresh_at = add_ms(started_at, REFRESH_INTERVAL_MS)
                 await self._refresh_peers(N_REFRESHED_PEERS)
-            n_responded = await trial.join()
             now = self._clock()
             if self.reach.observe_trials(len(endpoints), n_responded, now):
                 self._log.state(
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -360,6 +360,8 @@
                 await backend.start()
             path = CallPath(backends, **route_changes)
             await body(path, *backends)
+            # A check that goes on would open connections while the test ends.
+            await path.monitor.stop()
 
         run(main)
 
--- a/pollenfold/tests/gateway/test_peers.py
+++ b/pollenfold/tests/gateway/test_peers.py
@@ -73,8 +73,8 @@
         source, other = FakeFeed("a"), FakeFeed("b")
         feeds._connected = {"source": source, "other": other}
         await feeds._choose_source()
-        feeds._apply_line({"peers": {"a": {"e2": "10.0.0.2"}}}, "source", source)
-        feeds._apply_line({"peers": {"a": {"e9": "10.0.0.9"}}}, "other", other)
+        await feeds._apply_line({"peers": {"a": {"e2": "10.0.0.2"}}}, "source", source)
+        await feeds._apply_line({"peers": {"a": {"e9": "10.0.0.9"}}}, "other", other)
         assert set(feeds._view.peers) == {"e2"}
         feeds._remove_feed("source")
         feeds._remove_feed("other")
