Count a relayed retry once, at the entry whose budget has the relayed requests

A request that an endpoint may already have received counted twice when it was relayed: the passing entry acquired a retry and so did the peer. The passing entry's budget grows with the requests that it sends itself, and the peer counts those that are relayed, so that a cut-off entry of a large fleet would soon have had no retry left for a lost hop. The peer acquires it now, unless the passing entry has already done so for an attempt of its own that it gave up (is_retry_acquired in the header of the hop).

test_attempts_and_retries_are_counted_once holds both cases; two tests took the connections of the reach checks for that of the request and now look at the request's own.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -179,6 +179,7 @@
             max_attempts=_max_attempts(route, relayed),
             is_relayed=relayed is not None,
             is_repeat=relayed is not None and relayed.is_repeat,
+            is_retry_acquired=relayed is not None and relayed.is_retry_acquired,
         )
 
     def _choose_service(self, route: Route, relayed: RelayedRequest | None) -> str:
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -82,7 +82,7 @@
             latency_ms=latency_ms,
             deadline_ms=call.deadline - call.started_at,
             age_ms=call.age_ms,
-            relayed=call.is_relayed,
+            from_peer=call.is_relayed,
             work_ms=call.work_estimate.get(),
             attempts=call.describe_attempts() or "none",
             asked=";".join(call.decision_trace) or "none",
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -95,7 +95,6 @@
             monitor,
             relay_client,
             self._final_responses,
-            self._acquire_retry,
             balancer.is_unreached,
             clock,
             metrics,
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -146,6 +146,8 @@
             raise
         finally:
             self._record(call, peer, result, started_at)
+        if result.n_sends:
+            call.is_retry_acquired = False
         self._apply_notices(result, started_at)
         return result
 
@@ -274,6 +276,7 @@
             target_ms=call.target_at - self._clock(),
             max_attempts=max(1, call.max_attempts - n_sends),
             is_repeat=n_sends > 0,
+            is_retry_acquired=call.is_retry_acquired,
         )
         headers = [
             *call.headers,
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -27,13 +27,16 @@
 
     ``target_ms`` is the time left until the latency target, negative when it passed.
     ``max_attempts`` is the number of endpoints to which the request may still be sent.
-    ``is_repeat`` is whether an endpoint may already have received it.
+    ``is_repeat`` is whether an endpoint may already have received it. Its request is
+    then counted in the retry budget, and the send is a retry, which the peer counts
+    unless ``is_retry_acquired``: the retries are counted where the requests are.
     """
 
     service: str
     target_ms: float
     max_attempts: int
     is_repeat: bool
+    is_retry_acquired: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,7 @@
             "target_ms": round(request.target_ms, 1),
             "max_attempts": request.max_attempts,
             "is_repeat": request.is_repeat,
+            "is_retry_acquired": request.is_retry_acquired,
         }
     )
 
@@ -72,15 +76,15 @@
     service = fields.get("service")
     target_ms = fields.get("target_ms")
     max_attempts = fields.get("max_attempts")
-    is_repeat = fields.get("is_repeat")
+    flags = [fields.get(name) for name in ("is_repeat", "is_retry_acquired")]
     if (
         _is_name(service)
         and type(target_ms) in (int, float)
         and math.isfinite(target_ms)
         and _is_count(max_attempts)
-        and type(is_repeat) is bool
+        and all(type(flag) is bool for flag in flags)
     ):
-        return RelayedRequest(service, float(target_ms), max_attempts, is_repeat)
+        return RelayedRequest(service, float(target_ms), max_attempts, *flags)
     return None
 
 
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -27,9 +27,6 @@
 MIN_RELAY_MS = 15.0
 """With less time left a request isn't passed on."""
 
-AcquireRetry = Callable[[Call], bool]
-"""Counts a retry of a request if the budget permits it."""
-
 
 class Relaying:
     """Passes the requests of this entry's callers on to peers.
@@ -42,7 +39,6 @@
         monitor: ReachMonitor,
         client: RelayClient,
         final_responses: FinalResponses,
-        acquire_retry: AcquireRetry,
         is_unreached: Callable[[str], bool],
         clock: Clock,
         metrics: Metrics,
@@ -51,7 +47,6 @@
         self._monitor = monitor
         self._client = client
         self._final_responses = final_responses
-        self._acquire_retry = acquire_retry
         self._is_unreached = is_unreached
         self._clock = clock
         self._metrics = metrics
@@ -100,10 +95,6 @@
             peer = self._choose_peer(call, excluded)
             if peer is None:
                 break
-            # A repeat of what an endpoint may have received is a retry.
-            if call.n_sends() and not self._acquire_retry(call):
-                refusal_kind = ErrorKind.BACKEND_REFUSED
-                break
             excluded.add(peer.entry_id)
             result = await self._relay_to(call, peer)
             if result.outcome is RelayOutcome.RESPONDED and result.response is not None:
--- a/pollenfold/tests/gateway/relaying.py
+++ b/pollenfold/tests/gateway/relaying.py
@@ -66,6 +66,7 @@
     It passes each request of its callers on to the peers in turn, as an entry does that
     reaches no endpoint. ``results`` holds how the relayed requests ended, ``calls`` the
     calls of the callers' requests. ``delay_ms`` is how long a request waits before.
+    With ``is_retry_acquired`` the entry counts the retries that it relays.
     """
 
     def __init__(self, number, relay_port, **route_changes):
@@ -73,6 +74,7 @@
         self.peer = Peer(f"e{number}", self.host, "a")
         self.relay_port = relay_port
         self.delay_ms = 0.0
+        self.is_retry_acquired = False
         self.results = []
         self.calls = []
         self.lines = []
@@ -162,6 +164,7 @@
         kind = ErrorKind.NO_BACKEND_SERVER
         try:
             for peer in self.view.peers.values():
+                call.is_retry_acquired = self.is_retry_acquired and call.n_sends() > 0
                 result = await self.relay(call, peer)
                 self.results.append(result)
                 if result.outcome is RelayOutcome.RESPONDED:
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -31,7 +31,7 @@
 from pollenfold.tests.gateway.test_long_bodies import LongBackend
 from pollenfold.tests.gateway.test_relay import exchange, read_response, request
 
-RELAYED = RelayedRequest("s", 120.5, 1, True)
+RELAYED = RelayedRequest("s", 120.5, 1, True, True)
 VALUE = encode_relayed_request(RELAYED)
 FORGED = RELAY_REQUEST + b": " + VALUE + b"\r\n"
 NOTICE = RelayNotice(True, "i-1", 1_700_000_000_000, 2, 5, False)
@@ -324,6 +324,7 @@
     call = factory.create_call(request, b"q1", route, 1_000.0, relayed)
     assert (call.service, call.deadline, call.target_at) == ("s", 1_500.0, 1_120.5)
     assert (call.is_relayed, call.is_repeat, call.max_attempts) == (True, True, 1)
+    assert call.is_retry_acquired
     assert call.headers == []
     # The shorter time of a relayed request says nothing about how old its caller is.
     own = Request(b"GET", b"/x/1", [(b"x-deadline-ms", b"400")], b"")
@@ -361,6 +362,7 @@
         {"target_ms": True},
         {"max_attempts": 1.5},
         {"is_repeat": 0},
+        {"is_retry_acquired": None},
     ],
 )
 def test_malformed_relayed_request_is_none(change):
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -163,7 +163,6 @@
         sock = await send(passing, request(b"GET", body=b""))
         while not backend.requests:
             await curio.sleep(0.005)
-        n_closed = backend.n_closed
         await sock.close()
         closed_at = system_clock()
         # The backend reads nothing while it works, so its connection tells.
@@ -172,7 +171,7 @@
             await curio.sleep(0.005)
         assert reaching.logged("request_done")[0].count("kind=caller_gone") == 1
         backend.delay_ms = 0.0
-        while backend.n_closed == n_closed:
+        while backend.clients[0] in backend.connections:
             await curio.sleep(0.005)
         assert len(backend.requests) == 1
 
@@ -187,7 +186,6 @@
         sock = await send(passing, request())
         while not backend.requests:
             await curio.sleep(0.005)
-        n_closed = backend.n_closed
         await sock.close()
         closed_at = system_clock()
         while passing.server.n_in_flight:
@@ -195,9 +193,10 @@
             await curio.sleep(0.005)
         while reaching.gateway.peer_port.server.n_in_flight:
             await curio.sleep(0.005)
-        assert backend.n_closed == n_closed
+        # Checks of the path open and close connections of their own.
+        assert backend.clients[0] in backend.connections
         (line,) = reaching.logged("request_done")
-        assert "status=200" in line and "relayed=True" in line
+        assert "status=200" in line and "from_peer=True" in line
 
     with_entries(body, Backend("one", delay_ms=600))
 
@@ -414,21 +413,24 @@
     with_entries(body, Backend("one", respond))
 
 
-def test_attempts_and_retries_are_counted_once(with_entries):
+@pytest.mark.parametrize("is_acquired", [False, True])
+def test_attempts_and_retries_are_counted_once(with_entries, is_acquired):
     """Guards against more attempts or retries than permitted because each entry counts
-    only its own."""
+    only its own, and against a retry that two entries count."""
     fake = FakePeer(4, 0, "reset")
 
     async def body(passing, reaching, *backends):
+        passing.is_retry_acquired = is_acquired
         status, *_ = await exchange(passing, request(b"GET", body=b""))
         # The first hop was lost, so the refusal of a server isn't the whole outcome.
         assert status == 502
         # One of the two attempts was used up by the first peer.
         assert sum(len(backend.requests) for backend in backends) == 1
         assert passing.calls[0].n_sends() == 2
-        retries = reaching.gateway.metrics
-        assert retries.get("retries_total", service="s") == 1
+        metrics = reaching.gateway.metrics
+        assert metrics.get("retries_total", service="s") == int(not is_acquired)
         assert passing.gateway.metrics.get("retries_total", service="s") == 0
+        assert not passing.calls[0].is_retry_acquired
 
     refusal = signed_response(503, b"full", b"q1", b"x-not-executed: 1")
     backends = [Backend(name, lambda data: refusal) for name in ("one", "two")]
--- a/pollenfold/tests/platform/test_peer_processes.py
+++ b/pollenfold/tests/platform/test_peer_processes.py
@@ -59,7 +59,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     async with sock:
         sock.bind((source_host, 0))
-        value = encode_relayed_request(RelayedRequest("s", 200.0, 2, False))
+        value = encode_relayed_request(RelayedRequest("s", 200.0, 2, False, False))
         try:
             await sock.connect((host, RELAY_PORT))
             await sock.sendall(
