--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -159,7 +159,9 @@
         outcome = AttemptOutcome(result.outcome.value)
         attempt = Attempt(target, 0.0, outcome, elapsed_ms, n_sends=result.n_sends)
         call.attempts.append(attempt)
-        self._metrics.count("relays_total", service=call.service, outcome=outcome.value)
+        self._metrics.count(
+            "relayed_total", service=call.service, outcome=outcome.value
+        )
         self._log.request(
             "request_relayed",
             result.outcome is not RelayOutcome.RESPONDED,
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -129,7 +129,6 @@
         finally:
             end_relay()
             call.relay_trace.append(f"{peer.entry_id}:{outcome}")
-            self._metrics.count("relayed_total", outcome=outcome)
             self._metrics.observe("relay_ms", self._clock() - started_at)
         self._record(call, peer, result)
         return result
--- a/pollenfold/tests/gateway/test_cut_entry.py
+++ b/pollenfold/tests/gateway/test_cut_entry.py
@@ -107,6 +107,11 @@
     return backends, paths, links
 
 
+def n_responses(path):
+    """Return how many requests were served through a peer."""
+    return path.metrics.get("relayed_total", service="s", outcome="responded")
+
+
 def logged(path, event):
     path.log.flush()
     return [line for line in path.lines if f"event={event} " in line]
@@ -121,10 +126,11 @@
         backends, (path, other), links = await cut_entry(mode)
         await cut_all(links[0], "pass")
         await curio.sleep(1.0)
-        n_relayed = path.metrics.get("relayed_total", outcome="responded")
+        n_relayed = n_responses(path)
+        assert n_relayed > 0
         for _ in range(10):
             assert (await path.get()).status == 200
-        assert path.metrics.get("relayed_total", outcome="responded") == n_relayed
+        assert n_responses(path) == n_relayed
         assert len(logged(path, "endpoints_unreachable")) == 1
         assert len(logged(path, "endpoints_reachable")) == 1
         assert path.metrics.get("is_cut") == 0.0
@@ -261,3 +267,42 @@
         assert not logged(path, "server_ended")
 
     run(main)
+
+
+def test_isolated_entry_refuses_soon(run):
+    """Guards against requests that are held by an entry which reaches neither endpoints
+    nor peers."""
+
+    async def main():
+        _, (path, _), links = await start_fleet()
+        assert (await path.get()).status == 200
+        unused = {"a": {"e1": "127.0.7.99"}}
+        path.view.peer_directory.apply(unused, path.entry_id)
+        await cut_all(links[0], "hang")
+        for _ in range(5):
+            started_at = system_clock()
+            assert (await path.get()).status == 503
+            assert system_clock() - started_at < MAX_FIRST_REQUEST_MS
+        assert not path.monitor.is_cut
+
+    run(main)
+
+
+@pytest.mark.parametrize("mode", ["refuse", "hang"])
+def test_peer_that_is_cut_as_well_is_tried_no_further(run, mode):
+    """Guards against refusals at a cut entry whose peers were cut after they were found
+    to reach the endpoints, while another one still does."""
+
+    async def main():
+        _, paths, links = await start_fleet(3)
+        for path in paths:
+            assert (await path.get()).status == 200
+        await cut_all(links[0], mode)
+        while not paths[0].monitor.is_cut:
+            await paths[0].get()
+        await cut_all(links[1], mode)
+        statuses = [(await paths[0].get()).status for _ in range(12)]
+        assert statuses == [200] * 12
+        assert not paths[1].metrics.get("relayed_total", service="s", outcome="lost")
+
+    run(main)
