Test with real processes that callers of a cut-off entry are served

One control replica and two entries as processes; the first one's connections to the backend servers go through forwarders that refuse, reset, hang, or refuse only new connections (pollenfold.testing.redirects gives this process other addresses for its servers). From one second after the cut all of 40 requests, half of them not to be repeated, are served, and none runs against its status; after the links are restored the entry uses its own path again.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -100,6 +100,9 @@
     n_log_bytes: int = 0
     """Size of the log when the process was started."""
 
+    module: tuple[str, ...] = ("pollenfold.platform",)
+    """The module that is run, with the arguments before the role."""
+
     def start(self, seeds: list[str], is_first: bool) -> None:
         if self.process is not None and self.process.poll() is None:
             # Another fault has already restarted it. Starting a second process would
@@ -125,7 +128,7 @@
         with (self.folder / "log").open("ab") as log:
             self.n_log_bytes = log.tell()
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "pollenfold.platform", self.role],
+                [sys.executable, "-m", *self.module, self.role],
                 cwd=ROOT,
                 env={**os.environ, "POLLENFOLD_BOOT": str(settings)},
                 stdout=log,
