Cut entries off from all servers in the soak, and ask peers again that reached none

In each calm phase one entry, drawn by the seed, is cut off from all backend servers for 4 s (refused, reset, hanging, or old connections that live on); requests to it must be served within 5 in 100 (and two requests) of those to the others. Entries connect from their own host, by which the servers' proxies know them.

It found that an entry refused all requests for 1.5 s when each of its two peers had once reported that it reached nothing, in a stall of the machine: such peers weren't asked. They are asked again when there are no others, at most every 100 ms, and an entry that asked nobody no longer counts as isolated. A failed request now starts a check as a failed probe does. Checks without a response are logged as endpoints_silent if they show no cut.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -28,7 +28,7 @@
 
 import curio
 
-from benchmarks.soak_backends import DEADLY, Link, SoakBackend
+from benchmarks.soak_backends import DEADLY, Cut, EntryLinks, Link, SoakBackend
 from pollenfold.http.client import HttpConnection
 from pollenfold.http.messages import Response, find_header
 
@@ -53,6 +53,15 @@
 
 MAX_LIMITED = 2
 
+CUT_S = 4.0
+CUT_NOTICE_S = 1.0
+"""How long after it was cut off from all servers an entry may fail requests."""
+
+CUT_TOLERANCE = 0.05
+CUT_MAX_FAILED = 2
+"""By how much the served share at a cut entry may lie below that at the others, and how
+many more requests may fail there."""
+
 REFUSALS = (408, 421, 429, 503)
 ZONES = ("a", "b", "c")
 
@@ -165,6 +174,7 @@
     drawn by the seeds kept as regression tests."""
 
     deadly_rng: random.Random = field(default_factory=random.Random)
+    cut_rng: random.Random = field(default_factory=random.Random)
     violations: list[str] = field(default_factory=list)
     refused: set[str] = field(default_factory=set)
     n_served: int = 0
@@ -180,8 +190,10 @@
         self.limit_rng.seed(-1 - self.seed)
         self.deadly_rng.seed(-1_000_000 - self.seed)
         network = f"127.{10 + self.seed % 200}"
+        self.cut_rng.seed(-2_000_000 - self.seed)
         self.controls = [self._program("control", network, 1, k) for k in range(3)]
         self.entries = [self._program("entry", network, 2, k) for k in range(3)]
+        self.entry_links = [self._redirect(entry) for entry in self.entries]
         self.seeds = [program.host for program in self.controls]
         self.backends = [
             SoakBackend(f"i-{k}", f"{network}.3.{k + 1}", ZONES[k % 3])
@@ -195,6 +207,12 @@
         host = f"{network}.{subnet}.{number + 1}"
         return Program(name, role, host, ZONES[number], folder)
 
+    def _redirect(self, entry: Program) -> EntryLinks:
+        """Let an entry connect to the backend servers from its own host."""
+        redirects = entry.folder / "redirects.json"
+        entry.module = ("pollenfold.testing.redirects", str(redirects))
+        return EntryLinks(entry.host, redirects)
+
     def add_violation(self, text: str) -> None:
         self.violations.append(f"seed {self.seed} {text}")
 
@@ -452,6 +470,65 @@
                 f"{NEWS_LIMIT_S} s after the third"
             )
 
+    async def cut_entry(self, number: int) -> None:
+        """Cut an entry off from all servers; its callers must be served like others."""
+        cut = self.cut_rng.randrange(len(self.entries))
+        how = self.cut_rng.choice(list(Cut))
+        self.entry_links[cut].cut(how, self.backends)
+        since = time.monotonic() + CUT_NOTICE_S
+        tasks = [
+            await curio.spawn(self._send_in_cut, entry, number, since)
+            for entry in self.entries
+        ]
+        results = [await task.join() for task in tasks]
+        self.entry_links[cut].restore(self.backends)
+        own = results.pop(cut)
+        others = [is_served for result in results for is_served in result]
+        share = sum(own) / max(1, len(own))
+        other_share = sum(others) / max(1, len(others))
+        name = self.entries[cut].name
+        print(
+            f"seed={self.seed} cut={name} how={how.value} n={len(own)} "
+            f"served={share:.3f} others={other_share:.3f}",
+            flush=True,
+        )
+        if sum(own) < (other_share - CUT_TOLERANCE) * len(own) - CUT_MAX_FAILED:
+            self.add_violation(
+                f"{name}: {share:.2f} of the requests served while it was cut "
+                f"off ({how.value}), {other_share:.2f} at the others"
+            )
+
+    async def _send_in_cut(
+        self, entry: Program, number: int, since: float
+    ) -> list[bool]:
+        """Send requests to an entry; return which were served of those after ``since``.
+
+        Each one comes on a new connection.
+        """
+        results = []
+        n_sent = 0
+        while time.monotonic() < since + CUT_S - CUT_NOTICE_S:
+            n_sent += 1
+            kind = ("safe", "unsafe")[n_sent % 2]
+            request_id = f"{kind}-cut-{entry.name}-{number}-{n_sent}"
+            headers = [
+                (b"host", b"h.example"),
+                (b"x-request-id", request_id.encode()),
+                (b"x-deadline-ms", b"1000"),
+            ]
+            method = b"GET" if kind == "safe" else b"POST"
+            path = f"/{kind}/{request_id}"
+            is_measured = time.monotonic() >= since
+            response = await exchange(
+                entry.host, CALLER_PORT, method, path, headers, b"", 1.5
+            )
+            if response is not None and response.status in REFUSALS:
+                self.refused.add(request_id)
+            if is_measured:
+                results.append(response is not None and response.status == 200)
+            await curio.sleep(0.02)
+        return results
+
     async def drain_backend(self) -> None:
         """Drain a backend server; after the limit it must receive no requests."""
         backend = self.rng.choice([b for b in self.backends if not b.is_leaving])
@@ -535,6 +612,7 @@
         await deadly_task.join()
         await drain_task.join()
         await limit_task.join()
+        await self.cut_entry(number)
 
     async def _recover(self) -> None:
         """Kill all processes; acknowledged configuration and service must recover."""
--- a/benchmarks/soak_backends.py
+++ b/benchmarks/soak_backends.py
@@ -8,6 +8,7 @@
 import time
 from collections import deque
 from enum import Enum
+from pathlib import Path
 
 import curio
 from curio import socket
@@ -21,6 +22,9 @@
 DOWN_S = 1.5
 """How long a server is down that ended running a deadly request."""
 
+CLOSED_PORT = 1
+"""Nothing listens there."""
+
 DEADLY = "deadly"
 """Part of the path of a request that ends each server which runs it."""
 
@@ -44,11 +48,14 @@
     """Forwards connections to another address, with the link fault of its mode."""
 
     def __init__(self, host: str) -> None:
-        self._host = host
+        self.host = host
         self._target: tuple[str, int] = ("", 0)
-        self._socks: set[socket.socket] = set()
+        self._socks: dict[socket.socket, str] = {}
         self._accept_task: curio.Task | None = None
         self.mode = Link.PASS
+        self.host_modes: dict[str, Link] = {}
+        """Modes of the connections that come from some hosts only."""
+
         self.port = 0
 
     async def start(self, target: tuple[str, int]) -> None:
@@ -58,7 +65,7 @@
 
     async def listen(self) -> None:
         """Listen on a free port, or again on the same one."""
-        sock = curio.tcp_server_socket(self._host, self.port)
+        sock = curio.tcp_server_socket(self.host, self.port)
         self.port = sock.getsockname()[1]
         self._accept_task = await curio.spawn(self._accept, sock, daemon=True)
 
@@ -68,9 +75,14 @@
             await self._accept_task.cancel()
         self.close_connections()
 
-    def close_connections(self) -> None:
-        """Shut down all connections, like a reset at the end of a network partition."""
-        for sock in list(self._socks):
+    def close_connections(self, client_host: str = "") -> None:
+        """Shut down all connections, like a reset at the end of a network partition.
+
+        With ``client_host``, only those that come from there.
+        """
+        for sock, host in list(self._socks.items()):
+            if client_host not in ("", host):
+                continue
             try:
                 sock._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
@@ -79,42 +91,104 @@
     async def _accept(self, sock: socket.socket) -> None:
         async with sock:
             while True:
-                client, _ = await sock.accept()
-                await curio.spawn(self._serve, client, daemon=True)
+                client, address = await sock.accept()
+                await curio.spawn(self._serve, client, address[0], daemon=True)
+
+    def _mode_for(self, client_host: str) -> Link:
+        return self.host_modes.get(client_host, self.mode)
 
-    async def _serve(self, client: socket.socket) -> None:
-        if self.mode is Link.RESET:
+    async def _serve(self, client: socket.socket, client_host: str) -> None:
+        if self._mode_for(client_host) is Link.RESET:
             await client.close()
             return
         server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socks |= {client, server}
+        self._socks |= {client: client_host, server: client_host}
         try:
             async with client, server:
                 await server.connect(self._target)
                 async with curio.TaskGroup(wait=any) as group:
-                    await group.spawn(self._copy, client, server, False)
-                    await group.spawn(self._copy, server, client, True)
+                    await group.spawn(self._copy, client, server, False, client_host)
+                    await group.spawn(self._copy, server, client, True, client_host)
         except OSError:
             return
         finally:
-            self._socks -= {client, server}
+            del self._socks[client], self._socks[server]
 
     async def _copy(
-        self, source: socket.socket, target: socket.socket, is_response: bool
+        self,
+        source: socket.socket,
+        target: socket.socket,
+        is_response: bool,
+        client_host: str,
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await source.recv(65536):
-                if self.mode is Link.DELAY:
+                if self._mode_for(client_host) is Link.DELAY:
                     await curio.sleep(0.15)
-                while self._is_blocked(is_response):
+                while self._is_blocked(is_response, client_host):
                     await curio.sleep(0.05)
                 await target.sendall(data)
 
-    def _is_blocked(self, is_response: bool) -> bool:
+    def _is_blocked(self, is_response: bool, client_host: str) -> bool:
         """Return whether the mode blocks the bytes of a direction."""
-        if self.mode is Link.ONE_WAY:
+        mode = self._mode_for(client_host)
+        if mode is Link.ONE_WAY:
             return is_response
-        return self.mode is Link.SILENT
+        return mode is Link.SILENT
+
+
+class Cut(Enum):
+    """How an entry is cut off from all backend servers.
+
+    ``REFUSE`` closes open connections and refuses new ones, ``REFUSE_NEW`` only refuses
+    new ones. ``HANG`` carries no byte on any connection, ``RESET`` closes them all.
+    """
+
+    REFUSE = "refuse"
+    REFUSE_NEW = "refuse_new"
+    HANG = "hang"
+    RESET = "reset"
+
+
+class EntryLinks:
+    """The links of one entry to all backend servers.
+
+    The entry runs with redirects (``pollenfold/testing/redirects.py``), and connects
+    from its own host, by which the backend servers' proxies know it.
+    """
+
+    def __init__(self, host: str, redirects: Path) -> None:
+        self._host = host
+        self._redirects = redirects
+        self._write_redirects([])
+
+    def _write_redirects(self, refused: list[LinkProxy]) -> None:
+        """Redirect connections to these proxies to a port that refuses them."""
+        fields = {"source": self._host}
+        fields |= {f"{p.host}:{p.port}": f"{p.host}:{CLOSED_PORT}" for p in refused}
+        # A process that reads the file must not see a part of it.
+        partial = self._redirects.with_suffix(".partial")
+        partial.write_text(json.dumps(fields))
+        partial.replace(self._redirects)
+
+    def cut(self, how: Cut, backends: list[SoakBackend]) -> None:
+        """Cut the entry off from all backend servers."""
+        links = [backend.link for backend in backends]
+        if how in (Cut.REFUSE, Cut.REFUSE_NEW):
+            self._write_redirects(links)
+        for link in links:
+            if how in (Cut.HANG, Cut.RESET):
+                is_hang = how is Cut.HANG
+                link.host_modes[self._host] = Link.SILENT if is_hang else Link.RESET
+            if how in (Cut.REFUSE, Cut.RESET):
+                link.close_connections(self._host)
+
+    def restore(self, backends: list[SoakBackend]) -> None:
+        """End a cut."""
+        self._write_redirects([])
+        for backend in backends:
+            if backend.link.host_modes.pop(self._host, None) is Link.SILENT:
+                backend.link.close_connections(self._host)
 
 
 class SoakBackend:
--- a/pollenfold/core/peer_choice.py
+++ b/pollenfold/core/peer_choice.py
@@ -156,19 +156,16 @@
     ) -> list[PeerCandidate]:
         """Return peers to ask for their reach, half of them of the own zone.
 
-        Those that are avoided are left out, and those with the oldest reports come
-        first, at random among those without one.
+        Those with the oldest reports come first, at random among those without one, and
+        those that are avoided last: they are asked only if there are no others.
         """
-        eligible = [
-            c
-            for c in candidates
-            if c.entry_id not in excluded
-            and now >= self._state(c.entry_id).avoided_until
-        ]
+        eligible = [c for c in candidates if c.entry_id not in excluded]
         rng.shuffle(eligible)
         eligible.sort(key=lambda c: self._state(c.entry_id).reported_at)
-        local = [c for c in eligible if c.is_local]
-        remote = [c for c in eligible if not c.is_local]
+        usable = [c for c in eligible if now >= self._state(c.entry_id).avoided_until]
+        usable = usable or eligible
+        local = [c for c in usable if c.is_local]
+        remote = [c for c in usable if not c.is_local]
         n_local = min(len(local), max(n_wanted - len(remote), (n_wanted + 1) // 2))
         return [*local[:n_local], *remote[: n_wanted - n_local]]
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -351,6 +351,10 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._record_outcome(call, endpoint, outcome, elapsed_ms)
+        if outcome in RESPONSE_OUTCOMES:
+            self._monitor.observe(endpoint, Contact.RESPONDED)
+        else:
+            await self._monitor.observe_failure(endpoint, Contact.UNANSWERED)
         if outcome is AttemptOutcome.LOST:
             await self._suspects.record_lost_run(call, endpoint, started_at)
         elif outcome in COMPLETED_OUTCOMES and not has_remaining_body:
@@ -430,10 +434,6 @@
         now = self._clock()
         service = call.service
         self._metrics.count("attempts_total", service=service, outcome=outcome.value)
-        if outcome in RESPONSE_OUTCOMES:
-            self._monitor.observe(endpoint, Contact.RESPONDED)
-        else:
-            self._monitor.observe(endpoint, Contact.UNANSWERED)
         match outcome:
             case AttemptOutcome.RESPONDED:
                 endpoint.health.observe(elapsed_ms)
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -47,6 +47,11 @@
 
 N_REFRESHED_PEERS = 2
 REFRESH_INTERVAL_MS = 300.0
+"""How often a cut entry asks some peers to know more of them."""
+
+SEARCH_INTERVAL_MS = 100.0
+"""How often it asks at most while it knows of no peer that reaches a service."""
+
 
 CONTACT_INTERVAL_MS = 100.0
 """How often an entry without requests contacts endpoints at most, to answer peers that
@@ -92,6 +97,7 @@
         self._trials: curio.Task | None = None
         self._is_stopped = False
         self._next_refresh_at = Instant(float("-inf"))
+        self._next_search_at = Instant(float("-inf"))
         self._next_contact_at = Instant(float("-inf"))
         self.on_change: Callable[[], Awaitable[None]] = _do_nothing
 
@@ -186,22 +192,23 @@
         check = CheckResult(
             services, len(endpoints), n_responded, peer_services, n_peers
         )
-        self.is_isolated = not n_responded and not n_peers
+        self.is_isolated = bool(self._view.peers) and not (n_responded or n_peers)
         now = self._clock()
         is_cut = self.reach.conclude_check(check, started_at, now)
         result = "cut" if is_cut else "reached" if n_responded else "unconfirmed"
         self._metrics.count("reach_checks_total", result=result)
+        if not n_responded:
+            self._log.state(
+                "endpoints_unreachable" if is_cut else "endpoints_silent",
+                endpoints=len(endpoints),
+                responded=n_responded,
+                services=",".join(sorted(services)),
+                peers_answered=n_peers,
+                peers_reach=",".join(sorted(peer_services)),
+                check_ms=now - started_at,
+            )
         if not is_cut:
             return
-        self._log.state(
-            "endpoints_unreachable",
-            endpoints=len(endpoints),
-            responded=n_responded,
-            services=",".join(sorted(services)),
-            peers_answered=n_peers,
-            peers_reach=",".join(sorted(peer_services)),
-            check_ms=now - started_at,
-        )
         await self._change()
         self._trials = await curio.spawn(self._run_trials, daemon=True)
 
@@ -388,8 +395,8 @@
             await curio.sleep(remaining_ms(since, self._clock()) / 1000)
         if self._knows_peer_for(service, since):
             return True
-        if self._clock() >= self._next_refresh_at:
-            self._next_refresh_at = add_ms(self._clock(), REFRESH_INTERVAL_MS)
+        if self._clock() >= self._next_search_at:
+            self._next_search_at = add_ms(self._clock(), SEARCH_INTERVAL_MS)
             self._search = await curio.spawn(
                 self._refresh_peers, N_ASKED_PEERS, daemon=True
             )
--- a/pollenfold/tests/core/test_peer_choice.py
+++ b/pollenfold/tests/core/test_peer_choice.py
@@ -96,6 +96,15 @@
     assert "a-0" in {candidate.entry_id for candidate in later}
 
 
+def test_cut_peers_are_asked_again_if_there_are_no_others():
+    """Guards against an entry that refuses all requests for seconds, because each of
+    its few peers once reported that it reached nothing."""
+    table = table_with([])
+    for candidate in ALL:
+        table.record_report(candidate.entry_id, frozenset(), 0, 0.0)
+    assert len(table.choose_to_ask(ALL, 4, (), 1.0, random.Random(1))) == 4
+
+
 def test_both_zones_are_asked():
     """Guards against a check that asks only entries of a zone that is wholly cut."""
     asked = table_with([]).choose_to_ask(ALL, 4, (), 0.0, random.Random(3))
