--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -16,26 +16,16 @@
 from ..core.link import Link
 from ..core.peer_choice import PeerCandidate, PeerTable
 from ..core.reach import CheckResult, Contact, Reach
-from ..http.messages import Response
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
-from .backend import BackendConnection
 from .dialect import Dialect
 from .endpoint import Endpoint
-from .health_requests import HealthRequests
-from .notices import apply_response_notices
+from .endpoint_contacts import EndpointContacts
 from .peers import Peer
 from .relay import RelayClient
 from .view import FleetView
 
 N_CHECKED_ENDPOINTS = 6
-N_CHECKED_PER_SERVICE = 2
-CHECK_TIMEOUT_MS = 120.0
-"""How long an endpoint has to respond to a check, beyond the backlog of the link."""
-
-FIRST_RESPONSE_MS = 30.0
-"""How long a check waits for the first endpoint before it contacts the others."""
-
 N_TRIED_ENDPOINTS = 2
 TRIAL_INTERVAL_MS = 100.0
 """Together they bound what an entry sends to endpoints while it is cut off."""
@@ -82,15 +72,15 @@
 
         self.peer_table = PeerTable()
         self._view = view
-        self._dialect = dialect
         self._zone = zone
         self._relay_client = relay_client
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._link = link
-        self._health_requests = HealthRequests(view, dialect)
+        self._contacts = EndpointContacts(
+            view, dialect, self._observe_response, clock, metrics, rng, link
+        )
         self._check: curio.Task | None = None
         self._refresh: curio.Task | None = None
         self._search: curio.Task | None = None
@@ -120,6 +110,9 @@
             announcement.service, announcement.endpoint_id, contact, self._clock()
         )
 
+    def _observe_response(self, endpoint: Endpoint) -> None:
+        self.observe(endpoint, Contact.RESPONDED)
+
     async def observe_failure(self, endpoint: Endpoint, contact: Contact) -> None:
         """Record a failure, and start a check if there is reason for it."""
         self.observe(endpoint, contact)
@@ -175,16 +168,18 @@
             if now < self._next_contact_at:
                 return
             self._next_contact_at = add_ms(now, CONTACT_INTERVAL_MS)
-            endpoints = self._choose_endpoints(N_CHECKED_ENDPOINTS)
-            self._refresh = await curio.spawn(self._contact, endpoints, daemon=True)
+            endpoints = self._contacts.choose(N_CHECKED_ENDPOINTS)
+            self._refresh = await curio.spawn(
+                self._contacts.contact, endpoints, daemon=True
+            )
         await self._refresh.wait()
 
     # Checks
 
     async def _run_check(self) -> None:
         started_at = self._clock()
-        endpoints = self._choose_endpoints(N_CHECKED_ENDPOINTS)
-        n_responded = await self._contact_in_steps(endpoints)
+        endpoints = self._contacts.choose(N_CHECKED_ENDPOINTS)
+        n_responded = await self._contacts.contact_in_steps(endpoints)
         n_peers, peer_services = 0, frozenset[str]()
         if not n_responded:
             n_peers, peer_services = await self._ask_peers(self.reach.ask_at())
@@ -216,116 +211,6 @@
         self._metrics.set("is_cut", float(self.is_cut))
         await self.on_change()
 
-    def _choose_endpoints(self, n_wanted: int) -> list[Endpoint]:
-        """Return endpoints of as many services as possible, at random.
-
-        Endpoints that declare a limit or back off are left out.
-        """
-        now = self._clock()
-        groups = []
-        for endpoints in self._view.by_service.values():
-            usable = [
-                e
-                for e in endpoints
-                if e.declared_limit is None and not e.is_backing_off(now)
-            ]
-            n_sampled = min(len(usable), N_CHECKED_PER_SERVICE)
-            groups.append(self._rng.sample(usable, n_sampled))
-        self._rng.shuffle(groups)
-        ranked = [
-            group[position]
-            for position in range(N_CHECKED_PER_SERVICE)
-            for group in groups
-            if position < len(group)
-        ]
-        return ranked[:n_wanted]
-
-    async def _contact_in_steps(self, endpoints: list[Endpoint]) -> int:
-        """Contact one endpoint, and the others unless it responds soon.
-
-        Most checks find that endpoints respond.
-        """
-        n_responded = await self._contact(endpoints[:1], FIRST_RESPONSE_MS)
-        return n_responded or await self._contact(endpoints)
-
-    async def _contact(
-        self, endpoints: list[Endpoint], timeout_ms: float = CHECK_TIMEOUT_MS
-    ) -> int:
-        """Send health requests on new connections; return how many are responded.
-
-        All are under way before the first response is awaited, so that the time-out
-        is one for all. No task is started, since one that starts others when the
-        process ends would outlive it.
-        """
-        started_at = self._clock()
-        until = add_ms(started_at, timeout_ms + self._link.backlog_ms(started_at))
-        connections = [(e, self._open_connection(e)) for e in endpoints]
-        sent = [
-            (endpoint, connection)
-            for endpoint, connection in connections
-            if connection is not None and await self._send(endpoint, connection, until)
-        ]
-        responded = [
-            await self._receive(endpoint, connection, until)
-            for endpoint, connection in sent
-        ]
-        return sum(responded)
-
-    def _open_connection(self, endpoint: Endpoint) -> BackendConnection | None:
-        announcement = endpoint.announcement
-        self._metrics.count("probes_total", service=announcement.service)
-        try:
-            return BackendConnection(announcement.host, announcement.port, self._link)
-        except OSError:
-            return None
-
-    async def _send(
-        self, endpoint: Endpoint, connection: BackendConnection, until: Instant
-    ) -> bool:
-        """Send a health request, or close the connection if that fails."""
-        is_sent = False
-        try:
-            async with curio.timeout_after(remaining_ms(until, self._clock()) / 1000):
-                await connection.wait_until_connected()
-                is_sent = await connection.send(self._health_requests.get(endpoint))
-        except (OSError, curio.TaskTimeout):
-            is_sent = False
-        finally:
-            if not is_sent:
-                await connection.close()
-        return is_sent
-
-    async def _receive(
-        self, endpoint: Endpoint, connection: BackendConnection, until: Instant
-    ) -> bool:
-        """Receive a health response and close the connection."""
-        sent_at = self._clock()
-        left_ms = max(1.0, remaining_ms(until, sent_at))
-        try:
-            async with curio.timeout_after(left_ms / 1000):
-                response = await connection.receive(lambda _: True)
-        except curio.TaskTimeout:
-            return False
-        finally:
-            await connection.close()
-        if not isinstance(response, Response):
-            return False
-        self._apply(endpoint, response, sent_at)
-        return True
-
-    def _apply(self, endpoint: Endpoint, response: Response, asked_at: Instant) -> None:
-        self.observe(endpoint, Contact.RESPONDED)
-        is_success = response.status == 200
-        apply_response_notices(
-            endpoint,
-            response,
-            self._dialect,
-            self._view,
-            self._rng,
-            is_success,
-            asked_at,
-        )
-
     # Peers
 
     def peers(self) -> tuple[dict[str, Peer], list[PeerCandidate]]:
@@ -417,8 +302,8 @@
         """Try the path and keep up with peers until the cut is over."""
         while self.is_cut:
             started_at = self._clock()
-            endpoints = self._choose_endpoints(N_TRIED_ENDPOINTS)
-            n_responded = await self._contact(endpoints)
+            endpoints = self._contacts.choose(N_TRIED_ENDPOINTS)
+            n_responded = await self._contacts.contact(endpoints)
             if started_at >= self._next_refresh_at:
                 self._next_refresh_at = add_ms(started_at, REFRESH_INTERVAL_MS)
                 await self._refresh_peers(N_REFRESHED_PEERS)
@@ -437,7 +322,7 @@
 
     def forget_absent(self) -> None:
         """Drop what is known of endpoints, services and entries that are gone."""
-        self._health_requests.forget_absent()
+        self._contacts.forget_absent()
         self.reach.retain(frozenset(self._view.by_service))
         self.peer_table.retain(self._view.peers)
 
