Let a cut end though endpoints declare limits, are partly down, or a trial fails

Three cases in which an entry would have relayed on after its links were restored: all endpoints declare a limit or back off, so that none got a trial (only a connection is opened to them now); half of the endpoints are down, so that rarely all trials of a round succeeded; and trials that ended with an error (started again within a second).

--- a/pollenfold/core/reach.py
+++ b/pollenfold/core/reach.py
@@ -218,12 +218,12 @@
     def observe_trials(self, n_contacted: int, n_responded: int, now: Instant) -> bool:
         """Apply a round of trials of a cut path; return whether the cut is over.
 
-        A single failed trial may be that of an endpoint that is down, so only a round
-        without a majority of responses starts the count anew.
+        A failed trial may be that of an endpoint that is down, so only a round without
+        any response starts the count anew.
         """
         if not self.is_cut or not n_contacted:
             return False
-        if 2 * n_responded <= n_contacted:
+        if not n_responded:
             self._restart_healing()
             return False
         if self._healing_since is None:
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -404,7 +404,7 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
-            self._monitor.forget_absent()
+            await self._monitor.maintain()
             await self._check_limits()
 
     async def _check_limits(self) -> None:
--- a/pollenfold/gateway/endpoint_contacts.py
+++ b/pollenfold/gateway/endpoint_contacts.py
@@ -31,7 +31,8 @@
 class EndpointContacts:
     """Sends health requests to endpoints, each on a new connection.
 
-    ``on_response`` is called with each endpoint that responds.
+    An endpoint that declares a limit or backs off gets no request; the connection alone
+    counts. ``on_response`` is called with each endpoint that responds.
     """
 
     def __init__(
@@ -56,18 +57,13 @@
     def choose(self, n_wanted: int) -> list[Endpoint]:
         """Return endpoints of as many services as possible, at random.
 
-        Endpoints that declare a limit or back off are left out.
+        Those of a service that take requests come before the others.
         """
-        now = self._clock()
         groups = []
         for endpoints in self._view.by_service.values():
-            usable = [
-                e
-                for e in endpoints
-                if e.declared_limit is None and not e.is_backing_off(now)
-            ]
-            n_sampled = min(len(usable), N_CHECKED_PER_SERVICE)
-            groups.append(self._rng.sample(usable, n_sampled))
+            group = self._rng.sample(endpoints, len(endpoints))
+            group.sort(key=self._is_spared)
+            groups.append(group[:N_CHECKED_PER_SERVICE])
         self._rng.shuffle(groups)
         ranked = [
             group[position]
@@ -97,20 +93,41 @@
         started_at = self._clock()
         until = add_ms(started_at, timeout_ms + self._link.backlog_ms(started_at))
         connections = [(e, self._open_connection(e)) for e in endpoints]
-        sent = [
-            (endpoint, connection)
-            for endpoint, connection in connections
-            if connection is not None and await self._send(endpoint, connection, until)
-        ]
-        responded = [
-            await self._receive(endpoint, connection, until)
-            for endpoint, connection in sent
-        ]
-        return sum(responded)
+        sent = []
+        n_responded = 0
+        for endpoint, connection in connections:
+            if connection is None:
+                continue
+            if self._is_spared(endpoint):
+                n_responded += await self._wait_until_open(connection, until)
+            elif await self._send(endpoint, connection, until):
+                sent.append((endpoint, connection))
+        for endpoint, connection in sent:
+            n_responded += await self._receive(endpoint, connection, until)
+        return n_responded
+
+    def _is_spared(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint should get no request of a check."""
+        is_backing_off = endpoint.is_backing_off(self._clock())
+        return endpoint.declared_limit is not None or is_backing_off
+
+    async def _wait_until_open(
+        self, connection: BackendConnection, until: Instant
+    ) -> bool:
+        """Return whether a connection opens in time, and close it."""
+        try:
+            async with curio.timeout_after(remaining_ms(until, self._clock()) / 1000):
+                await connection.wait_until_connected()
+        except (OSError, curio.TaskTimeout):
+            return False
+        finally:
+            await connection.close()
+        return True
 
     def _open_connection(self, endpoint: Endpoint) -> BackendConnection | None:
         announcement = endpoint.announcement
-        self._metrics.count("probes_total", service=announcement.service)
+        if not self._is_spared(endpoint):
+            self._metrics.count("probes_total", service=announcement.service)
         try:
             return BackendConnection(announcement.host, announcement.port, self._link)
         except OSError:
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -320,8 +320,14 @@
             pause_ms = TRIAL_INTERVAL_MS - (now - started_at)
             await curio.sleep(max(pause_ms, TRIAL_INTERVAL_MS / 4) / 1000)
 
-    def forget_absent(self) -> None:
-        """Drop what is known of endpoints, services and entries that are gone."""
+    async def maintain(self) -> None:
+        """Drop what is known of endpoints, services and entries that are gone.
+
+        Trials that ended with an error are started again, since nothing else ends a
+        cut.
+        """
+        if self.is_cut and self._trials is not None and self._trials.terminated:
+            self._trials = await curio.spawn(self._run_trials, daemon=True)
         self._contacts.forget_absent()
         self.reach.retain(frozenset(self._view.by_service))
         self.peer_table.retain(self._view.peers)
--- a/pollenfold/tests/core/test_reach.py
+++ b/pollenfold/tests/core/test_reach.py
@@ -142,6 +142,14 @@
     assert reach.is_cut
 
 
+def test_cut_is_over_though_some_endpoints_are_down():
+    """Guards against an entry that relays on because half of the endpoints are down."""
+    reach = cut_reach()
+    for step in range(4):
+        is_over = reach.observe_trials(2, 1, 2_000.0 + step * MIN_HEALING_MS)
+    assert is_over
+
+
 def test_cut_that_returns_soon_takes_longer_to_be_over():
     """Guards against an entry that changes its mind with a path that flaps."""
     reach = cut_reach()
--- a/pollenfold/tests/gateway/test_cut_entry.py
+++ b/pollenfold/tests/gateway/test_cut_entry.py
@@ -139,6 +139,40 @@
     run(main)
 
 
+def test_cut_ends_though_all_endpoints_declare_limits(run):
+    """Guards against an entry that relays forever, because endpoints that declare a
+    limit get no trials."""
+
+    async def main():
+        backends, (path, other), links = await cut_entry()
+        for backend in backends:
+            backend.limit = b"2"
+        for view in (path.view, other.view):
+            for endpoint in view.endpoints.values():
+                view.limits.declare(endpoint, 2.0, system_clock())
+        n_checks = sum(backend.n_checks for backend in backends)
+        await cut_all(links[0], "pass")
+        await curio.sleep(1.0)
+        assert not path.monitor.is_cut
+        assert sum(backend.n_checks for backend in backends) == n_checks
+
+    run(main)
+
+
+def test_trials_that_ended_with_an_error_start_again(run):
+    """Guards against an entry that relays forever because its trials have stopped."""
+
+    async def main():
+        _, (path, _), links = await cut_entry()
+        await path.monitor._trials.cancel()
+        await cut_all(links[0], "pass")
+        await path.monitor.maintain()
+        await curio.sleep(1.0)
+        assert not path.monitor.is_cut
+
+    run(main)
+
+
 def test_servers_that_all_ended_make_no_entry_relay(run):
     """Guards against entries that pass requests on to one another in circles while the
     servers of a service are down."""
