--- a/pollenfold/tests/gateway/links.py
+++ b/pollenfold/tests/gateway/links.py
@@ -41,12 +41,21 @@
         if mode in ("refuse", "reset"):
             await self._reset_all()
         if mode == "pass":
-            await self._accepting.cancel()
-            await self._reset_all()
-            for filler in self._fillers:
-                filler.close()
-            await self._listener.close()
-            await self._listen()
+            await self._restore()
+
+    async def _restore(self):
+        await self._accepting.cancel()
+        await self._reset_all()
+        for filler in self._fillers:
+            filler.close()
+        if self._fillers:
+            # The port is kept, since another process could take it meanwhile.
+            self._fillers.clear()
+            self._listener._socket.listen(128)
+            self._accepting = await curio.spawn(self._accept, daemon=True)
+            return
+        await self._listener.close()
+        await self._listen()
 
     async def _listen(self):
         self._listener = curio.tcp_server_socket("127.0.0.1", self.own_port)
