Don't take a peer for cut off because it found no endpoint for a moment

A response of a peer says now false only if the peer is cut off itself, true if an endpoint responded to this request, and nothing otherwise; another peer is tried as before. test_refusal_of_the_peer_names_its_kind failed before for the peer that isn't cut off.

--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -133,7 +133,7 @@
         self._metrics.count("relayed_requests_total", service=relayed.service)
         response, call = await self._forwarder.handle_relayed(request, relayed)
         if response is not None:
-            value = encode_relay_notice(self._notice(call, relayed.service))
+            value = encode_relay_notice(self._notice(call))
             headers = without_relay_headers(response.headers)
             response.headers = [*headers, (RELAY_RESPONSE, value)]
             if call is not None:
@@ -148,15 +148,19 @@
     def _services(self) -> list[str]:
         return [] if self.is_stopping else sorted(self._monitor.reached_services())
 
-    def _notice(self, call: Call | None, service: str) -> RelayNotice:
+    def _notice(self, call: Call | None) -> RelayNotice:
         attempts = [] if call is None else call.attempts
         last = attempts[-1] if attempts else None
-        is_reached = any(attempt.outcome in REACHING_OUTCOMES for attempt in attempts)
+        is_reached: bool | None = None
+        if any(attempt.outcome in REACHING_OUTCOMES for attempt in attempts):
+            is_reached = True
+        elif self._monitor.is_cut:
+            is_reached = False
         return RelayNotice(
             is_from_endpoint=call is not None and call.is_endpoint_response,
             endpoint_id="" if last is None else last.endpoint_id,
             born_ms=0 if last is None else last.born_ms,
             n_sends=0 if call is None else call.n_sends(),
             n_in_flight=self.n_in_flight,
-            is_reached=is_reached or service in self._monitor.reached_services(),
+            is_reached=is_reached,
         )
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -80,9 +80,10 @@
     ``response`` is that of the endpoint with RESPONDED, else the peer's own or None,
     and ``error_kind`` is the kind of the peer's own error. ``endpoint_id`` names the
     endpoint that got the request last, or is empty. ``peer_in_flight`` is the number of
-    requests in flight at the peer, and ``reached`` whether the peer reaches endpoints
-    of the service; None if the peer didn't say. ``n_sends`` is the number of endpoints
-    that got the request.
+    requests in flight at the peer, None if it didn't say. ``reached`` is True if an
+    endpoint responded, False if the peer is cut off itself, and else None: it may have
+    found none for a moment. ``n_sends`` is the number of endpoints that got the
+    request.
     """
 
     outcome: RelayOutcome
@@ -371,7 +372,7 @@
     response.headers = without_relay_headers(response.headers)
     if notice is None:
         # The peer refused the request before it was handled, for example as too large.
-        notice = RelayNotice(False, "", 0, 0, 0, False)
+        notice = RelayNotice(False, "", 0, 0, 0, None)
         result = RelayResult(RelayOutcome.LOST, response)
     else:
         result = RelayResult(
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -45,8 +45,8 @@
 
     ``is_from_endpoint`` is False for the peer's own refusals and errors. The endpoint
     and its start time are those of the last attempt; the id is empty without one.
-    ``n_sends`` is the number of endpoints that got the request. ``is_reached`` is
-    whether the peer reaches endpoints of the service.
+    ``n_sends`` is the number of endpoints that got the request. ``is_reached`` is True
+    if one responded to it, False if the peer is cut off itself, and else None.
     """
 
     is_from_endpoint: bool
@@ -54,7 +54,7 @@
     born_ms: int
     n_sends: int
     n_in_flight: int
-    is_reached: bool
+    is_reached: bool | None
 
 
 def encode_relayed_request(request: RelayedRequest) -> bytes:
@@ -113,7 +113,7 @@
         type(is_from_endpoint) is bool
         and (endpoint_id == "" or _is_name(endpoint_id))
         and all(_is_count(count) for count in counts)
-        and type(is_reached) is bool
+        and (is_reached is None or type(is_reached) is bool)
     ):
         return RelayNotice(is_from_endpoint, endpoint_id, *counts, is_reached)
     return None
