Reserve the port of a cut link in the tests

test_lost_requests_of_a_cut_entry_quarantine_nothing failed once of four runs with 'Address already in use': a link that refuses closed its listener, and while it was closed another process of the busy machine got its port for an outgoing connection. The port stays bound now without a listener, which the kernel leaves out of that choice. 23 tests of the cut entry and of processes pass; the collision itself wasn't provoked.

--- a/pollenfold/tests/gateway/links.py
+++ b/pollenfold/tests/gateway/links.py
@@ -25,6 +25,7 @@
     _pairs: list = field(default_factory=list)
     _fillers: list = field(default_factory=list)
     _listener: object = None
+    _reservation: object = None
 
     async def start(self):
         await self._listen()
@@ -38,6 +39,7 @@
         if mode in ("refuse", "refuse_new"):
             await self._accepting.cancel()
             await self._listener.close()
+            self._reserve_port()
         if mode in ("refuse", "reset"):
             await self._reset_all()
         if mode == "pass":
@@ -47,6 +49,18 @@
                 filler.close()
             await self._listener.close()
             await self._listen()
+            self._release_port()
+
+    def _reserve_port(self):
+        """Keep other processes from using the port; connections to it are refused."""
+        self._reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)._socket
+        self._reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reservation.bind(("127.0.0.1", self.own_port))
+
+    def _release_port(self):
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
 
     async def _listen(self):
         self._listener = curio.tcp_server_socket("127.0.0.1", self.own_port)
