--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -18,6 +18,7 @@
 from .confirmer import Confirmer
 from .entry_hosts import EntryHosts
 from .peer_view import PeerView
+from .state_responses import StateResponses
 
 PUBLISH_INTERVAL_MS = 20.0
 KEEP_ALIVE_MS = 500.0
@@ -112,6 +113,7 @@
         self._published_control: list[str] = []
         self._published_n_peers = 0
         self._entry_hosts = EntryHosts()
+        self._responses = StateResponses()
         self.fleet = FleetSize()
         self._confirmer = Confirmer(cluster_state, log)
         cluster_state.on_change = self._mark_changed
@@ -124,8 +126,14 @@
         """The number of open connections."""
         return len(self._subscribers)
 
+    @property
+    def n_confirmation_rounds(self) -> int:
+        """How often this replica asked a majority for a confirmation."""
+        return self._confirmer.n_rounds
+
     def _mark_changed(self) -> None:
         self._is_changed = True
+        self._responses.record(self._cluster_state.replicated_state)
 
     def _queue_update(self, announcement: Announcement) -> None:
         self._pending_updates[announcement.endpoint_id] = announcement
@@ -214,13 +222,7 @@
 
     def _state_for(self, line: dict[str, Any]) -> dict[str, Any]:
         """Return the replicated state without the parts the subscriber already has."""
-        replicated_state = self._cluster_state.replicated_state
-        index, version = int(line.get("index", 0)), int(line.get("version", 0))
-        return (
-            replicated_state.encode_since(index, version)
-            if index
-            else replicated_state.encode()
-        )
+        return self._responses.encode(self._cluster_state.replicated_state, line)
 
     async def _request_confirmation(
         self, subscriber: _Subscriber, request_id: object
@@ -336,14 +338,14 @@
         return for_all, names
 
     async def run(self) -> None:
-        """Send changes, keep-alives and confirmations until cancelled."""
-        confirmer = await curio.spawn(self._confirmer.run, daemon=True)
-        try:
-            while True:
-                await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
-                self._publish_if_due()
-        finally:
-            await confirmer.cancel()
+        """Send changes and keep-alives to all subscribers until cancelled."""
+        while True:
+            await curio.sleep(PUBLISH_INTERVAL_MS / 1000)
+            self._publish_if_due()
+
+    async def run_confirmations(self) -> None:
+        """Answer the subscribers' requests for confirmations until cancelled."""
+        await self._confirmer.run()
 
     def _publish_if_due(self) -> None:
         now = self._clock()
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -13,10 +13,10 @@
 import curio
 
 from ..core.clock import add_ms
+from ..core.confirmation import VALIDITY_SHARE, Confirmations
 from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
-from ..core.routes import RoutingConfiguration
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import (
@@ -38,6 +38,7 @@
 from .reach_monitor import ReachMonitor
 from .relay import RelayClient
 from .settings import BalancerSettings
+from .state_loader import Decode
 from .view import FleetView
 
 READY_SETTLE_MS = 1_800.0
@@ -73,6 +74,7 @@
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
+    Accepted changes must be in force everywhere within ``apply_ms``.
     """
 
     entry_id: str
@@ -93,6 +95,7 @@
     cold_slack: float
     link_bytes_per_ms: float = 0.0
     relay_port: int = 0
+    apply_ms: float = 2_000.0
 
 
 class Gateway:
@@ -102,14 +105,15 @@
         self,
         settings: GatewaySettings,
         dialect: Dialect,
-        decode: Callable[[str], RoutingConfiguration],
+        decode: Decode,
     ) -> None:
         self.settings = settings
         clock = system_clock
         rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
-        self.view = FleetView(decode, clock, self.log, rng)
+        confirmations = Confirmations(VALIDITY_SHARE * settings.apply_ms)
+        self.view = FleetView(decode, clock, self.log, rng, confirmations)
         limits = BalancerSettings(
             settings.entry_id,
             settings.zone,
@@ -283,7 +287,7 @@
 async def serve_gateway(
     settings: GatewaySettings,
     dialect: Dialect,
-    decode: Callable[[str], RoutingConfiguration],
+    decode: Decode,
 ) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
 
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -5,12 +5,15 @@
 
 import curio
 import h11
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pollenfold.core.link import Link
 from pollenfold.core.registry import decode_announcement as decode_fields
 from pollenfold.core.replicated_state import ReplicatedState, decode_command
+from pollenfold.core.routes import RoutingConfiguration
+from pollenfold.core.slices import run_at_once
 from pollenfold.gateway.backend import BackendConnection
 from pollenfold.gateway.feeds import FEED_ERRORS
 from pollenfold.gateway.outgoing import outgoing_request
@@ -18,12 +21,15 @@
 from pollenfold.http.server import HttpServer
 from pollenfold.platform.documents import (
     DocumentError,
+    configuration_decoder,
+    configuration_steps,
     decode_announcement,
     decode_configuration,
 )
 from pollenfold.platform.headers import parse_load
+from pollenfold.platform.json_scan import scan_json
 from pollenfold.platform.settings import SettingsError, parse_settings
-from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
+from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION, ROUTE
 
 SCALARS = (
     st.none()
@@ -80,6 +86,66 @@
             )
 
 
+SPLIT_CONFIGURATION = _with_value_at(
+    CONFIGURATION,
+    ("hosts", 0, "paths", 1),
+    {
+        **{k: v for k, v in ROUTE.items() if k != "service"},
+        "pathPrefix": "/split/",
+        "trafficSplit": [
+            {"service": "booking", "weight": 90},
+            {"service": "workshop", "weight": 10},
+        ],
+    },
+)
+
+
+def decoded_or_error(decode, document):
+    try:
+        return run_at_once(decode(json.dumps(document)))
+    except DocumentError as error:
+        return str(error)
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(list(_value_paths(SPLIT_CONFIGURATION))), VALUES),
+        max_size=4,
+    )
+)
+@example([(("services", 1, "name"), "other")])
+@example([(("hosts", 0, "paths", 0), {"a": "}"}), (("hosts", 0, "paths", 1), "}")])
+def test_successive_versions_are_decoded_as_each_alone(edits):
+    """Guards against a route that is taken from an earlier version although its text,
+    or the services, differ."""
+    decode = configuration_decoder()
+    documents = [_with_value_at(SPLIT_CONFIGURATION, *edit) for edit in edits]
+    for document in (SPLIT_CONFIGURATION, *documents, SPLIT_CONFIGURATION):
+        expected = decoded_or_error(configuration_steps, document)
+        decoded = decoded_or_error(decode, document)
+        assert decoded == expected
+        if isinstance(expected, RoutingConfiguration):
+            assert decoded.indexes == expected.indexes
+            assert decoded.route_names == expected.route_names
+
+
+@given(VALUES, st.integers(0, 300), st.sampled_from([None, 1, "\t"]))
+@example({"a": [[[[[{"b": []}]]]], {"a": {}}]}, 300, 2)
+def test_json_in_steps_equals_json_at_once(value, n_chars, indent):
+    """Guards against a document that entries decode to something else than what the
+    operator's document says, or accept although it is truncated."""
+    text = json.dumps(value, indent=indent)
+    for json_text in (text, text[:n_chars], " " + text + "\n"):
+        try:
+            expected = json.loads(json_text)
+        except ValueError:
+            with pytest.raises(ValueError):
+                run_at_once(scan_json(json_text))
+        else:
+            scanned = run_at_once(scan_json(json_text))
+            assert json.dumps(scanned) == json.dumps(expected)
+
+
 @given(st.sampled_from(list(_value_paths(ANNOUNCEMENT))), VALUES)
 def test_announcement_with_any_value_at_any_path(path, value):
     """Guards against accepting an announcement with an unusable field, and against
