Leave the probes of a relayed request to the peer that takes it

A cut entry uses hardly any probes, so it leaves up to five of its own to the peer with each request. The sum over all entries stays the same.

test_probes_of_relayed_requests_come_from_the_passing_entry fails without this.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -33,6 +33,9 @@
 N_FIRST_PROBES = 2
 N_NEXT_PROBES = 3
 MAX_ROUNDS = 3
+N_RELAYED_PROBES = N_FIRST_PROBES + N_NEXT_PROBES
+"""How many probes an entry leaves to a peer with each relayed request."""
+
 OVERLOADED_SLOWDOWN = 2.0
 """Above this slowdown of the best endpoint a service counts as overloaded, and cold
 endpoints are probed as well."""
@@ -350,6 +353,29 @@
             search.probe_state.is_unreached |= is_permitted
         return None
 
+    def take_probes(self) -> int:
+        """Take the probes for one request from the budget, as far as it has them.
+
+        They are left to the peer to which the request is relayed: its own share of the
+        budget is for its own requests, and this entry sends hardly any probes while it
+        is cut off.
+        """
+        now = self._clock()
+        self._update_probe_budget(now)
+        budget = self._probe_budget
+        if budget is None:
+            return 0
+        n_probes = min(N_RELAYED_PROBES, max(0, int(budget.level(now))))
+        budget.charge(n_probes, now)
+        return n_probes
+
+    def add_probes(self, n_probes: int) -> None:
+        """Add the probes that a peer left with a relayed request."""
+        now = self._clock()
+        self._update_probe_budget(now)
+        if self._probe_budget is not None:
+            self._probe_budget.refund(n_probes, now)
+
     def is_unreached(self, service: str) -> bool:
         """Return whether no endpoint responded that the last search contacted."""
         state = self._probe_states.get(service)
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -88,6 +88,9 @@
     is_retry_acquired: bool = False
     """Whether the retry budget has already permitted the next attempt."""
 
+    n_probes_left: int = 0
+    """How many probes this entry leaves to the peer to which it relays the request."""
+
     relay_trace: list[str] = field(default_factory=list)
     """The peers to which the request was relayed, with the outcome of each."""
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -95,7 +95,7 @@
             monitor,
             relay_client,
             self._final_responses,
-            balancer.is_unreached,
+            balancer,
             clock,
             metrics,
             rng,
@@ -136,6 +136,7 @@
         Return the final response, which is None if that entry is gone, and the call,
         which is None if the request was refused before it became one.
         """
+        self._balancer.add_probes(relayed.n_probes)
         call = self._create_call(request, relayed)
         if isinstance(call, Response):
             return call, None
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -19,6 +19,8 @@
 
 MAX_VALUE_BYTES = 2_048
 MAX_NAME_CHARS = 200
+MAX_PROBES = 8
+"""How many probes a passing entry may leave to a peer with one request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,7 @@
     ``is_repeat`` is whether an endpoint may already have received it. Its request is
     then counted in the retry budget, and the send is a retry, which the peer counts
     unless ``is_retry_acquired``: the retries are counted where the requests are.
+    ``n_probes`` is how many of its own probes the passing entry leaves to the peer.
     """
 
     service: str
@@ -37,6 +40,7 @@
     max_attempts: int
     is_repeat: bool
     is_retry_acquired: bool
+    n_probes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +70,7 @@
             "max_attempts": request.max_attempts,
             "is_repeat": request.is_repeat,
             "is_retry_acquired": request.is_retry_acquired,
+            "n_probes": request.n_probes,
         }
     )
 
@@ -77,14 +82,19 @@
     target_ms = fields.get("target_ms")
     max_attempts = fields.get("max_attempts")
     flags = [fields.get(name) for name in ("is_repeat", "is_retry_acquired")]
+    n_probes = fields.get("n_probes", 0)
     if (
         _is_name(service)
         and type(target_ms) in (int, float)
         and math.isfinite(target_ms)
         and _is_count(max_attempts)
         and all(type(flag) is bool for flag in flags)
+        and _is_count(n_probes)
+        and n_probes <= MAX_PROBES
     ):
-        return RelayedRequest(service, float(target_ms), max_attempts, *flags)
+        return RelayedRequest(
+            service, float(target_ms), max_attempts, *flags, n_probes=n_probes
+        )
     return None
 
 
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
 import curio
 
@@ -11,6 +10,7 @@
 from ..core.errors import ErrorKind
 from ..http.messages import Response
 from ..observe.exposition import Metrics
+from .balancer import Balancer
 from .calls import Call
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
@@ -39,7 +39,7 @@
         monitor: ReachMonitor,
         client: RelayClient,
         final_responses: FinalResponses,
-        is_unreached: Callable[[str], bool],
+        balancer: Balancer,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
@@ -47,7 +47,7 @@
         self._monitor = monitor
         self._client = client
         self._final_responses = final_responses
-        self._is_unreached = is_unreached
+        self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -69,7 +69,7 @@
         None of the endpoints that this entry tried responded. If peers don't reach the
         service either, it is down, and None is returned.
         """
-        if not _may_relay(call) or not self._is_unreached(call.service):
+        if not _may_relay(call) or not self._balancer.is_unreached(call.service):
             return None
         if self._monitor.is_isolated:
             return None
@@ -121,6 +121,7 @@
 
     async def _relay_to(self, call: Call, peer: Peer) -> RelayResult:
         started_at = self._clock()
+        call.n_probes_left = self._balancer.take_probes()
         end_relay = self._monitor.peer_table.begin_relay(peer.entry_id)
         outcome = "abandoned"
         try:
--- a/pollenfold/tests/gateway/test_cut_entry.py
+++ b/pollenfold/tests/gateway/test_cut_entry.py
@@ -1,6 +1,7 @@
 """Entries that are cut off from all endpoints while others reach them."""
 
 import socket
+from dataclasses import replace
 
 import curio
 import pytest
@@ -263,6 +264,34 @@
     run(main)
 
 
+def probe_level(path):
+    return path.balancer._probe_budget.level(system_clock())
+
+
+def test_probes_of_relayed_requests_come_from_the_passing_entry(run):
+    """Guards against a few connected entries that run out of probes, and so refuse or
+    misplace requests, while the many cut ones use none of theirs."""
+
+    async def main():
+        _, (path, other), _ = await cut_entry()
+        for entry in (path, other):
+            entry.balancer._settings = replace(
+                entry.balancer._settings, probes_per_s=1.0
+            )
+            entry.balancer._update_probe_budget(system_clock())
+        n_all = probe_level(path)
+        other.balancer._probe_budget.charge(probe_level(other), system_clock())
+        assert (await path.get()).status == 200
+        other.log.flush()
+        done = logged(other, "request_done")[-1]
+        assert "from_peer=True" in done
+        assert "unasked" not in done
+        # Some are gained meanwhile.
+        assert probe_level(path) + probe_level(other) <= n_all
+
+    run(main)
+
+
 def test_log_leads_from_a_request_to_the_peer_that_took_it(run):
     """Guards against a request at a cut entry whose way can't be found in the log."""
 
