Ask for a second peer when the only known one refused, and check the own zone first

A run of the tests beside load failed two: a cut entry that knew one peer, which had been cut a moment ago, passed its refusal on though a third entry reached the servers (test_peer_that_is_cut_as_well_is_tried_no_further[hang]); and a check after one late probe contacted a server of another zone (test_other_zones_are_not_probed_while_the_own_zone_is_fast).

--- a/pollenfold/gateway/endpoint_contacts.py
+++ b/pollenfold/gateway/endpoint_contacts.py
@@ -39,6 +39,7 @@
         self,
         view: FleetView,
         dialect: Dialect,
+        zone: str,
         on_response: OnResponse,
         clock: Clock,
         metrics: Metrics,
@@ -47,6 +48,7 @@
     ) -> None:
         self._view = view
         self._dialect = dialect
+        self._zone = zone
         self._on_response = on_response
         self._clock = clock
         self._metrics = metrics
@@ -57,13 +59,16 @@
     def choose(self, n_wanted: int) -> list[Endpoint]:
         """Return endpoints of as many services as possible, at random.
 
-        Those of a service that take requests come before the others.
+        Those of a service that take requests come before the others, then those of the
+        own zone come first. The second one of a service is of any zone.
         """
         groups = []
         for endpoints in self._view.by_service.values():
             group = self._rng.sample(endpoints, len(endpoints))
             group.sort(key=self._is_spared)
-            groups.append(group[:N_CHECKED_PER_SERVICE])
+            first = min(group, key=self._order)
+            group.remove(first)
+            groups.append([first, *group][:N_CHECKED_PER_SERVICE])
         self._rng.shuffle(groups)
         ranked = [
             group[position]
@@ -73,6 +78,10 @@
         ]
         return ranked[:n_wanted]
 
+    def _order(self, endpoint: Endpoint) -> tuple[bool, bool]:
+        is_remote = endpoint.announcement.zone != self._zone
+        return self._is_spared(endpoint), is_remote
+
     async def contact_in_steps(self, endpoints: list[Endpoint]) -> int:
         """Contact one endpoint, and the others unless it responds soon.
 
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Collection
 
 import curio
 
@@ -79,7 +79,7 @@
         self._metrics = metrics
         self._rng = rng
         self._contacts = EndpointContacts(
-            view, dialect, self._observe_response, clock, metrics, rng, link
+            view, dialect, zone, self._observe_response, clock, metrics, rng, link
         )
         self._check: curio.Task | None = None
         self._refresh: curio.Task | None = None
@@ -244,13 +244,13 @@
         return n_answered, services
 
     async def _refresh_peers(
-        self, n_wanted: int, excluded: Iterable[str] = ()
+        self, n_wanted: int, excluded: Collection[str] = ()
     ) -> tuple[list[str], int]:
         """Ask peers for their reach; return which were asked, and how many answered."""
         peers, candidates = self.peers()
         self.peer_table.retain(peers)
         chosen = self.peer_table.choose_to_ask(
-            candidates, n_wanted, frozenset(excluded), self._clock(), self._rng
+            candidates, n_wanted, excluded, self._clock(), self._rng
         )
         tasks = [await curio.spawn(self._ask, peers[c.entry_id]) for c in chosen]
         n_answered = sum([await task.join() for task in tasks])
@@ -268,9 +268,11 @@
             )
         return report is not None
 
-    async def find_peer_for(self, service: str) -> bool:
+    async def find_peer_for(self, service: str, excluded: Collection[str] = ()) -> bool:
         """Return whether a peer reaches a service; ask some if none is known to.
 
+        Peers that are ``excluded`` don't count.
+
         Unless this entry is known to be cut off, only reports count that are younger
         than the failures here, since the service may have just gone down.
         """
@@ -278,22 +280,25 @@
         if not self.is_cut:
             since = self.reach.ask_service_at(service)
             await curio.sleep(remaining_ms(since, self._clock()) / 1000)
-        if self._knows_peer_for(service, since):
+        if self._knows_peer_for(service, since, excluded):
             return True
         if self._clock() >= self._next_search_at:
             self._next_search_at = add_ms(self._clock(), SEARCH_INTERVAL_MS)
             self._search = await curio.spawn(
-                self._refresh_peers, N_ASKED_PEERS, daemon=True
+                self._refresh_peers, N_ASKED_PEERS, excluded, daemon=True
             )
         if self._search is not None:
             await self._search.wait()
-        return self._knows_peer_for(service, since)
+        return self._knows_peer_for(service, since, excluded)
 
-    def _knows_peer_for(self, service: str, since: Instant) -> bool:
+    def _knows_peer_for(
+        self, service: str, since: Instant, excluded: Collection[str]
+    ) -> bool:
         now = self._clock()
         return any(
             self.peer_table.reaches(entry_id, service, now, since)
             for entry_id in self._view.peers
+            if entry_id not in excluded
         )
 
     # The way back
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -92,7 +92,7 @@
             if remaining_ms(call.deadline, self._clock()) < MIN_RELAY_MS:
                 refusal_kind = ErrorKind.DEADLINE_EXCEEDED
                 break
-            peer = self._choose_peer(call, excluded)
+            peer = await self._find_peer(call, excluded)
             if peer is None:
                 break
             excluded.add(peer.entry_id)
@@ -112,6 +112,15 @@
             return None
         return self._final_responses.finish_failed(call, refusal_kind)
 
+    async def _find_peer(self, call: Call, excluded: set[str]) -> Peer | None:
+        """Return a peer to try; after the first one, ask others if none is known."""
+        peer = self._choose_peer(call, excluded)
+        if peer is not None or not excluded:
+            return peer
+        async with curio.ignore_after(MAX_SEARCH_MS / 1000):
+            await self._monitor.find_peer_for(call.service, excluded)
+        return self._choose_peer(call, excluded)
+
     def _choose_peer(self, call: Call, excluded: set[str]) -> Peer | None:
         peers, candidates = self._monitor.peers()
         chosen = self._monitor.peer_table.choose(
