--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -87,9 +87,11 @@
             latency_ms=latency_ms,
             deadline_ms=call.deadline - call.started_at,
             age_ms=call.age_ms,
+            from_peer=call.is_relayed,
             work_ms=call.work_estimate.get(),
             attempts=call.describe_attempts() or "none",
             asked=";".join(call.decision_trace) or "none",
+            relayed=";".join(call.relay_trace) or "none",
             version=self._view.replicated_state.version,
             index=self._view.replicated_state.index,
             n_endpoints=len(self._view.by_service.get(call.service, ())),
@@ -143,6 +145,7 @@
 
     def relay(self, call: Call, response: Response) -> Response:
         """Pass on the response of a backend server, without hop-by-hop headers."""
+        call.is_endpoint_response = True
         self.finish(call, response.status, "responded")
         headers = [pair for pair in response.headers if pair[0] not in HOP_HEADERS]
         return Response(
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
@@ -15,6 +16,7 @@
     acceptable_slowdown,
     decide_admission,
 )
+from ..core.reach import Contact
 from ..core.retry_budget import RetryBudget
 from ..core.routes import Route, RoutingConfiguration, find_route
 from ..http.messages import (
@@ -34,6 +36,10 @@
 from .long_response import hold_connection_for_body
 from .notices import apply_response_notices
 from .pick import Pick
+from .reach_monitor import ReachMonitor
+from .relay import RelayClient
+from .relay_headers import RelayedRequest
+from .relaying import Relaying
 from .suspects import Suspects
 from .view import FleetView
 
@@ -43,6 +49,9 @@
 COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
 """Outcomes after which the endpoint has run the request and is still there."""
 
+RESPONSE_OUTCOMES = (*COMPLETED_OUTCOMES, AttemptOutcome.NOT_STARTED)
+"""Outcomes with a response of the endpoint."""
+
 STALE_LOAD_MS = 40.0
 """If sending the body takes at least this long, the reported load is out of date by the
 time the request is complete."""
@@ -65,8 +74,11 @@
         metrics: Metrics,
         rng: random.Random,
         link: Link,
+        monitor: ReachMonitor,
+        relay_client: RelayClient,
     ) -> None:
         self._link = link
+        self._monitor = monitor
         self._view = view
         self._balancer = balancer
         self._dialect = dialect
@@ -78,6 +90,15 @@
         self._rng = rng
         self._final_responses = FinalResponses(view, clock, log, metrics, rng)
         self._suspects = Suspects(view.quarantine, balancer, dialect, clock)
+        self._relaying = Relaying(
+            monitor,
+            relay_client,
+            self._final_responses,
+            balancer,
+            clock,
+            metrics,
+            rng,
+        )
         self._active_calls: set[Call] = set()
         self._latest_deadline = Instant(float("inf"))
 
@@ -103,6 +124,27 @@
 
         The caller's deadline counts from when the head of the request was read.
         """
+        call = self._create_call(request, None)
+        return call if isinstance(call, Response) else await self._handle_call(call)
+
+    async def handle_relayed(
+        self, request: Request, relayed: RelayedRequest
+    ) -> tuple[Response | None, Call | None]:
+        """Handle a request that another entry passed on.
+
+        Return the final response, which is None if that entry is gone, and the call,
+        which is None if the request was refused before it became one.
+        """
+        self._balancer.add_probes(relayed.n_probes)
+        call = self._create_call(request, relayed)
+        if isinstance(call, Response):
+            return call, None
+        return await self._handle_call(call), call
+
+    def _create_call(
+        self, request: Request, relayed: RelayedRequest | None
+    ) -> Call | Response:
+        """Return the call of a request, or the refusal of one that can't become one."""
         received_at = request.received_at
         started_at = self._clock() if received_at is None else received_at
         configuration = self._view.configuration
@@ -118,13 +160,18 @@
             if not self._view.is_state_current():
                 return refuse(request_id, ErrorKind.NOT_CONFIRMED, url=url)
             return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
-        call = self._call_factory.create_call(request, request_id, route, started_at)
+        call = self._call_factory.create_call(
+            request, request_id, route, started_at, relayed
+        )
         if call is None:
             detail = "malformed deadline"
             kind = ErrorKind.BAD_REQUEST
             return refuse(request_id, kind, route=route.name, detail=detail)
         call.deadline = min(call.deadline, self._latest_deadline)
         self._link.record_received(len(request.body), started_at)
+        return call
+
+    async def _handle_call(self, call: Call) -> Response | None:
         self._active_calls.add(call)
         try:
             final = await self._forward(call)
@@ -143,11 +190,22 @@
         """Send the request to one endpoint after another, as far as retries allow."""
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
-        self._retry_budget.count_request(call.service, call.started_at)
         n_sent = 0
+        is_counted = call.is_repeat
         while True:
-            is_first_attempt = n_sent == 0
+            final = await self._relaying.relay_if_cut(call)
+            if final is not None:
+                return final
+            is_first_attempt = n_sent == 0 and not call.is_repeat
             pick = await self._select_endpoint(call, is_first_attempt)
+            if pick is ErrorKind.NO_BACKEND_SERVER:
+                final = await self._relaying.relay_if_unreached(call)
+                if final is not None:
+                    return final
+            if not is_counted:
+                # A request that is relayed is counted by the peer.
+                self._retry_budget.count_request(call.service, call.started_at)
+                is_counted = True
             if isinstance(pick, ErrorKind):
                 return self._final_responses.finish_failed(call, pick)
             outcome, response = await self._attempt(call, pick)
@@ -162,7 +220,7 @@
                 )
             is_repeatable = call.route.is_idempotent or outcome in NOT_EXECUTED_OUTCOMES
             may_retry = is_repeatable and not call.is_body_streamed
-            if not may_retry or n_sent >= max(1, call.route.max_attempts):
+            if not may_retry or n_sent >= call.max_attempts:
                 is_overloaded = pick.slowdown > OVERLOADED_SLOWDOWN
                 refusal_kind = (
                     ErrorKind.QUEUE_FULL if is_overloaded else ErrorKind.BACKEND_REFUSED
@@ -209,10 +267,14 @@
             return ErrorKind.DEADLINE_EXCEEDED
         if is_first_attempt:
             return None if self._admits(call, pick, now) else ErrorKind.QUEUE_FULL
-        return None if self._acquire_retry(call, now) else ErrorKind.BACKEND_REFUSED
+        return None if self._acquire_retry(call) else ErrorKind.BACKEND_REFUSED
 
-    def _acquire_retry(self, call: Call, now: Instant) -> bool:
+    def _acquire_retry(self, call: Call) -> bool:
         """Count a retry if the budget permits it, and trace what decided it."""
+        if call.is_retry_acquired:
+            call.is_retry_acquired = False
+            return True
+        now = self._clock()
         fleet = self._view.fleet
         self._retry_budget.update_share(fleet, self._view.entry_ids, now)
         decision = self._retry_budget.try_acquire(call.service, now)
@@ -262,6 +324,7 @@
                 self._dialect,
                 self._clock,
                 self._before_final_piece(call, pick),
+                partial(self._is_abandoned, call, endpoint),
             )
         finally:
             endpoint.health.n_in_flight -= 1
@@ -273,6 +336,7 @@
                     pick.slowdown,
                     outcome,
                     elapsed_ms,
+                    born_ms=endpoint.announcement.born_ms,
                 )
             )
             has_remaining_body = (
@@ -285,6 +349,10 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._record_outcome(call, endpoint, outcome, elapsed_ms)
+        if outcome in RESPONSE_OUTCOMES:
+            self._monitor.observe(endpoint, Contact.RESPONDED)
+        else:
+            await self._monitor.observe_failure(endpoint, Contact.UNANSWERED)
         if outcome is AttemptOutcome.LOST:
             await self._suspects.record_lost_run(call, endpoint, started_at)
         elif outcome in COMPLETED_OUTCOMES and not has_remaining_body:
@@ -306,6 +374,25 @@
             call.last_response = response
         return outcome, response
 
+    async def _is_abandoned(self, call: Call, endpoint: Endpoint) -> bool:
+        """Return whether a sent request is given up, to be relayed to a peer.
+
+        The connections of an entry that was cut off may hang. Only a request that may
+        be repeated is given up, and only if it can be.
+        """
+        await self._monitor.observe_waiting(endpoint, call.sent_at)
+        has_attempts = call.n_sends() + 1 < call.max_attempts
+        if not (
+            self._monitor.is_silent
+            and call.route.is_idempotent
+            and has_attempts
+            and not call.is_body_streamed
+            and await self._monitor.find_peer_for(call.service)
+        ):
+            return False
+        call.is_retry_acquired = self._acquire_retry(call)
+        return call.is_retry_acquired
+
     def _count_limited_send(self, endpoint: Endpoint) -> None:
         if endpoint.declared_limit is not None:
             service = endpoint.announcement.service
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.link import Link
+from ..core.reach import Contact
 from ..core.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     REMOTE_ZONE_SLOWDOWN,
@@ -21,8 +22,9 @@
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
 from .endpoint import Endpoint
+from .health_requests import HealthRequests
 from .notices import apply_response_notices
-from .outgoing import OutgoingRequest, outgoing_request
+from .reach_monitor import ReachMonitor
 from .view import FleetView
 
 MIN_PROBE_WAIT_MS = 12.0
@@ -76,6 +78,9 @@
     n_without_load: int = 0
     last_reprobe_at: Instant = Instant(0.0)
     mean_probe_ms: float = 4.0
+    is_unreached: bool = False
+    """Whether none of the endpoints contacted in the last search responded."""
+
     least_slowdown: float = 1.0
     last_search_at: Instant = Instant(0.0)
 
@@ -110,7 +115,9 @@
         metrics: Metrics,
         rng: random.Random,
         link: Link,
+        monitor: ReachMonitor,
     ) -> None:
+        self._monitor = monitor
         self._view = view
         self._dialect = dialect
         self._zone = zone
@@ -119,7 +126,7 @@
         self._metrics = metrics
         self._rng = rng
         self._link = link
-        self._requests: dict[tuple[str, str], OutgoingRequest] = {}
+        self._health_requests = HealthRequests(view, dialect)
 
     async def probe(
         self,
@@ -158,7 +165,7 @@
         sent = [
             (endpoint, connection)
             for endpoint, connection in pending
-            if await self._send(service, endpoint, connection, until)
+            if await self._send(endpoint, connection, until)
         ]
         if uses_longest_wait:
             until = await self._wait_for_any([c for _, c in sent], until)
@@ -184,12 +191,11 @@
 
     async def _send(
         self,
-        service: str,
         endpoint: Endpoint,
         connection: BackendConnection,
         until: Instant,
     ) -> bool:
-        request = self._request(service, endpoint)
+        request = self._health_requests.get(endpoint)
         try:
             left_ms = remaining_ms(until, self._clock())
             async with curio.timeout_after(left_ms / 1000):
@@ -201,21 +207,6 @@
         await self._connections.record_failure(endpoint, connection)
         return False
 
-    def _request(self, service: str, endpoint: Endpoint) -> OutgoingRequest:
-        configuration = self._view.configuration
-        known = None if configuration is None else configuration.services.get(service)
-        path = "/healthz" if known is None else known.health_path
-        announcement = endpoint.announcement
-        key = (announcement.endpoint_id, path)
-        request = self._requests.get(key)
-        if request is None:
-            host = f"{announcement.host}:{announcement.port}".encode()
-            instance = announcement.endpoint_id.encode()
-            headers = [(b"host", host), (self._dialect.expected_instance, instance)]
-            request = outgoing_request(b"GET", path.encode(), headers, b"")
-            self._requests[key] = request
-        return request
-
     async def _receive(
         self,
         state: ServiceProbeState,
@@ -255,6 +246,7 @@
         dialect = self._dialect
         now = self._clock()
         endpoint_id = endpoint.announcement.endpoint_id
+        self._monitor.observe(endpoint, Contact.RESPONDED)
         instance = find_header(response.headers, dialect.instance)
         if response.status == 421 or instance not in (None, endpoint_id.encode()):
             await self._connections.release(endpoint, connection)
@@ -300,8 +292,7 @@
 
     def forget_absent(self) -> None:
         """Drop the prepared requests to endpoints that are no longer known."""
-        known = self._view.endpoints
-        self._requests = {k: v for k, v in self._requests.items() if k[0] in known}
+        self._health_requests.forget_absent()
 
 
 def _milliseconds(value: bytes | None) -> float:
