Separate what a peer's response means from the client that relays requests

Nothing else changes; two tests more show that a declared limit and a back-off which come over a peer hold at the passing entry too.

--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
-from enum import Enum
 
 import curio
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.errors import ErrorKind, RunState
+from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
-from ..http.messages import BodyError, BodySource, Response, find_header
+from ..http.messages import BodyError, BodySource, Response
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
@@ -31,13 +28,12 @@
 from .outgoing import OutgoingRequest, outgoing_request
 from .peers import Peer
 from .reach_questions import PeerConnection, ReachQuestions, ReachReport
-from .relay_headers import (
-    RELAY_REQUEST,
-    RelayedRequest,
-    RelayNotice,
-    decode_relay_notice,
-    encode_relayed_request,
-    without_relay_headers,
+from .relay_headers import RELAY_REQUEST, RelayedRequest, encode_relayed_request
+from .relay_result import (
+    RelayOutcome,
+    RelayResult,
+    relay_result,
+    response_matcher,
 )
 from .view import FleetView
 
@@ -54,48 +50,6 @@
 responds at all."""
 
 
-class RelayOutcome(Enum):
-    """How a relayed request ended."""
-
-    RESPONDED = "responded"
-    """An endpoint responded. The response is passed on unchanged."""
-
-    NOT_STARTED = "not_started"
-    """The peer said that no endpoint executed the request."""
-
-    UNREACHABLE = "unreachable"
-    """No byte of the request was sent to the peer."""
-
-    LOST = "lost"
-    """The request was sent, at least in part, and may have been executed."""
-
-    EXPIRED = "expired"
-    """The deadline passed; the request may have been executed."""
-
-
-@dataclass(slots=True)
-class RelayResult:
-    """The end of a relayed request.
-
-    ``response`` is that of the endpoint with RESPONDED, else the peer's own or None,
-    and ``error_kind`` is the kind of the peer's own error. ``endpoint_id`` names the
-    endpoint that got the request last, or is empty. ``peer_in_flight`` is the number of
-    requests in flight at the peer, None if it didn't say. ``reached`` is True if an
-    endpoint responded, False if the peer is cut off itself, and else None: it may have
-    found none for a moment. ``n_sends`` is the number of endpoints that got the
-    request.
-    """
-
-    outcome: RelayOutcome
-    response: Response | None = None
-    endpoint_id: str = ""
-    peer_in_flight: int | None = None
-    reached: bool | None = None
-    error_kind: ErrorKind | None = None
-    n_sends: int = 0
-    born_ms: int = 0
-
-
 class RelayClient:
     """Sends requests to the peer ports of other entries."""
 
@@ -219,7 +173,7 @@
             if isinstance(received, RelayOutcome):
                 n_sends = 0 if received is RelayOutcome.UNREACHABLE else 1
                 return RelayResult(received, n_sends=n_sends)
-            result = _result(received, self._dialect)
+            result = relay_result(received, self._dialect)
             if result.outcome is RelayOutcome.NOT_STARTED:
                 call.may_have_executed = may_have_executed
             if received.remaining_body is not None:
@@ -254,7 +208,7 @@
                 self._hang_check(call, peer),
                 completes_alone=True,
             )
-            is_expected = _response_matcher(call.request_id, self._dialect)
+            is_expected = response_matcher(call.request_id, self._dialect)
             received = await receive_response(
                 call, connection, is_expected, self._clock, waits
             )
@@ -349,57 +303,3 @@
             await peer_connection.pool.release(peer_connection.connection)
 
         response.remaining_body = BodySource(read, close, source.length)
-
-
-def _response_matcher(
-    request_id: bytes, dialect: Dialect
-) -> Callable[[Response], bool]:
-    """Return a check whether a response belongs to a request.
-
-    A peer's own errors carry no request id.
-    """
-
-    def is_expected(response: Response) -> bool:
-        echoed = find_header(response.headers, dialect.request_id)
-        return echoed is None or echoed == request_id
-
-    return is_expected
-
-
-def _result(response: Response, dialect: Dialect) -> RelayResult:
-    """Return what a response of a peer means for the request."""
-    notice = decode_relay_notice(response.headers)
-    response.headers = without_relay_headers(response.headers)
-    if notice is None:
-        # The peer refused the request before it was handled, for example as too large.
-        notice = RelayNotice(False, "", 0, 0, 0, None)
-        result = RelayResult(RelayOutcome.LOST, response)
-    else:
-        result = RelayResult(
-            RelayOutcome.LOST,
-            response,
-            notice.endpoint_id,
-            notice.n_in_flight,
-            notice.is_reached,
-            n_sends=notice.n_sends,
-            born_ms=notice.born_ms,
-        )
-    if notice.is_from_endpoint:
-        if dialect.is_genuine(response):
-            result.outcome = RelayOutcome.RESPONDED
-        return result
-    run_state = find_header(response.headers, b"pollenfold-run-state")
-    result.error_kind = _error_kind(response)
-    if run_state == RunState.DID_NOT_RUN.value.encode():
-        result.outcome = RelayOutcome.NOT_STARTED
-    elif result.error_kind is ErrorKind.DEADLINE_EXCEEDED:
-        result.outcome = RelayOutcome.EXPIRED
-    return result
-
-
-def _error_kind(response: Response) -> ErrorKind | None:
-    """Return the kind that the body of an error response names, if it does."""
-    try:
-        return ErrorKind(json.loads(response.body)["error"])
-    except (ValueError, KeyError, TypeError, RecursionError):
-        return None
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -416,6 +416,37 @@
     with_entries(body, Backend("one", respond))
 
 
+def test_limit_of_a_server_holds_at_the_passing_entry(with_entries):
+    """Guards against an entry that, back on its own path, sends a server more than the
+    server declared."""
+
+    def respond(data):
+        return signed_response(200, b"whole", b"q1", b"server-limit: 3.5")
+
+    async def body(passing, reaching, backend):
+        assert (await exchange(passing, request()))[0] == 200
+        for entry in (passing, reaching):
+            assert entry.view.endpoints["one"].declared_limit.rate_per_s == 3.5
+
+    with_entries(body, Backend("one", respond))
+
+
+def test_back_off_of_a_server_holds_at_the_passing_entry(with_entries):
+    """Guards against an entry that, back on its own path, sends a server requests
+    before the end of the back-off that the server asked for."""
+
+    def respond(data):
+        return signed_response(503, b"busy", b"q1", b"retry-after: 2")
+
+    async def body(passing, reaching, backend):
+        status, _, content, _ = await exchange(passing, request())
+        assert (status, content) == (503, b"busy")
+        for entry in (passing, reaching):
+            assert entry.view.endpoints["one"].is_backing_off(system_clock())
+
+    with_entries(body, Backend("one", respond))
+
+
 @pytest.mark.parametrize("is_acquired", [False, True])
 def test_attempts_and_retries_are_counted_once(with_entries, is_acquired):
     """Guards against more attempts or retries than permitted because each entry counts
