--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -29,7 +29,7 @@
 
     from ..core.retry_budget import RetryLimits
     from ..gateway.daemon import GatewaySettings, serve_gateway
-    from .documents import decode_configuration
+    from .documents import configuration_decoder
     from .headers import DIALECT
 
     ready_host, ready_port = settings.addresses["ready"]
@@ -57,8 +57,9 @@
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
         relay_port=_relay_port(settings),
+        apply_ms=settings.bound("applyMs", 2_000.0),
     )
-    curio.run(serve_gateway, gateway, DIALECT, decode_configuration)
+    curio.run(serve_gateway, gateway, DIALECT, configuration_decoder())
 
 
 def _relay_port(settings: Settings) -> int:
--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from ..core.registry import Announcement
 from ..core.routes import (
     BackendService,
     CallerLimits,
+    HostRoutes,
     Route,
     RoutingConfiguration,
     WeightedService,
-    sorted_routes,
 )
+from ..core.slices import Steps, run_at_once
+from .json_scan import DecodeItem, raw_decode, scan_json
 
 MAX_TIMEOUT_MS = 600_000
 MAX_NUMBER = 1e15
@@ -24,14 +27,63 @@
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+MAX_ROUTE_BRACES = 3
+"""A known route is looked for up to its third closing brace, which a route that is
+split between two services has."""
+
+KnownRoutes = dict[str, Route]
+"""Routes by their JSON text."""
+
+Splits = dict[tuple[tuple[str, float], ...], tuple[WeightedService, ...]]
+"""The services of routes by name and weight. Equal ones are stored once, since most
+routes share theirs with many others."""
+
+
 class DocumentError(ValueError):
     """A document is invalid; the message names the field."""
 
 
 def decode_configuration(text: str) -> RoutingConfiguration:
     """Decode a complete configuration; raise DocumentError if it is invalid."""
+    return run_at_once(configuration_steps(text))
+
+
+def configuration_steps(text: str) -> Steps[RoutingConfiguration]:
+    """Decode a complete configuration in small steps, one for each route.
+
+    Raise DocumentError if it is invalid.
+    """
+    return configuration_decoder()(text)
+
+
+def configuration_decoder() -> Callable[[str], Steps[RoutingConfiguration]]:
+    """Return a function like ``configuration_steps`` for successive versions.
+
+    It keeps the routes of the last valid version by their text. Most versions change
+    few routes, and decoding one takes ten times as long as finding it.
+    """
+    known: KnownRoutes = {}
+
+    def decode(text: str) -> Steps[RoutingConfiguration]:
+        nonlocal known
+        routes: KnownRoutes = {}
+        configuration = yield from _decode_steps(text, known, routes)
+        previous, known = known, routes
+        # Releasing thousands of texts at once would be one long step.
+        while previous:
+            previous.popitem()
+            yield
+        return configuration
+
+    return decode
+
+
+def _decode_steps(
+    text: str, known: KnownRoutes, decoded: KnownRoutes
+) -> Steps[RoutingConfiguration]:
+    """Decode a configuration; add all its routes to those that are decoded."""
     try:
-        fields = json.loads(text)
+        fields = yield from scan_json(text, _decode_unless_known(known))
     except (ValueError, RecursionError) as error:
         raise DocumentError(f"expected JSON: {error}") from error
     if not isinstance(fields, dict):
@@ -40,22 +92,66 @@
     for item in _list_field(fields, "services"):
         service = _decode_service(item)
         services[service.name] = service
-    hosts: dict[str, list[Route]] = {}
+        yield
+    hosts: dict[str, HostRoutes] = {}
+    names: set[str] = set()
+    splits: Splits = {}
     for item in _list_field(fields, "hosts"):
-        routes = hosts.setdefault(_text_field(item, "host").lower(), [])
-        routes += [_decode_route(path, services) for path in _list_field(item, "paths")]
-    for host, routes in hosts.items():
-        prefixes = [route.path_prefix for route in routes]
-        if len(set(prefixes)) < len(prefixes):
-            raise DocumentError(f"host {host}: two routes with one pathPrefix")
+        host = _text_field(item, "host").lower()
+        host_routes = hosts.setdefault(host, HostRoutes())
+        for path_text, path in _popped(_list_field(item, "paths")):
+            route = _decode_route(path, services, splits)
+            decoded[path_text] = route
+            if not host_routes.add(route):
+                raise DocumentError(f"host {host}: two routes with one pathPrefix")
+            names.add(route.name)
+            yield
+    sorted_hosts = {}
+    for host, host_routes in hosts.items():
+        sorted_hosts[host] = host_routes.in_matching_order()
+        yield
     return RoutingConfiguration(
         _decode_version(fields),
-        {host: sorted_routes(routes) for host, routes in hosts.items()},
+        sorted_hosts,
         services,
         _decode_limits(fields.get("limits", {})),
+        {host: host_routes.index() for host, host_routes in hosts.items()},
+        names,
     )
 
 
+def _decode_unless_known(known: KnownRoutes) -> DecodeItem:
+    """Return a decoder of list members, which returns each with its text.
+
+    A text that is known is a complete JSON object, so it ends where the member ends.
+    """
+
+    def decode(text: str, start: int) -> tuple[tuple[str, Any], int]:
+        end = start
+        for _ in range(MAX_ROUTE_BRACES if known else 0):
+            end = text.find("}", end) + 1
+            if not end:
+                break
+            route = known.get(text[start:end])
+            if route is not None:
+                return (text[start:end], route), end
+        value, end = raw_decode(text, start)
+        return (text[start:end], value), end
+
+    return decode
+
+
+def _popped(items: list[Any]) -> Iterator[Any]:
+    """Yield the items in order and remove them from the list.
+
+    So each is released when it has been decoded; releasing thousands at the end would
+    be one long step.
+    """
+    items.reverse()
+    while items:
+        yield items.pop()
+
+
 def _decode_version(fields: dict[str, Any]) -> int:
     version = fields.get("version")
     if type(version) is not int or version < 1:
@@ -73,7 +169,14 @@
     )
 
 
-def _decode_route(item: Any, services: dict[str, BackendService]) -> Route:
+def _decode_route(
+    item: Any, services: dict[str, BackendService], splits: Splits
+) -> Route:
+    """Decode a route; check the services also of one that is known."""
+    if isinstance(item, Route):
+        for weighted in item.weighted_services:
+            _check_service(weighted.service, services, item.name)
+        return item
     name = _text_field(item, "name")
     prefix = _text_field(item, "pathPrefix")
     if not prefix.startswith("/"):
@@ -86,10 +189,13 @@
         raise DocumentError(
             f"route {name}: timeoutMs {timeout_ms:g} is not within ten minutes"
         )
-    weighted_services = _decode_traffic_split(item, name)
-    for weighted in weighted_services:
-        if weighted.service not in services:
-            raise DocumentError(f"route {name}: unknown service {weighted.service!r}")
+    parts = _decode_traffic_split(item, name)
+    weighted_services = splits.get(parts)
+    if weighted_services is None:
+        for service, _ in parts:
+            _check_service(service, services, name)
+        weighted_services = tuple(WeightedService(*part) for part in parts)
+        splits[parts] = weighted_services
     return Route(
         name=name,
         path_prefix=prefix,
@@ -102,21 +208,27 @@
     )
 
 
+def _check_service(
+    service: str, services: dict[str, BackendService], route_name: str
+) -> None:
+    if service not in services:
+        raise DocumentError(f"route {route_name}: unknown service {service!r}")
+
+
 def _decode_traffic_split(
     item: dict[str, Any], route_name: str
-) -> tuple[WeightedService, ...]:
+) -> tuple[tuple[str, float], ...]:
+    """Return the services of a route with their weights."""
     split = item.get("trafficSplit")
     if split is None:
-        return (WeightedService(_text_field(item, "service"), 1.0),)
-    weighted_services = tuple(
-        WeightedService(
-            _text_field(part, "service"), _number_field(part, "weight", None)
-        )
+        return ((_text_field(item, "service"), 1.0),)
+    parts = tuple(
+        (_text_field(part, "service"), _number_field(part, "weight", None))
         for part in _list_field(item, "trafficSplit")
     )
-    if not weighted_services or sum(part.weight for part in weighted_services) <= 0:
+    if not parts or sum(weight for _, weight in parts) <= 0:
         raise DocumentError(f"route {route_name}: trafficSplit has no weight")
-    return weighted_services
+    return parts
 
 
 def _decode_limits(item: Any) -> CallerLimits:
--- a/pollenfold/tests/gateway/links.py
+++ b/pollenfold/tests/gateway/links.py
@@ -43,13 +43,22 @@
         if mode in ("refuse", "reset"):
             await self._reset_all()
         if mode == "pass":
-            await self._accepting.cancel()
-            await self._reset_all()
-            for filler in self._fillers:
-                filler.close()
-            await self._listener.close()
-            await self._listen()
-            self._release_port()
+            await self._restore()
+
+    async def _restore(self):
+        await self._accepting.cancel()
+        await self._reset_all()
+        for filler in self._fillers:
+            filler.close()
+        if self._fillers:
+            # The port is kept, since another process could take it meanwhile.
+            self._fillers.clear()
+            self._listener._socket.listen(128)
+            self._accepting = await curio.spawn(self._accept, daemon=True)
+            return
+        await self._listener.close()
+        await self._listen()
+        self._release_port()
 
     def _reserve_port(self):
         """Keep other processes from using the port; connections to it are refused."""
