Judge a hanging peer by questions asked since the request was sent

Questions that a peer had left unanswered earlier counted as well, so that a request which may be repeated was given up 300 ms after it was sent on a connection just used, although the peer was back. test_peer_that_hung_before_is_not_given_up got 502 before.

--- a/pollenfold/gateway/reach_questions.py
+++ b/pollenfold/gateway/reach_questions.py
@@ -69,7 +69,9 @@
     pool: ConnectionPool
     report: ReachReport | None = None
     answered_at: Instant = Instant(float("-inf"))
-    n_failures: int = 0
+    failed_at: list[Instant] = field(default_factory=list)
+    """When the last questions failed, without an answer in between."""
+
     pending: curio.Event | None = field(default=None)
 
 
@@ -132,9 +134,10 @@
         state.pending = curio.Event()
         await curio.spawn(self._ask, state, daemon=True)
 
-    def is_hanging(self, peer: Peer) -> bool:
-        """Return whether the last questions to a peer got no answer."""
-        return self._state(peer).n_failures >= N_FAILURES_OF_HANGING_PEER
+    def is_hanging(self, peer: Peer, since: Instant) -> bool:
+        """Return whether a peer has answered none of several questions ``since``."""
+        failed_at = self._state(peer).failed_at
+        return len(failed_at) == N_FAILURES_OF_HANGING_PEER and min(failed_at) >= since
 
     async def _ask(self, state: _PeerState) -> None:
         try:
@@ -149,7 +152,11 @@
     def _record(self, state: _PeerState, report: ReachReport | None) -> None:
         state.report = report
         state.answered_at = self._clock()
-        state.n_failures = 0 if report is not None else state.n_failures + 1
+        if report is None:
+            recent = [*state.failed_at, self._clock()]
+            state.failed_at = recent[-N_FAILURES_OF_HANGING_PEER:]
+        else:
+            state.failed_at = []
         result = "unanswered" if report is None else "answered"
         self._metrics.count("peer_questions_total", result=result)
 
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -260,13 +260,14 @@
         """
         if not call.route.is_idempotent:
             return None
-        check_from = add_ms(self._clock(), HANG_CHECK_AFTER_MS)
+        sent_at = self._clock()
+        check_from = add_ms(sent_at, HANG_CHECK_AFTER_MS)
 
         async def is_hanging() -> bool:
             if self._clock() < check_from:
                 return False
             await self._questions.refresh(peer)
-            return self._questions.is_hanging(peer)
+            return self._questions.is_hanging(peer, sent_at)
 
         return is_hanging
 
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -329,6 +329,26 @@
     with_entries(body, Backend("one"), peers=[fake], is_idempotent=is_idempotent)
 
 
+def test_peer_that_hung_before_is_not_given_up(with_entries):
+    """Guards against a request that is given up because of questions which its peer
+    left unanswered before the request was sent."""
+
+    async def body(passing, reaching, backend):
+        assert (await exchange(passing, request()))[0] == 200
+        backend.delay_ms = 800
+        questions = passing.gateway.relay_client._questions
+        for _ in range(3):
+            questions._record(questions._state(reaching.peer), None)
+        assert (await exchange(passing, request()))[0] == 200
+        assert len(backend.requests) == 2
+        assert [result.outcome for result in passing.results] == [
+            RelayOutcome.RESPONDED,
+            RelayOutcome.RESPONDED,
+        ]
+
+    with_entries(body, Backend("one"), is_idempotent=True)
+
+
 def test_peer_that_did_not_run_a_request_leads_to_another_one(with_entries):
     """Guards against a refusal although another peer has room, and against a second
     run."""
