--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 
 import curio
 
@@ -11,6 +10,7 @@
 from ..core.errors import ErrorKind
 from ..http.messages import Response
 from ..observe.exposition import Metrics
+from .balancer import Balancer
 from .calls import Call
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
@@ -39,7 +39,7 @@
         monitor: ReachMonitor,
         client: RelayClient,
         final_responses: FinalResponses,
-        is_unreached: Callable[[str], bool],
+        balancer: Balancer,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
@@ -47,7 +47,7 @@
         self._monitor = monitor
         self._client = client
         self._final_responses = final_responses
-        self._is_unreached = is_unreached
+        self._balancer = balancer
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -69,7 +69,7 @@
         None of the endpoints that this entry tried responded. If peers don't reach the
         service either, it is down, and None is returned.
         """
-        if not _may_relay(call) or not self._is_unreached(call.service):
+        if not _may_relay(call) or not self._balancer.is_unreached(call.service):
             return None
         if self._monitor.is_isolated:
             return None
@@ -92,7 +92,7 @@
             if remaining_ms(call.deadline, self._clock()) < MIN_RELAY_MS:
                 refusal_kind = ErrorKind.DEADLINE_EXCEEDED
                 break
-            peer = self._choose_peer(call, excluded)
+            peer = await self._find_peer(call, excluded)
             if peer is None:
                 break
             excluded.add(peer.entry_id)
@@ -112,6 +112,15 @@
             return None
         return self._final_responses.finish_failed(call, refusal_kind)
 
+    async def _find_peer(self, call: Call, excluded: set[str]) -> Peer | None:
+        """Return a peer to try; after the first one, ask others if none is known."""
+        peer = self._choose_peer(call, excluded)
+        if peer is not None or not excluded:
+            return peer
+        async with curio.ignore_after(MAX_SEARCH_MS / 1000):
+            await self._monitor.find_peer_for(call.service, excluded)
+        return self._choose_peer(call, excluded)
+
     def _choose_peer(self, call: Call, excluded: set[str]) -> Peer | None:
         peers, candidates = self._monitor.peers()
         chosen = self._monitor.peer_table.choose(
@@ -121,6 +130,7 @@
 
     async def _relay_to(self, call: Call, peer: Peer) -> RelayResult:
         started_at = self._clock()
+        call.n_probes_left = self._balancer.take_probes()
         end_relay = self._monitor.peer_table.begin_relay(peer.entry_id)
         outcome = "abandoned"
         try:
