--- a/pollenfold/tests/control/test_stale_start.py
+++ b/pollenfold/tests/control/test_stale_start.py
@@ -7,6 +7,8 @@
 from pollenfold.core.link import Link
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder
+from pollenfold.gateway.reach_monitor import ReachMonitor
+from pollenfold.gateway.relay import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
@@ -28,10 +30,23 @@
 def make_forwarder(view):
     clock, metrics, link, rng = system_clock, Metrics(), Link(), random.Random(7)
     settings = BalancerSettings("e1", "a", 1000.0, 1.5, 5.0, clock())
-    balancer = Balancer(view, DIALECT, settings, clock, metrics, rng, link)
+    log = view._log
+    client = RelayClient(DIALECT, view, 0, "", clock, log, metrics, rng, link)
+    monitor = ReachMonitor(view, DIALECT, "a", client, clock, log, metrics, rng, link)
+    balancer = Balancer(view, DIALECT, settings, clock, metrics, rng, link, monitor)
     budget = settled_retry_budget(view, "e1")
     return Forwarder(
-        view, balancer, DIALECT, budget, clock, view._log, metrics, rng, link
+        view,
+        balancer,
+        DIALECT,
+        budget,
+        clock,
+        log,
+        metrics,
+        rng,
+        link,
+        monitor,
+        client,
     )
 
 
