Refuse announcements that no process could use

Callers saw 500 for requests while one announced endpoint had port 70000 or a null character in its host, and a heartbeat with the port "²" or of 5,000 digits got 500. A sequence of 400 digits outranked each true announcement of that incarnation, a megabyte of a name went to all processes, and a lone surrogate in a zone ended the tasks that request lists.

Cause: the announcement of the platform was checked for types only. An id, name, address, port and number is now checked against limits in core/input_limits.py before it is merged, and the id of a departure before it is written to the log. An address is an IPv4 or IPv6 address as text, kept in its usual form; a host name would be resolved on the event loop. Very deep nesting was refused before.

Ruled out: a bound on the start time relative to the clock of a replica. Clocks jump, and refusing a true heartbeat would lose its server.

--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -9,6 +9,7 @@
 
 from ..control.cluster import ClusterNode
 from ..core.errors import ErrorKind
+from ..core.input_limits import is_endpoint_id, is_name
 from ..core.replicated_state import Configure, Evacuate
 from ..gateway.slices import run_in_slices
 from ..http.messages import Request, Response, error_response, json_response
@@ -62,6 +63,9 @@
         redirect = self._redirect(request)
         if redirect is not None:
             return redirect
+        if not is_endpoint_id(endpoint_id):
+            error = DocumentError(f"expected an endpoint id, got {endpoint_id!r:.80}")
+            return self._invalid_response("instance", endpoint_id[:80], error)
         if request.method == b"DELETE":
             now_ms = int(time.time() * 1000)
             return self._command_response(
@@ -81,8 +85,8 @@
         return self._command_response("drain", endpoint_id, result)
 
     async def _evacuate(self, zone: str, is_out: bool) -> Response:
-        if self._zones and zone not in self._zones:
-            return error_response(ErrorKind.NOT_FOUND, f"unknown zone {zone}")
+        if not is_name(zone) or (self._zones and zone not in self._zones):
+            return error_response(ErrorKind.NOT_FOUND, f"unknown zone {zone:.80}")
         result = await self._cluster_state.submit(
             Evacuate(zone, is_out), COMMAND_TIMEOUT_MS
         )
--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -4,8 +4,18 @@
 
 import json
 from collections.abc import Callable, Iterator
+from reprlib import repr as short_repr
 from typing import Any
 
+from ..core.input_limits import (
+    MAX_SLOTS,
+    MAX_WARMUP_MS,
+    MAX_WHOLE_NUMBER,
+    is_endpoint_id,
+    is_name,
+    is_whole_number,
+    parse_address,
+)
 from ..core.registry import Announcement
 from ..core.routes import (
     BackendService,
@@ -244,25 +254,27 @@
 def _list_field(item: Any, name: str) -> list[Any]:
     value = item.get(name) if isinstance(item, dict) else None
     if not isinstance(value, list):
-        raise DocumentError(f"{name}: expected a list, got {value!r}")
+        raise DocumentError(f"{name}: expected a list, got {short_repr(value)}")
     return value
 
 
 def _text_field(item: Any, name: str) -> str:
     value = item.get(name) if isinstance(item, dict) else None
     if not isinstance(value, str) or not value:
-        raise DocumentError(f"{name}: expected a text, got {value!r}")
+        raise DocumentError(f"{name}: expected a text, got {short_repr(value)}")
     return value
 
 
-def _number_field(item: Any, name: str, default: float | None) -> float:
-    """Return a finite number of 0 or more; the field is required if default is None."""
+def _number_field(
+    item: Any, name: str, default: float | None, maximum: float = MAX_NUMBER
+) -> float:
+    """Return a number from 0 to the maximum; it is required if the default is None."""
     if not isinstance(item, dict):
-        raise DocumentError(f"expected an object with {name}, got {item!r}")
+        raise DocumentError(f"expected an object with {name}, got {short_repr(item)}")
     value = item.get(name, default)
     # JSON allows 1e999, which decodes to infinity; Python's decoder also accepts NaN.
-    if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
-        raise DocumentError(f"{name}: expected a number, got {value!r}")
+    if type(value) not in (int, float) or not 0 <= value <= maximum:
+        raise DocumentError(f"{name}: expected a number, got {short_repr(value)}")
     return float(value)
 
 
@@ -277,30 +289,44 @@
         raise DocumentError(f"expected JSON: {error}") from error
     if not isinstance(fields, dict):
         raise DocumentError("expected an object")
+    if not is_endpoint_id(endpoint_id):
+        raise DocumentError(f"expected an endpoint id, got {short_repr(endpoint_id)}")
     info = fields.get("info")
     status = fields.get("status")
-    host, _, port = _text_field(fields, "address").rpartition(":")
-    if not host or not port.isdigit():
-        raise DocumentError(f"address: got {fields['address']!r}")
+    address_text = _text_field(fields, "address")
+    address = parse_address(address_text)
+    if address is None:
+        shown = short_repr(address_text)
+        raise DocumentError(f"address: expected an IP address and a port, got {shown}")
     state = _text_field(status, "state")
     if state not in IS_LEAVING_BY_STATE:
-        raise DocumentError(f"state: unknown state {state!r}")
+        raise DocumentError(f"state: unknown state {short_repr(state)}")
+    host, port = address
     return Announcement(
         endpoint_id=endpoint_id,
-        service=_text_field(info, "service"),
+        service=_name_field(info, "service"),
         host=host,
-        port=int(port),
-        zone=_text_field(info, "zone"),
-        slots=_integer_field(info, "slots"),
+        port=port,
+        zone=_name_field(info, "zone"),
+        slots=_integer_field(info, "slots", MAX_SLOTS),
         is_leaving=IS_LEAVING_BY_STATE[state],
-        warmup_left_ms=_number_field(status, "warmupLeftMs", None),
+        warmup_left_ms=_number_field(status, "warmupLeftMs", None, MAX_WARMUP_MS),
         born_ms=_integer_field(fields, "born") if "born" in fields else 0,
         sequence=_integer_field(status, "sequence"),
     )
 
 
-def _integer_field(item: Any, name: str) -> int:
+def _name_field(item: Any, name: str) -> str:
+    value = _text_field(item, name)
+    if not is_name(value):
+        raise DocumentError(
+            f"{name}: expected a short printable text, got {short_repr(value)}"
+        )
+    return value
+
+
+def _integer_field(item: Any, name: str, maximum: int = MAX_WHOLE_NUMBER) -> int:
     value = item.get(name) if isinstance(item, dict) else None
-    if type(value) is not int or value < 0:
-        raise DocumentError(f"{name}: expected a whole number, got {value!r}")
+    if not is_whole_number(value, maximum):
+        raise DocumentError(f"{name}: expected a whole number, got {short_repr(value)}")
     return value
--- a/pollenfold/tests/platform/test_documents.py
+++ b/pollenfold/tests/platform/test_documents.py
@@ -173,6 +173,24 @@
         (("status", "sequence"), 4.5),
         (("status", "sequence"), True),
         (("born",), "yesterday"),
+        (("born",), 10**20),
+        (("status", "sequence"), 10**20),
+        (("status", "warmupLeftMs"), 10**20),
+        (("status", "warmupLeftMs"), 1e14),
+        (("info", "slots"), 10**30),
+        (("info", "service"), "s" * (1 << 20)),
+        (("info", "zone"), "\ud800"),
+        (("info", "zone"), "a\nevent=x"),
+        (("address",), "10.0.0.9:70000"),
+        (("address",), "10.0.0.9:0"),
+        (("address",), "10.0.0.9:-1"),
+        (("address",), "10.0.0.9:" + "9" * 5000),
+        (("address",), "10.0.0.9:²"),
+        (("address",), "10.0.0.9:\u0668\u0660"),
+        (("address",), "10.0.0.9\n:80"),
+        (("address",), "10.0.0\0.9:80"),
+        (("address",), "example.org:80"),
+        (("address",), "[fe80::1%" + "x" * 10 + "]:80"),
     ],
 )
 def test_invalid_announcement_is_refused(path, value):
@@ -182,6 +200,30 @@
         decode_announcement("i-1", body)
 
 
+@pytest.mark.parametrize(
+    "endpoint_id", ["", "i" * 129, "i 1", "i\r\n", "i\0", "\ud800", "\xe9"]
+)
+def test_announcement_under_an_unusable_id_is_refused(endpoint_id):
+    """Guards against an id that can't stand in a header or a line of the log."""
+    with pytest.raises(DocumentError):
+        decode_announcement(endpoint_id, json.dumps(ANNOUNCEMENT).encode())
+
+
+@pytest.mark.parametrize(
+    ("address", "host"),
+    [
+        ("[fd00::1]:80", "fd00::1"),
+        ("fd00:0::1:80", "fd00::1"),
+        ("10.0.0.9:80", "10.0.0.9"),
+    ],
+)
+def test_address_is_decoded_in_its_usual_form(address, host):
+    """Guards against one server that is known under two spellings of its address."""
+    body = json.dumps({**ANNOUNCEMENT, "address": address}).encode()
+    announcement = decode_announcement("i-1", body)
+    assert (announcement.host, announcement.port) == (host, 80)
+
+
 def test_undecodable_announcement_is_refused():
     """Guards against undecodable bytes that terminate the process."""
     with pytest.raises(DocumentError):
