Fail to connect to an unusable address with OSError

Requests were answered 500 while an endpoint with port 70000 or a null character in its host was known: the socket module raises OverflowError, TypeError or UnicodeError there, and each caller handles OSError only.

A server with an IPv6 address is reached too; before, only the connections between own processes could use one.

This is the last line of defence: the borders refuse such addresses.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -24,6 +24,7 @@
 from ..http.messages import BodyError, BodySource, Response, find_header
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
+from ..wire.connections import address_family
 from .outgoing import OutgoingRequest, ReadRemainingBody
 
 READ_BYTES = 64 * 1024
@@ -92,7 +93,7 @@
 
         ``link`` paces long bodies.
         """
-        raw = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
+        raw = sockets.socket(address_family(host, port), sockets.SOCK_STREAM)
         raw.setblocking(False)
         raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         code = raw.connect_ex((host, port))
