Skip a malformed member of a feed line and apply the others

One odd announcement that a control replica of an earlier version passed on, or one malformed report, name or number in a line, closed the feed of each entry and each replica, which reopened it and read the same line again: 62 times in 20 s. The members that came after it in the line were never applied, so new endpoints and departures of others stayed unknown. A number of entries of 400 digits or a port 70000 passed and ended requests with 500.

Cause: a line was decoded as one unit, and core.registry took any number. Plain fields are checked by core/feed_lines.py. Reports are treated alike on the way to a replica, where an OverflowError ended the task of the subscriber. A malformed replicated state is requested again as after any failed response; a departure in it that isn't a number is skipped.

Ruled out: closing the feed once and ignoring the sender, since one member among hundreds is no reason to miss the others.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -226,6 +226,7 @@
         metrics.set("endpoints", len(self.cluster_state.registry))
         quarantined = self.cluster_state.quarantine.quarantined_digests()
         metrics.set("requests_quarantined", len(quarantined))
+        self.cluster_state.malformed.export(metrics)
         return metrics_response(metrics, self.log)
 
     def reload(self) -> None:
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -36,6 +36,7 @@
     encode_command,
 )
 from ..observe.events import EventLog
+from ..observe.malformed import MalformedItems
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient
 from .replica import Replica
@@ -102,6 +103,7 @@
         self.on_quarantine_report: Callable[[str], None] = lambda digest: None
         self._limit_reports: dict[str, SeenReport] = {}
         self.quarantine = Quarantine()
+        self.malformed = MalformedItems(clock, log)
 
     # State machine
 
@@ -130,7 +132,9 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the replicated state with a snapshot."""
-        self.replicated_state = decode_replicated_state(json.loads(data))
+        self.replicated_state = decode_replicated_state(
+            json.loads(data), lambda detail: self.malformed.record("snapshot", detail)
+        )
         self.on_change()
 
     # Announcements
@@ -148,15 +152,14 @@
             )
             self.on_update(announcement)
 
-    def merge_limit_reports(self, items: Iterable[object]) -> None:
+    def merge_limit_reports(self, items: object) -> None:
         """Merge what entries saw of the endpoints' limits, and publish what is new.
 
-        Raise ValueError if an item is malformed.
+        Malformed reports are skipped and counted.
         """
         now = self._clock()
-        for fields in items:
-            seen = seen_report(decode_limit_report(fields), now)
-            report = seen.report
+        for report in self.malformed.decode_each("limits", items, decode_limit_report):
+            seen = seen_report(report, now)
             announcement = self.registry.get(report.endpoint_id)
             if announcement is None or announcement.born_ms != report.born_ms:
                 continue
@@ -174,14 +177,15 @@
         }
         return [seen.aged_report(now) for seen in self._limit_reports.values()]
 
-    def merge_quarantine_reports(self, items: Iterable[object]) -> None:
+    def merge_quarantine_reports(self, items: object) -> None:
         """Merge what entries know of requests that end servers, and publish the news.
 
-        Raise ValueError if an item is malformed.
+        Malformed reports are skipped and counted.
         """
         now = self._clock()
-        for fields in items:
-            digest = self.quarantine.merge(fields, now)
+        for digest in self.malformed.decode_each(
+            "quarantine", items, lambda fields: self.quarantine.merge(fields, now)
+        ):
             if digest is not None:
                 self.on_quarantine_report(digest)
 
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -11,9 +10,10 @@
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
 from ..core.digests import differing_announcements
+from ..core.input_limits import is_name
 from ..core.registry import Announcement, EndpointRecord
 from ..observe.events import EventLog
-from ..wire.lines import encode_line, read_lines
+from ..wire.lines import BadLineError, encode_line, read_lines
 from .cluster_state import ClusterState
 from .confirmer import Confirmer
 from .peer_view import PeerView
@@ -141,6 +141,8 @@
         try:
             async for line in read_lines(client, lambda: IDLE_TIMEOUT_MS):
                 if subscriber is None:
+                    if not is_name(line.get("name")):
+                        raise BadLineError("expected the name of a subscriber")
                     subscriber = _Subscriber(client, line, self._clock())
                     self._register(subscriber)
                 elif "get" in line:
@@ -149,11 +151,9 @@
                     items = self._announcements(line.get("digests"))
                     self._send_line(subscriber, {"announcements": items})
                 elif "limits" in line:
-                    merge = self._cluster_state.merge_limit_reports
-                    self._merge(subscriber, merge, line["limits"])
+                    self._cluster_state.merge_limit_reports(line["limits"])
                 elif "quarantine" in line:
-                    merge = self._cluster_state.merge_quarantine_reports
-                    self._merge(subscriber, merge, line["quarantine"])
+                    self._cluster_state.merge_quarantine_reports(line["quarantine"])
                 elif "confirm" in line:
                     await self._request_confirmation(subscriber, line["confirm"])
                 elif "news" in line:
@@ -172,20 +172,6 @@
                     detail=detail,
                 )
 
-    def _merge(
-        self,
-        subscriber: _Subscriber,
-        merge: Callable[[list[object]], None],
-        items: list[object],
-    ) -> None:
-        """Merge the reports of an entry; log malformed ones and go on."""
-        try:
-            merge(items)
-        except (ValueError, TypeError) as error:
-            self._log.state(
-                "malformed_report", reader=subscriber.name, detail=str(error)
-            )
-
     def _register(self, subscriber: _Subscriber) -> None:
         """Add a subscriber and send the current index and sizes.
 
--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from typing import Any
 
 from ..core.agreement_members import host_and_port
 from ..core.allowances import FleetSize
 from ..core.clock import Instant
 from ..core.digests import bucket_digests
-from ..core.registry import decode_announcement
+from ..core.registry import decode_aged_announcement
 from ..core.replicated_state import ReplicatedState
+from ..observe.malformed import MalformedItems
 from .cluster_state import ClusterState
 
 
@@ -55,16 +55,23 @@
         """Return the bucket digests of the known endpoints."""
         return bucket_digests(self._cluster_state.registry.announcements())
 
-    def apply_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
+    @property
+    def malformed(self) -> MalformedItems:
+        """The counters of malformed items of this replica."""
+        return self._cluster_state.malformed
+
+    def apply_announcements(self, items: object) -> None:
         """Merge announcements that another replica received."""
-        for fields, _ in items:
-            self._cluster_state.merge_announcement(decode_announcement(fields))
+        for announcement, _ in self.malformed.decode_each(
+            "announcements", items, decode_aged_announcement
+        ):
+            self._cluster_state.merge_announcement(announcement)
 
-    def apply_limit_reports(self, items: Iterable[object]) -> None:
+    def apply_limit_reports(self, items: object) -> None:
         """Merge reports on limits that another replica received."""
         self._cluster_state.merge_limit_reports(items)
 
-    def apply_quarantine_reports(self, items: Iterable[object]) -> None:
+    def apply_quarantine_reports(self, items: object) -> None:
         """Merge reports on requests that end servers from another replica."""
         self._cluster_state.merge_quarantine_reports(items)
 
--- a/pollenfold/control/state_responses.py
+++ b/pollenfold/control/state_responses.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ..core.input_limits import is_whole_number
 from ..core.replicated_state import ReplicatedState
 from .document_history import DocumentHistory
 
@@ -29,7 +30,10 @@
 
         Subscribers of earlier versions get the whole document.
         """
-        index, version = int(request.get("index", 0)), int(request.get("version", 0))
+        index, version = (
+            request[name] if is_whole_number(request.get(name)) else 0
+            for name in ("index", "version")
+        )
         fields = state.encode_since(index, version) if index else state.encode()
         if "document" in fields and REQUEST_TRANSFER in request:
             self.record(state)
--- a/pollenfold/core/limit_report.py
+++ b/pollenfold/core/limit_report.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from math import isfinite
+from reprlib import repr as short_repr
 
 from .clock import Instant, add_ms
+from .input_limits import is_endpoint_id, is_magnitude, is_whole_number
 
 RATE_TOLERANCE = 0.05
 """A rate that differs by a smaller share isn't reported again."""
@@ -45,18 +46,14 @@
 def decode_limit_report(fields: object) -> LimitReport:
     """Decode the fields of ``encode``; raise ValueError if they are malformed."""
     match fields:
-        case [
-            str(endpoint_id),
-            int(born_ms),
-            None | int() | float() as rate_per_s,
-            int() | float() as age_ms,
-        ] if _is_magnitude(rate_per_s or 0.0) and _is_magnitude(age_ms):
+        case [endpoint_id, born_ms, rate_per_s, age_ms] if (
+            is_endpoint_id(endpoint_id)
+            and is_whole_number(born_ms)
+            and (rate_per_s is None or is_magnitude(rate_per_s))
+            and is_magnitude(age_ms)
+        ):
             return LimitReport(endpoint_id, born_ms, rate_per_s, float(age_ms))
-    raise ValueError("expected the fields of a limit report")
-
-
-def _is_magnitude(value: float) -> bool:
-    return isfinite(value) and value >= 0.0
+    raise ValueError(f"expected the fields of a limit report, got {short_repr(fields)}")
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/quarantine.py
+++ b/pollenfold/core/quarantine.py
@@ -14,8 +14,10 @@
 
 from dataclasses import dataclass, field
 from math import isfinite
+from reprlib import repr as short_repr
 
 from .clock import Instant, add_ms
+from .input_limits import is_endpoint_id, is_magnitude, is_whole_number
 
 N_ENDED_TO_QUARANTINE = 3
 """How many servers must end in succession before a request is quarantined."""
@@ -31,7 +33,6 @@
 """The most runs that are kept of one request; those that decide are always kept."""
 
 DIGEST_LENGTH = 32
-MAX_ID_LENGTH = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,33 +222,26 @@
     fields: object, now: Instant
 ) -> tuple[str, float | None, list[EndedRun]]:
     match fields:
-        case [str(digest), None | int() | float() as cleared_age_ms, list(runs)] if (
+        case [str(digest), cleared_age_ms, list(runs)] if (
             len(digest) == DIGEST_LENGTH
+            and is_endpoint_id(digest)
             and len(runs) <= MAX_RUNS
-            and _is_age(cleared_age_ms or 0.0)
+            and (cleared_age_ms is None or is_magnitude(cleared_age_ms))
         ):
             return digest, cleared_age_ms, [_decode_run(run, now) for run in runs]
-    raise ValueError("expected a report on a request that ended servers")
+    raise ValueError(f"expected a report on a request, got {short_repr(fields)}")
 
 
 def _decode_run(fields: object, now: Instant) -> EndedRun:
     match fields:
-        case [
-            str(endpoint_id),
-            int(born_ms),
-            int() | float() as started_age_ms,
-            int() | float() as ended_age_ms,
-        ] if (
-            len(endpoint_id) <= MAX_ID_LENGTH
-            and _is_age(started_age_ms)
-            and _is_age(ended_age_ms)
+        case [endpoint_id, born_ms, started_age_ms, ended_age_ms] if (
+            is_endpoint_id(endpoint_id)
+            and is_whole_number(born_ms)
+            and is_magnitude(started_age_ms)
+            and is_magnitude(ended_age_ms)
             and started_age_ms >= ended_age_ms
         ):
             started_at = add_ms(now, -started_age_ms)
             ended_at = add_ms(now, -ended_age_ms)
             return EndedRun(endpoint_id, born_ms, started_at, ended_at)
-    raise ValueError("expected a run during which a server ended")
-
-
-def _is_age(age_ms: float) -> bool:
-    return isfinite(age_ms) and age_ms >= 0.0
+    raise ValueError(f"expected a run of a server, got {short_repr(fields)}")
--- a/pollenfold/core/registry.py
+++ b/pollenfold/core/registry.py
@@ -9,8 +9,19 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from reprlib import repr as short_repr
 
 from .clock import Instant
+from .input_limits import (
+    MAX_SLOTS,
+    MAX_WARMUP_MS,
+    is_endpoint_id,
+    is_ip_address,
+    is_magnitude,
+    is_name,
+    is_port,
+    is_whole_number,
+)
 from .replicated_state import ReplicatedState
 
 
@@ -39,6 +50,12 @@
         """Return the sort key of the announcements of one id."""
         return self.born_ms, self.sequence
 
+    @property
+    def address(self) -> str:
+        """The address as it stands in a URL, for example ``10.0.0.1:80``."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
     def encode(self) -> list[object]:
         """Return the fields as JSON values."""
         return [
@@ -55,21 +72,34 @@
         ]
 
 
-def decode_announcement(fields: list[object]) -> Announcement:
-    """Decode the fields of ``encode``; raise ValueError if they are malformed."""
+def decode_announcement(fields: object) -> Announcement:
+    """Decode the fields of ``encode``.
+
+    Raise ValueError if they are malformed or beyond the limits of ``input_limits``.
+    """
     match fields:
         case [
-            str(endpoint_id),
-            str(service),
-            str(host),
-            int(port),
-            str(zone),
-            int(slots),
+            endpoint_id,
+            service,
+            host,
+            port,
+            zone,
+            slots,
             bool(is_leaving),
-            int() | float() as warmup_left_ms,
-            int(born_ms),
-            int(sequence),
-        ]:
+            warmup_left_ms,
+            born_ms,
+            sequence,
+        ] if (
+            is_endpoint_id(endpoint_id)
+            and is_name(service)
+            and is_ip_address(host)
+            and is_port(port)
+            and is_name(zone)
+            and is_whole_number(slots, MAX_SLOTS)
+            and is_magnitude(warmup_left_ms, MAX_WARMUP_MS)
+            and is_whole_number(born_ms)
+            and is_whole_number(sequence)
+        ):
             return Announcement(
                 endpoint_id,
                 service,
@@ -82,7 +112,20 @@
                 born_ms,
                 sequence,
             )
-    raise ValueError("expected the fields of an announcement")
+    raise ValueError(
+        f"expected the fields of an announcement, got {short_repr(fields)}"
+    )
+
+
+def decode_aged_announcement(item: object) -> tuple[Announcement, float]:
+    """Decode an announcement and the ms since a control replica received it.
+
+    Raise ValueError if they are malformed.
+    """
+    match item:
+        case [fields, age_ms] if is_magnitude(age_ms):
+            return decode_announcement(fields), float(age_ms)
+    raise ValueError(f"expected an announcement and its age, got {short_repr(item)}")
 
 
 @dataclass(slots=True)
--- a/pollenfold/core/replicated_state.py
+++ b/pollenfold/core/replicated_state.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from reprlib import repr as short_repr
 from typing import Any
 
 from .agreement_log import MAX_COMMAND_BYTES
@@ -90,7 +92,11 @@
 
 
 def decode_command(command: bytes) -> Command:
-    """Decode a command; raise ValueError if the bytes are not a valid command."""
+    """Decode a command; raise ValueError if the bytes are not a valid command.
+
+    A command within the log may exceed the limits of ``input_limits``: if replicas of
+    an earlier version apply it, those of this version must do so too.
+    """
     if command.startswith(COMPRESSED_PREFIX):
         compressed = command[len(COMPRESSED_PREFIX) :]
         command = decompress(compressed, MAX_PLAIN_COMMAND_BYTES)
@@ -107,6 +113,14 @@
     raise ValueError("expected a command of the replicated log")
 
 
+OnMalformed = Callable[[str], None]
+"""Called with a description of a part that is left out."""
+
+
+def _ignore(detail: str) -> None:
+    """Accept any description; the default of ``OnMalformed``."""
+
+
 @dataclass(slots=True)
 class ReplicatedState:
     """The replicated state after applying the log entry ``index``.
@@ -187,7 +201,9 @@
             del fields["document"]
         return fields
 
-    def merged(self, fields: dict[str, Any]) -> ReplicatedState:
+    def merged(
+        self, fields: dict[str, Any], on_malformed: OnMalformed = _ignore
+    ) -> ReplicatedState:
         """Return the state after applying fields of ``encode`` or ``encode_since``.
 
         Raise KeyError or ValueError if the fields are malformed, or if this state
@@ -197,7 +213,7 @@
         if since > self.index:
             raise ValueError(f"update since index {since} for a state at {self.index}")
         base = {"document": self.document} if self._has_same_version(fields) else {}
-        state = decode_replicated_state({**base, **fields})
+        state = decode_replicated_state({**base, **fields}, on_malformed)
         if since:
             state.departures = {**self.departures, **state.departures}
             state._drop_oldest_departures()
@@ -207,20 +223,36 @@
         return int(fields["version"]) == self.version
 
 
-def decode_replicated_state(fields: dict[str, Any]) -> ReplicatedState:
+def decode_replicated_state(
+    fields: dict[str, Any], on_malformed: OnMalformed = _ignore
+) -> ReplicatedState:
     """Decode a replicated state encoded by ``ReplicatedState.encode``.
 
-    Raise KeyError, ValueError or TypeError if the fields are malformed.
+    Call ``on_malformed`` for each zone or departure that is left out since it is
+    malformed. Raise KeyError, ValueError or TypeError if other fields are.
     """
     index = int(fields["index"])
     if not isinstance(fields["departures"], dict):
-        raise ValueError(f"departures: got {fields['departures']!r}")
-    departures = {str(k): int(v) for k, v in fields["departures"].items()}
+        raise ValueError(f"departures: got {short_repr(fields['departures'])}")
+    departures = {}
+    for endpoint_id, born_ms in fields["departures"].items():
+        if type(born_ms) is int:
+            departures[str(endpoint_id)] = born_ms
+        else:
+            on_malformed(
+                f"departure of {short_repr(endpoint_id)} at {short_repr(born_ms)}"
+            )
+    evacuated = set()
+    for zone in fields["evacuated"]:
+        if isinstance(zone, str):
+            evacuated.add(zone)
+        else:
+            on_malformed(f"evacuated zone {short_repr(zone)}")
     return ReplicatedState(
         index,
         int(fields["version"]),
         str(fields["document"]),
-        frozenset(fields["evacuated"]),
+        frozenset(evacuated),
         departures,
         dict.fromkeys(departures, index),
     )
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -217,6 +217,7 @@
             self.metrics.set("endpoints_limited", self.view.n_limited)
             self.metrics.set("requests_quarantined", self.view.quarantine.n_quarantined)
             self.metrics.set("entries", self.view.fleet.get(system_clock()))
+            self.view.malformed.export(self.metrics)
             return metrics_response(self.metrics, self.log)
         if request.path != self.settings.ready_path:
             return error_response(ErrorKind.NOT_FOUND)
--- a/pollenfold/gateway/declared_limits.py
+++ b/pollenfold/gateway/declared_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from ..core.clock import Clock, Instant, add_ms
 from ..core.declared_limit import DeclaredLimit
@@ -14,6 +14,7 @@
     seen_report,
 )
 from ..observe.events import EventLog
+from ..observe.malformed import MalformedItems
 from .endpoint import Endpoint
 
 LIMIT_LOG_INTERVAL_MS = 1_000.0
@@ -29,9 +30,16 @@
     What this entry saw itself stands against an older report of another one.
     """
 
-    def __init__(self, clock: Clock, log: EventLog, rng: random.Random) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        log: EventLog,
+        rng: random.Random,
+        malformed: MalformedItems,
+    ) -> None:
         self._clock = clock
         self._log = log
+        self._malformed = malformed
         self._rng = rng
         self._reports: dict[str, SeenReport] = {}
         """The newest report on each endpoint, of this or another entry; kept apart from
@@ -149,16 +157,14 @@
             if k in self._reports
         ]
 
-    def apply_reports(
-        self, items: Iterable[object], endpoints: Mapping[str, Endpoint]
-    ) -> None:
+    def apply_reports(self, items: object, endpoints: Mapping[str, Endpoint]) -> None:
         """Apply what other entries saw, as far as it is newer than what this one saw.
 
-        Raise ValueError if an item is malformed.
+        Malformed reports are skipped and counted.
         """
         now = self._clock()
-        for fields in items:
-            seen = seen_report(decode_limit_report(fields), now)
+        for report in self._malformed.decode_each("limits", items, decode_limit_report):
+            seen = seen_report(report, now)
             endpoint_id = seen.report.endpoint_id
             known = self._reports.get(endpoint_id)
             if known is not None and known.seen_at >= seen.seen_at:
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -17,6 +17,8 @@
 import curio
 
 from ..core.clock import Clock, add_ms, remaining_ms
+from ..core.feed_lines import checked_line
+from ..core.input_limits import is_whole_number
 from ..core.update_source import UpdateSource, choose_update_source
 from ..observe.events import EventLog
 from ..wire.connections import open_connection
@@ -47,8 +49,8 @@
 """The pause while no feed is open, since this entry may have no state at all yet."""
 
 FEED_ERRORS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
-"""Errors that a line with unexpected fields may raise; they end the feed, which is then
-reopened."""
+"""Errors that a line with unexpected fields may raise. Malformed parts are skipped; an
+error that escapes these checks ends the feed, which is then reopened."""
 
 LIST_INTERVAL_MS = 10_000.0
 """How often the full list of endpoints is requested from the update source."""
@@ -291,14 +293,14 @@
                 ):
                     if host not in self._connected:
                         feed.zone = str(line.get("zone", ""))
-                        if "n_endpoints" in line:
-                            feed.n_endpoints = int(line["n_endpoints"])
+                        if is_whole_number(line.get("n_endpoints")):
+                            feed.n_endpoints = line["n_endpoints"]
                         self._connected[host] = feed
                         self._state_requests.open(host, feed)
                         self._log.state("feed_opened", control=host)
                         list_requests = self._request_lists(feed, host)
                         tasks.append(await curio.spawn(list_requests, daemon=True))
-                    index = await self._apply_line(line, host, feed)
+                    index = await self.apply_line(line, host, feed)
                     if feed.is_new:
                         feed.is_new = False
                         await self._choose_source()
@@ -315,9 +317,15 @@
         gets_all_updates = host == self._source or self._identity.role != "entry"
         return READ_TIMEOUT_MS if gets_all_updates else SPARSE_READ_TIMEOUT_MS
 
-    async def _apply_line(self, line: dict[str, Any], host: str, feed: Feed) -> int:
-        """Apply one line; return the index of the sender's replicated state, or 0."""
+    async def apply_line(self, sent: dict[str, Any], host: str, feed: Feed) -> int:
+        """Apply one line; return the index of the sender's replicated state, or 0.
+
+        Malformed parts are skipped and counted.
+        """
         view = self._view
+        line, malformed = checked_line(sent)
+        for name in malformed:
+            view.malformed.record(name, f"in a line of {host}")
         if "control" in line:
             view.set_control_hosts(line["control"])
         if "orders" in line:
@@ -336,7 +344,8 @@
         if "entries" in line and host == self._source:
             view.entry_ids = frozenset(line["entries"])
         if "joined" in line and host == self._source:
-            view.entry_ids = (view.entry_ids | set(line["joined"])) - set(line["left"])
+            left = line.get("left", ())
+            view.entry_ids = (view.entry_ids | set(line["joined"])) - set(left)
         if "n_peers" in line:
             feed.record_n_peers(
                 int(line["n_peers"]), len(view.control_hosts), self._clock()
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -209,7 +209,7 @@
         key = (announcement.endpoint_id, path)
         request = self._requests.get(key)
         if request is None:
-            host = f"{announcement.host}:{announcement.port}".encode()
+            host = announcement.address.encode()
             instance = announcement.endpoint_id.encode()
             headers = [(b"host", host), (self._dialect.expected_instance, instance)]
             request = outgoing_request(b"GET", path.encode(), headers, b"")
--- a/pollenfold/gateway/quarantine.py
+++ b/pollenfold/gateway/quarantine.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import curio
 
 from ..core.clock import Clock, Instant
 from ..core.quarantine import EndedRun, Quarantine
 from ..observe.events import EventLog
+from ..observe.malformed import MalformedItems
 from .endpoint import Endpoint
 
 
@@ -18,9 +17,10 @@
     ``has_reports`` is set while there are reports for the control replicas.
     """
 
-    def __init__(self, clock: Clock, log: EventLog) -> None:
+    def __init__(self, clock: Clock, log: EventLog, malformed: MalformedItems) -> None:
         self._clock = clock
         self._log = log
+        self._malformed = malformed
         self._quarantine = Quarantine()
         self._unsent: dict[str, None] = {}
         self._logged: set[str] = set()
@@ -128,11 +128,12 @@
             if digest in self._quarantine
         ]
 
-    def merge_reports(self, items: Iterable[object]) -> None:
-        """Merge what others know; raise ValueError if an item is malformed."""
+    def merge_reports(self, items: object) -> None:
+        """Merge what others know; malformed reports are skipped and counted."""
         now = self._clock()
-        for fields in items:
-            digest = self._quarantine.merge(fields, now)
+        for digest in self._malformed.decode_each(
+            "quarantine", items, lambda fields: self._quarantine.merge(fields, now)
+        ):
             if digest is not None:
                 self._log_change(digest, "report")
 
--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -19,6 +19,9 @@
 IDLE_CHECK_MS = 60_000.0
 """Upper limit of a wait; every announcement ends it earlier."""
 
+MALFORMED_STATE_ERRORS = (ValueError, KeyError, TypeError, IndexError, OverflowError)
+"""Errors that a replicated state with unexpected fields may raise."""
+
 
 class StateRequests:
     """Sends the requests that ``StateFetch`` decides on, and records what arrives."""
@@ -55,16 +58,24 @@
         self._fetch.record_progress(host, self._clock())
 
     async def apply(self, fields: dict[str, Any], host: str) -> None:
-        """Apply a copy of the replicated state; log it even if it was not newer."""
+        """Apply a copy of the replicated state; log it even if it was not newer.
+
+        A malformed copy is requested again.
+        """
         try:
             fields = self._with_document(fields)
+            is_applied = self._view.apply_replicated_state(fields, host)
+        except MALFORMED_STATE_ERRORS as error:
+            self._view.malformed.record("orders", repr(error))
+            self._fetch.record_failure(host, self._clock())
+            await self._changed.set()
+            return
         except DocumentMismatchError as error:
             self._log.state("document_mismatch", control=host, detail=str(error))
             self._needs_whole = True
             self._fetch.record_failure(host, self._clock())
             await self._changed.set()
             return
-        is_applied = self._view.apply_replicated_state(fields, host)
         self._needs_whole &= not is_applied
         await self._view.finish_loading()
         self._fetch.receive(host, int(fields["index"]), self._clock())
@@ -73,7 +84,7 @@
             control=host,
             index=fields.get("index"),
             version=fields.get("version"),
-            n_document_chars=len(fields.get("document") or ""),
+            n_document_chars=len(str(fields.get("document") or "")),
             base_version=_base_version(fields),
             applied=is_applied,
         )
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
 from typing import Any
 
 from ..core.allowances import FleetSize
@@ -19,11 +18,12 @@
     Announcement,
     Registry,
     accepts_new_requests,
-    decode_announcement,
+    decode_aged_announcement,
 )
 from ..core.replicated_state import ReplicatedState
 from ..core.routes import RoutingConfiguration
 from ..observe.events import EventLog
+from ..observe.malformed import MalformedItems
 from .declared_limits import DeclaredLimits
 from .endpoint import Endpoint, Incarnation
 from .quarantine import RequestQuarantine
@@ -51,11 +51,12 @@
     ) -> None:
         self._clock = clock
         self._log = log
+        self.malformed = MalformedItems(clock, log)
         self._loader = StateLoader(
             decode, lambda: self.replicated_state, self._put_in_force, clock, log
         )
-        self.limits = DeclaredLimits(clock, log, rng or random.Random())
-        self.quarantine = RequestQuarantine(clock, log)
+        self.limits = DeclaredLimits(clock, log, rng or random.Random(), self.malformed)
+        self.quarantine = RequestQuarantine(clock, log, self.malformed)
         self.replicated_state = ReplicatedState()
         self.configuration: RoutingConfiguration | None = None
         self.registry = Registry()
@@ -93,7 +94,10 @@
         received = self.received_state
         if int(fields["index"]) <= received.index:
             return False
-        self._loader.receive(received.merged(fields), source)
+        state = received.merged(
+            fields, lambda detail: self.malformed.record("orders", detail)
+        )
+        self._loader.receive(state, source)
         return True
 
     async def finish_loading(self) -> None:
@@ -143,13 +147,16 @@
 
     # Endpoints
 
-    def apply_announcements(self, items: Iterable[tuple[list[object], float]]) -> None:
-        """Apply announcements, each with the ms since a control replica received it."""
+    def apply_announcements(self, items: object) -> None:
+        """Apply announcements, each with the ms since a control replica received it.
+
+        Malformed ones are skipped and counted.
+        """
         is_changed = False
-        for fields, age_ms in items:
-            is_changed |= self._apply_announcement(
-                decode_announcement(fields), float(age_ms)
-            )
+        for announcement, age_ms in self.malformed.decode_each(
+            "announcements", items, decode_aged_announcement
+        ):
+            is_changed |= self._apply_announcement(announcement, age_ms)
         if is_changed:
             self._rebuild()
 
@@ -175,7 +182,7 @@
         self._log.state(
             "endpoint_announced",
             endpoint=endpoint_id,
-            address=f"{announcement.host}:{announcement.port}",
+            address=announcement.address,
             service=announcement.service,
             leaving=announcement.is_leaving,
             warmup_left_ms=announcement.warmup_left_ms,
@@ -230,18 +237,12 @@
             self._log.state("endpoint_rests", endpoint=endpoint_id, rest_ms=backoff_ms)
         endpoint.backoff_until = max(endpoint.backoff_until, add_ms(now, backoff_ms))
 
-    def apply_limit_reports(self, items: Iterable[object]) -> None:
-        """Apply what other entries saw of the endpoints' limits.
-
-        Raise ValueError if an item is malformed.
-        """
+    def apply_limit_reports(self, items: object) -> None:
+        """Apply what other entries saw of the endpoints' limits."""
         self.limits.apply_reports(items, self.endpoints)
 
-    def apply_quarantine_reports(self, items: Iterable[object]) -> None:
-        """Apply what other entries know of requests that end servers.
-
-        Raise ValueError if an item is malformed.
-        """
+    def apply_quarantine_reports(self, items: object) -> None:
+        """Apply what other entries know of requests that end servers."""
         self.quarantine.merge_reports(items)
 
     @property
