Skip malformed endpoints in the cache of a control replica

A replica that started with an odd entry in its endpoint cache took it and passed it on to all entries: port 70000, a lone surrogate, 400 digits of slots, and a number of entries of 400 digits, which no share can be divided by. A deeply nested or infinite value in the file ended the replica at each start (RecursionError, OverflowError).

The cached endpoints now pass the same limits as those of the feeds; a malformed one is skipped, counted and logged, and a malformed number of entries counts as unknown.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -120,13 +120,10 @@
 
     def load_endpoints(self) -> None:
         """Load the endpoints and the fleet size that were cached before the restart."""
-        announcements, n_entries = read_endpoint_cache(self.settings.data_folder)
-        for fields in announcements:
-            try:
-                announcement = decode_announcement(fields)
-                self.cluster_state.merge_announcement(announcement)
-            except ValueError as error:
-                self.log.state("bad_cache", detail=str(error))
+        items, n_entries = read_endpoint_cache(self.settings.data_folder)
+        malformed = self.cluster_state.malformed
+        for announcement in malformed.decode_each("cache", items, decode_announcement):
+            self.cluster_state.merge_announcement(announcement)
         self.feed_server.fleet.report(n_entries, system_clock())
 
     async def persist_endpoints(self) -> None:
--- a/pollenfold/storage/endpoint_cache.py
+++ b/pollenfold/storage/endpoint_cache.py
@@ -13,6 +13,7 @@
 import os
 from pathlib import Path
 
+from ..core.input_limits import MAX_ENTRIES, is_whole_number
 from .journal import sync_folder
 
 FILE_NAME = "endpoints.json"
@@ -32,10 +33,15 @@
     sync_folder(folder)
 
 
-def read_endpoint_cache(folder: Path) -> tuple[list[list[object]], int]:
-    """Return the cached content; empty for a missing or corrupt file."""
+def read_endpoint_cache(folder: Path) -> tuple[list[object], int]:
+    """Return the cached content; empty for a missing or corrupt file.
+
+    The announcements aren't decoded. A malformed number of entries counts as 0.
+    """
     try:
         fields = json.loads((folder / FILE_NAME).read_text())
-        return list(fields["announcements"]), int(fields["n_entries"])
-    except (OSError, ValueError, KeyError, TypeError):
+        n_entries = fields["n_entries"]
+        is_valid = is_whole_number(n_entries, MAX_ENTRIES)
+        return list(fields["announcements"]), n_entries if is_valid else 0
+    except (OSError, ValueError, KeyError, TypeError, RecursionError):
         return [], 0
