Refuse the id of a replica to which nothing can be sent

A control replica that asked to join under an id without a usable address became a learner of the leader, whose next message to it raised ValueError or OverflowError in the task of the log. Only an own process can send such an id; it is refused now.

The test also guards the ids of endpoints that leave: before the limits, one of 1,000 characters was written to the log of all replicas.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -13,6 +13,7 @@
 from ..core.agreement_members import address_of, host_and_port
 from ..core.clock import add_ms
 from ..core.errors import ErrorKind
+from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.messages import Request, Response, error_response
@@ -159,8 +160,14 @@
         return host_and_port(leader_id)[0]
 
     async def _handle_join(self, payload: bytes) -> bytes:
-        """Add a replica as a learner if this one leads; return the leader's id."""
+        """Add a replica as a learner if this one leads; return the leader's id.
+
+        Raise ValueError for a malformed id, to which nothing could be sent.
+        """
         replica_id = payload.decode()
+        is_id = is_endpoint_id(replica_id)
+        if not is_id or parse_address(address_of(replica_id)) is None:
+            raise ValueError(f"expected the id of a replica, got {replica_id!r:.80}")
         if self.replica.is_leader():
             self.replica.join(replica_id)
         return json.dumps({"leader": self.replica.leader_id()}).encode()
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -598,3 +598,21 @@
         assert leader.cluster_state.replicated_state.evacuated == frozenset()
 
     with_cluster(body)
+
+
+def test_unusable_ids_are_refused_and_not_stored(with_cluster):
+    """Guards against ids of any length in the replicated log, and against a replica id
+    to which the leader can't send."""
+
+    async def body(cluster):
+        leader = cluster.leader()
+        for endpoint_id in ("x" * 1000, "", "\xe9"):
+            path = f"/-/instances/{endpoint_id}"
+            assert (await cluster.call(leader, b"DELETE", path)).status == 400
+        node = cluster.running[leader].node
+        for replica_id in (b"10.0.0.1:70000/a", b"a.example:80/a", b"x" * 1000):
+            with pytest.raises(ValueError):
+                await node._handle_join(replica_id)
+        assert node.cluster_state.replicated_state.departures == {}
+
+    with_cluster(body)
