Refuse configurations with texts that can't be sent

A configuration with a health path such as "/a b" was accepted. h11 refuses to write it (LocalProtocolError), which no caller of a probe handles: each request to the service would be answered 500. A route with half a character in its name broke the metrics page of each entry, and a version of 21 digits can't be exceeded by other decoders.

These are refused with 400 now: the configuration can't be put in force as written.

--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -11,8 +11,10 @@
     MAX_SLOTS,
     MAX_WARMUP_MS,
     MAX_WHOLE_NUMBER,
+    is_encodable,
     is_endpoint_id,
     is_name,
+    is_request_target,
     is_whole_number,
     parse_address,
 )
@@ -163,16 +165,17 @@
 
 
 def _decode_version(fields: dict[str, Any]) -> int:
-    version = fields.get("version")
-    if type(version) is not int or version < 1:
-        raise DocumentError(f"version: expected a whole number, got {version!r}")
+    version: object = fields.get("version")
+    if not is_whole_number(version, MAX_WHOLE_NUMBER, 1):
+        shown = short_repr(version)
+        raise DocumentError(f"version: expected a whole number, got {shown}")
     return version
 
 
 def _decode_service(item: Any) -> BackendService:
     return BackendService(
-        name=_text_field(item, "name"),
-        health_path=_text_field(item, "healthPath"),
+        name=_name_field(item, "name"),
+        health_path=_target_field(item, "healthPath"),
         max_connections=int(_number_field(item, "maxConns", 100)),
         warmup_ms=_number_field(item, "warmupS", 0) * 1000,
         warmup_rate_per_s=_number_field(item, "warmupPerS", 0),
@@ -260,11 +263,19 @@
 
 def _text_field(item: Any, name: str) -> str:
     value = item.get(name) if isinstance(item, dict) else None
-    if not isinstance(value, str) or not value:
+    # JSON can name halves of a character, which no encoding can write.
+    if not isinstance(value, str) or not value or not is_encodable(value):
         raise DocumentError(f"{name}: expected a text, got {short_repr(value)}")
     return value
 
 
+def _target_field(item: Any, name: str) -> str:
+    value = _text_field(item, name)
+    if not is_request_target(value):
+        raise DocumentError(f"{name}: expected a path, got {short_repr(value)}")
+    return value
+
+
 def _number_field(
     item: Any, name: str, default: float | None, maximum: float = MAX_NUMBER
 ) -> float:
