Refuse settings with unusable numbers by the name of the field

A settings file with a port of 70000, an address with the port "²", a rate or a bound of 400 digits, or an infinite bound ended the process with a traceback (OverflowError, ValueError) at the start, and an infinite one of extra retries would end it while it runs. These raise SettingsError now, which names the field; a bound that isn't a finite number of 0 or more is ignored, as the documented rule for what isn't a number says.

--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import json
-import math
 import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from ..core.input_limits import MAX_PORT, is_magnitude, is_port, is_whole_number
+
 SETTINGS_PATH_VARIABLE = "POLLENFOLD_BOOT"
 BYTES_PER_MS_PER_MBPS = 125.0
 """Bytes in a millisecond at 1 Mbit/s."""
 
+MAX_TOLERATED_FAILURES = 100
 DEFAULT_PATH = "/etc/pollenfold/settings.toml"
 
 
@@ -29,7 +31,7 @@
     only their hosts. ``link_bytes_per_ms`` is the bandwidth of the VM's network link,
     0 when the file doesn't give it. ``is_first_start`` is true only while the whole
     system starts for the first time. ``bounds`` holds the limits agreed with the
-    platform; a value that isn't a number is ignored.
+    platform; a value that isn't a finite number of 0 or more is ignored.
     """
 
     name: str
@@ -64,7 +66,7 @@
     """Read a settings file; raise SettingsError when it can't be used."""
     try:
         fields = _decode(path.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return parse_settings(fields)
 
@@ -89,7 +91,7 @@
     network = _table(fields, "network")
     terms = _optional_table(fields, "terms")
     ports = _field(network, "network", "internalPorts", list)
-    if len(ports) != 2 or not all(type(port) is int for port in ports):
+    if len(ports) != 2 or not all(map(is_port, ports)):
         raise SettingsError(f"network.internalPorts: expected two ports, got {ports}")
     listen_addresses = _table(network, "listenAddrs")
     tolerance = _optional_table(terms, "faultTolerance")
@@ -99,7 +101,7 @@
     if not isinstance(seeds, list):
         raise SettingsError(f"network.seeds: expected a list, got {seeds!r}")
     n_tolerated_failures = tolerance.get("machines", 1)
-    if type(n_tolerated_failures) is not int or n_tolerated_failures < 0:
+    if not is_whole_number(n_tolerated_failures, MAX_TOLERATED_FAILURES):
         raise SettingsError(
             "terms.faultTolerance.machines: expected a count, "
             f"got {n_tolerated_failures!r}"
@@ -119,14 +121,14 @@
         data_folder=str(node.get("dataDir", "")),
         n_tolerated_failures=n_tolerated_failures,
         link_bytes_per_ms=_link_bytes_per_ms(node),
-        bounds={k: float(v) for k, v in bounds.items() if type(v) in (int, float)},
+        bounds={k: float(v) for k, v in bounds.items() if is_magnitude(v)},
     )
 
 
 def _link_bytes_per_ms(node: dict[str, Any]) -> float:
     """Return the link bandwidth, which the file gives in Mbit/s, in bytes per ms."""
     rate_mbps = _optional_table(node, "limits").get("linkMbps", 0.0)
-    if type(rate_mbps) not in (int, float) or not 0.0 <= rate_mbps < math.inf:
+    if not is_magnitude(rate_mbps):
         raise SettingsError(
             f"self.limits.linkMbps: expected a rate in Mbit/s, got {rate_mbps!r}"
         )
@@ -155,7 +157,8 @@
 def parse_address(text: Any) -> tuple[str, int]:
     """Return host and port of ``10.0.0.1:80``; raise SettingsError."""
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isdigit():
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not host or not is_number or int(port) > MAX_PORT:
         raise SettingsError(f"expected an address like 10.0.0.1:80, got {text!r}")
     return host, int(port)
 
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -169,3 +169,28 @@
 def test_success_needs_the_signature(status, headers, is_complete):
     """Guards against accepting a success that didn't come from the server."""
     assert is_genuine(Response(status, headers)) is is_complete
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [
+        ("[7660,7675]", "[7660,70000]"),
+        ("10.1.0.35:8144", "10.1.0.35:70000"),
+        ("10.1.0.35:8144", "10.1.0.35:²"),
+        ("10.1.0.38:8146", "10.1.0.38:" + "9" * 5000),
+        ("linkMbps = 2.0", "linkMbps = 1" + "0" * 400),
+        ("machines = 2", "machines = 1" + "0" * 400),
+    ],
+    ids=["port", "address", "digits", "long_seed", "rate", "machines"],
+)
+def test_unusable_number_is_refused_by_name(before, after):
+    """Guards against a settings file that ends a process without naming the field."""
+    with pytest.raises(SettingsError):
+        parse_settings(tomllib.loads(TEXT.replace(before, after)))
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "-1", "1" + "0" * 400])
+def test_bound_that_is_no_finite_number_is_ignored(value):
+    """Guards against a bound that ends an entry when it computes its share."""
+    text = TEXT.replace("graceS = 6", f"graceS = {value}")
+    assert parse_settings(tomllib.loads(text)).bound("graceS", 6) == 6
