Skip a malformed endpoint in a message of another entry

A backend server whose announcement had an IPv6 address with a scope of 1,000 characters was accepted by one entry. All others refused each message that held it: the push, and once a second the exchange of the bucket, so all endpoints of that bucket stayed as they were there. In the other direction a host name, 0 slots or the highest incarnation was merged from a message without a check.

An endpoint in a message now passes the limits of an announcement. A malformed one is left out and logged, and the others are merged. A push with a malformed endpoint is still not acknowledged, since that states that all of it is known. Announcements with a scope in the host are refused.

All five cases of test_malformed_endpoint_hides_no_other failed before.

--- a/pollenfold/entry/announcements.py
+++ b/pollenfold/entry/announcements.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
-from ipaddress import ip_address
 from typing import Annotated, Any, Literal
 
 from loguru import logger
@@ -11,6 +10,14 @@
 
 from ..core.clock import Clock
 from ..core.errors import ErrorKind
+from ..core.input_limits import (
+    MAX_CONNECTIONS,
+    MAX_PORT,
+    MAX_SLOTS,
+    MAX_TTL_MS,
+    MIN_TTL_MS,
+    normalized_ip_address,
+)
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice, MergeOutcome
 from ..http.messages import Request, Response, error_response, json_response
 from .gossip import PushResult
@@ -28,19 +35,22 @@
 
     service: _Name
     host: str
-    port: int = Field(ge=1, le=65535)
+    port: int = Field(ge=1, le=MAX_PORT)
     zone: _Name
     incarnation: _Counter
     heartbeat: _Counter
-    ttl_ms: float = Field(ge=1000, le=600_000)
-    slots: int = Field(ge=1, le=100_000)
-    connections: int = Field(ge=1, le=1_000_000)
+    ttl_ms: float = Field(ge=MIN_TTL_MS, le=MAX_TTL_MS)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
+    connections: int = Field(ge=1, le=MAX_CONNECTIONS)
     state: Literal["serving", "leaving"]
 
     @field_validator("host")
     @classmethod
     def _check_host(cls, value: str) -> str:
-        return str(ip_address(value))
+        host = normalized_ip_address(value)
+        if host is None:
+            raise ValueError("expected an IP address without a scope")
+        return host
 
     def endpoint(self) -> Endpoint:
         """Return the announced endpoint; a new incarnation is cold."""
--- a/pollenfold/entry/gossip.py
+++ b/pollenfold/entry/gossip.py
@@ -150,6 +150,9 @@
         request = decode_request(payload)
         if isinstance(request, Push):
             self._merge(request.entries)
+            if request.n_malformed:
+                # An acknowledgement would state that this entry knows all of them.
+                raise ValueError(f"malformed endpoints: {request.n_malformed}")
             return encode_response(None)
         now = self._clock()
         if isinstance(request, Digest):
--- a/pollenfold/tests/entry/test_gossip.py
+++ b/pollenfold/tests/entry/test_gossip.py
@@ -168,6 +168,32 @@
     run(main)
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"zone": "z" * 5000},
+        {"host": "fe80::1%" + "x" * 200},
+        {"host": "a.example"},
+        {"slots": 0},
+        {"incarnation": (1 << 64) - 1},
+    ],
+    ids=["zone", "scope", "host_name", "slots", "incarnation"],
+)
+def test_malformed_endpoint_hides_no_other(run, fleet, changes):
+    """Guards against one malformed endpoint in a message of a peer that is merged, that
+    hides the others, or that is acknowledged."""
+
+    async def main():
+        true = make_endpoint(port=81)
+        result = await fleet.gossips[0].push([make_endpoint(**changes), true])
+        assert result.n_acknowledged == 0
+        for table in fleet.tables[1:]:
+            assert table.get(true.key) is not None
+            assert len(table) == 1
+
+    run(main)
+
+
 def test_push_over_sockets(run):
     """Guards against messages that exceed the limits of the real transport."""
 
--- a/pollenfold/wire/membership.py
+++ b/pollenfold/wire/membership.py
@@ -9,7 +9,18 @@
 from typing import Any
 
 import capnp
-
+from loguru import logger
+
+from ..core.input_limits import (
+    MAX_CONNECTIONS,
+    MAX_SLOTS,
+    MAX_TTL_MS,
+    MIN_TTL_MS,
+    is_ip_address,
+    is_name,
+    is_port,
+    is_whole_number,
+)
 from ..core.membership import (
     N_BUCKETS,
     AgedEndpoint,
@@ -23,18 +34,19 @@
 MAX_ENTRIES = 2500
 """Largest number of endpoints in one message; keeps it below the frame limit."""
 
-MAX_TEXT_BYTES = 128
-"""Largest length of a service, host or zone name in characters. Only the zone may be
-empty."""
-
 _MAX_U32 = 0xFFFFFFFF
+_MAX_COUNTER = (1 << 63) - 1
 
 
 @dataclass(frozen=True, slots=True)
 class Push:
-    """Changed endpoints that the receiver merges."""
+    """Changed endpoints that the receiver merges.
+
+    ``n_malformed`` is how many more the message had that can't be used.
+    """
 
     entries: tuple[AgedEndpoint, ...]
+    n_malformed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +92,8 @@
         with _open_message(load_schema("membership").Request, data) as message:
             which = str(message.which())
             if which == "push":
-                return Push(_read_entries(message.push))
+                entries = _read_entries(message.push)
+                return Push(entries, len(message.push) - len(entries))
             if which == "digest":
                 fingerprints = _unpack("Q", message.digest.fingerprints, N_BUCKETS)
                 heartbeats = _read_heartbeats(message.digest, N_BUCKETS)
@@ -156,17 +169,38 @@
 
 
 def _read_entries(items: Any) -> tuple[AgedEndpoint, ...]:
+    """Return the valid endpoints of a message; the others are logged and left out."""
     if len(items) > MAX_ENTRIES:
         raise ValueError(f"expected at most {MAX_ENTRIES} entries, got {len(items)}")
-    return tuple(_read_entry(item) for item in items)
+    entries = [_read_entry(item) for item in items]
+    malformed = [entry for entry in entries if not _is_usable(entry.endpoint)]
+    if malformed:
+        first = malformed[0].endpoint
+        logger.warning(
+            "event=malformed_endpoints n={} service={!r:.80} endpoint={!r:.80}",
+            len(malformed),
+            first.service,
+            first.name,
+        )
+    return tuple(entry for entry in entries if _is_usable(entry.endpoint))
+
+
+def _is_usable(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint is within the limits of announcements."""
+    return (
+        is_name(endpoint.service)
+        and is_ip_address(endpoint.host)
+        and is_port(endpoint.port)
+        and (not endpoint.zone or is_name(endpoint.zone))
+        and is_whole_number(endpoint.incarnation, _MAX_COUNTER)
+        and is_whole_number(endpoint.heartbeat, _MAX_COUNTER)
+        and MIN_TTL_MS <= endpoint.ttl_ms <= MAX_TTL_MS
+        and is_whole_number(endpoint.slots, MAX_SLOTS, 1)
+        and is_whole_number(endpoint.connections, MAX_CONNECTIONS, 1)
+    )
 
 
 def _read_entry(item: Any) -> AgedEndpoint:
-    names = (item.service, item.host, item.zone)
-    if not item.service or not item.host or max(map(len, names)) > MAX_TEXT_BYTES:
-        raise ValueError(
-            f"expected names of 1 to {MAX_TEXT_BYTES} bytes, got {names!r:.200}"
-        )
     warm = WarmState(item.warmEpoch, item.isWarm, item.warmZoneVersion)
     endpoint = Endpoint(
         service=item.service,
