Keep the feed of a replica that sends a confirmation nobody requested

A control replica that received "confirmed" in a line of another one raised AttributeError, which ended the task of that feed for good: the feed was never reopened. Replicas request no confirmation, so only a malformed line has one. Found by properties/test_borders.py with the feed line of a replica; no process showed it.

--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -7,6 +7,7 @@
 from ..core.agreement_members import host_and_port
 from ..core.allowances import FleetSize
 from ..core.clock import Instant
+from ..core.confirmation import Confirmations
 from ..core.digests import bucket_digests
 from ..core.registry import decode_aged_announcement
 from ..core.replicated_state import ReplicatedState
@@ -27,6 +28,9 @@
         self.n_connected = 0
         self.announced_index = 0
         self.entry_ids: frozenset[str] = frozenset()
+        self.confirmations = Confirmations()
+        """Stays empty, since a replica requests no confirmation."""
+
         self.fleet = FleetSize()
         """Fleet size reported by others; this replica counts its own subscribers."""
 
