--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -48,16 +48,16 @@
 )
 
 
-def _value_paths(value, path=()):
+def value_paths(value, path=()):
     """Yield the path of each value in a document."""
     yield path
     items = value.items() if isinstance(value, dict) else ()
     items = enumerate(value) if isinstance(value, list) else items
     for key, inner in items:
-        yield from _value_paths(inner, (*path, key))
+        yield from value_paths(inner, (*path, key))
 
 
-def _with_value_at(document, path, value):
+def with_value_at(document, path, value):
     if not path:
         return value
     copy = json.loads(json.dumps(document))
@@ -68,12 +68,12 @@
     return copy
 
 
-@given(st.sampled_from(list(_value_paths(CONFIGURATION))), VALUES)
+@given(st.sampled_from(list(value_paths(CONFIGURATION))), VALUES)
 @example(("services", 0, "maxConns"), float("inf"))
 @example(("hosts", 0, "paths", 0, "targetLatencyMs"), float("nan"))
 def test_configuration_with_any_value_at_any_path(path, value):
     """Guards against a configuration that crashes a replica or an entry."""
-    document = _with_value_at(CONFIGURATION, path, value)
+    document = with_value_at(CONFIGURATION, path, value)
     try:
         configuration = decode_configuration(json.dumps(document))
     except DocumentError:
@@ -86,7 +86,7 @@
             )
 
 
-SPLIT_CONFIGURATION = _with_value_at(
+SPLIT_CONFIGURATION = with_value_at(
     CONFIGURATION,
     ("hosts", 0, "paths", 1),
     {
@@ -109,7 +109,7 @@
 
 @given(
     st.lists(
-        st.tuples(st.sampled_from(list(_value_paths(SPLIT_CONFIGURATION))), VALUES),
+        st.tuples(st.sampled_from(list(value_paths(SPLIT_CONFIGURATION))), VALUES),
         max_size=4,
     )
 )
@@ -119,7 +119,7 @@
     """Guards against a route that is taken from an earlier version although its text,
     or the services, differ."""
     decode = configuration_decoder()
-    documents = [_with_value_at(SPLIT_CONFIGURATION, *edit) for edit in edits]
+    documents = [with_value_at(SPLIT_CONFIGURATION, *edit) for edit in edits]
     for document in (SPLIT_CONFIGURATION, *documents, SPLIT_CONFIGURATION):
         expected = decoded_or_error(configuration_steps, document)
         decoded = decoded_or_error(decode, document)
@@ -146,11 +146,11 @@
             assert json.dumps(scanned) == json.dumps(expected)
 
 
-@given(st.sampled_from(list(_value_paths(ANNOUNCEMENT))), VALUES)
+@given(st.sampled_from(list(value_paths(ANNOUNCEMENT))), VALUES)
 def test_announcement_with_any_value_at_any_path(path, value):
     """Guards against accepting an announcement with an unusable field, and against
     one that can't be sent on the feeds."""
-    document = _with_value_at(ANNOUNCEMENT, path, value)
+    document = with_value_at(ANNOUNCEMENT, path, value)
     try:
         announcement = decode_announcement("i-1", json.dumps(document).encode())
     except DocumentError:
@@ -186,10 +186,10 @@
 }
 
 
-@given(st.sampled_from(list(_value_paths(SETTINGS))), VALUES)
+@given(st.sampled_from(list(value_paths(SETTINGS))), VALUES)
 def test_settings_with_any_value_at_any_path(path, value):
     """Guards against a settings file that ends a process without naming the field."""
-    fields = _with_value_at(SETTINGS, path, value)
+    fields = with_value_at(SETTINGS, path, value)
     if isinstance(fields, dict):
         try:
             parse_settings(fields)
@@ -207,10 +207,10 @@
 }
 
 
-@given(st.sampled_from(list(_value_paths(REPLICATED_STATE))), VALUES)
+@given(st.sampled_from(list(value_paths(REPLICATED_STATE))), VALUES)
 def test_replicated_state_with_any_value_at_any_path(path, value):
     """Guards against a line of a feed that ends the task that reads it."""
-    fields = _with_value_at(REPLICATED_STATE, path, value)
+    fields = with_value_at(REPLICATED_STATE, path, value)
     if isinstance(fields, dict):
         try:
             ReplicatedState().merged(fields)
