Test the transfer of a document with arbitrary values too

The property test of feed lines also takes a state whose document comes as a difference with a digest, as replicas send it now.

--- a/properties/test_borders.py
+++ b/properties/test_borders.py
@@ -2,26 +2,20 @@
 declared error, and one malformed member of a list hides none of the others."""
 
 import json
-import tempfile
-from pathlib import Path
 from types import SimpleNamespace
 
 import curio
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
-from pydantic import ValidationError
 
 from pollenfold.control.cluster_state import ClusterState
 from pollenfold.control.peer_view import PeerView
 from pollenfold.core import input_limits
 from pollenfold.core.clock import Instant
-from pollenfold.core.endpoints import AgedEndpoint, Endpoint
 from pollenfold.core.limit_report import decode_limit_report
 from pollenfold.core.quarantine import Quarantine
 from pollenfold.core.registry import decode_announcement as decode_fields
-from pollenfold.core.replicated_state import decode_command, decode_replicated_state
-from pollenfold.entry.announcements import Announcement as OwnAnnouncement
 from pollenfold.gateway.feed import Feed
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
@@ -35,10 +29,8 @@
     decode_configuration,
 )
 from pollenfold.platform.settings import SettingsError, parse_settings
-from pollenfold.storage.endpoint_cache import FILE_NAME, read_endpoint_cache
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
-from pollenfold.wire.connections import address_family
-from pollenfold.wire.membership import Push, decode_request, encode_request
+from pollenfold.wire.document_transfer import encode_transfer
 from properties.test_decoders import (
     SETTINGS,
     VALUES,
@@ -252,20 +244,34 @@
     return list(view._cluster_state.registry.announcements())
 
 
+def line_with_transfer():
+    """Return a line whose state has its document as a replica sends it to an entry."""
+    transfer = encode_transfer(0, "", json.dumps(CONFIGURATION))
+    state = {**LINE["orders"], "version": 7, "transfer": transfer}
+    del state["document"]
+    return {**LINE, "orders": state}
+
+
+LINES = [LINE, line_with_transfer()]
+
+
 @pytest.mark.parametrize("make_view", [entry_view, replica_view])
-@given(st.sampled_from(list(value_paths(LINE))), ODD_VALUES)
-@example(("n_entries",), 10**400)
-@example(("announcements", 0, 1), 10**400)
-@example(("announcements", 0, 0, 4), "\ud800")
-@example(("joined", 0), [])
-@example(("heard", 0), {})
-@example(("orders", "departures", "i-9"), [])
-@example(("orders", "document"), "{")
-@example(("orders",), 7)
-def test_feed_line_with_any_value_hides_no_other_member(make_view, path, value):
+@given(
+    st.sampled_from([(line, path) for line in LINES for path in value_paths(line)]),
+    ODD_VALUES,
+)
+@example((LINE, ("n_entries",)), 10**400)
+@example((LINE, ("announcements", 0, 1)), 10**400)
+@example((LINE, ("announcements", 0, 0, 4)), "\ud800")
+@example((LINE, ("joined", 0)), [])
+@example((LINE, ("heard", 0)), {})
+@example((LINE, ("orders", "departures", "i-9")), [])
+@example((LINE, ("orders", "document")), "{")
+@example((LINE, ("orders",)), 7)
+def test_feed_line_with_any_value_hides_no_other_member(make_view, place, value):
     """Guards against a process that closes its feed, ends, or misses the endpoints that
     come after a malformed member of a line."""
-    line = with_value_at(LINE, path, value)
+    line = with_value_at(*place, value)
     if not isinstance(line, dict):
         return
     if isinstance(line.get("announcements"), list):
@@ -288,131 +294,3 @@
         assert "i-true" in {announcement.endpoint_id for announcement in known}
     view.digests()
     assert 1 <= view.fleet.get(system_clock()) <= input_limits.MAX_ENTRIES
-
-
-STATE = {"index": 5, "version": 0, "document": ""}
-
-
-@given(
-    st.lists(ODD_VALUES, max_size=4),
-    st.dictionaries(st.text(max_size=5), ODD_VALUES, max_size=4),
-)
-def test_snapshot_with_any_zone_or_departure_is_read(evacuated, departures):
-    """Guards against a stored departure that ends a replica whenever it starts."""
-    malformed = []
-    state = decode_replicated_state(
-        {**STATE, "evacuated": [*evacuated, "a"], "departures": {**departures, "i": 5}},
-        malformed.append,
-    )
-    assert "a" in state.evacuated
-    assert state.has_departed("i", 5)
-    assert all(type(born_ms) is int for born_ms in state.departures.values())
-
-
-def test_deeply_nested_command_is_refused():
-    """Guards against a command in the log that ends each replica that applies it."""
-    with pytest.raises(ValueError):
-        decode_command(b"[" * 100_000)
-
-
-CACHE = {"announcements": [FIELDS], "n_entries": 3}
-
-
-@given(st.sampled_from(list(value_paths(CACHE))), ODD_VALUES)
-@example(("n_entries",), 10**400)
-@example(("n_entries",), float("inf"))
-def test_endpoint_cache_with_any_value_is_read(path, value):
-    """Guards against a cached value that ends a replica whenever it starts."""
-    with tempfile.TemporaryDirectory() as folder:
-        text = json.dumps(with_value_at(CACHE, path, value))
-        (Path(folder) / FILE_NAME).write_text(text)
-        items, n_entries = read_endpoint_cache(Path(folder))
-    assert isinstance(items, list)
-    assert 0 <= n_entries <= input_limits.MAX_ENTRIES
-
-
-def test_deeply_nested_endpoint_cache_is_read_as_empty(tmp_path):
-    """Guards against a corrupt cache that ends a replica whenever it starts."""
-    (tmp_path / FILE_NAME).write_text("[" * 100_000)
-    assert read_endpoint_cache(tmp_path) == ([], 0)
-
-
-@given(st.text(max_size=80) | st.sampled_from(["10.0.0.9", "::1"]), st.integers())
-@example("a" * 70 + ".example", 80)
-@example("10.0.0\0.9", 80)
-def test_only_an_ip_address_and_a_port_have_a_family(host, port):
-    """Guards against an address whose use blocks the event loop or raises an error
-    that no caller handles."""
-    try:
-        address_family(host, port)
-    except OSError:
-        return
-    assert input_limits.normalized_ip_address(host) or "%" in host
-    assert input_limits.is_port(port)
-
-
-@given(st.text(max_size=90))
-@example("10.0.0.9:\u0668\u0660")
-@example("[::1]:80")
-def test_parsed_address_is_usable(text):
-    """Guards against an address that is accepted and can't be connected to."""
-    address = input_limits.parse_address(text)
-    if address is not None:
-        address_family(*address)
-        assert input_limits.is_ip_address(address[0])
-
-
-OWN_ANNOUNCEMENT = {
-    "service": "s",
-    "host": "10.0.0.9",
-    "port": 80,
-    "zone": "a",
-    "incarnation": 1,
-    "heartbeat": 1,
-    "ttl_ms": 2000,
-    "slots": 4,
-    "connections": 9,
-    "state": "serving",
-}
-
-
-@given(st.sampled_from(list(value_paths(OWN_ANNOUNCEMENT))), ODD_VALUES)
-@example(("host",), "fe80::1%" + "x" * 1000)
-def test_own_announcement_reaches_the_other_entries_or_is_refused(path, value):
-    """Guards against an announcement that one entry accepts and all others refuse,
-    together with those that come in the same message."""
-    text = json.dumps(with_value_at(OWN_ANNOUNCEMENT, path, value))
-    try:
-        endpoint = OwnAnnouncement.model_validate_json(text).endpoint()
-    except ValidationError:
-        return
-    push = decode_request(encode_request(Push((AgedEndpoint(endpoint),))))
-    assert push.n_malformed == 0
-
-
-_U32 = st.sampled_from([0, 1, 5, 2_000, 0xFFFFFFFF])
-_NAMES = st.sampled_from(["", "s", "a\n", "x" * 200])
-
-
-@given(
-    st.builds(
-        Endpoint,
-        service=_NAMES,
-        host=st.sampled_from(["10.0.0.9", "a.example", "", "fe80::1%x"]),
-        port=st.sampled_from([0, 80, 65_535]),
-        zone=_NAMES,
-        incarnation=st.sampled_from([0, (1 << 64) - 1]),
-        heartbeat=st.sampled_from([0, (1 << 64) - 1]),
-        ttl_ms=_U32,
-        slots=_U32,
-        connections=_U32,
-    )
-)
-def test_malformed_endpoint_of_a_message_hides_no_other(odd):
-    """Guards against an entry that refuses all endpoints of its peers since one of
-    them is malformed."""
-    true = Endpoint("s", "10.0.0.8", 80, "a", 1, 1, 2_000.0, 4, 9)
-    sent = Push((AgedEndpoint(odd), AgedEndpoint(true)))
-    push = decode_request(encode_request(sent))
-    assert push.entries[-1].endpoint == true
-    assert push.n_malformed + len(push.entries) == 2
