Send retries only for requests of the last quarter of the window

Cause: an entry's share followed from its requests of the last 10 s. When none had been retried, the processes that end send the retries of the 10 s before the window, and the next processes send theirs for the requests within it. Ruled out before: the share of the extra retries, and the number of entries.

Each request now earns 0.8 * ratio of a retry, and a whole one is valid for a quarter of the window. The retries of any window, over all lives, come from the requests of 1.25 windows: 0.8 * 1.25 = 1 times the ratio. A retry is taken from the share of the extra ones only when no earned one is left. Weighed and not chosen: to settle this part too, which leaves no retry for 10 s after each start.

--- a/pollenfold/core/retry_budget.py
+++ b/pollenfold/core/retry_budget.py
@@ -2,10 +2,11 @@
 
 In any window the entries may send ``ratio`` times the requests for the service plus
 ``n_extra`` as retries. Each entry computes its own share without messages. What a
-process sent is lost with its memory, so an entry uses a share of ``n_extra`` only after
-it had that share for a whole window, and its sum holds while entries end and start
-again. The part for an entry's own requests has no such delay and may exceed its sum
-when most entries end shortly after servers began to fail (KNOWN-RED.txt).
+process sent is lost with its memory, so the sum must hold while entries end and start
+again. An entry therefore uses a share of ``n_extra`` only after it had that share for a
+whole window. What it earns by its own requests it may use at once, but not for long:
+otherwise processes that end could send the retries of requests from before the window,
+in addition to those for the requests of the processes that replace them.
 """
 
 from __future__ import annotations
@@ -21,6 +22,13 @@
 """Seeds the hash that selects the entries with one more permit than others."""
 
 
+VALIDITY_SHARE = 1.0 / SAFETY_FACTOR - 1.0
+"""How long a retry that was earned by requests may be used, in windows.
+
+The retries of one window come from the requests of the window and of this time before
+it. Together they are as many as those of one window without the safety factor."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
     """Limits the retries that all entries together may send to one service.
@@ -38,13 +46,13 @@
 class RetryDecision:
     """Whether a retry is permitted, and what decided it.
 
-    ``n_before`` is how many retries this entry had sent in the window, ``share`` how
-    many it may send.
+    ``n_before`` is how many retries this entry had sent in the window, ``share`` that
+    number and those that it may still send now.
     """
 
     is_permitted: bool
     n_before: int
-    share: float
+    share: int
 
 
 class SettledMinimum:
@@ -95,21 +103,54 @@
     return n_each + int(rendezvous_rank(entry_id, entry_ids, _SUBJECT) < n_selected)
 
 
+class _EarnedRetries:
+    """The retries that an entry earned by requests and hasn't used.
+
+    For example, at 0.16 retries a request the seventh request earns the first one.
+    """
+
+    def __init__(self, n_per_request: float, validity_ms: float) -> None:
+        self._n_per_request = n_per_request
+        self._validity_ms = validity_ms
+        self._fraction = 0.0
+        self._earned_at: deque[Instant] = deque()
+
+    def count_request(self, now: Instant) -> None:
+        """Earn a part of a retry."""
+        n_earned, self._fraction = divmod(self._fraction + self._n_per_request, 1.0)
+        self._earned_at.extend([now] * int(n_earned))
+
+    def get(self, now: Instant) -> int:
+        """Return how many are still valid."""
+        oldest = add_ms(now, -self._validity_ms)
+        while self._earned_at and self._earned_at[0] <= oldest:
+            self._earned_at.popleft()
+        return len(self._earned_at)
+
+    def use(self) -> None:
+        """Use the oldest one."""
+        self._earned_at.popleft()
+
+
 class _ServiceCounts:
-    """This entry's requests and retries to one service in the window."""
+    """This entry's retries to one service: earned, sent, and taken from the extra."""
 
-    def __init__(self, window_ms: float) -> None:
-        self.requests = WindowCount(window_ms)
-        self.retries = WindowCount(window_ms)
+    def __init__(self, limits: RetryLimits) -> None:
+        self.earned = _EarnedRetries(
+            SAFETY_FACTOR * limits.ratio, VALIDITY_SHARE * limits.window_ms
+        )
+        self.retries = WindowCount(limits.window_ms)
+        self.extra = WindowCount(limits.window_ms)
 
 
 class RetryBudget:
     """This entry's share of the retries to each service.
 
-    The share is ``ratio`` times the entry's own requests, reduced by ``SAFETY_FACTOR``,
-    plus its share of ``n_extra``. For example, with a ratio of 0.2, 64 extra retries
-    and 16 entries, an entry that received 100 requests in the window may send 0.8 * 20
-    + 3 = 19 retries.
+    Each request earns ``ratio`` retries, reduced by ``SAFETY_FACTOR``, which are valid
+    for ``VALIDITY_SHARE`` of the window; in addition there is the entry's share of
+    ``n_extra``. For example, with a ratio of 0.2, a window of 10 s, 64 extra retries
+    and 16 entries, an entry that receives 10 requests a second may send 0.8 * 0.2 * 10
+    = 1.6 retries a second, the 4 of the last 2.5 s at once, and 3 more in any 10 s.
 
     An entry uses the smallest share of ``n_extra`` that it had in the last window. So
     the retries of all entries in a window are at most the shares at the start of that
@@ -149,21 +190,26 @@
 
     def count_request(self, service: str, now: Instant) -> None:
         """Count one request of a caller for a service."""
-        self._counts(service).requests.add(now)
+        self._counts(service).earned.count_request(now)
 
     def try_acquire(self, service: str, now: Instant) -> RetryDecision:
         """Count one retry to a service, if this entry's share permits it."""
         counts = self._counts(service)
         n_before = counts.retries.get(now)
-        from_requests = SAFETY_FACTOR * self._limits.ratio * counts.requests.get(now)
-        share = from_requests + self._n_extra.get(now)
-        is_permitted = n_before + 1 <= share
+        n_earned = counts.earned.get(now)
+        n_extra = max(0, self._n_extra.get(now) - counts.extra.get(now))
+        share = n_before + n_earned + n_extra
+        is_permitted = share > n_before
         if is_permitted:
             counts.retries.add(now)
+            if n_earned:
+                counts.earned.use()
+            else:
+                counts.extra.add(now)
         return RetryDecision(is_permitted, n_before, share)
 
     def _counts(self, service: str) -> _ServiceCounts:
         counts = self._services.get(service)
         if counts is None:
-            counts = self._services[service] = _ServiceCounts(self._limits.window_ms)
+            counts = self._services[service] = _ServiceCounts(self._limits)
         return counts
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -220,7 +220,7 @@
         self._retry_budget.update_share(fleet, self._view.entry_ids, now)
         decision = self._retry_budget.try_acquire(call.service, now)
         call.decision_trace.append(
-            f"retry/{decision.n_before}/{decision.share:.1f}/{fleet.get(now)}"
+            f"retry/{decision.n_before}/{decision.share}/{fleet.get(now)}"
         )
         name = "retries_total" if decision.is_permitted else "retries_refused_total"
         self._metrics.count(name, service=call.service)
--- a/pollenfold/tests/core/test_retry_budget.py
+++ b/pollenfold/tests/core/test_retry_budget.py
@@ -81,6 +81,17 @@
     assert not budget.try_acquire("s", 1.0).is_permitted
 
 
+def test_retries_earned_by_old_requests_are_not_sent():
+    """Guards against retries for requests from before a window, which come in addition
+    to those that the next process of this entry sends."""
+    budget = RetryBudget(LIMITS, "e1", 0.0)
+    for _ in range(100):
+        budget.count_request("s", 0.0)
+    assert budget.try_acquire("s", 2_499.0).share == 16
+    assert budget.try_acquire("s", 2_499.0).is_permitted
+    assert not budget.try_acquire("s", 2_500.0).is_permitted
+
+
 def test_share_falls_at_once_and_rises_after_a_window():
     """Guards against two entries that both use a share which moved between them."""
     minimum = SettledMinimum(10_000.0, 0.0)
--- a/properties/test_retry_budget.py
+++ b/properties/test_retry_budget.py
@@ -262,3 +262,34 @@
         simulation.at(at, getattr(simulation, kind), share, for_ms)
     simulation.run()
     simulation.assert_sum_holds()
+
+
+@settings(max_examples=40)
+@given(
+    n_entries=st.sampled_from([1, 16]),
+    wanted_from=st.floats(12_000.0, 30_000.0),
+    faults=st.lists(
+        st.tuples(
+            st.floats(0.0, 9_000.0),
+            st.sampled_from(["kill", "stop", "restart_control"]),
+            st.sampled_from([0.5, 0.9, 1.0]),
+        ),
+        min_size=1,
+        max_size=4,
+    ),
+    seed=st.integers(0, 1 << 16),
+)
+@example(16, 20_000.0, [(3_400.0, "kill", 0.9), (6_900.0, "kill", 0.9)], 11)
+@example(1, 20_000.0, [(5_000.0, "kill", 1.0)], 0)
+def test_retries_keep_to_the_budget_when_servers_fail_before_faults(
+    n_entries, wanted_from, faults, seed
+):
+    """Guards against the retries of a time without any, which processes that end send
+    in addition to those of the processes that replace them."""
+    simulation = Simulation(n_entries, seed)
+    simulation.retries_wanted_from = wanted_from
+    for after_ms, kind, share in faults:
+        at = wanted_from + after_ms
+        simulation.at(at, getattr(simulation, kind), share, 1_000.0)
+    simulation.run()
+    simulation.assert_sum_holds()
