--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..core.clock import Clock, add_ms
 from ..core.errors import ErrorKind
@@ -88,10 +89,9 @@
 
     def _limits(self) -> ServerLimits:
         limits = self._caller_limits()
-        return ServerLimits(
-            body_bytes=limits.body_bytes,
+        return replace(
+            limits,
             head_bytes=limits.head_bytes + HEAD_MARGIN_BYTES,
-            head_timeout_ms=limits.head_timeout_ms,
             idle_timeout_ms=1_000.0 * (IDLE_TIMEOUT_S + 1),
             announced_idle_s=IDLE_TIMEOUT_S,
         )
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -63,7 +63,10 @@
         is_permitted: Callable[[str], bool] | None = None,
         budget: MemoryBudget | None = None,
     ) -> None:
-        """Create a server; ``limits`` is called for each connection.
+        """Create a server; ``limits`` returns the limits in force.
+
+        It is called several times for each request, so that a change counts for the
+        connections that are open.
 
         Connections from addresses for which ``is_permitted`` is false are closed at
         once. ``budget`` limits the memory of bodies together with other servers.
@@ -177,7 +180,7 @@
 
     async def _serve(self, client: Socket, peer: str) -> None:
         connection_class = self.connection_class
-        connection = connection_class(client, peer, self._shared, self._limits())
+        connection = connection_class(client, peer, self._shared, self._limits)
         self._connections.add(connection)
         try:
             await connection.serve()
