--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -19,6 +19,7 @@
 from .entry_hosts import EntryHosts
 from .peer_view import PeerView
 from .state_responses import StateResponses
+from .subscriber import Subscriber
 
 PUBLISH_INTERVAL_MS = 20.0
 KEEP_ALIVE_MS = 500.0
@@ -27,65 +28,10 @@
 
 REFRESH_INTERVAL_MS = 3_000.0
 IDLE_TIMEOUT_MS = 5_000.0
-STALL_TIMEOUT_MS = 2_000.0
-"""A subscriber that accepts no bytes for this long is disconnected; it reconnects."""
-
 ANNOUNCEMENT_MAX_AGE_MS = 30_000.0
 """Endpoints without an announcement for this long are left out of the lists sent."""
 
 
-class _Subscriber:
-    """One connection that receives the feed."""
-
-    def __init__(
-        self, client: socket.socket, hello: dict[str, Any], host: str, now: Instant
-    ):
-        self.client = client
-        self.host = host
-        self.zone = str(hello.get("zone", ""))
-        self.is_peer = bool(hello.get("relay", 0))
-        """Whether it takes requests from other entries."""
-
-        self.connected_at = now
-        self.n_hosts_change = 0
-        """The number of the last change of entry hosts that it received."""
-
-        self.name = str(hello.get("name", ""))
-        self.role = str(hello.get("role", ""))
-        self.is_entry = self.role == "entry"
-        self.wants_updates = not self.is_entry or "news" not in hello
-        """Whether it receives endpoints and entry names, or only the log index.
-
-        Entries of earlier versions don't subscribe explicitly; every replica sends
-        them updates."""
-
-        self._send_buffer = bytearray()
-        self._last_progress_at = now
-
-    @property
-    def has_pending(self) -> bool:
-        """Whether the send buffer holds bytes that the socket didn't accept."""
-        return bool(self._send_buffer)
-
-    def enqueue(self, data: bytes) -> None:
-        """Append encoded lines to the send buffer."""
-        self._send_buffer += data
-
-    def send(self, now: Instant) -> bool:
-        """Write what the socket accepts; return False if it is closed or stalled."""
-        try:
-            while self._send_buffer:
-                n_bytes = self.client._socket.send(self._send_buffer)
-                del self._send_buffer[:n_bytes]
-                self._last_progress_at = now
-        except (BlockingIOError, InterruptedError):
-            return now < add_ms(self._last_progress_at, STALL_TIMEOUT_MS)
-        except OSError:
-            return False
-        self._last_progress_at = now
-        return True
-
-
 class FeedServer:
     """Sends subscribers the log index, the endpoints and the fleet.
 
@@ -106,7 +52,7 @@
         self._peers = peers
         self._clock = clock
         self._log = log
-        self._subscribers: set[_Subscriber] = set()
+        self._subscribers: set[Subscriber] = set()
         self._pending_updates: dict[str, Announcement] = {}
         self._changed_limits: set[str] = set()
         self._changed_digests: set[str] = set()
@@ -154,14 +100,14 @@
         self, client: socket.socket, address: tuple[str, int]
     ) -> None:
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        subscriber: _Subscriber | None = None
+        subscriber: Subscriber | None = None
         detail = "closed"
         try:
             async for line in read_lines(client, lambda: IDLE_TIMEOUT_MS):
                 if subscriber is None:
                     if not is_name(line.get("name")):
                         raise BadLineError("expected the name of a subscriber")
-                    subscriber = _Subscriber(client, line, address[0], self._clock())
+                    subscriber = Subscriber(client, line, address[0], self._clock())
                     self._register(subscriber)
                 elif "get" in line:
                     self._send_line(subscriber, {"orders": self._state_for(line)})
@@ -190,7 +136,7 @@
                     detail=detail,
                 )
 
-    def _register(self, subscriber: _Subscriber) -> None:
+    def _register(self, subscriber: Subscriber) -> None:
         """Add a subscriber and send the current index and sizes.
 
         The subscriber requests the replicated state and the endpoints itself.
@@ -216,7 +162,7 @@
         return self._responses.encode(self._cluster_state.replicated_state, line)
 
     async def _request_confirmation(
-        self, subscriber: _Subscriber, request_id: object
+        self, subscriber: Subscriber, request_id: object
     ) -> None:
         if type(request_id) is not int:
             self._log.state("malformed_report", reader=subscriber.name, detail="id")
@@ -228,7 +174,7 @@
 
         await self._confirmer.request(subscriber.name, request_id, respond)
 
-    def _set_wants_updates(self, subscriber: _Subscriber, wants_updates: bool) -> None:
+    def _set_wants_updates(self, subscriber: Subscriber, wants_updates: bool) -> None:
         """Start or stop sending an entry updates on endpoints and other entries."""
         if not subscriber.is_entry or subscriber.wants_updates == wants_updates:
             return
@@ -246,7 +192,7 @@
             self._send_line(subscriber, line)
             self._send_quarantine(subscriber)
 
-    def _send_quarantine(self, subscriber: _Subscriber) -> None:
+    def _send_quarantine(self, subscriber: Subscriber) -> None:
         """Send what is known of requests that ended more than one server."""
         reports = self._cluster_state.quarantine.repeated_reports(self._clock())
         if reports:
@@ -257,7 +203,7 @@
         since = self._peers.connected_since
         return -1.0 if since is None else round(self._clock() - since)
 
-    def _send_line(self, subscriber: _Subscriber, line: dict[str, Any]) -> None:
+    def _send_line(self, subscriber: Subscriber, line: dict[str, Any]) -> None:
         subscriber.enqueue(encode_line(line))
         self._flush(subscriber)
 
@@ -291,7 +237,7 @@
         peers.sort(key=lambda r: r.connected_at)
         self._entry_hosts.update({r.name: (r.host, r.zone) for r in peers})
 
-    def _enqueue_entry_hosts(self, subscriber: _Subscriber) -> None:
+    def _enqueue_entry_hosts(self, subscriber: Subscriber) -> None:
         """Enqueue the next changes of entry hosts that an entry hasn't received."""
         zones, number = self._entry_hosts.changes_since(subscriber.n_hosts_change)
         subscriber.n_hosts_change = number
@@ -441,7 +387,7 @@
                 continue
             self._flush(subscriber)
 
-    def _flush(self, subscriber: _Subscriber) -> None:
+    def _flush(self, subscriber: Subscriber) -> None:
         if not subscriber.send(self._clock()):
             self._subscribers.discard(subscriber)
             # Wakes the task that reads from this connection, which then closes it.
