Relay requests only by the configuration of the entry that admitted them

A review of relaying found: a peer routed a relayed request anew by its own configuration, however old. A POST that must not be repeated ran twice where the peer's version permits repeats; five of five requests ran at the service of a former version, at a peer without control; a peer that lacks the route answered 404 to a request that the caller's own entry had admitted.

Cause: the relay header named the service, but neither the version nor whether the route may be repeated. Now both travel with it. A peer with a lower version refuses as not run (not_confirmed); a request is repeated only if both entries say it may be; another peer is tried, and a peer's 4xx refusal is never passed on for a request that was admitted here.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..core.clock import Instant, add_ms
 from ..core.outcomes import AttemptOutcome
@@ -89,6 +89,10 @@
     """Whether the retry budget has already permitted the next attempt."""
 
     n_probes_left: int = 0
+
+    version: int = 0
+    """The configuration that the route is from."""
+
     """How many probes this entry leaves to the peer to which it relays the request."""
 
     relay_trace: list[str] = field(default_factory=list)
@@ -154,9 +158,12 @@
         route: Route,
         started_at: Instant,
         relayed: RelayedRequest | None = None,
+        version: int = 0,
     ) -> Call | None:
         """Return the call of a request, or None if its deadline is malformed.
 
+        ``version`` is the configuration that the route is from.
+
         ``relayed`` is what the passing entry says of the request, if it came from one.
         """
         value = request.header(self._dialect.deadline_ms)
@@ -172,6 +179,9 @@
         target_ms = route.target_latency_ms - age_ms
         if relayed is not None:
             target_ms = min(target_ms, relayed.target_ms)
+            # The passing entry may hold another version of the route.
+            is_idempotent = route.is_idempotent and relayed.is_idempotent
+            route = replace(route, is_idempotent=is_idempotent)
         return Call(
             request=request,
             request_id=request_id,
@@ -187,6 +197,7 @@
             is_relayed=relayed is not None,
             is_repeat=relayed is not None and relayed.is_repeat,
             is_retry_acquired=relayed is not None and relayed.is_retry_acquired,
+            version=version,
         )
 
     def _choose_service(self, route: Route, relayed: RelayedRequest | None) -> str:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -148,6 +148,9 @@
             after_ms = NOT_READY_RETRY_AFTER_MS
             return refuse(request_id, ErrorKind.NOT_READY, after_ms=after_ms)
         self._call_factory.retain(configuration)
+        if relayed is not None and relayed.version > configuration.version:
+            # The route may have moved, or may not be repeated any more.
+            return refuse(request_id, ErrorKind.NOT_CONFIRMED)
         route = _find_request_route(request, configuration)
         if route is None:
             url = _request_host(request) + request.path
@@ -155,7 +158,7 @@
                 return refuse(request_id, ErrorKind.NOT_CONFIRMED, url=url)
             return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
         call = self._call_factory.create_call(
-            request, request_id, route, started_at, relayed
+            request, request_id, route, started_at, relayed, configuration.version
         )
         if call is None:
             detail = "malformed deadline"
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -234,6 +234,8 @@
             max_attempts=max(1, call.max_attempts - n_sends),
             is_repeat=n_sends > 0,
             is_retry_acquired=call.is_retry_acquired,
+            version=call.version,
+            is_idempotent=call.route.is_idempotent,
             n_probes=call.n_probes_left,
         )
         headers = [
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -27,6 +27,8 @@
 class RelayedRequest:
     """What the passing entry says of a request.
 
+    ``version`` is the configuration by which it was routed to the ``service``, and
+    ``is_idempotent`` what that says of its route.
     ``target_ms`` is the time left until the latency target, negative when it passed.
     ``max_attempts`` is the number of endpoints to which the request may still be sent.
     ``is_repeat`` is whether an endpoint may already have received it. Its request is
@@ -40,6 +42,8 @@
     max_attempts: int
     is_repeat: bool
     is_retry_acquired: bool
+    version: int
+    is_idempotent: bool
     n_probes: int = 0
 
 
@@ -70,6 +74,8 @@
             "max_attempts": request.max_attempts,
             "is_repeat": request.is_repeat,
             "is_retry_acquired": request.is_retry_acquired,
+            "version": request.version,
+            "is_idempotent": request.is_idempotent,
             "n_probes": request.n_probes,
         }
     )
@@ -81,7 +87,12 @@
     service = fields.get("service")
     target_ms = fields.get("target_ms")
     max_attempts = fields.get("max_attempts")
-    flags = [fields.get(name) for name in ("is_repeat", "is_retry_acquired")]
+    is_repeat, is_retry_acquired = flags = [
+        fields.get(name) for name in ("is_repeat", "is_retry_acquired")
+    ]
+    version = fields.get("version")
+    is_idempotent = fields.get("is_idempotent")
+    flags += [is_idempotent]
     n_probes = fields.get("n_probes", 0)
     if (
         _is_name(service)
@@ -89,11 +100,19 @@
         and math.isfinite(target_ms)
         and _is_count(max_attempts)
         and all(type(flag) is bool for flag in flags)
+        and _is_count(version)
         and _is_count(n_probes)
         and n_probes <= MAX_PROBES
     ):
         return RelayedRequest(
-            service, float(target_ms), max_attempts, *flags, n_probes=n_probes
+            service,
+            float(target_ms),
+            max_attempts,
+            is_repeat,
+            is_retry_acquired,
+            version,
+            is_idempotent,
+            n_probes,
         )
     return None
 
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..core.clock import Clock, remaining_ms
-from ..core.errors import ErrorKind
+from ..core.errors import ERROR_TABLE, ErrorKind
 from ..http.messages import Response
 from ..observe.exposition import Metrics
 from .balancer import Balancer
@@ -103,7 +103,7 @@
                 refusal_kind = ErrorKind.DEADLINE_EXCEEDED
                 break
             if result.outcome is RelayOutcome.NOT_STARTED:
-                refusal_kind = result.error_kind or ErrorKind.BACKEND_REFUSED
+                refusal_kind = _refusal_kind(result)
             if result.outcome is RelayOutcome.LOST:
                 refusal_kind = ErrorKind.BACKEND_FAILED
             if not _may_relay(call):
@@ -156,6 +156,16 @@
             table.record_served(peer.entry_id, call.service, now)
 
 
+def _refusal_kind(result: RelayResult) -> ErrorKind:
+    """Return the kind of a peer's refusal, as it is passed on to the caller.
+
+    This entry admitted the request, so that a peer's "no such route" or "too large"
+    only shows that the two hold different configurations.
+    """
+    kind = result.error_kind or ErrorKind.BACKEND_REFUSED
+    return kind if ERROR_TABLE[kind].status >= 500 else ErrorKind.NOT_CONFIRMED
+
+
 def _may_relay(call: Call) -> bool:
     """Return whether a request may be sent to an endpoint through a peer."""
     is_repeatable = call.route.is_idempotent or not call.may_have_executed
--- /dev/null
+++ b/pollenfold/tests/gateway/test_peer_disagreement.py
@@ -0,0 +1,112 @@
+"""Requests relayed between entries that hold different configurations, or refuse."""
+
+import curio
+
+from pollenfold.core.replicated_state import ReplicatedState
+from pollenfold.core.routes import (
+    BackendService,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+    sorted_routes,
+)
+from pollenfold.observe.clock import system_clock
+from pollenfold.tests.gateway.conftest import Backend
+from pollenfold.tests.gateway.test_cut_entry import cut_all, cut_entry, start_fleet
+
+
+def configuration(version, service="s", is_idempotent=True):
+    route = Route(
+        name="r1",
+        path_prefix="/x/",
+        is_idempotent=is_idempotent,
+        weighted_services=(WeightedService(service, 1.0),),
+        timeout_ms=800.0,
+        target_latency_ms=200.0,
+        max_attempts=2,
+    )
+    services = {
+        k: BackendService(k, "/healthz", 260, 3000.0, 18.0) for k in ("s", "old")
+    }
+    return RoutingConfiguration(
+        version, {"h.example": sorted_routes([route])}, services
+    )
+
+
+def hold(path, version, **changes):
+    """Let an entry hold a version of the configuration."""
+    path.view.configuration = configuration(version, **changes)
+    path.view.replicated_state = ReplicatedState(index=version, version=version)
+
+
+async def start_cut_entry(n_entries, **route_changes):
+    """Return an entry that knows that it is cut, its connected peers and servers."""
+    backends, paths, links = await start_fleet(n_entries, **route_changes)
+    for path in paths:
+        assert (await path.get()).status == 200
+    await cut_all(links[0], "refuse")
+    cut, peers = paths[0], paths[1:]
+    table = cut.monitor.peer_table
+    async with curio.timeout_after(5):
+        while not cut.monitor.is_cut:
+            await cut.get()
+        while not all(
+            table.reaches(path.entry_id, "s", system_clock()) for path in peers
+        ):
+            await curio.sleep(0.05)
+    for backend in backends:
+        backend.requests.clear()
+    return cut, peers, backends
+
+
+def test_peer_with_an_older_configuration_runs_nothing(run):
+    """Guards against a request that is executed by the service of an older version,
+    because the entry that was asked to help is cut off from control."""
+
+    async def main():
+        _, (path, other), _ = await cut_entry()
+        former = Backend("former")
+        await former.start()
+        for entry in (path, other):
+            entry.announce(former, service="old")
+        hold(path, 9)
+        hold(other, 8, service="old")
+        for _ in range(5):
+            assert (await path.get()).status == 503
+        assert former.requests == []
+
+    run(main)
+
+
+def test_request_that_one_of_two_entries_must_not_repeat_runs_once(run):
+    """Guards against a second run by a peer whose version of the route permits it."""
+
+    async def main():
+        backends, (path, other), _ = await cut_entry()
+        hold(path, 9, is_idempotent=False)
+        hold(other, 9, is_idempotent=True)
+        for backend in backends:
+            backend.requests.clear()
+            backend.respond = lambda request: None
+        assert (await path.get(b"POST", body=b"order")).status == 502
+        assert sum(len(backend.requests) for backend in backends) == 1
+
+    run(main)
+
+
+def test_peer_that_lacks_a_route_denies_it_to_nobody(run):
+    """Guards against 404 for a request that the entry of its caller admitted."""
+
+    async def main():
+        path, (behind, other), _ = await start_cut_entry(3)
+        hold(path, 2)
+        hold(other, 2)
+        behind.view.configuration = RoutingConfiguration(
+            2, {}, behind.view.configuration.services
+        )
+        statuses = {(await path.get()).status for _ in range(12)}
+        assert statuses == {200}
+        path.view.peer_directory.remove([other.entry_id])
+        assert (await path.get()).status == 503
+
+    run(main)
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -31,7 +31,7 @@
 from pollenfold.tests.gateway.test_long_bodies import LongBackend
 from pollenfold.tests.gateway.test_relay import exchange, read_response, request
 
-RELAYED = RelayedRequest("s", 120.5, 1, True, True)
+RELAYED = RelayedRequest("s", 120.5, 1, True, True, 1, True)
 VALUE = encode_relayed_request(RELAYED)
 FORGED = RELAY_REQUEST + b": " + VALUE + b"\r\n"
 NOTICE = RelayNotice(True, "i-1", 1_700_000_000_000, 2, 5, False)
--- a/pollenfold/tests/platform/test_peer_processes.py
+++ b/pollenfold/tests/platform/test_peer_processes.py
@@ -90,7 +90,9 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     async with sock:
         sock.bind((source_host, 0))
-        value = encode_relayed_request(RelayedRequest("s", 200.0, 2, False, False))
+        value = encode_relayed_request(
+            RelayedRequest("s", 200.0, 2, False, False, 1, True)
+        )
         try:
             await sock.connect((host, RELAY_PORT))
             await sock.sendall(
