Count a request that several peers refuse once in the retry budget

Cause: the next peer was told only of a repeat, not of a request that another one had counted. The header says so now. test_request_that_several_peers_refuse_earns_retries_once failed before.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -90,6 +90,9 @@
 
     n_probes_left: int = 0
 
+    is_counted: bool = False
+    """Whether this entry or a peer counted the request in its retry budget."""
+
     version: int = 0
     """The configuration that the route is from."""
 
@@ -197,6 +200,8 @@
             is_relayed=relayed is not None,
             is_repeat=relayed is not None and relayed.is_repeat,
             is_retry_acquired=relayed is not None and relayed.is_retry_acquired,
+            is_counted=relayed is not None
+            and (relayed.is_counted or relayed.is_repeat),
             version=version,
         )
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -188,7 +188,6 @@
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
         n_sent = 0
-        is_counted = call.is_repeat
         while True:
             final = await self._relaying.relay_if_cut(call)
             if final is not None:
@@ -199,10 +198,10 @@
                 final = await self._relaying.relay_if_unreached(call)
                 if final is not None:
                     return final
-            if not is_counted:
+            if not call.is_counted:
                 # A request that is relayed is counted by the peer.
                 self._retry_budget.count_request(call.service, call.started_at)
-                is_counted = True
+                call.is_counted = True
             if isinstance(pick, ErrorKind):
                 return self._final_responses.finish_failed(call, pick)
             outcome, response = await self._attempts.send(call, pick)
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -236,6 +236,7 @@
             is_retry_acquired=call.is_retry_acquired,
             version=call.version,
             is_idempotent=call.route.is_idempotent,
+            is_counted=call.is_counted,
             n_probes=call.n_probes_left,
         )
         headers = [
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -34,6 +34,7 @@
     ``is_repeat`` is whether an endpoint may already have received it. Its request is
     then counted in the retry budget, and the send is a retry, which the peer counts
     unless ``is_retry_acquired``: the retries are counted where the requests are.
+    ``is_counted`` is whether another peer may have counted the request in its budget.
     ``n_probes`` is how many of its own probes the passing entry leaves to the peer.
     """
 
@@ -44,6 +45,7 @@
     is_retry_acquired: bool
     version: int
     is_idempotent: bool
+    is_counted: bool = False
     n_probes: int = 0
 
 
@@ -76,6 +78,7 @@
             "is_retry_acquired": request.is_retry_acquired,
             "version": request.version,
             "is_idempotent": request.is_idempotent,
+            "is_counted": request.is_counted,
             "n_probes": request.n_probes,
         }
     )
@@ -92,7 +95,8 @@
     ]
     version = fields.get("version")
     is_idempotent = fields.get("is_idempotent")
-    flags += [is_idempotent]
+    is_counted = fields.get("is_counted")
+    flags += [is_idempotent, is_counted]
     n_probes = fields.get("n_probes", 0)
     if (
         _is_name(service)
@@ -112,6 +116,7 @@
             is_retry_acquired,
             version,
             is_idempotent,
+            is_counted,
             n_probes,
         )
     return None
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -97,6 +97,7 @@
                 break
             excluded.add(peer.entry_id)
             result = await self._relay_to(call, peer)
+            call.is_counted |= result.outcome is not RelayOutcome.UNREACHABLE
             if result.outcome is RelayOutcome.RESPONDED and result.response is not None:
                 return self._final_responses.relay(call, result.response)
             if result.outcome is RelayOutcome.EXPIRED:
--- a/pollenfold/tests/gateway/test_peer_disagreement.py
+++ b/pollenfold/tests/gateway/test_peer_disagreement.py
@@ -11,7 +11,7 @@
     sorted_routes,
 )
 from pollenfold.observe.clock import system_clock
-from pollenfold.tests.gateway.conftest import Backend
+from pollenfold.tests.gateway.conftest import Backend, signed_response
 from pollenfold.tests.gateway.test_cut_entry import cut_all, cut_entry, start_fleet
 
 
@@ -110,3 +110,24 @@
         assert (await path.get()).status == 503
 
     run(main)
+
+
+def test_request_that_several_peers_refuse_earns_retries_once(run):
+    """Guards against retries beyond the budget: each peer that refuses a request for
+    lack of capacity counted it as one of its own."""
+    n_requests = 50
+
+    async def main():
+        path, peers, backends = await start_cut_entry(4)
+        budgets = [entry.forwarder._retry_budget for entry in (path, *peers)]
+        for budget in budgets:
+            budget._services.clear()
+        for backend in backends:
+            backend.load = b"60,60,6,5000"
+        for _ in range(n_requests):
+            await path.get()
+        now = system_clock()
+        n_earned = sum(budget._counts("s").earned.get(now) for budget in budgets)
+        assert 0 < n_earned <= 0.2 * n_requests
+
+    run(main)
