Take a peer for unreachable only if the hop itself failed

Cause: the outcome LOST also covers reports of the peer. A response proves that the peer responds. test_peer_that_reports_a_lost_server_is_asked_again failed before.

--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -149,7 +149,7 @@
         table, now = self._monitor.peer_table, self._clock()
         if result.peer_in_flight is not None:
             table.record_load(peer.entry_id, result.peer_in_flight)
-        if result.outcome in (RelayOutcome.UNREACHABLE, RelayOutcome.LOST):
+        if result.outcome is RelayOutcome.UNREACHABLE or _is_hop_lost(result):
             table.record_unreachable(peer.entry_id, now)
         elif result.reached is False:
             table.record_unreached(peer.entry_id, call.service, now)
@@ -157,6 +157,11 @@
             table.record_served(peer.entry_id, call.service, now)
 
 
+def _is_hop_lost(result: RelayResult) -> bool:
+    """Return whether the peer didn't respond; it may also report a lost endpoint."""
+    return result.outcome is RelayOutcome.LOST and result.response is None
+
+
 def _refusal_kind(result: RelayResult) -> ErrorKind:
     """Return the kind of a peer's refusal, as it is passed on to the caller.
 
--- a/pollenfold/tests/gateway/test_peer_disagreement.py
+++ b/pollenfold/tests/gateway/test_peer_disagreement.py
@@ -112,6 +112,23 @@
     run(main)
 
 
+def test_peer_that_reports_a_lost_server_is_asked_again(run):
+    """Guards against callers refused for a second, because a peer that truthfully
+    reported the failure of a server was taken for unreachable."""
+
+    async def main():
+        path, _, backends = await start_cut_entry(3, is_idempotent=False)
+        for backend in backends:
+            backend.respond = lambda request: (
+                None if b"lost" in request else signed_response()
+            )
+        for _ in range(6):
+            assert (await path.get(b"POST", body=b"lost")).status == 502
+            assert (await path.get(b"POST", body=b"good")).status == 200
+
+    run(main)
+
+
 def test_request_that_several_peers_refuse_earns_retries_once(run):
     """Guards against retries beyond the budget: each peer that refuses a request for
     lack of capacity counted it as one of its own."""
