--- a/pollenfold/gateway/relay_result.py
+++ b/pollenfold/gateway/relay_result.py
@@ -71,6 +71,7 @@
 def relay_result(response: Response, dialect: Dialect) -> RelayResult:
     """Return what a response of a peer means for the request."""
     notice = decode_relay_notice(response.headers)
+    has_notice = notice is not None
     response.headers = without_relay_headers(response.headers)
     if notice is None:
         # The peer refused the request before it was handled, for example as too large.
@@ -96,6 +97,9 @@
         result.outcome = RelayOutcome.NOT_STARTED
     elif result.error_kind is ErrorKind.DEADLINE_EXCEEDED:
         result.outcome = RelayOutcome.EXPIRED
+    if not has_notice and result.outcome is not RelayOutcome.NOT_STARTED:
+        # It is unknown how many endpoints got the request.
+        result.n_sends = 1
     return result
 
 
