Bound the zone that an entry names when it subscribes

A control replica passed the zone of an entry's first line on to all entries, whatever its length or type. One that is no name counts as none now. Found by reading the line after entry hosts came to the feeds; no test failed before: the entries skip such a zone themselves.

--- a/pollenfold/control/subscriber.py
+++ b/pollenfold/control/subscriber.py
@@ -7,6 +7,7 @@
 from curio import socket
 
 from ..core.clock import Instant, add_ms
+from ..core.input_limits import is_name
 
 STALL_TIMEOUT_MS = 2_000.0
 """A subscriber that accepts no bytes for this long is disconnected; it reconnects."""
@@ -23,7 +24,8 @@
     ):
         self.client = client
         self.host = host
-        self.zone = str(hello.get("zone", ""))
+        zone = hello.get("zone")
+        self.zone = zone if is_name(zone) else ""
         self.is_peer = bool(hello.get("relay", 0))
         """Whether it takes requests from other entries."""
 
--- a/properties/test_borders.py
+++ b/properties/test_borders.py
@@ -225,6 +225,7 @@
     "left": ["e3"],
     "complete_ms": 5,
     "confirmed": [1, 5],
+    "peers": {"a": {"e2": "10.0.0.2"}},
 }
 
 
