Count the end of a server only if another endpoint responds

Cause: a check that neither shows a cut nor reaches anything was taken for the end of one server. The price: while all else is down, the end of the last server isn't counted. test_cuts_of_all_entries_quarantine_nothing failed before with one and with two entries.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -411,13 +411,15 @@
             await curio.sleep(SLOW_ENDPOINT_PROBE_INTERVAL_MS / 1000)
 
     async def has_ended(self, endpoint: Endpoint) -> bool:
-        """Return whether the process of an endpoint has ended, as far as it shows."""
+        """Return whether the process of an endpoint has ended, as far as it shows.
+
+        The links of an entry that is cut off may refuse connections as well, and so may
+        those of all entries. So another endpoint must respond.
+        """
         if not await self._connections.is_refused(endpoint):
             return False
-        # The links of an entry that is cut off may refuse connections as well.
         self._monitor.observe(endpoint, Contact.UNOPENED)
-        await self._monitor.check_now()
-        return not self._monitor.is_cut
+        return await self._monitor.responds_elsewhere()
 
     async def release(self, endpoint: Endpoint, connection: BackendConnection) -> None:
         """Return a connection to the pool of its endpoint, or close it."""
--- a/pollenfold/tests/gateway/test_quarantine.py
+++ b/pollenfold/tests/gateway/test_quarantine.py
@@ -8,6 +8,7 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.platform.headers import DIALECT
 from pollenfold.tests.gateway.conftest import Backend, CallPath
+from pollenfold.tests.gateway.test_cut_entry import cut_all, start_fleet
 
 DEADLY = b"/x/deadly"
 
@@ -221,3 +222,31 @@
         assert not quarantine.busy_endpoint_ids()
 
     run(main)
+
+
+@pytest.mark.parametrize("n_entries", [1, 2])
+def test_cuts_of_all_entries_quarantine_nothing(run, n_entries):
+    """Guards against a request that is refused for a day, because all entries were cut
+    off with refused connections several times while it was in flight."""
+
+    async def main():
+        backends, paths, links = await start_fleet(n_entries)
+        for path in paths:
+            assert (await path.get()).status == 200
+        for _ in range(4):
+            for backend in backends:
+                backend.delay_ms = 100.0
+            task = await curio.spawn(paths[0].get)
+            await curio.sleep(0.05)
+            for own in links:
+                await cut_all(own, "refuse")
+            await task.join()
+            for own in links:
+                await cut_all(own, "pass")
+            async with curio.timeout_after(6):
+                await curio.sleep(0.6)
+                while paths[0].monitor.is_cut:
+                    await curio.sleep(0.05)
+        assert paths[0].view.quarantine.n_quarantined == 0
+
+    run(main)
