Pass over peers to which this entry may have no further connection

Cause: the limit of this entry's own connections counted as a failure of the peer. Such peers are passed over, and nothing is recorded of them. test_burst_over_the_connection_limit_makes_no_peer_unreachable failed before.

--- a/pollenfold/gateway/reach_questions.py
+++ b/pollenfold/gateway/reach_questions.py
@@ -160,6 +160,11 @@
         result = "unanswered" if report is None else "answered"
         self._metrics.count("peer_questions_total", result=result)
 
+    def is_full(self, peer: Peer) -> bool:
+        """Return whether this entry uses all connections that it may have to a peer."""
+        pool = self._state(peer).pool
+        return pool.n_open >= pool.limit and not pool.n_idle
+
     async def connect(self, peer: Peer, deadline: Instant) -> PeerConnection | None:
         """Return a connection on which the peer responds, or None if there is none."""
         state = self._state(peer)
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -77,6 +77,10 @@
         """Return which services a peer reaches, or None if it doesn't respond."""
         return await self._questions.ask(peer)
 
+    def is_full(self, peer: Peer) -> bool:
+        """Return whether this entry uses all connections that it may have to a peer."""
+        return self._questions.is_full(peer)
+
     async def run_maintenance(self) -> None:
         """Close idle connections and forget absent peers until cancelled."""
         await self._questions.run_maintenance()
@@ -93,7 +97,9 @@
         result = RelayResult(RelayOutcome.UNREACHABLE)
         try:
             connection = await self._questions.connect(peer, call.deadline)
-            if connection is not None:
+            if connection is None:
+                result.is_full = self._questions.is_full(peer)
+            else:
                 result = await self._exchange(call, peer, connection)
         except (CallerGoneError, BodyError):
             if call.may_have_executed:
--- a/pollenfold/gateway/relay_result.py
+++ b/pollenfold/gateway/relay_result.py
@@ -53,6 +53,8 @@
     error_kind: ErrorKind | None = None
     n_sends: int = 0
     born_ms: int = 0
+    is_full: bool = False
+    """Whether this entry uses all connections that it may have to the peer."""
 
 
 def response_matcher(request_id: bytes, dialect: Dialect) -> Callable[[Response], bool]:
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -21,6 +21,9 @@
 MAX_PEERS = 3
 """How many peers a request is passed on to, one after the other."""
 
+MAX_FULL_PEERS = 8
+"""How many peers are passed over whose connections are all in use."""
+
 MAX_SEARCH_MS = 250.0
 """How long a request that reached no endpoint waits for a peer that does."""
 
@@ -123,11 +126,20 @@
         return self._choose_peer(call, excluded)
 
     def _choose_peer(self, call: Call, excluded: set[str]) -> Peer | None:
+        """Choose among the peers to which this entry may have another connection."""
         peers, candidates = self._monitor.peers()
-        chosen = self._monitor.peer_table.choose(
-            candidates, call.service, excluded, self._clock(), self._rng
-        )
-        return None if chosen is None else peers[chosen.entry_id]
+        skipped = set(excluded)
+        for _ in range(MAX_FULL_PEERS):
+            chosen = self._monitor.peer_table.choose(
+                candidates, call.service, skipped, self._clock(), self._rng
+            )
+            if chosen is None:
+                return None
+            peer = peers[chosen.entry_id]
+            if not self._client.is_full(peer):
+                return peer
+            skipped.add(chosen.entry_id)
+        return None
 
     async def _relay_to(self, call: Call, peer: Peer) -> RelayResult:
         started_at = self._clock()
@@ -149,6 +161,8 @@
         table, now = self._monitor.peer_table, self._clock()
         if result.peer_in_flight is not None:
             table.record_load(peer.entry_id, result.peer_in_flight)
+        if result.is_full:
+            return
         if result.outcome is RelayOutcome.UNREACHABLE or _is_hop_lost(result):
             table.record_unreachable(peer.entry_id, now)
         elif result.reached is False:
--- a/pollenfold/tests/gateway/test_peer_disagreement.py
+++ b/pollenfold/tests/gateway/test_peer_disagreement.py
@@ -148,3 +148,24 @@
         assert 0 < n_earned <= 0.2 * n_requests
 
     run(main)
+
+
+def test_burst_over_the_connection_limit_makes_no_peer_unreachable(run):
+    """Guards against peers that are avoided for a second, and callers that are refused,
+    because this entry used all connections that it may have to one of them."""
+    fleet_size = 312
+
+    async def main():
+        path, peers, backends = await start_cut_entry(4)
+        path.view.fleet.report(fleet_size, system_clock())
+        for backend in backends:
+            backend.delay_ms = 150.0
+        tasks = [await curio.spawn(path.get) for _ in range(14)]
+        statuses = [(await task.join()).status for task in tasks]
+        # Three peers with four connections each take twelve at a time.
+        assert statuses.count(200) >= 12
+        now = system_clock()
+        table = path.monitor.peer_table
+        assert all(table.reaches(peer.entry_id, "s", now) for peer in peers)
+
+    run(main)
