--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -275,12 +275,12 @@
     async def _ask(self, peer: Peer) -> bool:
         """Ask a peer for its reach; return whether it answered."""
         report = await self._relay_client.ask_reach(peer)
-        now = self._clock()
         if report is None:
-            self.peer_table.record_unreachable(peer.entry_id, now)
+            self.peer_table.record_unreachable(peer.entry_id, self._clock())
         else:
+            # An older answer may be from before the failures that are examined.
             self.peer_table.record_report(
-                peer.entry_id, report.services, report.n_in_flight, now
+                peer.entry_id, report.services, report.n_in_flight, report.answered_at
             )
         return report is not None
 
--- a/pollenfold/gateway/reach_questions.py
+++ b/pollenfold/gateway/reach_questions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import curio
 
@@ -45,10 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReachReport:
-    """The services whose endpoints a peer reaches, and its requests in flight."""
+    """The services whose endpoints a peer reaches, and its requests in flight.
+
+    ``answered_at`` is when the peer said so, since one answer is used for a while.
+    """
 
     services: frozenset[str]
     n_in_flight: int
+    answered_at: Instant = Instant(0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,8 +154,9 @@
                 await pending.set()
 
     def _record(self, state: _PeerState, report: ReachReport | None) -> None:
-        state.report = report
-        state.answered_at = self._clock()
+        now = self._clock()
+        state.report = None if report is None else replace(report, answered_at=now)
+        state.answered_at = now
         if report is None:
             recent = [*state.failed_at, self._clock()]
             state.failed_at = recent[-N_FAILURES_OF_HANGING_PEER:]
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -489,3 +489,26 @@
     refusal = signed_response(503, b"full", b"q1", b"x-not-executed: 1")
     backends = [Backend(name, lambda data: refusal) for name in ("one", "two")]
     with_entries(body, *backends, peers=[fake], is_idempotent=True)
+
+
+def test_answer_that_is_used_again_keeps_its_time(run):
+    """Guards against a report from before the failures of an entry that counts as one
+    from after them, so that servers that ended look like a cut."""
+
+    async def main():
+        port = unused_port()
+        entry = Entry(2, port)
+        peer = FakePeer(3, port)
+        await peer.start()
+        entry.know(peer.peer)
+        monitor = entry.gateway.monitor
+        await monitor._ask(peer.peer)
+        await curio.sleep(0.05)
+        failed_at = system_clock()
+        await monitor._ask(peer.peer)
+        assert peer.n_questions == 1
+        now = system_clock()
+        assert monitor.peer_table.reaches("e3", "s", now)
+        assert not monitor.peer_table.reaches("e3", "s", now, failed_at)
+
+    run(main)
