--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -179,6 +179,9 @@
             if may_abort and is_caller_gone(call):
                 raise CallerGoneError
             if waits.is_lost is not None and await waits.is_lost():
+                if reader.terminated:
+                    # The response arrived while this was checked.
+                    break
                 return AttemptOutcome.LOST
         received: Response | Failure = reader.result
         if isinstance(received, Failure):
