Name the metric of requests from peers and the bound of tried peers apart

relayed_total and relayed_requests_total, and two constants MAX_PEERS, couldn't be told apart by name; two docstrings said more than holds. Names and texts only.

--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -130,7 +130,7 @@
         relayed = decode_relayed_request(request.headers)
         if relayed is None:
             return error_response(ErrorKind.BAD_REQUEST, "malformed relay header")
-        self._metrics.count("relayed_requests_total", service=relayed.service)
+        self._metrics.count("requests_from_peers_total", service=relayed.service)
         response, call = await self._forwarder.handle_relayed(request, relayed)
         if response is not None:
             value = encode_relay_notice(self._notice(call))
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relaying.py
@@ -18,7 +18,7 @@
 from .reach_monitor import ReachMonitor
 from .relay import RelayClient, RelayOutcome, RelayResult
 
-MAX_PEERS = 3
+MAX_TRIED_PEERS = 3
 """How many peers a request is passed on to, one after the other."""
 
 MAX_FULL_PEERS = 8
@@ -58,7 +58,8 @@
     async def relay_if_cut(self, call: Call) -> Response | None:
         """Return the final response if this entry is cut off and a peer took the call.
 
-        Return None if the request may be sent to an endpoint.
+        Return None if this entry isn't cut off, if no peer is known that reaches the
+        service, or if the request may not be passed on.
         """
         if not self._monitor.is_cut or not _may_relay(call):
             return None
@@ -85,11 +86,11 @@
     async def _relay(self, call: Call) -> Response | None:
         """Pass a call on to one peer after another; return the final response.
 
-        Return None if no peer could take it, so that no endpoint received it.
+        Return None if no peer took it, so that no endpoint received it through a peer.
         """
         excluded: set[str] = set()
         refusal_kind: ErrorKind | None = None
-        while len(excluded) < MAX_PEERS:
+        while len(excluded) < MAX_TRIED_PEERS:
             if is_caller_gone(call):
                 raise CallerGoneError
             if remaining_ms(call.deadline, self._clock()) < MIN_RELAY_MS:
--- a/pollenfold/tests/gateway/test_cut_entry.py
+++ b/pollenfold/tests/gateway/test_cut_entry.py
@@ -188,7 +188,7 @@
         for _ in range(10):
             for path in paths:
                 assert (await path.get()).status == 503
-                n_asked += path.metrics.get("relayed_requests_total", service="s")
+                n_asked += path.metrics.get("requests_from_peers_total", service="s")
         assert not any(path.monitor.is_cut for path in paths)
         assert n_asked == 0
 
@@ -269,7 +269,7 @@
         counts = [len(services) for services in counted]
         assert sum(counts) == 33
         assert counts[2] >= 29
-        assert paths[2].metrics.get("relayed_requests_total", service="s") == 20
+        assert paths[2].metrics.get("requests_from_peers_total", service="s") == 20
 
     run(main)
 
