Take the ports of tests from below the range of outgoing connections

Cause: the tests asked the kernel for a port that is free now, from the range from which it gives ports to the outgoing connections of all other processes, on each address of its own.

--- a/benchmarks/confirmation_cost.py
+++ b/benchmarks/confirmation_cost.py
@@ -19,6 +19,7 @@
 
 from pollenfold.control.cluster import ClusterNode, ClusterSettings
 from pollenfold.observe.clock import system_clock
+from pollenfold.testing.ports import unused_port
 from pollenfold.wire.connections import open_connection
 from pollenfold.wire.lines import encode_line
 
@@ -31,18 +32,10 @@
 Ask = Callable[[ClusterNode, socket.socket], Awaitable[None]]
 
 
-def _unused_ports() -> tuple[int, int]:
-    socks = [curio.tcp_server_socket("0.0.0.0", 0) for _ in range(2)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock._socket.close()
-    return ports[0], ports[1]
-
-
 async def start_nodes(folder: Path) -> list[ClusterNode]:
     """Start the replicas; return when all of them are voters."""
     hosts = [f"127.0.0.{number + 1}" for number in range(N_REPLICAS)]
-    peer_port, feed_port = _unused_ports()
+    peer_port, feed_port = unused_port(), unused_port()
     nodes = []
     for host in hosts:
         settings = ClusterSettings(
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -18,6 +18,7 @@
 from pollenfold.observe.events import EventLog
 from pollenfold.platform.control_api import ControlApi
 from pollenfold.platform.documents import configuration_decoder
+from pollenfold.testing.ports import unused_port
 from pollenfold.tests.core.test_replicated_state import announcement
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
 
@@ -122,11 +123,7 @@
 @pytest.fixture
 def unused_ports():
     """Return two ports that are free on the loopback addresses."""
-    socks = [curio.tcp_server_socket("0.0.0.0", 0) for _ in range(2)]
-    ports = tuple(sock.getsockname()[1] for sock in socks)
-    for sock in socks:
-        sock._socket.close()
-    return ports
+    return unused_port(), unused_port()
 
 
 def follower(cluster):
--- a/pollenfold/tests/control/test_daemon.py
+++ b/pollenfold/tests/control/test_daemon.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 
 import curio
 import pytest
@@ -11,14 +10,10 @@
 from pollenfold.control.daemon import serve_control
 from pollenfold.observe.clock import system_clock
 from pollenfold.settings import ControlSettings, load_settings
+from pollenfold.testing.ports import unused_port
 from pollenfold.testing.replica import FakeReplica
 
 
-def unused_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
-
-
 @pytest.fixture
 def settings(tmp_path):
     flags = {
--- a/pollenfold/tests/gateway/relaying.py
+++ b/pollenfold/tests/gateway/relaying.py
@@ -33,14 +33,6 @@
 REACH = json.dumps({"services": ["s"], "in_flight": 3}).encode()
 
 
-def unused_port():
-    """Return a port that is free on all loopback addresses."""
-    sock = curio.tcp_server_socket("0.0.0.0", 0)
-    port = sock.getsockname()[1]
-    sock._socket.close()
-    return port
-
-
 def configuration(**route_changes):
     """Return a configuration with one route to one service."""
     route = {
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -21,12 +21,12 @@
 from pollenfold.http.messages import Request, find_header
 from pollenfold.observe.clock import system_clock
 from pollenfold.platform.headers import DIALECT
+from pollenfold.testing.ports import unused_port
 from pollenfold.tests.gateway.conftest import Backend, signed_response
 from pollenfold.tests.gateway.relaying import (
     Entry,
     FakePeer,
     configuration,
-    unused_port,
 )
 from pollenfold.tests.gateway.test_long_bodies import LongBackend
 from pollenfold.tests.gateway.test_relay import exchange, read_response, request
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -8,8 +8,9 @@
 from pollenfold.gateway.relay import RelayOutcome
 from pollenfold.http.messages import Request, find_header
 from pollenfold.observe.clock import system_clock
+from pollenfold.testing.ports import unused_port
 from pollenfold.tests.gateway.conftest import Backend, signed_response
-from pollenfold.tests.gateway.relaying import Entry, FakePeer, unused_port
+from pollenfold.tests.gateway.relaying import Entry, FakePeer
 from pollenfold.tests.gateway.test_long_bodies import LongBackend
 
 HEAD = (
