Judge the end of a server by whether another one accepts a connection

Now up to five others that aren't known to be down are tried; one that accepts a connection is enough, which needs no processor time of the server.

--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/selection.py
@@ -121,6 +121,11 @@
         self._n_unreachable = 0
         self.unreachable_until = Instant(0.0)
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last connection to the endpoint couldn't be opened."""
+        return self._n_unreachable > 0
+
     def is_unreachable(self, now: Instant) -> bool:
         """Return whether the endpoint is currently excluded."""
         return now < self.unreachable_until
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -49,6 +49,10 @@
 SLOW_ENDPOINT_PROBE_INTERVAL_MS = 40.0
 """How long after an endpoint reported being slow it is probed again."""
 
+N_COMPARED_ENDPOINTS = 5
+"""How many others are tried at most before a refused connection counts as the end of an
+endpoint."""
+
 PROBE_BURST_S = 5.0
 PROBE_BUDGET_SHARE = 0.85
 """The share of the configured probe rate that searches may use."""
@@ -413,13 +417,23 @@
     async def has_ended(self, endpoint: Endpoint) -> bool:
         """Return whether the process of an endpoint has ended, as far as it shows.
 
-        The links of an entry that is cut off may refuse connections as well, and so may
-        those of all entries. So another endpoint must respond.
+        The links of an entry that is cut off refuse connections as well, and so may
+        those of all entries. So it counts as an end only if another endpoint accepts a
+        connection; those that are known to be down aren't tried.
         """
         if not await self._connections.is_refused(endpoint):
             return False
         self._monitor.observe(endpoint, Contact.UNOPENED)
-        return await self._monitor.responds_elsewhere()
+        others = [
+            other
+            for other in self._view.endpoints.values()
+            if other is not endpoint and not other.health.is_failing
+        ]
+        compared = self._rng.sample(others, min(N_COMPARED_ENDPOINTS, len(others)))
+        for other in compared:
+            if await self._connections.is_open(other):
+                return True
+        return False
 
     async def release(self, endpoint: Endpoint, connection: BackendConnection) -> None:
         """Return a connection to the pool of its endpoint, or close it."""
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -120,23 +120,31 @@
 
         A VM or a link that is down answers nothing, which shows no end of a process.
         """
+        return await self._try_opening(endpoint) == errno.ECONNREFUSED
+
+    async def is_open(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint accepts a connection."""
+        return await self._try_opening(endpoint) == 0
+
+    async def _try_opening(self, endpoint: Endpoint) -> int:
+        """Open a connection and close it; return the error code, 0 if it was opened."""
         announcement = endpoint.announcement
         try:
             connection = BackendConnection(
                 announcement.host, announcement.port, self._link
             )
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+        except OSError as error:
+            return error.errno or errno.EIO
         try:
             async with curio.timeout_after(END_CHECK_TIMEOUT_MS / 1000):
                 await connection.wait_until_connected()
-        except (OSError, curio.TaskTimeout) as error:
-            return getattr(error, "errno", None) == errno.ECONNREFUSED
+        except curio.TaskTimeout:
+            return errno.ETIMEDOUT
+        except OSError as error:
+            return error.errno or errno.EIO
         finally:
             await connection.close()
-        return False
+        return 0
 
     async def record_failure(
         self, endpoint: Endpoint, connection: BackendConnection
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -26,7 +26,6 @@
 from .view import FleetView
 
 N_CHECKED_ENDPOINTS = 6
-MAX_CONTACT_ROUNDS = 4
 N_TRIED_ENDPOINTS = 2
 TRIAL_INTERVAL_MS = 100.0
 """Together they bound what an entry sends to endpoints while it is cut off."""
@@ -153,17 +152,6 @@
         if self._check is not None:
             await self._check.wait()
 
-    async def responds_elsewhere(self) -> bool:
-        """Contact some endpoints until one responds; return whether one did.
-
-        Those that are chosen first may be down.
-        """
-        for _ in range(MAX_CONTACT_ROUNDS):
-            endpoints = self._contacts.choose(N_CHECKED_ENDPOINTS)
-            if await self._contacts.contact_in_steps(endpoints):
-                return True
-        return False
-
     async def stop(self) -> None:
         """End all checks and trials."""
         self._is_stopped = True
