Share the reader of long bodies and the request of a call with the hop

relay.py had a copy of the reader that ends a streamed body at the deadline (long_response.py) and of the request that is built for an endpoint (exchange.py). One function each serves both now. No behaviour changes; the tests of the hop, the peer port, long bodies, cut entries and forwarding pass.

--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -9,7 +9,7 @@
 
 from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.outcomes import AttemptOutcome
-from ..http.messages import BodyError, Response, find_header
+from ..http.messages import BodyError, Headers, Response, find_header
 from ..http.socket_state import is_closed_by_peer
 from .backend import BackendConnection, BeforeFinalPiece, Failure
 from .calls import Call
@@ -129,18 +129,23 @@
         (dialect.deadline_ms, b"%d" % int(left_ms)),
         (dialect.expected_instance, endpoint_id),
     ]
+    return request_of_call(call, headers)
+
+
+def request_of_call(call: Call, headers: Headers) -> OutgoingRequest:
+    """Return the caller's request with other headers, for an endpoint or a peer."""
     request = call.request
     return outgoing_request(
         request.method,
         request.target,
         headers,
         request.body,
-        body_reader(call),
+        _body_reader(call),
         request.header(b"content-length"),
     )
 
 
-def body_reader(call: Call) -> ReadRemainingBody | None:
+def _body_reader(call: Call) -> ReadRemainingBody | None:
     """Return the reader of the rest of a long body; it records that it was used."""
     read_remaining_body = call.request.read_remaining_body
     if read_remaining_body is None:
--- a/pollenfold/gateway/long_response.py
+++ b/pollenfold/gateway/long_response.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import curio
 
 from ..core.clock import Clock, remaining_ms
@@ -35,6 +37,36 @@
     endpoint = pick.endpoint
     endpoint.health.n_in_flight += 1
 
+    def record_broken_off(detail: str) -> None:
+        log.request(
+            "response_broken_off",
+            True,
+            request=call.request_id.decode("latin-1"),
+            endpoint=endpoint.announcement.endpoint_id,
+            detail=detail,
+        )
+        endpoint.health.add_penalty(ABORTED_RESPONSE_PENALTY, clock())
+
+    async def close() -> None:
+        endpoint.health.n_in_flight -= 1
+        await balancer.release(endpoint, pick.connection)
+
+    read = read_until_deadline(call, source, clock, record_broken_off)
+    response.remaining_body = BodySource(read, close, source.length)
+
+
+def read_until_deadline(
+    call: Call,
+    source: BodySource,
+    clock: Clock,
+    on_broken_off: Callable[[str], None],
+) -> Callable[[], Awaitable[bytes]]:
+    """Return a reader of a long body that ends at the deadline of the call.
+
+    It raises BodyError if the body ends early, after it called ``on_broken_off`` with
+    the reason.
+    """
+
     async def read() -> bytes:
         left_ms = remaining_ms(call.deadline, clock())
         try:
@@ -43,18 +75,7 @@
             async with curio.timeout_after(left_ms / 1000):
                 return await source.read()
         except (BodyError, curio.TaskTimeout) as error:
-            log.request(
-                "response_broken_off",
-                True,
-                request=call.request_id.decode("latin-1"),
-                endpoint=endpoint.announcement.endpoint_id,
-                detail=str(error) or "deadline",
-            )
-            endpoint.health.add_penalty(ABORTED_RESPONSE_PENALTY, clock())
+            on_broken_off(str(error) or "deadline")
             raise BodyError(ErrorKind.BACKEND_FAILED) from error
 
-    async def close() -> None:
-        endpoint.health.n_in_flight -= 1
-        await balancer.release(endpoint, pick.connection)
-
-    response.remaining_body = BodySource(read, close, source.length)
+    return read
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -8,7 +8,6 @@
 import curio
 
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.errors import ErrorKind
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
 from ..http.messages import BodyError, BodySource, Response
@@ -20,12 +19,13 @@
 from .exchange import (
     CallerGoneError,
     ResponseWaits,
-    body_reader,
     is_caller_gone,
     receive_response,
+    request_of_call,
 )
+from .long_response import read_until_deadline
 from .notices import apply_response_notices
-from .outgoing import OutgoingRequest, outgoing_request
+from .outgoing import OutgoingRequest
 from .peers import Peer
 from .reach_questions import PeerConnection, ReachQuestions, ReachReport
 from .relay_headers import RELAY_REQUEST, RelayedRequest, encode_relayed_request
@@ -250,15 +250,7 @@
             (self._dialect.deadline_ms, b"%d" % int(left_ms)),
             (RELAY_REQUEST, encode_relayed_request(relayed)),
         ]
-        request = call.request
-        return outgoing_request(
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            body_reader(call),
-            request.header(b"content-length"),
-        )
+        return request_of_call(call, headers)
 
     def _hang_check(
         self, call: Call, peer: Peer
@@ -293,24 +285,17 @@
         if source is None:
             raise ValueError("the response has no remaining body to stream")
 
-        async def read() -> bytes:
-            left_ms = remaining_ms(call.deadline, self._clock())
-            try:
-                if left_ms <= 0.0:
-                    raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "deadline")
-                async with curio.timeout_after(left_ms / 1000):
-                    return await source.read()
-            except (BodyError, curio.TaskTimeout) as error:
-                self._log.request(
-                    "response_broken_off",
-                    True,
-                    request=call.request_id.decode("latin-1"),
-                    peer=peer.entry_id,
-                    detail=str(error) or "deadline",
-                )
-                raise BodyError(ErrorKind.BACKEND_FAILED) from error
+        def record_broken_off(detail: str) -> None:
+            self._log.request(
+                "response_broken_off",
+                True,
+                request=call.request_id.decode("latin-1"),
+                peer=peer.entry_id,
+                detail=detail,
+            )
 
         async def close() -> None:
             await peer_connection.pool.release(peer_connection.connection)
 
+        read = read_until_deadline(call, source, self._clock, record_broken_off)
         response.remaining_body = BodySource(read, close, source.length)
