--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay_headers.py
@@ -90,13 +90,11 @@
     service = fields.get("service")
     target_ms = fields.get("target_ms")
     max_attempts = fields.get("max_attempts")
-    is_repeat, is_retry_acquired = flags = [
-        fields.get(name) for name in ("is_repeat", "is_retry_acquired")
-    ]
     version = fields.get("version")
-    is_idempotent = fields.get("is_idempotent")
-    is_counted = fields.get("is_counted")
-    flags += [is_idempotent, is_counted]
+    flags = [
+        fields.get(name)
+        for name in ("is_repeat", "is_retry_acquired", "is_idempotent", "is_counted")
+    ]
     n_probes = fields.get("n_probes", 0)
     if (
         _is_name(service)
@@ -108,6 +106,7 @@
         and _is_count(n_probes)
         and n_probes <= MAX_PROBES
     ):
+        is_repeat, is_retry_acquired, is_idempotent, is_counted = flags
         return RelayedRequest(
             service,
             float(target_ms),
