Move the reader of long bodies to a module of its own, which mends the import

The reader needs only the call and the clock, so it stands in streamed_body.py now, which both modules import. Ruled out: hiding the cycle behind an import for type checking only. No behaviour changes. All tests of pollenfold/tests/gateway and those of the processes of peers and of odd entries pass on this tree; each of the four modules can be imported on its own.

--- a/pollenfold/gateway/long_response.py
+++ b/pollenfold/gateway/long_response.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
-
-import curio
-
-from ..core.clock import Clock, remaining_ms
-from ..core.errors import ErrorKind
-from ..http.messages import BodyError, BodySource, Response
+from ..core.clock import Clock
+from ..http.messages import BodySource, Response
 from ..observe.events import EventLog
 from .balancer import Balancer
 from .calls import Call
 from .pick import Pick
+from .streamed_body import read_until_deadline
 
 ABORTED_RESPONSE_PENALTY = 2.0
 
@@ -53,29 +49,3 @@
 
     read = read_until_deadline(call, source, clock, record_broken_off)
     response.remaining_body = BodySource(read, close, source.length)
-
-
-def read_until_deadline(
-    call: Call,
-    source: BodySource,
-    clock: Clock,
-    on_broken_off: Callable[[str], None],
-) -> Callable[[], Awaitable[bytes]]:
-    """Return a reader of a long body that ends at the deadline of the call.
-
-    It raises BodyError if the body ends early, after it called ``on_broken_off`` with
-    the reason.
-    """
-
-    async def read() -> bytes:
-        left_ms = remaining_ms(call.deadline, clock())
-        try:
-            if left_ms <= 0.0:
-                raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "deadline")
-            async with curio.timeout_after(left_ms / 1000):
-                return await source.read()
-        except (BodyError, curio.TaskTimeout) as error:
-            on_broken_off(str(error) or "deadline")
-            raise BodyError(ErrorKind.BACKEND_FAILED) from error
-
-    return read
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -23,7 +23,6 @@
     receive_response,
     request_of_call,
 )
-from .long_response import read_until_deadline
 from .notices import apply_response_notices
 from .outgoing import OutgoingRequest
 from .peers import Peer
@@ -35,6 +34,7 @@
     relay_result,
     response_matcher,
 )
+from .streamed_body import read_until_deadline
 from .view import FleetView
 
 RESPONSE_GRACE_MS = 100.0
