--- a/pollenfold/tests/conftest.py
+++ b/pollenfold/tests/conftest.py
@@ -5,6 +5,7 @@
 
 from pollenfold.observe.clock import system_clock
 from pollenfold.testing.control import FakeControlReplica
+from pollenfold.tests.running import run_within
 
 LEASE_MS = 600.0
 """Longer than a long poll, and short enough for a test to wait until it expires."""
@@ -13,15 +14,7 @@
 @pytest.fixture
 def run():
     """Return a function that runs a coroutine function within 20 s."""
-
-    def run_coroutine(function, *args):
-        async def limited():
-            async with curio.timeout_after(20):
-                return await function(*args)
-
-        return curio.run(limited)
-
-    return run_coroutine
+    return run_within(20)
 
 
 @pytest.fixture
--- a/pollenfold/tests/platform/test_odd_entries.py
+++ b/pollenfold/tests/platform/test_odd_entries.py
@@ -16,6 +16,7 @@
 )
 from benchmarks.soak_backends import SoakBackend
 from pollenfold.platform.__main__ import FEED_PORT_OFFSET
+from pollenfold.tests.running import run_within
 from pollenfold.wire.lines import encode_line
 
 NETWORK = f"127.{210 + os.getpid() % 40}.{os.getpid() // 40 % 250}"
@@ -147,15 +148,7 @@
 @pytest.fixture
 def run():
     """Return a function that runs a coroutine function within 60 s."""
-
-    def run_coroutine(function, *args):
-        async def limited():
-            async with curio.timeout_after(60):
-                return await function(*args)
-
-        return curio.run(limited)
-
-    return run_coroutine
+    return run_within(60)
 
 
 def announcement(**changes):
--- a/pollenfold/tests/processes/conftest.py
+++ b/pollenfold/tests/processes/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 
 from benchmarks.cluster import Cluster
+from pollenfold.tests.running import run_within
 
 from .system import PartitionGroup, System
 
@@ -32,15 +33,7 @@
 @pytest.fixture
 def run():
     """Return a function that runs a coroutine function within 60 s."""
-
-    def run_coroutine(function, *args):
-        async def limited():
-            async with curio.timeout_after(60):
-                return await function(*args)
-
-        return curio.run(limited)
-
-    return run_coroutine
+    return run_within(60)
 
 
 @pytest.fixture(autouse=True)
