--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -310,6 +310,10 @@
             os.kill(self.process.pid, signal.SIGKILL)
             self.process.wait()
 
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
     @property
     def control_address(self) -> tuple[str, int]:
         return self.host, self.deployment.control_port
@@ -355,6 +359,8 @@
         ]
         self._tasks: set[asyncio.Task[Any]] = set()
         self.max_conns = 260
+        self.kinds = {"safe": 800, "unsafe": 1000}
+        """The routes: their kinds, which are their prefixes, and timeoutMs."""
 
     def spawn(self, coroutine: Any) -> asyncio.Task[Any]:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -380,13 +386,13 @@
                 "name": f"r-{kind}",
                 "pathPrefix": f"/{kind}/",
                 "kind": kind,
-                "timeoutMs": 800 if kind == "safe" else 1000,
+                "timeoutMs": timeout_ms,
                 "targetLatencyMs": 200,
                 "priority": 1,
                 "service": "market",
                 "maxAttempts": 2,
             }
-            for kind in ("safe", "unsafe")
+            for kind, timeout_ms in self.kinds.items()
         ]
         service = {
             "name": "market",
@@ -421,7 +427,8 @@
         After a second without a response, a failure or a 5xx it moves on to another
         node. ``first`` is the node that it picks first.
         """
-        picks = random.sample(range(5), 5)
+        n_nodes = len(self.controls)
+        picks = random.sample(range(n_nodes), n_nodes)
         if first is not None:
             picks.remove(first)
             picks.insert(0, first)
@@ -439,7 +446,7 @@
             if response is not None and response.status in (400, 409, 412, 413, 422):
                 return None
             await asyncio.sleep(pause_s)
-            pause_s *= 1.5
+            pause_s = min(1.0, 1.5 * pause_s)
         return None
 
     async def wait_ready(self, timeout_s: float = 20.0) -> bool:
@@ -475,7 +482,8 @@
 
 def run_case(folder: Path, case: Any, limit_s: float = 110.0) -> int:
     """Run ``case(record, has_trouble)`` within a time limit; return the exit status."""
-    record = Record(folder / "record.txt")
+    record_folder = Path(os.environ.get("RECORD_FOLDER", folder))
+    record = Record(record_folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble={int(has_trouble)}")
 
