--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -171,9 +171,13 @@
             }
         ).encode()
 
+    def choose_node(self) -> int:
+        """Return the node that beats go to first."""
+        return random.randrange(len(self.deployment.controls))
+
     async def _beat(self) -> None:
         nodes = self.deployment.control_addresses()
-        chosen = random.randrange(len(nodes))
+        chosen = self.choose_node()
         while True:
             path = f"/-/instances/{self.endpoint_id}"
             response = await call(nodes[chosen], "PUT", path, {}, self.announcement())
@@ -395,7 +399,6 @@
             for kind, timeout_ms in self.kinds.items()
         ]
         service = {
-            "name": "market",
             "healthPath": "/healthz",
             "maxConns": self.max_conns,
             "protocol": "h1",
@@ -403,12 +406,13 @@
             "warmupS": 3.0,
             "warmupPerS": 18.0,
         }
+        services = [{"name": name, **service} for name in ("market", "haul")]
         limits = {"headerBytes": 16384, "bodyBytes": 67108864}
         limits |= {"headerMs": 3000, "idleMs": 15000}
         return json.dumps(
             {
                 "version": version,
-                "services": [service],
+                "services": services,
                 "limits": limits,
                 "hosts": [{"host": "shop.example", "paths": routes}],
             }
