--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -16,10 +16,16 @@
 from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement
 from ..gateway.feeds import FeedIdentity, Feeds
+from ..http.listener import open_listener_when_free
 from ..http.messages import Request, Response, error_response
 from ..http.server import Handler, HttpServer
 from ..observe.clock import system_clock
-from ..observe.daemon import metrics_response, reload_settings, wait_for_stop_task
+from ..observe.daemon import (
+    metrics_response,
+    reload_settings,
+    serve_metrics,
+    wait_for_stop_task,
+)
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
@@ -60,7 +66,7 @@
     feed_port: int
     api_host: str
     api_port: int
-    metrics_port: int
+    metrics_port: int | None
     data_folder: Path
     seeds: Callable[[], list[str]]
     reload: Callable[[], None]
@@ -248,19 +254,19 @@
     when an address is in use or the data folder can't be opened, and RuntimeError when
     a task of the daemon ends.
     """
+    peer_listener = open_listener_when_free(settings.host, settings.peer_port)
+    feed_listener = open_listener_when_free(settings.host, settings.feed_port)
+    api_listener = open_listener_when_free(settings.api_host, settings.api_port)
     node = ClusterNode(settings)
     node.load_endpoints()
     api = HttpServer(make_handler(node), MAX_REQUEST_BYTES)
     metrics = HttpServer(node.handle_metrics)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(wait_for_stop, node.reload)
-        await group.spawn(node.rpc.serve, settings.host, settings.peer_port)
-        await group.spawn(node.feed_server.serve, settings.host, settings.feed_port)
-        await api.start(settings.api_host, settings.api_port)
-        try:
-            await metrics.start(settings.host, settings.metrics_port)
-        except OSError as error:
-            node.log.state("metrics_unavailable", detail=str(error))
+        await group.spawn(node.rpc.serve_on, peer_listener)
+        await group.spawn(node.feed_server.serve_on, feed_listener)
+        await api.start_on(api_listener)
+        await serve_metrics(metrics, settings.host, settings.metrics_port, node.log)
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
         await group.spawn(node.feed_server.run_confirmations)
@@ -274,6 +280,7 @@
             zone=settings.zone,
             replica=node.replica_id,
             founder=settings.is_founder,
+            metrics_port=settings.metrics_port or "none",
         )
         await wait_for_stop_task(group, stop, node.log)
         node.log.state("stopping", n_in_flight=api.n_in_flight)
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import socket as sockets
 from typing import Any
 
 import curio
 from curio import socket
+from curio.io import Socket
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
@@ -96,6 +98,10 @@
         """Listen until cancelled."""
         await curio.tcp_server(host, port, self._serve_subscriber, reuse_address=True)
 
+    async def serve_on(self, listener: sockets.socket) -> None:
+        """Serve a socket that is already listening, until cancelled."""
+        await curio.network.run_server(Socket(listener), self._serve_subscriber)
+
     async def _serve_subscriber(
         self, client: socket.socket, address: tuple[str, int]
     ) -> None:
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -19,6 +19,7 @@
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
+from ..http.listener import open_listener_when_free
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import (
@@ -29,7 +30,12 @@
 )
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
-from ..observe.daemon import metrics_response, reload_settings, wait_for_stop_task
+from ..observe.daemon import (
+    metrics_response,
+    reload_settings,
+    serve_metrics,
+    wait_for_stop_task,
+)
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.signals import wait_for_stop
@@ -94,7 +100,7 @@
     ready_port: int
     ready_path: str
     feed_port: int
-    metrics_port: int
+    metrics_port: int | None
     seeds: Callable[[], list[str]]
     reload: Callable[[], None]
     grace_ms: float
@@ -324,17 +330,17 @@
     """
     # Curio's kernel logs a warning for each timeout that a response only just met.
     logging.getLogger("curio").setLevel(logging.ERROR)
+    ready_listener = open_listener_when_free(settings.ready_host, settings.ready_port)
+    peer_listener = _open_peer_listener(settings)
     gateway = Gateway(settings, dialect, decode)
     metrics = HttpServer(gateway.handle_platform)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(wait_for_stop, gateway.reload)
-        await gateway.platform_server.start(settings.ready_host, settings.ready_port)
-        try:
-            await metrics.start(settings.host, settings.metrics_port)
-        except OSError as error:
-            gateway.log.state("metrics_unavailable", detail=str(error))
+        await gateway.platform_server.start_on(ready_listener)
         caller_port = await gateway.caller_server.start_on(settings.caller_listener)
-        await _start_peer_port(gateway)
+        if peer_listener is not None:
+            await gateway.peer_port.server.start_on(peer_listener)
+        await serve_metrics(metrics, settings.host, settings.metrics_port, gateway.log)
         await group.spawn(gateway.relay_client.run_maintenance)
         await group.spawn(gateway.feeds.run)
         await group.spawn(gateway.feeds.send_quarantine_reports)
@@ -345,22 +351,29 @@
         # the garbage collector from traversing them while requests are handled.
         gc.collect()
         gc.freeze()
-        gateway.log.state("started", role="entry", zone=settings.zone, port=caller_port)
+        gateway.log.state(
+            "started",
+            role="entry",
+            zone=settings.zone,
+            port=caller_port,
+            relay_port=settings.relay_port or "none",
+            metrics_port=settings.metrics_port or "none",
+        )
         await wait_for_stop_task(group, stop, gateway.log)
         await _drain(gateway)
         gateway.log.flush()
         await group.cancel_remaining()
 
 
-async def _start_peer_port(gateway: Gateway) -> None:
-    """Listen for peers; without the port the entry serves its own callers only."""
-    settings = gateway.settings
+def _open_peer_listener(settings: GatewaySettings) -> socket.socket | None:
+    """Listen for peers, if there is a port for them; raise OSError if it stays in use.
+
+    An entry without this port would be of no help to callers of entries that are cut
+    off from the endpoints.
+    """
     if not settings.relay_port:
-        return
-    try:
-        await gateway.peer_port.server.start(settings.host, settings.relay_port)
-    except OSError as error:
-        gateway.log.state("peer_port_unavailable", detail=str(error))
+        return None
+    return open_listener_when_free(settings.host, settings.relay_port)
 
 
 async def _drain(gateway: Gateway) -> None:
--- a/pollenfold/http/listener.py
+++ b/pollenfold/http/listener.py
@@ -2,10 +2,22 @@
 
 from __future__ import annotations
 
+import errno
 import socket
+import time
+
+from ..core.clock import add_ms
+from ..observe.clock import system_clock
 
 BACKLOG = 1024
 
+BUSY_WAIT_MS = 2_000.0
+"""How long a starting process waits for a port that is in use.
+
+The process that it replaces may still be closing its sockets."""
+
+BUSY_POLL_MS = 20.0
+
 
 def open_listener(host: str, port: int) -> socket.socket:
     """Return a listening socket; raise OSError when the address is in use.
@@ -24,3 +36,20 @@
         sock.close()
         raise
     return sock
+
+
+def open_listener_when_free(host: str, port: int) -> socket.socket:
+    """Return a listening socket; wait up to ``BUSY_WAIT_MS`` while the port is in use.
+
+    Raise OSError with the address if it can't be opened. The wait blocks, so this is
+    only for a process that serves nothing yet.
+    """
+    deadline = add_ms(system_clock(), BUSY_WAIT_MS)
+    while True:
+        try:
+            return open_listener(host, port)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or system_clock() >= deadline:
+                detail = f"can't listen on {host}:{port}: {error.strerror}"
+                raise OSError(error.errno, detail) from error
+        time.sleep(BUSY_POLL_MS / 1000)
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -7,9 +7,12 @@
 import curio
 
 from ..http.messages import Response
+from ..http.server import HttpServer
 from .events import EventLog
 from .exposition import Metrics
 
+METRICS_RETRY_MS = 1_000.0
+
 
 def reload_settings(
     reload: Callable[[], None], seeds: Callable[[], list[str]], log: EventLog
@@ -30,6 +33,44 @@
     return Response(200, [(b"content-type", b"text/plain")], text)
 
 
+async def serve_metrics(
+    server: HttpServer, host: str, port: int | None, log: EventLog
+) -> None:
+    """Serve metrics as soon as their port is free; without a port, don't.
+
+    A process does its work without this server, so it never waits for the port.
+    """
+    if port is None:
+        log.state("metrics_unavailable", detail="no port is left for them")
+        return
+    if not await _start_metrics(server, host, port, log):
+        await curio.spawn(_retry_metrics, server, host, port, log, daemon=True)
+
+
+async def _start_metrics(
+    server: HttpServer, host: str, port: int, log: EventLog
+) -> bool:
+    try:
+        await server.start(host, port)
+    except OSError as error:
+        log.state("metrics_unavailable", port=port, detail=str(error))
+        return False
+    return True
+
+
+async def _retry_metrics(
+    server: HttpServer, host: str, port: int, log: EventLog
+) -> None:
+    while True:
+        await curio.sleep(METRICS_RETRY_MS / 1000)
+        try:
+            await server.start(host, port)
+        except OSError:
+            continue
+        log.state("metrics_available", port=port)
+        return
+
+
 async def wait_for_stop_task(
     group: curio.TaskGroup, stop: curio.Task, log: EventLog
 ) -> None:
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -7,23 +7,18 @@
 from pathlib import Path
 
 from ..curio_subset import load_curio_subset
-from ..http.listener import open_listener
+from ..http.listener import open_listener_when_free
+from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
 
 EXIT_BAD_SETTING = 2
 EXIT_FAILED = 1
 
-PEER_PORT_OFFSET = 0
-FEED_PORT_OFFSET = 1
-RELAY_PORT_OFFSET = 2
-
-METRICS_PORTS = {"entry": 7670, "control": 7671}
-"""The same ports as in the deploy file, which sets one per role for all VMs."""
-
 
 def _run_entry(source: SettingsSource) -> None:
     settings = source.settings
-    caller_listener = open_listener(*settings.addresses["front"])
+    ports = _ports("entry", settings)
+    caller_listener = open_listener_when_free(*settings.addresses["front"])
     load_curio_subset()
     import curio
 
@@ -46,8 +41,8 @@
         ready_host=ready_host,
         ready_port=ready_port,
         ready_path="/-/readyz",
-        feed_port=settings.first_port + FEED_PORT_OFFSET,
-        metrics_port=METRICS_PORTS["entry"],
+        feed_port=ports.feed,
+        metrics_port=ports.metrics,
         seeds=source.seed_hosts,
         reload=source.reload,
         grace_ms=settings.bound("graceS", 6) * 1000,
@@ -56,16 +51,16 @@
         cold_burst_factor=settings.bound("warmupBurstFactor", 1.0),
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
-        relay_port=_relay_port(settings),
+        relay_port=ports.relay,
         apply_ms=settings.bound("applyMs", 2_000.0),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder())
 
 
-def _relay_port(settings: Settings) -> int:
-    """Return the port of entries for their peers, or 0 if there is none to spare."""
-    port = settings.first_port + RELAY_PORT_OFFSET
-    return port if port <= settings.last_port else 0
+def _ports(role: str, settings: Settings) -> Ports:
+    """Return the ports of a role, apart from those that the platform assigns."""
+    used_ports = {port for _, port in (*settings.addresses.values(), *settings.seeds)}
+    return assign_ports(role, settings.first_port, settings.last_port, used_ports)
 
 
 def _run_control(source: SettingsSource) -> None:
@@ -75,17 +70,18 @@
     from .control_api import make_handler
 
     settings = source.settings
+    ports = _ports("control", settings)
     api_host, api_port = settings.addresses["control"]
     founder = min(settings.seeds, default=("", 0))
     cluster = ClusterSettings(
         name=settings.name,
         zone=settings.zone,
         host=settings.host,
-        peer_port=settings.first_port + PEER_PORT_OFFSET,
-        feed_port=settings.first_port + FEED_PORT_OFFSET,
+        peer_port=ports.agreement,
+        feed_port=ports.feed,
         api_host=api_host,
         api_port=api_port,
-        metrics_port=METRICS_PORTS["control"],
+        metrics_port=ports.metrics,
         data_folder=Path(settings.data_folder or "data"),
         seeds=source.seed_hosts,
         reload=source.reload,
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -93,6 +93,11 @@
     ports = _field(network, "network", "internalPorts", list)
     if len(ports) != 2 or not all(map(is_port, ports)):
         raise SettingsError(f"network.internalPorts: expected two ports, got {ports}")
+    if ports[0] == MAX_PORT:
+        raise SettingsError(
+            f"network.internalPorts: expected a first port below {MAX_PORT}, "
+            f"got {ports}"
+        )
     listen_addresses = _table(network, "listenAddrs")
     tolerance = _optional_table(terms, "faultTolerance")
     bounds = _optional_table(terms, "bounds")
--- a/pollenfold/tests/platform/test_odd_entries.py
+++ b/pollenfold/tests/platform/test_odd_entries.py
@@ -15,7 +15,7 @@
     exchange,
 )
 from benchmarks.soak_backends import SoakBackend
-from pollenfold.platform.__main__ import FEED_PORT_OFFSET
+from pollenfold.platform.ports import assign_ports
 from pollenfold.tests.running import run_within
 from pollenfold.wire.lines import encode_line
 
@@ -48,7 +48,7 @@
 
     async def serve(self):
         """Accept subscribers until cancelled."""
-        port = FIRST_PORT + FEED_PORT_OFFSET
+        port = assign_ports("control", FIRST_PORT, FIRST_PORT + 15, ()).feed
         await curio.tcp_server(self.host, port, self._send_lines, reuse_address=True)
 
     async def _send_lines(self, client, address):
--- a/pollenfold/tests/platform/test_peer_processes.py
+++ b/pollenfold/tests/platform/test_peer_processes.py
@@ -23,11 +23,11 @@
     encode_relayed_request,
 )
 from pollenfold.observe.clock import system_clock
-from pollenfold.platform.__main__ import RELAY_PORT_OFFSET
+from pollenfold.platform.ports import assign_ports
 from pollenfold.tests.gateway.links import Link
 from pollenfold.tests.gateway.test_relay import read_response
 
-RELAY_PORT = FIRST_PORT + RELAY_PORT_OFFSET
+RELAY_PORT = assign_ports("entry", FIRST_PORT, FIRST_PORT + 15, ()).relay
 NETWORK_SEED = 190
 """Selects a network of loopback addresses that no kept seed of the soak uses."""
 
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import socket as sockets
 from collections.abc import Awaitable, Callable
 
 import curio
 from curio import socket
+from curio.io import Socket
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -63,6 +65,10 @@
         """Listen on the address until cancelled."""
         await curio.tcp_server(host, port, self.handle, reuse_address=True)
 
+    async def serve_on(self, listener: sockets.socket) -> None:
+        """Serve a socket that is already listening, until cancelled."""
+        await curio.network.run_server(Socket(listener), self.handle)
+
     async def handle(self, client: socket.socket, address: tuple[str, int]) -> None:
         """Handle all requests of one connection concurrently."""
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
