--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -120,6 +120,7 @@
                 Protocol.AGREEMENT: self.replica.handle,
                 Protocol.MEMBERSHIP: self._handle_join,
                 Protocol.OPERATOR: self.cluster_state.handle_forwarded,
+                Protocol.ORDER: self.cluster_state.orders.handle_forwarded,
             }
         )
 
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -13,7 +13,6 @@
 import curio
 from expression import Error, Ok, Result
 
-from ..core.agreement_members import host_and_port
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.limit_report import (
@@ -22,6 +21,7 @@
     decode_limit_report,
     seen_report,
 )
+from ..core.orders import Confirmed
 from ..core.quarantine import Quarantine
 from ..core.registry import Announcement, Registry
 from ..core.replicated_state import (
@@ -38,7 +38,17 @@
 from ..observe.events import EventLog
 from ..observe.malformed import MalformedItems
 from ..wire.frames import Protocol
-from ..wire.rpc import RpcClient
+from .forwarding import (
+    CONFIRMATION_BYTES,
+    FORWARD_TIMEOUT_MS,
+    NOT_COMMITTED,
+    RETRY_PAUSE_MS,
+    Clients,
+    call_replica,
+    decode_outcome,
+    encode_outcome,
+)
+from .orders import IsWaiting, ZoneOrders
 from .replica import Replica
 
 BARRIER = b"\0"
@@ -48,12 +58,6 @@
 """Asks the leader for its commit index, confirmed by a majority. A leader of an earlier
 version fails to handle it, so that nothing is confirmed."""
 
-MAY_BE_COMMITTED = b"\0"
-"""The response to a forwarded command whose outcome the leader doesn't know. Replicas
-of earlier versions read it as index 0, which means not committed."""
-
-FORWARD_TIMEOUT_MS = 700.0
-RETRY_PAUSE_MS = 40.0
 UNKNOWN_ENDPOINT_WAIT_MS = 400.0
 """How long a replica waits for the announcement of an unknown endpoint that is leaving.
 
@@ -69,6 +73,10 @@
 """Calls a replica: id, payload and timeout in ms."""
 
 
+async def _always() -> bool:
+    return True
+
+
 class ClusterState:
     """Applies committed commands, submits new ones and holds the announcements.
 
@@ -82,8 +90,8 @@
         self._n_members = n_members
         self._clock = clock
         self._log = log
-        self._clients: dict[tuple[str, int], RpcClient] = {}
-        self._confirmation_clients: dict[tuple[str, int], RpcClient] = {}
+        self._clients: Clients = {}
+        self._confirmation_clients: Clients = {}
         """Confirmations have connections of their own: one that fails closes its
         connection, and a command on the same one would be lost with it."""
 
@@ -103,6 +111,7 @@
         self.on_quarantine_report: Callable[[str], None] = lambda digest: None
         self._limit_reports: dict[str, SeenReport] = {}
         self.quarantine = Quarantine()
+        self.orders = ZoneOrders(self, clock, log)
         self.malformed = MalformedItems(clock, log)
 
     # State machine
@@ -220,10 +229,17 @@
         return await self.submit(command, timeout_ms)
 
     async def depart(
-        self, endpoint_id: str, now_ms: int, timeout_ms: float
+        self,
+        endpoint_id: str,
+        now_ms: int,
+        timeout_ms: float,
+        is_waiting: IsWaiting = _always,
     ) -> Result[None, ErrorKind]:
         """Commit the departure of the current incarnation of an endpoint.
 
+        If its sender no longer waits, nothing is committed: the endpoint may have
+        started again since, and that start isn't leaving.
+
         A replica that just started with an empty disk waits briefly for announcements
         from the others. An endpoint unknown to all of them is assumed to have started
         before ``now_ms``, in ms since 1970. For a known endpoint that assumption could
@@ -233,6 +249,8 @@
         wait_until = min(deadline, add_ms(self._clock(), UNKNOWN_ENDPOINT_WAIT_MS))
         while endpoint_id not in self.registry and self._clock() < wait_until:
             await curio.sleep(UNKNOWN_ENDPOINT_POLL_MS / 1000)
+        if not await is_waiting():
+            return Error(ErrorKind.ABANDONED)
         known = self.registry.get(endpoint_id)
         born_ms = now_ms if known is None else known.born_ms
         remaining_timeout_ms = remaining_ms(deadline, self._clock())
@@ -300,16 +318,36 @@
         index once a majority has answered a heartbeat that it sent afterwards.
         """
         deadline = add_ms(self._clock(), timeout_ms)
-        if self.replica.is_leader():
-            confirmed = await self.replica.confirm_index(timeout_ms)
-        else:
-            confirmed = await self._forward(CONFIRM_INDEX, timeout_ms)
+        confirmed = await self.confirm_at_leader(timeout_ms)
         if confirmed.is_error():
             return Error(confirmed.error)
-        if not await self._wait_until_applied(confirmed.ok, deadline):
+        if not await self._wait_until_applied(confirmed.ok.index, deadline):
             return Error(ErrorKind.NO_QUORUM)
         return Ok(self.replicated_state.index)
 
+    async def confirm_at_leader(
+        self, timeout_ms: float
+    ) -> Result[Confirmed, ErrorKind]:
+        """Ask the leader for an index that has all commands acknowledged before."""
+        leader_id = self.replica.leader_id()
+        if leader_id is None:
+            return Error(ErrorKind.NOT_LEADER)
+        if self.replica.is_leader():
+            index = await self.replica.confirm_index(timeout_ms)
+            return index.map(lambda index: Confirmed(leader_id, index))
+        response = await call_replica(
+            self._confirmation_clients,
+            leader_id,
+            Protocol.OPERATOR,
+            CONFIRM_INDEX,
+            timeout_ms,
+        )
+        if response.is_error():
+            return Error(response.error)
+        has_conditions = len(response.ok) == CONFIRMATION_BYTES
+        index = decode_outcome(response)
+        return index.map(lambda index: Confirmed(leader_id, index, has_conditions))
+
     async def _wait_until_applied(self, index: int, deadline: Instant) -> bool:
         """Wait until this replica applied an index; return False after the deadline."""
         while self.replica.applied_index() < index:
@@ -331,7 +369,7 @@
             if self.replica.is_leader():
                 result = await self.replica.propose(command, left_ms)
             else:
-                result = await self._forward(command, min(left_ms, FORWARD_TIMEOUT_MS))
+                result = await self.forward(command, min(left_ms, FORWARD_TIMEOUT_MS))
             if result.is_ok():
                 return result
             error = result.error
@@ -340,25 +378,15 @@
             await curio.sleep(RETRY_PAUSE_MS / 1000)
         return Error(error)
 
-    async def _forward(
+    async def forward(
         self, command: bytes, timeout_ms: float
     ) -> Result[int, ErrorKind]:
+        """Let the leader commit a command on no condition; return its index."""
         leader_id = self.replica.leader_id()
         if leader_id is None:
             return Error(ErrorKind.NOT_LEADER)
-        if command == CONFIRM_INDEX:
-            clients = self._confirmation_clients
-            result = await _call(
-                clients, leader_id, Protocol.OPERATOR, command, timeout_ms
-            )
-        else:
-            result = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
-        if result.is_error():
-            return Error(result.error)
-        if result.ok == MAY_BE_COMMITTED:
-            return Error(ErrorKind.NO_QUORUM)
-        index = int.from_bytes(result.ok, "big")
-        return Ok(index) if index else Error(ErrorKind.NOT_LEADER)
+        response = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
+        return decode_outcome(response)
 
     async def handle_forwarded(self, command: bytes) -> bytes:
         """Commit a command forwarded by another replica; respond with its index.
@@ -367,39 +395,21 @@
         ``MAY_BE_COMMITTED`` when the outcome is unknown.
         """
         if not self.replica.is_leader():
-            return b""
+            return NOT_COMMITTED
         if command == CONFIRM_INDEX:
             confirmed = await self.replica.confirm_index(FORWARD_TIMEOUT_MS)
-            return b"" if confirmed.is_error() else confirmed.ok.to_bytes(8, "big")
-        result = await self.replica.propose(command, FORWARD_TIMEOUT_MS)
-        if result.is_ok():
-            return result.ok.to_bytes(8, "big")
-        return b"" if result.error is ErrorKind.NOT_LEADER else MAY_BE_COMMITTED
+            if confirmed.is_error():
+                return NOT_COMMITTED
+            return confirmed.ok.to_bytes(CONFIRMATION_BYTES, "big")
+        return encode_outcome(await self.replica.propose(command, FORWARD_TIMEOUT_MS))
 
     async def call(
         self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
     ) -> Result[bytes, ErrorKind]:
         """Call another replica by its id, or by host and port."""
-        return await _call(self._clients, replica_id, protocol, payload, timeout_ms)
-
-
-async def _call(
-    clients: dict[tuple[str, int], RpcClient],
-    replica_id: str,
-    protocol: Protocol,
-    payload: bytes,
-    timeout_ms: float,
-) -> Result[bytes, ErrorKind]:
-    """Call a replica with its client among ``clients``, which may be created."""
-    address = host_and_port(replica_id)
-    client = clients.get(address)
-    if client is None:
-        client = clients[address] = RpcClient(*address)
-    result = await client.call(protocol, payload, timeout_ms)
-    if result.is_error():
-        # The connection may be half-open: lost without a reset.
-        await client.close()
-    return result
+        return await call_replica(
+            self._clients, replica_id, protocol, payload, timeout_ms
+        )
 
 
 def _subject(command: Command) -> str:
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -167,6 +167,10 @@
         """Return the index of the last entry applied to the state machine."""
         return self._applied_index
 
+    def may_have_after(self, index: int, matches: Callable[[bytes], bool]) -> bool:
+        """Return whether the log may hold a matching command after an index."""
+        return self._state is None or self._state.log.may_have_after(index, matches)
+
     def voters(self) -> frozenset[str]:
         """Return the voters of the latest membership entry; empty when fixed."""
         return frozenset() if self._state is None else self._state.voters
--- a/pollenfold/core/agreement_log.py
+++ b/pollenfold/core/agreement_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 MAX_COMMAND_BYTES = 3 << 18
@@ -68,6 +69,16 @@
         base = self.snapshot.index + 1
         return self.entries[max(0, first_index - base) : max(0, last_index + 1 - base)]
 
+    def may_have_after(self, index: int, matches: Callable[[bytes], bool]) -> bool:
+        """Return whether the log may hold a matching command after an index.
+
+        Entries that aren't committed count. If some of them were compacted, it may.
+        """
+        if index < self.snapshot.index:
+            return True
+        entries = self.between(index + 1, self.last_index)
+        return any(matches(entry.command) for entry in entries)
+
     def batch(self, first_index: int, limit_bytes: int) -> tuple[Entry, ...]:
         """Return the entries from an index on, up to the limit but at least one."""
         n_bytes = 0
--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -41,6 +41,8 @@
     LEDGER_UNAVAILABLE = "ledger_unavailable"
     NO_QUORUM = "no_quorum"
     NOT_LEADER = "not_leader"
+    SUPERSEDED = "superseded"
+    ABANDONED = "abandoned"
     NOT_READY = "not_ready"
     NOT_CONFIRMED = "not_confirmed"
     FLEET_FULL = "fleet_full"
@@ -142,6 +144,12 @@
     ErrorKind.NOT_LEADER: ErrorResponse(
         421, _DID_NOT_RUN, 1, "this control replica is not the leader"
     ),
+    ErrorKind.SUPERSEDED: ErrorResponse(
+        503, _DID_NOT_RUN, 1, "another order on the same subject came first"
+    ),
+    ErrorKind.ABANDONED: ErrorResponse(
+        503, _DID_NOT_RUN, 1, "the sender no longer waited for the response"
+    ),
     ErrorKind.NOT_READY: ErrorResponse(503, _DID_NOT_RUN, 1, "still starting"),
     ErrorKind.NOT_CONFIRMED: ErrorResponse(
         503,
--- a/pollenfold/core/replicated_state.py
+++ b/pollenfold/core/replicated_state.py
@@ -26,6 +26,8 @@
 COMPRESSED_PREFIX = b"\x00zlib\x00"
 """The prefix of a compressed command; JSON doesn't start with these bytes."""
 
+EVACUATE_PREFIX = b'["evacuate",'
+
 MAX_DEPARTURES = 1_000
 """Departures kept; older ones belong to endpoints that no longer announce."""
 
@@ -91,6 +93,18 @@
     return compressed
 
 
+def is_evacuation_of(zone: str, encoded: bytes) -> bool:
+    """Return whether an entry of the log evacuates a zone or takes it back."""
+    # Configurations are large, so only what begins like an evacuation is decoded.
+    if not encoded.startswith(EVACUATE_PREFIX):
+        return False
+    try:
+        command = decode_command(encoded)
+    except ValueError:
+        return False
+    return isinstance(command, Evacuate) and command.zone == zone
+
+
 def decode_command(command: bytes) -> Command:
     """Decode a command; raise ValueError if the bytes are not a valid command.
 
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import Instant
 from ..core.errors import ERROR_TABLE, ErrorKind
+from .socket_state import is_closed_by_peer
 
 Headers = list[tuple[bytes, bytes]]
 """Header names in lower case, with their values, in the order received."""
@@ -70,6 +71,10 @@
     received_at: Instant | None = None
     read_remaining_body: Callable[[], Awaitable[bytes]] | None = None
 
+    async def is_sender_waiting(self) -> bool:
+        """Return whether the caller still waits, as far as its connection shows."""
+        return self.descriptor < 0 or not is_closed_by_peer(self.descriptor)
+
     @property
     def path(self) -> str:
         """The target without its query."""
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -34,19 +34,19 @@
         self._zones = zones
         self._decode = configuration_decoder()
 
-    async def handle(self, request: Request) -> Response:
-        """Handle one request."""
+    async def handle(self, request: Request) -> Response | None:
+        """Handle one request; None closes the connection, since nobody waits."""
         path = request.path
         method = request.method
         if path.startswith(INSTANCES) and method in (b"PUT", b"DELETE"):
             return await self._handle_instance(request, path.removeprefix(INSTANCES))
         if path.startswith(EVACUATIONS) and method in (b"POST", b"DELETE"):
             zone = path.removeprefix(EVACUATIONS)
-            return await self._evacuate(zone, method == b"POST")
+            return await self._evacuate(request, zone, method == b"POST")
         if path == CONFIGURATION and method == b"PUT":
             return await self._configure(request)
         if path == CONFIGURATION and method == b"GET":
-            return await self._get_configuration()
+            return await self._get_configuration(request)
         return error_response(ErrorKind.NOT_FOUND, path)
 
     def _redirect(self, request: Request) -> Response | None:
@@ -59,7 +59,9 @@
         location = f"http://{host}:{self._port}".encode() + request.target
         return Response(307, [(b"location", location)])
 
-    async def _handle_instance(self, request: Request, endpoint_id: str) -> Response:
+    async def _handle_instance(
+        self, request: Request, endpoint_id: str
+    ) -> Response | None:
         redirect = self._redirect(request)
         if redirect is not None:
             return redirect
@@ -67,14 +69,7 @@
             error = DocumentError(f"expected an endpoint id, got {endpoint_id!r:.80}")
             return self._invalid_response("instance", endpoint_id[:80], error)
         if request.method == b"DELETE":
-            now_ms = int(time.time() * 1000)
-            return self._command_response(
-                "leave",
-                endpoint_id,
-                await self._cluster_state.depart(
-                    endpoint_id, now_ms, COMMAND_TIMEOUT_MS
-                ),
-            )
+            return await self._depart(request, endpoint_id)
         try:
             announcement = decode_announcement(endpoint_id, request.body)
         except DocumentError as error:
@@ -82,15 +77,47 @@
         result = await self._cluster_state.announce(announcement, COMMAND_TIMEOUT_MS)
         if not announcement.is_leaving:
             return json_response(200, {})
-        return self._command_response("drain", endpoint_id, result)
+        return self._command_response("drain", endpoint_id, result, request)
 
-    async def _evacuate(self, zone: str, is_out: bool) -> Response:
+    async def _depart(self, request: Request, endpoint_id: str) -> Response | None:
+        """Commit that the endpoint leaves which sent the request."""
+        now_ms = int(time.time() * 1000)
+        result = await self._cluster_state.depart(
+            endpoint_id, now_ms, COMMAND_TIMEOUT_MS, request.is_sender_waiting
+        )
+        return self._order_response("leave", endpoint_id, result, request)
+
+    async def _evacuate(
+        self, request: Request, zone: str, is_out: bool
+    ) -> Response | None:
         if not is_name(zone) or (self._zones and zone not in self._zones):
             return error_response(ErrorKind.NOT_FOUND, f"unknown zone {zone:.80}")
-        result = await self._cluster_state.submit(
-            Evacuate(zone, is_out), COMMAND_TIMEOUT_MS
+        call = "zone_out" if is_out else "zone_in"
+        result = await self._cluster_state.orders.submit(
+            Evacuate(zone, is_out), COMMAND_TIMEOUT_MS, request.is_sender_waiting
         )
-        return self._command_response("zone_out" if is_out else "zone_in", zone, result)
+        return self._order_response(call, zone, result, request)
+
+    def _order_response(
+        self,
+        call: str,
+        subject: str,
+        result: Result[object, ErrorKind],
+        request: Request,
+    ) -> Response | None:
+        """Return the response to an order, or None if nobody waits for it."""
+        if result.is_ok() or result.error is not ErrorKind.ABANDONED:
+            return self._command_response(call, subject, result, request)
+        outcome = result.error.value
+        self._node.metrics.count("orders_total", call=call, outcome=outcome)
+        self._node.log.state(
+            "order_abandoned",
+            call=call,
+            subject=subject,
+            peer=request.peer,
+            waited_ms=_waited_ms(request),
+        )
+        return None
 
     async def _configure(self, request: Request) -> Response:
         try:
@@ -102,20 +129,24 @@
         command = Configure(configuration.version, text)
         result = await self._cluster_state.submit(command, COMMAND_TIMEOUT_MS)
         return self._command_response(
-            "configuration", str(configuration.version), result
+            "configuration", str(configuration.version), result, request
         )
 
-    async def _get_configuration(self) -> Response:
+    async def _get_configuration(self, request: Request) -> Response:
         result = await self._cluster_state.read(COMMAND_TIMEOUT_MS)
         if result.is_error():
-            return self._command_response("read", "", result)
+            return self._command_response("read", "", result, request)
         if not result.ok.version:
             return error_response(ErrorKind.NOT_READY, "no configuration yet")
         headers = [(b"content-type", b"application/json")]
         return Response(200, headers, result.ok.document.encode())
 
     def _command_response(
-        self, call: str, subject: str, result: Result[object, ErrorKind]
+        self,
+        call: str,
+        subject: str,
+        result: Result[object, ErrorKind],
+        request: Request,
     ) -> Response:
         """Log and count the outcome of a command, and return the response."""
         error = result.error if result.is_error() else None
@@ -126,6 +157,8 @@
             call=call,
             subject=subject,
             outcome=outcome,
+            order_index=result.ok if error is None and type(result.ok) is int else 0,
+            waited_ms=_waited_ms(request),
             index=self._cluster_state.replicated_state.index,
             version=self._cluster_state.replicated_state.version,
             leader=str(self._node.replica.leader_id()),
@@ -146,6 +179,13 @@
         return error_response(ErrorKind.BAD_REQUEST, str(error)[:200])
 
 
+def _waited_ms(request: Request) -> float:
+    """Return the time since the head of a request was read."""
+    if request.received_at is None:
+        return 0.0
+    return system_clock() - request.received_at
+
+
 def make_handler(
     api_port: int, zones: frozenset[str]
 ) -> Callable[[ClusterNode], Callable[[Request], object]]:
--- a/pollenfold/wire/frames.py
+++ b/pollenfold/wire/frames.py
@@ -25,6 +25,9 @@
     LEDGER = 3
     MEMBERSHIP = 4
     OPERATOR = 5
+    ORDER = 6
+    """Commands on a condition. Replicas of earlier versions close a connection with a
+    frame of a protocol that they don't know."""
 
 
 class Flag(IntEnum):
