Let a sender's VM acknowledge that an order is still waited for

A replica that was paused and whose operator closed behind a cut would carry the order out, since the lost close leaves the connection looking open.

Cause: the check of the sender looked only for a close that had arrived.

Change: Request.is_sender_waiting sends the nine bytes with which each response begins, once the request is at its turn, and waits up to 0.4 s until the kernel counts no unacknowledged byte. A reset, a close or no acknowledgement means that nobody waits.

--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -23,7 +23,7 @@
 from .memory import MemoryBudget
 from .messages import BodyError, Request, Response, error_response
 from .request_reader import RequestError, RequestReader, ServerLimits
-from .socket_state import is_readable
+from .socket_state import is_closed_by_peer, is_readable, n_unacknowledged_bytes
 
 Handler = Callable[[Request], Awaitable[Response | None]]
 """Returns the response to a request; None closes the connection without a response."""
@@ -47,6 +47,15 @@
 
 _STATUS_WITHOUT_BODY = (204, 304)
 
+RESPONSE_START = b"HTTP/1.1 "
+"""What each response begins with, whatever its status."""
+
+PROBE_WAIT_MS = 400.0
+PROBE_POLL_MS = 1.0
+"""How long a probe of the caller waits for the acknowledgement, and how often it looks.
+
+Two retransmissions fit into this time."""
+
 
 @dataclass(slots=True)
 class SharedState:
@@ -75,6 +84,9 @@
     """Whether the request came after the server stopped."""
 
     task: curio.Task | None = None
+    is_started: bool = False
+    """Whether ``RESPONSE_START`` is already sent."""
+
     is_done: curio.Event = field(default_factory=curio.Event)
 
 
@@ -224,6 +236,7 @@
         if exchange.is_late:
             response: Response | None = _refusal_of_late(exchange.request)
         else:
+            exchange.request.probe_sender = lambda: self._probe_sender(exchange)
             response = await self._handle(exchange.request)
         try:
             await self._wait_for_turn(exchange)
@@ -255,6 +268,33 @@
             response.close = True
             return response
 
+    async def _probe_sender(self, exchange: _Exchange) -> bool:
+        """Send the start of the response; return whether the caller's VM accepts it.
+
+        A VM on which the connection is closed resets it, and one behind a network
+        partition doesn't acknowledge it.
+        """
+        await self._wait_for_turn(exchange)
+        if self._is_closing:
+            return False
+        try:
+            if not exchange.is_started:
+                exchange.is_started = True
+                await self._client.sendall(RESPONSE_START)
+            return await self._is_all_acknowledged()
+        except OSError:
+            return False
+
+    async def _is_all_acknowledged(self) -> bool:
+        """Wait until the caller's VM has what was sent; False if it closed."""
+        descriptor = self._client.fileno()
+        deadline = add_ms(system_clock(), PROBE_WAIT_MS)
+        while n_unacknowledged_bytes(descriptor):
+            if is_closed_by_peer(descriptor) or system_clock() >= deadline:
+                return False
+            await curio.sleep(PROBE_POLL_MS / 1000)
+        return not is_closed_by_peer(descriptor)
+
     async def _wait_for_turn(self, exchange: _Exchange | None) -> None:
         """Wait until the responses to all earlier requests are written."""
         while self._waiting and self._waiting[0] is not exchange:
@@ -279,12 +319,12 @@
             value = b"timeout=%d" % limits.announced_idle_s
             response.headers.append((b"keep-alive", value))
         if response.send_until is None:
-            await self._write(exchange.parser, response)
+            await self._write(exchange.parser, response, exchange.is_started)
         else:
             left_ms = remaining_ms(response.send_until, system_clock())
             try:
                 async with curio.timeout_after(left_ms / 1000):
-                    await self._write(exchange.parser, response)
+                    await self._write(exchange.parser, response, exchange.is_started)
             except curio.TaskTimeout:
                 raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "not read") from None
         if response.close or exchange.parser.our_state is not h11.DONE:
@@ -344,7 +384,10 @@
         self._is_closing = self._should_linger = True
         await self._write(parser, response)
 
-    async def _write(self, parser: h11.Connection, response: Response) -> None:
+    async def _write(
+        self, parser: h11.Connection, response: Response, is_started: bool = False
+    ) -> None:
+        """Write a response; its first bytes are already sent if ``is_started``."""
         headers = [*response.headers]
         if response.close:
             headers.append((b"connection", b"close"))
@@ -355,6 +398,8 @@
             headers.append((b"content-length", b"%d" % length))
         head = h11.Response(status_code=response.status, headers=headers)
         data = parser.send(head) or b""
+        if is_started:
+            data = data.removeprefix(RESPONSE_START)
         if response.body:
             data += parser.send(h11.Data(data=response.body)) or b""
         while body_source is not None:
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -60,6 +60,9 @@
     never reaches a handler. For a long body it is the first part, and each call of
     ``read_remaining_body`` returns the next part, ``b""`` at the end, or raises
     BodyError.
+
+    ``probe_sender`` sends the start of the response and returns whether the caller's VM
+    acknowledged it on an open connection.
     """
 
     method: bytes
@@ -70,10 +73,19 @@
     descriptor: int = -1
     received_at: Instant | None = None
     read_remaining_body: Callable[[], Awaitable[bytes]] | None = None
+    probe_sender: Callable[[], Awaitable[bool]] | None = None
 
     async def is_sender_waiting(self) -> bool:
-        """Return whether the caller still waits, as far as its connection shows."""
-        return self.descriptor < 0 or not is_closed_by_peer(self.descriptor)
+        """Return whether the caller still waits for the response.
+
+        The close of a connection may be lost behind a network partition. So if the
+        server can, it lets the caller's VM acknowledge the start of the response.
+        """
+        if self.descriptor < 0:
+            return True
+        if is_closed_by_peer(self.descriptor):
+            return False
+        return self.probe_sender is None or await self.probe_sender()
 
     @property
     def path(self) -> str:
--- a/pollenfold/http/socket_state.py
+++ b/pollenfold/http/socket_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+import struct
 
 
 def is_readable(descriptor: int) -> bool:
@@ -21,3 +22,16 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
+
+
+def n_unacknowledged_bytes(descriptor: int) -> int:
+    """Return how many written bytes the peer's VM hasn't acknowledged yet.
+
+    Raise OSError if the socket is closed.
+    """
+    # Only control replicas need these modules, and entries have little memory.
+    import fcntl
+    import termios
+
+    unset = struct.pack("i", 0)
+    return int(struct.unpack("i", fcntl.ioctl(descriptor, termios.TIOCOUTQ, unset))[0])
