--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -182,6 +182,11 @@
                 await reader.release()
                 await self._reject(reader.parser, error)
                 return
+            except BaseException:
+                # The connection was reset, or this task cancelled. The reader belongs
+                # to no exchange yet, so nothing else releases its memory.
+                await reader.release()
+                raise
             if request is None or self._is_closing:
                 await reader.release()
                 return
