Go on accepting connections after an accept failed

After one accept that fails (no descriptor left, a connection reset in the backlog) the task of an HTTP server ended: new connections wait in the backlog without an answer, while the process goes on and its kept connections work. On a control replica the ports for peers and feeds ended the process.

Cause: accept errors weren't handled where the connections are accepted.

HTTP servers, the port for peers and the feeds use it.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -7,13 +7,13 @@
 
 import curio
 from curio import socket
-from curio.io import Socket
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
 from ..core.digests import differing_announcements
 from ..core.input_limits import is_name
 from ..core.registry import Announcement, EndpointRecord
+from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
 from ..wire.lines import BadLineError, encode_line, read_lines
 from .cluster_state import ClusterState
@@ -100,7 +100,9 @@
 
     async def serve_on(self, listener: sockets.socket) -> None:
         """Serve a socket that is already listening, until cancelled."""
-        await curio.network.run_server(Socket(listener), self._serve_subscriber)
+        await curio.network.run_server(
+            ListeningSocket(listener), self._serve_subscriber
+        )
 
     async def _serve_subscriber(
         self, client: socket.socket, address: tuple[str, int]
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -13,6 +13,7 @@
 from ..core.errors import ErrorKind
 from .caller import CallerConnection, Handler, OnRejected, SharedState
 from .listener import open_listener
+from .listening_socket import ListeningSocket
 from .memory import MemoryBudget
 from .messages import Request
 from .request_reader import BODY_BUDGET_BYTES, ServerLimits
@@ -107,7 +108,7 @@
         """Serve a socket that is already listening, and return its port."""
         self._listening_socket = listener
         self._accept_task = await curio.spawn(
-            self._accept, Socket(listener), daemon=True
+            self._accept, ListeningSocket(listener), daemon=True
         )
         return int(listener.getsockname()[1])
 
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -7,11 +7,11 @@
 
 import curio
 from curio import socket
-from curio.io import Socket
 from expression import Error, Ok, Result
 from loguru import logger
 
 from ..core.errors import ErrorKind, Failure
+from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
 
@@ -67,7 +67,7 @@
 
     async def serve_on(self, listener: sockets.socket) -> None:
         """Serve a socket that is already listening, until cancelled."""
-        await curio.network.run_server(Socket(listener), self.handle)
+        await curio.network.run_server(ListeningSocket(listener), self.handle)
 
     async def handle(self, client: socket.socket, address: tuple[str, int]) -> None:
         """Handle all requests of one connection concurrently."""
