--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -112,6 +112,9 @@
     module: tuple[str, ...] = ("pollenfold.platform",)
     """The module that is run, with the arguments before the role."""
 
+    root: Path = ROOT
+    """The folder with the version of the program that is run."""
+
     def start(self, seeds: list[str], is_first: bool) -> None:
         if self.process is not None and self.process.poll() is None:
             # Another fault has already restarted it. Starting a second process would
@@ -138,7 +141,7 @@
             self.n_log_bytes = log.tell()
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *self.module, self.role],
-                cwd=ROOT,
+                cwd=self.root,
                 env={**os.environ, "POLLENFOLD_BOOT": str(settings)},
                 stdout=log,
                 stderr=log,
