--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -84,9 +84,6 @@
     """Whether the request came after the server stopped."""
 
     task: curio.Task | None = None
-    is_started: bool = False
-    """Whether ``RESPONSE_START`` is already sent."""
-
     is_done: curio.Event = field(default_factory=curio.Event)
 
 
@@ -111,6 +108,9 @@
         self._is_reading_request = False
         self._is_closing = False
         self._should_linger = False
+        self._has_sent_start = False
+        """Whether ``RESPONSE_START`` of the next response is already sent."""
+
         self._task: curio.Task | None = None
         self._n_requests = 0
         self._idle_since = system_clock()
@@ -283,8 +283,8 @@
         if self._is_closing:
             return False
         try:
-            if not exchange.is_started:
-                exchange.is_started = True
+            if not self._has_sent_start:
+                self._has_sent_start = True
                 await self._client.sendall(RESPONSE_START)
             return await self._is_all_acknowledged()
         except OSError:
@@ -324,12 +324,12 @@
             value = b"timeout=%d" % limits.announced_idle_s
             response.headers.append((b"keep-alive", value))
         if response.send_until is None:
-            await self._write(exchange.parser, response, exchange.is_started)
+            await self._write(exchange.parser, response)
         else:
             left_ms = remaining_ms(response.send_until, system_clock())
             try:
                 async with curio.timeout_after(left_ms / 1000):
-                    await self._write(exchange.parser, response, exchange.is_started)
+                    await self._write(exchange.parser, response)
             except curio.TaskTimeout:
                 raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "not read") from None
         if response.close or exchange.parser.our_state is not h11.DONE:
@@ -389,10 +389,7 @@
         self._is_closing = self._should_linger = True
         await self._write(parser, response)
 
-    async def _write(
-        self, parser: h11.Connection, response: Response, is_started: bool = False
-    ) -> None:
-        """Write a response; its first bytes are already sent if ``is_started``."""
+    async def _write(self, parser: h11.Connection, response: Response) -> None:
         headers = [*response.headers]
         if response.close:
             headers.append((b"connection", b"close"))
@@ -403,7 +400,8 @@
             headers.append((b"content-length", b"%d" % length))
         head = h11.Response(status_code=response.status, headers=headers)
         data = parser.send(head) or b""
-        if is_started:
+        if self._has_sent_start:
+            self._has_sent_start = False
             data = data.removeprefix(RESPONSE_START)
         if response.body:
             data += parser.send(h11.Data(data=response.body)) or b""
