Bound the unfinished lines and requests of many senders together

Reported by operators of similar systems: bytes without end used up a machine's memory. Each reader was looked at, for one sender and for many.

Callers saw: nothing yet. A control replica kept up to 8 MB of an unfinished line for each of its hundreds of subscribers, with 296 MB of memory, and all requests and responses of a peer that reads none.

Cause: bounds for each sender, and none for all of them.

Change: a subscriber's line may have 1 MB, unfinished lines 16 MB together beyond 64 KB each; the connection that exceeds a bound is closed. Of one connection of a replica 256 requests are handled at a time.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -15,7 +15,7 @@
 from ..core.registry import Announcement, EndpointRecord
 from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
-from ..wire.lines import BadLineError, encode_line, read_lines
+from ..wire.lines import BadLineError, LineBudget, encode_line, read_lines
 from .cluster_state import ClusterState
 from .confirmer import Confirmer
 from .entry_hosts import EntryHosts
@@ -30,6 +30,13 @@
 
 REFRESH_INTERVAL_MS = 3_000.0
 IDLE_TIMEOUT_MS = 5_000.0
+
+MAX_REQUEST_BYTES = 1 << 20
+"""The largest line of a subscriber. Reports on 1,200 endpoints take a fifth of it."""
+
+REQUEST_BUDGET_BYTES = 16 << 20
+"""Memory for the unfinished lines of all subscribers, of which there are hundreds."""
+
 ANNOUNCEMENT_MAX_AGE_MS = 30_000.0
 """Endpoints without an announcement for this long are left out of the lists sent."""
 
@@ -68,6 +75,7 @@
         self._entry_hosts = EntryHosts()
         self._responses = StateResponses()
         self.fleet = FleetSize()
+        self.line_budget = LineBudget(REQUEST_BUDGET_BYTES)
         self._confirmer = Confirmer(cluster_state, log)
         cluster_state.on_change = self._mark_changed
         cluster_state.on_update = self._queue_update
@@ -111,7 +119,13 @@
         subscriber: Subscriber | None = None
         detail = "closed"
         try:
-            async for line in read_lines(client, lambda: IDLE_TIMEOUT_MS):
+            lines = read_lines(
+                client,
+                lambda: IDLE_TIMEOUT_MS,
+                max_line_bytes=MAX_REQUEST_BYTES,
+                budget=self.line_budget,
+            )
+            async for line in lines:
                 if subscriber is None:
                     if not is_name(line.get("name")):
                         raise BadLineError("expected the name of a subscriber")
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -8,7 +8,11 @@
 from curio import socket
 
 from pollenfold.control.cluster_state import ClusterState
-from pollenfold.control.feed_server import FeedServer
+from pollenfold.control.feed_server import (
+    MAX_REQUEST_BYTES,
+    REQUEST_BUDGET_BYTES,
+    FeedServer,
+)
 from pollenfold.control.quarantine_api import handle_quarantine
 from pollenfold.core.digests import bucket_digests
 from pollenfold.core.registry import Announcement
@@ -113,6 +117,7 @@
 
             connect.port = port
             connect.listener = sock
+            connect.server = server
             await body(cluster_state, connect)
 
         run(main)
@@ -480,3 +485,57 @@
             assert fields["transfer"]["base_version"] in (0, version)
 
     with_feed(body)
+
+
+async def send_unfinished_line(port, n_bytes):
+    """Send bytes of a line that doesn't end; return the connection."""
+    sock = await open_connection("127.0.0.1", port)
+    n_sent = 0
+    piece = b"x" * 65_536
+    try:
+        async with curio.ignore_after(2):
+            while n_sent < n_bytes:
+                await sock.sendall(piece)
+                n_sent += len(piece)
+    except OSError:
+        pass
+    return sock
+
+
+def test_lines_without_end_are_bounded_together(with_feed):
+    """Guards against a control replica that runs out of memory since many subscribers
+    send lines without end, and against others that are closed for it."""
+
+    async def body(cluster_state, connect):
+        budget = connect.server.line_budget
+        most_held = 0
+        socks = []
+        before = await connect("e0")
+        for _ in range(40):
+            socks.append(await send_unfinished_line(connect.port, 900_000))
+            most_held = max(most_held, budget.n_held_bytes)
+        await curio.sleep(0.1)
+        assert 0 < most_held <= REQUEST_BUDGET_BYTES
+        after = await connect("e1")
+        for subscriber in (before, after):
+            await subscriber.send({"get": 1, "index": 0, "version": 0})
+            await wait_until(lambda s=subscriber: any("orders" in x for x in s.lines))
+        for sock in socks:
+            await sock.close()
+        await wait_until(lambda: budget.n_held_bytes == 0)
+
+    with_feed(body)
+
+
+def test_line_without_end_ends_its_connection(with_feed):
+    """Guards against a subscriber whose line grows until the memory is used up."""
+
+    async def body(cluster_state, connect):
+        sock = await send_unfinished_line(connect.port, 3 * MAX_REQUEST_BYTES)
+        with pytest.raises(OSError):
+            while True:
+                await sock.sendall(b"x")
+                await curio.sleep(0.01)
+        await wait_until(lambda: connect.server.line_budget.n_held_bytes == 0)
+
+    with_feed(body)
--- a/pollenfold/tests/gateway/test_endless_bytes.py
+++ b/pollenfold/tests/gateway/test_endless_bytes.py
@@ -146,3 +146,33 @@
 
     faulty = EndlessBackend("one", *ENDLESS[part], is_endless_health=True)
     with_path(body, faulty, Backend("two"), target_latency_ms=700.0)
+
+
+N_AT_ONCE = 24
+MAX_SUM_BYTES = N_AT_ONCE * MAX_GROWTH_BYTES // 2
+"""Half of what the bound of one response allows for all of them."""
+
+
+@pytest.mark.parametrize("part", ENDLESS)
+def test_many_endless_responses_at_once_are_bounded_together(with_path, part):
+    """Guards against an entry that runs out of memory since many servers send bytes
+    without end at the same time, each of them within its own bound."""
+
+    async def body(path, backend):
+        server = HttpServer(path.forwarder.handle)
+        port = await server.start("127.0.0.1", 0)
+        before = _resident_bytes()
+        peak = before
+        tasks = []
+        for number in range(N_AT_ONCE):
+            request = (REQUEST % b"GET").replace(b"q1", b"q%d" % number)
+            tasks.append(await curio.spawn(_send_request, port, request))
+        while not all(task.terminated for task in tasks):
+            peak = max(peak, _resident_bytes())
+            await curio.sleep(0.02)
+        for task in tasks:
+            await task.join()
+        assert peak - before < MAX_SUM_BYTES
+
+    backend = EndlessBackend("one", *ENDLESS[part])
+    with_path(body, backend, is_idempotent=True, timeout_ms=700.0)
--- a/pollenfold/tests/wire/test_rpc.py
+++ b/pollenfold/tests/wire/test_rpc.py
@@ -7,8 +7,14 @@
 from curio import socket
 
 from pollenfold.core.errors import ErrorKind
-from pollenfold.wire.frames import MAX_PAYLOAD_BYTES, Protocol
-from pollenfold.wire.rpc import RpcClient, RpcServer
+from pollenfold.wire.frames import (
+    HEADER_BYTES,
+    MAX_PAYLOAD_BYTES,
+    Flag,
+    Protocol,
+    encode_frame,
+)
+from pollenfold.wire.rpc import MAX_PENDING_REQUESTS, RpcClient, RpcServer
 
 
 async def start_server(handlers):
@@ -204,3 +210,39 @@
         await task.cancel()
 
     run(main)
+
+
+def test_peer_that_reads_no_responses_is_not_served_without_limit(run):
+    """Guards against requests and responses kept without limit for a peer that sends
+    on and never reads."""
+
+    async def main():
+        n_started = 0
+        is_open = curio.Event()
+
+        async def wait(payload):
+            nonlocal n_started
+            n_started += 1
+            await is_open.wait()
+            return payload
+
+        task, port = await start_server({Protocol.LEDGER: wait})
+        sock = await curio.open_connection("127.0.0.1", port)
+        n_sent = 3 * MAX_PENDING_REQUESTS
+        for number in range(n_sent):
+            await sock.sendall(
+                encode_frame(Protocol.LEDGER, Flag.REQUEST, number, b"x")
+            )
+        await curio.sleep(0.3)
+        assert n_started == MAX_PENDING_REQUESTS
+        # Once the others are answered, the remaining ones are handled.
+        await is_open.set()
+        received = b""
+        expected_bytes = n_sent * (HEADER_BYTES + 1)
+        while len(received) < expected_bytes:
+            received += await sock.recv(65_536)
+        assert n_started == n_sent
+        await sock.close()
+        await task.cancel()
+
+    run(main)
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -15,6 +15,11 @@
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
 
+MAX_PENDING_REQUESTS = 256
+"""Requests of one connection that are handled at the same time. Until one of them is
+answered, no further one is read, so a peer that reads no responses can't make this
+process keep them without limit."""
+
 Handler = Callable[[bytes], Awaitable[bytes]]
 """Processes a request payload and returns the response payload."""
 
@@ -75,8 +80,10 @@
         write_lock = curio.Lock()
         # A task group would hold every finished task until the connection ends.
         tasks: set[curio.Task] = set()
+        slots = curio.Semaphore(MAX_PENDING_REQUESTS)
         try:
             while True:
+                await slots.acquire()
                 try:
                     frame = await receive_frame(client)
                 except OSError:
@@ -92,6 +99,7 @@
                 task = await curio.spawn(
                     self._run_request_task,
                     tasks,
+                    slots,
                     client,
                     write_lock,
                     *frame.ok,
@@ -106,6 +114,7 @@
     async def _run_request_task(
         self,
         tasks: set[curio.Task],
+        slots: curio.Semaphore,
         client: socket.socket,
         write_lock: curio.Lock,
         header: Header,
@@ -115,6 +124,7 @@
             await self._handle_request(client, write_lock, header, payload)
         finally:
             tasks.discard(await curio.current_task())
+            await slots.release()
 
     async def _handle_request(
         self,
