--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -43,7 +43,9 @@
 class ZoneOrders:
     """Takes the steps of ``order_steps`` for each order on a zone."""
 
-    def __init__(self, cluster_state: ClusterState, clock: Clock, log: EventLog):
+    def __init__(
+        self, cluster_state: ClusterState, clock: Clock, log: EventLog
+    ) -> None:
         self._cluster_state = cluster_state
         self._clock = clock
         self._log = log
