Remove a reference cycle from each request, and a second way to listen

Read again as a newcomer: each request of an entry got a closure that probes its sender, which only control calls. It referred to the exchange, and so to the request itself: a cycle that only the garbage collector frees, on the path of every call. Request.probe_sender is now a method of the connection, which finds the exchange of the request.

RpcServer.serve and FeedServer.serve opened their socket in another way than serve_on and lacked its repeated accepts; they call it now. serve_metrics had its first attempt in a function of its own.

--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -13,6 +13,7 @@
 from ..core.digests import differing_announcements
 from ..core.input_limits import is_name
 from ..core.registry import Announcement, EndpointRecord
+from ..http.listener import open_listener
 from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
 from ..wire.lines import BadLineError, LineBudget, encode_line, read_lines
@@ -104,7 +105,7 @@
 
     async def serve(self, host: str, port: int) -> None:
         """Listen until cancelled."""
-        await curio.tcp_server(host, port, self._serve_subscriber, reuse_address=True)
+        await self.serve_on(open_listener(host, port))
 
     async def serve_on(self, listener: sockets.socket) -> None:
         """Serve a socket that is already listening, until cancelled."""
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -241,7 +241,7 @@
         if exchange.is_late:
             response: Response | None = _refusal_of_late(exchange.request)
         else:
-            exchange.request.probe_sender = lambda: self._probe_sender(exchange)
+            exchange.request.probe_sender = self._probe_sender
             response = await self._handle(exchange.request)
         try:
             await self._wait_for_turn(exchange)
@@ -273,12 +273,17 @@
             response.close = True
             return response
 
-    async def _probe_sender(self, exchange: _Exchange) -> bool:
+    async def _probe_sender(self, request: Request) -> bool:
         """Send the start of the response; return whether the caller's VM accepts it.
 
         A VM on which the connection is closed resets it, and one behind a network
         partition doesn't acknowledge it.
         """
+        for exchange in self._waiting:
+            if exchange.request is request:
+                break
+        else:
+            return False
         await self._wait_for_turn(exchange)
         if self._is_closing:
             return False
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -61,8 +61,8 @@
     ``read_remaining_body`` returns the next part, ``b""`` at the end, or raises
     BodyError.
 
-    ``probe_sender`` sends the start of the response and returns whether the caller's VM
-    acknowledged it on an open connection.
+    ``probe_sender`` sends the start of a request's response and returns whether the
+    caller's VM acknowledged it on an open connection.
     """
 
     method: bytes
@@ -73,7 +73,7 @@
     descriptor: int = -1
     received_at: Instant | None = None
     read_remaining_body: Callable[[], Awaitable[bytes]] | None = None
-    probe_sender: Callable[[], Awaitable[bool]] | None = None
+    probe_sender: Callable[[Request], Awaitable[bool]] | None = None
 
     async def is_sender_waiting(self) -> bool:
         """Return whether the caller still waits for the response.
@@ -85,7 +85,7 @@
             return True
         if is_closed_by_peer(self.descriptor):
             return False
-        return self.probe_sender is None or await self.probe_sender()
+        return self.probe_sender is None or await self.probe_sender(self)
 
     @property
     def path(self) -> str:
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -43,19 +43,11 @@
     if port is None:
         log.state("metrics_unavailable", detail="no port is left for them")
         return
-    if not await _start_metrics(server, host, port, log):
-        await curio.spawn(_retry_metrics, server, host, port, log, daemon=True)
-
-
-async def _start_metrics(
-    server: HttpServer, host: str, port: int, log: EventLog
-) -> bool:
     try:
         await server.start(host, port)
     except OSError as error:
         log.state("metrics_unavailable", port=port, detail=str(error))
-        return False
-    return True
+        await curio.spawn(_retry_metrics, server, host, port, log, daemon=True)
 
 
 async def _retry_metrics(
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from ..core.errors import ErrorKind, Failure
+from ..http.listener import open_listener
 from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
@@ -68,7 +69,7 @@
 
     async def serve(self, host: str, port: int) -> None:
         """Listen on the address until cancelled."""
-        await curio.tcp_server(host, port, self.handle, reuse_address=True)
+        await self.serve_on(open_listener(host, port))
 
     async def serve_on(self, listener: sockets.socket) -> None:
         """Serve a socket that is already listening, until cancelled."""
