--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -19,6 +19,7 @@
 from ..core.link import Link
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
+from ..http.caller import ABANDONED
 from ..http.listener import open_listener_when_free
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
@@ -67,6 +68,8 @@
 LIMITS_WITHOUT_CONFIGURATION = ServerLimits(size_refusal=lambda: NOT_READY)
 """Bounds memory until the first configuration, which may allow larger requests."""
 
+MAX_LOGGED_ID_BYTES = 80
+
 RETRY_SHARE_INTERVAL_MS = 1_000.0
 
 STOP_NOTICE_MS = 3_000.0
@@ -123,6 +126,7 @@
         decode: Decode,
     ) -> None:
         self.settings = settings
+        self._dialect = dialect
         clock = system_clock
         rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
@@ -198,6 +202,7 @@
             allows_concurrency=self.forwarder.is_idempotent,
             window_bytes=BODY_WINDOW_BYTES,
             budget=budget,
+            on_unanswered=self._log_unanswered,
         )
         self.peer_port = PeerPort(
             self.forwarder,
@@ -233,6 +238,34 @@
             "request_rejected", True, kind=kind.value, detail=detail, peer=peer
         )
 
+    def _log_unanswered(self, request: Request, reason: str) -> None:
+        """Count and log a request that ended without a complete response."""
+        self.metrics.count("unanswered_total", reason=reason)
+        if reason == ABANDONED:
+            # The line of the request says that its caller had gone.
+            return
+        request_id = request.header(self._dialect.request_id) or b"none"
+        self.log.request(
+            "request_unanswered",
+            True,
+            request=request_id[:MAX_LOGGED_ID_BYTES].decode("latin-1"),
+            reason=reason,
+            peer=request.peer,
+            stopping=self.is_stopping,
+        )
+
+    def log_stop(self, event: str) -> None:
+        """Log the start or end of a stop, with what callers can be compared with."""
+        server = self.caller_server
+        self.log.state(
+            event,
+            n_in_flight=self.peer_port.n_in_flight,
+            n_connections=server.n_connections,
+            n_accepted=server.counts.n_accepted,
+            n_requests=server.counts.n_requests,
+            n_unanswered=server.counts.n_unanswered,
+        )
+
     def unready_kind(self) -> ErrorKind | None:
         """Return why the entry should receive no new connections, or None."""
         if self.is_stopping:
@@ -383,7 +416,7 @@
     gateway.forwarder.limit_deadlines(add_ms(stop_at, -FINAL_RESPONSE_MS))
     gateway.caller_server.announce_stop()
     gateway.peer_port.announce_stop()
-    gateway.log.state("stopping", n_in_flight=gateway.peer_port.n_in_flight)
+    gateway.log_stop("stopping")
     await curio.sleep(STOP_NOTICE_MS / 1000)
     await gateway.caller_server.stop()
     await gateway.peer_port.server.stop()
@@ -392,4 +425,4 @@
         await gateway.caller_server.wait_idle()
         await gateway.peer_port.server.wait_idle()
     await gateway.monitor.stop()
-    gateway.log.state("stopped", n_in_flight=gateway.peer_port.n_in_flight)
+    gateway.log_stop("stopped")
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -32,6 +32,14 @@
 """Called with kind, detail and peer of each request that can't reach the handler, or
 for which the handler raises an unexpected error."""
 
+OnUnanswered = Callable[[Request, str], None]
+"""Called with a request that was read and whose connection ends without a complete
+response, and why."""
+
+ANSWERED = "answered"
+ABANDONED = "abandoned"
+"""The handler returned no response, since the caller had gone."""
+
 MAX_PIPELINED_REQUESTS = 8
 """The most requests of one connection that may be pending at the same time."""
 
@@ -57,6 +65,20 @@
 Two retransmissions fit into this time."""
 
 
+@dataclass(slots=True)
+class ConnectionCounts:
+    """What a server has done since its start, to compare with what callers saw."""
+
+    n_accepted: int = 0
+    """Connections taken from the kernel's accept queue."""
+
+    n_requests: int = 0
+    """Requests that were read."""
+
+    n_unanswered: int = 0
+    """Requests that were read and ended without a complete response."""
+
+
 @dataclass(slots=True)
 class SharedState:
     """State shared by all connections of one server."""
@@ -64,6 +86,7 @@
     handler: Handler
     allows_concurrency: Callable[[Request], bool]
     on_rejected: OnRejected
+    on_unanswered: OnUnanswered
     budget: MemoryBudget
     window_bytes: int
     is_stopping: bool = False
@@ -71,6 +94,7 @@
     """Whether no further request is accepted on the connections that are still open."""
 
     n_in_flight: int = 0
+    counts: ConnectionCounts = field(default_factory=ConnectionCounts)
 
 
 @dataclass(slots=True, eq=False)
@@ -85,6 +109,8 @@
 
     task: curio.Task | None = None
     is_done: curio.Event = field(default_factory=curio.Event)
+    end: str = "connection_ended"
+    """How the exchange ended: ``ANSWERED``, or why there is no complete response."""
 
 
 class CallerConnection:
@@ -197,6 +223,7 @@
             self._is_reading_request = False
             self._n_requests += 1
             self._shared.n_in_flight += 1
+            self._shared.counts.n_requests += 1
             if not await self._dispatch(exchange):
                 return
             unread = reader.parser.trailing_data[0]
@@ -248,8 +275,10 @@
             if not self._is_closing:
                 await self._send_response(exchange, response)
         except (OSError, h11.LocalProtocolError):
+            exchange.end = "write_failed"
             await self._close_after(exchange)
         except BodyError:
+            exchange.end = "broken_off"
             # The caller can't mistake a reset for the end of a complete response.
             self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await self._close_after(exchange, should_linger=False)
@@ -314,6 +343,7 @@
         self, exchange: _Exchange, response: Response | None
     ) -> None:
         if response is None:
+            exchange.end = ABANDONED
             await self._close_after(exchange)
             return
         if exchange.request.method == b"HEAD":
@@ -337,6 +367,7 @@
                     await self._write(exchange.parser, response)
             except curio.TaskTimeout:
                 raise BodyError(ErrorKind.DEADLINE_EXCEEDED, "not read") from None
+        exchange.end = ANSWERED
         if response.close or exchange.parser.our_state is not h11.DONE:
             await self._close_after(exchange)
             return
@@ -352,6 +383,9 @@
             return
         self._waiting.remove(exchange)
         self._shared.n_in_flight -= 1
+        if exchange.end != ANSWERED:
+            self._shared.counts.n_unanswered += 1
+            self._shared.on_unanswered(exchange.request, exchange.end)
         await exchange.reader.release()
         await exchange.is_done.set()
 
@@ -367,6 +401,7 @@
             await self._task.cancel(blocking=False)
         for later in list(self._waiting):
             if later is not exchange:
+                later.end = "behind_last_response"
                 await self._cancel_exchange(later)
         await self._finish(exchange)
 
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -11,7 +11,14 @@
 from curio.io import Socket
 
 from ..core.errors import ErrorKind
-from .caller import CallerConnection, Handler, OnRejected, SharedState
+from .caller import (
+    CallerConnection,
+    ConnectionCounts,
+    Handler,
+    OnRejected,
+    OnUnanswered,
+    SharedState,
+)
 from .listener import open_listener
 from .listening_socket import ListeningSocket
 from .memory import MemoryBudget
@@ -39,6 +46,10 @@
         logging.getLogger(__name__).error(text, kind.value, detail, peer)
 
 
+def _ignore_unanswered(request: Request, reason: str) -> None:
+    """Only count requests without a response."""
+
+
 def _never_concurrent(request: Request) -> bool:
     return False
 
@@ -63,6 +74,7 @@
         window_bytes: int | None = None,
         is_permitted: Callable[[str], bool] | None = None,
         budget: MemoryBudget | None = None,
+        on_unanswered: OnUnanswered = _ignore_unanswered,
     ) -> None:
         """Create a server; ``limits`` returns the limits in force.
 
@@ -84,6 +96,7 @@
             handler,
             allows_concurrency,
             on_rejected,
+            on_unanswered,
             budget
             or MemoryBudget(
                 BODY_BUDGET_BYTES if window_bytes else BUFFERED_BODY_BUDGET_BYTES
@@ -100,6 +113,16 @@
         """The number of requests that were read and whose response is pending."""
         return self._shared.n_in_flight
 
+    @property
+    def counts(self) -> ConnectionCounts:
+        """The connections and requests since the start."""
+        return self._shared.counts
+
+    @property
+    def n_connections(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
     async def start(self, host: str, port: int) -> int:
         """Listen on the address and return the port; 0 lets the kernel choose one."""
         return await self.start_on(open_listener(host, port))
@@ -176,6 +199,7 @@
         if self._is_permitted is not None and not self._is_permitted(peer):
             await client.close()
             return
+        self._shared.counts.n_accepted += 1
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await curio.spawn(self._serve, client, peer, daemon=True)
 
--- a/pollenfold/tests/http/test_pipeline.py
+++ b/pollenfold/tests/http/test_pipeline.py
@@ -23,9 +23,11 @@
         self.closes_after = set()
         self.failing = set()
         self.rejected = []
+        self.unanswered = []
         self.server = HttpServer(
             self.handle,
             on_rejected=lambda *rejection: self.rejected.append(rejection),
+            on_unanswered=lambda *request: self.unanswered.append(request),
             allows_concurrency=lambda request: request.method == b"GET",
         )
 
@@ -277,3 +279,25 @@
             await service.server.wait_idle()
 
     run(main)
+
+
+def test_requests_without_a_response_are_counted_with_their_reason(run):
+    """Guards against a request that is lost without a trace: neither the log nor the
+    counts at a stop could tell it from one that was never read."""
+
+    async def main():
+        service = Service()
+        service.hold("a", "b")
+        service.closes_after = {"a"}
+        sock = await service.connect()
+        await sock.sendall(GET % b"a" + GET % b"b")
+        await wait_until(lambda: service.started == ["a", "b"])
+        await service.gates["a"].set()
+        assert (await read_all(sock))[0] == ["a"]
+        [(request, reason)] = service.unanswered
+        assert (request.path, reason) == ("/b", "behind_last_response")
+        counts = service.server.counts
+        assert (counts.n_accepted, counts.n_requests) == (1, 2)
+        assert counts.n_unanswered == 1
+
+    run(main)
