--- /dev/null
+++ b/pollenfold/tests/platform/test_early_stops.py
@@ -0,0 +1,163 @@
+"""Real processes that end early in their lives: no accepted request is lost."""
+
+import os
+import signal
+import socket
+import time
+
+import pytest
+
+from benchmarks import soak
+from benchmarks.soak import CALLER_PORT, CONTROL_PORT, Soak
+
+NETWORK_SEED = 192
+"""Selects a network of loopback addresses that no other test uses."""
+
+SLOW_S = 1.0
+"""How long the start of a process takes at one point."""
+
+GRACE_S = 6.0
+STOPPED_LATE_S = 0.5
+"""How much longer than its grace period a process may be seen, for the scheduler."""
+
+IMPORTED = "pollenfold.gateway.daemon"
+LOOP_STARTED = "pollenfold.gateway.daemon:Gateway.__init__"
+NODE_CREATED = "pollenfold.control.cluster:ClusterNode.load_endpoints"
+
+REQUEST = b"GET /safe/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: r1\r\n\r\n"
+READ = b"GET /-/config HTTP/1.1\r\nhost: c\r\n\r\n"
+
+
+@pytest.fixture
+def start_slowly(tmp_path, monkeypatch):
+    """Return a function that starts one process of a role that starts slowly."""
+    settings = soak.SETTINGS.replace("machines = 1", "machines = 0")
+    monkeypatch.setattr(soak, "SETTINGS", settings)
+    system = Soak(NETWORK_SEED, tmp_path, 1)
+    programs = []
+
+    def start(role, point, seconds=SLOW_S):
+        program = (system.entries if role == "entry" else system.controls)[0]
+        program.module = ("pollenfold.testing.slow_start", point, str(seconds))
+        programs.append(program)
+        program.start([system.controls[0].host], True)
+        return program
+
+    yield start
+    for program in programs:
+        program.kill()
+
+
+def log_of(program):
+    return (program.folder / "log").read_text()
+
+
+def wait_for_line(program, text, limit_s=10.0):
+    deadline = time.monotonic() + limit_s
+    while text not in log_of(program):
+        assert time.monotonic() < deadline, (text, log_of(program))
+        time.sleep(0.005)
+
+
+def send_accepted(program, port, request):
+    """Send a whole request on a connection that the kernel accepts."""
+    caller = socket.create_connection((program.host, port), timeout=2)
+    caller.settimeout(GRACE_S + 2)
+    caller.sendall(request)
+    return caller
+
+
+def read_status(caller):
+    """Return the status of a complete response, or what ended the connection."""
+    data = b""
+    try:
+        while b"\r\n\r\n" not in data:
+            received = caller.recv(65536)
+            if not received:
+                return "closed"
+            data += received
+    except OSError as error:
+        return error.strerror
+    return int(data.split(b" ")[1])
+
+
+def assert_stopped(program, stopped_at):
+    """Check that the process ended by itself, as planned, within its grace period."""
+    left_s = stopped_at + GRACE_S + STOPPED_LATE_S - time.monotonic()
+    assert program.process.wait(timeout=left_s) == 0, log_of(program)
+
+
+@pytest.mark.parametrize("point", [IMPORTED, LOOP_STARTED])
+@pytest.mark.parametrize("waited_s", [0.0, 0.25])
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_stop_of_a_starting_entry_resets_no_accepted_request(
+    start_slowly, point, waited_s, number
+):
+    """Guards against a stop signal that ends an entry before its handler is set: the
+    requests that the kernel had accepted for it were reset."""
+    entry = start_slowly("entry", point)
+    wait_for_line(entry, "event=slow_start")
+    with send_accepted(entry, CALLER_PORT, REQUEST) as caller:
+        time.sleep(waited_s)
+        os.kill(entry.process.pid, number)
+        stopped_at = time.monotonic()
+        assert read_status(caller) == 503
+    assert_stopped(entry, stopped_at)
+    assert "event=stopped" in log_of(entry)
+
+
+def test_second_stop_signal_of_a_starting_entry_changes_nothing(start_slowly):
+    """Guards against a repeated signal that ends an entry which is to drain."""
+    entry = start_slowly("entry", IMPORTED)
+    wait_for_line(entry, "event=slow_start")
+    with send_accepted(entry, CALLER_PORT, REQUEST) as caller:
+        stopped_at = time.monotonic()
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            os.kill(entry.process.pid, number)
+            time.sleep(0.02)
+        assert read_status(caller) == 503
+    assert_stopped(entry, stopped_at)
+
+
+def test_grace_period_counts_from_an_early_signal(start_slowly):
+    """Guards against an entry that is killed since it counts its grace period from
+    when it noticed the signal."""
+    entry = start_slowly("entry", IMPORTED, seconds=3.0)
+    wait_for_line(entry, "event=slow_start")
+    os.kill(entry.process.pid, signal.SIGTERM)
+    stopped_at = time.monotonic()
+    with send_accepted(entry, CALLER_PORT, REQUEST) as caller:
+        assert read_status(caller) == 503
+    assert_stopped(entry, stopped_at)
+
+
+def test_reload_of_a_starting_entry_is_kept(start_slowly):
+    """Guards against settings that changed while an entry started and that it never
+    reads: it looks for control where none is."""
+    entry = start_slowly("entry", IMPORTED)
+    wait_for_line(entry, "event=slow_start")
+    settings = entry.folder / "settings.toml"
+    settings.write_text(
+        settings.read_text().replace("seeds = [", 'seeds = ["127.9.9.9:1",')
+    )
+    os.kill(entry.process.pid, signal.SIGHUP)
+    wait_for_line(entry, "event=settings_reloaded")
+    assert "127.9.9.9" in log_of(entry)
+
+
+def test_stop_of_a_starting_control_replica_resets_no_accepted_request(start_slowly):
+    """Guards against a stop signal that ends a control replica between its listeners
+    and its event loop: an operator's order was reset."""
+    control = start_slowly("control", NODE_CREATED)
+    wait_for_line(control, "event=slow_start")
+    try:
+        caller = send_accepted(control, CONTROL_PORT, READ)
+    except ConnectionRefusedError:
+        # Nothing is accepted yet, so nothing can be lost.
+        caller = None
+    os.kill(control.process.pid, signal.SIGTERM)
+    stopped_at = time.monotonic()
+    if caller is not None:
+        with caller:
+            assert read_status(caller) in (200, 503)
+    assert_stopped(control, stopped_at)
