--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -29,7 +29,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
-from ..observe.signals import wait_for_stop
+from ..observe.signals import Signals
 from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
@@ -247,7 +247,9 @@
 
 
 async def serve_cluster(
-    settings: ClusterSettings, make_handler: Callable[[ClusterNode], Handler]
+    settings: ClusterSettings,
+    make_handler: Callable[[ClusterNode], Handler],
+    signals: Signals,
 ) -> None:
     """Run a control replica until SIGTERM or SIGINT.
 
@@ -255,7 +257,9 @@
     when an address is in use or the data folder can't be opened, and RuntimeError when
     a task of the daemon ends.
     """
-    peer_listener = open_listener_when_free(settings.host, settings.peer_port)
+    peer_listener = open_listener_when_free(
+        settings.host, settings.peer_port, signals.check_not_stopped
+    )
     feed_listener = open_listener_when_free(settings.host, settings.feed_port)
     api_listener = open_listener_when_free(settings.api_host, settings.api_port)
     node = ClusterNode(settings)
@@ -263,7 +267,7 @@
     api = HttpServer(make_handler(node), MAX_REQUEST_BYTES)
     metrics = HttpServer(node.handle_metrics)
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(wait_for_stop, node.reload)
+        stop = await group.spawn(signals.wait_for_stop, node.reload)
         await group.spawn(node.rpc.serve_on, peer_listener)
         await group.spawn(node.feed_server.serve_on, feed_listener)
         await api.start_on(api_listener)
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -12,7 +12,7 @@
 from ..core.errors import ErrorKind
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
-from ..observe.signals import wait_for_stop
+from ..observe.signals import Signals
 from ..records.parsing import MAX_RECORD_BYTES
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient, RpcServer
@@ -121,10 +121,16 @@
     """
     if replica_type is None:
         from .replica import Replica as replica_type
-    daemon = _Daemon(settings, replica_type)
+    with Signals(handles_reload=False) as signals:
+        await _serve_control(settings, _Daemon(settings, replica_type), signals)
+
+
+async def _serve_control(
+    settings: ControlSettings, daemon: _Daemon, signals: Signals
+) -> None:
     peer_port = settings.peers[settings.replica_id][1]
     async with curio.TaskGroup(wait=any) as group:
-        stop = await group.spawn(wait_for_stop)
+        stop = await group.spawn(signals.wait_for_stop)
         await daemon.operator_server.start(settings.host, settings.operator_port)
         await group.spawn(daemon.peer_server.serve, settings.host, peer_port)
         await group.spawn(daemon.replica.run)
@@ -140,4 +146,4 @@
     reason = group.result
     if group.completed is not stop:
         raise RuntimeError(f"{group.completed.name} ended")
-    logger.info("event=stopped signal={}", reason)
+    logger.info("event=stopped signal={}", reason.signal_name)
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -19,7 +19,7 @@
 from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
-from ..observe.signals import wait_for_stop
+from ..observe.signals import Signals
 from ..observe.statsd_sender import MetricsSender
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
@@ -272,6 +272,11 @@
 
 async def serve_entry(settings: EntrySettings) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop without aborting requests."""
+    with Signals(handles_reload=False) as signals:
+        await _serve_entry(settings, signals)
+
+
+async def _serve_entry(settings: EntrySettings, signals: Signals) -> None:
     entry = Entry(settings)
     callers = HttpServer(entry.proxy.handle, MAX_BODY_BYTES)
     platform = HttpServer(
@@ -289,7 +294,7 @@
         }
     )
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(wait_for_stop)
+        stop = await group.spawn(signals.wait_for_stop)
         await platform.start(settings.host, settings.platform_port)
         await group.spawn(peer_server.serve, settings.host, settings.peer_port)
         await group.spawn(entry.configuration.run)
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -13,7 +13,7 @@
 
 import curio
 
-from ..core.clock import add_ms
+from ..core.clock import add_ms, remaining_ms
 from ..core.confirmation import VALIDITY_SHARE, Confirmations
 from ..core.errors import ErrorKind
 from ..core.link import Link
@@ -39,7 +39,7 @@
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
-from ..observe.signals import wait_for_stop
+from ..observe.signals import Signals, StopRequest
 from .balancer import Balancer
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
@@ -254,11 +254,13 @@
             stopping=self.is_stopping,
         )
 
-    def log_stop(self, event: str) -> None:
+    def log_stop(self, event: str, stop: StopRequest) -> None:
         """Log the start or end of a stop, with what callers can be compared with."""
         server = self.caller_server
         self.log.state(
             event,
+            signal=stop.signal_name,
+            since_signal_ms=system_clock() - stop.received_at,
             n_in_flight=self.peer_port.n_in_flight,
             n_connections=server.n_connections,
             n_accepted=server.counts.n_accepted,
@@ -356,10 +358,12 @@
     settings: GatewaySettings,
     dialect: Dialect,
     decode: Decode,
+    signals: Signals,
 ) -> None:
     """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
 
-    Raise OSError when an address is in use, and RuntimeError when a task ends early.
+    ``signals`` keeps the signals since before the caller listener was opened. Raise
+    OSError when an address is in use, and RuntimeError when a task ends early.
     """
     # Curio's kernel logs a warning for each timeout that a response only just met.
     logging.getLogger("curio").setLevel(logging.ERROR)
@@ -368,7 +372,7 @@
     gateway = Gateway(settings, dialect, decode)
     metrics = HttpServer(gateway.handle_platform)
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(wait_for_stop, gateway.reload)
+        stop = await group.spawn(signals.wait_for_stop, gateway.reload)
         await gateway.platform_server.start_on(ready_listener)
         caller_port = await gateway.caller_server.start_on(settings.caller_listener)
         if peer_listener is not None:
@@ -392,8 +396,7 @@
             relay_port=settings.relay_port or "none",
             metrics_port=settings.metrics_port or "none",
         )
-        await wait_for_stop_task(group, stop, gateway.log)
-        await _drain(gateway)
+        await _drain(gateway, await wait_for_stop_task(group, stop, gateway.log))
         gateway.log.flush()
         await group.cancel_remaining()
 
@@ -409,20 +412,25 @@
     return open_listener_when_free(settings.host, settings.relay_port)
 
 
-async def _drain(gateway: Gateway) -> None:
-    """Shut down: report unready, close the listener, wait for requests in flight."""
+async def _drain(gateway: Gateway, stop: StopRequest) -> None:
+    """Shut down: report unready, close the listener, wait for requests in flight.
+
+    The signal may have come while the entry started, so less of the grace period may
+    be left than the time for which connections are accepted.
+    """
     gateway.is_stopping = True
-    stop_at = add_ms(system_clock(), gateway.settings.grace_ms - STOP_MARGIN_MS)
+    stop_at = add_ms(stop.received_at, gateway.settings.grace_ms - STOP_MARGIN_MS)
+    close_at = add_ms(stop.received_at, STOP_NOTICE_MS)
     gateway.forwarder.limit_deadlines(add_ms(stop_at, -FINAL_RESPONSE_MS))
     gateway.caller_server.announce_stop()
     gateway.peer_port.announce_stop()
-    gateway.log_stop("stopping")
-    await curio.sleep(STOP_NOTICE_MS / 1000)
+    gateway.log_stop("stopping", stop)
+    await curio.sleep(remaining_ms(close_at, system_clock()) / 1000)
     await gateway.caller_server.stop()
     await gateway.peer_port.server.stop()
-    remaining_ms = max(0.0, stop_at - system_clock())
-    async with curio.ignore_after(remaining_ms / 1000):
+    left_ms = remaining_ms(stop_at, system_clock())
+    async with curio.ignore_after(left_ms / 1000):
         await gateway.caller_server.wait_idle()
         await gateway.peer_port.server.wait_idle()
     await gateway.monitor.stop()
-    gateway.log_stop("stopped")
+    gateway.log_stop("stopped", stop)
--- a/pollenfold/http/listener.py
+++ b/pollenfold/http/listener.py
@@ -5,6 +5,7 @@
 import errno
 import socket
 import time
+from collections.abc import Callable
 
 from ..core.clock import add_ms
 from ..observe.clock import system_clock
@@ -38,14 +39,22 @@
     return sock
 
 
-def open_listener_when_free(host: str, port: int) -> socket.socket:
+def _go_on() -> None:
+    """Wait on, whatever happens."""
+
+
+def open_listener_when_free(
+    host: str, port: int, check: Callable[[], None] = _go_on
+) -> socket.socket:
     """Return a listening socket; wait up to ``BUSY_WAIT_MS`` while the port is in use.
 
     Raise OSError with the address if it can't be opened. The wait blocks, so this is
-    only for a process that serves nothing yet.
+    only for a process that serves nothing yet. ``check`` is called before each attempt
+    and may raise an exception to end the wait.
     """
     deadline = add_ms(system_clock(), BUSY_WAIT_MS)
     while True:
+        check()
         try:
             return open_listener(host, port)
         except OSError as error:
--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ..core.clock import Instant
-from ..observe.signals import wait_for_stop
+from ..observe.signals import Signals
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
 from .replica import LedgerReplica
@@ -29,6 +29,11 @@
     Raise ValueError when the data folder belongs to another replica, and OSError
     when the folder is not writable or the address is in use.
     """
+    with Signals(handles_reload=False) as signals:
+        await _serve_ledger(settings, signals)
+
+
+async def _serve_ledger(settings: LedgerSettings, signals: Signals) -> None:
     others = dict(settings.peers)
     port = others.pop(settings.replica_id)[1]
     replica = LedgerReplica(
@@ -42,7 +47,7 @@
         sock.getsockname()[1],
     )
     async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(wait_for_stop)
+        await group.spawn(signals.wait_for_stop)
         await group.spawn(curio.network.run_server, sock, server.handle)
         await group.spawn(replica.run)
     await replica.close()
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -10,6 +10,7 @@
 from ..http.server import HttpServer
 from .events import EventLog
 from .exposition import Metrics
+from .signals import StopRequest
 
 METRICS_RETRY_MS = 1_000.0
 
@@ -65,11 +66,12 @@
 
 async def wait_for_stop_task(
     group: curio.TaskGroup, stop: curio.Task, log: EventLog
-) -> None:
-    """Wait until the task ``stop`` ends; raise if another task ends first."""
+) -> StopRequest:
+    """Return the result of the task ``stop``; raise if another task ends first."""
     first_done = await group.next_done()
     if first_done is stop:
-        return
+        request: StopRequest = stop.result
+        return request
     log.state("task_failed", task=first_done.name)
     log.flush()
     raise first_done.exception or RuntimeError("a task ended unexpectedly")
--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -1,20 +1,35 @@
-"""Handles the signals that stop a daemon or reload its settings."""
+"""Handles the signals that stop a daemon or reload its settings.
+
+Signals are kept from the first line of a process on. A daemon accepts connections
+before its event loop runs, and a stop signal in between must end in a planned stop as
+well: ending the process would reset the connections in the kernel's accept queue.
+"""
 
 from __future__ import annotations
 
 import signal
 import socket as sockets
 from collections.abc import Callable
+from dataclasses import dataclass
 from types import FrameType
 
-from curio import io
+from ..core.clock import Instant
+from .clock import system_clock
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
 
 
-def _ignore(number: int, frame: FrameType | None) -> None:
-    """Do nothing: the wakeup socket carries the signal number."""
+class StoppedBeforeStart(Exception):
+    """A stop was requested before the process accepted any connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequest:
+    """A signal to stop; the grace period counts from ``received_at``."""
+
+    signal_name: str
+    received_at: Instant
 
 
 def ignore_stop_signals() -> None:
@@ -23,38 +38,76 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-async def wait_for_stop(on_reload: Callable[[], None] | None = None) -> str:
-    """Wait for a signal to stop and return its name.
+class Signals:
+    """Keeps the signals of a process until its event loop handles them.
 
-    From then on, stop and reload signals are ignored, so that a repeated signal doesn't
-    abort a planned stop. ``on_reload`` is called at each SIGHUP; without it, that
-    signal keeps its previous handler.
+    The interpreter writes the number of each signal to a socket, which holds them while
+    no loop runs and wakes the loop otherwise. No handler interrupts other code for
+    longer than it takes to note the time. Leaving the context restores the previous
+    handlers, but not after a stop signal: a repeated one is ignored until the end.
 
-    The interpreter writes the number of each signal to a socket, so the event loop
-    wakes immediately and no handler interrupts other code.
+    For example, a daemon enters ``with Signals() as signals`` before it opens its first
+    listening socket, and awaits ``signals.wait_for_stop(reload)`` in its loop. Without
+    ``handles_reload`` the handler of SIGHUP isn't changed.
     """
-    receiver, sender = sockets.socketpair()
-    sender.setblocking(False)
-    previous = signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
-    numbers = STOP_SIGNALS if on_reload is None else (*STOP_SIGNALS, RELOAD_SIGNAL)
-    handlers = {number: signal.signal(number, _ignore) for number in numbers}
-    is_stopping = False
-    try:
-        async with io.Socket(receiver) as wakeup_socket:
-            while True:
-                for number in await wakeup_socket.recv(16):
-                    if number in STOP_SIGNALS:
-                        is_stopping = True
-                        return signal.Signals(number).name
-                    if number == RELOAD_SIGNAL and on_reload is not None:
-                        on_reload()
-    finally:
-        if is_stopping:
-            # Set before any other code runs: with the default handlers, a second signal
-            # would end the process immediately.
-            ignore_stop_signals()
-        else:
-            for number, handler in handlers.items():
+
+    def __init__(self, handles_reload: bool = True) -> None:
+        """Set the handlers; raise ValueError outside the main thread."""
+        self._stopped_at: Instant | None = None
+        self._receiver, self._sender = sockets.socketpair()
+        self._sender.setblocking(False)
+        self._previous_fd = signal.set_wakeup_fd(
+            self._sender.fileno(), warn_on_full_buffer=False
+        )
+        reload_signals = (RELOAD_SIGNAL,) if handles_reload else ()
+        self._previous_handlers = {
+            number: signal.signal(number, self._note)
+            for number in (*STOP_SIGNALS, *reload_signals)
+        }
+
+    def _note(self, number: int, frame: FrameType | None) -> None:
+        if number in STOP_SIGNALS and self._stopped_at is None:
+            self._stopped_at = system_clock()
+
+    def __enter__(self) -> Signals:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        if self._stopped_at is None:
+            for number, handler in self._previous_handlers.items():
                 signal.signal(number, handler)
-        signal.set_wakeup_fd(previous)
-        sender.close()
+        else:
+            ignore_stop_signals()
+        signal.set_wakeup_fd(self._previous_fd)
+        self._sender.close()
+        self._receiver.close()
+
+    def check_not_stopped(self) -> None:
+        """Raise StoppedBeforeStart if a stop signal has arrived.
+
+        For a process that has no listening socket yet, and so may just end.
+        """
+        if self._stopped_at is not None:
+            raise StoppedBeforeStart
+
+    async def wait_for_stop(
+        self, on_reload: Callable[[], None] | None = None
+    ) -> StopRequest:
+        """Wait for a signal to stop; return at once if it has arrived before.
+
+        From then on, stop and reload signals are ignored, so that a repeated signal
+        doesn't abort a planned stop. ``on_reload`` is called at each SIGHUP.
+        """
+        # Signals are kept from before curio is loaded, which takes a while.
+        from curio import io
+
+        wakeup_socket = io.Socket(self._receiver)
+        while True:
+            for number in await wakeup_socket.recv(16):
+                if number in STOP_SIGNALS:
+                    # With the default handlers, a second signal would end the process.
+                    ignore_stop_signals()
+                    received_at = self._stopped_at or system_clock()
+                    return StopRequest(signal.Signals(number).name, received_at)
+                if number == RELOAD_SIGNAL and on_reload is not None:
+                    on_reload()
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 from pathlib import Path
 
 from ..curio_subset import load_curio_subset
 from ..http.listener import open_listener_when_free
+from ..observe.signals import Signals, StoppedBeforeStart
 from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
 
@@ -15,10 +15,12 @@
 EXIT_FAILED = 1
 
 
-def _run_entry(source: SettingsSource) -> None:
+def _run_entry(source: SettingsSource, signals: Signals) -> None:
     settings = source.settings
     ports = _ports("entry", settings)
-    caller_listener = open_listener_when_free(*settings.addresses["front"])
+    caller_listener = open_listener_when_free(
+        *settings.addresses["front"], signals.check_not_stopped
+    )
     load_curio_subset()
     import curio
 
@@ -54,7 +56,7 @@
         relay_port=ports.relay,
         apply_ms=settings.bound("applyMs", 2_000.0),
     )
-    curio.run(serve_gateway, gateway, DIALECT, configuration_decoder())
+    curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
 
 def _ports(role: str, settings: Settings) -> Ports:
@@ -63,7 +65,7 @@
     return assign_ports(role, settings.first_port, settings.last_port, used_ports)
 
 
-def _run_control(source: SettingsSource) -> None:
+def _run_control(source: SettingsSource, signals: Signals) -> None:
     import curio
 
     from ..control.cluster import ClusterSettings, serve_cluster
@@ -89,7 +91,7 @@
         n_members=2 * settings.n_tolerated_failures + 1,
     )
     handler = make_handler(api_port, settings.zones)
-    curio.run(serve_cluster, cluster, handler)
+    curio.run(serve_cluster, cluster, handler, signals)
 
 
 ROLES = {"entry": _run_entry, "control": _run_control}
@@ -97,15 +99,19 @@
 
 def main(arguments: list[str]) -> int:
     """Run a role until it is stopped; return the exit status."""
-    # Settings are read after this, so a reload signal ignored until then is harmless.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(arguments) != 1 or arguments[0] not in ROLES:
         expected = " or ".join(ROLES)
         print(f"pollenfold.platform: expected {expected}", file=sys.stderr)
         return EXIT_BAD_SETTING
+    # Set before the settings are read, so that no reload is missed.
+    with Signals() as signals:
+        return _run(arguments[0], signals)
+
+
+def _run(role: str, signals: Signals) -> int:
     try:
         source = SettingsSource(settings_path())
-        ROLES[arguments[0]](source)
+        ROLES[role](source, signals)
     except (SettingsError, KeyError) as error:
         print(f"pollenfold.platform: bad settings: {error}", file=sys.stderr)
         return EXIT_BAD_SETTING
@@ -113,6 +119,8 @@
         # A port in use, an unusable data folder, or a task that ended unexpectedly.
         print(f"pollenfold.platform: {error}", file=sys.stderr)
         return EXIT_FAILED
+    except StoppedBeforeStart:
+        return 0
     return 0
 
 
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -18,6 +18,7 @@
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request, Response
 from pollenfold.observe.clock import system_clock
+from pollenfold.observe.signals import StopRequest
 from pollenfold.tests.gateway.conftest import Backend
 
 
@@ -146,7 +147,8 @@
         await early.sendall(request)
         while not backend.requests:
             await curio.sleep(0.005)
-        stop = await curio.spawn(daemon._drain, gateway)
+        request_to_stop = StopRequest("SIGTERM", system_clock())
+        stop = await curio.spawn(daemon._drain, gateway, request_to_stop)
         await curio.sleep(0.1)
         late = await curio.open_connection("127.0.0.1", port)
         await late.sendall(request)
--- a/pollenfold/tests/observe/test_signals.py
+++ b/pollenfold/tests/observe/test_signals.py
@@ -2,11 +2,18 @@
 
 import os
 import signal
+import time
 
 import curio
 import pytest
 
-from pollenfold.observe.signals import RELOAD_SIGNAL, STOP_SIGNALS, wait_for_stop
+from pollenfold.observe.clock import system_clock
+from pollenfold.observe.signals import (
+    RELOAD_SIGNAL,
+    STOP_SIGNALS,
+    Signals,
+    StoppedBeforeStart,
+)
 
 
 @pytest.fixture(autouse=True)
@@ -24,13 +31,15 @@
     signal and the daemon's reaction to it."""
 
     async def main():
-        stop = await curio.spawn(wait_for_stop, lambda: None)
-        await curio.sleep(0.01)
-        os.kill(os.getpid(), signal.SIGTERM)
-        assert await stop.join() == "SIGTERM"
+        with Signals() as signals:
+            stop = await curio.spawn(signals.wait_for_stop, lambda: None)
+            await curio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            assert (await stop.join()).signal_name == "SIGTERM"
+            assert signal.getsignal(second) is signal.SIG_IGN
+            os.kill(os.getpid(), second)
+            await curio.sleep(0.01)
         assert signal.getsignal(second) is signal.SIG_IGN
-        os.kill(os.getpid(), second)
-        await curio.sleep(0.01)
 
     run(main)
 
@@ -40,9 +49,39 @@
 
     async def main():
         before = signal.getsignal(signal.SIGTERM)
-        stop = await curio.spawn(wait_for_stop)
-        await curio.sleep(0.01)
-        await stop.cancel()
+        with Signals() as signals:
+            stop = await curio.spawn(signals.wait_for_stop)
+            await curio.sleep(0.01)
+            await stop.cancel()
         assert signal.getsignal(signal.SIGTERM) is before
 
     run(main)
+
+
+def test_signals_before_the_event_loop_are_kept(run):
+    """Guards against a stop or reload signal that is lost, or ends the process, while
+    it starts; and against a grace period that counts from the start of the loop."""
+    reloads = []
+
+    async def main(signals):
+        before = system_clock()
+        stop = await signals.wait_for_stop(lambda: reloads.append(1))
+        assert stop.signal_name == "SIGINT"
+        assert before - stop.received_at > 10.0
+
+    with Signals() as signals:
+        os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGINT)
+        time.sleep(0.02)
+        os.kill(os.getpid(), signal.SIGTERM)
+        run(lambda: main(signals))
+    assert reloads == [1]
+
+
+def test_stop_before_the_first_listener_ends_the_start():
+    """Guards against a process that starts up in full though it is to stop."""
+    with Signals() as signals:
+        signals.check_not_stopped()
+        os.kill(os.getpid(), signal.SIGTERM)
+        with pytest.raises(StoppedBeforeStart):
+            signals.check_not_stopped()
