--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -16,7 +16,7 @@
 from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement
 from ..gateway.feeds import FeedIdentity, Feeds
-from ..http.listener import open_listener_when_free
+from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
 from ..http.server import Handler, HttpServer
 from ..observe.clock import system_clock
@@ -257,20 +257,26 @@
     when an address is in use or the data folder can't be opened, and RuntimeError when
     a task of the daemon ends.
     """
-    peer_listener = open_listener_when_free(
-        settings.host, settings.peer_port, signals.check_not_stopped
+    # Reserved before the data folder is opened, which another process may still use.
+    peers, feeds, operators = (
+        reserve_when_free(*address, signals.check_not_stopped)
+        for address in (
+            (settings.host, settings.peer_port),
+            (settings.host, settings.feed_port),
+            (settings.api_host, settings.api_port),
+        )
     )
-    feed_listener = open_listener_when_free(settings.host, settings.feed_port)
-    api_listener = open_listener_when_free(settings.api_host, settings.api_port)
     node = ClusterNode(settings)
     node.load_endpoints()
     api = HttpServer(make_handler(node), MAX_REQUEST_BYTES)
     metrics = HttpServer(node.handle_metrics)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop, node.reload)
-        await group.spawn(node.rpc.serve_on, peer_listener)
-        await group.spawn(node.feed_server.serve_on, feed_listener)
-        await api.start_on(api_listener)
+        for listener in (peers, feeds, operators):
+            start_listening(listener)
+        await group.spawn(node.rpc.serve_on, peers)
+        await group.spawn(node.feed_server.serve_on, feeds)
+        await api.start_on(operators)
         await serve_metrics(metrics, settings.host, settings.metrics_port, node.log)
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -20,7 +20,7 @@
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
 from ..http.caller import ABANDONED
-from ..http.listener import open_listener_when_free
+from ..http.listener import start_listening
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
 from ..http.request_reader import (
@@ -85,7 +85,8 @@
     """Addresses and limits of one entry.
 
     ``caller_listener`` is already listening, so that no caller is refused while the
-    entry starts.
+    entry starts. ``ready_listener`` and ``peer_listener`` hold their addresses and
+    listen once the entry serves; without the latter it serves no peers.
     ``seeds`` and ``reload`` belong to the settings source: ``seeds`` returns the hosts
     of control replicas, ``reload`` reads the settings again and raises ValueError when
     they are invalid.
@@ -99,8 +100,7 @@
     zone: str
     host: str
     caller_listener: socket.socket
-    ready_host: str
-    ready_port: int
+    ready_listener: socket.socket
     ready_path: str
     feed_port: int
     metrics_port: int | None
@@ -113,6 +113,7 @@
     cold_slack: float
     link_bytes_per_ms: float = 0.0
     relay_port: int = 0
+    peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
 
 
@@ -367,16 +368,16 @@
     """
     # Curio's kernel logs a warning for each timeout that a response only just met.
     logging.getLogger("curio").setLevel(logging.ERROR)
-    ready_listener = open_listener_when_free(settings.ready_host, settings.ready_port)
-    peer_listener = _open_peer_listener(settings)
     gateway = Gateway(settings, dialect, decode)
     metrics = HttpServer(gateway.handle_platform)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop, gateway.reload)
-        await gateway.platform_server.start_on(ready_listener)
         caller_port = await gateway.caller_server.start_on(settings.caller_listener)
-        if peer_listener is not None:
-            await gateway.peer_port.server.start_on(peer_listener)
+        start_listening(settings.ready_listener)
+        await gateway.platform_server.start_on(settings.ready_listener)
+        if settings.peer_listener is not None:
+            start_listening(settings.peer_listener)
+            await gateway.peer_port.server.start_on(settings.peer_listener)
         await serve_metrics(metrics, settings.host, settings.metrics_port, gateway.log)
         await group.spawn(gateway.relay_client.run_maintenance)
         await group.spawn(gateway.feeds.run)
@@ -401,17 +402,6 @@
         await group.cancel_remaining()
 
 
-def _open_peer_listener(settings: GatewaySettings) -> socket.socket | None:
-    """Listen for peers, if there is a port for them; raise OSError if it stays in use.
-
-    An entry without this port would be of no help to callers of entries that are cut
-    off from the endpoints.
-    """
-    if not settings.relay_port:
-        return None
-    return open_listener_when_free(settings.host, settings.relay_port)
-
-
 async def _drain(gateway: Gateway, stop: StopRequest) -> None:
     """Shut down: report unready, close the listener, wait for requests in flight.
 
--- a/pollenfold/http/listener.py
+++ b/pollenfold/http/listener.py
@@ -27,11 +27,20 @@
     half a second on a small VM; without a listener, connections would be refused
     during that time, and each refusal costs a caller one of its few attempts.
     """
+    sock = _bind(host, port)
+    try:
+        start_listening(sock)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _bind(host: str, port: int) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
-        sock.listen(BACKLOG)
         sock.setblocking(False)
     except OSError:
         sock.close()
@@ -39,24 +48,33 @@
     return sock
 
 
+def start_listening(sock: socket.socket) -> None:
+    """Accept connections on a socket that ``reserve_when_free`` returned."""
+    sock.listen(BACKLOG)
+
+
 def _go_on() -> None:
     """Wait on, whatever happens."""
 
 
-def open_listener_when_free(
+def reserve_when_free(
     host: str, port: int, check: Callable[[], None] = _go_on
 ) -> socket.socket:
-    """Return a listening socket; wait up to ``BUSY_WAIT_MS`` while the port is in use.
+    """Return a socket with the address, which accepts no connection yet.
+
+    A process reserves all addresses that it needs before it listens on any: one that
+    lacks an address ends, and would reset the connections that it had accepted.
 
-    Raise OSError with the address if it can't be opened. The wait blocks, so this is
-    only for a process that serves nothing yet. ``check`` is called before each attempt
-    and may raise an exception to end the wait.
+    Wait up to ``BUSY_WAIT_MS`` while the port is in use, and raise OSError with the
+    address if it stays so. The wait blocks, so this is only for a process that serves
+    nothing yet. ``check`` is called before each attempt and may raise an exception to
+    end the wait.
     """
     deadline = add_ms(system_clock(), BUSY_WAIT_MS)
     while True:
         check()
         try:
-            return open_listener(host, port)
+            return _bind(host, port)
         except OSError as error:
             if error.errno != errno.EADDRINUSE or system_clock() >= deadline:
                 detail = f"can't listen on {host}:{port}: {error.strerror}"
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from ..curio_subset import load_curio_subset
-from ..http.listener import open_listener_when_free
+from ..http.listener import reserve_when_free, start_listening
 from ..observe.signals import Signals, StoppedBeforeStart
 from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
@@ -18,9 +18,15 @@
 def _run_entry(source: SettingsSource, signals: Signals) -> None:
     settings = source.settings
     ports = _ports("entry", settings)
-    caller_listener = open_listener_when_free(
-        *settings.addresses["front"], signals.check_not_stopped
+    check = signals.check_not_stopped
+    ready = reserve_when_free(*settings.addresses["ready"], check)
+    # An entry without this port would be of no help to callers of entries that are cut
+    # off from the endpoints.
+    peers = (
+        reserve_when_free(settings.host, ports.relay, check) if ports.relay else None
     )
+    callers = reserve_when_free(*settings.addresses["front"], check)
+    start_listening(callers)
     load_curio_subset()
     import curio
 
@@ -29,7 +35,6 @@
     from .documents import configuration_decoder
     from .headers import DIALECT
 
-    ready_host, ready_port = settings.addresses["ready"]
     retry_limits = RetryLimits(
         settings.bound("budgetRatio", 0.1),
         settings.bound("extraRetries", 10),
@@ -39,9 +44,8 @@
         entry_id=settings.name,
         zone=settings.zone,
         host=settings.host,
-        caller_listener=caller_listener,
-        ready_host=ready_host,
-        ready_port=ready_port,
+        caller_listener=callers,
+        ready_listener=ready,
         ready_path="/-/readyz",
         feed_port=ports.feed,
         metrics_port=ports.metrics,
@@ -54,6 +58,7 @@
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
         relay_port=ports.relay,
+        peer_listener=peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -386,8 +386,7 @@
         zone="a",
         host="127.0.0.1",
         caller_listener=open_listener("127.0.0.1", 0),
-        ready_host="127.0.0.1",
-        ready_port=0,
+        ready_listener=open_listener("127.0.0.1", 0),
         ready_path="/ready",
         feed_port=1,
         metrics_port=0,
@@ -401,3 +400,4 @@
     )
     yield Gateway(settings, DIALECT, json.loads)
     settings.caller_listener.close()
+    settings.ready_listener.close()
--- a/pollenfold/tests/platform/test_early_stops.py
+++ b/pollenfold/tests/platform/test_early_stops.py
@@ -8,11 +8,20 @@
 import pytest
 
 from benchmarks import soak
-from benchmarks.soak import CALLER_PORT, CONTROL_PORT, Soak
+from benchmarks.soak import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    FIRST_PORT,
+    READY_PORT,
+    Soak,
+)
+from pollenfold.http.listener import open_listener
+from pollenfold.storage.member import FILE_NAME
 
 NETWORK_SEED = 192
 """Selects a network of loopback addresses that no other test uses."""
 
+NO_POINT = "none"
 SLOW_S = 1.0
 """How long the start of a process takes at one point."""
 
@@ -28,24 +37,45 @@
 READ = b"GET /-/config HTTP/1.1\r\nhost: c\r\n\r\n"
 
 
-@pytest.fixture
-def start_slowly(tmp_path, monkeypatch):
-    """Return a function that starts one process of a role that starts slowly."""
-    settings = soak.SETTINGS.replace("machines = 1", "machines = 0")
-    monkeypatch.setattr(soak, "SETTINGS", settings)
-    system = Soak(NETWORK_SEED, tmp_path, 1)
-    programs = []
-
-    def start(role, point, seconds=SLOW_S):
-        program = (system.entries if role == "entry" else system.controls)[0]
+class SlowSystem:
+    """One entry and one control replica, either of which is started slowly."""
+
+    def __init__(self, folder, monkeypatch):
+        self._monkeypatch = monkeypatch
+        self._settings = soak.SETTINGS.replace("machines = 1", "machines = 0")
+        monkeypatch.setattr(soak, "SETTINGS", self._settings)
+        self._system = Soak(NETWORK_SEED, folder, 1)
+        self._programs = {
+            "entry": self._system.entries[0],
+            "control": self._system.controls[0],
+        }
+
+    def __getitem__(self, role):
+        return self._programs[role]
+
+    def leave_out(self, text):
+        """Leave a line of the settings out."""
+        lines = self._settings.splitlines()
+        settings = "\n".join(line for line in lines if not line.startswith(text))
+        self._monkeypatch.setattr(soak, "SETTINGS", settings)
+
+    def start(self, role, point=NO_POINT, seconds=SLOW_S):
+        """Start the process of a role, which is slow at one point of its start."""
+        program = self[role]
         program.module = ("pollenfold.testing.slow_start", point, str(seconds))
-        programs.append(program)
-        program.start([system.controls[0].host], True)
+        program.start([self["control"].host], True)
         return program
 
-    yield start
-    for program in programs:
-        program.kill()
+    def stop(self):
+        for program in self._programs.values():
+            program.kill()
+
+
+@pytest.fixture
+def system(tmp_path, monkeypatch):
+    system = SlowSystem(tmp_path, monkeypatch)
+    yield system
+    system.stop()
 
 
 def log_of(program):
@@ -87,15 +117,69 @@
     assert program.process.wait(timeout=left_s) == 0, log_of(program)
 
 
+def outcomes_until_end(program, port, request):
+    """Send requests on new connections until the process ends; return what they got."""
+    outcomes = []
+    deadline = time.monotonic() + 15.0
+    while program.process.poll() is None:
+        assert time.monotonic() < deadline
+        try:
+            with send_accepted(program, port, request) as caller:
+                outcomes.append(read_status(caller))
+        except ConnectionRefusedError:
+            outcomes.append("refused")
+        time.sleep(0.01)
+    return outcomes
+
+
+@pytest.mark.parametrize(
+    ("role", "port", "busy_port"),
+    [
+        ("entry", CALLER_PORT, READY_PORT),
+        ("entry", CALLER_PORT, FIRST_PORT + 2),
+        ("control", CONTROL_PORT, FIRST_PORT + 1),
+    ],
+)
+def test_process_whose_port_is_busy_accepts_nothing(system, role, port, busy_port):
+    """Guards against a process that accepts requests, finds that it lacks another
+    socket, and ends: the requests were reset."""
+    request = REQUEST if role == "entry" else READ
+    host = system[role].host
+    with open_listener(host, busy_port):
+        program = system.start(role)
+        outcomes = outcomes_until_end(program, port, request)
+    assert program.process.returncode == 1
+    assert set(outcomes) == {"refused"}
+
+
+def test_process_with_bad_settings_accepts_nothing(system):
+    """Guards against settings that are found to be bad after requests were accepted."""
+    system.leave_out("ready =")
+    entry = system.start("entry")
+    outcomes = outcomes_until_end(entry, CALLER_PORT, REQUEST)
+    assert entry.process.returncode == 2
+    assert set(outcomes) == {"refused"}
+
+
+def test_control_replica_without_its_data_accepts_nothing(system):
+    """Guards against a data folder that is found to be unusable after an order was
+    accepted."""
+    (system["control"].folder / "data" / FILE_NAME).mkdir(parents=True)
+    control = system.start("control")
+    outcomes = outcomes_until_end(control, CONTROL_PORT, READ)
+    assert control.process.returncode == 1
+    assert set(outcomes) == {"refused"}
+
+
 @pytest.mark.parametrize("point", [IMPORTED, LOOP_STARTED])
 @pytest.mark.parametrize("waited_s", [0.0, 0.25])
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_stop_of_a_starting_entry_resets_no_accepted_request(
-    start_slowly, point, waited_s, number
+    system, point, waited_s, number
 ):
     """Guards against a stop signal that ends an entry before its handler is set: the
     requests that the kernel had accepted for it were reset."""
-    entry = start_slowly("entry", point)
+    entry = system.start("entry", point)
     wait_for_line(entry, "event=slow_start")
     with send_accepted(entry, CALLER_PORT, REQUEST) as caller:
         time.sleep(waited_s)
@@ -106,9 +190,9 @@
     assert "event=stopped" in log_of(entry)
 
 
-def test_second_stop_signal_of_a_starting_entry_changes_nothing(start_slowly):
+def test_second_stop_signal_of_a_starting_entry_changes_nothing(system):
     """Guards against a repeated signal that ends an entry which is to drain."""
-    entry = start_slowly("entry", IMPORTED)
+    entry = system.start("entry", IMPORTED)
     wait_for_line(entry, "event=slow_start")
     with send_accepted(entry, CALLER_PORT, REQUEST) as caller:
         stopped_at = time.monotonic()
@@ -119,10 +203,10 @@
     assert_stopped(entry, stopped_at)
 
 
-def test_grace_period_counts_from_an_early_signal(start_slowly):
+def test_grace_period_counts_from_an_early_signal(system):
     """Guards against an entry that is killed since it counts its grace period from
     when it noticed the signal."""
-    entry = start_slowly("entry", IMPORTED, seconds=3.0)
+    entry = system.start("entry", IMPORTED, seconds=3.0)
     wait_for_line(entry, "event=slow_start")
     os.kill(entry.process.pid, signal.SIGTERM)
     stopped_at = time.monotonic()
@@ -131,10 +215,10 @@
     assert_stopped(entry, stopped_at)
 
 
-def test_reload_of_a_starting_entry_is_kept(start_slowly):
+def test_reload_of_a_starting_entry_is_kept(system):
     """Guards against settings that changed while an entry started and that it never
     reads: it looks for control where none is."""
-    entry = start_slowly("entry", IMPORTED)
+    entry = system.start("entry", IMPORTED)
     wait_for_line(entry, "event=slow_start")
     settings = entry.folder / "settings.toml"
     settings.write_text(
@@ -145,10 +229,10 @@
     assert "127.9.9.9" in log_of(entry)
 
 
-def test_stop_of_a_starting_control_replica_resets_no_accepted_request(start_slowly):
+def test_stop_of_a_starting_control_replica_resets_no_accepted_request(system):
     """Guards against a stop signal that ends a control replica between its listeners
     and its event loop: an operator's order was reset."""
-    control = start_slowly("control", NODE_CREATED)
+    control = system.start("control", NODE_CREATED)
     wait_for_line(control, "event=slow_start")
     try:
         caller = send_accepted(control, CONTROL_PORT, READ)
--- a/pollenfold/tests/platform/test_ports.py
+++ b/pollenfold/tests/platform/test_ports.py
@@ -9,7 +9,7 @@
 from benchmarks import soak
 from benchmarks.soak import CALLER_PORT, Soak, exchange
 from pollenfold.http import listener
-from pollenfold.http.listener import open_listener, open_listener_when_free
+from pollenfold.http.listener import open_listener, reserve_when_free
 from pollenfold.platform.ports import METRICS_PORTS, assign_ports
 from pollenfold.platform.settings import SettingsError, parse_settings
 
@@ -99,7 +99,7 @@
             earlier.close()
 
     monkeypatch.setattr(listener.time, "sleep", wait)
-    with open_listener_when_free("127.0.0.1", port) as sock:
+    with reserve_when_free("127.0.0.1", port) as sock:
         assert sock.getsockname() == ("127.0.0.1", port)
     assert n_waits == 3
 
@@ -110,7 +110,7 @@
     with open_listener("127.0.0.1", 0) as other:
         port = other.getsockname()[1]
         with pytest.raises(OSError, match=f"127.0.0.1:{port}"):
-            open_listener_when_free("127.0.0.1", port)
+            reserve_when_free("127.0.0.1", port)
 
 
 @pytest.fixture
