--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -24,7 +24,7 @@
     metrics_response,
     reload_settings,
     serve_metrics,
-    wait_for_stop_task,
+    wait_for_end,
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
@@ -274,9 +274,9 @@
         stop = await group.spawn(signals.wait_for_stop, node.reload)
         for listener in (peers, feeds, operators):
             start_listening(listener)
+        await api.start_on(operators)
         await group.spawn(node.rpc.serve_on, peers)
         await group.spawn(node.feed_server.serve_on, feeds)
-        await api.start_on(operators)
         await serve_metrics(metrics, settings.host, settings.metrics_port, node.log)
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
@@ -293,11 +293,15 @@
             founder=settings.is_founder,
             metrics_port=settings.metrics_port or "none",
         )
-        await wait_for_stop_task(group, stop, node.log)
-        node.log.state("stopping", n_in_flight=api.n_in_flight)
+        end = await wait_for_end(group, stop, node.log)
+        node.log.state(
+            "stopping", signal=end.stop.signal_name, n_in_flight=api.n_in_flight
+        )
         await api.stop()
         async with curio.ignore_after(STOP_WAIT_MS / 1000):
             await api.wait_idle()
         node.log.state("stopped", n_in_flight=api.n_in_flight)
         node.log.flush()
         await group.cancel_remaining()
+    if end.failure is not None:
+        raise end.failure
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -32,10 +32,11 @@
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
 from ..observe.daemon import (
+    end_after_failure,
     metrics_response,
     reload_settings,
     serve_metrics,
-    wait_for_stop_task,
+    wait_for_end,
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
@@ -364,42 +365,55 @@
     """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
 
     ``signals`` keeps the signals since before the caller listener was opened. Raise
-    OSError when an address is in use, and RuntimeError when a task ends early.
+    OSError when an address is in use, and the error of a task that ends early, both
+    after the requests that were accepted are answered.
     """
     # Curio's kernel logs a warning for each timeout that a response only just met.
     logging.getLogger("curio").setLevel(logging.ERROR)
     gateway = Gateway(settings, dialect, decode)
-    metrics = HttpServer(gateway.handle_platform)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop, gateway.reload)
-        caller_port = await gateway.caller_server.start_on(settings.caller_listener)
-        start_listening(settings.ready_listener)
-        await gateway.platform_server.start_on(settings.ready_listener)
-        if settings.peer_listener is not None:
-            start_listening(settings.peer_listener)
-            await gateway.peer_port.server.start_on(settings.peer_listener)
-        await serve_metrics(metrics, settings.host, settings.metrics_port, gateway.log)
-        await group.spawn(gateway.relay_client.run_maintenance)
-        await group.spawn(gateway.feeds.run)
-        await group.spawn(gateway.feeds.send_quarantine_reports)
-        await group.spawn(gateway.balancer.run_maintenance)
-        await group.spawn(gateway.update_retry_share)
-        await group.spawn(gateway.log.run)
-        # The objects that exist now live as long as the process; freezing them keeps
-        # the garbage collector from traversing them while requests are handled.
-        gc.collect()
-        gc.freeze()
-        gateway.log.state(
-            "started",
-            role="entry",
-            zone=settings.zone,
-            port=caller_port,
-            relay_port=settings.relay_port or "none",
-            metrics_port=settings.metrics_port or "none",
-        )
-        await _drain(gateway, await wait_for_stop_task(group, stop, gateway.log))
+        await gateway.caller_server.start_on(settings.caller_listener)
+        try:
+            await _start(gateway, group)
+            end = await wait_for_end(group, stop, gateway.log)
+        except Exception as error:
+            end = end_after_failure(error, gateway.log)
+        await _drain(gateway, end.stop)
         gateway.log.flush()
         await group.cancel_remaining()
+    if end.failure is not None:
+        raise end.failure
+
+
+async def _start(gateway: Gateway, group: curio.TaskGroup) -> None:
+    """Open the other ports, and start the tasks of an entry that accepts callers."""
+    settings = gateway.settings
+    start_listening(settings.ready_listener)
+    await gateway.platform_server.start_on(settings.ready_listener)
+    if settings.peer_listener is not None:
+        start_listening(settings.peer_listener)
+        await gateway.peer_port.server.start_on(settings.peer_listener)
+    metrics = HttpServer(gateway.handle_platform)
+    await serve_metrics(metrics, settings.host, settings.metrics_port, gateway.log)
+    await group.spawn(gateway.relay_client.run_maintenance)
+    await group.spawn(gateway.feeds.run)
+    await group.spawn(gateway.feeds.send_quarantine_reports)
+    await group.spawn(gateway.balancer.run_maintenance)
+    await group.spawn(gateway.update_retry_share)
+    await group.spawn(gateway.log.run)
+    # The objects that exist now live as long as the process; freezing them keeps the
+    # garbage collector from traversing them while requests are handled.
+    gc.collect()
+    gc.freeze()
+    gateway.log.state(
+        "started",
+        role="entry",
+        zone=settings.zone,
+        port=settings.caller_listener.getsockname()[1],
+        relay_port=settings.relay_port or "none",
+        metrics_port=settings.metrics_port or "none",
+    )
 
 
 async def _drain(gateway: Gateway, stop: StopRequest) -> None:
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import curio
 
 from ..http.messages import Response
 from ..http.server import HttpServer
+from .clock import system_clock
 from .events import EventLog
 from .exposition import Metrics
 from .signals import StopRequest
@@ -64,14 +66,31 @@
         return
 
 
-async def wait_for_stop_task(
-    group: curio.TaskGroup, stop: curio.Task, log: EventLog
-) -> StopRequest:
-    """Return the result of the task ``stop``; raise if another task ends first."""
+@dataclass(frozen=True, slots=True)
+class End:
+    """Why a daemon ends: a signal, or the failure of one of its tasks.
+
+    After a failure it drains like after a signal, since its callers are not to blame,
+    and raises ``failure`` then.
+    """
+
+    stop: StopRequest
+    failure: BaseException | None = None
+
+
+def end_after_failure(failure: BaseException, log: EventLog) -> End:
+    """Return the end of a daemon that can't go on, and log it."""
+    log.state("daemon_failed", detail=repr(failure))
+    log.flush()
+    return End(StopRequest("none", system_clock()), failure)
+
+
+async def wait_for_end(group: curio.TaskGroup, stop: curio.Task, log: EventLog) -> End:
+    """Wait until the task ``stop`` returns a stop request, or another task ends."""
     first_done = await group.next_done()
     if first_done is stop:
-        request: StopRequest = stop.result
-        return request
+        return End(stop.result)
     log.state("task_failed", task=first_done.name)
-    log.flush()
-    raise first_done.exception or RuntimeError("a task ended unexpectedly")
+    return end_after_failure(
+        first_done.exception or RuntimeError("a task ended unexpectedly"), log
+    )
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -1,5 +1,6 @@
 """The gateway daemon: reload, requests during the start, pipelined requests."""
 
+import json
 import socket
 from dataclasses import replace
 
@@ -18,7 +19,8 @@
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import Request, Response
 from pollenfold.observe.clock import system_clock
-from pollenfold.observe.signals import StopRequest
+from pollenfold.observe.signals import Signals, StopRequest
+from pollenfold.platform.headers import DIALECT
 from pollenfold.tests.gateway.conftest import Backend
 
 
@@ -160,3 +162,43 @@
             assert b"pollenfold-run-state: outcome_unknown" in response
 
     run(main)
+
+
+@pytest.mark.parametrize("fails_at", ["start", "later"])
+def test_failed_task_cuts_off_no_request(gateway, run, monkeypatch, fails_at):
+    """Guards against an entry that resets the requests in flight, and those in the
+    kernel's accept queue, when one of its tasks fails."""
+    monkeypatch.setattr(daemon, "STOP_NOTICE_MS", 300.0)
+    failure = KeyError("no such endpoint")
+
+    async def fail(self):
+        if fails_at == "later":
+            await curio.sleep(0.3)
+        raise failure
+
+    monkeypatch.setattr(daemon.Balancer, "run_maintenance", fail)
+
+    async def serve():
+        with Signals(handles_reload=False) as signals:
+            settings = replace(gateway.settings, metrics_port=None, grace_ms=2_000.0)
+            with pytest.raises(KeyError) as raised:
+                await daemon.serve_gateway(settings, DIALECT, json.loads, signals)
+            assert raised.value is failure
+
+    async def call():
+        address = gateway.settings.caller_listener.getsockname()
+        async with await curio.open_connection(*address) as sock:
+            await sock.sendall(b"GET /x/1 HTTP/1.1\r\nhost: h\r\n\r\n")
+            async with curio.timeout_after(5):
+                return await sock.recv(65536)
+
+    async def main():
+        caller = await curio.spawn(call)
+        await curio.sleep(0.05)
+        # The first requests wait 400 ms for a configuration, so this one is in flight.
+        await serve()
+        # The process ends now.
+        assert caller.terminated
+        assert caller.result.startswith(b"HTTP/1.1 503 ")
+
+    run(main)
