--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -25,6 +25,8 @@
     from ..settings import ControlSettings
 
 OPERATOR_CALL_TIMEOUT_MS = 300.0
+STOP_WAIT_MS = 1_500.0
+"""How long a stopping replica waits for the orders in flight."""
 
 
 class LeaderAddress:
@@ -129,7 +131,7 @@
     settings: ControlSettings, daemon: _Daemon, signals: Signals
 ) -> None:
     peer_port = settings.peers[settings.replica_id][1]
-    async with curio.TaskGroup(wait=any) as group:
+    async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop)
         await daemon.operator_server.start(settings.host, settings.operator_port)
         await group.spawn(daemon.peer_server.serve, settings.host, peer_port)
@@ -141,9 +143,13 @@
             peer_port,
             settings.operator_port,
         )
-    await daemon.operator_server.stop()
-    # Reraises the exception of the first task that ended, if it failed.
-    reason = group.result
-    if group.completed is not stop:
-        raise RuntimeError(f"{group.completed.name} ended")
-    logger.info("event=stopped signal={}", reason.signal_name)
+        first_done = await group.next_done()
+        # The orders in flight need the replica, so it goes on until they are answered.
+        await daemon.operator_server.stop()
+        async with curio.ignore_after(STOP_WAIT_MS / 1000):
+            await daemon.operator_server.wait_idle()
+        await group.cancel_remaining()
+    if first_done is not stop:
+        error = RuntimeError(f"{first_done.name} ended")
+        raise first_done.exception or error
+    logger.info("event=stopped signal={}", stop.result.signal_name)
