--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -320,9 +320,10 @@
         first_done = await group.next_done()
         if first_done is not stop:
             logger.error("event=task_failed task={}", first_done.name)
-            raise first_done.exception or RuntimeError("a task ended unexpectedly")
         await drain(entry, callers, settings.drain_notice_ms)
         await group.cancel_remaining()
+    if first_done is not stop:
+        raise first_done.exception or RuntimeError("a task ended unexpectedly")
 
 
 async def drain(entry: Entry, callers: HttpServer, notice_ms: float) -> None:
