Wait for the second request instead of a time in a test of the quarantine

The test failed twice beside load: it looked 40 ms after the start of requests that take 50 ms, so a loop that is held for 30 ms found none. It now waits until both servers are busy, or the first request has ended, and asserts the same.

--- a/pollenfold/tests/gateway/test_quarantine.py
+++ b/pollenfold/tests/gateway/test_quarantine.py
@@ -197,7 +197,7 @@
     which the one that caused it ran too."""
 
     async def main():
-        backends = await start_backends(2, delay_ms=50.0)
+        backends = await start_backends(2, delay_ms=200.0)
         path = CallPath(backends)
         quarantine = path.view.quarantine
 
@@ -213,9 +213,12 @@
                 endpoint = path.view.endpoints["b0"]
                 await quarantine.record_end(digest, endpoint, now, now)
             first = await curio.spawn(call, round_number)
-            await curio.sleep(0.02)
+            while not quarantine.busy_endpoint_ids() and not first.terminated:
+                await curio.sleep(0.001)
             second = await curio.spawn(call, round_number + 1)
-            await curio.sleep(0.02)
+            # Both run at the same time, however long the loop is held up.
+            while len(quarantine.busy_endpoint_ids()) < 2 and not first.terminated:
+                await curio.sleep(0.001)
             assert quarantine.busy_endpoint_ids() == {"b0", "b1"}
             await first.join()
             await second.join()
