Report an error of a task as such, not as a bad setting

What operators saw: a KeyError that a task of a process raised was printed as 'bad settings', with exit status 2, since the lookup of an address raises the same exception.

Change: a missing address raises SettingsError with the name of the field, and no other error counts as a bad setting. The sockets of an entry are reserved in a function of their own.

--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 
 from ..curio_subset import load_curio_subset
@@ -15,18 +17,38 @@
 EXIT_FAILED = 1
 
 
+@dataclass(frozen=True, slots=True)
+class _EntryListeners:
+    """The sockets of an entry; only that for callers listens yet."""
+
+    callers: socket.socket
+    ready: socket.socket
+    peers: socket.socket | None
+
+
+def _listen_for_callers(
+    settings: Settings, ports: Ports, signals: Signals
+) -> _EntryListeners:
+    """Reserve all addresses of an entry, then listen for callers.
+
+    Raise OSError if an address stays in use, and SettingsError if one is missing. An
+    entry without its port for peers would be of no help to callers of entries that are
+    cut off from the endpoints.
+    """
+    check = signals.check_not_stopped
+    ready = reserve_when_free(*settings.address("ready"), check)
+    peers = None
+    if ports.relay:
+        peers = reserve_when_free(settings.host, ports.relay, check)
+    callers = reserve_when_free(*settings.address("front"), check)
+    start_listening(callers)
+    return _EntryListeners(callers, ready, peers)
+
+
 def _run_entry(source: SettingsSource, signals: Signals) -> None:
     settings = source.settings
     ports = _ports("entry", settings)
-    check = signals.check_not_stopped
-    ready = reserve_when_free(*settings.addresses["ready"], check)
-    # An entry without this port would be of no help to callers of entries that are cut
-    # off from the endpoints.
-    peers = (
-        reserve_when_free(settings.host, ports.relay, check) if ports.relay else None
-    )
-    callers = reserve_when_free(*settings.addresses["front"], check)
-    start_listening(callers)
+    listeners = _listen_for_callers(settings, ports, signals)
     load_curio_subset()
     import curio
 
@@ -44,8 +66,8 @@
         entry_id=settings.name,
         zone=settings.zone,
         host=settings.host,
-        caller_listener=callers,
-        ready_listener=ready,
+        caller_listener=listeners.callers,
+        ready_listener=listeners.ready,
         ready_path="/-/readyz",
         feed_port=ports.feed,
         metrics_port=ports.metrics,
@@ -58,7 +80,7 @@
         cold_slack=settings.bound("coldSlack", 0),
         link_bytes_per_ms=settings.link_bytes_per_ms,
         relay_port=ports.relay,
-        peer_listener=peers,
+        peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
@@ -78,7 +100,7 @@
 
     settings = source.settings
     ports = _ports("control", settings)
-    api_host, api_port = settings.addresses["control"]
+    api_host, api_port = settings.address("control")
     founder = min(settings.seeds, default=("", 0))
     cluster = ClusterSettings(
         name=settings.name,
@@ -117,7 +139,7 @@
     try:
         source = SettingsSource(settings_path())
         ROLES[role](source, signals)
-    except (SettingsError, KeyError) as error:
+    except SettingsError as error:
         print(f"pollenfold.platform: bad settings: {error}", file=sys.stderr)
         return EXIT_BAD_SETTING
     except (OSError, RuntimeError) as error:
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -48,6 +48,14 @@
     link_bytes_per_ms: float
     bounds: dict[str, float]
 
+    def address(self, purpose: str) -> tuple[str, int]:
+        """Return the address for a purpose; raise SettingsError if there is none."""
+        if purpose not in self.addresses:
+            raise SettingsError(
+                f"network.listenAddrs.{purpose}: expected an address, got none"
+            )
+        return self.addresses[purpose]
+
     def seed_hosts(self) -> list[str]:
         """Return the hosts of the seeds."""
         return [host for host, _ in self.seeds]
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -9,9 +9,10 @@
 
 from pollenfold.core.selection import ServerLoad
 from pollenfold.http.messages import Response
-from pollenfold.platform.__main__ import main
+from pollenfold.platform.__main__ import ROLES, main
 from pollenfold.platform.headers import is_genuine, parse_load
 from pollenfold.platform.settings import (
+    SETTINGS_PATH_VARIABLE,
     SettingsError,
     SettingsSource,
     load_settings,
@@ -194,3 +195,18 @@
     """Guards against a bound that ends an entry when it computes its share."""
     text = TEXT.replace("graceS = 6", f"graceS = {value}")
     assert parse_settings(tomllib.loads(text)).bound("graceS", 6) == 6
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_error_of_a_task_is_not_reported_as_a_bad_setting(monkeypatch, tmp_path, role):
+    """Guards against an operator who searches the settings for an error in the code."""
+
+    def fail(source, signals):
+        raise KeyError("no such endpoint")
+
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    monkeypatch.setenv(SETTINGS_PATH_VARIABLE, str(path))
+    monkeypatch.setitem(ROLES, role, fail)
+    with pytest.raises(KeyError, match="no such endpoint"):
+        main([role])
