--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -18,6 +18,7 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
+MAX_WAKEUP_BYTES = 4096
 
 
 class StoppedBeforeStart(Exception):
@@ -26,7 +27,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequest:
-    """A signal to stop; the grace period counts from ``received_at``."""
+    """A signal to stop; the grace period counts from ``received_at``.
+
+    The interpreter notes a signal that comes during a blocking call, such as a sync of
+    a slow disk, only after that call.
+    """
 
     signal_name: str
     received_at: Instant
@@ -53,7 +58,9 @@
 
     def __init__(self, handles_reload: bool = True) -> None:
         """Set the handlers; raise ValueError outside the main thread."""
-        self._stopped_at: Instant | None = None
+        self.stop_request: StopRequest | None = None
+        """The first signal to stop, if one has arrived."""
+
         self._receiver, self._sender = sockets.socketpair()
         self._sender.setblocking(False)
         self._previous_fd = signal.set_wakeup_fd(
@@ -66,14 +73,15 @@
         }
 
     def _note(self, number: int, frame: FrameType | None) -> None:
-        if number in STOP_SIGNALS and self._stopped_at is None:
-            self._stopped_at = system_clock()
+        if number in STOP_SIGNALS and self.stop_request is None:
+            name = signal.Signals(number).name
+            self.stop_request = StopRequest(name, system_clock())
 
     def __enter__(self) -> Signals:
         return self
 
     def __exit__(self, *error: object) -> None:
-        if self._stopped_at is None:
+        if self.stop_request is None:
             for number, handler in self._previous_handlers.items():
                 signal.signal(number, handler)
         else:
@@ -87,7 +95,7 @@
 
         For a process that has no listening socket yet, and so may just end.
         """
-        if self._stopped_at is not None:
+        if self.stop_request is not None:
             raise StoppedBeforeStart
 
     async def wait_for_stop(
@@ -96,18 +104,29 @@
         """Wait for a signal to stop; return at once if it has arrived before.
 
         From then on, stop and reload signals are ignored, so that a repeated signal
-        doesn't abort a planned stop. ``on_reload`` is called at each SIGHUP.
+        doesn't abort a planned stop. ``on_reload`` is called after each SIGHUP, once
+        for several that came together.
         """
         # Signals are kept from before curio is loaded, which takes a while.
         from curio import io
 
         wakeup_socket = io.Socket(self._receiver)
         while True:
-            for number in await wakeup_socket.recv(16):
-                if number in STOP_SIGNALS:
-                    # With the default handlers, a second signal would end the process.
-                    ignore_stop_signals()
-                    received_at = self._stopped_at or system_clock()
-                    return StopRequest(signal.Signals(number).name, received_at)
-                if number == RELOAD_SIGNAL and on_reload is not None:
-                    on_reload()
+            # The numbers only wake the loop: a full socket drops those that come later.
+            if self.stop_request is None:
+                numbers = await wakeup_socket.recv(MAX_WAKEUP_BYTES)
+            else:
+                numbers = self._read_waiting()
+            if RELOAD_SIGNAL in numbers and on_reload is not None:
+                on_reload()
+            if self.stop_request is not None:
+                # With the default handlers, a second signal would end the process.
+                ignore_stop_signals()
+                return self.stop_request
+
+    def _read_waiting(self) -> bytes:
+        """Return the numbers of signals that haven't been read yet."""
+        try:
+            return self._receiver.recv(MAX_WAKEUP_BYTES)
+        except BlockingIOError:
+            return b""
--- a/pollenfold/tests/observe/test_signals.py
+++ b/pollenfold/tests/observe/test_signals.py
@@ -85,3 +85,39 @@
         os.kill(os.getpid(), signal.SIGTERM)
         with pytest.raises(StoppedBeforeStart):
             signals.check_not_stopped()
+
+
+@pytest.mark.parametrize("n_reloads", [1, 100, 2_000])
+def test_stop_after_many_reloads_is_kept(run, n_reloads):
+    """Guards against a stop signal that is lost, since the signals before it have
+    filled the wakeup socket of a process that starts."""
+    reloads = []
+
+    async def main(signals):
+        async with curio.timeout_after(2):
+            stop = await signals.wait_for_stop(lambda: reloads.append(1))
+        assert stop.signal_name == "SIGTERM"
+
+    with Signals() as signals:
+        for _ in range(n_reloads):
+            os.kill(os.getpid(), signal.SIGHUP)
+        os.kill(os.getpid(), signal.SIGTERM)
+        run(lambda: main(signals))
+
+
+def test_reload_between_others_is_not_missed(run):
+    """Guards against settings that are read before the last change of several."""
+    reloads = []
+
+    async def main(signals):
+        stop = await curio.spawn(signals.wait_for_stop, lambda: reloads.append(1))
+        for number in (1, 2):
+            os.kill(os.getpid(), signal.SIGHUP)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await curio.sleep(0.02)
+            assert len(reloads) >= number
+        os.kill(os.getpid(), signal.SIGTERM)
+        await stop.join()
+
+    with Signals() as signals:
+        run(lambda: main(signals))
