--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -293,7 +293,7 @@
             founder=settings.is_founder,
             metrics_port=settings.metrics_port or "none",
         )
-        end = await wait_for_end(group, stop, node.log)
+        end = await wait_for_end(group, stop, node.log, signals)
         node.log.state(
             "stopping", signal=end.stop.signal_name, n_in_flight=api.n_in_flight
         )
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -376,9 +376,9 @@
         await gateway.caller_server.start_on(settings.caller_listener)
         try:
             await _start(gateway, group)
-            end = await wait_for_end(group, stop, gateway.log)
+            end = await wait_for_end(group, stop, gateway.log, signals)
         except Exception as error:
-            end = end_after_failure(error, gateway.log)
+            end = end_after_failure(error, gateway.log, signals)
         await _drain(gateway, end.stop)
         gateway.log.flush()
         await group.cancel_remaining()
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -12,7 +12,7 @@
 from .clock import system_clock
 from .events import EventLog
 from .exposition import Metrics
-from .signals import StopRequest
+from .signals import Signals, StopRequest
 
 METRICS_RETRY_MS = 1_000.0
 
@@ -78,19 +78,23 @@
     failure: BaseException | None = None
 
 
-def end_after_failure(failure: BaseException, log: EventLog) -> End:
-    """Return the end of a daemon that can't go on, and log it."""
+def end_after_failure(failure: BaseException, log: EventLog, signals: Signals) -> End:
+    """Return the end of a daemon that can't go on, and log it.
+
+    If it was to stop anyway, the grace period counts from the signal.
+    """
     log.state("daemon_failed", detail=repr(failure))
     log.flush()
-    return End(StopRequest("none", system_clock()), failure)
+    return End(signals.stop_request or StopRequest("none", system_clock()), failure)
 
 
-async def wait_for_end(group: curio.TaskGroup, stop: curio.Task, log: EventLog) -> End:
-    """Wait until the task ``stop`` returns a stop request, or another task ends."""
+async def wait_for_end(
+    group: curio.TaskGroup, stop: curio.Task, log: EventLog, signals: Signals
+) -> End:
+    """Wait until the task ``stop`` returns a stop request, or any task fails."""
     first_done = await group.next_done()
-    if first_done is stop:
+    if first_done is stop and first_done.exception is None:
         return End(stop.result)
     log.state("task_failed", task=first_done.name)
-    return end_after_failure(
-        first_done.exception or RuntimeError("a task ended unexpectedly"), log
-    )
+    error = first_done.exception or RuntimeError("a task ended unexpectedly")
+    return end_after_failure(error, log, signals)
