--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -4,6 +4,7 @@
 
 import gc
 import logging
+import math
 import os
 import random
 import socket
@@ -13,7 +14,7 @@
 
 import curio
 
-from ..core.clock import add_ms, remaining_ms
+from ..core.clock import Instant, add_ms, remaining_ms
 from ..core.confirmation import VALIDITY_SHARE, Confirmations
 from ..core.errors import ErrorKind
 from ..core.link import Link
@@ -196,6 +197,9 @@
         )
         self.started_at = clock()
         self.is_stopping = False
+        self.answer_by = Instant(math.inf)
+        """When requests that still wait get a response, since the entry stops."""
+
         budget = MemoryBudget(BODY_BUDGET_BYTES)
         self.caller_server = HttpServer(
             self.handle_caller,
@@ -287,7 +291,9 @@
     async def handle_caller(self, request: Request) -> Response | None:
         """Handle a caller's request; just after the start, wait for routing data."""
         wait_until = add_ms(self.started_at, FIRST_CONFIGURATION_WAIT_MS)
-        while not self._can_route() and system_clock() < wait_until:
+        while not self._can_route() and system_clock() < min(
+            wait_until, self.answer_by
+        ):
             await curio.sleep(FIRST_CONFIGURATION_POLL_MS / 1000)
         return await self.forwarder.handle(request)
 
@@ -425,14 +431,16 @@
     gateway.is_stopping = True
     stop_at = add_ms(stop.received_at, gateway.settings.grace_ms - STOP_MARGIN_MS)
     close_at = add_ms(stop.received_at, STOP_NOTICE_MS)
-    gateway.forwarder.limit_deadlines(add_ms(stop_at, -FINAL_RESPONSE_MS))
+    gateway.answer_by = add_ms(stop_at, -FINAL_RESPONSE_MS)
+    gateway.forwarder.limit_deadlines(gateway.answer_by)
     gateway.caller_server.announce_stop()
     gateway.peer_port.announce_stop()
     gateway.log_stop("stopping", stop)
     await curio.sleep(remaining_ms(close_at, system_clock()) / 1000)
     await gateway.caller_server.stop()
     await gateway.peer_port.server.stop()
-    left_ms = remaining_ms(stop_at, system_clock())
+    # What was accepted late, after a slow start, still gets its response.
+    left_ms = max(remaining_ms(stop_at, system_clock()), FINAL_RESPONSE_MS)
     async with curio.ignore_after(left_ms / 1000):
         await gateway.caller_server.wait_idle()
         await gateway.peer_port.server.wait_idle()
--- a/pollenfold/tests/platform/test_early_stops.py
+++ b/pollenfold/tests/platform/test_early_stops.py
@@ -203,10 +203,12 @@
     assert_stopped(entry, stopped_at)
 
 
-def test_grace_period_counts_from_an_early_signal(system):
+@pytest.mark.parametrize("seconds", [3.0, 4.9, 5.4])
+def test_grace_period_counts_from_an_early_signal(system, seconds):
     """Guards against an entry that is killed since it counts its grace period from
-    when it noticed the signal."""
-    entry = system.start("entry", IMPORTED, seconds=3.0)
+    when it noticed the signal, and against one that ends in time but cuts off the
+    requests that wait for their configuration."""
+    entry = system.start("entry", IMPORTED, seconds)
     wait_for_line(entry, "event=slow_start")
     os.kill(entry.process.pid, signal.SIGTERM)
     stopped_at = time.monotonic()
