--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -3,10 +3,10 @@
     python -m benchmarks.soak --seeds 1-50 --jobs 3
 
 Entries and control replicas run as separate processes on loopback addresses. Phases
-with faults (signals, lost disks, a proxy that delays, resets or blocks the links to
-backend servers) alternate with calm phases. The promises are checked during the run
-from the observations of callers, backend servers and the operator. Only processes that
-this program started are signalled, by their ids.
+with faults (signals at any instant of a life, lost disks, a proxy that delays, resets
+or blocks the links to backend servers) alternate with calm phases. The promises are
+checked during the run from the observations of callers, backend servers and the
+operator. Only processes that this program started are signalled, by their ids.
 """
 
 from __future__ import annotations
@@ -28,6 +28,12 @@
 
 import curio
 
+from benchmarks.early_stops import (
+    end_lives_early,
+    is_accepting,
+    reload,
+    wait_for_end,
+)
 from benchmarks.soak_backends import DEADLY, Cut, EntryLinks, Link, SoakBackend
 from pollenfold.http.client import HttpConnection
 from pollenfold.http.messages import Response, find_header
@@ -115,6 +121,10 @@
     root: Path = ROOT
     """The folder with the version of the program that is run."""
 
+    planned: set[subprocess.Popen[bytes]] = field(default_factory=set)
+    """Processes that got a signal when connections to them had been accepted, or when
+    they had logged their start. A SIGTERM must end them as planned."""
+
     def start(self, seeds: list[str], is_first: bool) -> None:
         if self.process is not None and self.process.poll() is None:
             # Another fault has already restarted it. Starting a second process would
@@ -148,14 +158,27 @@
             )
 
     def has_started(self) -> bool:
-        """Return whether the process has logged its start and so set its handlers."""
+        """Return whether the process has logged its start."""
         with (self.folder / "log").open("rb") as log:
             log.seek(self.n_log_bytes)
             return b"event=started " in log.read()
 
     def signal(self, number: int) -> None:
-        if self.process is not None and self.process.poll() is None:
-            os.kill(self.process.pid, number)
+        if self.process is None or self.process.poll() is not None:
+            return
+        if number in (signal.SIGTERM, signal.SIGHUP):
+            if self.has_started() or self.is_accepting():
+                self.planned.add(self.process)
+        os.kill(self.process.pid, number)
+
+    def is_accepting(self) -> bool:
+        """Return whether the kernel accepts connections of those that it serves."""
+        port = CALLER_PORT if self.role == "entry" else CONTROL_PORT
+        return is_accepting(self.host, port)
+
+    def must_end_planned(self, process: subprocess.Popen[bytes]) -> bool:
+        """Return whether no signal but SIGKILL may end a process by its default."""
+        return process in self.planned
 
     def kill(self) -> None:
         if self.process is not None:
@@ -194,6 +217,10 @@
         self.deadly_rng.seed(-1_000_000 - self.seed)
         network = f"127.{10 + self.seed % 200}"
         self.cut_rng.seed(-2_000_000 - self.seed)
+        self.early_rngs = {
+            role: random.Random(f"{self.seed}-early-{role}")
+            for role in ("entry", "control")
+        }
         self.controls = [self._program("control", network, 1, k) for k in range(3)]
         self.entries = [self._program("entry", network, 2, k) for k in range(3)]
         self.entry_links = [self._redirect(entry) for entry in self.entries]
@@ -210,6 +237,11 @@
         host = f"{network}.{subnet}.{number + 1}"
         return Program(name, role, host, ZONES[number], folder)
 
+    def set_root(self, root: Path) -> None:
+        """Run the version of the program that lies in a folder."""
+        for program in self.controls + self.entries:
+            program.root = root
+
     def _redirect(self, entry: Program) -> EntryLinks:
         """Let an entry connect to the backend servers from its own host."""
         redirects = entry.folder / "redirects.json"
@@ -366,7 +398,7 @@
                 await curio.sleep(pause_s)
                 program.signal(signal.SIGCONT)
             case "hup":
-                program.signal(signal.SIGHUP)
+                await reload(self, program)
             case "wipe_control":
                 if self.is_disk_lost:
                     return
@@ -395,21 +427,9 @@
         self.record_fault_time()
 
     async def restart(self, program: Program, number: int, pause_s: float) -> None:
-        process, has_started = program.process, program.has_started()
+        process = program.process
         program.signal(number)
-        deadline = time.monotonic() + 7.0
-        while process.poll() is None and time.monotonic() < deadline:
-            await curio.sleep(0.02)
-        if process is not program.process:
-            # Another fault has already replaced this process.
-            return
-        if process.poll() is None:
-            self.add_violation(f"{program.name} still runs 7 s after signal {number}")
-            program.kill()
-        # Another fault may have killed it, or it had not set its signal handlers.
-        is_expected_exit = process.returncode in (0, -signal.SIGKILL) or not has_started
-        if number == signal.SIGTERM and not is_expected_exit:
-            self.add_violation(f"{program.name} exited with {process.returncode}")
+        await wait_for_end(self, program, process, f"signal {number}")
         await curio.sleep(pause_s)
         if process is program.process:
             program.start(self.seeds, False)
@@ -596,6 +616,10 @@
         deadline = time.monotonic() + 3.0
         tasks = []
         limits_task = await curio.spawn(self.vary_limits, daemon=True)
+        for programs in (self.entries, self.controls):
+            rng = self.early_rngs[programs[0].role]
+            lives = end_lives_early(self, programs, rng, deadline)
+            tasks.append(await curio.spawn(lives))
         while time.monotonic() < deadline:
             tasks.append(await curio.spawn(self.inject_fault))
             if self.rng.random() < 0.5:
@@ -685,13 +709,17 @@
     return result.ok if result.is_ok() else None
 
 
-def run_seed(seed: int, n_cycles: int, keep: Path | None = None) -> list[str]:
+def run_seed(
+    seed: int, n_cycles: int, keep: Path | None = None, root: Path = ROOT
+) -> list[str]:
     """Run the soak test with one seed and return the violations.
 
-    The logs of a failed run are copied to ``keep``.
+    The logs of a failed run are copied to ``keep``. ``root`` is the folder with the
+    version of the program that is run.
     """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     soak = Soak(seed, folder, n_cycles)
+    soak.set_root(root)
     try:
         curio.run(soak.run)
     finally:
@@ -710,6 +738,9 @@
     parser.add_argument("--cycles", type=int, default=2)
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--keep", type=Path, help="folder for logs of failed seeds")
+    parser.add_argument(
+        "--root", type=Path, default=ROOT, help="folder with the version to run"
+    )
     arguments = parser.parse_args()
     seeds: list[int] = []
     for part in arguments.seeds.split(","):
@@ -718,7 +749,7 @@
     if arguments.jobs == 1:
         broken = []
         for seed in seeds:
-            broken += run_seed(seed, arguments.cycles, arguments.keep)
+            broken += run_seed(seed, arguments.cycles, arguments.keep, arguments.root)
         print("\n".join(broken) or "no broken promise")
         return 1 if broken else 0
     return run_parallel(seeds, arguments)
@@ -734,6 +765,7 @@
             command = [sys.executable, "-m", "benchmarks.soak"]
             command += ["--seeds", str(waiting.pop(0))]
             command += ["--cycles", str(arguments.cycles)]
+            command += ["--root", str(arguments.root)]
             if arguments.keep is not None:
                 command += ["--keep", str(arguments.keep)]
             running.append(subprocess.Popen(command, cwd=ROOT))
