--- a/benchmarks/early_stops.py
+++ b/benchmarks/early_stops.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import signal
 import socket
@@ -156,11 +157,16 @@
     program: Program,
     process: subprocess.Popen[bytes] | None,
     cause: str,
+    stopped_at: float = math.inf,
 ) -> None:
-    """Wait until a process has ended after a signal; report how it must not end."""
+    """Wait until a process has ended after a signal; report how it must not end.
+
+    The limit counts from ``stopped_at``, the time of the first stop signal, if that is
+    earlier than now.
+    """
     if process is None:
         return
-    deadline = time.monotonic() + STOP_LIMIT_S
+    deadline = min(stopped_at, time.monotonic()) + STOP_LIMIT_S
     while process.poll() is None and time.monotonic() < deadline:
         await curio.sleep(0.02)
     if process.poll() is None:
@@ -216,11 +222,14 @@
     process = program.process
     if life.is_from_accept:
         await _wait_for_accept(program)
+    stopped_at = math.inf
     for wait_s, number in life.signals:
         await curio.sleep(wait_s)
         if process is program.process:
             program.signal(number)
-    await wait_for_end(system, program, process, str(life))
+        if number != signal.SIGHUP:
+            stopped_at = min(stopped_at, time.monotonic())
+    await wait_for_end(system, program, process, str(life), stopped_at)
 
 
 async def end_lives_early(
