--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -51,6 +51,9 @@
 
 MAX_LINGER_BYTES = 4 << 20
 
+WAITING_FOR_BYTES = "READ_WAIT"
+"""Curio's state of a task that waits until a socket is readable."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _STATUS_WITHOUT_BODY = (204, 304)
@@ -134,6 +137,7 @@
         self._is_reading_request = False
         self._is_closing = False
         self._should_linger = False
+        self._is_ended = False
         self._has_sent_start = False
         """Whether ``RESPONSE_START`` of the next response is already sent."""
 
@@ -165,16 +169,27 @@
         except (OSError, h11.LocalProtocolError):
             return
         finally:
+            self._is_ended = True
             for exchange in list(self._waiting):
                 await self._cancel_exchange(exchange)
 
     async def close_if_idle(self) -> None:
-        """Close the connection unless a request is pending or bytes are unread."""
-        if not self.is_busy and not is_readable(self._client.fileno()):
-            # Reading stops here: a request that arrives later stays unread, so its
-            # caller may safely retry it.
-            self._is_closing = True
-            await self._client.shutdown(socket.SHUT_RD)
+        """Close the connection unless a request is pending or bytes are unread.
+
+        The reading task is cancelled only while it waits for bytes, so that it has read
+        none of a request that arrives meanwhile: the kernel resets the connection, and
+        the caller may safely retry. After shutting down the receiving half, the kernel
+        would still deliver what arrives.
+        """
+        while not (self.is_busy or self._is_closing or self._is_ended):
+            if is_readable(self._client.fileno()):
+                return
+            if self._task is not None and self._task.state == WAITING_FOR_BYTES:
+                self._is_closing = True
+                await self._task.cancel(blocking=False)
+                return
+            # The reading task is about to run.
+            await curio.sleep(0)
 
     # Reading
 
