--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -364,8 +364,7 @@
         if exchange.request.method == b"HEAD":
             response.body = b""
         is_last = exchange.parser.their_state is not h11.DONE
-        has_next_request = len(self._waiting) > 1 or self._is_reading_request
-        if is_last or (self._shared.is_stopping and not has_next_request):
+        if is_last or (self._shared.is_stopping and not self._has_next(exchange)):
             response.close = True
         limits = self._limits()
         # A connection isn't closed before the time that its last response announced.
@@ -388,6 +387,18 @@
             return
         await self._finish(exchange)
 
+    def _has_next(self, exchange: _Exchange) -> bool:
+        """Return whether another request was read, in part, or has arrived unread.
+
+        Its caller couldn't know that the response to this one closes the connection.
+        """
+        return (
+            len(self._waiting) > 1
+            or self._is_reading_request
+            or bool(exchange.parser.trailing_data[0])
+            or is_readable(self._client.fileno())
+        )
+
     async def _finish(self, exchange: _Exchange) -> None:
         """Let the response to the next request be written."""
         self._idle_since = system_clock()
@@ -489,6 +500,4 @@
     """
     has_key = request.header(b"idempotency-key") is not None
     state = RunState.OUTCOME_UNKNOWN.value if has_key else None
-    response = error_response(ErrorKind.STOPPING, run_state=state)
-    response.close = True
-    return response
+    return error_response(ErrorKind.STOPPING, run_state=state)
--- a/pollenfold/tests/http/test_stop_cases.py
+++ b/pollenfold/tests/http/test_stop_cases.py
@@ -10,7 +10,14 @@
 import pytest
 
 from pollenfold.http import caller
-from pollenfold.tests.http.test_pipeline import GET, POST, Service
+from pollenfold.http.caller import MAX_PIPELINED_REQUESTS
+from pollenfold.tests.http.test_pipeline import (
+    GET,
+    POST,
+    Service,
+    read_all,
+    wait_until,
+)
 
 LATE_S = 0.3
 """How long a task keeps the loop from running."""
@@ -78,3 +85,52 @@
         assert service.started == ["first"]
 
     run(main)
+
+
+@pytest.mark.parametrize("method", [GET, POST])
+def test_all_pipelined_requests_after_the_stop_are_refused(run, method):
+    """Guards against requests that were sent long before the connection ends, were
+    read, and get no response since an earlier one was refused."""
+    names = [b"late%d" % n for n in range(3 * MAX_PIPELINED_REQUESTS)]
+
+    async def main():
+        service = Service()
+        service.hold("a")
+        sock = await service.connect()
+        await sock.sendall(GET % b"a")
+        await wait_until(lambda: service.started == ["a"])
+        await service.server.stop()
+        await sock.sendall(b"".join(method % name for name in names))
+        await curio.sleep(LATE_S)
+        await service.gates["a"].set()
+        _, data = await read_all(sock)
+        assert data.count(b"HTTP/1.1 200") == 1
+        assert data.count(b"HTTP/1.1 503") == len(names)
+        assert data.count(b"pollenfold-run-state: did_not_run") == len(names)
+        assert data.lower().count(b"connection: close") == 1
+        assert data.lower().rindex(b"connection: close") > data.rindex(b"HTTP/1.1 503")
+        assert service.started == ["a"]
+        assert service.unanswered == []
+
+    run(main)
+
+
+def test_requests_that_arrived_before_the_last_response_are_answered(run):
+    """Guards against a response that closes the connection of a stop while requests of
+    its caller lie unread: they were sent before the caller could know of the close."""
+
+    async def main():
+        service = Service()
+        sock = await service.connect()
+        await sock.sendall(POST % b"a" + GET % b"b")
+        service.hold("a")
+        await wait_until(lambda: service.started == ["a"])
+        service.server.announce_stop()
+        await sock.sendall(POST % b"c")
+        await curio.sleep(0.05)
+        await service.gates["a"].set()
+        bodies, data = await read_all(sock)
+        assert bodies == ["a", "b", "c"]
+        assert data.lower().count(b"connection: close") == 1
+
+    run(main)
