--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -151,6 +151,11 @@
         """Whether a request is being read or handled, or its response written."""
         return self._is_reading_request or bool(self._waiting)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the last response is being sent, or what follows it taken in."""
+        return self._is_closing and not self._is_ended
+
     @property
     def is_new(self) -> bool:
         """Whether no complete request was received yet; one may be in transit."""
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -59,7 +59,7 @@
 
     A planned stop calls ``announce_stop``, which sends ``Connection: close`` with the
     last response of each connection, then ``stop``, which closes the listener and the
-    idle connections, then ``wait_idle``, which returns when no request is in flight.
+    idle connections, then ``wait_idle``, which returns when all others have ended.
     """
 
     connection_class = CallerConnection
@@ -166,16 +166,17 @@
             await connection.close_if_idle()
 
     async def wait_idle(self) -> None:
-        """Return when no request is in flight.
+        """Return when no request is in flight and no response in transit.
 
-        A request that is still arriving is waited for as well, but only for
-        ``PARTIAL_REQUEST_WAIT_MS``, so that a caller that stops sending can't delay the
-        stop.
+        A request that is still arriving, or lies unread, is waited for as well, but
+        only for ``PARTIAL_REQUEST_WAIT_MS``, so that a caller that stops sending can't
+        delay the stop. A process that ended before a closing connection has taken in
+        what its caller still sends would reset it.
         """
         async with curio.ignore_after(PARTIAL_REQUEST_WAIT_MS / 1000):
-            while any(c.is_busy or c.is_new for c in self._connections):
+            while self._connections:
                 await curio.sleep(0.005)
-        while self.n_in_flight:
+        while self.n_in_flight or any(c.is_closing for c in self._connections):
             await curio.sleep(0.005)
 
     async def _accept(self, sock: Socket) -> None:
--- a/pollenfold/tests/http/test_stop_cases.py
+++ b/pollenfold/tests/http/test_stop_cases.py
@@ -4,12 +4,13 @@
 orderly end and no response knows that its request was read and not answered.
 """
 
+import socket
 import time
 
 import curio
 import pytest
 
-from pollenfold.http import caller
+from pollenfold.http import caller, server
 from pollenfold.http.caller import MAX_PIPELINED_REQUESTS
 from pollenfold.tests.http.test_pipeline import (
     GET,
@@ -134,3 +135,68 @@
         assert data.lower().count(b"connection: close") == 1
 
     run(main)
+
+
+def test_drain_waits_for_requests_that_have_arrived_unread(run):
+    """Guards against a process that ends between the arrival of a request and its
+    response, since it looked only at requests that were already read."""
+
+    async def main():
+        service = Service()
+        async with await connect_kept(service) as sock:
+            # No task of the server runs between this send and the stop.
+            sock._socket.send(GET % b"crossing")
+            await service.server.stop()
+            await service.server.wait_idle()
+            assert service.server.n_connections == 0
+            response = await read_response(sock)
+        # The stop lets other tasks run before it refuses further requests.
+        has_run = "crossing" in service.finished
+        assert response.endswith(b"crossing") if has_run else is_refusal(response)
+
+    run(main)
+
+
+def test_drain_waits_for_connections_that_linger(run):
+    """Guards against a process that ends while a caller still sends: the kernel resets
+    the connection, and the reset overtakes the last response."""
+    head = b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 2000000\r\n\r\n"
+
+    async def send_on(sock):
+        try:
+            for _ in range(15):
+                await sock.sendall(b"x" * 1000)
+                await curio.sleep(0.02)
+            await sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    async def main():
+        service = Service()
+        async with await connect_kept(service) as sock:
+            await sock.sendall(head)
+            sender = await curio.spawn(send_on, sock)
+            await curio.sleep(0.05)
+            await service.server.stop()
+            await service.server.wait_idle()
+            assert sender.terminated
+            assert service.server.n_connections == 0
+            assert (await read_response(sock)).startswith(b"HTTP/1.1 413")
+            await sender.join()
+
+    run(main)
+
+
+def test_drain_waits_a_bounded_time_for_a_request_that_does_not_come(run, monkeypatch):
+    """Guards against a caller that delays a stop by sending a part of a request."""
+    monkeypatch.setattr(server, "PARTIAL_REQUEST_WAIT_MS", 200.0)
+
+    async def main():
+        service = Service()
+        async with await connect_kept(service) as sock:
+            sock._socket.send(b"GET /part HTTP/1.1\r\n")
+            async with curio.timeout_after(1.0):
+                await service.server.stop()
+                await service.server.wait_idle()
+
+    run(main)
