--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -150,8 +150,10 @@
         """
         self._shared.is_stopping = True
         if self._accept_task is not None and self._listening_socket is not None:
-            await self._accept_queued(self._listening_socket)
+            # Other tasks run until the task has ended, and the loop may be late, so
+            # nothing is waited for between the last accept and the close.
             await self._accept_task.cancel()
+            await self._accept_queued(self._listening_socket)
             self._listening_socket.close()
         self._shared.has_stopped = True
         for connection in list(self._connections):
@@ -180,10 +182,9 @@
             await curio.sleep(0.005)
 
     async def _accept(self, sock: Socket) -> None:
-        async with sock:
-            while True:
-                client, address = await sock.accept()
-                await self._spawn_connection(client, address[0])
+        while True:
+            client, address = await sock.accept()
+            await self._spawn_connection(client, address[0])
 
     async def _accept_queued(self, listening_socket: sockets.socket) -> None:
         """Accept the connections that wait in the kernel's accept queue."""
--- a/pollenfold/tests/http/test_stop_cases.py
+++ b/pollenfold/tests/http/test_stop_cases.py
@@ -12,6 +12,7 @@
 
 from pollenfold.http import caller, server
 from pollenfold.http.caller import MAX_PIPELINED_REQUESTS
+from pollenfold.http.socket_state import is_closed_by_peer
 from pollenfold.tests.http.test_pipeline import (
     GET,
     POST,
@@ -200,3 +201,54 @@
                 await service.server.wait_idle()
 
     run(main)
+
+
+def test_stop_takes_connections_that_come_while_the_loop_is_late(run):
+    """Guards against a connection that arrives after the stop emptied the accept
+    queue, waits there while the loop is late, and is reset with its request."""
+
+    async def connect_late(service, callers):
+        sock = socket.create_connection(("127.0.0.1", service.port))
+        callers.append(curio.io.Socket(sock))
+        sock.send(POST % b"queued")
+        time.sleep(LATE_S)
+
+    async def main():
+        service = Service()
+        callers = []
+        async with await connect_kept(service):
+            # It runs when the stop first lets other tasks run.
+            late = await curio.spawn(connect_late, service, callers)
+            await service.server.stop()
+            await late.join()
+            async with callers[0] as sock:
+                assert (await read_response(sock)).endswith(b"queued")
+        assert service.server.counts.n_accepted == 2
+
+    run(main)
+
+
+@pytest.mark.parametrize("after_ms", [240.0, 245.0, 250.0, 255.0, 260.0])
+@pytest.mark.parametrize("late_s", [0.0, LATE_S])
+def test_first_request_at_the_end_of_its_wait_is_unread_or_answered(
+    run, after_ms, late_s
+):
+    """Guards against a first request that is read when the wait for it is over, and
+    ends without a response."""
+
+    async def main():
+        service = Service()
+        async with await service.connect() as sock:
+            await wait_until(lambda: service.server.n_connections == 1)
+            await service.server.stop()
+            await curio.sleep(after_ms / 1000)
+            if is_closed_by_peer(sock.fileno()):
+                # The caller sees the end before it sends.
+                return
+            sock._socket.send(POST % b"first")
+            time.sleep(late_s)
+            response = await read_response(sock)
+            assert response == RESET or response.endswith(b"first"), response
+        assert service.unanswered == []
+
+    run(main)
