--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -51,6 +51,9 @@
 
 MAX_LINGER_BYTES = 4 << 20
 
+WAITING_FOR_BYTES = "READ_WAIT"
+"""Curio's state of a task that waits until a socket is readable."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _STATUS_WITHOUT_BODY = (204, 304)
@@ -134,6 +137,7 @@
         self._is_reading_request = False
         self._is_closing = False
         self._should_linger = False
+        self._is_ended = False
         self._has_sent_start = False
         """Whether ``RESPONSE_START`` of the next response is already sent."""
 
@@ -147,6 +151,11 @@
         """Whether a request is being read or handled, or its response written."""
         return self._is_reading_request or bool(self._waiting)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the last response is being sent, or what follows it taken in."""
+        return self._is_closing and not self._is_ended
+
     @property
     def is_new(self) -> bool:
         """Whether no complete request was received yet; one may be in transit."""
@@ -165,16 +174,27 @@
         except (OSError, h11.LocalProtocolError):
             return
         finally:
+            self._is_ended = True
             for exchange in list(self._waiting):
                 await self._cancel_exchange(exchange)
 
     async def close_if_idle(self) -> None:
-        """Close the connection unless a request is pending or bytes are unread."""
-        if not self.is_busy and not is_readable(self._client.fileno()):
-            # Reading stops here: a request that arrives later stays unread, so its
-            # caller may safely retry it.
-            self._is_closing = True
-            await self._client.shutdown(socket.SHUT_RD)
+        """Close the connection unless a request is pending or bytes are unread.
+
+        The reading task is cancelled only while it waits for bytes, so that it has read
+        none of a request that arrives meanwhile: the kernel resets the connection, and
+        the caller may safely retry. After shutting down the receiving half, the kernel
+        would still deliver what arrives.
+        """
+        while not (self.is_busy or self._is_closing or self._is_ended):
+            if is_readable(self._client.fileno()):
+                return
+            if self._task is not None and self._task.state == WAITING_FOR_BYTES:
+                self._is_closing = True
+                await self._task.cancel(blocking=False)
+                return
+            # The reading task is about to run.
+            await curio.sleep(0)
 
     # Reading
 
@@ -349,8 +369,7 @@
         if exchange.request.method == b"HEAD":
             response.body = b""
         is_last = exchange.parser.their_state is not h11.DONE
-        has_next_request = len(self._waiting) > 1 or self._is_reading_request
-        if is_last or (self._shared.is_stopping and not has_next_request):
+        if is_last or (self._shared.is_stopping and not self._has_next(exchange)):
             response.close = True
         limits = self._limits()
         # A connection isn't closed before the time that its last response announced.
@@ -373,6 +392,18 @@
             return
         await self._finish(exchange)
 
+    def _has_next(self, exchange: _Exchange) -> bool:
+        """Return whether another request was read, in part, or has arrived unread.
+
+        Its caller couldn't know that the response to this one closes the connection.
+        """
+        return (
+            len(self._waiting) > 1
+            or self._is_reading_request
+            or bool(exchange.parser.trailing_data[0])
+            or is_readable(self._client.fileno())
+        )
+
     async def _finish(self, exchange: _Exchange) -> None:
         """Let the response to the next request be written."""
         self._idle_since = system_clock()
@@ -474,6 +505,4 @@
     """
     has_key = request.header(b"idempotency-key") is not None
     state = RunState.OUTCOME_UNKNOWN.value if has_key else None
-    response = error_response(ErrorKind.STOPPING, run_state=state)
-    response.close = True
-    return response
+    return error_response(ErrorKind.STOPPING, run_state=state)
