--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import socket as sockets
 from collections.abc import Callable
@@ -29,6 +30,9 @@
 BUFFERED_BODY_BUDGET_BYTES = 64 << 20
 """Memory limits for one completely buffered body and for all bodies of a server."""
 
+FAILED_CONNECTION_ERRORS = (errno.ECONNABORTED, errno.EINTR, errno.EPROTO)
+"""Errors of an accept that concern one connection, behind which others may wait."""
+
 PARTIAL_REQUEST_WAIT_MS = 2000.0
 """How long a planned stop waits for a request that has arrived in part."""
 
@@ -184,18 +188,29 @@
     async def _accept(self, sock: Socket) -> None:
         while True:
             client, address = await sock.accept()
-            await self._spawn_connection(client, address[0])
+            await self._start_connection(client, address[0])
 
     async def _accept_queued(self, listening_socket: sockets.socket) -> None:
         """Accept the connections that wait in the kernel's accept queue."""
-        try:
-            while True:
+        while True:
+            try:
                 client, address = listening_socket.accept()
-                client.setblocking(False)
-                await self._spawn_connection(Socket(client), address[0])
-        except OSError:
-            # The queue is empty, or the socket is closed.
-            return
+            except OSError as error:
+                if error.errno in FAILED_CONNECTION_ERRORS:
+                    continue
+                # The queue is empty, the socket closed, or no descriptor is left.
+                return
+            client.setblocking(False)
+            await self._start_connection(Socket(client), address[0])
+
+    async def _start_connection(self, client: Socket, peer: str) -> None:
+        """Serve an accepted connection; an error ends it, and not the accepting."""
+        try:
+            await self._spawn_connection(client, peer)
+        except Exception as error:
+            text = "event=connection_failed peer=%s detail=%r"
+            logging.getLogger(__name__).error(text, peer, error)
+            await client.close()
 
     async def _spawn_connection(self, client: Socket, peer: str) -> None:
         if self._is_permitted is not None and not self._is_permitted(peer):
@@ -203,12 +218,12 @@
             return
         self._shared.counts.n_accepted += 1
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await curio.spawn(self._serve, client, peer, daemon=True)
-
-    async def _serve(self, client: Socket, peer: str) -> None:
-        connection_class = self.connection_class
-        connection = connection_class(client, peer, self._shared, self._limits)
+        connection = self.connection_class(client, peer, self._shared, self._limits)
+        # Added before its task runs, so that a stop waits for it.
         self._connections.add(connection)
+        await curio.spawn(self._serve, connection, daemon=True)
+
+    async def _serve(self, connection: CallerConnection) -> None:
         try:
             await connection.serve()
         finally:
--- a/pollenfold/tests/http/test_listening_socket.py
+++ b/pollenfold/tests/http/test_listening_socket.py
@@ -83,3 +83,72 @@
             await HttpConnection.open("127.0.0.1", port)
 
     run(main)
+
+
+def test_server_accepts_after_an_error_of_one_connection(run):
+    """Guards against a server that accepts nothing any more, though its socket listens,
+    since the start of one connection failed."""
+    failing = [MemoryError]
+
+    def is_permitted(host):
+        if failing:
+            raise failing.pop()
+        return True
+
+    async def main():
+        server = HttpServer(respond, is_permitted=is_permitted)
+        port = await server.start("127.0.0.1", 0)
+        first = await HttpConnection.open("127.0.0.1", port)
+        headers = [(b"host", b"t")]
+        assert (await first.exchange(b"GET", b"/", headers, b"", 2_000)).is_error()
+        second = await HttpConnection.open("127.0.0.1", port)
+        result = await second.exchange(b"GET", b"/", headers, b"", 2_000)
+        assert result.ok.status == 200
+        await server.stop()
+
+    run(main)
+
+
+def test_aborted_connection_does_not_hide_those_behind_it(run):
+    """Guards against connections that a stop leaves in the accept queue, since one
+    before them was reset by its caller."""
+
+    class Listener:
+        def __init__(self, listener):
+            self.listener = listener
+            self.failing = [errno.ECONNABORTED]
+
+        def accept(self):
+            if self.failing:
+                raise OSError(self.failing.pop(), "aborted")
+            return self.listener.accept()
+
+    async def main():
+        server = HttpServer(respond)
+        with open_listener("127.0.0.1", 0) as listener:
+            port = listener.getsockname()[1]
+            connection = await HttpConnection.open("127.0.0.1", port)
+            await server._accept_queued(Listener(listener))
+        headers = [(b"host", b"t")]
+        result = await connection.exchange(b"GET", b"/", headers, b"", 2_000)
+        assert result.ok.status == 200
+
+    run(main)
+
+
+def test_stop_waits_for_connections_that_it_has_just_accepted(run):
+    """Guards against a server that seems idle right after it has emptied its accept
+    queue, so that its process ends and resets them."""
+
+    async def main():
+        server = HttpServer(respond)
+        with open_listener("127.0.0.1", 0) as listener:
+            port = listener.getsockname()[1]
+            connection = await HttpConnection.open("127.0.0.1", port)
+            await server._accept_queued(listener)
+            assert server.n_connections == 1
+        await connection.close()
+        async with curio.timeout_after(1):
+            await server.wait_idle()
+
+    run(main)
