--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -78,6 +78,7 @@
 """How long a stopping entry accepts connections, until the balancer drops it."""
 
 STOP_MARGIN_MS = 500.0
+CLOSE_WAIT_MS = 100.0
 FINAL_RESPONSE_MS = 200.0
 """How long before the end of a stop pending requests get their final responses."""
 
@@ -217,6 +218,7 @@
             lambda: self.caller_server.n_in_flight,
             self._caller_limits,
             self._log_rejected,
+            self._log_unanswered,
             budget,
             clock,
             self.log,
@@ -445,4 +447,7 @@
         await gateway.caller_server.wait_idle()
         await gateway.peer_port.server.wait_idle()
     await gateway.monitor.stop()
+    async with curio.ignore_after(CLOSE_WAIT_MS / 1000):
+        await gateway.caller_server.close_all()
+        await gateway.peer_port.server.close_all()
     gateway.log_stop("stopped", stop)
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -11,7 +11,7 @@
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response, json_response
 from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
-from ..http.server import HttpServer, OnRejected
+from ..http.server import HttpServer, OnRejected, OnUnanswered
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .calls import Call
@@ -63,6 +63,7 @@
         n_caller_requests: Callable[[], int],
         caller_limits: Callable[[], ServerLimits],
         on_rejected: OnRejected,
+        on_unanswered: OnUnanswered,
         budget: MemoryBudget,
         clock: Clock,
         log: EventLog,
@@ -82,6 +83,7 @@
             self.handle,
             limits=self._limits,
             on_rejected=on_rejected,
+            on_unanswered=on_unanswered,
             window_bytes=BODY_WINDOW_BYTES,
             is_permitted=self._is_permitted,
             budget=budget,
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -178,6 +178,11 @@
             for exchange in list(self._waiting):
                 await self._cancel_exchange(exchange)
 
+    async def cancel(self) -> None:
+        """End the connection, whatever it is doing."""
+        if self._task is not None:
+            await self._task.cancel()
+
     async def close_if_idle(self) -> None:
         """Close the connection unless a request is pending or bytes are unread.
 
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -185,6 +185,14 @@
         while self.n_in_flight or any(c.is_closing for c in self._connections):
             await curio.sleep(0.005)
 
+    async def close_all(self) -> None:
+        """Cancel the connections that are still open, at the end of a stop.
+
+        Requests without a response are reported, while the log can still be written.
+        """
+        for connection in list(self._connections):
+            await connection.cancel()
+
     async def _accept(self, sock: Socket) -> None:
         while True:
             client, address = await sock.accept()
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -295,6 +295,7 @@
             lambda: 0,
             ServerLimits,
             lambda kind, detail, peer: None,
+            lambda request, reason: None,
             MemoryBudget(1 << 20),
             clock,
             self.log,
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -202,3 +202,34 @@
         assert caller.result.startswith(b"HTTP/1.1 503 ")
 
     run(main)
+
+
+def test_request_that_a_stop_cuts_off_stands_in_the_log(gateway, run, monkeypatch):
+    """Guards against a stop that ends a request without a response, and says nothing:
+    connections were closed after the last line of the log."""
+    monkeypatch.setattr(daemon, "STOP_NOTICE_MS", 0.0)
+    gateway.settings = replace(gateway.settings, grace_ms=600.0)
+    lines = []
+    gateway.log._write = lambda data: lines.append(data.decode()) or len(data)
+    is_handling = curio.Event()
+
+    async def handle(request):
+        await is_handling.set()
+        await curio.sleep(20)
+
+    async def main():
+        gateway.forwarder.handle = handle
+        gateway.answer_by = system_clock()
+        port = await gateway.caller_server.start_on(gateway.settings.caller_listener)
+        async with await curio.open_connection("127.0.0.1", port) as sock:
+            await sock.sendall(
+                b"GET /x/1 HTTP/1.1\r\nhost: h\r\nx-request-id: q7\r\n\r\n"
+            )
+            await is_handling.wait()
+            await daemon._drain(gateway, StopRequest("SIGTERM", system_clock()))
+            gateway.log.flush()
+
+    run(main)
+    text = "".join(lines)
+    assert "event=request_unanswered request=q7 reason=connection_ended" in text
+    assert "n_requests=1 n_unanswered=1" in text
