--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -73,8 +73,12 @@
 
 RETRY_SHARE_INTERVAL_MS = 1_000.0
 
-STOP_NOTICE_MS = 3_000.0
-"""How long a stopping entry accepts connections, until the balancer drops it."""
+STOP_NOTICE_MS = 2_700.0
+"""How long a stopping entry accepts connections, until the balancer drops it.
+
+The balancer asks once per second and drops an entry after two refusals. With
+``FIRST_REQUEST_WAIT_MS``, the last request is accepted within 3 s of the signal:
+callers expect that one accepted later is completed within the grace period."""
 
 STOP_MARGIN_MS = 500.0
 FINAL_RESPONSE_MS = 200.0
