--- a/pollenfold/tests/http/test_stop_cases.py
+++ b/pollenfold/tests/http/test_stop_cases.py
@@ -252,3 +252,28 @@
         assert service.unanswered == []
 
     run(main)
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_request_that_waits_to_send_its_body_is_answered(run, is_kept):
+    """Guards against a stop that drops a request whose caller waits for 100 Continue,
+    or whose body is still on its way."""
+    head = b"POST /body HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n"
+
+    async def main():
+        service = Service()
+        connect = connect_kept(service) if is_kept else service.connect()
+        async with await connect as sock:
+            await sock.sendall(head + b"expect: 100-continue\r\n\r\n")
+            assert (await read_response(sock)).startswith(b"HTTP/1.1 100")
+            await service.server.stop()
+            idle = await curio.spawn(service.server.wait_idle)
+            await sock.sendall(b"ab")
+            await curio.sleep(LATE_S)
+            await sock.sendall(b"cd")
+            await idle.join()
+            response = await read_response(sock)
+            assert is_refusal(response) if is_kept else response.endswith(b"body")
+        assert service.unanswered == []
+
+    run(main)
