--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -87,7 +87,7 @@
     """
 
     def __init__(self, n_members: int, clock: Clock, log: EventLog) -> None:
-        self._n_members = n_members
+        self.n_members = n_members
         self._clock = clock
         self._log = log
         self._clients: Clients = {}
@@ -298,7 +298,7 @@
         return (
             is_starting
             and self.replicated_state.version == 0
-            and n_voters < self._n_members
+            and n_voters < self.n_members
         )
 
     async def read(self, timeout_ms: float) -> Result[ReplicatedState, ErrorKind]:
@@ -367,7 +367,7 @@
         error = ErrorKind.NOT_LEADER
         while (left_ms := remaining_ms(deadline, self._clock())) > 0.0:
             if self.replica.is_leader():
-                result = await self.replica.propose(command, left_ms)
+                result = await self.propose(command, left_ms)
             else:
                 result = await self.forward(command, min(left_ms, FORWARD_TIMEOUT_MS))
             if result.is_ok():
@@ -378,6 +378,21 @@
             await curio.sleep(RETRY_PAUSE_MS / 1000)
         return Error(error)
 
+    async def propose(
+        self, command: bytes, timeout_ms: float
+    ) -> Result[int, ErrorKind]:
+        """Commit a command as the leader; log how many voters are known to hold it."""
+        result = await self.replica.propose(command, timeout_ms)
+        if result.is_ok() and command != BARRIER:
+            self._log.state(
+                "order_agreed",
+                index=result.ok,
+                n_holding=self.replica.n_holding(result.ok),
+                n_voters=len(self.replica.voters()),
+                n_target=self.n_members,
+            )
+        return result
+
     async def forward(
         self, command: bytes, timeout_ms: float
     ) -> Result[int, ErrorKind]:
@@ -401,7 +416,7 @@
             if confirmed.is_error():
                 return NOT_COMMITTED
             return confirmed.ok.to_bytes(CONFIRMATION_BYTES, "big")
-        return encode_outcome(await self.replica.propose(command, FORWARD_TIMEOUT_MS))
+        return encode_outcome(await self.propose(command, FORWARD_TIMEOUT_MS))
 
     async def call(
         self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -121,7 +121,7 @@
         ):
             self._log.state("order_superseded", subject=order.zone, after=after_index)
             return Error(ErrorKind.SUPERSEDED)
-        return await replica.propose(command, timeout_ms)
+        return await self._cluster_state.propose(command, timeout_ms)
 
     async def handle_forwarded(self, payload: bytes) -> bytes:
         """Append a forwarded order on its condition; respond with the outcome.
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -45,7 +45,7 @@
     Send,
     Tick,
 )
-from ..core.agreement_state import majority_contact_at
+from ..core.agreement_state import majority_contact_at, n_voters_holding
 from ..core.clock import Clock, Instant, add_ms
 from ..core.errors import ErrorKind
 from ..storage.agreement import AgreementStorage, OpenJournal
@@ -175,6 +175,10 @@
         """Return the voters of the latest membership entry; empty when fixed."""
         return frozenset() if self._state is None else self._state.voters
 
+    def n_holding(self, index: int) -> int:
+        """Return how many voters are known here to hold the log up to an index."""
+        return 0 if self._state is None else n_voters_holding(self._state, index)
+
     def last_leader_contact(self) -> Instant | None:
         """Return when a leader last made contact, at first the start time."""
         return None if self._state is None else self._state.leader_contact_at
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -149,6 +149,19 @@
     return contact_times[state.n_majority - 1]
 
 
+def n_voters_holding(state: State, index: int) -> int:
+    """Return how many voters hold the log up to an index, as far as is known here.
+
+    A leader knows it of all voters, any other replica only of itself.
+    """
+    n_others = sum(
+        state.is_voter(k) and not p.is_blank and p.match_index >= index
+        for k, p in state.progress.items()
+    )
+    holds_itself = state.is_voter(state.replica_id) and state.log.last_index >= index
+    return n_others + holds_itself
+
+
 def is_leader(state: State, now: Instant) -> bool:
     """Return whether this replica leads and no other one can have been elected.
 
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -35,8 +35,9 @@
 class Cluster:
     """Replicas on loopback addresses 127.0.0.x, each with its own data folder."""
 
-    def __init__(self, folder: Path, ports: tuple[int, int]):
+    def __init__(self, folder: Path, ports: tuple[int, int], n_members: int = 3):
         self.folder = folder
+        self.n_members = n_members
         self.peer_port, self.feed_port = ports
         self.running = {}
         self.seeds = ["127.0.0.1", "127.0.0.2"]
@@ -56,7 +57,7 @@
             seeds=lambda: self.seeds,
             reload=lambda: None,
             is_founder=is_first and number == 1,
-            n_members=3,
+            n_members=self.n_members,
         )
         node = ClusterNode(settings)
         node.load_endpoints()
--- a/pollenfold/tests/platform/test_control_api.py
+++ b/pollenfold/tests/platform/test_control_api.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.replicated_state = ReplicatedState()
+        self.n_members = 3
         self.n_ticks = 0
         self.accepted = []
 
@@ -43,7 +44,7 @@
             cluster_state=cluster_state,
             metrics=Metrics(),
             log=EventLog("core-1", system_clock, write=len),
-            replica=SimpleNamespace(leader_id=lambda: None),
+            replica=SimpleNamespace(leader_id=lambda: None, voters=frozenset),
         )
         document = large_configuration(14_000, version=9)
         ticker = await curio.spawn(cluster_state.tick)
