--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -13,6 +13,7 @@
 import curio
 from expression import Error, Ok, Result
 
+from ..core.acknowledgement import Group, is_held_back
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.limit_report import (
@@ -41,6 +42,7 @@
 from .forwarding import (
     CONFIRMATION_BYTES,
     FORWARD_TIMEOUT_MS,
+    NOT_APPENDED_KINDS,
     NOT_COMMITTED,
     RETRY_PAUSE_MS,
     Clients,
@@ -64,10 +66,6 @@
 The endpoint itself waits one second for the response."""
 
 UNKNOWN_ENDPOINT_POLL_MS = 10.0
-BOOTSTRAP_WAIT_MS = 6_000.0
-"""How long a new cluster waits for all its members before it accepts configurations.
-
-A command that only the first members hold is lost with their disks."""
 
 Call = Callable[[str, bytes, float], Awaitable[Result[bytes, ErrorKind]]]
 """Calls a replica: id, payload and timeout in ms."""
@@ -96,6 +94,7 @@
         connection, and a command on the same one would be lost with it."""
 
         self._started_at = clock()
+        self._has_held_back = False
         self.replicated_state = ReplicatedState()
         self.registry = Registry()
         self.announced_ids: set[str] = set()
@@ -270,8 +269,6 @@
         """
         if self._is_redundant(command):
             return Ok(None)
-        if isinstance(command, Configure) and self._is_bootstrapping():
-            return Error(ErrorKind.NOT_READY)
         deadline = add_ms(self._clock(), timeout_ms)
         is_repeatable = not isinstance(command, Evacuate)
         try:
@@ -292,14 +289,26 @@
                 # An earlier opposite command may not have reached this replica yet.
                 return False
 
-    def _is_bootstrapping(self) -> bool:
-        is_starting = self._clock() < add_ms(self._started_at, BOOTSTRAP_WAIT_MS)
-        n_voters = len(self.replica.voters())
-        return (
-            is_starting
-            and self.replicated_state.version == 0
-            and n_voters < self.n_members
+    def _is_held_back(self) -> bool:
+        """Return whether this leader appends no command until it has more voters."""
+        led_since = self.replica.leader_since()
+        if led_since is None:
+            return False
+        group = Group(
+            len(self.replica.voters()),
+            self.n_members,
+            self.replicated_state.version == 0,
+            self._started_at,
+            led_since,
+            self.replica.growing_since(),
         )
+        was_held_back = self._has_held_back
+        self._has_held_back = is_held_back(group, self._clock())
+        if self._has_held_back and not was_held_back:
+            self._log.state(
+                "orders_held_back", n_voters=group.n_voters, n_target=group.n_target
+            )
+        return self._has_held_back
 
     async def read(self, timeout_ms: float) -> Result[ReplicatedState, ErrorKind]:
         """Return a state that includes every command acknowledged before the call."""
@@ -362,7 +371,7 @@
         """Commit a command through the current leader; return its index.
 
         A repeatable command may be committed twice when a response is lost. Any other
-        is retried only after ``NOT_LEADER``, which means that it wasn't committed.
+        is retried only after errors which mean that it wasn't committed.
         """
         error = ErrorKind.NOT_LEADER
         while (left_ms := remaining_ms(deadline, self._clock())) > 0.0:
@@ -373,7 +382,7 @@
             if result.is_ok():
                 return result
             error = result.error
-            if not is_repeatable and error is not ErrorKind.NOT_LEADER:
+            if not is_repeatable and error not in NOT_APPENDED_KINDS:
                 break
             await curio.sleep(RETRY_PAUSE_MS / 1000)
         return Error(error)
@@ -381,7 +390,13 @@
     async def propose(
         self, command: bytes, timeout_ms: float
     ) -> Result[int, ErrorKind]:
-        """Commit a command as the leader; log how many voters are known to hold it."""
+        """Commit a command as the leader; log how many voters are known to hold it.
+
+        ``NOT_READY`` means that it isn't appended, since voters are missing that are
+        about to come (``core/acknowledgement.py``). Barriers are never held back.
+        """
+        if command != BARRIER and self._is_held_back():
+            return Error(ErrorKind.NOT_READY)
         result = await self.replica.propose(command, timeout_ms)
         if result.is_ok() and command != BARRIER:
             self._log.state(
--- a/pollenfold/control/forwarding.py
+++ b/pollenfold/control/forwarding.py
@@ -28,6 +28,9 @@
 """The response to an order that isn't appended, since another one came first. Only
 replicas that send conditions get it."""
 
+NOT_APPENDED_KINDS = (ErrorKind.NOT_LEADER, ErrorKind.NOT_READY)
+"""Errors of a leader after which the command isn't in the log and won't be."""
+
 Clients = dict[tuple[str, int], RpcClient]
 """The connections to other replicas by host and port."""
 
@@ -38,7 +41,7 @@
         return result.ok.to_bytes(INDEX_BYTES, "big")
     if result.error is ErrorKind.SUPERSEDED:
         return SUPERSEDED
-    return NOT_COMMITTED if result.error is ErrorKind.NOT_LEADER else MAY_BE_COMMITTED
+    return NOT_COMMITTED if result.error in NOT_APPENDED_KINDS else MAY_BE_COMMITTED
 
 
 def decode_outcome(response: Result[bytes, ErrorKind]) -> Result[int, ErrorKind]:
--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -58,7 +58,7 @@
     ) -> Result[int, ErrorKind]:
         """Commit an order while its sender waits; return its index.
 
-        After ``ABANDONED``, ``SUPERSEDED`` and ``NOT_LEADER`` it isn't committed; after
+        After ``ABANDONED`` and each of ``RETRIED_KINDS`` it isn't committed; after
         another error it may be, unless another order on the zone is committed first.
         """
         deadline = add_ms(self._clock(), timeout_ms)
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -26,6 +26,7 @@
 from ..core.agreement_members import (
     decode_members,
     founder_state,
+    is_growing,
     next_membership_change,
     unwrap_snapshot,
     wrap_snapshot,
@@ -144,6 +145,7 @@
 
         self._leader_since: Instant | None = None
         self._has_seen_leader = False
+        self._growing_since: Instant | None = None
         self._outbox: list[Message] = []
         self._proposals: dict[int, _Proposal] = {}
         self._resolved: list[_Proposal] = []
@@ -163,6 +165,10 @@
         """Return when this replica became leader, or None when it isn't."""
         return self._leader_since if self.is_leader() else None
 
+    def growing_since(self) -> Instant | None:
+        """Return since when a replica has been waiting to become a missing voter."""
+        return self._growing_since
+
     def applied_index(self) -> int:
         """Return the index of the last entry applied to the state machine."""
         return self._applied_index
@@ -457,6 +463,7 @@
     def _observe(self, before: State, state: State) -> None:
         """Log role changes; fail pending proposals when this replica doesn't lead."""
         self._has_seen_leader |= state.leader_id is not None
+        self._observe_growth(state)
         if (state.role, state.term) != (before.role, before.term):
             logger.info(
                 "event=role_changed replica={} role={} term={}",
@@ -473,6 +480,13 @@
         elif self._leader_since is None and self.is_leader():
             self._leader_since = self._clock()
 
+    def _observe_growth(self, state: State) -> None:
+        now = self._clock()
+        if self._members is None or not is_growing(state, self._members.n_target, now):
+            self._growing_since = None
+        elif self._growing_since is None:
+            self._growing_since = now
+
     def _resolve(self, index: int, result: Result[int, ErrorKind]) -> None:
         proposal = self._proposals.pop(index)
         proposal.result = result
--- /dev/null
+++ b/pollenfold/core/acknowledgement.py
@@ -0,0 +1,58 @@
+"""When the leader of the replicated log appends commands that it acknowledges.
+
+A group of ``2f + 1`` voters keeps an acknowledged command when it loses the disks of
+any ``f``. A smaller group doesn't: of three voters two hold a command, and both may be
+lost; of four voters two lost disks leave no majority. So the leader holds a command
+back, before it is appended, while a replica is about to become one of the missing
+voters. If no replica is, the missing ones are lost machines, and as many fewer may be
+lost besides them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .clock import Instant, add_ms
+
+BOOTSTRAP_WAIT_MS = 6_000.0
+"""How long a new cluster waits for all its members before it accepts commands."""
+
+LEARNER_WAIT_MS = 1_000.0
+"""How long a new leader waits for replicas that request to join.
+
+They repeat their request every 400 ms, and need one more to learn of the leader."""
+
+GROWTH_WAIT_MS = 3_000.0
+"""How long commands wait for a replica to become a voter.
+
+Operators allow 4 s and send again after one second, so a command that waited this long
+has one more attempt."""
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """What a leader knows of its group.
+
+    ``is_new`` is whether no configuration was accepted yet. ``started_at`` is the start
+    of the leader's process, ``led_since`` when it became leader, and ``growing_since``
+    since when a responsive replica has been waiting to become a missing voter, or None.
+    """
+
+    n_voters: int
+    n_target: int
+    is_new: bool
+    started_at: Instant
+    led_since: Instant
+    growing_since: Instant | None
+
+
+def is_held_back(group: Group, now: Instant) -> bool:
+    """Return whether a command waits until the group has more voters."""
+    if group.n_voters >= group.n_target:
+        return False
+    if group.is_new and now < add_ms(group.started_at, BOOTSTRAP_WAIT_MS):
+        return True
+    if now < add_ms(group.led_since, LEARNER_WAIT_MS):
+        return True
+    growing_since = group.growing_since
+    return growing_since is not None and now < add_ms(growing_since, GROWTH_WAIT_MS)
--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -159,6 +159,17 @@
     return None
 
 
+def is_growing(state: State, n_target: int, now: Instant) -> bool:
+    """Return whether a responsive learner waits to become one of the missing voters."""
+    if state.role is not Role.LEADER or len(state.voters) >= n_target:
+        return False
+    return any(
+        now < add_ms(state.progress[k].last_contact_at, ELECTION_TIMEOUT_MAX_MS)
+        for k in state.learners
+        if k in state.progress
+    )
+
+
 def _has_uncommitted_change(state: State) -> bool:
     uncommitted = state.log.between(state.commit_index + 1, state.log.last_index)
     return any(decode_members(entry.command) is not None for entry in uncommitted)
--- a/pollenfold/core/orders.py
+++ b/pollenfold/core/orders.py
@@ -69,7 +69,11 @@
 Step = Confirm | CheckSender | Append | Pause
 Steps = Generator[Step, object, Result[int, ErrorKind]]
 
-RETRIED_KINDS = (ErrorKind.NOT_LEADER, ErrorKind.SUPERSEDED)
+RETRIED_KINDS = (
+    ErrorKind.NOT_LEADER,
+    ErrorKind.NOT_READY,
+    ErrorKind.SUPERSEDED,
+)
 """Errors after which the order isn't in the log and won't be, so that it can be tried
 again. After any other error a second copy could follow the first one."""
 
