--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -58,7 +58,7 @@
     ) -> Result[int, ErrorKind]:
         """Commit an order while its sender waits; return its index.
 
-        After ``ABANDONED``, ``SUPERSEDED`` and ``NOT_LEADER`` it isn't committed; after
+        After ``ABANDONED`` and each of ``RETRIED_KINDS`` it isn't committed; after
         another error it may be, unless another order on the zone is committed first.
         """
         deadline = add_ms(self._clock(), timeout_ms)
@@ -121,7 +121,7 @@
         ):
             self._log.state("order_superseded", subject=order.zone, after=after_index)
             return Error(ErrorKind.SUPERSEDED)
-        return await replica.propose(command, timeout_ms)
+        return await self._cluster_state.propose(command, timeout_ms)
 
     async def handle_forwarded(self, payload: bytes) -> bytes:
         """Append a forwarded order on its condition; respond with the outcome.
