--- a/benchmarks/early_stops.py
+++ b/benchmarks/early_stops.py
@@ -114,6 +114,10 @@
             return ("pollenfold.platform",)
         return ("pollenfold.testing.slow_start", self.slow_point, f"{self.slow_s:.3f}")
 
+    @property
+    def is_killed(self) -> bool:
+        return any(number == signal.SIGKILL for _, number in self.signals)
+
     def __str__(self) -> str:
         signals = ",".join(
             f"{signal.Signals(number).name}@+{wait_s:.3f}"
--- a/benchmarks/planned_work.py
+++ b/benchmarks/planned_work.py
@@ -15,12 +15,14 @@
 from __future__ import annotations
 
 import argparse
+import itertools
 import random
 import shutil
 import signal
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import curio
@@ -47,6 +49,7 @@
 period: beside load, a start can outlast the deadline of a request."""
 
 CONNECT_EVERY_S = 0.002
+SEND_EVERY_S = 0.02
 N_EARLY_CALLERS = 3
 STOP_LIMIT_S = 8.0
 N_CALLERS = 6
@@ -63,6 +66,7 @@
         self.entries = [self._make_entry(network, number) for number in range(8)]
         self.lost: list[str] = []
         self.n_lives = 0
+        self.n_reads = 0
         self.early_entries: set[str] = set()
         """Names of entries that are stopped early in their lives now."""
 
@@ -141,27 +145,38 @@
         self, entry: Program, name: str, rng: random.Random
     ) -> None:
         """Send requests to an entry from its first accepted connection to its end."""
-        process = entry.process
-        n_calls = 0
-        while process is not None and process.poll() is None:
-            try:
-                async with curio.timeout_after(0.5):
-                    connection = await HttpConnection.open(entry.host, CALLER_PORT)
-            except (OSError, curio.TaskTimeout):
-                await curio.sleep(CONNECT_EVERY_S)
-                continue
-            is_reusable = True
-            while is_reusable and process.poll() is None:
-                n_calls += 1
-                is_reusable = await self._send(
-                    connection,
-                    rng,
-                    f"{name}-{n_calls}",
-                    entry,
-                    EARLY_DEADLINE_MS,
+        numbers = itertools.count(1)
+
+        async def send(connection: HttpConnection) -> bool:
+            request_id = f"{name}-{next(numbers)}"
+            return await self._send(
+                connection, rng, request_id, entry, EARLY_DEADLINE_MS
+            )
+
+        await use_until_end(entry, CALLER_PORT, send)
+
+    async def read_from_starting_control(self, control: Program) -> None:
+        """Read the configuration from a control process until its end."""
+
+        async def send(connection: HttpConnection) -> bool:
+            headers = [(b"host", control.host.encode())]
+            self.n_reads += 1
+            failure = await connection.send(b"GET", b"/-/config", headers, b"")
+            sent_at = time.monotonic()
+            if failure is None:
+                result = await connection.receive(EARLY_WAIT_MS)
+                if result.is_ok():
+                    return connection.is_reusable
+                failure = result.error
+            waited_s = time.monotonic() - sent_at
+            if waited_s > LOSS_SLACK_S:
+                self.lost.append(
+                    f"read {self.n_reads}: {control.name} {failure.value} "
+                    f"after {waited_s:.3f} s"
                 )
-                await curio.sleep(rng.uniform(0.0, 0.05))
-            await connection.close()
+            return False
+
+        await use_until_end(control, CONTROL_PORT, send)
 
     # Planned work
 
@@ -244,10 +259,24 @@
             control = self.rng.choice(self.controls)
             control.kill()
             await curio.sleep(0.3)
-            life = draw_life(self.early_rngs["control"], control.role, FAULT_SERIES)
-            start_life(self, control, life)
-            await end_life(self, control, life)
-            control.start(self.seeds, False)
+            rng = self.early_rngs["control"]
+            await self._end_control_early(
+                control, draw_life(rng, control.role, FAULT_SERIES)
+            )
+
+    async def _end_control_early(self, control: Program, life: EarlyLife) -> None:
+        """Start a control process, end it early in its life and start it again."""
+        start_life(self, control, life)
+        operators = []
+        if not life.is_killed:
+            operators = [
+                await curio.spawn(self.read_from_starting_control, control)
+                for _ in range(N_EARLY_CALLERS)
+            ]
+        await end_life(self, control, life)
+        for operator in operators:
+            await operator.join()
+        control.start(self.seeds, False)
 
     async def play(self, seconds: float) -> None:
         """Start everything, work under load, then judge what callers got."""
@@ -278,6 +307,28 @@
                     self.add_violation(f"{request_id} was executed {n} times")
 
 
+async def use_until_end(
+    program: Program, port: int, send: Callable[[HttpConnection], Awaitable[bool]]
+) -> None:
+    """Use connections to a process from the first that it accepts until it is gone.
+
+    ``send`` returns whether its connection can be used again.
+    """
+    process = program.process
+    while process is not None and process.poll() is None:
+        try:
+            async with curio.timeout_after(0.5):
+                connection = await HttpConnection.open(program.host, port)
+        except (OSError, curio.TaskTimeout):
+            await curio.sleep(CONNECT_EVERY_S)
+            continue
+        is_reusable = True
+        while is_reusable and process.poll() is None:
+            is_reusable = await send(connection)
+            await curio.sleep(SEND_EVERY_S)
+        await connection.close()
+
+
 def run_seed(
     seed: int, seconds: float, keep: Path | None, root: Path = ROOT
 ) -> list[str]:
@@ -295,7 +346,7 @@
         if work.violations and keep is not None:
             shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
         shutil.rmtree(folder, ignore_errors=True)
-    counts = f"lives={work.n_lives} "
+    counts = f"lives={work.n_lives} reads={work.n_reads} "
     counts += f"sent={work.n_sent} served={work.n_served} unanswered={len(work.late)}"
     print(f"seed={seed} {counts} violations={len(work.violations)}", flush=True)
     return work.violations
