--- a/pollenfold/tests/platform/test_drain_instants.py
+++ b/pollenfold/tests/platform/test_drain_instants.py
@@ -48,7 +48,7 @@
             except (OSError, curio.TaskTimeout):
                 continue
             async with sock:
-                while await self._send(sock) and is_kept:
+                while await self._send(sock) and is_kept and not self.is_over:
                     await curio.sleep(self._rng.uniform(0.0, 0.02))
 
     async def _send(self, sock):
