--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -8,6 +8,7 @@
 import curio
 
 from ..core.clock import Clock, add_ms, remaining_ms
+from ..core.errors import ErrorKind
 from ..core.outcomes import AttemptOutcome
 from ..http.messages import BodyError, Headers, Response, find_header
 from ..http.socket_state import is_closed_by_peer
@@ -71,7 +72,7 @@
     if the caller doesn't send its whole body.
     """
     left_ms = remaining_ms(call.deadline, clock())
-    request = _build_request(call, endpoint, dialect, left_ms)
+    request = _build_request(call, endpoint, dialect, left_ms, clock)
     try:
         async with curio.timeout_after(left_ms / 1000):
             is_sent = await _send(
@@ -120,7 +121,7 @@
 
 
 def _build_request(
-    call: Call, endpoint: Endpoint, dialect: Dialect, left_ms: float
+    call: Call, endpoint: Endpoint, dialect: Dialect, left_ms: float, clock: Clock
 ) -> OutgoingRequest:
     """Return the request for one endpoint, with the remaining time as its deadline."""
     endpoint_id = endpoint.announcement.endpoint_id.encode()
@@ -129,10 +130,10 @@
         (dialect.deadline_ms, b"%d" % int(left_ms)),
         (dialect.expected_instance, endpoint_id),
     ]
-    return request_of_call(call, headers)
+    return request_of_call(call, headers, clock)
 
 
-def request_of_call(call: Call, headers: Headers) -> OutgoingRequest:
+def request_of_call(call: Call, headers: Headers, clock: Clock) -> OutgoingRequest:
     """Return the caller's request with other headers, for an endpoint or a peer."""
     request = call.request
     return outgoing_request(
@@ -140,19 +141,25 @@
         request.target,
         headers,
         request.body,
-        _body_reader(call),
+        _body_reader(call, clock),
         request.header(b"content-length"),
     )
 
 
-def _body_reader(call: Call) -> ReadRemainingBody | None:
-    """Return the reader of the rest of a long body; it records that it was used."""
+def _body_reader(call: Call, clock: Clock) -> ReadRemainingBody | None:
+    """Return the reader of the rest of a long body; it records that it was used.
+
+    The connection calls it again while it waits for a piece. It raises BodyError after
+    the deadline, which moves if this process is stopped meanwhile.
+    """
     read_remaining_body = call.request.read_remaining_body
     if read_remaining_body is None:
         return None
 
     async def read_and_record() -> bytes:
         call.is_body_streamed = True
+        if remaining_ms(call.deadline, clock()) <= 0.0:
+            raise BodyError(ErrorKind.SLOW_REQUEST, "deadline")
         return await read_remaining_body()
 
     return read_and_record
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -250,7 +250,7 @@
             (self._dialect.deadline_ms, b"%d" % int(left_ms)),
             (RELAY_REQUEST, encode_relayed_request(relayed)),
         ]
-        return request_of_call(call, headers)
+        return request_of_call(call, headers, self._clock)
 
     def _hang_check(
         self, call: Call, peer: Peer
