--- a/pollenfold/storage/journal.py
+++ b/pollenfold/storage/journal.py
@@ -8,6 +8,7 @@
 
 import xxhash
 from expression import Error, Ok, Result
+from loguru import logger
 
 from ..core.errors import ErrorKind, Failure
 
@@ -47,6 +48,18 @@
     return entries, offset
 
 
+def _count_following(data: bytes, offset: int) -> int:
+    """Return how many complete entries follow a damaged one, by its stated length.
+
+    After a crash they may be the rest of the last write, whose parts reach the disk in
+    any order. Otherwise the disk has damaged entries that were synced.
+    """
+    if offset + _HEADER.size > len(data):
+        return 0
+    n_bytes, _ = _HEADER.unpack_from(data, offset)
+    return len(_read_entries(data[offset + _HEADER.size + n_bytes :])[0])
+
+
 def sync_folder(folder: Path) -> None:
     """Make the directory entries of a folder durable."""
     descriptor = os.open(folder, os.O_RDONLY)
@@ -60,10 +73,10 @@
     """Entries of bytes in one file, each with its length and checksum.
 
     When the file is opened, it is truncated at the first incomplete or corrupt entry,
-    such as a crash during a write leaves at the end. After a failed write the journal
-    rejects further appends, because the state of the file is then unknown (an
-    ``fsync`` that failed once may report success later without having written the
-    data).
+    such as a crash during a write leaves at the end, and what is dropped is logged.
+    After a failed write the journal rejects further appends, because the state of the
+    file is then unknown (an ``fsync`` that failed once may report success later without
+    having written the data).
 
     For example, ``journal, entries = Journal.open(path)`` followed by
     ``journal.append([b"a", b"b"])`` writes both entries with one sync.
@@ -82,6 +95,14 @@
         data = path.read_bytes()
         entries, n_valid_bytes = _read_entries(data)
         if n_valid_bytes < len(data):
+            logger.warning(
+                "event=journal_truncated path={} offset={} "
+                "n_dropped_bytes={} n_following={}",
+                path,
+                n_valid_bytes,
+                len(data) - n_valid_bytes,
+                _count_following(data, n_valid_bytes),
+            )
             os.ftruncate(descriptor, n_valid_bytes)
             os.fsync(descriptor)
         os.lseek(descriptor, n_valid_bytes, os.SEEK_SET)
--- a/pollenfold/tests/storage/test_journal.py
+++ b/pollenfold/tests/storage/test_journal.py
@@ -3,6 +3,7 @@
 import os
 
 import pytest
+from loguru import logger
 
 from pollenfold.core.errors import ErrorKind
 from pollenfold.storage.journal import MAX_ENTRY_BYTES, Journal
@@ -46,6 +47,39 @@
     assert Journal.open(path)[1] == ENTRIES[:2]
 
 
+@pytest.mark.parametrize(
+    ("damaged_at", "n_following"), [(12, 2), (-1, 0)], ids=["middle", "end"]
+)
+def test_dropped_entries_are_reported(tmp_path, damaged_at, n_following):
+    """Guards against a damaged disk that drops acknowledged entries unnoticed, as if a
+    crash had cut off a write at the end."""
+    path = tmp_path / "log"
+    append_entries(path, ENTRIES)
+    data = bytearray(path.read_bytes())
+    data[damaged_at] ^= 1
+    path.write_bytes(bytes(data))
+    lines = []
+    handler = logger.add(lines.append, format="{message}")
+    journal, entries = Journal.open(path)
+    logger.remove(handler)
+    journal.close()
+    (line,) = lines
+    assert line.startswith("event=journal_truncated ")
+    n_dropped_bytes = len(data) - sum(12 + len(entry) for entry in entries)
+    assert f" n_dropped_bytes={n_dropped_bytes} n_following={n_following}" in line
+
+
+def test_intact_file_is_opened_without_a_report(tmp_path):
+    """Guards against reports of damage that operators learn to ignore."""
+    append_entries(tmp_path / "log", ENTRIES)
+    lines = []
+    handler = logger.add(lines.append, format="{message}")
+    journal, _ = Journal.open(tmp_path / "log")
+    logger.remove(handler)
+    journal.close()
+    assert lines == []
+
+
 def test_failed_write_refuses_further_appends(tmp_path):
     """Guards against an acknowledgement after a sync that failed."""
     journal, _ = Journal.open(tmp_path / "log")
