--- a/pollenfold/tests/control/test_late_orders.py
+++ b/pollenfold/tests/control/test_late_orders.py
@@ -298,7 +298,7 @@
             program.start(system.seeds, True)
         await system.put_configuration()
         await order_until_accepted(system, system.seeds, b"POST")
-        leader_host = leader_host_of(system)
+        leader_host = await leader_host_of(system)
         paused = next(
             p for p in system.controls if (p.host == leader_host) == is_leader
         )
@@ -321,8 +321,10 @@
     curio.run(main)
 
 
-def leader_host_of(system):
+async def leader_host_of(system):
     """Return the host of the leader, from the answered orders."""
+    # The logs are written every 0.1 s, so the line may follow the answer.
+    await curio.sleep(0.5)
     for program in system.controls:
         for line in reversed((program.folder / "log").read_text().splitlines()):
             if "event=order_answered" in line and "leader=None" not in line:
