--- a/pollenfold/tests/platform/test_early_stops.py
+++ b/pollenfold/tests/platform/test_early_stops.py
@@ -18,7 +18,7 @@
 from pollenfold.http.listener import open_listener
 from pollenfold.storage.member import FILE_NAME
 
-NETWORK_SEED = 192
+NETWORK_SEED = 195
 """Selects a network of loopback addresses that no other test uses."""
 
 NO_POINT = "none"
