--- a/pollenfold/tests/observe/test_daemon.py
+++ b/pollenfold/tests/observe/test_daemon.py
@@ -10,20 +10,11 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.daemon import wait_for_end
 from pollenfold.observe.events import EventLog
-from pollenfold.observe.signals import RELOAD_SIGNAL, STOP_SIGNALS, Signals
+from pollenfold.observe.signals import Signals
 
 WAITED_MS = 200.0
 
 
-@pytest.fixture(autouse=True)
-def handlers():
-    """Restore the handlers of the process that runs the tests."""
-    before = {n: signal.getsignal(n) for n in (*STOP_SIGNALS, RELOAD_SIGNAL)}
-    yield
-    for number, handler in before.items():
-        signal.signal(number, handler)
-
-
 @pytest.fixture
 def log():
     return EventLog("e1", system_clock, write=len)
--- a/pollenfold/tests/observe/test_signals.py
+++ b/pollenfold/tests/observe/test_signals.py
@@ -16,15 +16,6 @@
 )
 
 
-@pytest.fixture(autouse=True)
-def handlers():
-    """Restore the handlers of the process that runs the tests."""
-    before = {n: signal.getsignal(n) for n in (*STOP_SIGNALS, RELOAD_SIGNAL)}
-    yield
-    for number, handler in before.items():
-        signal.signal(number, handler)
-
-
 @pytest.mark.parametrize("second", [*STOP_SIGNALS, RELOAD_SIGNAL])
 def test_second_signal_does_not_end_a_stopping_process(run, second):
     """Guards against a second signal that aborts a planned stop, also between the first
