--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -279,7 +279,6 @@
     metrics = HttpServer(node.handle_metrics)
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop, node.reload)
-        # Peers reconnect to one that ends; operators and endpoints would lose orders.
         for listener in (peers, feeds, operators):
             start_listening(listener)
         await api.start_on(operators)
