--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -90,7 +90,7 @@
 b = "r"
 c = "r"
 [terms.faultTolerance]
-machines = 1
+machines = {n_tolerated}
 [terms.bounds]
 graceS = 6
 budgetRatio = 0.2
@@ -121,6 +121,9 @@
     root: Path = ROOT
     """The folder with the version of the program that is run."""
 
+    n_tolerated: int = 1
+    """How many machines with a disk may be lost at the same time."""
+
     planned: set[subprocess.Popen[bytes]] = field(default_factory=set)
     """Processes that got a signal when connections to them had been accepted, or when
     they had logged their start. A SIGTERM must end them as planned."""
@@ -145,6 +148,7 @@
             caller_port=CALLER_PORT,
             ready_port=READY_PORT,
             control_port=CONTROL_PORT,
+            n_tolerated=self.n_tolerated,
         )
         settings.write_text(text)
         with (self.folder / "log").open("ab") as log:
