--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -13,8 +13,6 @@
 from loguru import logger
 
 from ..core.agreement import (
-    ELECTION_TIMEOUT_MAX_MS,
-    ELECTION_TIMEOUT_MIN_MS,
     HEARTBEAT_MS,
     Role,
     State,
@@ -48,6 +46,7 @@
 )
 from ..core.agreement_state import majority_contact_at, n_voters_holding
 from ..core.clock import Clock, Instant, add_ms
+from ..core.election_timeout import election_timeout_ms, first_timeout_ms
 from ..core.errors import ErrorKind
 from ..storage.agreement import AgreementStorage, OpenJournal
 from ..storage.journal import Journal
@@ -59,8 +58,6 @@
 """A snapshot replaces the entries applied so far after this many, or after this many
 bytes of commands, since each configuration supersedes the previous one."""
 
-FIRST_ELECTION_TIMEOUTS_MS = (60.0, 240.0)
-
 CONFIRM_POLL_MS = 5.0
 
 REOPEN_AFTER_MS = 1000.0
@@ -144,7 +141,6 @@
         """The bytes of the commands applied since the last snapshot."""
 
         self._leader_since: Instant | None = None
-        self._has_seen_leader = False
         self._growing_since: Instant | None = None
         self._outbox: list[Message] = []
         self._proposals: dict[int, _Proposal] = {}
@@ -331,11 +327,8 @@
         return min(max(wake_at - self._clock(), 1.0), HEARTBEAT_MS)
 
     def _timeout_ms(self) -> float:
-        if self._members is not None and not self._has_seen_leader:
-            # All replicas may have restarted together, and no request is served until
-            # one of them is elected, so the first timeouts are short.
-            return self._random.uniform(*FIRST_ELECTION_TIMEOUTS_MS)
-        return self._random.uniform(ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS)
+        assert self._state is not None
+        return election_timeout_ms(self._state, self._random)
 
     def _open(self) -> None:
         """Load the state from the data folder, as after a restart of the process."""
@@ -366,7 +359,7 @@
             storage.stored_state,
             log,
             self._clock(),
-            self._timeout_ms(),
+            first_timeout_ms(members is not None, self._random),
             is_dynamic=members is not None,
         )
         snapshot = log.snapshot
@@ -462,7 +455,6 @@
 
     def _observe(self, before: State, state: State) -> None:
         """Log role changes; fail pending proposals when this replica doesn't lead."""
-        self._has_seen_leader |= state.leader_id is not None
         self._observe_growth(state)
         if (state.role, state.term) != (before.role, before.term):
             logger.info(
--- a/pollenfold/core/agreement_election.py
+++ b/pollenfold/core/agreement_election.py
@@ -39,6 +39,7 @@
         leader_id=None,
         votes=frozenset({state.replica_id}),
         wake_at=add_ms(now, timeout_ms),
+        n_elections=state.n_elections + 1,
     )
     if len(state.votes) >= state.n_majority:
         return _start_election(state, now, timeout_ms)
@@ -75,6 +76,8 @@
         state,
         role=Role.LEADER,
         leader_id=state.replica_id,
+        has_seen_leader=True,
+        n_elections=0,
         progress=progress,
         log=state.log.with_entries((entry,)),
         term_start_index=entry.index,
--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement_replication.py
@@ -217,7 +217,8 @@
     state, actions = become_follower(
         state, term, message.sender, add_ms(now, timeout_ms)
     )
-    return replace(state, leader_contact_at=now), actions
+    state = replace(state, leader_contact_at=now, has_seen_leader=True, n_elections=0)
+    return state, actions
 
 
 def on_append_request(
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -104,6 +104,11 @@
     is_dynamic: bool = False
     voters: frozenset[str] = frozenset()
     learners: frozenset[str] = frozenset()
+    has_seen_leader: bool = False
+    """Whether this replica has followed a leader, or led, since its start."""
+
+    n_elections: int = 0
+    """How often it has asked for votes since it last knew a leader."""
 
     @property
     def n_majority(self) -> int:
