--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -295,7 +295,8 @@
         if led_since is None:
             return False
         group = Group(
-            len(self.replica.voters()),
+            self.replica.n_whole_voters(),
+            self.replica.n_answering_voters(),
             self.n_members,
             self.replicated_state.version == 0,
             self._started_at,
@@ -306,7 +307,10 @@
         self._has_held_back = is_held_back(group, self._clock())
         if self._has_held_back and not was_held_back:
             self._log.state(
-                "orders_held_back", n_voters=group.n_voters, n_target=group.n_target
+                "orders_held_back",
+                n_voters=group.n_voters,
+                n_answering=group.n_answering,
+                n_target=group.n_target,
             )
         return self._has_held_back
 
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -25,6 +25,8 @@
     decode_members,
     founder_state,
     is_growing,
+    n_answering_voters,
+    n_whole_voters,
     next_membership_change,
     unwrap_snapshot,
     wrap_snapshot,
@@ -177,6 +179,14 @@
         """Return the voters of the latest membership entry; empty when fixed."""
         return frozenset() if self._state is None else self._state.voters
 
+    def n_whole_voters(self) -> int:
+        """Return how many voters this leader has that aren't about to be replaced."""
+        return 0 if self._state is None else n_whole_voters(self._state, self._clock())
+
+    def n_answering_voters(self) -> int:
+        """Return how many voters have answered this leader."""
+        return 0 if self._state is None else n_answering_voters(self._state)
+
     def n_holding(self, index: int) -> int:
         """Return how many voters are known here to hold the log up to an index."""
         return 0 if self._state is None else n_voters_holding(self._state, index)
--- a/pollenfold/core/acknowledgement.py
+++ b/pollenfold/core/acknowledgement.py
@@ -5,7 +5,8 @@
 lost; of four voters two lost disks leave no majority. So the leader holds a command
 back, before it is appended, while a replica is about to become one of the missing
 voters. If no replica is, the missing ones are lost machines, and as many fewer may be
-lost besides them.
+lost besides them. A lost disk stays a voter until its successor replaces it, and is
+missing as well from when the successor waits.
 """
 
 from __future__ import annotations
@@ -18,9 +19,11 @@
 """How long a new cluster waits for all its members before it accepts commands."""
 
 LEARNER_WAIT_MS = 1_000.0
-"""How long a new leader waits for replicas that request to join.
+"""How long a new leader waits for its voters, and for replicas that request to join.
 
-They repeat their request every 400 ms, and need one more to learn of the leader."""
+A voter that doesn't answer may be a lost disk whose successor is about to request to
+join. They repeat their request every 400 ms, and need one more to learn of the
+leader."""
 
 GROWTH_WAIT_MS = 3_000.0
 """How long commands wait for a replica to become a voter.
@@ -33,12 +36,15 @@
 class Group:
     """What a leader knows of its group.
 
-    ``is_new`` is whether no configuration was accepted yet. ``started_at`` is the start
-    of the leader's process, ``led_since`` when it became leader, and ``growing_since``
-    since when a responsive replica has been waiting to become a missing voter, or None.
+    ``n_voters`` leaves out lost disks whose successors wait, and ``n_answering`` those
+    that haven't answered this leader yet. ``is_new`` is whether no configuration was
+    accepted yet. ``started_at`` is the start of the leader's process, ``led_since``
+    when it became leader, and ``growing_since`` since when a responsive replica has
+    been waiting to become a missing voter, or None.
     """
 
     n_voters: int
+    n_answering: int
     n_target: int
     is_new: bool
     started_at: Instant
@@ -48,11 +54,12 @@
 
 def is_held_back(group: Group, now: Instant) -> bool:
     """Return whether a command waits until the group has more voters."""
+    is_new_leader = now < add_ms(group.led_since, LEARNER_WAIT_MS)
+    if is_new_leader and group.n_answering < group.n_target:
+        return True
     if group.n_voters >= group.n_target:
         return False
     if group.is_new and now < add_ms(group.started_at, BOOTSTRAP_WAIT_MS):
         return True
-    if now < add_ms(group.led_since, LEARNER_WAIT_MS):
-        return True
     growing_since = group.growing_since
     return growing_since is not None and now < add_ms(growing_since, GROWTH_WAIT_MS)
--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -161,13 +161,41 @@
 
 def is_growing(state: State, n_target: int, now: Instant) -> bool:
     """Return whether a responsive learner waits to become one of the missing voters."""
-    if state.role is not Role.LEADER or len(state.voters) >= n_target:
+    if state.role is not Role.LEADER:
         return False
-    return any(
-        now < add_ms(state.progress[k].last_contact_at, ELECTION_TIMEOUT_MAX_MS)
+    return bool(_waiting_learners(state, now)) and n_whole_voters(state, now) < n_target
+
+
+def n_whole_voters(state: State, now: Instant) -> int:
+    """Return how many voters a leader has without those that are about to be replaced.
+
+    These are earlier disks of a machine whose new disk is a learner, and, as many as
+    there are other learners, voters that are unresponsive for ``ABSENT_AFTER_MS``.
+    """
+    waiting = _waiting_learners(state, now)
+    addresses = {address_of(k) for k in waiting}
+    replaced = {k for k in state.voters if address_of(k) in addresses}
+    replaced_addresses = {address_of(k) for k in replaced}
+    n_other_learners = len(addresses - replaced_addresses)
+    n_absent = len(set(_unresponsive_voters(state, now)) - replaced)
+    return len(state.voters) - len(replaced) - min(n_other_learners, n_absent)
+
+
+def n_answering_voters(state: State) -> int:
+    """Return how many voters have answered this leader, itself included."""
+    return sum(
+        state.is_voter(k) and p.match_index > 0 for k, p in state.progress.items()
+    ) + (state.is_voter(state.replica_id))
+
+
+def _waiting_learners(state: State, now: Instant) -> list[str]:
+    """Return the responsive learners of a leader."""
+    return [
+        k
         for k in state.learners
         if k in state.progress
-    )
+        and now < add_ms(state.progress[k].last_contact_at, ELECTION_TIMEOUT_MAX_MS)
+    ]
 
 
 def _has_uncommitted_change(state: State) -> bool:
@@ -187,16 +215,21 @@
 
     None also if the responsive voters would be no majority of the remaining ones.
     """
-    unresponsive = [
-        (state.progress[k].last_contact_at, k)
-        for k in state.voters - {state.replica_id}
-        if now >= add_ms(state.progress[k].last_contact_at, ABSENT_AFTER_MS)
-    ]
+    unresponsive = _unresponsive_voters(state, now)
     n_responsive = len(state.voters) - len(unresponsive)
     n_remaining = len(state.voters) - 1
     if not unresponsive or n_responsive < n_remaining // 2 + 1:
         return None
-    return min(unresponsive)[1]
+    return min(unresponsive, key=lambda k: (state.progress[k].last_contact_at, k))
+
+
+def _unresponsive_voters(state: State, now: Instant) -> list[str]:
+    return [
+        k
+        for k in state.voters - {state.replica_id}
+        if k in state.progress
+        and now >= add_ms(state.progress[k].last_contact_at, ABSENT_AFTER_MS)
+    ]
 
 
 def founder_state(replica_id: str) -> tuple[PersistState, Log]:
--- a/pollenfold/tests/control/test_acknowledgements.py
+++ b/pollenfold/tests/control/test_acknowledgements.py
@@ -190,6 +190,33 @@
     with_small_group(body)
 
 
+@pytest.mark.parametrize("kind", ["configuration", "evacuation", "leave"])
+def test_lost_disk_whose_successor_waits_is_no_voter_that_keeps_a_command(
+    with_small_group, kind
+):
+    """Guards against an acknowledgement by five voters of which one is a lost disk: two
+    further disks leave no majority, though a successor waits to become a voter."""
+
+    async def body(cluster):
+        for number in (4, 5):
+            await cluster.start(number)
+        await cluster.wait_until_formed()
+        leader = cluster.running[cluster.leader()].node
+        lost = follower(cluster)
+        await lose_disk(cluster, lost)
+        leader.replica._change_members = lambda: None
+        await cluster.start(lost)
+        await wait_until(lambda: leader.replica._state.learners)
+        assert len(leader.replica.voters()) == 5
+        assert await send(cluster, kind, cluster.leader()) == 503
+        assert not has_command(cluster, kind)
+        del leader.replica._change_members
+        await cluster.wait_until_formed()
+        assert await send(cluster, kind, cluster.leader()) == 200
+
+    with_small_group(body)
+
+
 @pytest.mark.parametrize("kind", ["evacuation", "leave"])
 def test_lost_member_without_a_successor_delays_no_command(with_small_group, kind):
     """Guards against a group that acknowledges nothing while a member is down."""
--- a/properties/test_acknowledgement.py
+++ b/properties/test_acknowledgement.py
@@ -9,7 +9,11 @@
 
 from pollenfold.core.acknowledgement import Group, is_held_back
 from pollenfold.core.agreement import is_leader
-from pollenfold.core.agreement_members import is_growing
+from pollenfold.core.agreement_members import (
+    is_growing,
+    n_answering_voters,
+    n_whole_voters,
+)
 from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
 
 MAX_LOST = 2
@@ -50,7 +54,8 @@
             return False
         name = leader.replica_id
         group = Group(
-            len(leader.voters),
+            n_whole_voters(leader, self.now),
+            n_answering_voters(leader),
             self.n_target,
             self.is_new,
             0.0,
