Split the submission of commands from the state of a control replica

Commands (control/commands.py) submits commands to the log or its leader, Proposals (control/proposals.py) keeps those that wait.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -106,7 +106,7 @@
             secrets.randbits(32),
             members=members,
         )
-        self.cluster_state.replica = self.replica
+        self.cluster_state.commands.replica = self.replica
         self.peers = PeerView(self.cluster_state)
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
@@ -125,7 +125,7 @@
             {
                 Protocol.AGREEMENT: self.replica.handle,
                 Protocol.MEMBERSHIP: self._handle_join,
-                Protocol.OPERATOR: self.cluster_state.handle_forwarded,
+                Protocol.OPERATOR: self.cluster_state.commands.handle_forwarded,
                 Protocol.ORDER: self.cluster_state.orders.handle_forwarded,
             }
         )
@@ -208,14 +208,14 @@
 
     async def _send_join_request(self, address: str) -> None:
         payload = self.replica_id.encode()
-        result = await self.cluster_state.call(
+        result = await self.cluster_state.commands.call(
             address, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
         )
         if result.is_error():
             return
         leader_id = json.loads(result.ok)["leader"]
         if leader_id and address_of(leader_id) != address:
-            await self.cluster_state.call(
+            await self.cluster_state.commands.call(
                 leader_id, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
             )
 
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 
 import curio
 from expression import Error, Ok, Result
 
-from ..core.acknowledgement import Group, is_held_back
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.limit_report import (
     LimitReport,
@@ -22,7 +21,6 @@
     decode_limit_report,
     seen_report,
 )
-from ..core.orders import Confirmed
 from ..core.quarantine import Quarantine
 from ..core.registry import Announcement, Registry
 from ..core.replicated_state import (
@@ -38,27 +36,8 @@
 )
 from ..observe.events import EventLog
 from ..observe.malformed import MalformedItems
-from ..wire.frames import Protocol
-from .forwarding import (
-    CONFIRMATION_BYTES,
-    FORWARD_TIMEOUT_MS,
-    NOT_APPENDED_KINDS,
-    NOT_COMMITTED,
-    RETRY_PAUSE_MS,
-    Clients,
-    call_replica,
-    decode_outcome,
-    encode_outcome,
-)
+from .commands import BARRIER, Commands
 from .orders import IsWaiting, ZoneOrders
-from .replica import Replica
-
-BARRIER = b"\0"
-"""A no-op command; reads commit one so that they are linearizable."""
-
-CONFIRM_INDEX = b""
-"""Asks the leader for its commit index, confirmed by a majority. A leader of an earlier
-version fails to handle it, so that nothing is confirmed."""
 
 UNKNOWN_ENDPOINT_WAIT_MS = 400.0
 """How long a replica waits for the announcement of an unknown endpoint that is leaving.
@@ -67,9 +46,6 @@
 
 UNKNOWN_ENDPOINT_POLL_MS = 10.0
 
-Call = Callable[[str, bytes, float], Awaitable[Result[bytes, ErrorKind]]]
-"""Calls a replica: id, payload and timeout in ms."""
-
 
 async def _always() -> bool:
     return True
@@ -78,23 +54,15 @@
 class ClusterState:
     """Applies committed commands, submits new ones and holds the announcements.
 
-    ``replica`` is set after construction, since the replica needs ``apply``,
+    ``commands.replica`` is set after construction, since the replica needs ``apply``,
     ``snapshot`` and ``restore`` of this object. ``on_change`` is called when the
     replicated state changed, ``on_update`` with each announcement that changed an
     endpoint.
     """
 
     def __init__(self, n_members: int, clock: Clock, log: EventLog) -> None:
-        self.n_members = n_members
         self._clock = clock
         self._log = log
-        self._clients: Clients = {}
-        self._confirmation_clients: Clients = {}
-        """Confirmations have connections of their own: one that fails closes its
-        connection, and a command on the same one would be lost with it."""
-
-        self._started_at = clock()
-        self._has_held_back = False
         self.replicated_state = ReplicatedState()
         self.registry = Registry()
         self.announced_ids: set[str] = set()
@@ -103,16 +71,20 @@
         only, since replicas that relayed them to each other would never let a
         stopped endpoint expire."""
 
-        self.replica: Replica
         self.on_change: Callable[[], None] = lambda: None
         self.on_update: Callable[[Announcement], None] = lambda announcement: None
         self.on_limit_report: Callable[[str], None] = lambda endpoint_id: None
         self.on_quarantine_report: Callable[[str], None] = lambda digest: None
         self._limit_reports: dict[str, SeenReport] = {}
         self.quarantine = Quarantine()
-        self.orders = ZoneOrders(self, clock, log)
+        self.commands = Commands(n_members, self._is_new, clock, log)
+        self.orders = ZoneOrders(self.commands, clock, log)
         self.malformed = MalformedItems(clock, log)
 
+    def _is_new(self) -> bool:
+        """Return whether no configuration was accepted yet."""
+        return self.replicated_state.version == 0
+
     # State machine
 
     def apply(self, index: int, encoded: bytes) -> None:
@@ -276,7 +248,7 @@
         except CommandSizeError as error:
             self._log.state("command_too_large", detail=str(error))
             return Error(ErrorKind.BODY_TOO_LARGE)
-        committed = await self._commit_index(encoded, deadline, is_repeatable)
+        committed = await self.commands.commit_index(encoded, deadline, is_repeatable)
         return Error(committed.error) if committed.is_error() else Ok(None)
 
     def _is_redundant(self, command: Command) -> bool:
@@ -289,38 +261,13 @@
                 # An earlier opposite command may not have reached this replica yet.
                 return False
 
-    def _is_held_back(self) -> bool:
-        """Return whether this leader appends no command until it has more voters."""
-        led_since = self.replica.leader_since()
-        if led_since is None:
-            return False
-        group = Group(
-            self.replica.n_whole_voters(),
-            self.replica.n_answering_voters(),
-            self.n_members,
-            self.replicated_state.version == 0,
-            self._started_at,
-            led_since,
-            self.replica.growing_since(),
-        )
-        was_held_back = self._has_held_back
-        self._has_held_back = is_held_back(group, self._clock())
-        if self._has_held_back and not was_held_back:
-            self._log.state(
-                "orders_held_back",
-                n_voters=group.n_voters,
-                n_answering=group.n_answering,
-                n_target=group.n_target,
-            )
-        return self._has_held_back
-
     async def read(self, timeout_ms: float) -> Result[ReplicatedState, ErrorKind]:
         """Return a state that includes every command acknowledged before the call."""
         deadline = add_ms(self._clock(), timeout_ms)
-        committed = await self._commit_index(BARRIER, deadline)
+        committed = await self.commands.commit_index(BARRIER, deadline)
         if committed.is_error():
             return Error(committed.error)
-        if not await self._wait_until_applied(committed.ok, deadline):
+        if not await self.commands.wait_until_applied(committed.ok, deadline):
             return Error(ErrorKind.NO_QUORUM)
         return Ok(self.replicated_state)
 
@@ -331,120 +278,13 @@
         index once a majority has answered a heartbeat that it sent afterwards.
         """
         deadline = add_ms(self._clock(), timeout_ms)
-        confirmed = await self.confirm_at_leader(timeout_ms)
+        confirmed = await self.commands.confirm_at_leader(timeout_ms)
         if confirmed.is_error():
             return Error(confirmed.error)
-        if not await self._wait_until_applied(confirmed.ok.index, deadline):
+        if not await self.commands.wait_until_applied(confirmed.ok.index, deadline):
             return Error(ErrorKind.NO_QUORUM)
         return Ok(self.replicated_state.index)
 
-    async def confirm_at_leader(
-        self, timeout_ms: float
-    ) -> Result[Confirmed, ErrorKind]:
-        """Ask the leader for an index that has all commands acknowledged before."""
-        leader_id = self.replica.leader_id()
-        if leader_id is None:
-            return Error(ErrorKind.NOT_LEADER)
-        if self.replica.is_leader():
-            index = await self.replica.confirm_index(timeout_ms)
-            return index.map(lambda index: Confirmed(leader_id, index))
-        response = await call_replica(
-            self._confirmation_clients,
-            leader_id,
-            Protocol.OPERATOR,
-            CONFIRM_INDEX,
-            timeout_ms,
-        )
-        if response.is_error():
-            return Error(response.error)
-        has_conditions = len(response.ok) == CONFIRMATION_BYTES
-        index = decode_outcome(response)
-        return index.map(lambda index: Confirmed(leader_id, index, has_conditions))
-
-    async def _wait_until_applied(self, index: int, deadline: Instant) -> bool:
-        """Wait until this replica applied an index; return False after the deadline."""
-        while self.replica.applied_index() < index:
-            if self._clock() >= deadline:
-                return False
-            await curio.sleep(0.01)
-        return True
-
-    async def _commit_index(
-        self, command: bytes, deadline: Instant, is_repeatable: bool = True
-    ) -> Result[int, ErrorKind]:
-        """Commit a command through the current leader; return its index.
-
-        A repeatable command may be committed twice when a response is lost. Any other
-        is retried only after errors which mean that it wasn't committed.
-        """
-        error = ErrorKind.NOT_LEADER
-        while (left_ms := remaining_ms(deadline, self._clock())) > 0.0:
-            if self.replica.is_leader():
-                result = await self.propose(command, left_ms)
-            else:
-                result = await self.forward(command, min(left_ms, FORWARD_TIMEOUT_MS))
-            if result.is_ok():
-                return result
-            error = result.error
-            if not is_repeatable and error not in NOT_APPENDED_KINDS:
-                break
-            await curio.sleep(RETRY_PAUSE_MS / 1000)
-        return Error(error)
-
-    async def propose(
-        self, command: bytes, timeout_ms: float
-    ) -> Result[int, ErrorKind]:
-        """Commit a command as the leader; log how many voters are known to hold it.
-
-        ``NOT_READY`` means that it isn't appended, since voters are missing that are
-        about to come (``core/acknowledgement.py``). Barriers are never held back.
-        """
-        if command != BARRIER and self._is_held_back():
-            return Error(ErrorKind.NOT_READY)
-        result = await self.replica.propose(command, timeout_ms)
-        if result.is_ok() and command != BARRIER:
-            self._log.state(
-                "order_agreed",
-                index=result.ok,
-                n_holding=self.replica.n_holding(result.ok),
-                n_voters=len(self.replica.voters()),
-                n_target=self.n_members,
-            )
-        return result
-
-    async def forward(
-        self, command: bytes, timeout_ms: float
-    ) -> Result[int, ErrorKind]:
-        """Let the leader commit a command on no condition; return its index."""
-        leader_id = self.replica.leader_id()
-        if leader_id is None:
-            return Error(ErrorKind.NOT_LEADER)
-        response = await self.call(leader_id, Protocol.OPERATOR, command, timeout_ms)
-        return decode_outcome(response)
-
-    async def handle_forwarded(self, command: bytes) -> bytes:
-        """Commit a command forwarded by another replica; respond with its index.
-
-        The response is empty when the command won't be committed, and
-        ``MAY_BE_COMMITTED`` when the outcome is unknown.
-        """
-        if not self.replica.is_leader():
-            return NOT_COMMITTED
-        if command == CONFIRM_INDEX:
-            confirmed = await self.replica.confirm_index(FORWARD_TIMEOUT_MS)
-            if confirmed.is_error():
-                return NOT_COMMITTED
-            return confirmed.ok.to_bytes(CONFIRMATION_BYTES, "big")
-        return encode_outcome(await self.propose(command, FORWARD_TIMEOUT_MS))
-
-    async def call(
-        self, replica_id: str, protocol: Protocol, payload: bytes, timeout_ms: float
-    ) -> Result[bytes, ErrorKind]:
-        """Call another replica by its id, or by host and port."""
-        return await call_replica(
-            self._clients, replica_id, protocol, payload, timeout_ms
-        )
-
 
 def _subject(command: Command) -> str:
     match command:
--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 import curio
 from expression import Error, Result
@@ -23,6 +22,7 @@
 from ..observe.events import EventLog
 from ..wire.frames import Protocol
 from ..wire.orders import ForwardedOrder, decode_order, encode_order
+from .commands import Commands
 from .forwarding import (
     FORWARD_TIMEOUT_MS,
     NOT_COMMITTED,
@@ -33,9 +33,6 @@
     encode_outcome,
 )
 
-if TYPE_CHECKING:
-    from .cluster_state import ClusterState
-
 IsWaiting = Callable[[], Awaitable[bool]]
 """Returns whether the sender of an order still waits for the response."""
 
@@ -43,10 +40,8 @@
 class ZoneOrders:
     """Takes the steps of ``order_steps`` for each order on a zone."""
 
-    def __init__(
-        self, cluster_state: ClusterState, clock: Clock, log: EventLog
-    ) -> None:
-        self._cluster_state = cluster_state
+    def __init__(self, commands: Commands, clock: Clock, log: EventLog) -> None:
+        self._commands = commands
         self._clock = clock
         self._log = log
         self._clients: Clients = {}
@@ -83,7 +78,7 @@
         match step:
             case Confirm():
                 timeout_ms = min(left_ms, FORWARD_TIMEOUT_MS)
-                return await self._cluster_state.confirm_at_leader(timeout_ms)
+                return await self._commands.confirm_at_leader(timeout_ms)
             case CheckSender():
                 return await is_waiting()
             case Append(confirmed):
@@ -97,14 +92,14 @@
     ) -> Result[int, ErrorKind]:
         """Append an order at the leader that confirmed the index, and at no other."""
         command = encode_command(order)
-        replica = self._cluster_state.replica
+        replica = self._commands.replica
         if replica.leader_id() != confirmed.leader_id:
             return Error(ErrorKind.NOT_LEADER)
         if replica.is_leader():
             return await self._propose(order, command, confirmed.index, left_ms)
         timeout_ms = min(left_ms, FORWARD_TIMEOUT_MS)
         if not confirmed.has_conditions:
-            return await self._cluster_state.forward(command, timeout_ms)
+            return await self._commands.forward(command, timeout_ms)
         payload = encode_order(ForwardedOrder(confirmed.index, command))
         response = await call_replica(
             self._clients, confirmed.leader_id, Protocol.ORDER, payload, timeout_ms
@@ -114,14 +109,14 @@
     async def _propose(
         self, order: Evacuate, command: bytes, after_index: int, timeout_ms: float
     ) -> Result[int, ErrorKind]:
-        replica = self._cluster_state.replica
+        replica = self._commands.replica
         # No other task runs between this check and the append by ``propose``.
         if replica.may_have_after(
             after_index, lambda entry: is_evacuation_of(order.zone, entry)
         ):
             self._log.state("order_superseded", subject=order.zone, after=after_index)
             return Error(ErrorKind.SUPERSEDED)
-        return await self._cluster_state.propose(command, timeout_ms)
+        return await self._commands.propose(command, timeout_ms)
 
     async def handle_forwarded(self, payload: bytes) -> bytes:
         """Append a forwarded order on its condition; respond with the outcome.
@@ -135,7 +130,7 @@
         order = decode_command(forwarded.command)
         if not isinstance(order, Evacuate):
             raise ValueError(f"expected an order on a zone, got {type(order).__name__}")
-        if not self._cluster_state.replica.is_leader():
+        if not self._commands.replica.is_leader():
             return NOT_COMMITTED
         return encode_outcome(
             await self._propose(
--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -52,7 +52,7 @@
     @property
     def control_hosts(self) -> frozenset[str]:
         """The hosts of the voters."""
-        voters = self._cluster_state.replica.voters()
+        voters = self._cluster_state.commands.replica.voters()
         return frozenset(host_and_port(k)[0] for k in voters)
 
     @property
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -54,6 +54,7 @@
 from ..storage.journal import Journal
 from ..wire.agreement import decode_message, encode_message
 from .peer_calls import PeerCalls
+from .proposals import Proposals
 
 ENTRIES_PER_SNAPSHOT = 256
 LOG_BYTES_PER_SNAPSHOT = 8 << 20
@@ -79,15 +80,6 @@
     is_founder: bool = False
 
 
-class _Proposal:
-    """A command that waits to be applied; its result is set exactly once."""
-
-    def __init__(self, term: int) -> None:
-        self.term = term
-        self.result: Result[int, ErrorKind] | None = None
-        self.event = curio.Event()
-
-
 class Replica:
     """One replica of the log with its state machine.
 
@@ -145,8 +137,7 @@
         self._leader_since: Instant | None = None
         self._growing_since: Instant | None = None
         self._outbox: list[Message] = []
-        self._proposals: dict[int, _Proposal] = {}
-        self._resolved: list[_Proposal] = []
+        self._proposals = Proposals()
         self._open()
 
     # State
@@ -290,8 +281,8 @@
             )
         if self._state is None or not self.is_leader():
             return Error(ErrorKind.NOT_LEADER)
-        proposal = _Proposal(self._state.term)
-        self._proposals[self._state.log.last_index + 1] = proposal
+        next_index = self._state.log.last_index + 1
+        proposal = self._proposals.add(next_index, self._state.term)
         self._outbox += self._step(Propose(command))
         await self._flush()
         try:
@@ -300,9 +291,7 @@
         except curio.TaskTimeout:
             pass
         finally:
-            self._proposals = {
-                k: v for k, v in self._proposals.items() if v is not proposal
-            }
+            self._proposals.discard(proposal)
         return proposal.result or Error(ErrorKind.NO_QUORUM)
 
     async def confirm_index(self, timeout_ms: float) -> Result[int, ErrorKind]:
@@ -384,8 +373,7 @@
         self._storage = None
         self._state = None
         self._reopen_at = add_ms(self._clock(), REOPEN_AFTER_MS)
-        for index in list(self._proposals):
-            self._resolve(index, Error(ErrorKind.STORAGE_FAILED))
+        self._proposals.fail_all(ErrorKind.STORAGE_FAILED)
 
     def _step(self, event: Event) -> list[Message]:
         """Process an event and persist its writes; return the messages to send."""
@@ -440,10 +428,7 @@
                 self._apply(index, command)
             self._applied_index = index
             self._n_applied_bytes += len(command)
-        proposal = self._proposals.get(index)
-        if proposal is not None:
-            is_same = proposal.term == term
-            self._resolve(index, Ok(index) if is_same else Error(ErrorKind.NOT_LEADER))
+        self._proposals.resolve_applied(index, term)
 
     def _restore_from(self, index: int, data: bytes) -> None:
         if index > self._applied_index:
@@ -477,8 +462,7 @@
             logger.info("event=joined replica={}", self._replica_id)
         if state.role is not Role.LEADER:
             self._leader_since = None
-            for index in list(self._proposals):
-                self._resolve(index, Error(ErrorKind.NO_QUORUM))
+            self._proposals.fail_all(ErrorKind.NO_QUORUM)
         elif self._leader_since is None and self.is_leader():
             self._leader_since = self._clock()
 
@@ -489,11 +473,6 @@
         elif self._growing_since is None:
             self._growing_since = now
 
-    def _resolve(self, index: int, result: Result[int, ErrorKind]) -> None:
-        proposal = self._proposals.pop(index)
-        proposal.result = result
-        self._resolved.append(proposal)
-
     # Messages
 
     async def _flush(self) -> None:
@@ -502,11 +481,9 @@
         Cancellation is disabled: this task may belong to a connection that is closing,
         while the proposals and messages belong to other tasks.
         """
-        resolved, self._resolved = self._resolved, []
         outbox, self._outbox = self._outbox, []
         async with curio.disable_cancellation():
-            for proposal in resolved:
-                await proposal.event.set()
+            await self._proposals.wake()
             for message in outbox:
                 await self._calls.send(message)
 
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -163,7 +163,7 @@
             version=self._cluster_state.replicated_state.version,
             leader=str(self._node.replica.leader_id()),
             n_voters=len(self._node.replica.voters()),
-            n_target=self._cluster_state.n_members,
+            n_target=self._cluster_state.commands.n_members,
         )
         if error is None:
             return json_response(200, {})
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -563,7 +563,7 @@
         follower_number, leader_number = follower(cluster), cluster.leader()
         cluster_state = cluster.running[follower_number].node.cluster_state
         leader = cluster.running[leader_number].node
-        call, propose = cluster_state.call, leader.replica.propose
+        call, propose = cluster_state.commands.call, leader.replica.propose
         n_lost = []
 
         async def withdraw():
@@ -588,7 +588,7 @@
         if is_lost_at_leader:
             leader.replica.propose = losing_propose
         else:
-            cluster_state.call = losing_call
+            cluster_state.commands.call = losing_call
         evacuation = await cluster_state.submit(Evacuate("a", True), 1_500)
         assert n_lost
         assert evacuation.is_error()
--- a/pollenfold/tests/control/test_confirmation.py
+++ b/pollenfold/tests/control/test_confirmation.py
@@ -85,7 +85,7 @@
         await curio.spawn(server.serve, "127.0.0.1", port, daemon=True)
         await curio.sleep(0.05)
         state = ClusterState(3, system_clock, EventLog("c", system_clock, write=len))
-        state.replica = Follower(f"127.0.0.1:{port}/x")
+        state.commands.replica = Follower(f"127.0.0.1:{port}/x")
         assert (await state.submit(Evacuate("a", True), 900.0)).is_ok()
         command = await curio.spawn(state.submit, Evacuate("a", False), 900.0)
         await curio.sleep(0.03)
--- a/pollenfold/tests/control/test_late_orders.py
+++ b/pollenfold/tests/control/test_late_orders.py
@@ -113,7 +113,7 @@
 
     async def body(cluster):
         leader = cluster.running[cluster.leader()].node
-        confirmed = await leader.cluster_state.confirm_at_leader(1_000.0)
+        confirmed = await leader.cluster_state.commands.confirm_at_leader(1_000.0)
         late = encode_order(ForwardedOrder(confirmed.ok.index, encode_command(IN)))
         assert (await submit(cluster, follower(cluster), OUT)).is_ok()
         response = await leader.cluster_state.orders.handle_forwarded(late)
@@ -133,7 +133,7 @@
     async def body(cluster):
         leader = cluster.running[cluster.leader()].node
         state = leader.cluster_state
-        confirmed = await state.confirm_at_leader(1_000.0)
+        confirmed = await state.commands.confirm_at_leader(1_000.0)
         late = encode_order(ForwardedOrder(confirmed.ok.index, encode_command(IN)))
         send = leader.replica._calls.send
 
@@ -216,7 +216,7 @@
         leader = EarlierLeader()
         await leader.start()
         state = ClusterState(3, system_clock, EventLog("c", system_clock, write=len))
-        state.replica = leader
+        state.commands.replica = leader
         assert (await state.orders.submit(OUT, 900.0, waiting)).ok == 7
         abandoned = await state.orders.submit(IN, 900.0, gone)
         assert abandoned.error is ErrorKind.ABANDONED
--- a/pollenfold/tests/platform/test_control_api.py
+++ b/pollenfold/tests/platform/test_control_api.py
@@ -20,7 +20,7 @@
 
     def __init__(self):
         self.replicated_state = ReplicatedState()
-        self.n_members = 3
+        self.commands = SimpleNamespace(n_members=3)
         self.n_ticks = 0
         self.accepted = []
 
--- a/properties/test_borders.py
+++ b/properties/test_borders.py
@@ -235,7 +235,7 @@
 
 def replica_view(log):
     state = ClusterState(3, system_clock, log)
-    state.replica = SimpleNamespace(voters=frozenset)
+    state.commands.replica = SimpleNamespace(voters=frozenset)
     return PeerView(state)
 
 
