--- a/pollenfold/control/commands.py
+++ b/pollenfold/control/commands.py
@@ -140,6 +140,8 @@
     ) -> Result[int, ErrorKind]:
         """Commit a command as the leader; log how many voters are known to hold it.
 
+        ``n_whole`` in the log leaves out voters that are about to be replaced.
+
         ``NOT_READY`` means that it isn't appended, since voters are missing that are
         about to come (``core/acknowledgement.py``). Barriers are never held back.
         """
@@ -152,6 +154,7 @@
                 index=result.ok,
                 n_holding=self.replica.n_holding(result.ok),
                 n_voters=len(self.replica.voters()),
+                n_whole=self.replica.n_whole_voters(),
                 n_target=self.n_members,
             )
         return result
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -47,12 +47,13 @@
     Tick,
 )
 from ..core.agreement_state import majority_contact_at, n_voters_holding
-from ..core.clock import Clock, Instant, add_ms
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.election_timeout import election_timeout_ms, first_timeout_ms
 from ..core.errors import ErrorKind
 from ..storage.agreement import AgreementStorage, OpenJournal
 from ..storage.journal import Journal
 from ..wire.agreement import decode_message, encode_message
+from .hold_ups import HoldUps
 from .peer_calls import PeerCalls
 from .proposals import Proposals
 
@@ -138,6 +139,7 @@
         self._growing_since: Instant | None = None
         self._outbox: list[Message] = []
         self._proposals = Proposals()
+        self._hold_ups = HoldUps(clock)
         self._open()
 
     # State
@@ -227,7 +229,13 @@
 
     def join(self, replica_id: str) -> None:
         """Add a replica as a learner: it receives the log but doesn't vote yet."""
+        before = self._learners()
         self._outbox += self._step(Join(replica_id))
+        if replica_id in self._learners() - before:
+            logger.info("event=learner_joined replica={}", replica_id)
+
+    def _learners(self) -> frozenset[str]:
+        return frozenset() if self._state is None else self._state.learners
 
     def _change_members(self) -> None:
         """Propose the next membership change, if one is due."""
@@ -253,7 +261,9 @@
         """Drive elections, heartbeats and recovery until cancelled."""
         try:
             while True:
-                await curio.sleep(self._sleep_ms() / 1000)
+                tick_at = add_ms(self._clock(), self._sleep_ms())
+                await curio.sleep(remaining_ms(tick_at, self._clock()) / 1000)
+                self._hold_ups.record("loop", self._clock() - tick_at)
                 if self._state is None and self._clock() >= self._reopen_at:
                     self._open()
                 self._outbox += self._step(Tick())
@@ -411,7 +421,9 @@
                     self._restore_from(index, data)
                 case _:
                     assert self._storage is not None
+                    started_at = self._clock()
                     result = self._storage.persist(action)
+                    self._hold_ups.record("sync", self._clock() - started_at)
                     if result.is_error():
                         self._fail_storage(result.error.detail)
                         return []
