--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -44,6 +44,7 @@
     Request,
     Restore,
     Send,
+    SendFailed,
     Tick,
 )
 from ..core.agreement_state import majority_contact_at, n_voters_holding
@@ -120,7 +121,7 @@
         self._members = members
         self._voters: frozenset[str] = frozenset()
         resolve = None if members is None else members.resolve
-        self._calls = PeerCalls(others, self._receive, resolve)
+        self._calls = PeerCalls(others, self._receive, self._on_send_failed, resolve)
         self._data_folder = data_folder
         self._apply = apply
         self._snapshot = snapshot
@@ -499,6 +500,9 @@
             for message in outbox:
                 await self._calls.send(message)
 
+    def _on_send_failed(self, message: Message) -> None:
+        self._outbox += self._step(SendFailed(message))
+
     async def _receive(self, message: Message) -> None:
         """Process the response to a request as an event."""
         self._outbox += self._step(Receive(message))
--- a/pollenfold/core/agreement.py
+++ b/pollenfold/core/agreement.py
@@ -26,6 +26,7 @@
     PersistState,
     Propose,
     Receive,
+    SendFailed,
     SnapshotRequest,
     SnapshotResponse,
     VoteRequest,
@@ -36,6 +37,7 @@
     broadcast,
     on_append_request,
     on_follower_response,
+    on_send_failed,
     on_snapshot_request,
     propose,
     record_incarnation,
@@ -133,6 +135,8 @@
             return _compact(state, index, data)
         case Join(replica_id):
             return add_learner(state, replica_id, now), []
+        case SendFailed(message):
+            return on_send_failed(state, message), []
         case _:
             return _on_tick(state, now, timeout_ms)
 
--- a/pollenfold/core/agreement_messages.py
+++ b/pollenfold/core/agreement_messages.py
@@ -159,7 +159,14 @@
     replica_id: str
 
 
-Event = Tick | Receive | Propose | Compact | Join
+@dataclass(frozen=True, slots=True)
+class SendFailed:
+    """No response to a request arrived, and none is waited for any more."""
+
+    message: Message
+
+
+Event = Tick | Receive | Propose | Compact | Join | SendFailed
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement_replication.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from .agreement_documents import MAX_DOUBLINGS, call_timeout_ms, document_bytes
 from .agreement_log import Entry, Snapshot
 from .agreement_members import decode_members, with_voters_from_log
 from .agreement_messages import (
@@ -66,6 +67,8 @@
 
 def _replicate(state: State, peer: str, now: Instant) -> Step:
     progress = state.progress[peer]
+    if progress.document_sent_at is not None and now < progress.document_resend_at:
+        return state, [state.send(peer, _heartbeat(state, progress, now))]
     log = state.log
     body: AppendRequest | SnapshotRequest
     if progress.next_index <= log.snapshot.index:
@@ -82,8 +85,44 @@
             progress.incarnation,
             now,
         )
-    state = _with_progress(state, peer, replace(progress, is_awaiting_response=True))
-    return state, [state.send(peer, body)]
+    n_slow = progress.n_slow_documents
+    sent_at = progress.document_sent_at
+    if sent_at is not None and progress.last_contact_at > sent_at:
+        n_slow = min(n_slow + 1, MAX_DOUBLINGS)
+    progress = replace(
+        progress,
+        is_awaiting_response=True,
+        document_sent_at=now if document_bytes(body) else None,
+        document_resend_at=add_ms(now, call_timeout_ms(body, n_slow)),
+        n_slow_documents=n_slow,
+    )
+    return _with_progress(state, peer, progress), [state.send(peer, body)]
+
+
+def _heartbeat(state: State, progress: Progress, now: Instant) -> AppendRequest:
+    """Return a request without entries, for a follower to which a document is sent."""
+    return AppendRequest(
+        state.term,
+        progress.match_index,
+        state.log.term_at(progress.match_index) or 0,
+        (),
+        state.commit_index,
+        state.log.last_index,
+        progress.incarnation,
+        now,
+    )
+
+
+def on_send_failed(state: State, message: Message) -> State:
+    """Let a document whose call failed be sent again with the next heartbeat."""
+    progress = state.progress.get(message.recipient)
+    body = message.body
+    if progress is None or not isinstance(body, AppendRequest | SnapshotRequest):
+        return state
+    if progress.document_sent_at != body.sent_at:
+        return state
+    progress = replace(progress, document_sent_at=None, is_awaiting_response=False)
+    return _with_progress(state, message.recipient, progress)
 
 
 def _snapshot_request(
@@ -152,8 +191,13 @@
         progress,
         last_contact_at=max(progress.last_contact_at, response.sent_at),
         is_blank=response.is_blank,
-        is_awaiting_response=False,
     )
+    if progress.document_sent_at not in (None, response.sent_at):
+        # The response to a heartbeat: the one to the document is still to come.
+        return _with_progress(state, message.sender, progress), []
+    if progress.document_sent_at is not None:
+        progress = replace(progress, document_sent_at=None, n_slow_documents=0)
+    progress = replace(progress, is_awaiting_response=False)
     progress = _progress_after_response(state, progress, response)
     state = _with_progress(state, message.sender, progress)
     state, actions = advance_commit(state)
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -29,7 +29,10 @@
 
     ``last_contact_at`` is when the leader sent the last request that got a response.
     ``retired_incarnations`` holds earlier incarnations of the follower; their late
-    responses are ignored.
+    responses are ignored. ``document_sent_at`` is when the document was sent whose
+    response is awaited, or None; it is sent again after ``document_resend_at``.
+    ``n_slow_documents`` counts those in a row that were not answered in time by a
+    follower that answered heartbeats.
     """
 
     next_index: int
@@ -40,6 +43,9 @@
     is_blank: bool = False
     is_awaiting_response: bool = False
     snapshot_offset_bytes: int = 0
+    document_sent_at: Instant | None = None
+    document_resend_at: Instant = Instant(0.0)
+    n_slow_documents: int = 0
 
 
 @dataclass(frozen=True, slots=True)
