--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -234,6 +234,17 @@
         self._outbox += self._step(Join(replica_id))
         if replica_id in self._learners() - before:
             logger.info("event=learner_joined replica={}", replica_id)
+            self._compact_for_learner()
+
+    def _compact_for_learner(self) -> None:
+        """Take a snapshot if a new replica would receive more bytes without it.
+
+        Most entries are configurations, of which each supersedes the ones before.
+        """
+        data = self._snapshot_data()
+        if self._n_applied_bytes > len(data):
+            self._n_applied_bytes = 0
+            self._outbox += self._step(Compact(self._applied_index, data))
 
     def _learners(self) -> frozenset[str]:
         return frozenset() if self._state is None else self._state.learners
