--- a/pollenfold/core/agreement_messages.py
+++ b/pollenfold/core/agreement_messages.py
@@ -52,7 +52,8 @@
     """Reports up to which index the follower's log matches the leader's.
 
     After a failure the leader should continue after ``match_index``. ``sent_at`` is
-    copied from the request and is a time of the leader's clock.
+    copied from the request and is a time of the leader's clock. Followers of an earlier
+    version don't accept compressed snapshots.
     """
 
     term: int
@@ -60,11 +61,15 @@
     match_index: int
     is_blank: bool
     sent_at: Instant
+    accepts_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRequest:
-    """One chunk of a snapshot, from the byte ``offset_bytes`` on."""
+    """One chunk of a snapshot, from the byte ``offset_bytes`` on.
+
+    With ``is_compressed`` the chunks and sizes are those of the compressed snapshot.
+    """
 
     term: int
     index: int
@@ -75,6 +80,7 @@
     last_index: int
     to_incarnation: str
     sent_at: Instant
+    is_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement_replication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import lru_cache
 
 from .agreement_documents import MAX_DOUBLINGS, call_timeout_ms, document_bytes
 from .agreement_log import Entry, Snapshot
@@ -30,12 +31,15 @@
     become_follower,
 )
 from .clock import Instant, add_ms
+from .compression import compress, decompress
 
 BATCH_LIMIT_BYTES = 1 << 18
 """Keeps a batch, even with a single command of maximum size, below the 1 MiB frame
 limit."""
 
 SNAPSHOT_CHUNK_BYTES = 1 << 18
+MAX_SNAPSHOT_BYTES = 1 << 26
+"""Bounds what a follower decompresses; a state has at most some megabytes."""
 
 
 def broadcast(state: State, now: Instant) -> Step:
@@ -114,14 +118,23 @@
 
 
 def on_send_failed(state: State, message: Message) -> State:
-    """Let a document whose call failed be sent again with the next heartbeat."""
+    """Let a document whose call failed be sent again with the next heartbeat.
+
+    The follower may have been replaced by an earlier version, so no compressed snapshot
+    is sent to it before it has answered a heartbeat.
+    """
     progress = state.progress.get(message.recipient)
     body = message.body
     if progress is None or not isinstance(body, AppendRequest | SnapshotRequest):
         return state
     if progress.document_sent_at != body.sent_at:
         return state
-    progress = replace(progress, document_sent_at=None, is_awaiting_response=False)
+    progress = replace(
+        progress,
+        document_sent_at=None,
+        is_awaiting_response=False,
+        accepts_compressed=False,
+    )
     return _with_progress(state, message.recipient, progress)
 
 
@@ -129,20 +142,29 @@
     state: State, progress: Progress, now: Instant
 ) -> SnapshotRequest:
     snapshot = state.log.snapshot
-    offset_bytes = min(progress.snapshot_offset_bytes, len(snapshot.data))
+    is_compressed = progress.accepts_compressed
+    data = _compressed(snapshot.data) if is_compressed else snapshot.data
+    offset_bytes = min(progress.snapshot_offset_bytes, len(data))
     return SnapshotRequest(
         state.term,
         snapshot.index,
         snapshot.term,
         offset_bytes,
-        len(snapshot.data),
-        snapshot.data[offset_bytes : offset_bytes + SNAPSHOT_CHUNK_BYTES],
+        len(data),
+        data[offset_bytes : offset_bytes + SNAPSHOT_CHUNK_BYTES],
         state.log.last_index,
         progress.incarnation,
         now,
+        is_compressed,
     )
 
 
+@lru_cache(maxsize=1)
+def _compressed(snapshot_data: bytes) -> bytes:
+    """Return the compressed data, which is the same for each chunk and follower."""
+    return compress(snapshot_data)
+
+
 def _with_progress(state: State, peer: str, progress: Progress) -> State:
     return replace(state, progress={**state.progress, peer: progress})
 
@@ -192,6 +214,9 @@
         last_contact_at=max(progress.last_contact_at, response.sent_at),
         is_blank=response.is_blank,
     )
+    if isinstance(response, AppendResponse):
+        accepts_compressed = response.accepts_compressed
+        progress = replace(progress, accepts_compressed=accepts_compressed)
     if progress.document_sent_at not in (None, response.sent_at):
         # The response to a heartbeat: the one to the document is still to come.
         return _with_progress(state, message.sender, progress), []
@@ -309,7 +334,7 @@
     match_index: int,
 ) -> Action:
     body = AppendResponse(
-        state.term, is_success, match_index, state.is_blank, request.sent_at
+        state.term, is_success, match_index, state.is_blank, request.sent_at, True
     )
     return state.send(message.sender, body)
 
@@ -334,9 +359,17 @@
     state = replace(state, partial_snapshot=_with_snapshot_chunk(state, request))
     assert state.partial_snapshot is not None
     data = state.partial_snapshot.data
-    if len(data) < request.n_total_bytes:
+    n_bytes = len(data)
+    if n_bytes == request.n_total_bytes and request.is_compressed:
+        try:
+            data = decompress(data, MAX_SNAPSHOT_BYTES)
+        except ValueError:
+            # It is requested again from its start.
+            n_bytes = 0
+            state = replace(state, partial_snapshot=None)
+    if n_bytes < request.n_total_bytes:
         body = SnapshotResponse(
-            state.term, request.index, len(data), state.is_blank, request.sent_at
+            state.term, request.index, n_bytes, state.is_blank, request.sent_at
         )
         return state, [*actions, state.send(message.sender, body)]
     snapshot = Snapshot(request.index, request.snapshot_term, data)
@@ -357,9 +390,9 @@
 
 def _with_snapshot_chunk(state: State, request: SnapshotRequest) -> PartialSnapshot:
     partial = state.partial_snapshot
-    key = (request.term, request.index)
-    if partial is None or (partial.leader_term, partial.index) != key:
-        partial = PartialSnapshot(request.term, request.index, b"")
+    start = PartialSnapshot(request.term, request.index, b"", request.is_compressed)
+    if partial is None or replace(partial, data=b"") != start:
+        partial = start
     if request.offset_bytes == len(partial.data):
         partial = replace(partial, data=partial.data + request.data)
     return partial
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -46,6 +46,7 @@
     document_sent_at: Instant | None = None
     document_resend_at: Instant = Instant(0.0)
     n_slow_documents: int = 0
+    accepts_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,7 @@
     leader_term: int
     index: int
     data: bytes
+    is_compressed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/pollenfold/tests/control/test_slow_links.py
@@ -0,0 +1,57 @@
+"""Control replicas that replace a lost disk over a slow link."""
+
+import pytest
+
+from pollenfold.core.agreement_members import host_and_port
+from pollenfold.observe.clock import system_clock
+from pollenfold.testing.configurations import large_configuration
+from pollenfold.tests.control.slow_link import SlowLink
+from pollenfold.tests.control.test_cluster import follower, wait_until
+
+LINK_BYTES_PER_S = 500_000
+"""4 Mbit/s."""
+
+N_VERSIONS = 12
+CATCH_UP_MS = 4_000.0
+"""After this time operators count a replica on a new disk as present."""
+
+
+async def start_behind_link(cluster, number):
+    """Start a replica on a new disk, to which the others have a slow link."""
+    host = f"127.0.0.{number}"
+    link = SlowLink((host, cluster.peer_port), LINK_BYTES_PER_S)
+    await link.start()
+
+    def resolve(replica_id):
+        address = host_and_port(replica_id)
+        return ("127.0.0.1", link.port) if address[0] == host else address
+
+    for running in cluster.running.values():
+        running.node.replica._calls._resolve = resolve
+    await cluster.start(number)
+    return link
+
+
+@pytest.mark.parametrize("n_routes", [2, 1_400, 14_000])
+def test_replica_behind_a_slow_link_becomes_a_voter_in_time(with_cluster, n_routes):
+    """Guards against a successor that never votes, because each document takes longer
+    than the timeout of a call: the next lost disks then leave no majority."""
+
+    async def body(cluster):
+        for version in range(1, N_VERSIONS + 1):
+            document = large_configuration(n_routes, version=version)
+            response = await cluster.call(
+                cluster.leader(), b"PUT", "/-/config", document
+            )
+            assert response.status == 200
+        lost = follower(cluster)
+        await cluster.stop(lost)
+        cluster.folder = cluster.folder / "new"
+        started_at = system_clock()
+        link = await start_behind_link(cluster, lost)
+        leader = cluster.running[cluster.leader()].node.replica
+        new_id = cluster.running[lost].node.replica_id
+        await wait_until(lambda: new_id in leader.voters(), 8.0)
+        assert system_clock() - started_at < CATCH_UP_MS
+
+    with_cluster(body)
--- a/pollenfold/wire/agreement.capnp
+++ b/pollenfold/wire/agreement.capnp
@@ -45,6 +45,7 @@
   matchIndex @2 :UInt64;
   isBlank @3 :Bool;
   sentAt @4 :Float64;
+  acceptsCompressed @5 :Bool;
 }
 
 struct SnapshotRequest {
@@ -57,6 +58,7 @@
   lastIndex @6 :UInt64;
   toIncarnation @7 :Text;
   sentAt @8 :Float64;
+  isCompressed @9 :Bool;
 }
 
 struct SnapshotResponse {
