--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -28,8 +28,6 @@
     n_answering_voters,
     n_whole_voters,
     next_membership_change,
-    unwrap_snapshot,
-    wrap_snapshot,
 )
 from ..core.agreement_messages import (
     Action,
@@ -57,11 +55,7 @@
 from .hold_ups import HoldUps
 from .peer_calls import PeerCalls
 from .proposals import Proposals
-
-ENTRIES_PER_SNAPSHOT = 256
-LOG_BYTES_PER_SNAPSHOT = 8 << 20
-"""A snapshot replaces the entries applied so far after this many, or after this many
-bytes of commands, since each configuration supersedes the previous one."""
+from .state_machine import StateMachine
 
 CONFIRM_POLL_MS = 5.0
 
@@ -119,23 +113,16 @@
         self._replica_ids = frozenset(peers)
         others = {k: v for k, v in peers.items() if k != replica_id}
         self._members = members
-        self._voters: frozenset[str] = frozenset()
         resolve = None if members is None else members.resolve
         self._calls = PeerCalls(others, self._receive, self._on_send_failed, resolve)
         self._data_folder = data_folder
-        self._apply = apply
-        self._snapshot = snapshot
-        self._restore = restore
+        self._machine = StateMachine(apply, snapshot, restore, members is not None)
         self._clock = clock
         self._random = random.Random(seed)
         self._open_journal = open_journal
         self._storage: AgreementStorage | None = None
         self._state: State | None = None
         self._reopen_at = clock()
-        self._applied_index = 0
-        self._n_applied_bytes = 0
-        """The bytes of the commands applied since the last snapshot."""
-
         self._leader_since: Instant | None = None
         self._growing_since: Instant | None = None
         self._outbox: list[Message] = []
@@ -163,7 +150,7 @@
 
     def applied_index(self) -> int:
         """Return the index of the last entry applied to the state machine."""
-        return self._applied_index
+        return self._machine.index
 
     def may_have_after(self, index: int, matches: Callable[[bytes], bool]) -> bool:
         """Return whether the log may hold a matching command after an index."""
@@ -196,7 +183,7 @@
             return {
                 "replica_id": self._replica_id,
                 "is_storage_failed": True,
-                "applied_index": self._applied_index,
+                "applied_index": self._machine.index,
             }
         return {
             "replica_id": self._replica_id,
@@ -209,7 +196,7 @@
             "leader_id": state.leader_id,
             "last_index": state.log.last_index,
             "commit_index": state.commit_index,
-            "applied_index": self._applied_index,
+            "applied_index": self._machine.index,
             "snapshot_index": state.log.snapshot.index,
         }
 
@@ -241,10 +228,9 @@
 
         Most entries are configurations, of which each supersedes the ones before.
         """
-        data = self._snapshot_data()
-        if self._n_applied_bytes > len(data):
-            self._n_applied_bytes = 0
-            self._outbox += self._step(Compact(self._applied_index, data))
+        data = self._machine.take_smaller_snapshot()
+        if data is not None:
+            self._outbox += self._step(Compact(self._machine.index, data))
 
     def _learners(self) -> frozenset[str]:
         return frozenset() if self._state is None else self._state.learners
@@ -384,8 +370,7 @@
             is_dynamic=members is not None,
         )
         snapshot = log.snapshot
-        if snapshot.index > self._applied_index:
-            self._restore_from(snapshot.index, snapshot.data)
+        self._machine.restore(snapshot.index, snapshot.data)
 
     def _fail_storage(self, detail: str) -> None:
         """Become inactive, since acknowledged entries wouldn't be durable."""
@@ -408,18 +393,12 @@
         if self._state is None:
             return []
         self._observe(before, state)
-        if self._is_snapshot_due(state) and not isinstance(event, Compact):
-            self._n_applied_bytes = 0
-            messages += self._step(Compact(self._applied_index, self._snapshot_data()))
+        is_due = self._machine.is_snapshot_due(state.log.snapshot.index)
+        if is_due and not isinstance(event, Compact):
+            data = self._machine.take_snapshot()
+            messages += self._step(Compact(self._machine.index, data))
         return [] if self._state is None else messages
 
-    def _is_snapshot_due(self, state: State) -> bool:
-        n_entries = self._applied_index - state.log.snapshot.index
-        return (
-            n_entries >= ENTRIES_PER_SNAPSHOT
-            or self._n_applied_bytes >= LOG_BYTES_PER_SNAPSHOT
-        )
-
     def _perform(self, actions: list[Action]) -> list[Message]:
         messages = []
         for action in actions:
@@ -428,9 +407,10 @@
                     messages.append(message)
                 case Apply(entries):
                     for entry in entries:
-                        self._apply_entry(entry.index, entry.term, entry.command)
+                        self._machine.apply(entry.index, entry.command)
+                        self._proposals.resolve_applied(entry.index, entry.term)
                 case Restore(index, data):
-                    self._restore_from(index, data)
+                    self._machine.restore(index, data)
                 case _:
                     assert self._storage is not None
                     started_at = self._clock()
@@ -441,37 +421,6 @@
                         return []
         return messages
 
-    def _apply_entry(self, index: int, term: int, command: bytes) -> None:
-        # After the data folder was reopened, entries that this process has already
-        # applied are committed again.
-        if index > self._applied_index:
-            voters = decode_members(command)
-            if voters is not None:
-                self._set_voters(voters, index)
-            elif command:
-                self._apply(index, command)
-            self._applied_index = index
-            self._n_applied_bytes += len(command)
-        self._proposals.resolve_applied(index, term)
-
-    def _restore_from(self, index: int, data: bytes) -> None:
-        if index > self._applied_index:
-            if self._members is not None:
-                voters, data = unwrap_snapshot(data)
-                self._set_voters(voters, index)
-            self._restore(data)
-            self._applied_index = index
-
-    def _set_voters(self, voters: frozenset[str], index: int) -> None:
-        self._voters = voters
-        logger.info(
-            "event=members_changed index={} voters={}", index, ",".join(sorted(voters))
-        )
-
-    def _snapshot_data(self) -> bytes:
-        data = self._snapshot()
-        return data if self._members is None else wrap_snapshot(self._voters, data)
-
     def _observe(self, before: State, state: State) -> None:
         """Log role changes; fail pending proposals when this replica doesn't lead."""
         self._observe_growth(state)
--- a/pollenfold/tests/control/test_large_configurations.py
+++ b/pollenfold/tests/control/test_large_configurations.py
@@ -62,7 +62,7 @@
     """Guards against a new replica that never catches up, because the entry or the
     snapshot with the configuration doesn't fit into a message."""
     if has_snapshot:
-        monkeypatch.setattr("pollenfold.control.replica.ENTRIES_PER_SNAPSHOT", 4)
+        monkeypatch.setattr("pollenfold.control.state_machine.ENTRIES_PER_SNAPSHOT", 4)
 
     async def body(cluster):
         document = large_configuration(N_ROUTES[-1])
@@ -105,7 +105,7 @@
     because only the number of its entries is bounded."""
     limit_bytes = 1 << 20
     monkeypatch.setattr(
-        "pollenfold.control.replica.LOG_BYTES_PER_SNAPSHOT", limit_bytes
+        "pollenfold.control.state_machine.LOG_BYTES_PER_SNAPSHOT", limit_bytes
     )
 
     async def body(cluster):
