--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -18,6 +18,10 @@
     from ..settings import LedgerSettings
 
 
+STOP_WAIT_MS = 1_500.0
+"""How long a stopping replica waits for the requests that it has read."""
+
+
 def wall_clock() -> Instant:
     """Return the system time in milliseconds, for ages that must survive a restart."""
     return Instant(time.time() * 1000)
@@ -46,11 +50,18 @@
         settings.replica_id,
         sock.getsockname()[1],
     )
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(signals.wait_for_stop)
+    async with curio.TaskGroup(wait=None) as group:
+        stop = await group.spawn(signals.wait_for_stop)
         await group.spawn(curio.network.run_server, sock, server.handle)
         await group.spawn(replica.run)
+        first_done = await group.next_done()
+        n_unanswered = await server.stop(STOP_WAIT_MS)
+        await group.cancel_remaining()
     await replica.close()
-    # Raises the exception of the task that ended first, unless SIGTERM ended it.
-    _ = group.result
-    logger.info("event=ledger_stopped replica={}", settings.replica_id)
+    if first_done is not stop:
+        raise first_done.exception or RuntimeError("a task ended unexpectedly")
+    logger.info(
+        "event=ledger_stopped replica={} n_unanswered={}",
+        settings.replica_id,
+        n_unanswered,
+    )
--- a/pollenfold/tests/wire/test_rpc.py
+++ b/pollenfold/tests/wire/test_rpc.py
@@ -7,6 +7,7 @@
 from curio import socket
 
 from pollenfold.core.errors import ErrorKind
+from pollenfold.observe.clock import system_clock
 from pollenfold.wire.frames import (
     HEADER_BYTES,
     MAX_PAYLOAD_BYTES,
@@ -246,3 +247,77 @@
         await task.cancel()
 
     run(main)
+
+
+def test_stop_answers_what_it_has_read_and_reads_no_more(run):
+    """Guards against a stop that cuts off requests, or that lasts as long as a peer
+    goes on sending, or resets a connection and loses the response in transit."""
+
+    async def main():
+        n_handled = 0
+
+        async def handle(payload):
+            nonlocal n_handled
+            n_handled += 1
+            await curio.sleep(0.1)
+            return payload
+
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        address = sock.getsockname()
+        server = RpcServer({Protocol.OPERATOR: handle})
+        accepting = await curio.spawn(
+            curio.network.run_server, sock, server.handle, daemon=True
+        )
+        n_answered = 0
+
+        async def send_steadily(client):
+            nonlocal n_answered
+            while True:
+                result = await client.call(Protocol.OPERATOR, b"x", 2_000)
+                if result.is_error():
+                    return
+                n_answered += 1
+
+        clients = [RpcClient(*address) for _ in range(3)]
+        callers = [
+            await curio.spawn(send_steadily, client)
+            for client in clients
+            for _ in range(20)
+        ]
+        await curio.sleep(0.25)
+        n_unanswered = await server.stop(2_000)
+        assert n_unanswered == 0
+        await accepting.cancel()
+        for caller in callers:
+            await caller.join()
+        assert n_answered == n_handled > 0
+        for client in clients:
+            await client.close()
+
+    run(main)
+
+
+def test_stop_is_bounded(run):
+    """Guards against a stop that waits for a handler that never returns, or for a peer
+    that never closes its connection."""
+
+    async def main():
+        server = RpcServer({Protocol.OPERATOR: lambda payload: curio.sleep(3600)})
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        address = sock.getsockname()
+        accepting = await curio.spawn(
+            curio.network.run_server, sock, server.handle, daemon=True
+        )
+        client = RpcClient(*address)
+        caller = await curio.spawn(client.call, Protocol.OPERATOR, b"x", 5_000)
+        idle = await curio.open_connection(*address)
+        await curio.sleep(0.05)
+        started_at = system_clock()
+        assert await server.stop(200) == 1
+        assert system_clock() - started_at < 1_000
+        await accepting.cancel()
+        assert (await caller.join()).is_error()
+        await idle.close()
+        await client.close()
+
+    run(main)
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket as sockets
 from collections.abc import Awaitable, Callable
 
@@ -21,6 +22,14 @@
 answered, no further one is read, so a peer that reads no responses can't make this
 process keep them without limit."""
 
+LINGER_MS = 500.0
+"""How long a stopped connection still discards what its peer is sending.
+
+Closing a socket with unread bytes resets the connection, and the reset may reach the
+peer before the last response does."""
+
+STOP_POLL_MS = 5.0
+
 Handler = Callable[[bytes], Awaitable[bytes]]
 """Processes a request payload and returns the response payload."""
 
@@ -66,6 +75,11 @@
 
     def __init__(self, handlers: dict[Protocol, Handler]) -> None:
         self._handlers = handlers
+        self._connections: dict[curio.Task, set[curio.Task]] = {}
+        """For the task that reads the requests of a connection, those that handle
+        them."""
+
+        self._is_stopping = False
 
     async def serve(self, host: str, port: int) -> None:
         """Listen on the address until cancelled."""
@@ -75,43 +89,86 @@
         """Serve a socket that is already listening, until cancelled."""
         await curio.network.run_server(ListeningSocket(listener), self.handle)
 
+    async def stop(self, timeout_ms: float) -> int:
+        """Answer the requests that were read, and close all connections.
+
+        Nothing more is read, also from connections that are accepted meanwhile. Return
+        the number of requests that have no response after ``timeout_ms``.
+        """
+        self._is_stopping = True
+        for reader in list(self._connections):
+            await reader.cancel(blocking=False)
+        async with curio.ignore_after(timeout_ms / 1000):
+            while self._connections:
+                await curio.sleep(STOP_POLL_MS / 1000)
+        return sum(map(len, self._connections.values()))
+
     async def handle(self, client: socket.socket, address: tuple[str, int]) -> None:
         """Handle all requests of one connection concurrently."""
+        if self._is_stopping:
+            return
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        write_lock = curio.Lock()
         # A task group would hold every finished task until the connection ends.
         tasks: set[curio.Task] = set()
-        slots = curio.Semaphore(MAX_PENDING_REQUESTS)
+        # A task of its own, so that a stop can end the reading and not the handling.
+        reader = await curio.spawn(
+            self._read_requests, client, address, tasks, daemon=True
+        )
+        self._connections[reader] = tasks
         try:
-            while True:
-                await slots.acquire()
-                try:
-                    frame = await receive_frame(client)
-                except OSError:
-                    return
-                if frame.is_error():
-                    if frame.error.kind is ErrorKind.BAD_FRAME:
-                        logger.warning(
-                            "event=bad_frame peer={} detail={!r}",
-                            address[0],
-                            frame.error.detail,
-                        )
-                    return
-                task = await curio.spawn(
-                    self._run_request_task,
-                    tasks,
-                    slots,
-                    client,
-                    write_lock,
-                    *frame.ok,
-                    daemon=True,
-                )
-                if not task.terminated:
-                    tasks.add(task)
+            await reader.wait()
+            if self._is_stopping:
+                await self._finish(client, tasks)
         finally:
+            await reader.cancel()
+            del self._connections[reader]
             for task in list(tasks):
                 await task.cancel()
 
+    async def _finish(self, client: socket.socket, tasks: set[curio.Task]) -> None:
+        """Wait until all requests are answered and the peer has the responses."""
+        while tasks:
+            await curio.sleep(STOP_POLL_MS / 1000)
+        with contextlib.suppress(OSError):
+            await client.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_MS / 1000):
+                while await client.recv(64 * 1024):
+                    pass
+
+    async def _read_requests(
+        self,
+        client: socket.socket,
+        address: tuple[str, int],
+        tasks: set[curio.Task],
+    ) -> None:
+        write_lock = curio.Lock()
+        slots = curio.Semaphore(MAX_PENDING_REQUESTS)
+        while True:
+            await slots.acquire()
+            try:
+                frame = await receive_frame(client)
+            except OSError:
+                return
+            if frame.is_error():
+                if frame.error.kind is ErrorKind.BAD_FRAME:
+                    logger.warning(
+                        "event=bad_frame peer={} detail={!r}",
+                        address[0],
+                        frame.error.detail,
+                    )
+                return
+            task = await curio.spawn(
+                self._run_request_task,
+                tasks,
+                slots,
+                client,
+                write_lock,
+                *frame.ok,
+                daemon=True,
+            )
+            if not task.terminated:
+                tasks.add(task)
+
     async def _run_request_task(
         self,
         tasks: set[curio.Task],
