--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -49,6 +49,9 @@
 STORE_WAIT_MS = 3000.0
 """How long a planned stop waits for outcomes that are still being stored."""
 
+PLATFORM_WAIT_MS = 1_500.0
+"""How long a planned stop waits for the requests on the platform port."""
+
 
 class Entry:
     """The components of one entry and their connections."""
@@ -321,6 +324,7 @@
         if first_done is not stop:
             logger.error("event=task_failed task={}", first_done.name)
         await drain(entry, callers, settings.drain_notice_ms)
+        await stop_platform(platform)
         await group.cancel_remaining()
     if first_done is not stop:
         raise first_done.exception or RuntimeError("a task ended unexpectedly")
@@ -342,3 +346,14 @@
     while entry.actions.n_storing and system_clock() < wait_until:
         await curio.sleep(0.005)
     logger.info("event=stopped n_not_stored={}", entry.actions.n_storing)
+
+
+async def stop_platform(platform: HttpServer) -> None:
+    """Answer what was read on the platform port, the last one of a stopping entry.
+
+    Until then, the platform's balancer learns from it that the entry stops.
+    """
+    await platform.stop()
+    async with curio.ignore_after(PLATFORM_WAIT_MS / 1000):
+        await platform.wait_idle()
+    logger.info("event=platform_port_closed n_unanswered={}", platform.n_in_flight)
--- a/pollenfold/tests/entry/test_daemon.py
+++ b/pollenfold/tests/entry/test_daemon.py
@@ -1,5 +1,8 @@
 """The entry daemon of the own interface: how it ends."""
 
+import os
+import signal
+
 import curio
 import pytest
 
@@ -8,6 +11,9 @@
 from pollenfold.http.messages import Response
 from pollenfold.settings import EntrySettings, load_settings
 from pollenfold.testing.ports import unused_port
+from pollenfold.tests.observe.conftest import handlers
+
+__all__ = ["handlers"]
 
 
 @pytest.fixture
@@ -73,3 +79,73 @@
         assert caller.result.ok.body == b"done"
 
     run(main)
+
+
+def test_stop_cuts_off_no_request_of_the_platform(run, settings, monkeypatch):
+    """Guards against an announcement that is accepted, and whose response is cut off
+    since the entry stops."""
+    is_handling = curio.Event()
+    settings = settings.model_copy(update={"drain_notice_ms": 0.0})
+
+    async def handle(self, request):
+        await is_handling.set()
+        await curio.sleep(0.4)
+        return Response(200, [], b"announced")
+
+    monkeypatch.setattr(daemon.AnnouncementHandler, "handle", handle)
+
+    async def call():
+        while True:
+            try:
+                connection = await HttpConnection.open(
+                    "127.0.0.1", settings.platform_port
+                )
+            except OSError:
+                await curio.sleep(0.01)
+                continue
+            path, headers = b"/v1/announcements", [(b"host", b"h")]
+            result = await connection.exchange(b"POST", path, headers, b"{}", 5_000)
+            await connection.close()
+            return result
+
+    async def stop():
+        await is_handling.wait()
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def main():
+        caller = await curio.spawn(call)
+        await curio.spawn(stop, daemon=True)
+        await daemon.serve_entry(settings)
+        # The process ends now.
+        await curio.sleep(0.01)
+        assert caller.terminated
+        assert caller.result.ok.body == b"announced"
+
+    run(main)
+
+
+def test_stop_is_not_held_by_a_request_of_the_platform(run, settings, monkeypatch):
+    """Guards against an entry that never ends, since an announcement is never
+    answered."""
+    is_handling = curio.Event()
+    monkeypatch.setattr(daemon, "PLATFORM_WAIT_MS", 100.0)
+    settings = settings.model_copy(update={"drain_notice_ms": 0.0})
+
+    async def handle(self, request):
+        await is_handling.set()
+        await curio.sleep(3600)
+
+    monkeypatch.setattr(daemon.AnnouncementHandler, "handle", handle)
+
+    async def main():
+        entry = await curio.spawn(daemon.serve_entry, settings)
+        await curio.sleep(0.3)
+        address = ("127.0.0.1", settings.platform_port)
+        async with await curio.open_connection(*address) as sock:
+            await sock.sendall(b"GET /v1/announcements HTTP/1.1\r\nhost: h\r\n\r\n")
+            await is_handling.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            async with curio.timeout_after(5):
+                await entry.join()
+
+    run(main)
