--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -4,6 +4,7 @@
 
 import gc
 import secrets
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -15,11 +16,12 @@
 from ..core.errors import ErrorKind
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice
 from ..core.warmup import Directory, WarmChange
+from ..http.listener import reserve_when_free, start_listening
 from ..http.server import HttpServer
 from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
-from ..observe.signals import Signals
+from ..observe.signals import Signals, StoppedBeforeStart
 from ..observe.statsd_sender import MetricsSender
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
@@ -274,12 +276,20 @@
 
 
 async def serve_entry(settings: EntrySettings) -> None:
-    """Run an entry until SIGTERM or SIGINT, then stop without aborting requests."""
-    with Signals(handles_reload=False) as signals:
+    """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
+
+    Raise OSError when an address is in use, before any connection is accepted.
+    """
+    with Signals(handles_reload=False) as signals, suppress(StoppedBeforeStart):
         await _serve_entry(settings, signals)
 
 
 async def _serve_entry(settings: EntrySettings, signals: Signals) -> None:
+    # All are reserved before any listens, since an entry that lacks one ends.
+    platform_listener, peer_listener, caller_listener = (
+        reserve_when_free(settings.host, port, signals.check_not_stopped)
+        for port in (settings.platform_port, settings.peer_port, settings.caller_port)
+    )
     entry = Entry(settings)
     callers = HttpServer(entry.proxy.handle, MAX_BODY_BYTES)
     platform = HttpServer(
@@ -298,8 +308,10 @@
     )
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop)
-        await platform.start(settings.host, settings.platform_port)
-        await group.spawn(peer_server.serve, settings.host, settings.peer_port)
+        for listener in (platform_listener, peer_listener, caller_listener):
+            start_listening(listener)
+        await platform.start_on(platform_listener)
+        await group.spawn(peer_server.serve_on, peer_listener)
         await group.spawn(entry.configuration.run)
         await group.spawn(entry.gossip.run)
         await group.spawn(entry.refresher.run)
@@ -309,7 +321,7 @@
             prefix = f"pollenfold.{settings.entry_id}"
             sender = MetricsSender(settings.statsd, prefix, entry.gauges)
             await group.spawn(sender.run)
-        await callers.start(settings.host, settings.caller_port)
+        await callers.start_on(caller_listener)
         # The objects that exist now live as long as the process; freezing them keeps
         # the garbage collector from traversing them while requests are handled.
         gc.collect()
--- a/pollenfold/tests/entry/test_daemon.py
+++ b/pollenfold/tests/entry/test_daemon.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pollenfold.entry import daemon
+from pollenfold.http import listener
 from pollenfold.http.client import HttpConnection
 from pollenfold.http.messages import Response
 from pollenfold.settings import EntrySettings, load_settings
@@ -149,3 +150,41 @@
                 await entry.join()
 
     run(main)
+
+
+@pytest.mark.parametrize("busy", ["caller_port", "platform_port", "peer_port"])
+def test_entry_whose_port_is_busy_accepts_nothing(run, settings, monkeypatch, busy):
+    """Guards against an entry that accepts announcements or calls, finds that it lacks
+    another address, and ends: what it had accepted was reset."""
+    listening = []
+
+    def start_listening(sock):
+        listening.append(sock.getsockname()[1])
+        sock.listen(1)
+
+    monkeypatch.setattr(listener, "start_listening", start_listening)
+    monkeypatch.setattr(daemon, "start_listening", start_listening)
+    monkeypatch.setattr(listener, "BUSY_WAIT_MS", 60.0)
+
+    async def main():
+        with pytest.raises(OSError, match="in use"):
+            await daemon.serve_entry(settings)
+
+    with listener.open_listener("127.0.0.1", getattr(settings, busy)):
+        listening.clear()
+        run(main)
+    assert listening == []
+
+
+def test_entry_that_is_stopped_while_it_waits_for_a_port_ends(
+    run, settings, monkeypatch
+):
+    """Guards against a stop signal that is taken for a failure, or waits for the
+    port."""
+
+    def wait(seconds):
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    monkeypatch.setattr(listener.time, "sleep", wait)
+    with listener.open_listener("127.0.0.1", settings.caller_port):
+        run(daemon.serve_entry, settings)
