--- a/pollenfold/cli/daemons.py
+++ b/pollenfold/cli/daemons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any, ClassVar
@@ -14,6 +15,7 @@
 from pydantic_settings import BaseSettings
 
 from ..observe.logs import configure_logs
+from ..observe.signals import RELOAD_SIGNAL
 from ..settings import ControlSettings, EntrySettings, LedgerSettings, load_settings
 from ..settings.models import ENVIRONMENT_PREFIX
 from .commands import EXIT_BAD_SETTING, EXIT_FAILED
@@ -40,6 +42,8 @@
 
     def handle(self) -> int:
         """Run the daemon until it is stopped."""
+        # By default SIGHUP would end the process while it loads its modules.
+        signal.signal(RELOAD_SIGNAL, signal.SIG_IGN)
         names = [name for name in self.model.model_fields]
         flags = {
             name: str(self.option(name.replace("_", "-")))
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -12,6 +12,7 @@
 from ..core.errors import ErrorKind
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
+from ..observe.logs import refuse_reload
 from ..observe.signals import Signals
 from ..records.parsing import MAX_RECORD_BYTES
 from ..wire.frames import Protocol
@@ -123,7 +124,7 @@
     """
     if replica_type is None:
         from .replica import Replica as replica_type
-    with Signals(handles_reload=False) as signals:
+    with Signals() as signals:
         await _serve_control(settings, _Daemon(settings, replica_type), signals)
 
 
@@ -132,7 +133,7 @@
 ) -> None:
     peer_port = settings.peers[settings.replica_id][1]
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(signals.wait_for_stop)
+        stop = await group.spawn(signals.wait_for_stop, refuse_reload)
         await daemon.operator_server.start(settings.host, settings.operator_port)
         await group.spawn(daemon.peer_server.serve, settings.host, peer_port)
         await group.spawn(daemon.replica.run)
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -21,6 +21,7 @@
 from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
+from ..observe.logs import refuse_reload
 from ..observe.signals import Signals, StoppedBeforeStart
 from ..observe.statsd_sender import MetricsSender
 from ..wire.frames import Protocol
@@ -280,7 +281,7 @@
 
     Raise OSError when an address is in use, before any connection is accepted.
     """
-    with Signals(handles_reload=False) as signals, suppress(StoppedBeforeStart):
+    with Signals() as signals, suppress(StoppedBeforeStart):
         await _serve_entry(settings, signals)
 
 
@@ -307,7 +308,7 @@
         }
     )
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(signals.wait_for_stop)
+        stop = await group.spawn(signals.wait_for_stop, refuse_reload)
         for listener in (platform_listener, peer_listener, caller_listener):
             start_listening(listener)
         await platform.start_on(platform_listener)
--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from ..core.clock import Instant
+from ..observe.logs import refuse_reload
 from ..observe.signals import Signals
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
@@ -33,7 +34,7 @@
     Raise ValueError when the data folder belongs to another replica, and OSError
     when the folder is not writable or the address is in use.
     """
-    with Signals(handles_reload=False) as signals:
+    with Signals() as signals:
         await _serve_ledger(settings, signals)
 
 
@@ -51,7 +52,7 @@
         sock.getsockname()[1],
     )
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(signals.wait_for_stop)
+        stop = await group.spawn(signals.wait_for_stop, refuse_reload)
         await group.spawn(curio.network.run_server, sock, server.handle)
         await group.spawn(replica.run)
         first_done = await group.next_done()
--- a/pollenfold/observe/logs.py
+++ b/pollenfold/observe/logs.py
@@ -28,3 +28,10 @@
     """Forward loguru messages of shared modules to the rate-limited event log."""
     logger.remove()
     logger.add(lambda message: log.preformatted(message.rstrip()), format="{message}")
+
+
+def refuse_reload() -> None:
+    """Log that SIGHUP changes nothing, for a daemon without settings to read again."""
+    logger.warning(
+        "event=reload_refused detail={!r}", "settings are read only at the start"
+    )
--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -52,11 +52,10 @@
     handlers, but not after a stop signal: a repeated one is ignored until the end.
 
     For example, a daemon enters ``with Signals() as signals`` before it opens its first
-    listening socket, and awaits ``signals.wait_for_stop(reload)`` in its loop. Without
-    ``handles_reload`` the handler of SIGHUP isn't changed.
+    listening socket, and awaits ``signals.wait_for_stop(reload)`` in its loop.
     """
 
-    def __init__(self, handles_reload: bool = True) -> None:
+    def __init__(self) -> None:
         """Set the handlers; raise ValueError outside the main thread."""
         self.stop_request: StopRequest | None = None
         """The first signal to stop, if one has arrived."""
@@ -66,10 +65,9 @@
         self._previous_fd = signal.set_wakeup_fd(
             self._sender.fileno(), warn_on_full_buffer=False
         )
-        reload_signals = (RELOAD_SIGNAL,) if handles_reload else ()
         self._previous_handlers = {
             number: signal.signal(number, self._note)
-            for number in (*STOP_SIGNALS, *reload_signals)
+            for number in (*STOP_SIGNALS, RELOAD_SIGNAL)
         }
 
     def _note(self, number: int, frame: FrameType | None) -> None:
--- a/pollenfold/tests/gateway/test_daemon.py
+++ b/pollenfold/tests/gateway/test_daemon.py
@@ -179,7 +179,7 @@
     monkeypatch.setattr(daemon.Balancer, "run_maintenance", fail)
 
     async def serve():
-        with Signals(handles_reload=False) as signals:
+        with Signals() as signals:
             settings = replace(gateway.settings, metrics_port=None, grace_ms=2_000.0)
             with pytest.raises(KeyError) as raised:
                 await daemon.serve_gateway(settings, DIALECT, json.loads, signals)
