--- a/pollenfold/http/listener.py
+++ b/pollenfold/http/listener.py
@@ -48,8 +48,24 @@
     return sock
 
 
+def _reserve(host: str, port: int) -> socket.socket:
+    """Bind an address so that no other process can bind it.
+
+    Linux lets two sockets that allow reuse bind one address while neither listens.
+    Reuse is needed for the bind only, because of connections of an earlier process.
+    """
+    sock = _bind(host, port)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 0)
+    return sock
+
+
 def start_listening(sock: socket.socket) -> None:
-    """Accept connections on a socket that ``reserve_when_free`` returned."""
+    """Accept connections on a socket that ``reserve_when_free`` returned.
+
+    Connections inherit the option, with which a process that is started while they
+    are still open can bind their address.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.listen(BACKLOG)
 
 
@@ -74,7 +90,7 @@
     while True:
         check()
         try:
-            return _bind(host, port)
+            return _reserve(host, port)
         except OSError as error:
             if error.errno != errno.EADDRINUSE or system_clock() >= deadline:
                 detail = f"can't listen on {host}:{port}: {error.strerror}"
--- a/pollenfold/tests/platform/test_ports.py
+++ b/pollenfold/tests/platform/test_ports.py
@@ -9,7 +9,11 @@
 from benchmarks import soak
 from benchmarks.soak import CALLER_PORT, Soak, exchange
 from pollenfold.http import listener
-from pollenfold.http.listener import open_listener, reserve_when_free
+from pollenfold.http.listener import (
+    open_listener,
+    reserve_when_free,
+    start_listening,
+)
 from pollenfold.platform.ports import METRICS_PORTS, assign_ports
 from pollenfold.platform.settings import SettingsError, parse_settings
 
@@ -113,6 +117,50 @@
             reserve_when_free("127.0.0.1", port)
 
 
+@pytest.mark.parametrize("second", [open_listener, reserve_when_free])
+def test_reserved_address_can_not_be_reserved_twice(monkeypatch, second):
+    """Guards against two processes that both reserve an address while neither listens:
+    the later one fails only after it has accepted connections on its other ports."""
+    monkeypatch.setattr(listener, "BUSY_WAIT_MS", 60.0)
+    with reserve_when_free("127.0.0.1", 0) as first:
+        port = first.getsockname()[1]
+        with pytest.raises(OSError, match="in use"):
+            second("127.0.0.1", port).close()
+        start_listening(first)
+        with socket.create_connection(("127.0.0.1", port), timeout=1):
+            pass
+
+
+@pytest.mark.parametrize("earlier_side_closes_first", [True, False])
+def test_address_is_reserved_beside_connections_of_an_earlier_process(
+    earlier_side_closes_first,
+):
+    """Guards against a restart in place that waits until the connections of the earlier
+    process, or their closing, are over; several times, as each inherits from the
+    listener before it."""
+    port = 0
+    kept = []
+    for _ in range(3):
+        sock = reserve_when_free("127.0.0.1", port)
+        start_listening(sock)
+        port = sock.getsockname()[1]
+        for is_kept in (True, False):
+            caller = socket.create_connection(("127.0.0.1", port), timeout=1)
+            sock.setblocking(True)
+            accepted, _ = sock.accept()
+            pair = (
+                [accepted, caller] if earlier_side_closes_first else [caller, accepted]
+            )
+            if is_kept:
+                kept += pair
+                continue
+            for side in pair:
+                side.close()
+        sock.close()
+    for sock in kept:
+        sock.close()
+
+
 @pytest.fixture
 def make_system(tmp_path, monkeypatch):
     """Return a function that makes one control process and two entries."""
