--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -9,6 +9,7 @@
 
 from ..curio_subset import load_curio_subset
 from ..http.listener import reserve_when_free, start_listening
+from ..http.queued_connections import refuse_queued
 from ..observe.signals import Signals, StoppedBeforeStart
 from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
@@ -49,6 +50,18 @@
     settings = source.settings
     ports = _ports("entry", settings)
     listeners = _listen_for_callers(settings, ports, signals)
+    try:
+        _serve_entry(source, ports, listeners, signals)
+    except Exception:
+        # The drain of a loop that ran has closed the listener already.
+        refuse_queued(listeners.callers)
+        raise
+
+
+def _serve_entry(
+    source: SettingsSource, ports: Ports, listeners: _EntryListeners, signals: Signals
+) -> None:
+    settings = source.settings
     load_curio_subset()
     import curio
 
