--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -4,6 +4,7 @@
 
 import gc
 import secrets
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -15,11 +16,13 @@
 from ..core.errors import ErrorKind
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice
 from ..core.warmup import Directory, WarmChange
+from ..http.listener import reserve_when_free, start_listening
 from ..http.server import HttpServer
 from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
-from ..observe.signals import Signals
+from ..observe.logs import refuse_reload
+from ..observe.signals import Signals, StoppedBeforeStart
 from ..observe.statsd_sender import MetricsSender
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
@@ -49,6 +52,9 @@
 STORE_WAIT_MS = 3000.0
 """How long a planned stop waits for outcomes that are still being stored."""
 
+PLATFORM_WAIT_MS = 1_500.0
+"""How long a planned stop waits for the requests on the platform port."""
+
 
 class Entry:
     """The components of one entry and their connections."""
@@ -271,12 +277,20 @@
 
 
 async def serve_entry(settings: EntrySettings) -> None:
-    """Run an entry until SIGTERM or SIGINT, then stop without aborting requests."""
-    with Signals(handles_reload=False) as signals:
+    """Run an entry until SIGTERM or SIGINT, then stop without aborting requests.
+
+    Raise OSError when an address is in use, before any connection is accepted.
+    """
+    with Signals() as signals, suppress(StoppedBeforeStart):
         await _serve_entry(settings, signals)
 
 
 async def _serve_entry(settings: EntrySettings, signals: Signals) -> None:
+    # All are reserved before any listens, since an entry that lacks one ends.
+    platform_listener, peer_listener, caller_listener = (
+        reserve_when_free(settings.host, port, signals.check_not_stopped)
+        for port in (settings.platform_port, settings.peer_port, settings.caller_port)
+    )
     entry = Entry(settings)
     callers = HttpServer(entry.proxy.handle, MAX_BODY_BYTES)
     platform = HttpServer(
@@ -294,9 +308,11 @@
         }
     )
     async with curio.TaskGroup(wait=None) as group:
-        stop = await group.spawn(signals.wait_for_stop)
-        await platform.start(settings.host, settings.platform_port)
-        await group.spawn(peer_server.serve, settings.host, settings.peer_port)
+        stop = await group.spawn(signals.wait_for_stop, refuse_reload)
+        for listener in (platform_listener, peer_listener, caller_listener):
+            start_listening(listener)
+        await platform.start_on(platform_listener)
+        await group.spawn(peer_server.serve_on, peer_listener)
         await group.spawn(entry.configuration.run)
         await group.spawn(entry.gossip.run)
         await group.spawn(entry.refresher.run)
@@ -306,7 +322,7 @@
             prefix = f"pollenfold.{settings.entry_id}"
             sender = MetricsSender(settings.statsd, prefix, entry.gauges)
             await group.spawn(sender.run)
-        await callers.start(settings.host, settings.caller_port)
+        await callers.start_on(caller_listener)
         # The objects that exist now live as long as the process; freezing them keeps
         # the garbage collector from traversing them while requests are handled.
         gc.collect()
@@ -321,6 +337,7 @@
         if first_done is not stop:
             logger.error("event=task_failed task={}", first_done.name)
         await drain(entry, callers, settings.drain_notice_ms)
+        await stop_platform(platform)
         await group.cancel_remaining()
     if first_done is not stop:
         raise first_done.exception or RuntimeError("a task ended unexpectedly")
@@ -342,3 +359,14 @@
     while entry.actions.n_storing and system_clock() < wait_until:
         await curio.sleep(0.005)
     logger.info("event=stopped n_not_stored={}", entry.actions.n_storing)
+
+
+async def stop_platform(platform: HttpServer) -> None:
+    """Answer what was read on the platform port, the last one of a stopping entry.
+
+    Until then, the platform's balancer learns from it that the entry stops.
+    """
+    await platform.stop()
+    async with curio.ignore_after(PLATFORM_WAIT_MS / 1000):
+        await platform.wait_idle()
+    logger.info("event=platform_port_closed n_unanswered={}", platform.n_in_flight)
