--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import logging
 import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -307,6 +308,13 @@
             # The caller can't mistake a reset for the end of a complete response.
             self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             await self._close_after(exchange, should_linger=False)
+        except Exception as error:
+            # It would end the task of a concurrent request unnoticed: a planned stop
+            # would wait for the request, and those behind it get no response.
+            exchange.end = "failed"
+            kind = ErrorKind.INTERNAL_ERROR
+            self._shared.on_rejected(kind, repr(error), self._peer)
+            await self._close_after(exchange, should_linger=False)
         finally:
             if response is not None and response.remaining_body is not None:
                 await response.remaining_body.close()
@@ -421,10 +429,18 @@
         self._shared.n_in_flight -= 1
         if exchange.end != ANSWERED:
             self._shared.counts.n_unanswered += 1
-            self._shared.on_unanswered(exchange.request, exchange.end)
+            self._report_unanswered(exchange)
         await exchange.reader.release()
         await exchange.is_done.set()
 
+    def _report_unanswered(self, exchange: _Exchange) -> None:
+        """Report a request; those behind it must go on if the report fails."""
+        try:
+            self._shared.on_unanswered(exchange.request, exchange.end)
+        except Exception as error:
+            text = "event=report_failed reason=%s detail=%r"
+            logging.getLogger(__name__).error(text, exchange.end, error)
+
     async def _close_after(
         self, exchange: _Exchange, should_linger: bool = True
     ) -> None:
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
 import socket as sockets
@@ -12,6 +13,7 @@
 from curio.io import Socket
 
 from ..core.errors import ErrorKind
+from ..observe.steps import run_step
 from .caller import (
     CallerConnection,
     ConnectionCounts,
@@ -20,8 +22,8 @@
     OnUnanswered,
     SharedState,
 )
-from .listener import open_listener
-from .listening_socket import ListeningSocket
+from .listener import BACKLOG, open_listener
+from .listening_socket import ACCEPT_PAUSE_MS, CLOSED_ERRORS, ListeningSocket
 from .memory import MemoryBudget
 from .messages import Request
 from .request_reader import BODY_BUDGET_BYTES, ServerLimits
@@ -30,8 +32,14 @@
 BUFFERED_BODY_BUDGET_BYTES = 64 << 20
 """Memory limits for one completely buffered body and for all bodies of a server."""
 
-FAILED_CONNECTION_ERRORS = (errno.ECONNABORTED, errno.EINTR, errno.EPROTO)
-"""Errors of an accept that concern one connection, behind which others may wait."""
+EXHAUSTED_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+"""Errors of an accept that has no descriptor or memory left, maybe for a moment."""
+
+MAX_ACCEPT_PAUSES = 4
+"""How often a stop waits for ``ACCEPT_PAUSE_MS`` after such an error."""
+
+MAX_FAILED_ACCEPTS = 2 * BACKLOG
+"""Each other failed accept takes one connection off the queue."""
 
 PARTIAL_REQUEST_WAIT_MS = 2000.0
 """How long a planned stop waits for a request that has arrived in part."""
@@ -50,6 +58,16 @@
         logging.getLogger(__name__).error(text, kind.value, detail, peer)
 
 
+def _log_failed_connection(peer: str, error: BaseException) -> None:
+    text = "event=connection_failed peer=%s detail=%r"
+    logging.getLogger(__name__).error(text, peer, error)
+
+
+def _log_failed_step(step: str, error: BaseException) -> None:
+    text = "event=stop_step_failed step=%s detail=%r"
+    logging.getLogger(__name__).error(text, step, error)
+
+
 def _ignore_unanswered(request: Request, reason: str) -> None:
     """Only count requests without a response."""
 
@@ -151,25 +169,36 @@
 
         A connection in the kernel's accept queue may carry a request, so it is
         accepted first and given ``FIRST_REQUEST_WAIT_MS`` to send it.
+
+        What one connection or the listener raises is logged, and costs no other
+        connection its response. A connection that can't be closed stays open, and
+        its next request is refused.
         """
         self._shared.is_stopping = True
         if self._accept_task is not None and self._listening_socket is not None:
             # Other tasks run until the task has ended, and the loop may be late, so
             # nothing is waited for between the last accept and the close.
-            await self._accept_task.cancel()
-            await self._accept_queued(self._listening_socket)
-            self._listening_socket.close()
+            listener = self._listening_socket
+            cancel = self._accept_task.cancel
+            await run_step("stop_accepting", _log_failed_step, cancel)
+            await run_step(
+                "accept_queued", _log_failed_step, self._accept_queued, listener
+            )
+            await run_step("close_listener", _log_failed_step, listener.close)
         self._shared.has_stopped = True
         for connection in list(self._connections):
             if connection.is_new:
                 await curio.spawn(self._close_new_if_idle, connection, daemon=True)
             else:
-                await connection.close_if_idle()
+                await self._close_if_idle(connection)
+
+    async def _close_if_idle(self, connection: CallerConnection) -> None:
+        await run_step("close_if_idle", _log_failed_step, connection.close_if_idle)
 
     async def _close_new_if_idle(self, connection: CallerConnection) -> None:
         await curio.sleep(FIRST_REQUEST_WAIT_MS / 1000)
         if connection in self._connections:
-            await connection.close_if_idle()
+            await self._close_if_idle(connection)
 
     async def wait_idle(self) -> None:
         """Return when no request is in flight and no response in transit.
@@ -191,7 +220,7 @@
         Requests without a response are reported, while the log can still be written.
         """
         for connection in list(self._connections):
-            await connection.cancel()
+            await run_step("close_connection", _log_failed_step, connection.cancel)
 
     async def _accept(self, sock: Socket) -> None:
         while True:
@@ -200,25 +229,41 @@
 
     async def _accept_queued(self, listening_socket: sockets.socket) -> None:
         """Accept the connections that wait in the kernel's accept queue."""
-        while True:
+        n_failures = n_pauses = 0
+        while n_failures < MAX_FAILED_ACCEPTS:
             try:
                 client, address = listening_socket.accept()
-            except OSError as error:
-                if error.errno in FAILED_CONNECTION_ERRORS:
-                    continue
-                # The queue is empty, the socket closed, or no descriptor is left.
+            except BlockingIOError:
                 return
+            except Exception as error:
+                number = error.errno if isinstance(error, OSError) else None
+                if number in EXHAUSTED_ERRORS and n_pauses < MAX_ACCEPT_PAUSES:
+                    n_pauses += 1
+                    await curio.sleep(ACCEPT_PAUSE_MS / 1000)
+                elif number in (*EXHAUSTED_ERRORS, *CLOSED_ERRORS):
+                    raise
+                n_failures += 1
+                continue
+            await self._start_queued(client, address[0])
+
+    async def _start_queued(self, client: sockets.socket, peer: str) -> None:
+        try:
             client.setblocking(False)
-            await self._start_connection(Socket(client), address[0])
+            sock = Socket(client)
+        except Exception as error:
+            _log_failed_connection(peer, error)
+            client.close()
+            return
+        await self._start_connection(sock, peer)
 
     async def _start_connection(self, client: Socket, peer: str) -> None:
         """Serve an accepted connection; an error ends it, and not the accepting."""
         try:
             await self._spawn_connection(client, peer)
         except Exception as error:
-            text = "event=connection_failed peer=%s detail=%r"
-            logging.getLogger(__name__).error(text, peer, error)
-            await client.close()
+            _log_failed_connection(peer, error)
+            with contextlib.suppress(OSError):
+                await client.close()
 
     async def _spawn_connection(self, client: Socket, peer: str) -> None:
         if self._is_permitted is not None and not self._is_permitted(peer):
