--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Any
 
 import curio
 
@@ -34,6 +35,7 @@
 from ..observe.clock import system_clock
 from ..observe.daemon import (
     end_after_failure,
+    failed_step_logger,
     metrics_response,
     reload_settings,
     serve_metrics,
@@ -42,6 +44,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.signals import Signals, StopRequest
+from ..observe.steps import run_step
 from .balancer import Balancer
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
@@ -82,6 +85,7 @@
 callers expect that one accepted later is completed within the grace period."""
 
 STOP_MARGIN_MS = 500.0
+IDLE_POLL_MS = 5.0
 CLOSE_WAIT_MS = 100.0
 FINAL_RESPONSE_MS = 200.0
 """How long before the end of a stop pending requests get their final responses."""
@@ -392,7 +396,6 @@
         except Exception as error:
             end = end_after_failure(error, gateway.log, signals)
         await _drain(gateway, end.stop)
-        gateway.log.flush()
         await group.cancel_remaining()
     if end.failure is not None:
         raise end.failure
@@ -438,20 +441,40 @@
     stop_at = add_ms(stop.received_at, gateway.settings.grace_ms - STOP_MARGIN_MS)
     close_at = add_ms(stop.received_at, STOP_NOTICE_MS)
     gateway.answer_by = add_ms(stop_at, -FINAL_RESPONSE_MS)
-    gateway.forwarder.limit_deadlines(gateway.answer_by)
-    gateway.caller_server.announce_stop()
-    gateway.peer_port.announce_stop()
-    gateway.log_stop("stopping", stop)
+    callers, peers = gateway.caller_server, gateway.peer_port.server
+    on_failed = failed_step_logger(gateway.log)
+
+    async def run(name: str, step: Callable[..., Any], *args: Any) -> None:
+        await run_step(name, on_failed, step, *args)
+
+    await run("limit_deadlines", gateway.forwarder.limit_deadlines, gateway.answer_by)
+    await run("announce_stop", callers.announce_stop)
+    await run("announce_stop_to_peers", gateway.peer_port.announce_stop)
+    await run("log_stop", gateway.log_stop, "stopping", stop)
     await curio.sleep(remaining_ms(close_at, system_clock()) / 1000)
-    await gateway.caller_server.stop()
-    await gateway.peer_port.server.stop()
+    await run("stop_callers", callers.stop)
+    await run("stop_peers", peers.stop)
     # What was accepted late, after a slow start, still gets its response.
     left_ms = max(remaining_ms(stop_at, system_clock()), FINAL_RESPONSE_MS)
-    async with curio.ignore_after(left_ms / 1000):
-        await gateway.caller_server.wait_idle()
-        await gateway.peer_port.server.wait_idle()
-    await gateway.monitor.stop()
-    async with curio.ignore_after(CLOSE_WAIT_MS / 1000):
-        await gateway.caller_server.close_all()
-        await gateway.peer_port.server.close_all()
-    gateway.log_stop("stopped", stop)
+    wait_until = add_ms(system_clock(), left_ms)
+    await run("wait_for_callers", _wait_idle, callers, wait_until)
+    await run("wait_for_peers", _wait_idle, peers, wait_until)
+    # A wait that failed doesn't cut off what is in flight.
+    while gateway.peer_port.n_in_flight and system_clock() < wait_until:
+        await curio.sleep(IDLE_POLL_MS / 1000)
+    await run("stop_monitor", gateway.monitor.stop)
+    close_until = add_ms(system_clock(), CLOSE_WAIT_MS)
+    await run("close_callers", _close_all, callers, close_until)
+    await run("close_peers", _close_all, peers, close_until)
+    await run("log_stop", gateway.log_stop, "stopped", stop)
+    await run("flush_log", gateway.log.flush)
+
+
+async def _wait_idle(server: HttpServer, until: Instant) -> None:
+    async with curio.ignore_after(remaining_ms(until, system_clock()) / 1000):
+        await server.wait_idle()
+
+
+async def _close_all(server: HttpServer, until: Instant) -> None:
+    async with curio.ignore_after(remaining_ms(until, system_clock()) / 1000):
+        await server.close_all()
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -13,6 +13,7 @@
 from .events import EventLog
 from .exposition import Metrics
 from .signals import Signals, StopRequest
+from .steps import OnFailed
 
 METRICS_RETRY_MS = 1_000.0
 
@@ -78,6 +79,15 @@
     failure: BaseException | None = None
 
 
+def failed_step_logger(log: EventLog) -> OnFailed:
+    """Return a function that logs the failure of a step of a stop."""
+
+    def log_failed_step(step: str, error: BaseException) -> None:
+        log.state("stop_step_failed", step=step, detail=repr(error))
+
+    return log_failed_step
+
+
 def end_after_failure(failure: BaseException, log: EventLog, signals: Signals) -> End:
     """Return the end of a daemon that can't go on, and log it.
 
