--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -21,6 +21,7 @@
 from ..http.server import Handler, HttpServer
 from ..observe.clock import system_clock
 from ..observe.daemon import (
+    failed_step_logger,
     metrics_response,
     reload_settings,
     serve_metrics,
@@ -29,7 +30,8 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
-from ..observe.signals import Signals
+from ..observe.signals import Signals, StopRequest
+from ..observe.steps import run_step
 from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
@@ -53,6 +55,7 @@
 of a grace period of 6 s is for signals that are noticed late."""
 
 MIN_STOP_WAIT_MS = 200.0
+IDLE_POLL_MS = 5.0
 MAX_REQUEST_BYTES = 16 << 20
 
 
@@ -301,16 +304,34 @@
             metrics_port=settings.metrics_port or "none",
         )
         end = await wait_for_end(group, stop, node.log, signals)
-        node.log.state(
-            "stopping", signal=end.stop.signal_name, n_in_flight=api.n_in_flight
-        )
-        await api.stop()
-        wait_until = add_ms(end.stop.received_at, STOP_WAIT_MS)
-        left_ms = max(remaining_ms(wait_until, system_clock()), MIN_STOP_WAIT_MS)
-        async with curio.ignore_after(left_ms / 1000):
-            await api.wait_idle()
-        node.log.state("stopped", n_in_flight=api.n_in_flight)
-        node.log.flush()
+        await _stop(node, api, end.stop)
         await group.cancel_remaining()
     if end.failure is not None:
         raise end.failure
+
+
+async def _stop(node: ClusterNode, api: HttpServer, stop: StopRequest) -> None:
+    """Answer the orders in flight; the other tasks still run, which they need."""
+    on_failed = failed_step_logger(node.log)
+
+    def log(event: str) -> None:
+        node.log.state(event, signal=stop.signal_name, n_in_flight=api.n_in_flight)
+
+    async def wait_idle() -> None:
+        wait_until = add_ms(stop.received_at, STOP_WAIT_MS)
+        left_ms = max(remaining_ms(wait_until, system_clock()), MIN_STOP_WAIT_MS)
+        async with curio.ignore_after(left_ms / 1000):
+            await api.wait_idle()
+
+    async def wait_for_requests() -> None:
+        """Wait for what is in flight, if the wait before failed."""
+        wait_until = add_ms(stop.received_at, STOP_WAIT_MS)
+        while api.n_in_flight and system_clock() < wait_until:
+            await curio.sleep(IDLE_POLL_MS / 1000)
+
+    await run_step("log_stop", on_failed, log, "stopping")
+    await run_step("stop_operators", on_failed, api.stop)
+    await run_step("wait_for_operators", on_failed, wait_idle)
+    await run_step("wait_for_requests", on_failed, wait_for_requests)
+    await run_step("log_stop", on_failed, log, "stopped")
+    await run_step("flush_log", on_failed, node.log.flush)
