--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -19,8 +19,10 @@
 from ..ledger.client import LedgerClient
 from ..observe.clock import system_clock
 from ..observe.histograms import Histograms
+from ..observe.logs import log_failed_step
 from ..observe.signals import Signals
 from ..observe.statsd_sender import MetricsSender
+from ..observe.steps import run_step
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
 from .announcements import AnnouncementHandler
@@ -49,6 +51,8 @@
 STORE_WAIT_MS = 3000.0
 """How long a planned stop waits for outcomes that are still being stored."""
 
+IDLE_POLL_MS = 5.0
+
 
 class Entry:
     """The components of one entry and their connections."""
@@ -333,12 +337,15 @@
     other entries before the port closes.
     """
     entry.is_stopping = True
-    callers.announce_stop()
+    await run_step("announce_stop", log_failed_step, callers.announce_stop)
     logger.info("event=stopping n_in_flight={}", callers.n_in_flight)
     await curio.sleep(notice_ms / 1000)
-    await callers.stop()
-    await callers.wait_idle()
+    await run_step("stop_callers", log_failed_step, callers.stop)
+    await run_step("wait_for_callers", log_failed_step, callers.wait_idle)
+    # A wait that failed doesn't cut off what is in flight.
+    while callers.n_in_flight:
+        await curio.sleep(IDLE_POLL_MS / 1000)
     wait_until = system_clock() + STORE_WAIT_MS
     while entry.actions.n_storing and system_clock() < wait_until:
-        await curio.sleep(0.005)
+        await curio.sleep(IDLE_POLL_MS / 1000)
     logger.info("event=stopped n_not_stored={}", entry.actions.n_storing)
--- a/pollenfold/observe/logs.py
+++ b/pollenfold/observe/logs.py
@@ -28,3 +28,8 @@
     """Forward loguru messages of shared modules to the rate-limited event log."""
     logger.remove()
     logger.add(lambda message: log.preformatted(message.rstrip()), format="{message}")
+
+
+def log_failed_step(step: str, error: BaseException) -> None:
+    """Log the failure of a step of a stop."""
+    logger.error("event=stop_step_failed step={} detail={!r}", step, error)
