--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -12,7 +12,9 @@
 from ..core.errors import ErrorKind
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
+from ..observe.logs import log_failed_step
 from ..observe.signals import Signals
+from ..observe.steps import run_step
 from ..records.parsing import MAX_RECORD_BYTES
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient, RpcServer
@@ -145,11 +147,17 @@
         )
         first_done = await group.next_done()
         # The orders in flight need the replica, so it goes on until they are answered.
-        await daemon.operator_server.stop()
-        async with curio.ignore_after(STOP_WAIT_MS / 1000):
-            await daemon.operator_server.wait_idle()
+        operators = daemon.operator_server
+        await run_step("stop_operators", log_failed_step, operators.stop)
+        await run_step("wait_for_operators", log_failed_step, _wait_idle, operators)
         await group.cancel_remaining()
     if first_done is not stop:
         error = RuntimeError(f"{first_done.name} ended")
         raise first_done.exception or error
     logger.info("event=stopped signal={}", stop.result.signal_name)
+
+
+async def _wait_idle(operators: HttpServer) -> None:
+    """Wait until the orders in flight are answered, but no longer than a stop may."""
+    async with curio.ignore_after(STOP_WAIT_MS / 1000):
+        await operators.wait_idle()
