--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -21,11 +21,14 @@
 def reload_settings(
     reload: Callable[[], None], seeds: Callable[[], list[str]], log: EventLog
 ) -> None:
-    """Reload the settings; invalid settings are logged and leave the old in force."""
+    """Reload the settings; invalid settings are logged and leave the old in force.
+
+    No content of the file may end the process, so any error rejects the settings.
+    """
     try:
         reload()
-    except ValueError as error:
-        log.state("settings_rejected", detail=str(error))
+    except Exception as error:
+        log.state("settings_rejected", detail=str(error) or repr(error))
         return
     log.state("settings_reloaded", seeds=",".join(seeds()))
 
