--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -13,6 +13,7 @@
 from .events import EventLog
 from .exposition import Metrics
 from .signals import Signals, StopRequest
+from .steps import OnFailed
 
 METRICS_RETRY_MS = 1_000.0
 
@@ -20,11 +21,14 @@
 def reload_settings(
     reload: Callable[[], None], seeds: Callable[[], list[str]], log: EventLog
 ) -> None:
-    """Reload the settings; invalid settings are logged and leave the old in force."""
+    """Reload the settings; invalid settings are logged and leave the old in force.
+
+    No content of the file may end the process, so any error rejects the settings.
+    """
     try:
         reload()
-    except ValueError as error:
-        log.state("settings_rejected", detail=str(error))
+    except Exception as error:
+        log.state("settings_rejected", detail=str(error) or repr(error))
         return
     log.state("settings_reloaded", seeds=",".join(seeds()))
 
@@ -78,6 +82,15 @@
     failure: BaseException | None = None
 
 
+def failed_step_logger(log: EventLog) -> OnFailed:
+    """Return a function that logs the failure of a step of a stop."""
+
+    def log_failed_step(step: str, error: BaseException) -> None:
+        log.state("stop_step_failed", step=step, detail=repr(error))
+
+    return log_failed_step
+
+
 def end_after_failure(failure: BaseException, log: EventLog, signals: Signals) -> End:
     """Return the end of a daemon that can't go on, and log it.
 
--- a/pollenfold/observe/logs.py
+++ b/pollenfold/observe/logs.py
@@ -35,3 +35,8 @@
     logger.warning(
         "event=reload_refused detail={!r}", "settings are read only at the start"
     )
+
+
+def log_failed_step(step: str, error: BaseException) -> None:
+    """Log the failure of a step of a stop."""
+    logger.error("event=stop_step_failed step={} detail={!r}", step, error)
