--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -74,10 +74,11 @@
     left_ms = remaining_ms(call.deadline, clock())
     request = _build_request(call, endpoint, dialect, left_ms, clock)
     try:
-        async with curio.timeout_after(left_ms / 1000):
-            is_sent = await _send(
-                connection, request, endpoint, clock, before_final_piece
-            )
+        is_sent = await send_until_deadline(
+            call,
+            clock,
+            lambda: _send(connection, request, endpoint, clock, before_final_piece),
+        )
         if not is_sent:
             return AttemptOutcome.UNREACHABLE, None
         call.may_have_executed = True
@@ -102,6 +103,34 @@
     return received, None
 
 
+async def send_until_deadline(
+    call: Call, clock: Clock, send: Callable[[], Awaitable[bool]]
+) -> bool:
+    """Send a request; raise TaskTimeout at the deadline, also if it moves meanwhile.
+
+    The deadline moves if this process is stopped while its receiver reads no more.
+    """
+    if call.request.read_remaining_body is None:
+        # The sockets take a short request at once, so a task isn't worth its time.
+        async with curio.timeout_after(remaining_ms(call.deadline, clock()) / 1000):
+            return await send()
+    sender = await curio.spawn(send, daemon=True)
+    try:
+        while not sender.terminated:
+            left_ms = remaining_ms(call.deadline, clock())
+            if left_ms <= 0.0:
+                raise curio.TaskTimeout
+            wait_ms = min(left_ms, CALLER_CHECK_INTERVAL_MS)
+            async with curio.ignore_after(wait_ms / 1000):
+                await sender.wait()
+        if sender.exception is not None:
+            raise sender.exception
+        return bool(sender.result)
+    finally:
+        if not sender.terminated:
+            await sender.cancel()
+
+
 async def _send(
     connection: BackendConnection,
     request: OutgoingRequest,
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -22,6 +22,7 @@
     is_caller_gone,
     receive_response,
     request_of_call,
+    send_until_deadline,
 )
 from .notices import apply_response_notices
 from .outgoing import OutgoingRequest
@@ -203,9 +204,10 @@
             raise CallerGoneError
         request = self._request(call, left_ms)
         try:
-            async with curio.timeout_after(left_ms / 1000):
-                if not await connection.send(request):
-                    return RelayOutcome.UNREACHABLE
+            if not await send_until_deadline(
+                call, self._clock, lambda: connection.send(request)
+            ):
+                return RelayOutcome.UNREACHABLE
             call.may_have_executed = True
             call.sent_at = self._clock()
             waits = ResponseWaits(
