--- a/pollenfold/tests/core/test_snapshot_transfer.py
+++ b/pollenfold/tests/core/test_snapshot_transfer.py
@@ -6,6 +6,7 @@
 import pytest
 
 from pollenfold.core.agreement import initial_state, step
+from pollenfold.core.agreement_documents import document_bytes
 from pollenfold.core.agreement_log import Log, Snapshot
 from pollenfold.core.agreement_members import encode_members
 from pollenfold.core.agreement_messages import (
@@ -130,3 +131,18 @@
     assert last.body.offset_bytes == SNAPSHOT_CHUNK_BYTES
     leader, actions = step(leader, Receive(heartbeat_response), later, 400.0)
     assert [m.body.offset_bytes for m in sends(actions)] in ([], [SNAPSHOT_CHUNK_BYTES])
+
+
+def test_small_snapshot_is_sent_uncompressed_after_a_failed_call():
+    """Guards against compressed bytes for a follower that was replaced by a version
+    that stores them as its state. Only a heartbeat tells what it accepts."""
+    now = Instant(10_000.0)
+    leader = leader_with_snapshot(b"route " * 1_000, now)
+    leader, actions = step(leader, Tick(), now, 400.0)
+    (message,) = sends(actions)
+    assert message.body.is_compressed and not document_bytes(message.body)
+    leader, _ = step(leader, SendFailed(message), add_ms(now, 1.0), 400.0)
+    now = add_ms(now, HEARTBEAT_MS)
+    _, actions = step(leader, Tick(), now, 400.0)
+    (message,) = sends(actions)
+    assert not message.body.is_compressed
