--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -216,9 +216,12 @@
 class _PendingCall:
     """The response to one call, set at most once; None means that the call failed."""
 
-    __slots__ = ("_event", "_body")
+    __slots__ = ("_event", "_body", "sock")
 
     def __init__(self) -> None:
+        self.sock: socket.socket | None = None
+        """The connection on which the request was sent."""
+
         self._event = curio.Event()
         self._body: bytes | None = None
 
@@ -265,7 +268,8 @@
             async with curio.timeout_after(timeout_ms / 1000):
                 frame = encode_frame(protocol, Flag.REQUEST, request_id, payload)
                 async with self._write_lock:
-                    await self._send(await self._ensure_connected(), frame)
+                    pending.sock = await self._ensure_connected()
+                    await self._send(pending.sock, frame)
                 body = await pending.get()
         except curio.TaskTimeout:
             return Error(ErrorKind.UNREACHABLE)
@@ -307,10 +311,13 @@
         # curio raises an error when a socket is closed while another task waits on it.
         if receive_task is not None and receive_task is not await curio.current_task():
             await receive_task.cancel()
-        if sock is not None:
-            await sock.close()
+        if sock is None:
+            return
+        await sock.close()
+        # A call that waits for its turn is sent on the next connection.
         for pending in list(self._pending_calls.values()):
-            await pending.set(None)
+            if pending.sock is sock:
+                await pending.set(None)
 
     async def _receive_responses(self, sock: socket.socket) -> None:
         while True:
