--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement_replication.py
@@ -74,8 +74,18 @@
     if progress.document_sent_at is not None and now < progress.document_resend_at:
         return state, [state.send(peer, _heartbeat(state, progress, now))]
     log = state.log
+    is_snapshot_needed = progress.next_index <= log.snapshot.index
+    if is_snapshot_needed and progress.snapshot_index != log.snapshot.index:
+        progress = replace(
+            progress, snapshot_index=log.snapshot.index, snapshot_offset_bytes=0
+        )
     body: AppendRequest | SnapshotRequest
-    if progress.next_index <= log.snapshot.index:
+    if is_snapshot_needed and _is_form_unknown(progress):
+        body = _heartbeat(state, progress, now)
+    elif is_snapshot_needed:
+        if not progress.snapshot_offset_bytes:
+            is_compressed = bool(progress.accepts_compressed)
+            progress = replace(progress, is_snapshot_compressed=is_compressed)
         body = _snapshot_request(state, progress, now)
     else:
         previous_index = progress.next_index - 1
@@ -117,24 +127,25 @@
     )
 
 
+def _is_form_unknown(progress: Progress) -> bool:
+    """Return whether a snapshot begins for a follower that must be asked first."""
+    return progress.accepts_compressed is None and not progress.snapshot_offset_bytes
+
+
 def on_send_failed(state: State, message: Message) -> State:
     """Let a document whose call failed be sent again with the next heartbeat.
 
-    The follower may have been replaced by an earlier version, so no compressed snapshot
-    is sent to it before it has answered a heartbeat.
+    The follower may have been replaced by an earlier version, so no snapshot begins
+    before it has answered a heartbeat. Chunks that follow others are safe: one that
+    lacks those before doesn't take them.
     """
     progress = state.progress.get(message.recipient)
     body = message.body
     if progress is None or not isinstance(body, AppendRequest | SnapshotRequest):
         return state
-    if progress.document_sent_at != body.sent_at:
-        return state
-    progress = replace(
-        progress,
-        document_sent_at=None,
-        is_awaiting_response=False,
-        accepts_compressed=False,
-    )
+    progress = replace(progress, accepts_compressed=None)
+    if progress.document_sent_at == body.sent_at:
+        progress = replace(progress, document_sent_at=None, is_awaiting_response=False)
     return _with_progress(state, message.recipient, progress)
 
 
@@ -142,7 +153,7 @@
     state: State, progress: Progress, now: Instant
 ) -> SnapshotRequest:
     snapshot = state.log.snapshot
-    is_compressed = progress.accepts_compressed
+    is_compressed = progress.is_snapshot_compressed
     data = _compressed(snapshot.data) if is_compressed else snapshot.data
     offset_bytes = min(progress.snapshot_offset_bytes, len(data))
     return SnapshotRequest(
@@ -236,8 +247,11 @@
     state: State, progress: Progress, response: AppendResponse | SnapshotResponse
 ) -> Progress:
     if isinstance(response, SnapshotResponse):
-        is_same_snapshot = response.index == state.log.snapshot.index
+        is_same_snapshot = response.index == progress.snapshot_index
         offset_bytes = response.n_bytes if is_same_snapshot else 0
+        if offset_bytes < progress.snapshot_offset_bytes:
+            # What arrived before is lost, maybe with the process that took it.
+            progress = replace(progress, accepts_compressed=None)
         return replace(progress, snapshot_offset_bytes=offset_bytes)
     match_index = progress.match_index
     if response.is_success:
@@ -245,11 +259,15 @@
         next_index = match_index + 1
     else:
         next_index = max(match_index, response.match_index) + 1
+    # A late response to a heartbeat doesn't end the transfer of a snapshot.
+    is_snapshot_needed = next_index <= state.log.snapshot.index
     return replace(
         progress,
         match_index=match_index,
         next_index=min(next_index, state.log.last_index + 1),
-        snapshot_offset_bytes=0,
+        snapshot_offset_bytes=(
+            progress.snapshot_offset_bytes if is_snapshot_needed else 0
+        ),
     )
 
 
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement_state.py
@@ -46,7 +46,13 @@
     document_sent_at: Instant | None = None
     document_resend_at: Instant = Instant(0.0)
     n_slow_documents: int = 0
-    accepts_compressed: bool = False
+    accepts_compressed: bool | None = None
+    """Whether the follower accepts compressed snapshots; None until it has answered a
+    heartbeat, and again after a failed call."""
+
+    snapshot_index: int = 0
+    is_snapshot_compressed: bool = False
+    """Which snapshot ``snapshot_offset_bytes`` belongs to, and in which form."""
 
 
 @dataclass(frozen=True, slots=True)
