--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
+from ..core.acknowledgement import LearnerWaits
 from ..core.agreement import (
     HEARTBEAT_MS,
     Role,
@@ -24,10 +25,10 @@
 from ..core.agreement_members import (
     decode_members,
     founder_state,
-    is_growing,
     n_answering_voters,
     n_whole_voters,
     next_membership_change,
+    waiting_learners,
 )
 from ..core.agreement_messages import (
     Action,
@@ -124,7 +125,7 @@
         self._state: State | None = None
         self._reopen_at = clock()
         self._leader_since: Instant | None = None
-        self._growing_since: Instant | None = None
+        self._learner_waits = LearnerWaits()
         self._outbox: list[Message] = []
         self._proposals = Proposals()
         self._hold_ups = HoldUps(clock)
@@ -146,7 +147,7 @@
 
     def growing_since(self) -> Instant | None:
         """Return since when a replica has been waiting to become a missing voter."""
-        return self._growing_since
+        return self._learner_waits.since()
 
     def applied_index(self) -> int:
         """Return the index of the last entry applied to the state machine."""
@@ -440,11 +441,11 @@
             self._leader_since = self._clock()
 
     def _observe_growth(self, state: State) -> None:
+        if self._members is None:
+            return
         now = self._clock()
-        if self._members is None or not is_growing(state, self._members.n_target, now):
-            self._growing_since = None
-        elif self._growing_since is None:
-            self._growing_since = now
+        waiting = waiting_learners(state, self._members.n_target, now)
+        self._learner_waits.update(state.learners, waiting, now)
 
     # Messages
 
--- a/pollenfold/core/acknowledgement.py
+++ b/pollenfold/core/acknowledgement.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from .clock import Instant, add_ms
@@ -61,5 +62,35 @@
         return False
     if group.is_new and now < add_ms(group.started_at, BOOTSTRAP_WAIT_MS):
         return True
-    growing_since = group.growing_since
-    return growing_since is not None and now < add_ms(growing_since, GROWTH_WAIT_MS)
+    since = group.growing_since
+    if since is None:
+        return False
+    if since < add_ms(group.led_since, LEARNER_WAIT_MS):
+        # The wait for the learner goes on from that for the voters, so that both
+        # together end before operators give up.
+        since = group.led_since
+    return now < add_ms(since, GROWTH_WAIT_MS)
+
+
+class LearnerWaits:
+    """Remembers since when each learner has been waiting to become a voter.
+
+    A learner that is unresponsive for a while goes on from when it began to wait, so
+    that one which never becomes a voter delays commands only once.
+    """
+
+    def __init__(self) -> None:
+        self._since: dict[str, Instant] = {}
+        self._waiting: list[str] = []
+
+    def update(
+        self, learners: Collection[str], waiting: list[str], now: Instant
+    ) -> None:
+        """Record which of the learners of a leader are waiting now."""
+        self._waiting = waiting
+        kept = {k: v for k, v in self._since.items() if k in learners}
+        self._since = {**dict.fromkeys(waiting, now), **kept}
+
+    def since(self) -> Instant | None:
+        """Return since when the learner that came last has been waiting, or None."""
+        return max((self._since[k] for k in self._waiting), default=None)
--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -159,24 +159,25 @@
     return None
 
 
-def is_growing(state: State, n_target: int, now: Instant) -> bool:
-    """Return whether a responsive learner waits to become one of the missing voters."""
-    if state.role is not Role.LEADER:
-        return False
-    return bool(_waiting_learners(state, now)) and n_whole_voters(state, now) < n_target
+def waiting_learners(state: State, n_target: int, now: Instant) -> list[str]:
+    """Return the responsive learners that may become one of the missing voters."""
+    if state.role is not Role.LEADER or n_whole_voters(state, now) >= n_target:
+        return []
+    return _responsive_learners(state, now)
 
 
 def n_whole_voters(state: State, now: Instant) -> int:
     """Return how many voters a leader has without those that are about to be replaced.
 
     These are earlier disks of a machine whose new disk is a learner, and, as many as
-    there are other learners, voters that are unresponsive for ``ABSENT_AFTER_MS``.
+    there are other responsive learners, voters that are unresponsive for
+    ``ABSENT_AFTER_MS``.
     """
-    waiting = _waiting_learners(state, now)
-    addresses = {address_of(k) for k in waiting}
+    addresses = {address_of(k) for k in state.learners}
     replaced = {k for k in state.voters if address_of(k) in addresses}
     replaced_addresses = {address_of(k) for k in replaced}
-    n_other_learners = len(addresses - replaced_addresses)
+    responsive = {address_of(k) for k in _responsive_learners(state, now)}
+    n_other_learners = len(responsive - replaced_addresses)
     n_absent = len(set(_unresponsive_voters(state, now)) - replaced)
     return len(state.voters) - len(replaced) - min(n_other_learners, n_absent)
 
@@ -188,13 +189,13 @@
     ) + (state.is_voter(state.replica_id))
 
 
-def _waiting_learners(state: State, now: Instant) -> list[str]:
-    """Return the responsive learners of a leader."""
+def _responsive_learners(state: State, now: Instant) -> list[str]:
+    """Return the learners that have answered a leader within ``ABSENT_AFTER_MS``."""
     return [
         k
         for k in state.learners
         if k in state.progress
-        and now < add_ms(state.progress[k].last_contact_at, ELECTION_TIMEOUT_MAX_MS)
+        and now < add_ms(state.progress[k].last_contact_at, ABSENT_AFTER_MS)
     ]
 
 
--- a/properties/test_acknowledgement.py
+++ b/properties/test_acknowledgement.py
@@ -7,12 +7,12 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.core.acknowledgement import Group, is_held_back
+from pollenfold.core.acknowledgement import Group, LearnerWaits, is_held_back
 from pollenfold.core.agreement import is_leader
 from pollenfold.core.agreement_members import (
-    is_growing,
     n_answering_voters,
     n_whole_voters,
+    waiting_learners,
 )
 from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
 
@@ -29,7 +29,7 @@
     def __init__(self, seed, is_new):
         self.is_new = is_new
         self.led_since = {}
-        self.growing_since = {}
+        self.learner_waits = {}
         super().__init__(1, seed)
 
     def tick(self):
@@ -38,8 +38,10 @@
             state = replica.state
             is_led = state is not None and is_leader(state, self.now)
             self.observe(self.led_since, name, is_led)
-            is_waiting = is_led and is_growing(state, self.n_target, self.now)
-            self.observe(self.growing_since, name, is_waiting)
+            if state is not None:
+                waiting = waiting_learners(state, self.n_target, self.now)
+                waits = self.learner_waits.setdefault(name, LearnerWaits())
+                waits.update(state.learners, waiting, self.now)
 
     def observe(self, since, name, is_true):
         if is_true:
@@ -60,7 +62,7 @@
             self.is_new,
             0.0,
             self.led_since[name],
-            self.growing_since.get(name),
+            self.learner_waits[name].since(),
         )
         if is_held_back(group, self.now):
             return False
