--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from enum import Enum
 
 import curio
@@ -138,9 +139,14 @@
             return ExchangeFailure.TIMEOUT
 
     async def close(self) -> None:
-        """Close the connection, which also cancels a request in flight."""
+        """Close the connection, which also cancels a request in flight.
+
+        An error is ignored: it would end the loop that closes idle connections, or
+        cost the response that was just read.
+        """
         self.is_reusable = False
-        await self._sock.close()
+        with contextlib.suppress(Exception):
+            await self._sock.close()
 
     async def _write(self, data: bytes) -> ExchangeFailure | None:
         n_sent_bytes = 0
