--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -21,6 +21,7 @@
 from ..core.input_limits import is_whole_number
 from ..core.update_source import UpdateSource, choose_update_source
 from ..observe.events import EventLog
+from ..observe.steps import is_ended_from_outside, run_step
 from ..wire.connections import open_connection
 from ..wire.lines import read_lines
 from .confirmation_requests import ConfirmationRequests
@@ -245,28 +246,45 @@
             view.connected_since = max(source.complete_since, self._source_since)
 
     async def _maintain_feed(self, host: str) -> None:
-        """Read the feed of one replica, and reconnect whenever it ends."""
+        """Read the feed of one replica, and reconnect whenever it ends.
+
+        Nothing starts this task again, so no error may end it.
+        """
         n_failures = 0
         while True:
-            detail = "closed"
             position = min(n_failures, len(CONNECT_TIMEOUTS_MS) - 1)
             n_failures += 1
-            try:
-                await self._read(host, CONNECT_TIMEOUTS_MS[position])
-            except curio.TaskTimeout:
-                detail = "connection timed out"
-            except OSError as error:
-                detail = str(error) or type(error).__name__
-            except FEED_ERRORS as error:
-                detail = f"malformed line: {error!r}"
+            detail = await self._read_until_end(host, CONNECT_TIMEOUTS_MS[position])
             if self._remove_feed(host):
-                await self._state_requests.close(host)
                 n_failures = 0
-                await self._choose_source()
+                await run_step("close_feed", self._log_failure, self._close, host)
                 self._log.state("feed_lost", control=host, detail=detail)
             pause_ms = RETRY_PAUSE_MS if self._connected else FIRST_RETRY_PAUSE_MS
             await curio.sleep(pause_ms / 1000)
 
+    async def _read_until_end(self, host: str, connect_timeout_ms: float) -> str:
+        """Read a feed until it ends; return why it ended."""
+        try:
+            await self._read(host, connect_timeout_ms)
+        except curio.TaskTimeout:
+            return "connection timed out"
+        except OSError as error:
+            return str(error) or type(error).__name__
+        except FEED_ERRORS as error:
+            return f"malformed line: {error!r}"
+        except (Exception, curio.CancelledError) as error:
+            if await is_ended_from_outside(error):
+                raise
+            return repr(error)
+        return "closed"
+
+    async def _close(self, host: str) -> None:
+        await self._state_requests.close(host)
+        await self._choose_source()
+
+    def _log_failure(self, step: str, error: BaseException) -> None:
+        self._log.state("feed_step_failed", step=step, detail=repr(error))
+
     def _remove_feed(self, host: str) -> bool:
         """Remove the feed of a replica; return whether it was open."""
         if self._connected.pop(host, None) is None:
