--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -13,6 +13,7 @@
 from ..core.clock import Instant
 from ..core.directory import LEASE_MS
 from ..core.errors import ErrorKind
+from ..core.input_limits import is_port
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice
 from ..core.warmup import Directory, WarmChange
 from ..http.server import HttpServer
@@ -251,13 +252,14 @@
     def _apply_leave_notices(self) -> None:
         now = system_clock()
         for aged in self.configuration.leave_notices():
-            host, _, port = aged.notice.endpoint.rpartition(":")
-            self.table.apply_leave_notice(
-                LeaveNotice(
-                    aged.notice.service, host, int(port), aged.notice.incarnation
-                ),
-                now,
+            # Another process wrote the name, and the leader doesn't parse it.
+            host, _, digits = aged.notice.endpoint.rpartition(":")
+            if not (digits.isascii() and digits.isdigit() and is_port(int(digits))):
+                continue
+            notice = LeaveNotice(
+                aged.notice.service, host, int(digits), aged.notice.incarnation
             )
+            self.table.apply_leave_notice(notice, now)
 
     def _publish_warm_change(self, change: WarmChange) -> None:
         """Merge a change immediately; ``publish`` pushes it to the peers."""
