--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -21,6 +21,7 @@
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..observe.clock import system_clock
+from ..observe.steps import is_ended_from_outside
 from .memory import MemoryBudget
 from .messages import BodyError, Request, Response, error_response
 from .request_reader import RequestError, RequestReader, ServerLimits
@@ -328,7 +329,9 @@
         """
         try:
             return await self._shared.handler(request)
-        except Exception as error:
+        except (Exception, curio.CancelledError) as error:
+            if await is_ended_from_outside(error):
+                raise
             kind = ErrorKind.INTERNAL_ERROR
             self._shared.on_rejected(kind, repr(error), self._peer)
             response = error_response(kind)
--- a/pollenfold/tests/http/test_stop_errors.py
+++ b/pollenfold/tests/http/test_stop_errors.py
@@ -242,3 +242,23 @@
         await sock.close()
 
     run(main)
+
+
+@every_error
+def test_request_whose_handler_raises_is_answered(run, error):
+    """Guards against a request that is read and gets no response, since its handler
+    raised the end of another task or timeout, which is no subclass of Exception."""
+
+    async def main():
+        service = Service()
+
+        async def fail(request):
+            raise error
+
+        service.server._shared.handler = fail
+        async with await service.connect() as sock:
+            await sock.sendall(GET % b"a")
+            assert (await read_response(sock)).startswith(b"HTTP/1.1 500")
+        assert service.server.n_in_flight == 0
+
+    run(main)
