--- a/benchmarks/disk_losses.py
+++ b/benchmarks/disk_losses.py
@@ -136,11 +136,15 @@
             await curio.sleep(RETRY_PAUSE_S)
         return False
 
+    def configuration(self, version: int) -> dict[str, Any]:
+        """Return the configuration that has a version."""
+        return configuration(version, self.n_routes)
+
     async def configure(self, limit_s: float) -> bool:
         """Send the next configuration; return whether it was acknowledged."""
         self._sent_version += 1
         version = self._sent_version
-        body = json.dumps(configuration(version, self.n_routes)).encode()
+        body = json.dumps(self.configuration(version)).encode()
         if not await self._order(b"PUT", "/-/config", body, limit_s):
             return False
         self.acknowledged.version = max(self.acknowledged.version, version)
