--- a/benchmarks/lost_day.py
+++ b/benchmarks/lost_day.py
@@ -323,8 +323,8 @@
 
 def run_seed(
     seed: int, seconds: float, keep: Path | None, root: Path = ROOT
-) -> tuple[list[str], Requests]:
-    """Play one seed; return the cases and what callers sent.
+) -> tuple[list[str], list[str], Requests]:
+    """Play one seed; return the cases, the unplanned exits and what callers sent.
 
     The logs of a day with cases are kept. ``root`` is the folder with the version of
     the program that is run.
@@ -349,7 +349,7 @@
     )
     for text in itertools.chain(cases, day.violations):
         print(f"  {text}", flush=True)
-    return cases, requests
+    return cases, day.violations, requests
 
 
 def main() -> int:
@@ -368,16 +368,18 @@
         subprocess.Popen([sys.executable, "-c", "while True: pass"])
         for _ in range(arguments.busy)
     ]
-    n_cases = 0
+    n_faults = 0
     try:
         for seed in range(int(first), int(last or first) + 1):
-            cases, _ = run_seed(seed, arguments.seconds, arguments.keep, arguments.root)
-            n_cases += len(cases)
+            cases, exits, _ = run_seed(
+                seed, arguments.seconds, arguments.keep, arguments.root
+            )
+            n_faults += len(cases) + len(exits)
     finally:
         for process in busy:
             process.kill()
             process.wait()
-    return 1 if n_cases else 0
+    return 1 if n_faults else 0
 
 
 if __name__ == "__main__":
--- a/pollenfold/tests/benchmarks/test_lost_day.py
+++ b/pollenfold/tests/benchmarks/test_lost_day.py
@@ -67,8 +67,8 @@
 
 def test_a_short_day_loses_nothing(tmp_path):
     """Planned work of all kinds and a final fault must not cost an answer or order."""
-    cases, requests = run_seed(SEED, SECONDS, tmp_path)
+    cases, exits, requests = run_seed(SEED, SECONDS, tmp_path)
 
-    assert not cases
+    assert not cases + exits
     assert requests.n_sent > MIN_SENT
     assert requests.n_served > MIN_SERVED_SHARE * requests.n_sent
