--- a/pollenfold/observe/steps.py
+++ b/pollenfold/observe/steps.py
@@ -18,8 +18,9 @@
     """Run a function or coroutine function; report what it raises, and return.
 
     So one that fails doesn't skip the next. Curio's cancellations are no subclass of
-    Exception; one of another task, or a timeout, that rises through the step is a
-    failure as well. Only the cancellation of the calling task is raised.
+    Exception; one of another task, or a timeout of the step's own, that rises through
+    the step is a failure as well. Only the cancellation of the calling task is raised,
+    and a timeout around the step.
     """
     try:
         result = step(*args)
@@ -36,8 +37,14 @@
 
 
 async def is_ended_from_outside(error: BaseException) -> bool:
-    """Return whether the error is a cancellation of the calling task itself."""
+    """Return whether the error ends the calling task, or a block around this code."""
     if isinstance(error, curio.TimeoutCancellationError):
         return True
-    is_cancellation = isinstance(error, curio.CancelledError)
-    return is_cancellation and bool((await curio.current_task()).cancelled)
+    if not isinstance(error, curio.CancelledError):
+        return False
+    task = await curio.current_task()
+    if isinstance(error, curio.TaskTimeout):
+        # Curio raises the same error for a timeout within and around the step. Only in
+        # the second case one of the blocks that are still open has expired.
+        return any(deadline <= error.args[0] for deadline in task._deadlines)
+    return bool(task.cancelled)
