--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -55,6 +55,10 @@
 of a grace period of 6 s is for signals that are noticed late."""
 
 MIN_STOP_WAIT_MS = 200.0
+PEER_STOP_WAIT_MS = 1_000.0
+"""How long a stop waits for the requests of other replicas after those of operators. A
+forwarded order takes 0.7 s at most."""
+
 IDLE_POLL_MS = 5.0
 MAX_REQUEST_BYTES = 16 << 20
 
@@ -333,5 +337,7 @@
     await run_step("stop_operators", on_failed, api.stop)
     await run_step("wait_for_operators", on_failed, wait_idle)
     await run_step("wait_for_requests", on_failed, wait_for_requests)
+    # Orders that other replicas forwarded need this one as the operators' do.
+    await run_step("stop_peers", on_failed, node.rpc.stop, PEER_STOP_WAIT_MS)
     await run_step("log_stop", on_failed, log, "stopped")
     await run_step("flush_log", on_failed, node.log.flush)
--- a/pollenfold/control/daemon.py
+++ b/pollenfold/control/daemon.py
@@ -27,6 +27,9 @@
     from ..settings import ControlSettings
 
 OPERATOR_CALL_TIMEOUT_MS = 300.0
+PEER_STOP_WAIT_MS = 1_000.0
+"""How long a stopping replica waits for the requests of entries and replicas."""
+
 STOP_WAIT_MS = 1_500.0
 """How long a stopping replica waits for the orders in flight."""
 
@@ -150,6 +153,8 @@
         operators = daemon.operator_server
         await run_step("stop_operators", log_failed_step, operators.stop)
         await run_step("wait_for_operators", log_failed_step, _wait_idle, operators)
+        peers = daemon.peer_server
+        await run_step("stop_peers", log_failed_step, peers.stop, PEER_STOP_WAIT_MS)
         await group.cancel_remaining()
     if first_done is not stop:
         error = RuntimeError(f"{first_done.name} ended")
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -55,7 +55,8 @@
 """How long a planned stop waits for outcomes that are still being stored."""
 
 PLATFORM_WAIT_MS = 1_500.0
-"""How long a planned stop waits for the requests on the platform port."""
+"""How long a planned stop waits for the requests on the platform port, and then for
+those of its peers."""
 
 IDLE_POLL_MS = 5.0
 
@@ -343,6 +344,9 @@
             logger.error("event=task_failed task={}", first_done.name)
         await drain(entry, callers, settings.drain_notice_ms)
         await run_step("stop_platform", log_failed_step, stop_platform, platform)
+        await run_step(
+            "stop_peers", log_failed_step, peer_server.stop, PLATFORM_WAIT_MS
+        )
         await group.cancel_remaining()
     if first_done is not stop:
         raise first_done.exception or RuntimeError("a task ended unexpectedly")
--- a/pollenfold/tests/control/test_stop_errors.py
+++ b/pollenfold/tests/control/test_stop_errors.py
@@ -12,6 +12,7 @@
 from pollenfold.tests.http.test_pipeline import GET, Service, wait_until
 from pollenfold.tests.http.test_stop_cases import read_response
 from pollenfold.tests.http.test_stop_errors import every_error
+from pollenfold.wire.rpc import RpcServer
 
 
 @every_error
@@ -42,7 +43,7 @@
             await wait_until(lambda: service.started == ["order"])
             fail_once(service.server if hasattr(service.server, step) else log)
             stop = StopRequest("SIGTERM", system_clock())
-            node = SimpleNamespace(log=log)
+            node = SimpleNamespace(log=log, rpc=RpcServer({}))
             task = await curio.spawn(cluster._stop, node, service.server, stop)
             await curio.sleep(0.02)
             assert not task.terminated
