--- a/pollenfold/ledger/daemon.py
+++ b/pollenfold/ledger/daemon.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from ..core.clock import Instant
+from ..http.listener import open_listener
 from ..observe.logs import refuse_reload
 from ..observe.signals import Signals
 from ..wire.frames import Protocol
@@ -45,15 +46,15 @@
         settings.replica_id, others, settings.data_folder, wall_clock
     )
     server = RpcServer({Protocol.LEDGER: replica.handle_request})
-    sock = curio.tcp_server_socket(settings.host, port)
+    listener = open_listener(settings.host, port)
     logger.info(
         "event=ledger_listening replica={} port={}",
         settings.replica_id,
-        sock.getsockname()[1],
+        listener.getsockname()[1],
     )
     async with curio.TaskGroup(wait=None) as group:
         stop = await group.spawn(signals.wait_for_stop, refuse_reload)
-        await group.spawn(curio.network.run_server, sock, server.handle)
+        await group.spawn(server.serve_on, listener)
         await group.spawn(replica.run)
         first_done = await group.next_done()
         n_unanswered = await server.stop(STOP_WAIT_MS)
