--- a/pollenfold/control/forwarding.py
+++ b/pollenfold/control/forwarding.py
@@ -69,7 +69,9 @@
     if client is None:
         client = clients[address] = RpcClient(*address)
     result = await client.call(protocol, payload, timeout_ms)
-    if result.is_error():
-        # The connection may be half-open: lost without a reset.
-        await client.close()
+    if result.is_error() and clients.get(address) is client:
+        # The connection may be half-open: lost without a reset. Other calls on it may
+        # still be answered.
+        del clients[address]
+        await client.close_when_idle()
     return result
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -251,6 +251,7 @@
         self._write_lock = curio.Lock()
         self._pending_calls: dict[int, _PendingCall] = {}
         self._next_id = 0
+        self._closes_when_idle = False
 
     async def call(
         self, protocol: Protocol, payload: bytes, timeout_ms: float
@@ -278,8 +279,16 @@
             return Error(ErrorKind.UNREACHABLE)
         finally:
             self._pending_calls.pop(request_id, None)
+            if self._closes_when_idle and not self._pending_calls:
+                await self._disconnect()
         return Error(ErrorKind.UNREACHABLE) if body is None else Ok(body)
 
+    async def close_when_idle(self) -> None:
+        """Close the connection once no call waits for a response; start no other."""
+        self._closes_when_idle = True
+        if not self._pending_calls:
+            await self._disconnect()
+
     async def close(self) -> None:
         """Close the connection; calls in progress give ``UNREACHABLE``."""
         await self._disconnect()
