--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -45,6 +45,7 @@
 SPARSE_READ_TIMEOUT_MS = 3_000.0
 """The same for a replica that isn't the update source and sends less often."""
 
+RESTART_PAUSE_MS = 100.0
 RETRY_PAUSE_MS = 300.0
 FIRST_RETRY_PAUSE_MS = 50.0
 """The pause while no feed is open, since this entry may have no state at all yet."""
@@ -125,8 +126,8 @@
     async def run(self) -> None:
         """Keep all feeds open until cancelled."""
         if self._identity.role == "entry":
-            await curio.spawn(self._confirmation_requests().run, daemon=True)
-        await curio.spawn(self._state_requests.run, daemon=True)
+            await self._keep_running("confirmations", self._confirmation_requests().run)
+        await self._keep_running("state_requests", self._state_requests.run)
         while True:
             wanted = set(self._seeds()) | set(self._view.control_hosts)
             wanted.discard(self._own_host)
@@ -146,6 +147,24 @@
             pause_ms = SETTLED_CHECK_INTERVAL_MS if is_settled else CHECK_INTERVAL_MS
             await curio.sleep(pause_ms / 1000)
 
+    async def _keep_running(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Start a task that nobody waits for, and again after each error.
+
+        Without it this process would keep the configuration that it has.
+        """
+
+        def log_failure(task: str, error: BaseException) -> None:
+            self._log.state("task_failed", task=task, detail=repr(error))
+
+        async def run_again() -> None:
+            while True:
+                await run_step(name, log_failure, run)
+                await curio.sleep(RESTART_PAUSE_MS / 1000)
+
+        await curio.spawn(run_again, daemon=True)
+
     def _confirmation_requests(self) -> ConfirmationRequests:
         view = self._view
         return ConfirmationRequests(
--- a/pollenfold/tests/gateway/test_feeds.py
+++ b/pollenfold/tests/gateway/test_feeds.py
@@ -1,5 +1,7 @@
 """The feeds of an entry when connections break or replicas lost their state."""
 
+import importlib
+
 import curio
 import pytest
 
@@ -150,3 +152,32 @@
         assert not sender.terminated
 
     run(main)
+
+
+@pytest.mark.parametrize("name", ["state_requests", "confirmation_requests"])
+def test_requests_go_on_after_an_error(run, monkeypatch, name):
+    """Guards against an entry that never requests a configuration again, or never has
+    it confirmed, after one error of a task that nobody waits for."""
+    module = importlib.import_module(f"pollenfold.gateway.{name}")
+    requests = {
+        "state_requests": "StateRequests",
+        "confirmation_requests": "ConfirmationRequests",
+    }[name]
+    n_runs = 0
+
+    async def fail_once(self):
+        nonlocal n_runs
+        n_runs += 1
+        if n_runs == 1:
+            raise KeyError("10.0.0.1")
+        await curio.sleep(10)
+
+    monkeypatch.setattr(getattr(module, requests), "run", fail_once)
+
+    async def main():
+        task = await curio.spawn(make_feeds().run, daemon=True)
+        await curio.sleep(0.5)
+        await task.cancel()
+
+    run(main)
+    assert n_runs == 2
