--- a/pollenfold/tests/gateway/test_stop_errors.py
+++ b/pollenfold/tests/gateway/test_stop_errors.py
@@ -105,7 +105,7 @@
     monkeypatch.setattr(Signals, "wait_for_stop", stop_at_once)
 
     async def main():
-        with Signals(handles_reload=False) as signals:
+        with Signals() as signals:
             await daemon.serve_gateway(settings, DIALECT, json.loads, signals)
 
     run(main)
