--- a/pollenfold/tests/conftest.py
+++ b/pollenfold/tests/conftest.py
@@ -40,3 +40,9 @@
 def is_settled(control):
     leadership = control.state.leadership()
     return leadership is not None and leadership.directory.is_settled(system_clock())
+
+
+@pytest.fixture
+def error(request):
+    """Return a new error, made by the parameter of the test."""
+    return request.param()
--- a/pollenfold/tests/http/test_stop_errors.py
+++ b/pollenfold/tests/http/test_stop_errors.py
@@ -5,6 +5,7 @@
 
 import errno
 import os
+from functools import partial
 
 import curio
 import pytest
@@ -23,14 +24,17 @@
     errno.ETIMEDOUT,
 )
 ERRORS = [
-    *(OSError(number, os.strerror(number)) for number in ERROR_NUMBERS),
-    ValueError("file descriptor cannot be a negative integer (-1)"),
-    RuntimeError("failed"),
-    curio.TaskCancelled("a task that was waited for"),
+    *(partial(OSError, number, os.strerror(number)) for number in ERROR_NUMBERS),
+    partial(ValueError, "file descriptor cannot be a negative integer (-1)"),
+    partial(RuntimeError, "failed"),
+    partial(curio.TaskCancelled, "a task that was waited for"),
 ]
+"""Each test makes its own error: a raised one keeps the frames that it passed, and with
+them all that they hold."""
 
 
-def name_of(error):
+def name_of(make_error):
+    error = make_error()
     return errno.errorcode[error.errno] if isinstance(error, OSError) else repr(error)
 
 
@@ -38,9 +42,9 @@
 """What calls may raise that no task waits for, so that none can be cancelled there."""
 
 every_synchronous_error = pytest.mark.parametrize(
-    "error", SYNCHRONOUS_ERRORS, ids=name_of
+    "error", SYNCHRONOUS_ERRORS, indirect=True, ids=name_of
 )
-every_error = pytest.mark.parametrize("error", ERRORS, ids=name_of)
+every_error = pytest.mark.parametrize("error", ERRORS, indirect=True, ids=name_of)
 
 
 class FailingOnce:
