--- a/pollenfold/tests/control/test_daemon.py
+++ b/pollenfold/tests/control/test_daemon.py
@@ -10,25 +10,9 @@
 from pollenfold.cli.client import OperatorClient
 from pollenfold.control.daemon import serve_control
 from pollenfold.observe.clock import system_clock
-from pollenfold.settings import ControlSettings, load_settings
-from pollenfold.testing.ports import unused_port
 from pollenfold.testing.replica import FakeReplica
 
 
-@pytest.fixture
-def settings(tmp_path):
-    flags = {
-        "replica_id": "c1",
-        "zone": "a",
-        "host": "127.0.0.1",
-        "peers": f"c1=127.0.0.1:{unused_port()}",
-        "operator_port": str(unused_port()),
-        "data_folder": str(tmp_path),
-        "token": "secret",
-    }
-    return load_settings(ControlSettings, flags).ok
-
-
 def test_daemon_serves_until_it_is_stopped(run, settings):
     """Guards against a daemon that doesn't listen, or ignores its stop signal."""
     assert "secret" not in repr(settings)
--- a/pollenfold/tests/control/test_daemon_stop_errors.py
+++ b/pollenfold/tests/control/test_daemon_stop_errors.py
@@ -6,8 +6,6 @@
 from pollenfold.control import daemon
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.signals import Signals, StopRequest
-from pollenfold.settings import ControlSettings, load_settings
-from pollenfold.testing.ports import unused_port
 from pollenfold.testing.replica import FakeReplica
 from pollenfold.tests.http.test_stop_errors import every_error
 
@@ -15,20 +13,10 @@
 @every_error
 @pytest.mark.parametrize("step", ["stop", "wait_idle"])
 def test_failed_step_of_a_stop_ends_the_daemon_like_any_other(
-    run, monkeypatch, tmp_path, step, error
+    run, monkeypatch, settings, step, error
 ):
     """Guards against a daemon that ends with an error and leaves later steps out, since
     one step of its stop raised one."""
-    flags = {
-        "replica_id": "c1",
-        "zone": "a",
-        "host": "127.0.0.1",
-        "peers": f"c1=127.0.0.1:{unused_port()}",
-        "operator_port": str(unused_port()),
-        "data_folder": str(tmp_path),
-        "token": "secret",
-    }
-    settings = load_settings(ControlSettings, flags).ok
     done = []
 
     def follow(name):
--- a/pollenfold/tests/control/test_peer_requests_at_stop.py
+++ b/pollenfold/tests/control/test_peer_requests_at_stop.py
@@ -7,8 +7,6 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.observe.signals import Signals, StopRequest
-from pollenfold.settings import ControlSettings, load_settings
-from pollenfold.testing.ports import unused_port
 from pollenfold.testing.replica import FakeReplica
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcClient, RpcServer
@@ -55,21 +53,11 @@
 
 
 def test_stop_of_the_own_interface_answers_the_requests_of_entries(
-    run, monkeypatch, tmp_path
+    run, monkeypatch, settings
 ):
     """Guards against a lease that is granted and whose response is cut off, since the
     control replica stops."""
-    peer_port = unused_port()
-    flags = {
-        "replica_id": "c1",
-        "zone": "a",
-        "host": "127.0.0.1",
-        "peers": f"c1=127.0.0.1:{peer_port}",
-        "operator_port": str(unused_port()),
-        "data_folder": str(tmp_path),
-        "token": "secret",
-    }
-    settings = load_settings(ControlSettings, flags).ok
+    peer_port = settings.peers["c1"][1]
     handler = SlowHandler()
 
     async def handle(self, payload):
