Count whole voters only while a learner waits

A leader counted them for each message, though without a learner nobody can replace a voter. Also a sum in n_answering_voters that is easier to read.

--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement_members.py
@@ -161,7 +161,10 @@
 
 def waiting_learners(state: State, n_target: int, now: Instant) -> list[str]:
     """Return the responsive learners that may become one of the missing voters."""
-    if state.role is not Role.LEADER or n_whole_voters(state, now) >= n_target:
+    # This runs for each message, and most groups have no learner.
+    if state.role is not Role.LEADER or not state.learners:
+        return []
+    if n_whole_voters(state, now) >= n_target:
         return []
     return _responsive_learners(state, now)
 
@@ -184,9 +187,10 @@
 
 def n_answering_voters(state: State) -> int:
     """Return how many voters have answered this leader, itself included."""
-    return sum(
+    n_others = sum(
         state.is_voter(k) and p.match_index > 0 for k, p in state.progress.items()
-    ) + (state.is_voter(state.replica_id))
+    )
+    return n_others + state.is_voter(state.replica_id)
 
 
 def _responsive_learners(state: State, now: Instant) -> list[str]:
