--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -50,10 +50,10 @@
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.election_timeout import election_timeout_ms, first_timeout_ms
 from ..core.errors import ErrorKind
+from ..observe.hold_ups import HoldUps
 from ..storage.agreement import AgreementStorage, OpenJournal
 from ..storage.journal import Journal
 from ..wire.agreement import decode_message, encode_message
-from .hold_ups import HoldUps
 from .peer_calls import PeerCalls
 from .proposals import Proposals
 from .state_machine import StateMachine
@@ -128,7 +128,7 @@
         self._learner_waits = LearnerWaits()
         self._outbox: list[Message] = []
         self._proposals = Proposals()
-        self._hold_ups = HoldUps(clock)
+        self._hold_ups = HoldUps(clock, _log_hold_up)
         self._open()
 
     # State
@@ -470,6 +470,11 @@
         await self._flush()
 
 
+def _log_hold_up(cause: str, longest_ms: float) -> None:
+    """Log what keeps a replica from sending and answering heartbeats."""
+    logger.warning("event=held_up cause={} longest_ms={:.1f}", cause, longest_ms)
+
+
 def _is_response(message: Message, request: Message) -> bool:
     is_request = isinstance(message.body, Request)
     return message.recipient == request.sender and not is_request
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import Any
 
 import curio
@@ -43,6 +43,7 @@
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
+from ..observe.hold_ups import HoldUps
 from ..observe.signals import Signals, StopRequest
 from ..observe.steps import run_step
 from .balancer import Balancer
@@ -143,6 +144,7 @@
         rng = random.Random(os.urandom(8))
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
+        self.hold_ups = HoldUps(clock, self._log_hold_up)
         confirmations = Confirmations(VALIDITY_SHARE * settings.apply_ms)
         self.view = FleetView(decode, clock, self.log, rng, confirmations)
         limits = BalancerSettings(
@@ -270,6 +272,10 @@
             stopping=self.is_stopping,
         )
 
+    def _log_hold_up(self, cause: str, longest_ms: float) -> None:
+        self.metrics.count("hold_ups_total", cause=cause)
+        self.log.state("held_up", cause=cause, longest_ms=longest_ms)
+
     def log_stop(self, event: str, stop: StopRequest) -> None:
         """Log the start or end of a stop, with what callers can be compared with."""
         server = self.caller_server
@@ -416,7 +422,7 @@
     await group.spawn(gateway.feeds.send_quarantine_reports)
     await group.spawn(gateway.balancer.run_maintenance)
     await group.spawn(gateway.update_retry_share)
-    await group.spawn(gateway.log.run)
+    await group.spawn(gateway.log.run, partial(gateway.hold_ups.record, "loop"))
     # The objects that exist now live as long as the process; freezing them keeps the
     # garbage collector from traversing them while requests are handled.
     gc.collect()
--- a/pollenfold/observe/events.py
+++ b/pollenfold/observe/events.py
@@ -15,7 +15,7 @@
 
 import curio
 
-from ..core.clock import Clock
+from ..core.clock import Clock, add_ms
 from ..core.token_bucket import TokenBucket
 
 FLUSH_INTERVAL_MS = 100.0
@@ -122,11 +122,18 @@
                 return
             del self._buffer[:n_bytes]
 
-    async def run(self) -> None:
-        """Flush at each interval until cancelled."""
+    async def run(self, on_delay: Callable[[float], None] | None = None) -> None:
+        """Flush at each interval until cancelled.
+
+        ``on_delay`` is called with the milliseconds by which a flush is late, because
+        other work held the event loop up.
+        """
         try:
             while True:
+                flush_at = add_ms(self._clock(), FLUSH_INTERVAL_MS)
                 await curio.sleep(FLUSH_INTERVAL_MS / 1000)
+                if on_delay is not None:
+                    on_delay(self._clock() - flush_at)
                 self.flush()
         finally:
             self.flush()
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -10,6 +10,7 @@
 from ..curio_subset import load_curio_subset
 from ..http.listener import reserve_when_free, start_listening
 from ..http.queued_connections import refuse_queued
+from ..observe.failure import report_failure
 from ..observe.signals import Signals, StoppedBeforeStart
 from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
@@ -149,18 +150,25 @@
 
 
 def _run(role: str, signals: Signals) -> int:
+    process = role
     try:
         source = SettingsSource(settings_path())
+        process = source.settings.name
         ROLES[role](source, signals)
     except SettingsError as error:
         print(f"pollenfold.platform: bad settings: {error}", file=sys.stderr)
         return EXIT_BAD_SETTING
     except (OSError, RuntimeError) as error:
         # A port in use, an unusable data folder, or a task that ended unexpectedly.
+        report_failure(process, error)
         print(f"pollenfold.platform: {error}", file=sys.stderr)
         return EXIT_FAILED
     except StoppedBeforeStart:
         return 0
+    except Exception as error:
+        # An error of the event loop ends all tasks at once, so nothing else logs it.
+        report_failure(process, error)
+        raise
     return 0
 
 
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -3,6 +3,7 @@
 import json
 import re
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -210,3 +211,26 @@
     monkeypatch.setitem(ROLES, role, fail)
     with pytest.raises(KeyError, match="no such endpoint"):
         main([role])
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("error", [KeyError("<fd=17>"), RuntimeError("a task ended")])
+def test_process_that_ends_by_an_error_logs_it(
+    monkeypatch, tmp_path, capfd, role, error
+):
+    """Guards against a process whose log doesn't say why it ended, as when an error of
+    the event loop ends it."""
+
+    def fail(source, signals):
+        raise error
+
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    monkeypatch.setenv(SETTINGS_PATH_VARIABLE, str(path))
+    monkeypatch.setitem(ROLES, role, fail)
+    with suppress(KeyError):
+        main([role])
+    line = capfd.readouterr().out
+    assert "process=front-a-1 event=process_failed" in line
+    assert type(error).__name__ in line
+    assert "at=test_settings.py:" in line
