Give out in a partial list of entries only its part of a declared limit

Cause: with fewer permits than entries, rendezvous hashing ranks an entry within the list that it knows. An entry that knows 156 of 312 ranks itself twice as high, so such entries take up to twice their permits together.

Change: an entry knows how many entries were reported lately, so it gives out within its list only the part of the remainder that the list stands for, rounded up. Equal lists are divided as before.

--- a/pollenfold/core/allowances.py
+++ b/pollenfold/core/allowances.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import ceil
 
 import xxhash
 
@@ -137,14 +138,20 @@
     hashing ranks first. Entries with the same directory never exceed the total
     together. An entry that isn't in its own directory gets none, as others don't count
     it.
+
+    An entry whose directory lacks some of the ``n_entries`` ranks itself too high, so
+    only the part of the remainder that its directory stands for is given out in it.
+    For example, of 12 permits 6 go to the entries of a directory with 156 of 312.
     """
     if entry_id not in entry_ids:
         return 0
-    n_each, n_remaining = divmod(n_permits, max(n_entries, len(entry_ids)))
+    n_total = max(n_entries, len(entry_ids))
+    n_each, n_remaining = divmod(n_permits, n_total)
     if not n_remaining:
         return n_each
+    n_selected = ceil(n_remaining * len(entry_ids) / n_total)
     rank = rendezvous_rank(entry_id, entry_ids, subject)
-    return n_each + int(rank < n_remaining)
+    return n_each + int(rank < n_selected)
 
 
 def rendezvous_rank(entry_id: str, entry_ids: frozenset[str], subject: str) -> int:
--- a/properties/test_declared_limits.py
+++ b/properties/test_declared_limits.py
@@ -9,7 +9,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pollenfold.core.declared_limit import DeclaredLimit, divide_limit
@@ -230,6 +230,13 @@
     upload_share=st.sampled_from([0.0, 0.3]),
     seed=st.integers(0, 1 << 16),
 )
+@example(
+    n_entries=312,
+    rates=[2.8],
+    faults=[(5_000.0, "halve_view", 0)],
+    upload_share=0.0,
+    seed=0,
+)
 def test_sum_holds_under_faults(n_entries, rates, faults, upload_share, seed):
     """Guards against a sum that exceeds a limit which falls, rises, ends or returns
     while entries restart, are cut off or know different lists of entries."""
