--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import curio
-from curio import socket
 
 from ..core.allowances import FleetSize
 from ..core.clock import Clock, Instant, add_ms
@@ -17,6 +16,7 @@
 from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
 from ..wire.lines import BadLineError, LineBudget, encode_line, read_lines
+from ..wire.sockets import Socket
 from .cluster_state import ClusterState
 from .confirmer import Confirmer
 from .entry_hosts import EntryHosts
@@ -113,10 +113,8 @@
             ListeningSocket(listener), self._serve_subscriber
         )
 
-    async def _serve_subscriber(
-        self, client: socket.socket, address: tuple[str, int]
-    ) -> None:
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    async def _serve_subscriber(self, client: Socket, address: tuple[str, int]) -> None:
+        client.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         subscriber: Subscriber | None = None
         detail = "closed"
         try:
@@ -415,6 +413,6 @@
             self._subscribers.discard(subscriber)
             # Wakes the task that reads from this connection, which then closes it.
             try:
-                subscriber.client._socket.shutdown(socket.SHUT_RDWR)
+                subscriber.client.shutdown_nowait(sockets.SHUT_RDWR)
             except OSError:
                 return
--- a/pollenfold/control/subscriber.py
+++ b/pollenfold/control/subscriber.py
@@ -4,10 +4,9 @@
 
 from typing import Any
 
-from curio import socket
-
 from ..core.clock import Instant, add_ms
 from ..core.input_limits import is_name
+from ..wire.sockets import Socket
 
 STALL_TIMEOUT_MS = 2_000.0
 """A subscriber that accepts no bytes for this long is disconnected; it reconnects."""
@@ -19,9 +18,7 @@
     ``hello`` is its first line; ``host`` the address that it comes from.
     """
 
-    def __init__(
-        self, client: socket.socket, hello: dict[str, Any], host: str, now: Instant
-    ):
+    def __init__(self, client: Socket, hello: dict[str, Any], host: str, now: Instant):
         self.client = client
         self.host = host
         zone = hello.get("zone")
@@ -58,7 +55,7 @@
         """Write what the socket accepts; return False if it is closed or stalled."""
         try:
             while self._send_buffer:
-                n_bytes = self.client._socket.send(self._send_buffer)
+                n_bytes = self.client.send_nowait(self._send_buffer)
                 del self._send_buffer[:n_bytes]
                 self._last_progress_at = now
         except (BlockingIOError, InterruptedError):
--- a/pollenfold/entry/probes.py
+++ b/pollenfold/entry/probes.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 
 import curio
-from curio import socket
 from loguru import logger
 
 from ..core.clock import Clock
@@ -21,6 +20,7 @@
 from ..http.client import HttpConnection
 from ..http.messages import Response
 from ..wire.connections import open_connection
+from ..wire.sockets import Socket
 
 LOAD_PATH = b"/load"
 HEALTH_PATH = b"/healthz"
@@ -61,7 +61,7 @@
 class CountingSocket:
     """Counts the bytes of an exchange and limits the length of its response."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: Socket) -> None:
         self._sock = sock
         self.n_bytes = 0
         self.n_received_bytes = 0
--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -15,8 +15,6 @@
 
 import curio
 import h11
-from curio.io import Socket
-from curio.traps import _read_wait, _write_wait
 
 from ..core.clock import Instant, add_ms, remaining_ms
 from ..core.errors import ErrorKind
@@ -25,6 +23,7 @@
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
 from ..wire.connections import address_family, bind_source
+from ..wire.sockets import Socket
 from .outgoing import OutgoingRequest, ReadRemainingBody
 
 READ_BYTES = 64 * 1024
@@ -121,7 +120,7 @@
         """Wait until the connection is open; raise OSError if it can't be opened."""
         if self._is_connected:
             return
-        await _write_wait(self._raw)
+        await self._sock.wait_writable()
         code = self._raw.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
         if code:
             raise OSError(code, errno.errorcode.get(code, "connect failed"))
@@ -221,7 +220,7 @@
                     break
                 try:
                     async with curio.timeout_after(SEND_CHECK_INTERVAL_MS / 1000):
-                        await _write_wait(self._raw)
+                        await self._sock.wait_writable()
                 except curio.TaskTimeout:
                     continue
             except OSError:
@@ -360,8 +359,7 @@
             return self._raw.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
             self._n_consecutive_reads = 0
-            await _read_wait(self._raw)
-            return bytes(await self._sock.recv(READ_BYTES))
+            return await self._sock.recv(READ_BYTES)
 
     def _finish_response(self, parser: h11.Connection, head: h11.Response) -> None:
         """Decide whether the connection can be reused for another exchange."""
--- a/pollenfold/gateway/feed.py
+++ b/pollenfold/gateway/feed.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 import curio
-from curio import socket
 
 from ..core.clock import Instant, add_ms
 from ..wire.lines import encode_line
+from ..wire.sockets import Socket
 
 SEND_TIMEOUT_MS = 600.0
 ISOLATED_AFTER_MS = 2_000.0
@@ -27,7 +27,7 @@
     into contact with all others, or None if one is missing.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: Socket) -> None:
         self._sock = sock
         self._lock = curio.Lock()
         self.is_new = True
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import logging
+import socket as sockets
 import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -16,12 +17,12 @@
 
 import curio
 import h11
-from curio import socket
 
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..observe.clock import system_clock
 from ..observe.steps import is_ended_from_outside
+from ..wire.sockets import Socket
 from .memory import MemoryBudget
 from .messages import BodyError, Request, Response, error_response
 from .request_reader import RequestError, RequestReader, ServerLimits
@@ -126,7 +127,7 @@
 
     def __init__(
         self,
-        client: socket.socket,
+        client: Socket,
         peer: str,
         shared: SharedState,
         limits: Callable[[], ServerLimits],
@@ -144,6 +145,9 @@
         """Whether ``RESPONSE_START`` of the next response is already sent."""
 
         self._task: curio.Task | None = None
+        self._tasks: set[curio.Task] = set()
+        """Those that handle requests concurrently and haven't ended."""
+
         self._n_requests = 0
         self._idle_since = system_clock()
         self._idle_timeout_ms = limits().idle_timeout_ms
@@ -167,18 +171,17 @@
         """Serve the connection until it ends."""
         self._task = await curio.current_task()
         try:
-            async with self._client:
-                await self._read_until_closed()
-                while self._waiting and not self._is_closing:
-                    await self._waiting[0].is_done.wait()
-                if self._should_linger:
-                    await self._linger()
+            await self._read_until_closed()
+            while self._waiting and not self._is_closing:
+                await self._waiting[0].is_done.wait()
+            if self._should_linger:
+                await self._linger()
         except (OSError, h11.LocalProtocolError):
             return
         finally:
-            self._is_ended = True
-            for exchange in list(self._waiting):
-                await self._cancel_exchange(exchange)
+            # A cancellation here would leave the socket open.
+            async with curio.disable_cancellation():
+                await self._end()
 
     async def cancel(self) -> None:
         """End the connection, whatever it is doing."""
@@ -203,6 +206,17 @@
             # The reading task is about to run.
             await curio.sleep(0)
 
+    async def _end(self) -> None:
+        """End the tasks of the exchanges, which use the descriptor, then close it."""
+        self._is_ended = True
+        try:
+            for exchange in list(self._waiting):
+                await self._cancel_exchange(exchange)
+            for task in list(self._tasks):
+                await task.cancel()
+        finally:
+            await self._client.close()
+
     # Reading
 
     async def _read_until_closed(self) -> None:
@@ -276,7 +290,10 @@
         is_last = exchange.parser.their_state is not h11.DONE
         can_run_concurrently = request.read_remaining_body is None and not is_last
         if can_run_concurrently and self._shared.allows_concurrency(request):
-            exchange.task = await curio.spawn(self._respond, exchange, daemon=True)
+            exchange.task = await curio.spawn(
+                self._run_exchange_task, exchange, daemon=True
+            )
+            self._tasks.add(exchange.task)
             while len(self._waiting) >= MAX_PIPELINED_REQUESTS:
                 await self._waiting[0].is_done.wait()
             return not self._is_closing
@@ -288,6 +305,12 @@
         await self._respond(exchange)
         return not self._is_closing
 
+    async def _run_exchange_task(self, exchange: _Exchange) -> None:
+        try:
+            await self._respond(exchange)
+        finally:
+            self._tasks.discard(await curio.current_task())
+
     # Responding
 
     async def _respond(self, exchange: _Exchange) -> None:
@@ -307,7 +330,9 @@
         except BodyError:
             exchange.end = "broken_off"
             # The caller can't mistake a reset for the end of a complete response.
-            self._client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self._client.setsockopt(
+                sockets.SOL_SOCKET, sockets.SO_LINGER, RESET_ON_CLOSE
+            )
             await self._close_after(exchange, should_linger=False)
         except Exception as error:
             # It would end the task of a concurrent request unnoticed: a planned stop
@@ -512,7 +537,7 @@
 
     async def _linger(self) -> None:
         """Shut down the sending half, then read and discard what is in transit."""
-        await self._client.shutdown(socket.SHUT_WR)
+        await self._client.shutdown(sockets.SHUT_WR)
         n_bytes = 0
         async with curio.ignore_after(LINGER_MS / 1000):
             while n_bytes < MAX_LINGER_BYTES:
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -7,10 +7,10 @@
 
 import curio
 import h11
-from curio import socket
 from expression import Error, Ok, Result
 
 from ..wire.connections import open_connection
+from ..wire.sockets import Socket
 from .messages import Headers, Response
 from .socket_state import is_readable
 
@@ -56,7 +56,7 @@
         "is_reusable",
     )
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: Socket) -> None:
         self._sock = sock
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
--- a/pollenfold/http/listening_socket.py
+++ b/pollenfold/http/listening_socket.py
@@ -4,10 +4,12 @@
 
 import errno
 import logging
+import socket as sockets
 from typing import Any
 
 import curio
-from curio.io import Socket
+
+from ..wire.sockets import Socket
 
 ACCEPT_PAUSE_MS = 50.0
 """How long a listener pauses after it failed to accept a connection."""
@@ -22,13 +24,17 @@
     Without this the task that accepts would end, and connections would wait for ever.
     """
 
-    _has_failed = False
+    __slots__ = ("_has_failed",)
+
+    def __init__(self, raw: sockets.socket) -> None:
+        super().__init__(raw)
+        self._has_failed = False
 
     async def accept(self) -> tuple[Socket, Any]:
         """Return the next connection; raise OSError if this socket is closed."""
         while True:
             try:
-                accepted: tuple[Socket, Any] = await super().accept()
+                accepted = await super().accept()
             except OSError as error:
                 if error.errno in CLOSED_ERRORS:
                     raise
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -12,11 +12,11 @@
 
 import curio
 import h11
-from curio import socket
 
 from ..core.clock import Instant
 from ..core.errors import ErrorKind
 from ..observe.clock import system_clock
+from ..wire.sockets import Socket
 from .memory import MemoryBudget
 from .messages import BodyError, Request, find_header
 
@@ -111,7 +111,7 @@
 
     def __init__(
         self,
-        client: socket.socket,
+        client: Socket,
         unread: bytes,
         limits: Callable[[], ServerLimits],
         budget: MemoryBudget,
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -9,11 +9,10 @@
 from collections.abc import Callable
 
 import curio
-from curio import socket
-from curio.io import Socket
 
 from ..core.errors import ErrorKind
 from ..observe.steps import run_step
+from ..wire.sockets import Socket
 from .caller import (
     CallerConnection,
     ConnectionCounts,
@@ -248,7 +247,6 @@
 
     async def _start_queued(self, client: sockets.socket, peer: str) -> None:
         try:
-            client.setblocking(False)
             sock = Socket(client)
         except Exception as error:
             _log_failed_connection(peer, error)
@@ -270,7 +268,7 @@
             await client.close()
             return
         self._shared.counts.n_accepted += 1
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         connection = self.connection_class(client, peer, self._shared, self._limits)
         # Added before its task runs, so that a stop waits for it.
         self._connections.add(connection)
--- a/pollenfold/http/socket_state.py
+++ b/pollenfold/http/socket_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import struct
 
@@ -9,16 +10,25 @@
 def is_readable(descriptor: int) -> bool:
     """Return whether bytes, an end of stream or an error are pending on the socket.
 
+    True for -1, the descriptor of a closed socket.
+
     An idle client connection for which this is true can't be reused: the server closed
     it, or sent bytes that belong to no request.
     """
+    if descriptor < 0:
+        return True
     poll = select.poll()
     poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
 
 
 def is_closed_by_peer(descriptor: int) -> bool:
-    """Return whether the peer closed the connection or at least its sending half."""
+    """Return whether the peer closed the connection or at least its sending half.
+
+    True for -1, the descriptor of a closed socket.
+    """
+    if descriptor < 0:
+        return True
     poll = select.poll()
     poll.register(descriptor, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
     return bool(poll.poll(0))
@@ -33,5 +43,7 @@
     import fcntl
     import termios
 
+    if descriptor < 0:
+        raise OSError(errno.EBADF, "the socket is closed")
     unset = struct.pack("i", 0)
     return int(struct.unpack("i", fcntl.ioctl(descriptor, termios.TIOCOUTQ, unset))[0])
--- a/pollenfold/observe/signals.py
+++ b/pollenfold/observe/signals.py
@@ -106,9 +106,9 @@
         for several that came together.
         """
         # Signals are kept from before curio is loaded, which takes a while.
-        from curio import io
+        from ..wire.sockets import Socket
 
-        wakeup_socket = io.Socket(self._receiver)
+        wakeup_socket = Socket(self._receiver)
         while True:
             # The numbers only wake the loop: a full socket drops those that come later.
             if self.stop_request is None:
--- a/pollenfold/tests/http/test_closed_connections.py
+++ b/pollenfold/tests/http/test_closed_connections.py
@@ -55,8 +55,8 @@
             sock.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET)
             await sock.close()
         await curio.sleep(2 * TURN_S)
-        assert (await read_short_response(port)).startswith(b"HTTP/1.1 200")
         assert server.n_connections == server.n_in_flight == 0
+        assert (await read_short_response(port)).startswith(b"HTTP/1.1 200")
 
     run(main)
 
@@ -75,7 +75,7 @@
 
         async def open_after_close():
             await trigger.recv(1)
-            while connection._client.fileno() == number and not connection._is_ended:
+            while connection._client._socket.fileno() >= 0:
                 await curio.sleep(0)
             backend = BackendConnection("127.0.0.1", port, Link())
             opened.append(backend._raw.fileno())
--- a/pollenfold/tests/http/test_listening_socket.py
+++ b/pollenfold/tests/http/test_listening_socket.py
@@ -5,7 +5,6 @@
 
 import curio
 import pytest
-from curio.io import Socket
 
 from pollenfold.http.client import HttpConnection
 from pollenfold.http.listener import open_listener
@@ -13,6 +12,7 @@
 from pollenfold.http.server import HttpServer
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcClient, RpcServer
+from pollenfold.wire.sockets import Socket
 
 FAILURES = [errno.EMFILE, errno.ENFILE, errno.ECONNABORTED, errno.ENOBUFS]
 
--- a/pollenfold/tests/ledger/test_failed_accepts.py
+++ b/pollenfold/tests/ledger/test_failed_accepts.py
@@ -5,12 +5,12 @@
 
 import curio
 import pytest
-from curio.io import Socket
 
 from pollenfold.ledger.daemon import LedgerReplica, serve_ledger
 from pollenfold.tests.ledger.test_daemon import handlers, settings
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcClient
+from pollenfold.wire.sockets import Socket
 
 __all__ = ["handlers", "settings"]
 
--- a/pollenfold/wire/connections.py
+++ b/pollenfold/wire/connections.py
@@ -7,9 +7,8 @@
 import socket as sockets
 from ipaddress import ip_address
 
-from curio import socket
-
 from ..core.input_limits import is_port
+from .sockets import Socket
 
 
 def address_family(host: str, port: int) -> int:
@@ -27,10 +26,10 @@
         raise OSError(
             errno.EINVAL, f"expected an IP address and a port, got {host!r:.80} {port}"
         )
-    return socket.AF_INET6 if version == 6 else socket.AF_INET
+    return sockets.AF_INET6 if version == 6 else sockets.AF_INET
 
 
-async def open_connection(host: str, port: int, source_host: str = "") -> socket.socket:
+async def open_connection(host: str, port: int, source_host: str = "") -> Socket:
     """Connect to an IP address; raise OSError when it can't be reached.
 
     The connection comes from ``source_host`` if that is an address of this VM.
@@ -38,19 +37,19 @@
     ``curio.open_connection`` resolves host names in a worker thread. IP addresses
     need no name resolution, so this function uses no thread.
     """
-    sock = socket.socket(address_family(host, port))
+    sock = Socket(sockets.socket(address_family(host, port), sockets.SOCK_STREAM))
     try:
         if source_host:
             bind_source(sock, source_host)
         await sock.connect((host, port))
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
     except BaseException:
         await sock.close()
         raise
     return sock
 
 
-def bind_source(sock: socket.socket | sockets.socket, source_host: str) -> None:
+def bind_source(sock: Socket | sockets.socket, source_host: str) -> None:
     """Let a connection come from an address, if it belongs to this VM.
 
     A VM with several addresses would otherwise choose one by the route, and the other
--- a/pollenfold/wire/lines.py
+++ b/pollenfold/wire/lines.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 import curio
-from curio import socket
+
+from .sockets import Socket
 
 MAX_LINE_BYTES = 8 << 20
 _READ_BYTES = 64 * 1024
@@ -45,7 +46,7 @@
 
 
 async def read_lines(
-    sock: socket.socket,
+    sock: Socket,
     idle_timeout_ms: Callable[[], float],
     on_part: Callable[[], None] = lambda: None,
     max_line_bytes: int = MAX_LINE_BYTES,
@@ -86,7 +87,7 @@
             budget.resize(n_held_bytes, 0)
 
 
-async def _receive(sock: socket.socket, timeout_ms: float) -> bytes:
+async def _receive(sock: Socket, timeout_ms: float) -> bytes:
     try:
         async with curio.timeout_after(timeout_ms / 1000):
             return bytes(await sock.recv(_READ_BYTES))
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -7,7 +7,6 @@
 from collections.abc import Awaitable, Callable
 
 import curio
-from curio import socket
 from expression import Error, Ok, Result
 from loguru import logger
 
@@ -16,6 +15,7 @@
 from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
+from .sockets import Socket
 
 MAX_PENDING_REQUESTS = 256
 """Requests of one connection that are handled at the same time. Until one of them is
@@ -34,7 +34,7 @@
 """Processes a request payload and returns the response payload."""
 
 
-async def _receive_exactly(sock: socket.socket, n_bytes: int) -> bytes | None:
+async def _receive_exactly(sock: Socket, n_bytes: int) -> bytes | None:
     """Return exactly ``n_bytes``, or None when the peer closed the connection."""
     chunks = []
     while n_bytes:
@@ -47,7 +47,7 @@
 
 
 async def receive_frame(
-    sock: socket.socket,
+    sock: Socket,
 ) -> Result[tuple[Header, bytes], Failure]:
     """Receive one frame.
 
@@ -103,11 +103,11 @@
                 await curio.sleep(STOP_POLL_MS / 1000)
         return sum(map(len, self._connections.values()))
 
-    async def handle(self, client: socket.socket, address: tuple[str, int]) -> None:
+    async def handle(self, client: Socket, address: tuple[str, int]) -> None:
         """Handle all requests of one connection concurrently."""
         if self._is_stopping:
             return
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         # A task group would hold every finished task until the connection ends.
         tasks: set[curio.Task] = set()
         # A task of its own, so that a stop can end the reading and not the handling.
@@ -125,19 +125,19 @@
             for task in list(tasks):
                 await task.cancel()
 
-    async def _finish(self, client: socket.socket, tasks: set[curio.Task]) -> None:
+    async def _finish(self, client: Socket, tasks: set[curio.Task]) -> None:
         """Wait until all requests are answered and the peer has the responses."""
         while tasks:
             await curio.sleep(STOP_POLL_MS / 1000)
         with contextlib.suppress(OSError):
-            await client.shutdown(socket.SHUT_WR)
+            await client.shutdown(sockets.SHUT_WR)
             async with curio.ignore_after(LINGER_MS / 1000):
                 while await client.recv(64 * 1024):
                     pass
 
     async def _read_requests(
         self,
-        client: socket.socket,
+        client: Socket,
         address: tuple[str, int],
         tasks: set[curio.Task],
     ) -> None:
@@ -173,7 +173,7 @@
         self,
         tasks: set[curio.Task],
         slots: curio.Semaphore,
-        client: socket.socket,
+        client: Socket,
         write_lock: curio.Lock,
         header: Header,
         payload: bytes,
@@ -186,7 +186,7 @@
 
     async def _handle_request(
         self,
-        client: socket.socket,
+        client: Socket,
         write_lock: curio.Lock,
         header: Header,
         payload: bytes,
@@ -219,7 +219,7 @@
     __slots__ = ("_event", "_body", "sock")
 
     def __init__(self) -> None:
-        self.sock: socket.socket | None = None
+        self.sock: Socket | None = None
         """The connection on which the request was sent."""
 
         self._event = curio.Event()
@@ -245,7 +245,7 @@
     def __init__(self, host: str, port: int) -> None:
         self.host = host
         self.port = port
-        self._sock: socket.socket | None = None
+        self._sock: Socket | None = None
         self._receive_task: curio.Task | None = None
         self._connect_lock = curio.Lock()
         self._write_lock = curio.Lock()
@@ -293,7 +293,7 @@
         """Close the connection; calls in progress give ``UNREACHABLE``."""
         await self._disconnect()
 
-    async def _ensure_connected(self) -> socket.socket:
+    async def _ensure_connected(self) -> Socket:
         async with self._connect_lock:
             if self._sock is None:
                 sock = await open_connection(self.host, self.port)
@@ -303,7 +303,7 @@
                 )
             return self._sock
 
-    async def _send(self, sock: socket.socket, frame: bytes) -> None:
+    async def _send(self, sock: Socket, frame: bytes) -> None:
         try:
             await sock.sendall(frame)
         except curio.CancelledError:
@@ -317,7 +317,6 @@
         sock, receive_task = self._sock, self._receive_task
         self._sock = None
         self._receive_task = None
-        # curio raises an error when a socket is closed while another task waits on it.
         if receive_task is not None and receive_task is not await curio.current_task():
             await receive_task.cancel()
         if sock is None:
@@ -328,7 +327,7 @@
             if pending.sock is sock:
                 await pending.set(None)
 
-    async def _receive_responses(self, sock: socket.socket) -> None:
+    async def _receive_responses(self, sock: Socket) -> None:
         while True:
             try:
                 frame = await receive_frame(sock)
