--- /dev/null
+++ b/pollenfold/tests/testing/test_checked_selector.py
@@ -0,0 +1,198 @@
+"""The check for sockets that are closed while a task waits on them."""
+
+import os
+import socket as sockets
+import subprocess
+import sys
+
+import curio
+import pytest
+from curio.traps import _read_wait
+
+from pollenfold.testing.checked_daemon import EXIT_VIOLATION
+from pollenfold.testing.checked_selector import LOG_MARK, violations
+from pollenfold.wire.sockets import Socket
+
+TURN_S = 0.02
+
+
+@pytest.fixture
+def found():
+    """Return a function that takes the violations, which must not fail the test."""
+
+    def take():
+        taken = list(violations)
+        violations.clear()
+        return taken
+
+    yield take
+    violations.clear()
+
+
+@pytest.fixture
+def pair():
+    first, second = sockets.socketpair()
+    first.setblocking(False)
+    yield first, second
+    first.close()
+    second.close()
+
+
+def dispose_by_detach(sock):
+    os.close(sock.detach())
+
+
+def dispose_by_number(sock):
+    os.close(sock.fileno())
+    sock.detach()
+
+
+def dispose_by_exit(sock):
+    with sock:
+        pass
+
+
+@pytest.mark.parametrize(
+    "dispose",
+    [sockets.socket.close, dispose_by_detach, dispose_by_number, dispose_by_exit],
+)
+def test_close_under_a_wait_is_reported(found, pair, dispose):
+    """Guards against a check that misses a way to close a descriptor."""
+    sock, _ = pair
+    number = sock.fileno()
+
+    async def wait():
+        await _read_wait(number)
+
+    async def main():
+        await curio.spawn(wait, daemon=True)
+        await curio.sleep(TURN_S)
+        dispose(sock)
+        # Curio could not remove the registration at the end of the loop.
+        (selector,) = (
+            s for s in [(await curio.traps._get_kernel())._selector] if s is not None
+        )
+        selector.unregister(number)
+
+    try:
+        curio.run(main)
+    except KeyError:
+        pass
+    first = found()[0]
+    assert first.descriptor == number
+    assert first.kind in ("close", "detach")
+    assert [task.rpartition(":")[0].endswith("wait") for task in first.tasks] == [True]
+    assert "dispose" in first.stack or "main" in first.stack
+
+
+def test_close_after_a_wait_is_reported(found):
+    """Guards against a check that sees only tasks that are suspended: curio keeps the
+    registration of a wait that is over until the next one."""
+    raw, peer = sockets.socketpair()
+
+    async def main():
+        sock = curio.io.Socket(raw)
+        reader = await curio.spawn(sock.recv, 10)
+        await curio.sleep(TURN_S)
+        peer.send(b"x")
+        await reader.join()
+        peer.send(b"y")
+
+        async def wait_and_close():
+            await _read_wait(sock._fileno)
+            raw.close()
+
+        peer.send(b"z")
+        raw.recv(10)
+        closer = await curio.spawn(wait_and_close)
+        await curio.sleep(TURN_S)
+        peer.send(b"z")
+        await closer.join()
+
+    curio.run(main)
+    peer.close()
+    assert found()[0].kind == "close"
+
+
+def test_wait_on_a_reused_number_is_reported(found):
+    """Guards against a connection that is refused its wait by a stale registration."""
+    raw, peer = sockets.socketpair()
+    raw.setblocking(False)
+    number = raw.fileno()
+
+    async def wait():
+        await _read_wait(number)
+
+    async def main():
+        await curio.spawn(wait, daemon=True)
+        await curio.sleep(TURN_S)
+        # Closed without a call that the check replaces, as by the garbage collector.
+        replacement, other = sockets.socketpair()
+        os.dup2(replacement.fileno(), number)
+        with pytest.raises(curio.errors.ReadResourceBusy):
+            await _read_wait(number)
+        kernel = await curio.traps._get_kernel()
+        kernel._selector.unregister(number)
+        for sock in (replacement, other):
+            sock.close()
+
+    try:
+        curio.run(main)
+    except KeyError:
+        pass
+    raw.close()
+    peer.close()
+    kinds = [violation.kind for violation in found()]
+    assert kinds[0] == "stale"
+    # The end of the loop released the registration that this test had removed.
+    assert kinds[-1] == "released_twice"
+
+
+def test_orderly_use_is_not_reported(found):
+    """Guards against a check that fails tests of correct code."""
+
+    async def main():
+        for _ in range(3):
+            first, second = map(Socket, sockets.socketpair())
+            reader = await curio.spawn(first.recv, 10)
+            await curio.sleep(TURN_S)
+            await second.sendall(b"x")
+            assert await reader.join() == b"x"
+            reader = await curio.spawn(first.recv, 10)
+            await curio.sleep(TURN_S)
+            await first.close()
+            await second.close()
+            await reader.wait()
+
+    curio.run(main)
+    assert not found()
+
+
+CLOSES_UNDER_A_WAIT = """
+import socket
+import curio
+from curio.traps import _get_kernel, _read_wait
+
+async def main():
+    first, second = socket.socketpair()
+    number = first.fileno()
+    await curio.spawn(_read_wait, number, daemon=True)
+    await curio.sleep(0.02)
+    first.close()
+
+try:
+    curio.run(main)
+finally:
+    raise SystemExit(0)
+"""
+
+
+@pytest.mark.parametrize("code, status", [("", 0), (CLOSES_UNDER_A_WAIT, None)])
+def test_daemon_reports_violations(tmp_path, code, status):
+    """Guards against a run of real processes that passes with violations."""
+    (tmp_path / "trial.py").write_text(code)
+    command = [sys.executable, "-m", "pollenfold.testing.checked_daemon", "trial"]
+    environment = {**os.environ, "PYTHONPATH": str(tmp_path)}
+    done = subprocess.run(command, env=environment, capture_output=True, text=True)
+    assert done.returncode == (EXIT_VIOLATION if status is None else status)
+    assert (LOG_MARK in done.stderr) == (status is None)
