--- a/pollenfold/testing/checked_selector.py
+++ b/pollenfold/testing/checked_selector.py
@@ -100,13 +100,19 @@
         return
     for selector in list(_selectors):
         key = selector.registration(descriptor)
-        if key is not None:
+        if key is not None and _tasks_of(key):
             _record(kind, descriptor, key)
 
 
+def _tasks_of(key: selectors.SelectorKey) -> list[Any]:
+    """Return the tasks of a registration by curio; other selectors have none."""
+    data = key.data if isinstance(key.data, tuple) else ()
+    return [task for task in data if hasattr(task, "cancel_func")]
+
+
 def _record(kind: str, descriptor: int, key: selectors.SelectorKey | None) -> None:
-    tasks = [] if key is None or not isinstance(key.data, tuple) else key.data
-    names = tuple(f"{task.name}:{task.id}" for task in tasks if task is not None)
+    tasks = [] if key is None else _tasks_of(key)
+    names = tuple(f"{task.name}:{task.id}" for task in tasks)
     frames = traceback.extract_stack(sys._getframe(2))[-N_STACK_FRAMES:]
     stack = "".join(traceback.format_list(frames))
     violation = Violation(kind, descriptor, names, stack)
--- a/pollenfold/tests/testing/test_checked_selector.py
+++ b/pollenfold/tests/testing/test_checked_selector.py
@@ -1,6 +1,7 @@
 """The check for sockets that are closed while a task waits on them."""
 
 import os
+import selectors
 import socket as sockets
 import subprocess
 import sys
@@ -161,6 +162,15 @@
     assert not found()
 
 
+def test_selector_of_other_code_is_not_checked(found, pair):
+    """Guards against failures of code that uses a selector without an event loop."""
+    sock, _ = pair
+    with selectors.DefaultSelector() as selector:
+        selector.register(sock, selectors.EVENT_READ, b"")
+        sock.close()
+    assert not found()
+
+
 CLOSES_UNDER_A_WAIT = """
 import socket
 import curio
