--- a/benchmarks/agreement_cost.py
+++ b/benchmarks/agreement_cost.py
@@ -19,6 +19,7 @@
 
 from pollenfold.control.replica import Replica
 from pollenfold.observe.clock import system_clock
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import HEADER_BYTES, Protocol
 from pollenfold.wire.rpc import RpcServer
 
@@ -44,7 +45,7 @@
 
 async def start_replicas(folder: Path, counter: ByteCounter) -> list[Replica]:
     """Start the replicas on ports assigned by the kernel."""
-    sockets = [curio.tcp_server_socket("127.0.0.1", 0) for _ in range(N_REPLICAS)]
+    sockets = [listening_socket("127.0.0.1", 0) for _ in range(N_REPLICAS)]
     peers = {str(i): sock.getsockname() for i, sock in enumerate(sockets)}
     replicas = []
     for seed, (replica_id, sock) in enumerate(zip(peers, sockets, strict=True)):
--- a/pollenfold/testing/control.py
+++ b/pollenfold/testing/control.py
@@ -5,17 +5,19 @@
 from pathlib import Path
 
 import curio
-from curio import network, socket
+from curio import network
 
 from ..control.leases import LeaseService
 from ..control.operators import OperatorInterface
 from ..control.state import ControlState
 from ..core.clock import Clock
 from ..core.directory import LEASE_MS
+from ..http.listening_socket import ListeningSocket
 from ..http.server import HttpServer
 from ..observe.clock import system_clock
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
+from .listening import listening_socket
 from .replica import FakeReplica
 
 TOKEN = "test-token"
@@ -71,7 +73,7 @@
 
     async def start(self) -> None:
         """Listen on both ports."""
-        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        sock = listening_socket("127.0.0.1", 0)
         self.peers[self.replica_id] = ("127.0.0.1", sock.getsockname()[1])
         port = await self._http.start("127.0.0.1", 0)
         self.operators[self.replica_id] = f"127.0.0.1:{port}"
@@ -85,7 +87,7 @@
             await task.cancel()
         self._tasks = []
 
-    async def _listen(self, sock: socket.socket) -> None:
+    async def _listen(self, sock: ListeningSocket) -> None:
         server = RpcServer({Protocol.LEASE: self.leases.handle})
         self._tasks.append(
             await curio.spawn(network.run_server, sock, server.handle, daemon=True)
--- a/pollenfold/testing/ledger.py
+++ b/pollenfold/testing/ledger.py
@@ -15,6 +15,7 @@
 from ..observe.clock import system_clock
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcServer
+from .listening import listening_socket
 
 CALL_TIMEOUT_MS = 500.0
 """A busy machine or a full garbage collection can block the event loop that all
@@ -48,9 +49,7 @@
         self._clients: list[LedgerClient] = []
 
     async def __aenter__(self) -> LocalLedger:
-        listening = {
-            name: curio.tcp_server_socket("127.0.0.1", 0) for name in self.names
-        }
+        listening = {name: listening_socket("127.0.0.1", 0) for name in self.names}
         self.addresses = {name: sock.getsockname() for name, sock in listening.items()}
         for name, sock in listening.items():
             self._gates[name] = curio.Event()
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -25,6 +25,7 @@
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.connections import open_connection
 from pollenfold.wire.document_transfer import decode_transfer
 from pollenfold.wire.lines import encode_line
@@ -103,7 +104,7 @@
             log = EventLog("c1", system_clock, write=len)
             cluster_state = ClusterState(3, system_clock, log)
             server = FeedServer("a", cluster_state, Peers(), system_clock, log)
-            sock = curio.tcp_server_socket("127.0.0.1", 0)
+            sock = listening_socket("127.0.0.1", 0)
             port = sock.getsockname()[1]
             await curio.spawn(
                 curio.network.run_server, sock, server._serve_subscriber, daemon=True
--- a/pollenfold/tests/control/test_peer_requests_at_stop.py
+++ b/pollenfold/tests/control/test_peer_requests_at_stop.py
@@ -7,6 +7,7 @@
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.observe.signals import Signals, StopRequest
+from pollenfold.testing.listening import listening_socket
 from pollenfold.testing.replica import FakeReplica
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcClient, RpcServer
@@ -33,7 +34,7 @@
     async def main():
         handler = SlowHandler()
         rpc = RpcServer({Protocol.OPERATOR: handler.handle})
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = listening_socket("127.0.0.1", 0)
         peers = await curio.spawn(curio.network.run_server, listener, rpc.handle)
         client = RpcClient(*listener.getsockname())
         call = await curio.spawn(client.call, Protocol.OPERATOR, b"order", 2_000)
--- a/pollenfold/tests/control/test_replaced_documents.py
+++ b/pollenfold/tests/control/test_replaced_documents.py
@@ -6,6 +6,7 @@
 from pollenfold.core.agreement_log import Entry
 from pollenfold.core.agreement_messages import AppendRequest, AppendResponse, Message
 from pollenfold.core.clock import Instant
+from pollenfold.testing.listening import listening_socket
 from pollenfold.tests.control.slow_link import SlowLink
 from pollenfold.wire.agreement import decode_message, encode_message
 from pollenfold.wire.frames import Protocol
@@ -38,7 +39,7 @@
         received.append(message.body.sent_at)
 
     async def main():
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = listening_socket("127.0.0.1", 0)
         server = RpcServer({Protocol.AGREEMENT: respond})
         await curio.spawn(
             curio.network.run_server, listener, server.handle, daemon=True
--- a/pollenfold/tests/control/test_replica.py
+++ b/pollenfold/tests/control/test_replica.py
@@ -10,6 +10,7 @@
 from pollenfold.core.errors import ErrorKind, Failure
 from pollenfold.observe.clock import system_clock
 from pollenfold.storage.journal import Journal
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcServer
 
@@ -83,14 +84,14 @@
     def __init__(self, folder, n_replicas):
         self.folder = folder
         names = "abcde"[:n_replicas]
-        self.sockets = {k: curio.tcp_server_socket("127.0.0.1", 0) for k in names}
+        self.sockets = {k: listening_socket("127.0.0.1", 0) for k in names}
         self.peers = {k: s.getsockname() for k, s in self.sockets.items()}
         self.nodes = {k: Node(self, k) for k in names}
 
     def listen(self, replica_id):
         """Return the initial socket, or after a restart a new one on the same port."""
         sock = self.sockets.pop(replica_id, None)
-        return sock or curio.tcp_server_socket(*self.peers[replica_id])
+        return sock or listening_socket(*self.peers[replica_id])
 
     async def start(self):
         for node in self.nodes.values():
--- a/pollenfold/tests/control/test_shared_clients.py
+++ b/pollenfold/tests/control/test_shared_clients.py
@@ -3,6 +3,7 @@
 import curio
 
 from pollenfold.control.forwarding import call_replica
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcServer
 
@@ -16,7 +17,7 @@
         return payload
 
     async def main():
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = listening_socket("127.0.0.1", 0)
         server = RpcServer({Protocol.OPERATOR: respond})
         task = await curio.spawn(curio.network.run_server, listener, server.handle)
         clients = {}
--- a/pollenfold/tests/entry/test_configuration.py
+++ b/pollenfold/tests/entry/test_configuration.py
@@ -14,6 +14,7 @@
 from pollenfold.entry.configuration import ConfigurationClient, EntryAddresses
 from pollenfold.observe.clock import system_clock
 from pollenfold.testing.control import FakeControlReplica
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.lease import decode_response, encode_request
 from pollenfold.wire.rpc import RpcServer
@@ -46,7 +47,7 @@
 
 
 async def start_peer(handler):
-    sock = curio.tcp_server_socket("127.0.0.1", 0)
+    sock = listening_socket("127.0.0.1", 0)
     server = RpcServer({Protocol.LEASE: handler})
     await curio.spawn(curio.network.run_server, sock, server.handle, daemon=True)
     return sock.getsockname()
--- a/pollenfold/tests/entry/test_gossip.py
+++ b/pollenfold/tests/entry/test_gossip.py
@@ -10,6 +10,7 @@
 from pollenfold.entry.gossip import COPY_DEADLINE_MS, Gossip
 from pollenfold.testing.endpoints import make_endpoint
 from pollenfold.testing.gossip import GossipFleet
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.membership import (
     Push,
@@ -200,7 +201,7 @@
     async def main():
         fleet = GossipFleet(1)
         server = RpcServer({Protocol.MEMBERSHIP: fleet.gossips[0].handle})
-        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        sock = listening_socket("127.0.0.1", 0)
         task = await curio.spawn(
             curio.network.run_server, sock, server.handle, daemon=True
         )
--- a/pollenfold/tests/wire/test_replaced_calls.py
+++ b/pollenfold/tests/wire/test_replaced_calls.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from pollenfold.testing.listening import listening_socket
 from pollenfold.tests.wire.test_rpc import echo
 from pollenfold.wire.frames import MAX_PAYLOAD_BYTES, Protocol
 from pollenfold.wire.rpc import RpcClient, RpcServer
@@ -18,7 +19,7 @@
     """
 
     async def main():
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = listening_socket("127.0.0.1", 0)
         client = RpcClient("127.0.0.1", listener.getsockname()[1])
         large = b"x" * MAX_PAYLOAD_BYTES
         calls = [
--- a/pollenfold/tests/wire/test_rpc.py
+++ b/pollenfold/tests/wire/test_rpc.py
@@ -8,6 +8,7 @@
 
 from pollenfold.core.errors import ErrorKind
 from pollenfold.observe.clock import system_clock
+from pollenfold.testing.listening import listening_socket
 from pollenfold.wire.frames import (
     HEADER_BYTES,
     MAX_PAYLOAD_BYTES,
@@ -19,7 +20,7 @@
 
 
 async def start_server(handlers):
-    sock = curio.tcp_server_socket("127.0.0.1", 0)
+    sock = listening_socket("127.0.0.1", 0)
     server = RpcServer(handlers)
     task = await curio.spawn(curio.network.run_server, sock, server.handle, daemon=True)
     return task, sock.getsockname()[1]
@@ -179,7 +180,7 @@
     """
 
     async def main():
-        listener = curio.tcp_server_socket("127.0.0.1", 0)
+        listener = listening_socket("127.0.0.1", 0)
         client = RpcClient("127.0.0.1", listener.getsockname()[1])
         large = b"x" * MAX_PAYLOAD_BYTES
         for _ in range(8):
@@ -262,7 +263,7 @@
             await curio.sleep(0.1)
             return payload
 
-        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        sock = listening_socket("127.0.0.1", 0)
         address = sock.getsockname()
         server = RpcServer({Protocol.OPERATOR: handle})
         accepting = await curio.spawn(
@@ -303,7 +304,7 @@
 
     async def main():
         server = RpcServer({Protocol.OPERATOR: lambda payload: curio.sleep(3600)})
-        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        sock = listening_socket("127.0.0.1", 0)
         address = sock.getsockname()
         accepting = await curio.spawn(
             curio.network.run_server, sock, server.handle, daemon=True
