--- a/pollenfold/wire/sockets.py
+++ b/pollenfold/wire/sockets.py
@@ -96,14 +96,14 @@
     async def wait_readable(self) -> None:
         """Wait for bytes, the end of the stream, an error or a connection."""
         try:
-            await self._wait(_read_wait)
+            await _read_wait(self._open_descriptor())
         except ReadResourceBusy:
             raise SocketBusyError("read", self.fileno()) from None
 
     async def wait_writable(self) -> None:
         """Wait until bytes can be written, or a connection is open or has failed."""
         try:
-            await self._wait(_write_wait)
+            await _write_wait(self._open_descriptor())
         except WriteResourceBusy:
             raise SocketBusyError("write", self.fileno()) from None
 
@@ -166,12 +166,12 @@
         await _scheduler_wake(_AbortedWaits(tasks), len(tasks))
         self._socket.close()
 
-    async def _wait(self, wait: Any) -> None:
-        """Wait by descriptor number, for which curio keeps no registration."""
+    def _open_descriptor(self) -> int:
+        """Return the descriptor number; curio keeps no registration of one."""
         descriptor = self._socket.fileno()
         if descriptor < 0:
             raise _closed_error()
-        await wait(descriptor)
+        return descriptor
 
 
 class _AbortedWaits:
