--- a/pollenfold/tests/testing/test_checked_selector.py
+++ b/pollenfold/tests/testing/test_checked_selector.py
@@ -160,6 +160,25 @@
     assert not found()
 
 
+def test_close_that_ends_no_waits_is_reported(found, monkeypatch):
+    """Guards against a change of the socket class that takes its rule back unnoticed."""
+
+    async def close_at_once(self):
+        self._socket.close()
+
+    monkeypatch.setattr(Socket, "close", close_at_once)
+
+    async def main():
+        first, second = map(Socket, sockets.socketpair())
+        await curio.spawn(first.recv, 10, daemon=True)
+        await curio.sleep(TURN_S)
+        await first.close()
+        await second.close()
+
+    curio.run(main)
+    assert found()[0].kind == "close"
+
+
 def test_selector_of_other_code_is_not_checked(found, pair):
     """Guards against failures of code that uses a selector without an event loop."""
     sock, _ = pair
