--- a/pollenfold/tests/testing/test_checked_selector.py
+++ b/pollenfold/tests/testing/test_checked_selector.py
@@ -161,7 +161,7 @@
 
 
 def test_close_that_ends_no_waits_is_reported(found, monkeypatch):
-    """Guards against a change of the socket class that takes its rule back unnoticed."""
+    """Guards against a change of the socket class that takes its rule back."""
 
     async def close_at_once(self):
         self._socket.close()
