--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -25,6 +25,7 @@
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
 from ..wire.connections import address_family, bind_source
+from ..wire.receive_buffers import receive_buffers
 from .outgoing import OutgoingRequest, ReadRemainingBody
 
 READ_BYTES = 64 * 1024
@@ -97,6 +98,7 @@
         raw = sockets.socket(address_family(host, port), sockets.SOCK_STREAM)
         raw.setblocking(False)
         raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        receive_buffers.limit(raw)
         if source_host:
             bind_source(raw, source_host)
         code = raw.connect_ex((host, port))
--- a/pollenfold/http/listener.py
+++ b/pollenfold/http/listener.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import add_ms
 from ..observe.clock import system_clock
+from ..wire.receive_buffers import receive_buffers
 
 BACKLOG = 1024
 
@@ -40,6 +41,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        receive_buffers.limit(sock)
         sock.bind((host, port))
         sock.setblocking(False)
     except OSError:
--- a/pollenfold/wire/connections.py
+++ b/pollenfold/wire/connections.py
@@ -10,6 +10,7 @@
 from curio import socket
 
 from ..core.input_limits import is_port
+from .receive_buffers import receive_buffers
 
 
 def address_family(host: str, port: int) -> int:
@@ -40,6 +41,7 @@
     """
     sock = socket.socket(address_family(host, port))
     try:
+        receive_buffers.limit(sock)
         if source_host:
             bind_source(sock, source_host)
         await sock.connect((host, port))
