Enlarge receive buffers for long bodies, and close idle connections with input

A buffer of 12.5 KB makes a long body wait for a round trip every 9 KB. A body, line or frame that exceeds it gets 128 KB while the budget has room.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -139,6 +139,11 @@
         idle_ms = now - self.last_used_at
         return idle_ms > self._idle_timeout_ms - IDLE_TIMEOUT_MARGIN_MS
 
+    @property
+    def descriptor(self) -> int:
+        """The descriptor of the socket, negative once it is closed."""
+        return self._raw.fileno()
+
     def has_input(self) -> bool:
         """Return whether bytes or the end of the stream are ready to be read.
 
@@ -290,7 +295,13 @@
             head = await self._read_head(parser)
             body: list[bytes] = []
             n_body_bytes = 0
+            length = find_header(list(head.headers), b"content-length")
+            n_expected_bytes = int(length or 0)
+            has_grown = False
             while n_body_bytes < RESPONSE_WINDOW_BYTES:
+                has_grown = has_grown or receive_buffers.grow_for(
+                    self._raw, max(n_expected_bytes, n_body_bytes)
+                )
                 piece = await self._read_piece(parser, head)
                 if not piece:
                     content = b"".join(body)
@@ -300,7 +311,6 @@
         except (OSError, h11.RemoteProtocolError):
             return Failure.LOST
         headers = list(head.headers)
-        length = find_header(headers, b"content-length")
         remaining_body = BodySource(
             partial(self._read_remaining_body, parser, head),
             self.close,
--- a/pollenfold/gateway/pool.py
+++ b/pollenfold/gateway/pool.py
@@ -4,6 +4,7 @@
 
 from ..core.clock import Clock, add_ms
 from ..core.link import Link
+from ..http.socket_state import readable_descriptors
 from .backend import BackendConnection
 
 
@@ -86,7 +87,22 @@
         await connection.close()
 
     async def close_idle(self, idle_ms: float) -> None:
-        """Close the connections that have been idle for at least ``idle_ms``."""
+        """Close connections that are idle for ``idle_ms`` or can't be reused.
+
+        An idle connection with input can't: the server closed it, or sent bytes that
+        belong to no request, which would stand unread in the kernel.
+        """
+        await self._close_unusable()
         oldest = add_ms(self._clock(), -idle_ms)
         while self._idle and self._idle[0].last_used_at <= oldest:
             await self.discard(self._idle.pop(0))
+
+    async def _close_unusable(self) -> None:
+        if not self._idle:
+            return
+        readable = readable_descriptors([c.descriptor for c in self._idle])
+        unusable = [c for c in self._idle if c.descriptor in readable]
+        # No task may take one of them while another is being closed.
+        self._idle = [c for c in self._idle if c.descriptor not in readable]
+        for connection in unusable:
+            await self.discard(connection)
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from ..wire.connections import open_connection
+from ..wire.receive_buffers import receive_buffers
 from .messages import Headers, Response
 from .socket_state import is_readable
 
@@ -174,6 +175,7 @@
             if type(event) is h11.Response:
                 self._head = event
             elif type(event) is h11.Data:
+                receive_buffers.grow_for(self._sock, self._n_body_bytes)
                 self._n_body_bytes += len(event.data)
                 if self._n_body_bytes > MAX_BODY_BYTES:
                     return ExchangeFailure.BAD_RESPONSE
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -17,6 +17,7 @@
 from ..core.clock import Instant
 from ..core.errors import ErrorKind
 from ..observe.clock import system_clock
+from ..wire.receive_buffers import receive_buffers
 from .memory import MemoryBudget
 from .messages import BodyError, Request, find_header
 
@@ -149,7 +150,11 @@
         length = find_header(headers, b"content-length")
         window: list[bytes] = []
         n_window_bytes = 0
+        has_grown = False
         while n_window_bytes < self._window_bytes:
+            has_grown = has_grown or receive_buffers.grow_for(
+                self._client, max(int(length or 0), n_window_bytes)
+            )
             if n_window_bytes >= UNRESERVED_BYTES and not self._n_reserved:
                 wanted = self._limits.body_bytes if length is None else int(length)
                 await self._reserve(min(wanted, self._window_bytes))
--- a/pollenfold/http/socket_state.py
+++ b/pollenfold/http/socket_state.py
@@ -17,6 +17,14 @@
     return bool(poll.poll(0))
 
 
+def readable_descriptors(descriptors: list[int]) -> set[int]:
+    """Return those for which ``is_readable`` is true, by one system call."""
+    poll = select.poll()
+    for descriptor in descriptors:
+        poll.register(descriptor, select.POLLIN)
+    return {descriptor for descriptor, _ in poll.poll(0)}
+
+
 def is_closed_by_peer(descriptor: int) -> bool:
     """Return whether the peer closed the connection or at least its sending half."""
     poll = select.poll()
--- a/pollenfold/wire/lines.py
+++ b/pollenfold/wire/lines.py
@@ -13,6 +13,8 @@
 import curio
 from curio import socket
 
+from .receive_buffers import receive_buffers
+
 MAX_LINE_BYTES = 8 << 20
 _READ_BYTES = 64 * 1024
 
@@ -61,6 +63,7 @@
     """
     buffer = bytearray()
     n_held_bytes = 0
+    has_grown = False
     try:
         while True:
             data = await _receive(sock, idle_timeout_ms())
@@ -75,6 +78,7 @@
                 yield _decode_line(line)
             if buffer:
                 on_part()
+                has_grown = has_grown or receive_buffers.grow_for(sock, len(buffer))
             if len(buffer) > max_line_bytes:
                 raise BadLineError(f"expected a line of at most {max_line_bytes} bytes")
             if budget is not None:
--- a/pollenfold/wire/receive_buffers.py
+++ b/pollenfold/wire/receive_buffers.py
@@ -81,12 +81,14 @@
         waits for its retransmission timer.
         """
         descriptor = sock.fileno()
-        if descriptor not in self._inodes and not self._has_room():
-            return False
         try:
             inode = os.fstat(descriptor).st_ino
         except OSError:
             return False
+        if self._inodes.get(descriptor) == inode:
+            return True
+        if descriptor not in self._inodes and not self._has_room():
+            return False
         if not _set_size(sock, self.memory.long_bytes):
             return False
         with contextlib.suppress(OSError):
@@ -96,6 +98,13 @@
         self._inodes[descriptor] = inode
         return True
 
+    def grow_for(self, sock: AnySocket, n_bytes: int) -> bool:
+        """Enlarge the buffer for a message whose size is announced or that arrived.
+
+        A message that fits into the small buffer needs no larger one.
+        """
+        return n_bytes > self.memory.socket_bytes and self.grow(sock)
+
     def _has_room(self) -> bool:
         if self.n_long < self.memory.n_long:
             return True
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -16,6 +16,7 @@
 from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
+from .receive_buffers import receive_buffers
 
 MAX_PENDING_REQUESTS = 256
 """Requests of one connection that are handled at the same time. Until one of them is
@@ -59,6 +60,7 @@
     header = decode_header(header_bytes)
     if header.is_error():
         return Error(header.error)
+    receive_buffers.grow_for(sock, header.ok.n_payload_bytes)
     payload = await _receive_exactly(sock, header.ok.n_payload_bytes)
     if payload is None:
         return Error(Failure(ErrorKind.UNREACHABLE, "connection closed within a frame"))
