--- a/pollenfold/cli/daemons.py
+++ b/pollenfold/cli/daemons.py
@@ -18,6 +18,7 @@
 from ..observe.signals import RELOAD_SIGNAL
 from ..settings import ControlSettings, EntrySettings, LedgerSettings, load_settings
 from ..settings.models import ENVIRONMENT_PREFIX
+from ..wire.receive_buffers import receive_buffers
 from .commands import EXIT_BAD_SETTING, EXIT_FAILED
 
 ServeFunction = Callable[[Any], Awaitable[None]]
@@ -55,8 +56,10 @@
             print(f"pollenfold {self.name}: {loaded.error.detail}", file=sys.stderr)
             return EXIT_BAD_SETTING
         configure_logs(str(self.name))
+        settings = loaded.ok
+        receive_buffers.configure(settings.memory_mb << 20, settings.max_descriptors)
         try:
-            curio.run(self.import_serve_function(), loaded.ok)
+            curio.run(self.import_serve_function(), settings)
         except (OSError, RuntimeError, ValueError) as error:
             # A port in use, an unusable data folder, or a task that ended unexpectedly.
             logger.error("event=stopped error={!r}", error)
--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -30,11 +30,13 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.logs import forward_logs
+from ..observe.memory_monitor import MemoryMonitor
 from ..observe.signals import Signals, StopRequest
 from ..observe.steps import run_step
 from ..storage.endpoint_cache import read_endpoint_cache, write_endpoint_cache
 from ..storage.member import load_member_id
 from ..wire.frames import Protocol
+from ..wire.receive_buffers import receive_buffers
 from ..wire.rpc import RpcServer
 from .cluster_state import ClusterState
 from .feed_server import FeedServer
@@ -298,6 +300,9 @@
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
+        # The replica does its work without the monitor, so its failure ends nothing.
+        monitor = MemoryMonitor(receive_buffers, node.metrics, node.log)
+        await curio.spawn(monitor.run, daemon=True)
         await group.spawn(node.log.run)
         node.log.state(
             "started",
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -44,8 +44,10 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from ..observe.hold_ups import HoldUps
+from ..observe.memory_monitor import MemoryMonitor
 from ..observe.signals import Signals, StopRequest
 from ..observe.steps import run_step
+from ..wire.receive_buffers import receive_buffers
 from .balancer import Balancer
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
@@ -145,6 +147,7 @@
         self.log = EventLog(settings.entry_id, clock)
         self.metrics = Metrics()
         self.hold_ups = HoldUps(clock, self._log_hold_up)
+        self.memory_monitor = MemoryMonitor(receive_buffers, self.metrics, self.log)
         confirmations = Confirmations(VALIDITY_SHARE * settings.apply_ms)
         self.view = FleetView(decode, clock, self.log, rng, confirmations)
         limits = BalancerSettings(
@@ -422,6 +425,8 @@
     await group.spawn(gateway.feeds.send_quarantine_reports)
     await group.spawn(gateway.balancer.run_maintenance)
     await group.spawn(gateway.update_retry_share)
+    # The entry does its work without the monitor, so its failure ends nothing.
+    await curio.spawn(gateway.memory_monitor.run, daemon=True)
     await group.spawn(gateway.log.run, partial(gateway.hold_ups.record, "loop"))
     # The objects that exist now live as long as the process; freezing them keeps the
     # garbage collector from traversing them while requests are handled.
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -12,6 +12,7 @@
 from ..http.queued_connections import refuse_queued
 from ..observe.failure import report_failure
 from ..observe.signals import Signals, StoppedBeforeStart
+from ..wire.receive_buffers import receive_buffers
 from .ports import Ports, assign_ports
 from .settings import Settings, SettingsError, SettingsSource, settings_path
 
@@ -153,7 +154,9 @@
     process = role
     try:
         source = SettingsSource(settings_path())
-        process = source.settings.name
+        settings = source.settings
+        process = settings.name
+        receive_buffers.configure(settings.memory_bytes, settings.n_descriptors)
         ROLES[role](source, signals)
     except SettingsError as error:
         print(f"pollenfold.platform: bad settings: {error}", file=sys.stderr)
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..core.input_limits import MAX_PORT, is_magnitude, is_port, is_whole_number
+from ..core.receive_memory import DEFAULT_MEMORY_BYTES, DEFAULT_N_DESCRIPTORS
 
 SETTINGS_PATH_VARIABLE = "POLLENFOLD_BOOT"
 BYTES_PER_MS_PER_MBPS = 125.0
@@ -29,8 +30,9 @@
     ``addresses`` maps each purpose to the address that this process listens on for
     it. ``seeds`` are addresses of control replicas; connections between processes use
     only their hosts. ``link_bytes_per_ms`` is the bandwidth of the VM's network link,
-    0 when the file doesn't give it. ``is_first_start`` is true only while the whole
-    system starts for the first time. ``bounds`` holds the limits agreed with the
+    0 when the file doesn't give it. ``memory_bytes`` and ``n_descriptors`` are limits of
+    the process; it is killed beyond the first. ``is_first_start`` is true only while the
+    whole system starts for the first time. ``bounds`` holds the limits agreed with the
     platform; a value that isn't a finite number of 0 or more is ignored.
     """
 
@@ -46,6 +48,8 @@
     data_folder: str
     n_tolerated_failures: int
     link_bytes_per_ms: float
+    memory_bytes: int
+    n_descriptors: int
     bounds: dict[str, float]
 
     def address(self, purpose: str) -> tuple[str, int]:
@@ -134,6 +138,8 @@
         data_folder=str(node.get("dataDir", "")),
         n_tolerated_failures=n_tolerated_failures,
         link_bytes_per_ms=_link_bytes_per_ms(node),
+        memory_bytes=_limit(node, "memoryMb", DEFAULT_MEMORY_BYTES >> 20) << 20,
+        n_descriptors=_limit(node, "maxFds", DEFAULT_N_DESCRIPTORS),
         bounds={k: float(v) for k, v in bounds.items() if is_magnitude(v)},
     )
 
@@ -148,6 +154,16 @@
     return float(rate_mbps) * BYTES_PER_MS_PER_MBPS
 
 
+def _limit(node: dict[str, Any], name: str, default: int) -> int:
+    """Return a limit of the process, the default when the file gives none."""
+    value = _optional_table(node, "limits").get(name, default)
+    if not is_whole_number(value, minimum=1):
+        raise SettingsError(
+            f"self.limits.{name}: expected a positive whole number, got {value!r}"
+        )
+    return int(value)
+
+
 def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
--- a/pollenfold/settings/models.py
+++ b/pollenfold/settings/models.py
@@ -18,6 +18,7 @@
 from pydantic_settings import BaseSettings, NoDecode, SettingsConfigDict
 
 from ..core.errors import ErrorKind, Failure
+from ..core.receive_memory import DEFAULT_MEMORY_BYTES, DEFAULT_N_DESCRIPTORS
 from ..records.models import NAME_PATTERN
 
 ENVIRONMENT_PREFIX = "POLLENFOLD_"
@@ -108,7 +109,24 @@
     )
 
 
-class _ReplicaSettings(_Settings):
+class _DaemonSettings(_Settings):
+    """Limits of a process, from which the sizes of its receive buffers follow."""
+
+    memory_mb: int = Field(
+        default=DEFAULT_MEMORY_BYTES >> 20,
+        ge=32,
+        le=1 << 20,
+        description="memory in MB that the process may use, unread bytes included",
+    )
+    max_descriptors: int = Field(
+        default=DEFAULT_N_DESCRIPTORS,
+        ge=64,
+        le=1 << 20,
+        description="file descriptors that the process may open",
+    )
+
+
+class _ReplicaSettings(_DaemonSettings):
     replica_id: Identifier = Field(description="id of this replica")
     host: Host = Field(description="IP address to listen on")
     peers: Members = Field(
@@ -139,7 +157,7 @@
     """Settings of a ledger replica."""
 
 
-class EntrySettings(_Settings):
+class EntrySettings(_DaemonSettings):
     """Settings of an entry."""
 
     entry_id: Identifier = Field(description="id of this entry")
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -31,6 +31,8 @@
 bootstrap = true
 [self.limits]
 linkMbps = 2.0
+memoryMb = 200
+maxFds = 900
 [network]
 internalPorts = [7660,7675]
 seeds = ["10.1.0.38:8146","10.2.0.31:8146"]
@@ -64,6 +66,15 @@
     assert settings.bound("graceS", 1) == 6
     assert settings.bound("closed", 3) == 3
     assert settings.link_bytes_per_ms == 250.0
+    assert (settings.memory_bytes, settings.n_descriptors) == (200 << 20, 900)
+
+
+def test_missing_limits_have_defaults():
+    """Guards against a process that doesn't start where the file has no limits."""
+    fields = tomllib.loads(TEXT)
+    del fields["self"]["limits"]
+    settings = parse_settings(fields)
+    assert (settings.memory_bytes, settings.n_descriptors) == (300 << 20, 4_100)
 
 
 def render(template, fields):
@@ -102,6 +113,8 @@
         ("[network]", "[network", "settings.toml"),
         ("linkMbps = 2.0", "linkMbps = -1", "linkMbps"),
         ("linkMbps = 2.0", "linkMbps = inf", "linkMbps"),
+        ("memoryMb = 200", "memoryMb = 0", "memoryMb"),
+        ("maxFds = 900", 'maxFds = "900"', "maxFds"),
     ],
 )
 def test_invalid_settings_are_reported_on_one_line(
