--- a/pollenfold/observe/process_memory.py
+++ b/pollenfold/observe/process_memory.py
@@ -9,8 +9,8 @@
 import struct
 
 MAX_CLOSED_RUN = 256
-"""The kernel assigns the lowest free descriptor, so after so many closed ones hardly any
-is open."""
+"""The kernel assigns the lowest free descriptor, so after so many closed ones hardly
+any is open."""
 
 _UNSET = struct.pack("i", 0)
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -30,10 +30,10 @@
     ``addresses`` maps each purpose to the address that this process listens on for
     it. ``seeds`` are addresses of control replicas; connections between processes use
     only their hosts. ``link_bytes_per_ms`` is the bandwidth of the VM's network link,
-    0 when the file doesn't give it. ``memory_bytes`` and ``n_descriptors`` are limits of
-    the process; it is killed beyond the first. ``is_first_start`` is true only while the
-    whole system starts for the first time. ``bounds`` holds the limits agreed with the
-    platform; a value that isn't a finite number of 0 or more is ignored.
+    0 when the file doesn't give it. ``memory_bytes`` and ``n_descriptors`` limit the
+    process, which is killed beyond the first. ``is_first_start`` is true only while
+    the whole system starts for the first time. ``bounds`` holds the limits agreed with
+    the platform; a value that isn't a finite number of 0 or more is ignored.
     """
 
     name: str
