--- a/pollenfold/wire/connections.py
+++ b/pollenfold/wire/connections.py
@@ -8,6 +8,7 @@
 from ipaddress import ip_address
 
 from ..core.input_limits import is_port
+from .receive_buffers import receive_buffers
 from .sockets import Socket
 
 
@@ -39,6 +40,7 @@
     """
     sock = Socket(sockets.socket(address_family(host, port), sockets.SOCK_STREAM))
     try:
+        receive_buffers.limit(sock)
         if source_host:
             bind_source(sock, source_host)
         await sock.connect((host, port))
