--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -22,6 +22,7 @@
 from ..core.errors import ErrorKind
 from ..core.link import MAX_UNPACED_BYTES, Link
 from ..http.messages import BodyError, BodySource, Response, find_header
+from ..http.response_head import check_response_head, describe_invalid_response
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
 from ..wire.connections import address_family, bind_source
@@ -69,7 +70,8 @@
     """One connection to a backend server.
 
     An idle connection has no parser, because an entry keeps hundreds of idle
-    connections and a parser uses several KB.
+    connections and a parser uses several KB. ``invalid_response`` says what was wrong
+    with the response that ended the last exchange, if it wasn't valid.
     """
 
     __slots__ = (
@@ -83,6 +85,7 @@
         "_n_consecutive_reads",
         "_link",
         "is_reusable",
+        "invalid_response",
         "_idle_timeout_ms",
         "last_used_at",
         "n_exchanges",
@@ -113,6 +116,7 @@
         self._n_consecutive_reads = 0
         self._link = link
         self.is_reusable = True
+        self.invalid_response = ""
         self._idle_timeout_ms = float("inf")
         self.last_used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -295,7 +299,8 @@
                     return Response(head.status_code, list(head.headers), content)
                 body.append(piece)
                 n_body_bytes += len(piece)
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, h11.RemoteProtocolError) as error:
+            self.invalid_response = describe_invalid_response(error)
             return Failure.LOST
         headers = list(head.headers)
         length = find_header(headers, b"content-length")
@@ -314,6 +319,7 @@
         while True:
             event = await self._next_event(parser)
             if type(event) is h11.Response:
+                check_response_head(event)
                 return event
             n_interim += 1
             if (
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -158,6 +158,8 @@
         reason = "reused" if is_reused else "fresh"
         if not connection.is_connected:
             reason = "connect"
+        if connection.invalid_response:
+            reason = "invalid"
         contact = Contact.UNANSWERED if connection.is_connected else Contact.UNOPENED
         self._metrics.count("probe_failures_total", reason=reason)
         await self.discard(endpoint, connection)
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -121,6 +121,7 @@
                 )
             else:
                 await self._balancer.release(endpoint, pick.connection)
+        self._log_invalid_response(call, pick)
         self._record_health(call, endpoint, outcome, elapsed_ms)
         await self._record_contact(call, endpoint, outcome, started_at)
         if outcome in COMPLETED_OUTCOMES and not has_remaining_body:
@@ -133,6 +134,18 @@
             call.last_response = response
         return outcome, response
 
+    def _log_invalid_response(self, call: Call, pick: Pick) -> None:
+        """Log what the endpoint sent instead of a response, if it did."""
+        detail = pick.connection.invalid_response
+        if detail:
+            self._log.request(
+                "response_invalid",
+                True,
+                request=call.request_id.decode("latin-1"),
+                endpoint=pick.endpoint.announcement.endpoint_id,
+                detail=detail,
+            )
+
     async def _record_contact(
         self,
         call: Call,
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay.py
@@ -177,6 +177,7 @@
             received = await self._send_and_receive(
                 call, peer, peer_connection.connection
             )
+            self._log_invalid_response(call, peer, peer_connection.connection)
             if isinstance(received, RelayOutcome):
                 n_sends = 0 if received is RelayOutcome.UNREACHABLE else 1
                 return RelayResult(received, n_sends=n_sends)
@@ -194,6 +195,19 @@
             if not is_held:
                 await peer_connection.pool.release(peer_connection.connection)
 
+    def _log_invalid_response(
+        self, call: Call, peer: Peer, connection: BackendConnection
+    ) -> None:
+        """Log what the peer sent instead of a response, if it did."""
+        if connection.invalid_response:
+            self._log.request(
+                "response_invalid",
+                True,
+                request=call.request_id.decode("latin-1"),
+                peer=peer.entry_id,
+                detail=connection.invalid_response,
+            )
+
     async def _send_and_receive(
         self, call: Call, peer: Peer, connection: BackendConnection
     ) -> Response | RelayOutcome:
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -12,6 +12,7 @@
 
 from ..wire.connections import open_connection
 from .messages import Headers, Response
+from .response_head import check_response_head
 from .socket_state import is_readable
 
 READ_BYTES = 64 * 1024
@@ -169,11 +170,13 @@
                     self._has_response_bytes |= bool(data)
                     connection.receive_data(data)
                     continue
+                if type(event) is h11.Response:
+                    check_response_head(event)
+                    self._head = event
+                    continue
             except (OSError, h11.RemoteProtocolError):
                 return self._read_failure()
-            if type(event) is h11.Response:
-                self._head = event
-            elif type(event) is h11.Data:
+            if type(event) is h11.Data:
                 self._n_body_bytes += len(event.data)
                 if self._n_body_bytes > MAX_BODY_BYTES:
                     return ExchangeFailure.BAD_RESPONSE
--- a/pollenfold/tests/gateway/relaying.py
+++ b/pollenfold/tests/gateway/relaying.py
@@ -189,6 +189,7 @@
     port: int
     mode: str = "reset"
     answer: bytes = REACH
+    answer_status_line: bytes = b"HTTP/1.1 200 OK"
     answer_delay_ms: float = 0.0
     requests: list = field(default_factory=list)
     n_questions: int = 0
@@ -222,8 +223,9 @@
                         await curio.sleep(60)
                     self.n_questions += 1
                     await curio.sleep(self.answer_delay_ms / 1000)
-                    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
-                    await client.sendall(head % len(self.answer) + self.answer)
+                    length = b"content-length: %d\r\n\r\n" % len(self.answer)
+                    head = self.answer_status_line + b"\r\n" + length
+                    await client.sendall(head + self.answer)
                     continue
                 self.requests.append(data)
                 if self.mode == "reset":
@@ -234,10 +236,14 @@
                 if self.mode == "hang":
                     self._is_hanging = True
                     await curio.sleep(60)
-                await client.sendall(
-                    b"HTTP/1.1 503 X\r\npollenfold-run-state: did_not_run\r\n"
-                    b"content-length: 0\r\n\r\n"
-                )
+                await client.sendall(self.relayed_response())
+
+    def relayed_response(self):
+        """Return the answer to a relayed request with the mode "refuse"."""
+        return (
+            b"HTTP/1.1 503 X\r\npollenfold-run-state: did_not_run\r\n"
+            b"content-length: 0\r\n\r\n"
+        )
 
 
 async def _receive_head(client):
