--- a/pollenfold/tests/gateway/failing_endpoints.py
+++ b/pollenfold/tests/gateway/failing_endpoints.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import contextlib
 import random
 from dataclasses import dataclass, field, replace
 
@@ -57,6 +58,10 @@
         await curio.spawn(curio.network.run_server, sock, self._serve, daemon=True)
 
     async def _serve(self, client, address):
+        with contextlib.suppress(OSError):
+            await self._serve_requests(client)
+
+    async def _serve_requests(self, client):
         buffer = b""
         async with client:
             while data := await client.recv(65536):
@@ -132,9 +137,7 @@
             target_latency_ms=1_000.0,
         )
         balancer = path.balancer
-        balancer._settings = replace(
-            balancer._settings, probes_per_s=self.probes_per_s
-        )
+        balancer._settings = replace(balancer._settings, probes_per_s=self.probes_per_s)
         balancer._rng.seed(f"{self.seed}/{entry_id}")
         return path
 
--- /dev/null
+++ b/pollenfold/tests/gateway/test_outliers.py
@@ -0,0 +1,56 @@
+"""Endpoints that fail all their requests, on real connections of several entries."""
+
+import pytest
+
+from pollenfold.tests.gateway.failing_endpoints import Play, Server, make_servers
+
+N_DETECTING_FAILURES = 9
+
+
+def n_late(servers, from_ms=0.0):
+    """Return how many requests each server got since ``from_ms``."""
+    return [sum(at >= from_ms for at in server.arrived_ms) for server in servers]
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize("kind", ["rubbish", "status", "error", "reset"])
+def test_endpoints_that_fail_all_get_only_trials(run, kind, is_idempotent):
+    """Guards against endpoints that draw more than an even share of the requests since
+    they fail them quickly, whatever their health checks say."""
+    play = Play(make_servers(kind), duration_ms=4_000.0, is_idempotent=is_idempotent)
+    run(play.run)
+    failing, others = play.servers[:2], play.servers[2:]
+    # Each caller may be on its way when the entry decides. Exclusions of 1 s and 2 s
+    # leave time for two trials.
+    n_permitted = N_DETECTING_FAILURES + play.n_callers + 2
+    assert max(n_late(failing)) <= play.n_entries * n_permitted
+    assert max(n_late(failing)) < 0.5 * min(n_late(others))
+
+
+def test_endpoint_that_is_well_again_gets_its_share(run):
+    """Guards against an endpoint that stays without requests after it recovered."""
+    servers = make_servers("rubbish", fails_until_ms=1_000.0)
+    play = Play(servers, duration_ms=9_000.0)
+    run(play.run)
+    # The penalties of the failures count for four half-lives, until 7 s.
+    counts = n_late(servers, 7_000.0)
+    assert min(counts[:2]) > 0.5 * sum(counts) / len(counts)
+
+
+@pytest.mark.parametrize("field", ["shed_share", "error_share"])
+def test_endpoints_that_all_shed_or_fail_a_part_are_all_used(run, field):
+    """Guards against a service that refuses although its endpoints do half of the
+    work, and against refusals that count as failures."""
+    servers = [Server(f"s{number}", **{field: 0.5}) for number in range(12)]
+    play = Play(servers, duration_ms=4_000.0)
+    run(play.run)
+    counts = n_late(servers)
+    assert min(counts) > 0.3 * sum(counts) / len(counts)
+
+
+def test_endpoints_that_shed_beside_others_are_not_excluded(run):
+    """Guards against an endpoint that sheds and is taken for one that fails."""
+    servers = [Server(f"s{n}", shed_share=0.8 * (n < 4)) for n in range(12)]
+    play = Play(servers, duration_ms=4_000.0)
+    run(play.run)
+    assert min(n_late(servers)) > 20
