--- a/pollenfold/gateway/outliers.py
+++ b/pollenfold/gateway/outliers.py
@@ -67,10 +67,15 @@
         if is_failure is not None:
             now = self._clock()
             return outliers.record(endpoint.incarnation, is_failure, pick.is_trial, now)
-        if pick.is_trial:
-            outliers.end_trial(endpoint.incarnation)
+        self.abandon(pick)
         return None
 
+    def abandon(self, pick: Pick) -> None:
+        """End the trial of a pick whose request showed nothing, or wasn't sent."""
+        outliers = self._services.get(pick.endpoint.announcement.service)
+        if pick.is_trial and outliers is not None:
+            outliers.end_trial(pick.endpoint.incarnation)
+
     def forget_absent(self) -> None:
         """Drop the state of removed services and endpoints."""
         by_service = self._view.by_service
--- a/pollenfold/tests/gateway/test_outliers.py
+++ b/pollenfold/tests/gateway/test_outliers.py
@@ -1,7 +1,13 @@
 """Endpoints that fail all their requests, on real connections of several entries."""
 
+import curio
 import pytest
 
+from pollenfold.core.errors import ErrorKind
+from pollenfold.core.failure_outliers import EXCLUSION_MS, MEDIAN_INTERVAL_MS
+from pollenfold.core.outcomes import AttemptOutcome
+from pollenfold.gateway.pick import Pick
+from pollenfold.tests.gateway.conftest import Backend
 from pollenfold.tests.gateway.failing_endpoints import Play, Server, make_servers
 
 N_DETECTING_FAILURES = 9
@@ -37,6 +43,37 @@
     assert min(counts[:2]) > 0.5 * sum(counts) / len(counts)
 
 
+def test_trial_of_a_refused_request_is_left_to_the_next_one(with_path):
+    """Guards against an endpoint that stays excluded since the request that was to be
+    its trial was refused by admission, and so never sent."""
+
+    async def body(path, *backends):
+        record = path.balancer.outliers.record
+        for name, outcome in (
+            ("one", AttemptOutcome.RESPONDED),
+            ("two", AttemptOutcome.RESPONDED),
+            ("failing", AttemptOutcome.LOST),
+        ):
+            await curio.sleep(MEDIAN_INTERVAL_MS / 1000)
+            for _ in range(N_DETECTING_FAILURES):
+                record(Pick(path.view.endpoints[name], None, 1.0), outcome, None)
+        outliers = path.balancer.outliers
+        endpoint = path.view.endpoints["failing"]
+        await curio.sleep(EXCLUSION_MS / 1000)
+        first, second = (Pick(endpoint, None, 1.0) for _ in range(2))
+        assert outliers.admit(first) and first.is_trial
+        assert not outliers.admit(second)
+        path.forwarder._refusal_kind = lambda *_: ErrorKind.QUEUE_FULL
+        outliers.abandon(first)
+        # The requests that are refused leave the trial to a later one.
+        for _ in range(6):
+            assert (await path.get()).status == 503
+        assert outliers.admit(second) and second.is_trial
+
+    names = ("failing", "one", "two")
+    with_path(body, *map(Backend, names))
+
+
 @pytest.mark.parametrize("field", ["shed_share", "error_share"])
 def test_endpoints_that_all_shed_or_fail_a_part_are_all_used(run, field):
     """Guards against a service that refuses although its endpoints do half of the
