--- a/pollenfold/core/failure_outliers.py
+++ b/pollenfold/core/failure_outliers.py
@@ -36,7 +36,7 @@
 REINSTATED_EVIDENCE = EXCLUSION_EVIDENCE / 2
 """The evidence that remains after a successful trial, which may be luck."""
 
-MIN_RESULTS = 5
+MIN_RESULTS = 3
 """Endpoints with fewer results don't count towards the usual failure share."""
 
 SHARE_WEIGHT = 0.05
@@ -137,7 +137,12 @@
         return bool(self._excluded_keys)
 
     def excluded(self, keys: Sequence[Hashable], now: Instant) -> frozenset[Hashable]:
-        """Return which of the endpoints get no request, at most half of them."""
+        """Return which of the endpoints get no request, at most half of them.
+
+        None is excluded once it shows that nearly all requests of the service fail.
+        """
+        if self._usual(now) > MAX_USUAL_SHARE:
+            return frozenset()
         found = [
             key
             for key in keys
@@ -206,6 +211,15 @@
                 for results in self._results.values()
                 if results.n_results >= MIN_RESULTS
             ]
-            share = median_low(shares) if len(shares) > 1 else 1.0
-            self._usual_share = max(MIN_USUAL_SHARE, share)
+            self._usual_share = max(MIN_USUAL_SHARE, self._median(shares))
         return self._usual_share
+
+    def _median(self, shares: list[float]) -> float:
+        """Return the lower median of known shares, or a guess where too few are known.
+
+        An endpoint that fails at once has many results before the others have any, so
+        they are taken for well as soon as one of them has responded.
+        """
+        if len(shares) > 1:
+            return median_low(shares)
+        return 0.0 if len(self._results) > 1 else 1.0
--- a/pollenfold/tests/core/test_failure_outliers.py
+++ b/pollenfold/tests/core/test_failure_outliers.py
@@ -102,6 +102,27 @@
     raise AssertionError("the endpoint was never excluded")
 
 
+def test_endpoint_that_fails_before_others_have_results_is_excluded():
+    """Guards against an entry that starts, and sends all to an endpoint that fails
+    at once while the first requests to the others still run."""
+    outliers = FailureOutliers()
+    outliers.record("e1", False, False, 0.0)
+    changes = [outliers.record("e0", True, False, 200.0) for _ in range(9)]
+    assert changes[-1] is Change.EXCLUDED
+    assert "e0" in outliers.excluded(KEYS, 201.0)
+
+
+def test_exclusion_ends_once_all_others_fail_as_well():
+    """Guards against half of a service without requests, since its failures showed on
+    one endpoint before they showed on the others."""
+    outliers = FailureOutliers()
+    exclude(outliers)
+    for now in range(100, 900, 10):
+        for key in KEYS[1:]:
+            outliers.record(key, True, False, float(now))
+    assert not outliers.excluded(KEYS, 900.0)
+
+
 def test_exclusions_grow_up_to_a_limit_and_one_trial_runs_at_a_time():
     """Guards against trials that come as often as requests, or never again."""
     outliers = FailureOutliers()
