Move the reading of responses into a module of its own

Behaviour is unchanged: gateway/backend.py keeps the connection and its writes, gateway/response_reader.py has the response's head, window and remaining body. It is to get limits and a budget, and tests that need no connection.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import errno
-import re
 import socket as sockets
 from collections.abc import Awaitable, Callable
-from enum import Enum
 from functools import partial
 
 import curio
@@ -19,22 +17,21 @@
 from curio.traps import _read_wait, _write_wait
 
 from ..core.clock import Instant, add_ms, remaining_ms
-from ..core.errors import ErrorKind
 from ..core.link import MAX_UNPACED_BYTES, Link
-from ..http.messages import BodyError, BodySource, Response, find_header
+from ..http.messages import Response
 from ..http.socket_state import is_readable
 from ..observe.clock import system_clock
 from ..wire.connections import address_family, bind_source
 from .outgoing import OutgoingRequest, ReadRemainingBody
+from .response_reader import (
+    Failure,
+    ResponseReader,
+    idle_timeout_ms,
+    is_persistent,
+    new_parser,
+)
 
 READ_BYTES = 64 * 1024
-MAX_HEAD_BYTES = 64 * 1024
-RESPONSE_WINDOW_BYTES = 256 * 1024
-"""A longer response is streamed to the caller while it arrives."""
-
-MAX_INTERIM_RESPONSES = 16
-"""The maximum number of interim responses (1xx) before the final response."""
-
 MAX_CONSECUTIVE_READS = 4
 SEND_CHECK_INTERVAL_MS = 20.0
 """How often a blocked send checks whether the server has already responded."""
@@ -49,21 +46,6 @@
 """How long before the announced idle timeout of the server a connection is no longer
 reused: a request that crosses the server's close may have been executed."""
 
-_KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout=(\d{1,6})(?:$|[,\s])")
-
-_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
-
-
-class Failure(Enum):
-    """How far an exchange had got when it failed."""
-
-    LOST = "lost"
-    """The request was written at least in part, but no complete response arrived."""
-
-
-def _new_parser() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-
 
 class BackendConnection:
     """One connection to a backend server.
@@ -168,7 +150,7 @@
         self._is_request_written = True
         self.n_exchanges += 1
         self._request = request
-        parser = self._parser = _new_parser()
+        parser = self._parser = new_parser()
         parts = [part for part in request.encode(parser) if part]
         for position, data in enumerate(parts):
             is_last = request.read_remaining_body is None and position == len(parts) - 1
@@ -265,91 +247,29 @@
         if request is None or parser is None:
             raise RuntimeError("no request was sent")
         for _ in range(2):
-            response = await self._read_response(parser)
+            reader = ResponseReader(
+                parser,
+                self._receive_bytes,
+                partial(self._finish_response, parser),
+                self.close,
+            )
+            response = await reader.read()
             if isinstance(response, Failure):
                 return response
             if is_expected(response):
                 return response
             if response.remaining_body is not None:
                 return Failure.LOST
-            surplus = parser.trailing_data[0]
+            surplus = reader.surplus
             if not self.is_reusable and not surplus:
                 return Failure.LOST
             self._has_skipped_response = True
-            parser = _new_parser()
+            parser = new_parser()
             request.encode(parser)
             if surplus:
                 parser.receive_data(surplus)
         return Failure.LOST
 
-    async def _read_response(self, parser: h11.Connection) -> Response | Failure:
-        """Read a response, or as much of a long one as the window holds."""
-        try:
-            head = await self._read_head(parser)
-            body: list[bytes] = []
-            n_body_bytes = 0
-            while n_body_bytes < RESPONSE_WINDOW_BYTES:
-                piece = await self._read_piece(parser, head)
-                if not piece:
-                    content = b"".join(body)
-                    return Response(head.status_code, list(head.headers), content)
-                body.append(piece)
-                n_body_bytes += len(piece)
-        except (OSError, h11.RemoteProtocolError):
-            return Failure.LOST
-        headers = list(head.headers)
-        length = find_header(headers, b"content-length")
-        remaining_body = BodySource(
-            partial(self._read_remaining_body, parser, head),
-            self.close,
-            None if length is None else int(length),
-        )
-        return Response(
-            head.status_code, headers, b"".join(body), remaining_body=remaining_body
-        )
-
-    async def _read_head(self, parser: h11.Connection) -> h11.Response:
-        """Return the head; raise OSError if the connection ends before it."""
-        n_interim = 0
-        while True:
-            event = await self._next_event(parser)
-            if type(event) is h11.Response:
-                return event
-            n_interim += 1
-            if (
-                type(event) is not h11.InformationalResponse
-                or n_interim > MAX_INTERIM_RESPONSES
-            ):
-                raise ConnectionAbortedError("no final response was received")
-
-    async def _read_piece(self, parser: h11.Connection, head: h11.Response) -> bytes:
-        """Return a piece of the body, empty at the end; raise OSError if truncated."""
-        while True:
-            event = await self._next_event(parser)
-            if type(event) is h11.Data:
-                if event.data:
-                    return bytes(event.data)
-            elif type(event) is h11.EndOfMessage:
-                self._finish_response(parser, head)
-                return b""
-            else:
-                raise ConnectionAbortedError("the response ended early")
-
-    async def _read_remaining_body(
-        self, parser: h11.Connection, head: h11.Response
-    ) -> bytes:
-        try:
-            return await self._read_piece(parser, head)
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise BodyError(ErrorKind.BACKEND_FAILED, str(error)) from error
-
-    async def _next_event(
-        self, parser: h11.Connection
-    ) -> h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]:
-        while (event := parser.next_event()) is h11.NEED_DATA:
-            parser.receive_data(await self._receive_bytes())
-        return event
-
     async def _receive_bytes(self) -> bytes:
         self._n_consecutive_reads += 1
         if self._n_consecutive_reads >= MAX_CONSECUTIVE_READS:
@@ -365,22 +285,10 @@
 
     def _finish_response(self, parser: h11.Connection, head: h11.Response) -> None:
         """Decide whether the connection can be reused for another exchange."""
-        names = {name for name, _ in head.headers}
-        is_framed = bool(names & _FRAMING) or head.status_code in (204, 304)
-        connection_option = (
-            find_header(list(head.headers), b"connection") or b""
-        ).lower()
-        is_persistent = (
-            is_framed
-            and b"close" not in connection_option
-            and head.http_version == b"1.1"
-        )
-        timeout = _KEEP_ALIVE_TIMEOUT.search(
-            find_header(list(head.headers), b"keep-alive") or b""
-        )
-        if timeout is not None:
-            self._idle_timeout_ms = 1000.0 * int(timeout[1])
+        announced_ms = idle_timeout_ms(head)
+        if announced_ms is not None:
+            self._idle_timeout_ms = announced_ms
         is_complete = self._is_request_written and not parser.trailing_data[0]
         self.is_reusable = (
-            is_persistent and is_complete and not self._has_skipped_response
+            is_persistent(head) and is_complete and not self._has_skipped_response
         )
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -12,11 +12,12 @@
 from ..core.outcomes import AttemptOutcome
 from ..http.messages import BodyError, Headers, Response, find_header
 from ..http.socket_state import is_closed_by_peer
-from .backend import BackendConnection, BeforeFinalPiece, Failure
+from .backend import BackendConnection, BeforeFinalPiece
 from .calls import Call
 from .dialect import Dialect
 from .endpoint import Endpoint
 from .outgoing import OutgoingRequest, ReadRemainingBody, outgoing_request
+from .response_reader import Failure
 
 CALLER_CHECK_INTERVAL_MS = 150.0
 """How often a waiting request checks whether its caller closed the connection."""
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -18,13 +18,14 @@
 )
 from ..http.messages import Response, find_header
 from ..observe.exposition import Metrics
-from .backend import BackendConnection, Failure
+from .backend import BackendConnection
 from .connections import CONNECT_TIMEOUT_MS, Connections
 from .dialect import Dialect
 from .endpoint import Endpoint
 from .health_requests import HealthRequests
 from .notices import apply_response_notices
 from .reach_monitor import ReachMonitor
+from .response_reader import Failure
 from .view import FleetView
 
 MIN_PROBE_WAIT_MS = 12.0
