--- /dev/null
+++ b/pollenfold/core/bulk_schedule.py
@@ -0,0 +1,86 @@
+"""How much of the event loop's time bulk reading may take.
+
+The load pattern: hundreds of long messages arrive at once and each always has bytes
+ready, while short requests come in between. If every reader made one step in each turn
+of the loop, a turn would take as many steps as there are long messages, and each short
+request would wait for several turns. So all readers share one schedule, which spaces
+their steps in time.
+"""
+
+from __future__ import annotations
+
+from .clock import Instant, add_ms, remaining_ms
+
+BULK_SHARE = 0.5
+"""The part of the loop's time that bulk reading may take while steps are waiting."""
+
+MAX_STEP_MS = 1.0
+MAX_STEP_EVENTS = 128
+MAX_STEP_BYTES = 256 * 1024
+"""A reader ends its step at the first of these limits."""
+
+EVENTS_PER_TIME_CHECK = 8
+
+
+class BulkSchedule:
+    """Spaces the steps of all readers of one event loop.
+
+    For example, after a step of 1 ms with a share of one half, the next step may start
+    1 ms later. If two readers end steps of 1 ms at the same time, the first continues
+    after 1 ms and the second after 3 ms.
+    """
+
+    __slots__ = ("_share", "_free_at")
+
+    def __init__(self, share: float = BULK_SHARE) -> None:
+        self._share = share
+        self._free_at = Instant(0.0)
+
+    def end_step(self, used_ms: float, now: Instant) -> float:
+        """Record a step that ends now; return after how many ms its reader continues.
+
+        Time in which no reader had work isn't saved up for later steps.
+        """
+        started_at = add_ms(now, -used_ms)
+        if self._free_at < started_at:
+            self._free_at = started_at
+        self._free_at = add_ms(self._free_at, used_ms / self._share)
+        return remaining_ms(self._free_at, now)
+
+
+class StepMeter:
+    """Measures the current step of one reader, without the time in which it waits."""
+
+    __slots__ = ("n_events", "n_bytes", "used_ms", "_resumed_at")
+
+    def __init__(self, now: Instant) -> None:
+        self._resumed_at = now
+        self._reset()
+
+    def _reset(self) -> None:
+        self.n_events = 0
+        self.n_bytes = 0
+        self.used_ms = 0.0
+
+    def pause(self, now: Instant) -> None:
+        """Record that the reader starts to wait."""
+        self.used_ms += now - self._resumed_at
+
+    def resume(self, now: Instant) -> None:
+        """Record that the reader continues."""
+        self._resumed_at = now
+
+    def is_over(self, now: Instant) -> bool:
+        """Return whether the step has reached one of its limits."""
+        return (
+            self.n_events >= MAX_STEP_EVENTS
+            or self.n_bytes >= MAX_STEP_BYTES
+            or self.used_ms + (now - self._resumed_at) >= MAX_STEP_MS
+        )
+
+    def end(self, schedule: BulkSchedule, now: Instant) -> float:
+        """End the step; return after how many ms the reader may continue."""
+        self.pause(now)
+        wait_ms = schedule.end_step(self.used_ms, now)
+        self._reset()
+        return wait_ms
--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -9,7 +9,6 @@
 import errno
 import socket as sockets
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 import curio
 import h11
@@ -32,7 +31,6 @@
 )
 
 READ_BYTES = 64 * 1024
-MAX_CONSECUTIVE_READS = 4
 SEND_CHECK_INTERVAL_MS = 20.0
 """How often a blocked send checks whether the server has already responded."""
 
@@ -62,7 +60,6 @@
         "_parser",
         "_is_request_written",
         "_has_skipped_response",
-        "_n_consecutive_reads",
         "_link",
         "is_reusable",
         "_idle_timeout_ms",
@@ -92,7 +89,6 @@
         self._parser: h11.Connection | None = None
         self._is_request_written = True
         self._has_skipped_response = False
-        self._n_consecutive_reads = 0
         self._link = link
         self.is_reusable = True
         self._idle_timeout_ms = float("inf")
@@ -246,12 +242,14 @@
         self._request = self._parser = None
         if request is None or parser is None:
             raise RuntimeError("no request was sent")
+        surplus = b""
         for _ in range(2):
             reader = ResponseReader(
                 parser,
                 self._receive_bytes,
-                partial(self._finish_response, parser),
+                self._finish_response,
                 self.close,
+                surplus,
             )
             response = await reader.read()
             if isinstance(response, Failure):
@@ -266,29 +264,21 @@
             self._has_skipped_response = True
             parser = new_parser()
             request.encode(parser)
-            if surplus:
-                parser.receive_data(surplus)
         return Failure.LOST
 
     async def _receive_bytes(self) -> bytes:
-        self._n_consecutive_reads += 1
-        if self._n_consecutive_reads >= MAX_CONSECUTIVE_READS:
-            # A server that sends endlessly must not starve the other tasks.
-            self._n_consecutive_reads = 0
-            await curio.sleep(0)
         try:
             return self._raw.recv(READ_BYTES)
         except (BlockingIOError, InterruptedError):
-            self._n_consecutive_reads = 0
             await _read_wait(self._raw)
             return bytes(await self._sock.recv(READ_BYTES))
 
-    def _finish_response(self, parser: h11.Connection, head: h11.Response) -> None:
+    def _finish_response(self, head: h11.Response, has_surplus: bool) -> None:
         """Decide whether the connection can be reused for another exchange."""
         announced_ms = idle_timeout_ms(head)
         if announced_ms is not None:
             self._idle_timeout_ms = announced_ms
-        is_complete = self._is_request_written and not parser.trailing_data[0]
+        is_complete = self._is_request_written and not has_surplus
         self.is_reusable = (
             is_persistent(head) and is_complete and not self._has_skipped_response
         )
--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -10,18 +10,21 @@
 import re
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from functools import partial
 
 import h11
 
 from ..core.errors import ErrorKind
 from ..http.messages import BodyError, BodySource, Response, find_header
+from ..http.response_parser import ParserEvent, ResponseParser
+from ..wire.pace import ReadingPace
 
 MAX_HEAD_BYTES = 64 * 1024
 RESPONSE_WINDOW_BYTES = 256 * 1024
 """A longer response is streamed to the caller while it arrives."""
 
-MAX_INTERIM_RESPONSES = 16
-"""The maximum number of interim responses (1xx) before the final response."""
+PIECE_BYTES = 64 * 1024
+"""The remaining body is passed on in pieces of about this size."""
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout=(\d{1,6})(?:$|[,\s])")
 
@@ -45,96 +48,116 @@
 
     ``parser`` has sent the request. ``receive_bytes`` returns the next bytes of the
     connection, ``b""`` at its end, or raises OSError. ``on_complete`` is called with
-    the head when the whole response was read, and ``close`` closes the connection.
+    the head, and whether bytes follow, when the whole response was read. ``close``
+    closes the connection. ``unread`` was received after an earlier response.
     """
 
-    __slots__ = ("_parser", "_receive_bytes", "_on_complete", "_close")
+    __slots__ = (
+        "_parser",
+        "_receive_bytes",
+        "_on_complete",
+        "_close",
+        "_pace",
+        "_is_complete",
+    )
 
     def __init__(
         self,
         parser: h11.Connection,
         receive_bytes: Callable[[], Awaitable[bytes]],
-        on_complete: Callable[[h11.Response], None],
+        on_complete: Callable[[h11.Response, bool], None],
         close: Callable[[], Awaitable[None]],
+        unread: bytes = b"",
     ) -> None:
-        self._parser = parser
+        self._parser = ResponseParser(parser)
+        if unread:
+            self._parser.receive_data(unread)
         self._receive_bytes = receive_bytes
         self._on_complete = on_complete
         self._close = close
+        self._pace = ReadingPace()
+        self._is_complete = False
 
     @property
     def surplus(self) -> bytes:
         """The bytes that were received after the response."""
-        return self._parser.trailing_data[0]
+        return self._parser.surplus
 
     async def read(self) -> Response | Failure:
         """Read the response, or as much of a long one as the window holds."""
         try:
             head = await self._read_head()
-            body: list[bytes] = []
-            n_body_bytes = 0
-            while n_body_bytes < RESPONSE_WINDOW_BYTES:
-                piece = await self._read_piece(head)
-                if not piece:
-                    content = b"".join(body)
-                    return Response(head.status_code, list(head.headers), content)
-                body.append(piece)
-                n_body_bytes += len(piece)
+            body = await self._read_body(head, RESPONSE_WINDOW_BYTES)
         except (OSError, h11.RemoteProtocolError):
             return Failure.LOST
         headers = list(head.headers)
+        if self._is_complete:
+            return Response(head.status_code, headers, body)
         length = find_header(headers, b"content-length")
-
-        async def read_remaining_body() -> bytes:
-            return await self._read_remaining_body(head)
-
         remaining_body = BodySource(
-            read_remaining_body, self._close, None if length is None else int(length)
-        )
-        return Response(
-            head.status_code, headers, b"".join(body), remaining_body=remaining_body
+            partial(self._read_remaining_body, head),
+            self._close,
+            None if length is None else int(length),
         )
+        return Response(head.status_code, headers, body, remaining_body=remaining_body)
 
     async def _read_head(self) -> h11.Response:
         """Return the head; raise OSError if the connection ends before it."""
-        n_interim = 0
         while True:
             event = await self._next_event()
             if type(event) is h11.Response:
                 return event
-            n_interim += 1
-            if (
-                type(event) is not h11.InformationalResponse
-                or n_interim > MAX_INTERIM_RESPONSES
-            ):
+            if type(event) is not h11.InformationalResponse:
                 raise ConnectionAbortedError("no final response was received")
 
-    async def _read_piece(self, head: h11.Response) -> bytes:
-        """Return a piece of the body, empty at the end; raise OSError if truncated."""
-        while True:
-            event = await self._next_event()
+    async def _read_body(
+        self, head: h11.Response, max_bytes: int, waits_for_more: bool = True
+    ) -> bytes:
+        """Return bytes of the body, fewer than ``max_bytes`` only at its end.
+
+        With ``waits_for_more`` false, return what has arrived, at least one byte unless
+        the body has ended. Chunks are joined at once: a list of them would hold many
+        times their bytes. Raise OSError if the body is truncated.
+        """
+        body = bytearray()
+        while len(body) < max_bytes and not self._is_complete:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                if body and not waits_for_more:
+                    break
+                await self._receive()
+                continue
+            if self._pace.is_step_over():
+                await self._pace.give_way()
             if type(event) is h11.Data:
-                if event.data:
-                    return bytes(event.data)
+                body += event.data
             elif type(event) is h11.EndOfMessage:
-                self._on_complete(head)
-                return b""
+                self._is_complete = True
+                self._on_complete(head, bool(self.surplus))
             else:
                 raise ConnectionAbortedError("the response ended early")
+        return bytes(body)
 
     async def _read_remaining_body(self, head: h11.Response) -> bytes:
         try:
-            return await self._read_piece(head)
+            return await self._read_body(head, PIECE_BYTES, waits_for_more=False)
         except (OSError, h11.RemoteProtocolError) as error:
             raise BodyError(ErrorKind.BACKEND_FAILED, str(error)) from error
 
-    async def _next_event(
-        self,
-    ) -> h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]:
+    async def _next_event(self) -> ParserEvent:
         while (event := self._parser.next_event()) is h11.NEED_DATA:
-            self._parser.receive_data(await self._receive_bytes())
+            await self._receive()
+        if self._pace.is_step_over():
+            await self._pace.give_way()
         return event
 
+    async def _receive(self) -> None:
+        self._pace.pause()
+        data = await self._receive_bytes()
+        self._parser.receive_data(data)
+        if self._pace.resume(len(data)):
+            await self._pace.give_way()
+
 
 def is_persistent(head: h11.Response) -> bool:
     """Return whether the server keeps the connection open after the response."""
