--- a/pollenfold/core/bulk_schedule.py
+++ b/pollenfold/core/bulk_schedule.py
@@ -54,7 +54,7 @@
     __slots__ = ("n_events", "n_bytes", "used_ms", "_resumed_at")
 
     def __init__(self, now: Instant) -> None:
-        self._resumed_at = now
+        self._resumed_at: Instant | None = now
         self._reset()
 
     def _reset(self) -> None:
@@ -63,19 +63,25 @@
         self.used_ms = 0.0
 
     def pause(self, now: Instant) -> None:
-        """Record that the reader starts to wait."""
-        self.used_ms += now - self._resumed_at
+        """Record that the reader waits, or that other code runs."""
+        if self._resumed_at is not None:
+            self.used_ms += now - self._resumed_at
+            self._resumed_at = None
 
     def resume(self, now: Instant) -> None:
         """Record that the reader continues."""
-        self._resumed_at = now
+        if self._resumed_at is None:
+            self._resumed_at = now
 
     def is_over(self, now: Instant) -> bool:
         """Return whether the step has reached one of its limits."""
+        used_ms = self.used_ms
+        if self._resumed_at is not None:
+            used_ms += now - self._resumed_at
         return (
             self.n_events >= MAX_STEP_EVENTS
             or self.n_bytes >= MAX_STEP_BYTES
-            or self.used_ms + (now - self._resumed_at) >= MAX_STEP_MS
+            or used_ms >= MAX_STEP_MS
         )
 
     def end(self, schedule: BulkSchedule, now: Instant) -> float:
--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -120,6 +120,7 @@
         times their bytes. Raise OSError if the body is truncated.
         """
         body = bytearray()
+        self._pace.resume(0)
         while len(body) < max_bytes and not self._is_complete:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
@@ -136,6 +137,7 @@
                 self._on_complete(head, bool(self.surplus))
             else:
                 raise ConnectionAbortedError("the response ended early")
+        self._pace.pause()
         return bytes(body)
 
     async def _read_remaining_body(self, head: h11.Response) -> bytes:
--- a/pollenfold/http/client.py
+++ b/pollenfold/http/client.py
@@ -11,6 +11,7 @@
 from expression import Error, Ok, Result
 
 from ..wire.connections import open_connection
+from ..wire.pace import ReadingPace
 from .messages import Headers, Response
 from .socket_state import is_readable
 
@@ -49,7 +50,6 @@
         "_connection",
         "_head",
         "_body",
-        "_n_body_bytes",
         "_has_response_bytes",
         "_is_head_request",
         "n_exchanges",
@@ -62,8 +62,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._n_body_bytes = 0
+        self._body = bytearray()
         self._has_response_bytes = False
         self._is_head_request = False
         self.n_exchanges = 0
@@ -104,8 +103,7 @@
         self.n_exchanges += 1
         self._is_head_request = method == b"HEAD"
         self._head = None
-        self._body = []
-        self._n_body_bytes = 0
+        self._body = bytearray()
         self._has_response_bytes = False
         connection = self._connection
         framed_headers = headers
@@ -161,23 +159,28 @@
 
     async def _read_response(self) -> Response | ExchangeFailure:
         connection = self._connection
+        pace = ReadingPace()
         while True:
+            if pace.is_step_over():
+                await pace.give_way()
             try:
                 event = connection.next_event()
                 if event is h11.NEED_DATA:
+                    pace.pause()
                     data = await self._sock.recv(READ_BYTES)
                     self._has_response_bytes |= bool(data)
                     connection.receive_data(data)
+                    if pace.resume(len(data)):
+                        await pace.give_way()
                     continue
             except (OSError, h11.RemoteProtocolError):
                 return self._read_failure()
             if type(event) is h11.Response:
                 self._head = event
             elif type(event) is h11.Data:
-                self._n_body_bytes += len(event.data)
-                if self._n_body_bytes > MAX_BODY_BYTES:
+                self._body += event.data
+                if len(self._body) > MAX_BODY_BYTES:
                     return ExchangeFailure.BAD_RESPONSE
-                self._body.append(bytes(event.data))
             elif type(event) is h11.EndOfMessage:
                 return self._complete_exchange()
             elif type(event) is h11.ConnectionClosed:
@@ -201,7 +204,7 @@
             if not connection.trailing_data[0]:
                 connection.start_next_cycle()
                 self.is_reusable = True
-        return Response(head.status_code, list(head.headers), b"".join(self._body))
+        return Response(head.status_code, list(head.headers), bytes(self._body))
 
 
 def _is_framed(head: h11.Response) -> bool:
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -17,6 +17,7 @@
 from ..core.clock import Instant
 from ..core.errors import ErrorKind
 from ..observe.clock import system_clock
+from ..wire.pace import ReadingPace
 from .memory import MemoryBudget
 from .messages import BodyError, Request, find_header
 
@@ -24,9 +25,6 @@
 """The largest request head; bounds the memory that one connection can use."""
 
 READ_BYTES = 64 * 1024
-READS_PER_YIELD = 4
-"""How many reads of a body are made before yielding to other tasks."""
-
 UNRESERVED_BYTES = 16 * 1024
 """Bodies up to this size, which most requests have, need no reservation."""
 
@@ -134,7 +132,7 @@
         self._head_received_at = Instant(0.0)
         self._n_body_bytes = 0
         self._n_reserved = 0
-        self._n_reads = 0
+        self._pace = ReadingPace()
         self.is_body_read = False
 
     async def read(self, peer: str) -> Request | None:
@@ -147,22 +145,21 @@
             return None
         headers = [(name, value) for name, value in head.headers]
         length = find_header(headers, b"content-length")
-        window: list[bytes] = []
-        n_window_bytes = 0
-        while n_window_bytes < self._window_bytes:
-            if n_window_bytes >= UNRESERVED_BYTES and not self._n_reserved:
+        # One buffer: a list of chunks of one byte would hold many times their bytes.
+        window = bytearray()
+        while len(window) < self._window_bytes:
+            if len(window) >= UNRESERVED_BYTES and not self._n_reserved:
                 wanted = self._limits.body_bytes if length is None else int(length)
                 await self._reserve(min(wanted, self._window_bytes))
             piece = await self._read_piece()
             if not piece:
                 break
-            window.append(piece)
-            n_window_bytes += len(piece)
+            window += piece
         request = Request(
             head.method,
             head.target,
             headers,
-            b"".join(window),
+            bytes(window),
             peer,
             self._client.fileno(),
             self._head_received_at,
@@ -231,7 +228,11 @@
 
     async def _read_piece(self) -> bytes:
         """Return the next piece of the body, or ``b""`` at its end."""
+        self._pace.resume(0)
         while not self.is_body_read:
+            # The handler may cancel the wait and read again, so no bytes are held here.
+            if self._pace.is_step_over():
+                await self._pace.give_way()
             event = self._next_event()
             if type(event) is h11.Data:
                 self._n_body_bytes += len(event.data)
@@ -239,6 +240,7 @@
                     kind, limits = ErrorKind.BODY_TOO_LARGE, self._limits_in_force()
                     raise _size_error(kind, self._n_body_bytes, limits, self._head)
                 if event.data:
+                    self._pace.pause()
                     return bytes(event.data)
             elif type(event) is h11.EndOfMessage:
                 self.is_body_read = True
@@ -277,15 +279,14 @@
         return None
 
     async def _receive_body_bytes(self) -> bytes:
-        self._n_reads += 1
-        if self._n_reads % READS_PER_YIELD == 0:
-            # A caller that sends continuously must not starve other tasks.
-            await curio.sleep(0)
+        self._pace.pause()
         try:
             async with curio.timeout_after(self._limits.idle_timeout_ms / 1000):
-                return bytes(await self._client.recv(READ_BYTES))
+                data = bytes(await self._client.recv(READ_BYTES))
         except curio.TaskTimeout:
             raise RequestError(ErrorKind.SLOW_REQUEST, head=self._head) from None
+        self._pace.resume(len(data))
+        return data
 
 
 def _check_head(head: h11.Request, limits: ServerLimits) -> None:
--- a/pollenfold/tests/core/test_bulk_schedule.py
+++ b/pollenfold/tests/core/test_bulk_schedule.py
@@ -78,3 +78,15 @@
     meter.resume(Instant(500.0))
     assert not meter.is_over(Instant(500.5))
     assert meter.end(BulkSchedule(), Instant(500.5)) == pytest.approx(0.7)
+
+
+def test_time_between_two_reads_of_a_body_does_not_count():
+    """Guards against a long body that is slowed down for the time which its receiver
+    takes, which made 50 uploads of 8 MB miss their deadline."""
+    meter = StepMeter(Instant(0.0))
+    meter.pause(Instant(0.1))
+    meter.pause(Instant(900.0))
+    meter.resume(Instant(1_000.0))
+    meter.resume(Instant(1_000.1))
+    assert not meter.is_over(Instant(1_000.5))
+    assert meter.end(BulkSchedule(), Instant(1_000.5)) == pytest.approx(0.6)
--- a/pollenfold/wire/lines.py
+++ b/pollenfold/wire/lines.py
@@ -13,6 +13,8 @@
 import curio
 from curio import socket
 
+from .pace import ReadingPace
+
 MAX_LINE_BYTES = 8 << 20
 _READ_BYTES = 64 * 1024
 
@@ -61,18 +63,27 @@
     """
     buffer = bytearray()
     n_held_bytes = 0
+    pace = ReadingPace()
     try:
         while True:
+            pace.pause()
             data = await _receive(sock, idle_timeout_ms())
             if not data:
                 return
+            if pace.resume(len(data)):
+                await pace.give_way()
             n_searched = len(buffer)
             buffer += data
             while (end := buffer.find(b"\n", n_searched)) >= 0:
                 line = bytes(buffer[:end])
                 del buffer[: end + 1]
                 n_searched = 0
-                yield _decode_line(line)
+                message = _decode_line(line)
+                if pace.is_step_over():
+                    await pace.give_way()
+                pace.pause()
+                yield message
+                pace.resume(0)
             if buffer:
                 on_part()
             if len(buffer) > max_line_bytes:
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -16,6 +16,7 @@
 from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
+from .pace import ReadingPace
 
 MAX_PENDING_REQUESTS = 256
 """Requests of one connection that are handled at the same time. Until one of them is
@@ -143,7 +144,9 @@
     ) -> None:
         write_lock = curio.Lock()
         slots = curio.Semaphore(MAX_PENDING_REQUESTS)
+        pace = ReadingPace()
         while True:
+            pace.pause()
             await slots.acquire()
             try:
                 frame = await receive_frame(client)
@@ -157,6 +160,8 @@
                         frame.error.detail,
                     )
                 return
+            if pace.resume(len(frame.ok[1])) or pace.is_step_over():
+                await pace.give_way()
             task = await curio.spawn(
                 self._run_request_task,
                 tasks,
