--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -30,7 +30,6 @@
     new_parser,
 )
 
-READ_BYTES = 64 * 1024
 SEND_CHECK_INTERVAL_MS = 20.0
 """How often a blocked send checks whether the server has already responded."""
 
@@ -55,6 +54,7 @@
     __slots__ = (
         "_sock",
         "_raw",
+        "_address",
         "_is_connected",
         "_request",
         "_parser",
@@ -83,6 +83,7 @@
             raw.close()
             raise OSError(code, errno.errorcode.get(code, "connect failed"))
         self._raw = raw
+        self._address = (host, port)
         self._sock = Socket(raw)
         self._is_connected = code == 0
         self._request: OutgoingRequest | None = None
@@ -250,6 +251,7 @@
                 self._finish_response,
                 self.close,
                 surplus,
+                self._address,
             )
             response = await reader.read()
             if isinstance(response, Failure):
@@ -266,12 +268,12 @@
             request.encode(parser)
         return Failure.LOST
 
-    async def _receive_bytes(self) -> bytes:
+    async def _receive_bytes(self, max_bytes: int) -> bytes:
         try:
-            return self._raw.recv(READ_BYTES)
+            return self._raw.recv(max_bytes)
         except (BlockingIOError, InterruptedError):
             await _read_wait(self._raw)
-            return bytes(await self._sock.recv(READ_BYTES))
+            return bytes(await self._sock.recv(max_bytes))
 
     def _finish_response(self, head: h11.Response, has_surplus: bool) -> None:
         """Decide whether the connection can be reused for another exchange."""
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -53,6 +53,7 @@
 from .peer_port import PeerPort
 from .reach_monitor import ReachMonitor
 from .relay import RelayClient
+from .response_memory import DEFAULT_PROCESS_MB, RESPONSE_MEMORY
 from .settings import BalancerSettings
 from .state_loader import Decode
 from .view import FleetView
@@ -105,7 +106,8 @@
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
-    Accepted changes must be in force everywhere within ``apply_ms``.
+    Accepted changes must be in force everywhere within ``apply_ms``. A process
+    that uses more than ``memory_mb`` is killed.
     """
 
     entry_id: str
@@ -127,6 +129,7 @@
     relay_port: int = 0
     peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
+    memory_mb: float = DEFAULT_PROCESS_MB
 
 
 class Gateway:
@@ -139,6 +142,7 @@
         decode: Decode,
     ) -> None:
         self.settings = settings
+        RESPONSE_MEMORY.set_process_limit(settings.memory_mb)
         self._dialect = dialect
         clock = system_clock
         rng = random.Random(os.urandom(8))
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -153,4 +153,5 @@
             headers,
             response.body,
             remaining_body=response.remaining_body,
+            reservation=response.reservation,
         )
--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -18,11 +18,19 @@
 from ..http.messages import BodyError, BodySource, Response, find_header
 from ..http.response_parser import ParserEvent, ResponseParser
 from ..wire.pace import ReadingPace
+from .response_memory import (
+    COPIES,
+    RESPONSE_MEMORY,
+    UNRESERVED_BYTES,
+    Reservation,
+    ResponseMemory,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 RESPONSE_WINDOW_BYTES = 256 * 1024
 """A longer response is streamed to the caller while it arrives."""
 
+READ_BYTES = 64 * 1024
 PIECE_BYTES = 64 * 1024
 """The remaining body is passed on in pieces of about this size."""
 
@@ -46,10 +54,11 @@
 class ResponseReader:
     """Reads one response.
 
-    ``parser`` has sent the request. ``receive_bytes`` returns the next bytes of the
-    connection, ``b""`` at its end, or raises OSError. ``on_complete`` is called with
-    the head, and whether bytes follow, when the whole response was read. ``close``
+    ``parser`` has sent the request. ``receive_bytes`` returns at most so many bytes
+    of the connection, ``b""`` at its end, or raises OSError. ``on_complete`` is called
+    with the head, and whether bytes follow, when the whole response was read. ``close``
     closes the connection. ``unread`` was received after an earlier response.
+    ``endpoint`` identifies the server in ``memory``.
     """
 
     __slots__ = (
@@ -59,15 +68,20 @@
         "_close",
         "_pace",
         "_is_complete",
+        "_endpoint",
+        "_memory",
+        "_reservation",
     )
 
     def __init__(
         self,
         parser: h11.Connection,
-        receive_bytes: Callable[[], Awaitable[bytes]],
+        receive_bytes: Callable[[int], Awaitable[bytes]],
         on_complete: Callable[[h11.Response, bool], None],
         close: Callable[[], Awaitable[None]],
         unread: bytes = b"",
+        endpoint: object = None,
+        memory: ResponseMemory = RESPONSE_MEMORY,
     ) -> None:
         self._parser = ResponseParser(parser)
         if unread:
@@ -77,6 +91,9 @@
         self._close = close
         self._pace = ReadingPace()
         self._is_complete = False
+        self._endpoint = endpoint
+        self._memory = memory
+        self._reservation: Reservation | None = None
 
     @property
     def surplus(self) -> bytes:
@@ -87,16 +104,23 @@
         """Read the response, or as much of a long one as the window holds."""
         try:
             head = await self._read_head()
-            body = await self._read_body(head, RESPONSE_WINDOW_BYTES)
+            body = await self._read_window(head)
         except (OSError, h11.RemoteProtocolError):
+            self._reservation = None
             return Failure.LOST
+        except BaseException:
+            # The traceback of a cancellation may keep this reader for long.
+            self._reservation = None
+            raise
         headers = list(head.headers)
         if self._is_complete:
-            return Response(head.status_code, headers, body)
+            return Response(
+                head.status_code, headers, body, reservation=self._reservation
+            )
         length = find_header(headers, b"content-length")
         remaining_body = BodySource(
             partial(self._read_remaining_body, head),
-            self._close,
+            self._close_body,
             None if length is None else int(length),
         )
         return Response(head.status_code, headers, body, remaining_body=remaining_body)
@@ -110,6 +134,20 @@
             if type(event) is not h11.InformationalResponse:
                 raise ConnectionAbortedError("no final response was received")
 
+    async def _read_window(self, head: h11.Response) -> bytes:
+        """Return the body, or the first part of a long one; wait for memory for it."""
+        body = await self._read_body(head, UNRESERVED_BYTES + 1)
+        if self._is_complete:
+            return body
+        length = find_header(list(head.headers), b"content-length")
+        # The last read of the window may exceed it.
+        n_bytes = RESPONSE_WINDOW_BYTES + READ_BYTES
+        if length is not None:
+            n_bytes = min(n_bytes, int(length))
+        self._pace.pause()
+        self._reservation = await self._memory.reserve(self._endpoint, COPIES * n_bytes)
+        return body + await self._read_body(head, RESPONSE_WINDOW_BYTES - len(body))
+
     async def _read_body(
         self, head: h11.Response, max_bytes: int, waits_for_more: bool = True
     ) -> bytes:
@@ -144,7 +182,15 @@
         try:
             return await self._read_body(head, PIECE_BYTES, waits_for_more=False)
         except (OSError, h11.RemoteProtocolError) as error:
+            self._reservation = None
             raise BodyError(ErrorKind.BACKEND_FAILED, str(error)) from error
+        except BaseException:
+            self._reservation = None
+            raise
+
+    async def _close_body(self) -> None:
+        self._reservation = None
+        await self._close()
 
     async def _next_event(self) -> ParserEvent:
         while (event := self._parser.next_event()) is h11.NEED_DATA:
@@ -155,7 +201,10 @@
 
     async def _receive(self) -> None:
         self._pace.pause()
-        data = await self._receive_bytes()
+        is_reserved = self._reservation is not None
+        data = await self._receive_bytes(
+            READ_BYTES if is_reserved else UNRESERVED_BYTES
+        )
         self._parser.receive_data(data)
         if self._pace.resume(len(data)):
             await self._pace.give_way()
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -117,7 +117,8 @@
 
     ``body`` is complete unless ``remaining_body`` is set, which provides the remaining
     body. After ``send_until``, nobody waits for the response any more: a connection on
-    which it isn't sent completely by then is reset.
+    which it isn't sent completely by then is reset. ``reservation`` holds the memory
+    that is reserved for the body as long as the response exists.
     """
 
     status: int
@@ -126,6 +127,7 @@
     close: bool = False
     remaining_body: BodySource | None = None
     send_until: Instant | None = None
+    reservation: object = None
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -96,6 +96,7 @@
         relay_port=ports.relay,
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
+        memory_mb=settings.memory_mb,
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -14,6 +14,7 @@
 BYTES_PER_MS_PER_MBPS = 125.0
 """Bytes in a millisecond at 1 Mbit/s."""
 
+DEFAULT_MEMORY_MB = 300.0
 MAX_TOLERATED_FAILURES = 100
 DEFAULT_PATH = "/etc/pollenfold/settings.toml"
 
@@ -29,9 +30,10 @@
     ``addresses`` maps each purpose to the address that this process listens on for
     it. ``seeds`` are addresses of control replicas; connections between processes use
     only their hosts. ``link_bytes_per_ms`` is the bandwidth of the VM's network link,
-    0 when the file doesn't give it. ``is_first_start`` is true only while the whole
-    system starts for the first time. ``bounds`` holds the limits agreed with the
-    platform; a value that isn't a finite number of 0 or more is ignored.
+    0 when the file doesn't give it. ``memory_mb`` is the memory limit of the process,
+    ``DEFAULT_MEMORY_MB`` when the file gives none. ``is_first_start`` is true only
+    while the whole system starts for the first time. ``bounds`` holds the limits agreed
+    with the platform; a value that isn't a finite number of 0 or more is ignored.
     """
 
     name: str
@@ -46,6 +48,7 @@
     data_folder: str
     n_tolerated_failures: int
     link_bytes_per_ms: float
+    memory_mb: float
     bounds: dict[str, float]
 
     def address(self, purpose: str) -> tuple[str, int]:
@@ -134,6 +137,7 @@
         data_folder=str(node.get("dataDir", "")),
         n_tolerated_failures=n_tolerated_failures,
         link_bytes_per_ms=_link_bytes_per_ms(node),
+        memory_mb=_memory_mb(node),
         bounds={k: float(v) for k, v in bounds.items() if is_magnitude(v)},
     )
 
@@ -148,6 +152,16 @@
     return float(rate_mbps) * BYTES_PER_MS_PER_MBPS
 
 
+def _memory_mb(node: dict[str, Any]) -> float:
+    """Return the memory limit of the process in MB; one of 0 or none is unknown."""
+    memory_mb = _optional_table(node, "limits").get("memoryMb", 0)
+    if not is_magnitude(memory_mb):
+        raise SettingsError(
+            f"self.limits.memoryMb: expected a size in MB, got {memory_mb!r}"
+        )
+    return float(memory_mb) or DEFAULT_MEMORY_MB
+
+
 def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -102,6 +102,8 @@
         ("[network]", "[network", "settings.toml"),
         ("linkMbps = 2.0", "linkMbps = -1", "linkMbps"),
         ("linkMbps = 2.0", "linkMbps = inf", "linkMbps"),
+        ("linkMbps = 2.0", "memoryMb = -1", "memoryMb"),
+        ("linkMbps = 2.0", 'memoryMb = "300"', "memoryMb"),
     ],
 )
 def test_invalid_settings_are_reported_on_one_line(
