Let one bulk reader make a step at a time

Readers of long messages now wait in line, and each step starts when the loop has had as much time for others as the last step took. A message of up to 16 events and 32 KB takes no part and reads no clock. A step within which the process was stopped counts for at most 20 ms.

--- a/pollenfold/core/bulk_schedule.py
+++ b/pollenfold/core/bulk_schedule.py
@@ -19,33 +19,39 @@
 MAX_STEP_BYTES = 256 * 1024
 """A reader ends its step at the first of these limits."""
 
+MAX_COUNTED_STEP_MS = 20.0
+"""A step counts for no more: the process may have been stopped within it."""
+
 EVENTS_PER_TIME_CHECK = 8
 
+UNMETERED_EVENTS = 16
+UNMETERED_BYTES = 32 * 1024
+"""A message within these limits is short, and its reader takes no part here."""
+
 
 class BulkSchedule:
-    """Spaces the steps of all readers of one event loop.
+    """Spaces the steps of all readers of one event loop, of which one runs at a time.
 
     For example, after a step of 1 ms with a share of one half, the next step may start
-    1 ms later. If two readers end steps of 1 ms at the same time, the first continues
-    after 1 ms and the second after 3 ms.
+    1 ms after its end, whichever reader makes it.
     """
 
-    __slots__ = ("_share", "_free_at")
+    __slots__ = ("_share", "_next_start")
 
     def __init__(self, share: float = BULK_SHARE) -> None:
         self._share = share
-        self._free_at = Instant(0.0)
+        self._next_start = Instant(0.0)
 
-    def end_step(self, used_ms: float, now: Instant) -> float:
-        """Record a step that ends now; return after how many ms its reader continues.
+    def end_step(self, used_ms: float, now: Instant) -> None:
+        """Record a step that ends now."""
+        used_ms = min(used_ms, MAX_COUNTED_STEP_MS)
+        next_start = add_ms(now, used_ms * (1.0 - self._share) / self._share)
+        if self._next_start < next_start:
+            self._next_start = next_start
 
-        Time in which no reader had work isn't saved up for later steps.
-        """
-        started_at = add_ms(now, -used_ms)
-        if self._free_at < started_at:
-            self._free_at = started_at
-        self._free_at = add_ms(self._free_at, used_ms / self._share)
-        return remaining_ms(self._free_at, now)
+    def wait_ms(self, now: Instant) -> float:
+        """Return after how many ms the next step may start."""
+        return remaining_ms(self._next_start, now)
 
 
 class StepMeter:
@@ -84,9 +90,8 @@
             or used_ms >= MAX_STEP_MS
         )
 
-    def end(self, schedule: BulkSchedule, now: Instant) -> float:
-        """End the step; return after how many ms the reader may continue."""
+    def end(self, schedule: BulkSchedule, now: Instant) -> None:
+        """End the step."""
         self.pause(now)
-        wait_ms = schedule.end_step(self.used_ms, now)
+        schedule.end_step(self.used_ms, now)
         self._reset()
-        return wait_ms
--- a/pollenfold/http/response_parser.py
+++ b/pollenfold/http/response_parser.py
@@ -11,12 +11,15 @@
 import h11
 
 from ..core.chunk_scanner import ChunkScanner
-from ..core.response_limits import HeadCost
+from ..core.response_limits import MAX_HEAD_LINES, MAX_INTERIM_RESPONSES, HeadCost
 
 SLICE_BYTES = 4 * 1024
 MAX_LINES_AT_ONCE = 512
 """Bytes of a head with more lines are passed on in slices of ``SLICE_BYTES``."""
 
+UNCHECKED_HEAD_LINES = MAX_HEAD_LINES // (MAX_INTERIM_RESPONSES + 1)
+"""So many lines in each head of a response are within the limit for all together."""
+
 _END_OF_HEAD = re.compile(rb"\n\r?\n")
 
 ParserEvent = h11.Event | type[h11.PAUSED] | type[h11.NEED_DATA]
@@ -69,7 +72,7 @@
     def next_event(self) -> ParserEvent:
         """Return the next event, or NEED_DATA; raise RemoteProtocolError."""
         while True:
-            if self._is_in_head:
+            if self._is_in_head and self._n_head_newlines > UNCHECKED_HEAD_LINES:
                 self._check_head_lines()
             if self._excess is not None:
                 raise h11.RemoteProtocolError(self._excess)
@@ -100,8 +103,6 @@
         return True
 
     def _check_head_lines(self) -> None:
-        if not self._cost.exceeds_head_lines(self._n_head_newlines):
-            return
         # The lines may be those of a body that arrived with its head.
         data = self._parser.trailing_data[0]
         end = _END_OF_HEAD.search(data)
--- a/pollenfold/wire/pace.py
+++ b/pollenfold/wire/pace.py
@@ -8,15 +8,19 @@
     EVENTS_PER_TIME_CHECK,
     MAX_STEP_BYTES,
     MAX_STEP_MS,
+    UNMETERED_BYTES,
+    UNMETERED_EVENTS,
     BulkSchedule,
     StepMeter,
 )
-from ..core.clock import Instant, add_ms, remaining_ms
 from ..observe.clock import system_clock
 
 _SCHEDULE = BulkSchedule()
 """Shared by all readers of the process, which has one event loop."""
 
+_TURN = curio.Lock()
+"""Held by the reader whose step is next; the others wait in order."""
+
 
 class ReadingPace:
     """The pace of one reader of bytes from outside.
@@ -26,43 +30,56 @@
     latter two return true, it awaits ``give_way``.
     """
 
-    __slots__ = ("_meter", "_continue_at")
+    __slots__ = ("_n_events", "_n_bytes", "_meter", "_must_wait")
 
     def __init__(self) -> None:
-        self._meter = StepMeter(system_clock())
-        self._continue_at: Instant | None = None
-        """When the next step may start, if that is still waited for."""
+        self._n_events = 0
+        self._n_bytes = 0
+        self._meter: StepMeter | None = None
+        """None for a short message, for which a look at the clock costs too much."""
+
+        self._must_wait = False
 
     def pause(self) -> None:
-        """Record that the reader waits for bytes."""
-        self._meter.pause(system_clock())
+        """Record that the reader waits for bytes, or that other code runs."""
+        if self._meter is not None:
+            self._meter.pause(system_clock())
 
     def resume(self, n_bytes: int) -> bool:
         """Record received bytes; return whether the reader must give way."""
         meter = self._meter
+        if meter is None:
+            self._n_bytes += n_bytes
+            return self._n_bytes > UNMETERED_BYTES
         meter.resume(system_clock())
         meter.n_bytes += n_bytes
         return meter.n_bytes >= MAX_STEP_BYTES or meter.used_ms >= MAX_STEP_MS
 
     def is_step_over(self) -> bool:
         """Count an event; return whether the reader must give way before the next."""
-        if self._continue_at is not None:
-            return True
         meter = self._meter
+        if meter is None:
+            self._n_events += 1
+            is_long = self._n_events > UNMETERED_EVENTS
+            return is_long or self._n_bytes > UNMETERED_BYTES
+        if self._must_wait:
+            return True
         meter.n_events += 1
         if meter.n_bytes < MAX_STEP_BYTES and meter.n_events % EVENTS_PER_TIME_CHECK:
             return False
         return meter.is_over(system_clock())
 
     async def give_way(self) -> None:
-        """Wait until this reader may continue; the time of the wait doesn't count.
+        """Wait for the next step; the time of the wait doesn't count.
 
-        A wait that is cancelled, for example by a timeout, is continued the next time.
+        A wait that is cancelled, for example by a timeout, is repeated the next time.
         """
-        if self._continue_at is None:
-            now = system_clock()
-            self._continue_at = add_ms(now, self._meter.end(_SCHEDULE, now))
-        wait_ms = remaining_ms(self._continue_at, system_clock())
-        await curio.sleep(wait_ms / 1000)
-        self._continue_at = None
-        self._meter.resume(system_clock())
+        self._must_wait = True
+        meter = self._meter
+        if meter is None:
+            meter = self._meter = StepMeter(system_clock())
+        meter.end(_SCHEDULE, system_clock())
+        async with _TURN:
+            await curio.sleep(_SCHEDULE.wait_ms(system_clock()) / 1000)
+        self._must_wait = False
+        meter.resume(system_clock())
