--- a/pollenfold/http/response_parser.py
+++ b/pollenfold/http/response_parser.py
@@ -38,6 +38,7 @@
         "_unfed",
         "_is_at_end",
         "_is_end_fed",
+        "_needs_data",
         "_is_in_head",
         "_n_head_newlines",
         "_chunks",
@@ -50,6 +51,7 @@
         self._unfed = b""
         self._is_at_end = False
         self._is_end_fed = False
+        self._needs_data = True
         self._is_in_head = True
         self._n_head_newlines = 0
         self._chunks: ChunkScanner | None = None
@@ -76,12 +78,15 @@
                 self._check_head_lines()
             if self._excess is not None:
                 raise h11.RemoteProtocolError(self._excess)
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                self._record(event)
-                return event
+            if not self._needs_data:
+                event = self._parser.next_event()
+                if event is not h11.NEED_DATA:
+                    self._record(event)
+                    return event
+                self._needs_data = True
             if not self._feed():
-                return event
+                return h11.NEED_DATA
+            self._needs_data = False
 
     def _feed(self) -> bool:
         """Pass bytes on to h11; return whether there were any."""
