--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -19,6 +19,7 @@
 from ..core.confirmation import VALIDITY_SHARE, Confirmations
 from ..core.errors import ErrorKind
 from ..core.link import Link
+from ..core.receive_memory import DEFAULT_MEMORY_BYTES
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
 from ..http.caller import ABANDONED
@@ -55,6 +56,7 @@
 from .peer_port import PeerPort
 from .reach_monitor import ReachMonitor
 from .relay import RelayClient
+from .response_memory import RESPONSE_MEMORY
 from .settings import BalancerSettings
 from .state_loader import Decode
 from .view import FleetView
@@ -107,7 +109,8 @@
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
-    Accepted changes must be in force everywhere within ``apply_ms``.
+    Accepted changes must be in force everywhere within ``apply_ms``. A process
+    that uses more than ``memory_bytes`` is killed.
     """
 
     entry_id: str
@@ -129,6 +132,7 @@
     relay_port: int = 0
     peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 class Gateway:
@@ -141,6 +145,7 @@
         decode: Decode,
     ) -> None:
         self.settings = settings
+        RESPONSE_MEMORY.set_process_limit(settings.memory_bytes)
         self._dialect = dialect
         clock = system_clock
         rng = random.Random(os.urandom(8))
--- a/pollenfold/http/response_head.py
+++ b/pollenfold/http/response_head.py
@@ -29,7 +29,7 @@
         raise InvalidResponseError(f"version {head.http_version.decode('latin-1')}")
 
 
-def describe_invalid_response(error: Exception) -> str:
+def describe_invalid_response(error: Exception | None) -> str:
     """Return what was invalid in a response, or "" if its connection only failed."""
     if isinstance(error, (InvalidResponseError, h11.RemoteProtocolError)):
         return str(error)[:MAX_DETAIL_CHARS]
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -97,6 +97,7 @@
         relay_port=ports.relay,
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
+        memory_bytes=settings.memory_bytes,
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -138,8 +138,8 @@
         data_folder=str(node.get("dataDir", "")),
         n_tolerated_failures=n_tolerated_failures,
         link_bytes_per_ms=_link_bytes_per_ms(node),
-        memory_bytes=_limit(node, "memoryMb", DEFAULT_MEMORY_BYTES >> 20) << 20,
-        n_descriptors=_limit(node, "maxFds", DEFAULT_N_DESCRIPTORS),
+        memory_bytes=_memory_bytes(node),
+        n_descriptors=_n_descriptors(node),
         bounds={k: float(v) for k, v in bounds.items() if is_magnitude(v)},
     )
 
@@ -154,14 +154,24 @@
     return float(rate_mbps) * BYTES_PER_MS_PER_MBPS
 
 
-def _limit(node: dict[str, Any], name: str, default: int) -> int:
-    """Return a limit of the process, the default when the file gives none."""
-    value = _optional_table(node, "limits").get(name, default)
+def _memory_bytes(node: dict[str, Any]) -> int:
+    """Return the memory limit of the process, the default when the file gives none."""
+    value = _optional_table(node, "limits").get("memoryMb", DEFAULT_MEMORY_BYTES >> 20)
+    if not is_magnitude(value) or not value:
+        raise SettingsError(
+            f"self.limits.memoryMb: expected a positive size in MB, got {value!r}"
+        )
+    return int(value * (1 << 20))
+
+
+def _n_descriptors(node: dict[str, Any]) -> int:
+    """Return the most descriptors of the process, the default when none are given."""
+    value = _optional_table(node, "limits").get("maxFds", DEFAULT_N_DESCRIPTORS)
     if not is_whole_number(value, minimum=1):
         raise SettingsError(
-            f"self.limits.{name}: expected a positive whole number, got {value!r}"
+            f"self.limits.maxFds: expected a positive whole number, got {value!r}"
         )
-    return int(value)
+    return value
 
 
 def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -115,6 +115,8 @@
         ("linkMbps = 2.0", "linkMbps = inf", "linkMbps"),
         ("memoryMb = 200", "memoryMb = 0", "memoryMb"),
         ("maxFds = 900", 'maxFds = "900"', "maxFds"),
+        ("memoryMb = 200", "memoryMb = -1", "memoryMb"),
+        ("memoryMb = 200", 'memoryMb = "300"', "memoryMb"),
     ],
 )
 def test_invalid_settings_are_reported_on_one_line(
--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -15,6 +15,7 @@
 from ..http.listening_socket import ListeningSocket
 from .connections import open_connection
 from .frames import HEADER_BYTES, Flag, Header, Protocol, decode_header, encode_frame
+from .pace import ReadingPace
 from .receive_buffers import receive_buffers
 from .sockets import Socket
 
@@ -145,7 +146,9 @@
     ) -> None:
         write_lock = curio.Lock()
         slots = curio.Semaphore(MAX_PENDING_REQUESTS)
+        pace = ReadingPace()
         while True:
+            pace.pause()
             await slots.acquire()
             try:
                 frame = await receive_frame(client)
@@ -159,6 +162,8 @@
                         frame.error.detail,
                     )
                 return
+            if pace.resume(len(frame.ok[1])) or pace.is_step_over():
+                await pace.give_way()
             task = await curio.spawn(
                 self._run_request_task,
                 tasks,
