--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/sound_service.py
@@ -4,7 +4,7 @@
 send a response of a certain kind without end, and the first one is sound. The baseline
 is the same load while the second service is sound, too.
 
-    python -m benchmarks.faulty_endpoints --kinds two_bytes no_head --seconds 8
+    python -m benchmarks.sound_service --kinds two_bytes no_head --seconds 8
 """
 
 from __future__ import annotations
@@ -207,7 +207,7 @@
 def measure(kind: str, seconds: float) -> float:
     """Print the figures of one kind; return the sound service's responses per s."""
     host = f"127.{random.randrange(1, 250)}.{random.randrange(250)}.7"
-    program = [sys.executable, "-m", "benchmarks.faulty_endpoints", "--host", host]
+    program = [sys.executable, "-m", "benchmarks.sound_service", "--host", host]
     roles = [["--role", "sound"], ["--role", "faulty", "--kinds", kind]]
     processes = [subprocess.Popen(program + role) for role in roles]
     time.sleep(1)
