--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -165,7 +165,6 @@
     except (OSError, RuntimeError) as error:
         # A port in use, an unusable data folder, or a task that ended unexpectedly.
         report_failure(process, error)
-        print(f"pollenfold.platform: {error}", file=sys.stderr)
         return EXIT_FAILED
     except StoppedBeforeStart:
         return 0
