--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -124,6 +124,9 @@
     n_tolerated: int = 1
     """How many machines with a disk may be lost at the same time."""
 
+    more_settings: str = ""
+    """Further tables of the settings file."""
+
     planned: set[subprocess.Popen[bytes]] = field(default_factory=set)
     """Processes that got a signal when connections to them had been accepted, or when
     they had logged their start. A SIGTERM must end them as planned."""
@@ -150,7 +153,7 @@
             control_port=CONTROL_PORT,
             n_tolerated=self.n_tolerated,
         )
-        settings.write_text(text)
+        settings.write_text(text + self.more_settings)
         with (self.folder / "log").open("ab") as log:
             self.n_log_bytes = log.tell()
             self.process = subprocess.Popen(
