--- a/benchmarks/faulty_backend.py
+++ b/benchmarks/faulty_backend.py
@@ -56,7 +56,7 @@
     ) -> None:
         self.name = name
         self.zone = ZONES[int(host.rpartition(".")[2]) % len(ZONES)]
-        self._host = host
+        self.host = host
         self._service = service
         self._misbehaviour = misbehaviour
         self._address = ""
@@ -64,11 +64,11 @@
         self._sequence = itertools.count(1)
         self._n_running = 0
 
-    async def listen(self) -> int:
-        """Accept connections; return the port."""
-        sock = curio.tcp_server_socket(self._host, 0, backlog=1024)
-        port: int = sock.getsockname()[1]
-        self._address = f"{self._host}:{port}"
+    async def listen(self, port: int = 0) -> int:
+        """Accept connections at a port, by default a free one; return the port."""
+        sock = curio.tcp_server_socket(self.host, port, backlog=1024)
+        port = sock.getsockname()[1]
+        self._address = f"{self.host}:{port}"
         await curio.spawn(self._accept, sock, daemon=True)
         return port
 
--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/faulty_endpoints.py
@@ -15,6 +15,7 @@
 
 import argparse
 import json
+import re
 import shutil
 import subprocess
 import sys
@@ -55,6 +56,8 @@
 N_LAST_LINES = 3
 MIN_SOUND_SHARE = 0.95
 MB = 1_000_000
+_ERROR_LINE = re.compile(r"[\w.]*Error\b")
+"""The last line of a traceback, which has no time stamp."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,11 +300,16 @@
 
 
 def describe_end(program: Program) -> str:
-    """Return the exit status and the last lines of the log of an ended process."""
+    """Return the exit status of an ended process and the errors that it wrote.
+
+    An error of the event loop is followed by others while the loop shuts down, so all
+    are given in their order; without any, the last lines of the log.
+    """
     status = None if program.process is None else program.process.returncode
     log = (program.folder / "log").read_text(errors="replace")
-    lines = log.splitlines()[-N_LAST_LINES:]
-    last = " | ".join(line.strip() for line in lines)
+    lines = log.splitlines()
+    errors = [line for line in lines if _ERROR_LINE.match(line)]
+    last = " | ".join(line.strip() for line in errors or lines[-N_LAST_LINES:])
     return f"{program.name} ended with status {status}: {last}"
 
 
