--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/faulty_endpoints.py
@@ -32,8 +32,8 @@
 from benchmarks.faulty_responses import FAULTS, PACES
 from benchmarks.impatient_callers import GIVE_UP_S, ROUTE_TIMEOUT_MS
 from benchmarks.lost_requests import copy_logs
+from benchmarks.memory_samples import MemorySampler, Peak
 from benchmarks.soak import CALLER_PORT, CONTROL_PORT, ROOT, ZONES, Program, exchange
-from benchmarks.unread_memory import MemorySampler, Peak
 
 MEMORY_LIMIT_MB = 300
 LIMITS = f"""
@@ -56,8 +56,8 @@
 N_LAST_LINES = 3
 MIN_SOUND_SHARE = 0.95
 MB = 1_000_000
-_ERROR_LINE = re.compile(r"[\w.]*Error\b")
-"""The last line of a traceback, which has no time stamp."""
+_ERROR_LINE = re.compile(r"[\w.]*Error\b|pollenfold|time=\S+ .*event=process_failed")
+"""The last line of a traceback, or what a process writes before it ends by itself."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/tests/benchmarks/test_faulty_endpoints.py
+++ b/pollenfold/tests/benchmarks/test_faulty_endpoints.py
@@ -21,8 +21,8 @@
 )
 from benchmarks.faulty_responses import FAULTS, PACES, Moment, sound_response
 from benchmarks.impatient_callers import Callers, Counts, Manner
+from benchmarks.memory_samples import MemorySampler, Peak, read_unread_bytes
 from benchmarks.soak import CALLER_PORT, Program
-from benchmarks.unread_memory import MemorySampler, Peak, read_unread_bytes
 
 SEED = 1
 HEALTH = b"GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n"
