--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/faulty_endpoints.py
@@ -73,6 +73,9 @@
     n_sound_callers: int = 16
     n_endpoints: int = 12
     n_faulty: int = 6
+    is_patient: bool = False
+    """Whether the callers of ``mixed`` read at once, as those of ``sound`` do."""
+
     seconds: float = 10.0
     root: Path = ROOT
 
@@ -212,7 +215,7 @@
         hosts = ",".join(entry.host for entry in self.entries)
         flags = [f"--service={service}", f"--entries={hosts}", f"--callers={n}"]
         flags += [f"--seconds={self.plan.seconds}", f"--seed={self.plan.seed}"]
-        if service == "sound":
+        if service == "sound" or self.plan.is_patient:
             flags.append("--patient")
         return self._start_helper("impatient_callers", f"callers-{service}", flags)
 
@@ -426,6 +429,7 @@
     parser.add_argument("--sound-callers", type=int, default=16)
     parser.add_argument("--endpoints", type=int, default=12)
     parser.add_argument("--faulty", type=int, default=6, help="of the endpoints")
+    parser.add_argument("--patient", action="store_true", help="no slow callers")
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--busy", type=int, default=0, help="number of busy processes")
     parser.add_argument(
@@ -464,6 +468,7 @@
                 n_sound_callers=arguments.sound_callers,
                 n_endpoints=arguments.endpoints,
                 n_faulty=arguments.faulty,
+                is_patient=arguments.patient,
                 seconds=arguments.seconds,
                 root=arguments.root.resolve(),
             )
