--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/faulty_endpoints.py
@@ -45,6 +45,10 @@
 N_CONTROLS = 3
 FIRST_HOSTS = {"entry": 50, "sound": 100, "mixed": 120, "faulty": 160}
 MAX_CONNECTIONS = 1000
+INTERVALS_S = {"sound": 0.5, "mixed": 0.1}
+"""How often a caller sends a request. Those of ``sound`` send so seldom that the number
+of their requests doesn't follow from how fast the machine is at the moment."""
+
 SAMPLE_INTERVAL_S = 0.075
 START_LIMIT_S = 30.0
 SETTLE_S = 1.5
@@ -70,7 +74,7 @@
     is_in_health: bool = False
     n_entries: int = 4
     n_callers: int = 160
-    n_sound_callers: int = 16
+    n_sound_callers: int = 60
     n_endpoints: int = 12
     n_faulty: int = 6
     is_patient: bool = False
@@ -215,6 +219,7 @@
         hosts = ",".join(entry.host for entry in self.entries)
         flags = [f"--service={service}", f"--entries={hosts}", f"--callers={n}"]
         flags += [f"--seconds={self.plan.seconds}", f"--seed={self.plan.seed}"]
+        flags.append(f"--interval={INTERVALS_S[service]}")
         if service == "sound" or self.plan.is_patient:
             flags.append("--patient")
         return self._start_helper("impatient_callers", f"callers-{service}", flags)
@@ -426,7 +431,7 @@
     parser.add_argument("--health", action="store_true", help="in health responses too")
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--callers", type=int, default=160, help="of the mixed service")
-    parser.add_argument("--sound-callers", type=int, default=16)
+    parser.add_argument("--sound-callers", type=int, default=60)
     parser.add_argument("--endpoints", type=int, default=12)
     parser.add_argument("--faulty", type=int, default=6, help="of the endpoints")
     parser.add_argument("--patient", action="store_true", help="no slow callers")
--- a/pollenfold/tests/entry/test_forwarding.py
+++ b/pollenfold/tests/entry/test_forwarding.py
@@ -117,3 +117,22 @@
         await task.cancel()
 
     call_path(main)
+
+
+@pytest.mark.parametrize("method, key", [("GET", None), ("POST", "k1"), ("POST", None)])
+def test_request_reaches_the_owner_while_the_only_warm_server_is_down(
+    call_path, method, key
+):
+    """Guards against refusals until membership notices that a service's only warm
+    server ended, while other entries own the warm-up of its cold ones."""
+
+    async def main(path):
+        other, owner, server = await start_cold(path)
+        path.add_refusing()
+        for entry in (other, owner):
+            await entry.sync()
+        reply = await other.send(method, key=key, x_request_id="r1")
+        assert (reply.error, reply.status) == (None, 200)
+        assert server.counts.n_runs == 1
+
+    call_path(main)
