--- a/benchmarks/faulty_endpoints.py
+++ b/benchmarks/faulty_endpoints.py
@@ -60,7 +60,7 @@
 N_LAST_LINES = 3
 MIN_SOUND_SHARE = 0.95
 MB = 1_000_000
-_ERROR_LINE = re.compile(r"[\w.]*Error\b|pollenfold|time=\S+ .*event=process_failed")
+_ERROR = re.compile(r"^[\w.]*Error\b.*|^pollenfold.*|event=process_failed.*")
 """The last line of a traceback, or what a process writes before it ends by itself."""
 
 
@@ -316,7 +316,7 @@
     status = None if program.process is None else program.process.returncode
     log = (program.folder / "log").read_text(errors="replace")
     lines = log.splitlines()
-    errors = [line for line in lines if _ERROR_LINE.match(line)]
+    errors = [found[0] for line in lines if (found := _ERROR.search(line))]
     last = " | ".join(line.strip() for line in errors or lines[-N_LAST_LINES:])
     return f"{program.name} ended with status {status}: {last}"
 
