--- a/pollenfold/tests/benchmarks/test_faulty_endpoints.py
+++ b/pollenfold/tests/benchmarks/test_faulty_endpoints.py
@@ -11,14 +11,8 @@
 from benchmarks import impatient_callers
 from benchmarks.disk_losses import draw_network
 from benchmarks.faulty_backend import Endpoint, Misbehaviour
-from benchmarks.faulty_endpoints import (
-    MB,
-    MEMORY_LIMIT_MB,
-    Outcome,
-    Plan,
-    describe_end,
-    play,
-)
+from benchmarks.faulty_endpoints import describe_end, play
+from benchmarks.faulty_outcome import MB, MEMORY_LIMIT_MB, Outcome, Plan
 from benchmarks.faulty_responses import FAULTS, PACES, Moment, sound_response
 from benchmarks.impatient_callers import Callers, Counts, Manner
 from benchmarks.memory_samples import MemorySampler, Peak, read_unread_bytes
