--- a/pollenfold/tests/core/test_failure_outliers.py
+++ b/pollenfold/tests/core/test_failure_outliers.py
@@ -178,3 +178,24 @@
     outliers.retain({"e1"})
     assert not outliers.has_excluded
     assert not outliers.excluded(KEYS, 1.0)
+
+
+@pytest.mark.parametrize("keys", [KEYS, KEYS[:4], KEYS[:2]])
+@pytest.mark.parametrize("interval_ms", [STEP_MS, STEP_MS / 6])
+@pytest.mark.parametrize("seed", range(3))
+def test_sudden_failure_of_all_endpoints_excludes_none(seed, interval_ms, keys):
+    """Guards against half of a sound service that is taken out, for longer than the
+    fault: all its endpoints failed at once, as when this entry was suspended or cut off
+    or what they all depend on failed, and the usual failure share follows too late."""
+    rng = random.Random(seed)
+    outliers, n_excluded = FailureOutliers(), []
+    failed_from_ms, failed_until_ms = 20_000.0, 21_000.0
+    now = 0.0
+    while now < failed_until_ms:
+        now += interval_ms
+        excluded = outliers.excluded(keys, now)
+        key = rng.choice([key for key in keys if key not in excluded])
+        is_trial = outliers.needs_trial(key) and outliers.begin_trial(key, now)
+        outliers.record(key, now >= failed_from_ms, is_trial, now)
+        n_excluded.append(len(outliers.excluded(keys, now)))
+    assert max(n_excluded) == 0
