--- a/pollenfold/tests/http/test_closed_connections.py
+++ b/pollenfold/tests/http/test_closed_connections.py
@@ -103,3 +103,22 @@
         await waker.close()
 
     run(main)
+
+
+def test_stop_beside_a_slow_reader_releases_its_wait(run):
+    """Guards against a check that doesn't see a close under the wait of a task that
+    writes a response: in the other tests the writer is awake when its socket closes."""
+
+    async def main():
+        server, port = await start_server()
+        sock = await connect_slow_reader(port)
+        (connection,) = server._connections
+        (writer,) = connection._tasks
+        assert writer.state == "WRITE_WAIT"
+        await server.close_all()
+        await curio.sleep(2 * TURN_S)
+        assert server.n_connections == 0
+        assert writer.terminated
+        await sock.close()
+
+    run(main)
