--- a/pollenfold/tests/core/test_bulk_schedule.py
+++ b/pollenfold/tests/core/test_bulk_schedule.py
@@ -12,6 +12,7 @@
     StepMeter,
 )
 from pollenfold.core.clock import Instant
+from pollenfold.observe.hold_ups import NOTICEABLE_MS
 
 
 @pytest.mark.parametrize("step_ms", [0.05, 1.0, 4.0])
@@ -80,3 +81,14 @@
     schedule = BulkSchedule()
     schedule.end_step(30_000.0, Instant(30_000.0))
     assert schedule.wait_ms(Instant(30_000.0)) <= MAX_COUNTED_STEP_MS
+    assert meter.end(BulkSchedule(), Instant(500.5)) == pytest.approx(0.7)
+
+
+def test_step_during_which_the_process_stood_still_does_not_stop_all_readers():
+    """Guards against long responses that stop for as long as the process did, after the
+    VM was frozen or busy in the middle of a step: no reader used that time."""
+    schedule, meter = BulkSchedule(), StepMeter(0.0)
+    meter.resume(0.0)
+    own_wait_ms = meter.end(schedule, 3_000.0)
+    other_wait_ms = schedule.end_step(MAX_STEP_MS, 3_000.0)
+    assert max(own_wait_ms, other_wait_ms) < NOTICEABLE_MS
