--- a/pollenfold/tests/core/test_bulk_schedule.py
+++ b/pollenfold/tests/core/test_bulk_schedule.py
@@ -81,7 +81,6 @@
     schedule = BulkSchedule()
     schedule.end_step(30_000.0, Instant(30_000.0))
     assert schedule.wait_ms(Instant(30_000.0)) <= MAX_COUNTED_STEP_MS
-    assert meter.end(BulkSchedule(), Instant(500.5)) == pytest.approx(0.7)
 
 
 def test_step_during_which_the_process_stood_still_does_not_stop_all_readers():
@@ -89,6 +88,6 @@
     VM was frozen or busy in the middle of a step: no reader used that time."""
     schedule, meter = BulkSchedule(), StepMeter(0.0)
     meter.resume(0.0)
-    own_wait_ms = meter.end(schedule, 3_000.0)
-    other_wait_ms = schedule.end_step(MAX_STEP_MS, 3_000.0)
-    assert max(own_wait_ms, other_wait_ms) < NOTICEABLE_MS
+    meter.end(schedule, 3_000.0)
+    schedule.end_step(MAX_STEP_MS, 3_000.0)
+    assert schedule.wait_ms(3_000.0) < NOTICEABLE_MS
--- a/pollenfold/tests/gateway/test_response_reader.py
+++ b/pollenfold/tests/gateway/test_response_reader.py
@@ -39,7 +39,7 @@
     pieces += [bytes(65_536)] * (N_BODY_BYTES // 65_536)
     pieces.reverse()
 
-    async def receive_bytes():
+    async def receive_bytes(max_bytes):
         return pieces.pop()
 
     return make_reader(receive_bytes)
@@ -94,7 +94,7 @@
     pieces.append(b"0\r\n\r\n")
     pieces.reverse()
 
-    async def receive_bytes():
+    async def receive_bytes(max_bytes):
         # Most of the time the reader waits, so others have the loop.
         await curio.sleep(0.0005)
         return pieces.pop()
