--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -23,7 +23,6 @@
 from .connections import Connections
 from .dialect import Dialect
 from .endpoint import Endpoint
-from .outliers import EndpointOutliers
 from .permits import LimitedChoice, Permits
 from .pick import Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
@@ -106,7 +105,6 @@
             monitor,
         )
         self._permits = Permits(view, settings, self._connections, clock)
-        self.outliers = EndpointOutliers(view, clock)
         self._probe_states: dict[str, ServiceProbeState] = {}
         self._probe_budget: TokenBucket | None = None
 
@@ -131,30 +129,6 @@
         For each round of probes an item is appended to ``trace``: the number of probed
         endpoints, the number of responses and the least slowdown, as in ``3/2/1.60``.
         """
-        for _ in range(MAX_ROUNDS):
-            pick = await self._pick(
-                service,
-                tried_endpoint_ids,
-                deadline,
-                max_slowdown,
-                trace,
-                avoided_endpoint_ids,
-            )
-            if pick is None or self.outliers.admit(pick):
-                return pick
-            await self._connections.release(pick.endpoint, pick.connection)
-        return None
-
-    async def _pick(
-        self,
-        service: str,
-        tried_endpoint_ids: set[str],
-        deadline: Instant,
-        max_slowdown: float,
-        trace: list[str],
-        avoided_endpoint_ids: frozenset[str],
-    ) -> Pick | None:
-        """Select an endpoint once, as ``pick`` does, among those that don't fail."""
         now = self._clock()
         is_first_attempt = not tried_endpoint_ids
         if is_first_attempt:
@@ -170,7 +144,6 @@
             for endpoint in endpoints
             if endpoint.announcement.endpoint_id not in avoided_endpoint_ids
         ] or endpoints
-        endpoints = self.outliers.usable(service, endpoints)
         limited = [e for e in endpoints if e.declared_limit is not None]
         if limited:
             endpoints = [e for e in endpoints if e.declared_limit is None]
@@ -473,7 +446,6 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
-            self.outliers.forget_absent()
             await self._monitor.maintain()
             await self._check_limits()
 
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -123,7 +123,6 @@
                 await self._balancer.release(endpoint, pick.connection)
         self._log_invalid_response(call, pick)
         self._record_health(call, endpoint, outcome, elapsed_ms)
-        self._record_result(call, pick, outcome, response)
         await self._record_contact(call, endpoint, outcome, started_at)
         if outcome in COMPLETED_OUTCOMES and not has_remaining_body:
             await self._suspects.record_completed_run(call)
@@ -147,25 +146,6 @@
                 detail=detail,
             )
 
-    def _record_result(
-        self,
-        call: Call,
-        pick: Pick,
-        outcome: AttemptOutcome,
-        response: Response | None,
-    ) -> None:
-        """Compare the endpoint's failures with those of the others; log a change."""
-        change = self._balancer.outliers.record(pick, outcome, response)
-        if change is not None:
-            self._log.state(
-                f"endpoint_{change.value}",
-                endpoint=pick.endpoint.announcement.endpoint_id,
-                service=call.service,
-                request=call.request_id.decode("latin-1"),
-                is_trial=pick.is_trial,
-                outcome=outcome.value,
-            )
-
     async def _record_contact(
         self,
         call: Call,
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -250,7 +250,6 @@
         refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
         if refusal_kind is None:
             return pick
-        self._balancer.outliers.abandon(pick)
         await self._balancer.release(pick.endpoint, pick.connection)
         return refusal_kind
 
--- a/pollenfold/gateway/pick.py
+++ b/pollenfold/gateway/pick.py
@@ -14,12 +14,10 @@
     """The endpoint selected for a request, with a connection that is ready for it.
 
     ``slowdown`` is the expected latency there as a multiple of the usual latency.
-    ``load`` is the load that the endpoint has just reported, if any. The result of a
-    trial decides whether an endpoint that failed before gets requests again.
+    ``load`` is the load that the endpoint has just reported, if any.
     """
 
     endpoint: Endpoint
     connection: BackendConnection
     slowdown: float
     load: ServerLoad | None = None
-    is_trial: bool = False
--- a/pollenfold/tests/gateway/failing_endpoints.py
+++ b/pollenfold/tests/gateway/failing_endpoints.py
@@ -7,7 +7,6 @@
 """
 
 import argparse
-import contextlib
 import random
 from dataclasses import dataclass, field, replace
 
@@ -58,10 +57,6 @@
         await curio.spawn(curio.network.run_server, sock, self._serve, daemon=True)
 
     async def _serve(self, client, address):
-        with contextlib.suppress(OSError):
-            await self._serve_requests(client)
-
-    async def _serve_requests(self, client):
         buffer = b""
         async with client:
             while data := await client.recv(65536):
