--- a/pollenfold/core/chunk_scanner.py
+++ b/pollenfold/core/chunk_scanner.py
@@ -8,7 +8,9 @@
 
 from .response_limits import (
     FREE_CHUNKS,
+    FREE_CHUNKS_PER_READ,
     FREE_FRAMING_BYTES,
+    FREE_FRAMING_BYTES_PER_READ,
     MAX_CHUNK_LINE_BYTES,
     MAX_TRAILER_LINES,
     MIN_MEAN_CHUNK_BYTES,
@@ -28,6 +30,7 @@
         "_n_chunks",
         "_n_body_bytes",
         "_n_framing_bytes",
+        "_n_reads",
         "_n_trailer_lines",
         "_is_in_trailers",
         "_is_ended",
@@ -39,6 +42,7 @@
         self._n_chunks = 0
         self._n_body_bytes = 0
         self._n_framing_bytes = 0
+        self._n_reads = 0
         self._n_trailer_lines = 0
         self._is_in_trailers = False
         self._is_ended = False
@@ -47,6 +51,7 @@
         """Scan the next bytes; return what exceeds a limit, or None."""
         if self._is_ended:
             return None
+        self._n_reads += 1
         position = 0
         if self._unread:
             data, self._unread = self._unread + data, b""
@@ -83,10 +88,12 @@
         self._n_body_bytes += n_bytes
         self._n_framing_bytes += len(line) + 4
         self._n_skipped_bytes = n_bytes + 2
-        n_paid_chunks = self._n_chunks - FREE_CHUNKS
+        n_free_chunks = FREE_CHUNKS + FREE_CHUNKS_PER_READ * self._n_reads
+        n_paid_chunks = self._n_chunks - n_free_chunks
         if n_paid_chunks * MIN_MEAN_CHUNK_BYTES > self._n_body_bytes:
             return "chunks too small"
-        if self._n_framing_bytes > FREE_FRAMING_BYTES + self._n_body_bytes:
+        n_free_bytes = FREE_FRAMING_BYTES + FREE_FRAMING_BYTES_PER_READ * self._n_reads
+        if self._n_framing_bytes > n_free_bytes + self._n_body_bytes:
             return "chunk framing longer than the body"
         return None
 
--- a/pollenfold/core/response_limits.py
+++ b/pollenfold/core/response_limits.py
@@ -27,9 +27,15 @@
 
 Each chunk costs the time of an event. A short body may have chunks of any size."""
 
+FREE_CHUNKS_PER_READ = 4
+"""A stream of small events that arrive one by one costs a read for each of them, which
+is more than the event of its chunk."""
+
 FREE_FRAMING_BYTES = 16 * 1024
 """Beyond this, chunk-size lines and extensions may not exceed the body in bytes."""
 
+FREE_FRAMING_BYTES_PER_READ = 64
+
 
 class HeadCost:
     """Counts what the heads of one response cost, interim ones included."""
