--- a/pollenfold/wire/rpc.py
+++ b/pollenfold/wire/rpc.py
@@ -136,7 +136,8 @@
             await client.shutdown(sockets.SHUT_WR)
             async with curio.ignore_after(LINGER_MS / 1000):
                 while await client.recv(64 * 1024):
-                    pass
+                    # Reading what is ready never waits, so the timeout couldn't end it.
+                    await curio.sleep(0)
 
     async def _read_requests(
         self,
