--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -249,3 +249,25 @@
     assert "process=front-a-1 event=process_failed" in line
     assert type(error).__name__ in line
     assert "at=test_settings.py:" in line
+
+
+def test_process_that_ends_logs_the_first_error(monkeypatch, tmp_path, capfd):
+    """Guards against a log that names only what the event loop raised while it shut
+    down, and not the error that ended it."""
+
+    def fail(source, signals):
+        try:
+            raise OSError(9, "Bad file descriptor")
+        finally:
+            raise KeyError("<fd=17> is not registered") from None
+
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    monkeypatch.setenv(SETTINGS_PATH_VARIABLE, str(path))
+    monkeypatch.setitem(ROLES, "entry", fail)
+    with suppress(KeyError):
+        main(["entry"])
+    line = capfd.readouterr().out
+    assert "KeyError" in line
+    assert "first=\"OSError(9, 'Bad file descriptor')\"" in line
+    assert "first_at=test_settings.py:" in line
