Leave closed sockets out of the search for readable ones

poll refuses a negative descriptor with ValueError, which would end the maintenance of a pool and so the process.

--- a/pollenfold/http/socket_state.py
+++ b/pollenfold/http/socket_state.py
@@ -23,10 +23,14 @@
 
 
 def readable_descriptors(descriptors: list[int]) -> set[int]:
-    """Return those for which ``is_readable`` is true, by one system call."""
+    """Return those for which ``is_readable`` is true, by one system call.
+
+    Negative ones, those of closed sockets, are left out.
+    """
     poll = select.poll()
     for descriptor in descriptors:
-        poll.register(descriptor, select.POLLIN)
+        if descriptor >= 0:
+            poll.register(descriptor, select.POLLIN)
     return {descriptor for descriptor, _ in poll.poll(0)}
 
 
