--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -10,7 +10,6 @@
 from ..curio_subset import load_curio_subset
 from ..http.listener import reserve_when_free, start_listening
 from ..http.queued_connections import refuse_queued
-from ..observe.failure import report_failure
 from ..observe.signals import Signals, StoppedBeforeStart
 from ..wire.receive_buffers import receive_buffers
 from .ports import Ports, assign_ports
@@ -164,16 +163,23 @@
         return EXIT_BAD_SETTING
     except (OSError, RuntimeError) as error:
         # A port in use, an unusable data folder, or a task that ended unexpectedly.
-        report_failure(process, error)
+        _report_failure(process, error)
         return EXIT_FAILED
     except StoppedBeforeStart:
         return 0
     except Exception as error:
         # An error of the event loop ends all tasks at once, so nothing else logs it.
-        report_failure(process, error)
+        _report_failure(process, error)
         raise
     return 0
 
 
+def _report_failure(process: str, error: Exception) -> None:
+    # Imported late: the event log needs curio, of which an entry loads only a part.
+    from ..observe.failure import report_failure
+
+    report_failure(process, error)
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/pollenfold/tests/test_curio_subset.py
+++ b/pollenfold/tests/test_curio_subset.py
@@ -7,6 +7,7 @@
 
 ENTRY = """
 import sys
+import pollenfold.platform.__main__
 from pollenfold.curio_subset import load_curio_subset
 load_curio_subset()
 import curio
