--- a/pollenfold/tests/gateway/test_unread_bytes.py
+++ b/pollenfold/tests/gateway/test_unread_bytes.py
@@ -26,13 +26,6 @@
     receive_buffers.configure()
 
 
-async def _connect(port):
-    """Send a request with the id of the responses, so that they are passed on."""
-    sock = await curio.open_connection("127.0.0.1", port)
-    await sock.sendall(REQUEST % b"GET")
-    return sock
-
-
 @pytest.mark.parametrize("part", ["body without length", "chunks"])
 def test_unread_bytes_of_endless_responses_are_bounded(with_path, limits, part):
     """Guards against an entry that is killed for its memory since the kernel keeps
@@ -41,7 +34,12 @@
     async def body(path, backend):
         server = HttpServer(path.forwarder.handle)
         port = await server.start("127.0.0.1", 0)
-        callers = [await _connect(port) for _ in range(N_CALLERS)]
+        callers = [
+            await curio.open_connection("127.0.0.1", port) for _ in range(N_CALLERS)
+        ]
+        for caller in callers:
+            # The id is that of the responses, so that they are passed on.
+            await caller.sendall(REQUEST % b"GET")
         peak = most_in_flight = 0
         for _ in range(50):
             await curio.sleep(0.02)
