--- a/pollenfold/observe/hold_ups.py
+++ b/pollenfold/observe/hold_ups.py
@@ -7,7 +7,7 @@
 from ..core.clock import Clock, Instant, add_ms
 
 NOTICEABLE_MS = 100.0
-"""A heartbeat interval of a replica; on an entry half of a usual latency target."""
+"""A heartbeat interval; several of them in a row let followers elect another leader."""
 
 LOG_INTERVAL_MS = 1_000.0
 
