Read the announced length of a response body once

The reader looked the header up twice and converted it in three places. Same results: 294 tests of readers, endless bytes, long bodies, statuses and the pace pass.

--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -118,9 +118,9 @@
         """Read the response, or as much of a long one as the window holds."""
         try:
             head = await self._read_head()
-            length = find_header(list(head.headers), b"content-length")
-            self._n_expected_bytes = int(length or 0)
-            body = await self._read_window(head)
+            length = _body_length(head)
+            self._n_expected_bytes = length or 0
+            body = await self._read_window(head, length)
         except (OSError, h11.RemoteProtocolError) as error:
             self.error = error
             self._reservation = None
@@ -137,7 +137,7 @@
         remaining_body = BodySource(
             partial(self._read_remaining_body, head),
             self._close_body,
-            None if length is None else int(length),
+            length,
         )
         return Response(head.status_code, headers, body, remaining_body=remaining_body)
 
@@ -151,16 +151,15 @@
             if type(event) is not h11.InformationalResponse:
                 raise ConnectionAbortedError("no final response was received")
 
-    async def _read_window(self, head: h11.Response) -> bytes:
+    async def _read_window(self, head: h11.Response, length: int | None) -> bytes:
         """Return the body, or the first part of a long one; wait for memory for it."""
         body = await self._read_body(head, UNRESERVED_BYTES + 1)
         if self._is_complete:
             return body
-        length = find_header(list(head.headers), b"content-length")
         # The last read of the window may exceed it.
         n_bytes = RESPONSE_WINDOW_BYTES + READ_BYTES
         if length is not None:
-            n_bytes = min(n_bytes, int(length))
+            n_bytes = min(n_bytes, length)
         self._pace.pause()
         self._reservation = await self._memory.reserve(self._endpoint, COPIES * n_bytes)
         return body + await self._read_body(head, RESPONSE_WINDOW_BYTES - len(body))
@@ -231,6 +230,12 @@
             await self._pace.give_way()
 
 
+def _body_length(head: h11.Response) -> int | None:
+    """Return the announced length of the body, or None."""
+    length = find_header(list(head.headers), b"content-length")
+    return None if length is None else int(length)
+
+
 def is_persistent(head: h11.Response) -> bool:
     """Return whether the server keeps the connection open after the response."""
     names = {name for name, _ in head.headers}
