Group the modules of agreement, balancing, relay and limits in packages

The modules of the replicated log, of balancing, of the relay between entries and of the limits of endpoints now have packages of their own, and their tests beside them.

--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -14,11 +14,11 @@
 import curio
 
 import pollenfold.entry.backends as backends
+from pollenfold.core.balancing.warmup import Directory
 from pollenfold.core.clock import Instant
 from pollenfold.core.configuration import ConfigurationView
 from pollenfold.core.endpoints import WarmState
 from pollenfold.core.records import RequestClass, Rule, ServiceSpec
-from pollenfold.core.warmup import Directory
 from pollenfold.entry.health import EndpointHealth
 from pollenfold.entry.proxy import Proxy
 from pollenfold.entry.services import ServiceTable
--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from ..core.agreement_members import address_of, host_and_port
+from ..core.agreement.members import address_of, host_and_port
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, parse_address
--- a/pollenfold/control/commands.py
+++ b/pollenfold/control/commands.py
@@ -7,7 +7,7 @@
 import curio
 from expression import Error, Result
 
-from ..core.acknowledgement import Group, is_held_back
+from ..core.agreement.acknowledgement import Group, is_held_back
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.orders import Confirmed
@@ -143,7 +143,8 @@
         ``n_whole`` in the log leaves out voters that are about to be replaced.
 
         ``NOT_READY`` means that it isn't appended, since voters are missing that are
-        about to come (``core/acknowledgement.py``). Barriers are never held back.
+        about to come (``core/agreement/acknowledgement.py``). Barriers are never held
+        back.
         """
         if command != BARRIER and self._is_held_back():
             return Error(ErrorKind.NOT_READY)
--- a/pollenfold/control/forwarding.py
+++ b/pollenfold/control/forwarding.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from ..core.agreement_members import host_and_port
+from ..core.agreement.members import host_and_port
 from ..core.errors import ErrorKind
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient
--- a/pollenfold/control/peer_calls.py
+++ b/pollenfold/control/peer_calls.py
@@ -6,8 +6,8 @@
 
 import curio
 
-from ..core.agreement_documents import call_timeout_ms, document_bytes
-from ..core.agreement_messages import Message
+from ..core.agreement.documents import call_timeout_ms, document_bytes
+from ..core.agreement.messages import Message
 from ..wire.agreement import decode_message, encode_message
 from ..wire.frames import Protocol
 from ..wire.rpc import RpcClient
--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ..core.agreement_members import host_and_port
+from ..core.agreement.members import host_and_port
 from ..core.allowances import FleetSize
 from ..core.clock import Instant
 from ..core.confirmation import Confirmations
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -12,8 +12,8 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
-from ..core.acknowledgement import LearnerWaits
-from ..core.agreement import (
+from ..core.agreement.acknowledgement import LearnerWaits
+from ..core.agreement.consensus import (
     HEARTBEAT_MS,
     Role,
     State,
@@ -21,8 +21,9 @@
     is_leader,
     step,
 )
-from ..core.agreement_log import MAX_COMMAND_BYTES
-from ..core.agreement_members import (
+from ..core.agreement.election_timeout import election_timeout_ms, first_timeout_ms
+from ..core.agreement.log import MAX_COMMAND_BYTES
+from ..core.agreement.members import (
     decode_members,
     founder_state,
     n_answering_voters,
@@ -30,7 +31,7 @@
     next_membership_change,
     waiting_learners,
 )
-from ..core.agreement_messages import (
+from ..core.agreement.messages import (
     Action,
     Apply,
     Compact,
@@ -46,9 +47,8 @@
     SendFailed,
     Tick,
 )
-from ..core.agreement_state import majority_contact_at, n_voters_holding
+from ..core.agreement.state import majority_contact_at, n_voters_holding
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.election_timeout import election_timeout_ms, first_timeout_ms
 from ..core.errors import ErrorKind
 from ..observe.hold_ups import HoldUps
 from ..storage.agreement import AgreementStorage, OpenJournal
--- a/pollenfold/control/state_machine.py
+++ b/pollenfold/control/state_machine.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from ..core.agreement_members import decode_members, unwrap_snapshot, wrap_snapshot
+from ..core.agreement.members import decode_members, unwrap_snapshot, wrap_snapshot
 
 ENTRIES_PER_SNAPSHOT = 256
 LOG_BYTES_PER_SNAPSHOT = 8 << 20
--- /dev/null
+++ b/pollenfold/core/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: an implementation of Raft whose members are in the log."""
--- a/pollenfold/core/acknowledgement.py
+++ b/pollenfold/core/agreement/acknowledgement.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from .clock import Instant, add_ms
+from ..clock import Instant, add_ms
 
 BOOTSTRAP_WAIT_MS = 6_000.0
 """How long a new cluster waits for all its members before it accepts commands."""
--- a/pollenfold/core/agreement.py
+++ b/pollenfold/core/agreement/consensus.py
@@ -9,10 +9,11 @@
 
 from dataclasses import replace
 
-from .agreement_election import on_vote_request, on_vote_response, start_pre_vote
-from .agreement_log import Entry, Log, Snapshot
-from .agreement_members import add_learner, with_voters_from_log
-from .agreement_messages import (
+from ..clock import Instant, add_ms
+from .election import on_vote_request, on_vote_response, start_pre_vote
+from .log import Entry, Log, Snapshot
+from .members import add_learner, with_voters_from_log
+from .messages import (
     Action,
     AppendRequest,
     AppendResponse,
@@ -32,8 +33,8 @@
     VoteRequest,
     VoteResponse,
 )
-from .agreement_rejoin import on_inquiry, on_inquiry_response, start_inquiry_round
-from .agreement_replication import (
+from .rejoin import on_inquiry, on_inquiry_response, start_inquiry_round
+from .replication import (
     broadcast,
     on_append_request,
     on_follower_response,
@@ -42,7 +43,7 @@
     propose,
     record_incarnation,
 )
-from .agreement_state import (
+from .state import (
     ELECTION_TIMEOUT_MAX_MS,
     ELECTION_TIMEOUT_MIN_MS,
     HEARTBEAT_MS,
@@ -54,7 +55,6 @@
     is_leader,
     majority_contact_at,
 )
-from .clock import Instant, add_ms
 
 __all__ = [
     "ELECTION_TIMEOUT_MAX_MS",
--- a/pollenfold/core/agreement_documents.py
+++ b/pollenfold/core/agreement/documents.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from .agreement_messages import AppendRequest, Body, SnapshotRequest
+from .messages import AppendRequest, Body, SnapshotRequest
 
 DOCUMENT_BYTES = 32 * 1024
 """Requests with more than this are sent like documents. A link of 4 Mbit/s carries so
--- a/pollenfold/core/agreement_election.py
+++ b/pollenfold/core/agreement/election.py
@@ -4,16 +4,17 @@
 
 from dataclasses import replace
 
-from .agreement_log import Entry
-from .agreement_messages import (
+from ..clock import Instant, add_ms
+from .log import Entry
+from .messages import (
     Action,
     Message,
     PersistEntries,
     VoteRequest,
     VoteResponse,
 )
-from .agreement_replication import advance_commit, broadcast
-from .agreement_state import (
+from .replication import advance_commit, broadcast
+from .state import (
     ELECTION_TIMEOUT_MIN_MS,
     Progress,
     Role,
@@ -22,7 +23,6 @@
     become_follower,
     majority_contact_at,
 )
-from .clock import Instant, add_ms
 
 
 def start_pre_vote(state: State, now: Instant, timeout_ms: float) -> Step:
--- a/pollenfold/core/election_timeout.py
+++ b/pollenfold/core/agreement/election_timeout.py
@@ -4,7 +4,7 @@
 
 import random
 
-from .agreement_state import (
+from .state import (
     ELECTION_TIMEOUT_MAX_MS,
     ELECTION_TIMEOUT_MIN_MS,
     State,
--- a/pollenfold/core/agreement_members.py
+++ b/pollenfold/core/agreement/members.py
@@ -11,16 +11,16 @@
 import json
 from dataclasses import replace
 
-from .agreement_log import Entry, Log
-from .agreement_messages import PersistState, Propose
-from .agreement_state import (
+from ..clock import Instant, add_ms
+from .log import Entry, Log
+from .messages import PersistState, Propose
+from .state import (
     ELECTION_TIMEOUT_MAX_MS,
     Progress,
     Role,
     State,
     is_leader,
 )
-from .clock import Instant, add_ms
 
 MEMBERS_PREFIX = b"\x00members\x00"
 """The prefix of a command that replaces the voters; no other command has it."""
--- a/pollenfold/core/agreement_messages.py
+++ b/pollenfold/core/agreement/messages.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from .agreement_log import Entry, Log
-from .clock import Instant
+from ..clock import Instant
+from .log import Entry, Log
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement_rejoin.py
+++ b/pollenfold/core/agreement/rejoin.py
@@ -10,7 +10,8 @@
 
 from dataclasses import replace
 
-from .agreement_messages import (
+from ..clock import Instant, add_ms
+from .messages import (
     Action,
     AppendRequest,
     Inquiry,
@@ -19,13 +20,12 @@
     PersistJoined,
     SnapshotRequest,
 )
-from .agreement_state import (
+from .state import (
     ELECTION_TIMEOUT_MAX_MS,
     HEARTBEAT_MS,
     State,
     Step,
 )
-from .clock import Instant, add_ms
 
 BLANK_WAIT_MS = 1.25 * ELECTION_TIMEOUT_MAX_MS
 """A replica ignores the terms from rounds that start in its first ``BLANK_WAIT_MS``.
--- a/pollenfold/core/agreement_replication.py
+++ b/pollenfold/core/agreement/replication.py
@@ -5,10 +5,12 @@
 from dataclasses import replace
 from functools import lru_cache
 
-from .agreement_documents import MAX_DOUBLINGS, call_timeout_ms, document_bytes
-from .agreement_log import Entry, Snapshot
-from .agreement_members import decode_members, with_voters_from_log
-from .agreement_messages import (
+from ..clock import Instant, add_ms
+from ..compression import compress, decompress
+from .documents import MAX_DOUBLINGS, call_timeout_ms, document_bytes
+from .log import Entry, Snapshot
+from .members import decode_members, with_voters_from_log
+from .messages import (
     Action,
     AppendRequest,
     AppendResponse,
@@ -20,8 +22,8 @@
     SnapshotRequest,
     SnapshotResponse,
 )
-from .agreement_rejoin import join_if_caught_up
-from .agreement_state import (
+from .rejoin import join_if_caught_up
+from .state import (
     HEARTBEAT_MS,
     PartialSnapshot,
     Progress,
@@ -30,8 +32,6 @@
     Step,
     become_follower,
 )
-from .clock import Instant, add_ms
-from .compression import compress, decompress
 
 BATCH_LIMIT_BYTES = 1 << 18
 """Keeps a batch, even with a single command of maximum size, below the 1 MiB frame
--- a/pollenfold/core/agreement_state.py
+++ b/pollenfold/core/agreement/state.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from .agreement_log import Log
-from .agreement_messages import Action, Body, Message, PersistState, Send
-from .clock import Instant, add_ms
+from ..clock import Instant, add_ms
+from .log import Log
+from .messages import Action, Body, Message, PersistState, Send
 
 HEARTBEAT_MS = 100.0
 ELECTION_TIMEOUT_MIN_MS = 400.0
--- /dev/null
+++ b/pollenfold/core/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Which server gets a request, and whether it is admitted."""
--- a/pollenfold/core/admission.py
+++ b/pollenfold/core/balancing/admission.py
@@ -6,8 +6,8 @@
 
 from expression import Error, Ok, Result
 
-from .clock import Instant, remaining_ms
-from .errors import ErrorKind
+from ..clock import Instant, remaining_ms
+from ..errors import ErrorKind
 
 MIN_RETRY_AFTER_S = 1
 
--- a/pollenfold/core/outliers.py
+++ b/pollenfold/core/balancing/outliers.py
@@ -5,7 +5,7 @@
 from collections.abc import Container, Hashable
 from statistics import median
 
-from .clock import Instant
+from ..clock import Instant
 
 EJECT_AFTER_FAILURES = 5
 """Consecutive failures after which an endpoint is ejected."""
--- a/pollenfold/core/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .clock import Instant, add_ms
+from ..clock import Instant, add_ms
 from .selection import ServerLoad
 
 WORK_VARIATION_FACTOR = 1.15
--- a/pollenfold/core/selection.py
+++ b/pollenfold/core/balancing/selection.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .clock import Instant, add_ms
+from ..clock import Instant, add_ms
 
 KNEE_UTILIZATION = 0.8
 """Share of busy slots above which some servers slow down."""
--- a/pollenfold/core/warmup.py
+++ b/pollenfold/core/balancing/warmup.py
@@ -12,12 +12,12 @@
 from enum import Enum
 from math import ceil
 
-from .clock import Instant
-from .endpoints import Endpoint, EndpointKey, WarmState
-from .ownership import Directory as Directory
-from .ownership import DirectoryHistory, Ownership
-from .ownership import warmup_owner as warmup_owner
-from .records import ServiceSpec
+from ..clock import Instant
+from ..endpoints import Endpoint, EndpointKey, WarmState
+from ..ownership import Directory as Directory
+from ..ownership import DirectoryHistory, Ownership
+from ..ownership import warmup_owner as warmup_owner
+from ..records import ServiceSpec
 
 SUCCESSES_PER_SLOT = 4
 """Successful responses per slot of the current limit before the limit is raised."""
--- a/pollenfold/core/replicated_state.py
+++ b/pollenfold/core/replicated_state.py
@@ -12,7 +12,7 @@
 from reprlib import repr as short_repr
 from typing import Any
 
-from .agreement_log import MAX_COMMAND_BYTES
+from .agreement.log import MAX_COMMAND_BYTES
 from .compression import compress, decompress
 
 MAX_PLAIN_COMMAND_BYTES = 4 << 20
--- a/pollenfold/entry/daemon.py
+++ b/pollenfold/entry/daemon.py
@@ -11,12 +11,12 @@
 from loguru import logger
 
 from ..core import directory as control_directory
+from ..core.balancing.warmup import Directory, WarmChange
 from ..core.clock import Instant
 from ..core.directory import LEASE_MS
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_port
 from ..core.membership import Endpoint, EndpointTable, LeaveNotice
-from ..core.warmup import Directory, WarmChange
 from ..http.listener import reserve_when_free, start_listening
 from ..http.server import HttpServer
 from ..ledger.client import LedgerClient
--- a/pollenfold/entry/health.py
+++ b/pollenfold/entry/health.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from ..core.measurement import LoadReport, MeasurementBudget, parse_load_header
-from ..core.outliers import OutlierDetector
-from ..core.retries import AttemptOutcome
-from ..core.warmup import (
+from ..core.balancing.outliers import OutlierDetector
+from ..core.balancing.warmup import (
     Directory,
     WarmChange,
     WarmupController,
     warmup_owner,
 )
+from ..core.measurement import LoadReport, MeasurementBudget, parse_load_header
+from ..core.retries import AttemptOutcome
 from ..http.messages import find_header
 
 if TYPE_CHECKING:
--- a/pollenfold/entry/slots.py
+++ b/pollenfold/entry/slots.py
@@ -8,7 +8,7 @@
 import curio
 from expression import Error, Ok, Result
 
-from ..core.admission import admit, retry_after_s
+from ..core.balancing.admission import admit, retry_after_s
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.routing import Candidate, Policy, observe_latency, prefer_zone
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -8,22 +8,22 @@
 
 import curio
 
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.link import Link
-from ..core.reach import Contact
-from ..core.selection import (
+from ..core.balancing.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     EndpointCandidate,
     choose_probe_targets,
     choose_without_reports,
 )
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.link import Link
+from ..core.reach import Contact
 from ..core.token_bucket import TokenBucket
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
 from .connections import Connections
 from .dialect import Dialect
 from .endpoint import Endpoint
-from .permits import LimitedChoice, Permits
+from .limits.permits import LimitedChoice, Permits
 from .pick import Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .reach_monitor import ReachMonitor
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass, field, replace
 
+from ..core.balancing.overload import CallerAge, WorkEstimate
 from ..core.clock import Instant, add_ms
 from ..core.outcomes import AttemptOutcome
-from ..core.overload import CallerAge, WorkEstimate
 from ..core.routes import Route, RoutingConfiguration, WeightedSplit
 from ..http.messages import HOP_HEADERS, Headers, Request, Response
 from .dialect import Dialect
-from .relay_headers import RELAY_HEADERS, RelayedRequest
+from .relay.headers import RELAY_HEADERS, RelayedRequest
 
 DEFAULT_TIMEOUT_MS = 60_000.0
 """Applies to a request without a deadline on a route without a timeout."""
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -55,7 +55,7 @@
 from .forward import NOT_READY_RETRY_AFTER_MS, Forwarder
 from .peer_port import PeerPort
 from .reach_monitor import ReachMonitor
-from .relay import RelayClient
+from .relay.client import RelayClient
 from .response_memory import RESPONSE_MEMORY
 from .settings import BalancerSettings
 from .state_loader import Decode
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..core.selection import ServerLoad
+from ..core.balancing.selection import ServerLoad
 from ..http.messages import Response
 
 
--- a/pollenfold/gateway/endpoint.py
+++ b/pollenfold/gateway/endpoint.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from ..core.balancing.selection import EndpointHealth
 from ..core.clock import Instant, add_ms
 from ..core.declared_limit import DeclaredLimit
 from ..core.registry import Announcement
-from ..core.selection import EndpointHealth
 
 Incarnation = tuple[str, int]
 """The id of an endpoint and its start time, in ms since 1970 on its own clock."""
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from functools import partial
 
+from ..core.balancing.overload import WORK_VARIATION_FACTOR
 from ..core.clock import Clock, Instant, add_ms
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
-from ..core.overload import WORK_VARIATION_FACTOR
 from ..core.reach import Contact
 from ..http.messages import Response
 from ..observe.events import EventLog
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -4,9 +4,9 @@
 
 import random
 
+from ..core.balancing.overload import retry_after_ms, short_retry_after_ms
 from ..core.clock import Clock, remaining_ms
 from ..core.errors import ErrorKind, RunState
-from ..core.overload import retry_after_ms, short_retry_after_ms
 from ..http.messages import HOP_HEADERS, Response, error_response
 from ..observe.events import EventLog
 from ..observe.exposition import BoundedLabel, Metrics
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -4,16 +4,16 @@
 
 import random
 
-from ..core.clock import Clock, Instant, remaining_ms
-from ..core.errors import ErrorKind
-from ..core.link import Link
-from ..core.outcomes import AttemptOutcome
-from ..core.overload import (
+from ..core.balancing.overload import (
     AdmissionDecision,
     Placement,
     acceptable_slowdown,
     decide_admission,
 )
+from ..core.clock import Clock, Instant, remaining_ms
+from ..core.errors import ErrorKind
+from ..core.link import Link
+from ..core.outcomes import AttemptOutcome
 from ..core.retry_budget import RetryBudget
 from ..core.routes import Route, RoutingConfiguration, find_route
 from ..http.messages import (
@@ -31,9 +31,9 @@
 from .final_responses import FinalResponses
 from .pick import Pick
 from .reach_monitor import ReachMonitor
-from .relay import RelayClient
-from .relay_headers import RelayedRequest
-from .relaying import Relaying
+from .relay.client import RelayClient
+from .relay.headers import RelayedRequest
+from .relay.relaying import Relaying
 from .suspects import Suspects
 from .view import FleetView
 
--- a/pollenfold/gateway/cold_permits.py
+++ b/pollenfold/gateway/limits/cold_permits.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from ..core.allowances import WindowCount, cold_rate_limit, n_cold_permits
-from ..core.clock import Clock, Instant, add_ms
-from .endpoint import Endpoint
-from .settings import BalancerSettings
-from .view import FleetView
+from ...core.allowances import WindowCount, cold_rate_limit, n_cold_permits
+from ...core.clock import Clock, Instant, add_ms
+from ..endpoint import Endpoint
+from ..settings import BalancerSettings
+from ..view import FleetView
 
 WINDOW_MS = 1_000.0
 """The window over which the requests to a cold endpoint are limited."""
--- a/pollenfold/gateway/declared_limits.py
+++ b/pollenfold/gateway/limits/declared_limits.py
@@ -5,17 +5,17 @@
 import random
 from collections.abc import Mapping
 
-from ..core.clock import Clock, Instant, add_ms
-from ..core.declared_limit import DeclaredLimit
-from ..core.limit_report import (
+from ...core.clock import Clock, Instant, add_ms
+from ...core.declared_limit import DeclaredLimit
+from ...core.limit_report import (
     LimitReport,
     SeenReport,
     decode_limit_report,
     seen_report,
 )
-from ..observe.events import EventLog
-from ..observe.malformed import MalformedItems
-from .endpoint import Endpoint
+from ...observe.events import EventLog
+from ...observe.malformed import MalformedItems
+from ..endpoint import Endpoint
 
 LIMIT_LOG_INTERVAL_MS = 1_000.0
 """The minimum time between two log lines on changes of one endpoint's limit."""
--- a/pollenfold/gateway/limit_permits.py
+++ b/pollenfold/gateway/limits/limit_permits.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from ..core.allowances import RequestRate
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.declared_limit import CHECK_INTERVAL_MS, DeclaredLimit, divide_limit
-from .endpoint import Endpoint
-from .settings import BalancerSettings
-from .view import FleetView
+from ...core.allowances import RequestRate
+from ...core.clock import Clock, Instant, add_ms, remaining_ms
+from ...core.declared_limit import CHECK_INTERVAL_MS, DeclaredLimit, divide_limit
+from ..endpoint import Endpoint
+from ..settings import BalancerSettings
+from ..view import FleetView
 
 
 class LimitPermits:
--- a/pollenfold/gateway/permits.py
+++ b/pollenfold/gateway/limits/permits.py
@@ -8,14 +8,14 @@
 
 from dataclasses import dataclass
 
-from ..core.clock import Clock, Instant, add_ms
+from ...core.clock import Clock, Instant, add_ms
+from ..connections import Connections
+from ..endpoint import Endpoint
+from ..pick import Pick
+from ..settings import BalancerSettings
+from ..view import FleetView
 from .cold_permits import ColdPermits
-from .connections import Connections
-from .endpoint import Endpoint
 from .limit_permits import LimitPermits
-from .pick import Pick
-from .settings import BalancerSettings
-from .view import FleetView
 
 MAX_CONNECT_ATTEMPTS = 3
 SPARE_PERMIT_MS = 500.0
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -18,7 +18,7 @@
 from .forward import Forwarder
 from .peers import PeerDirectory
 from .reach_monitor import ReachMonitor
-from .relay_headers import (
+from .relay.headers import (
     RELAY_REQUEST,
     RELAY_RESPONSE,
     RelayNotice,
--- a/pollenfold/gateway/pick.py
+++ b/pollenfold/gateway/pick.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..core.selection import ServerLoad
+from ..core.balancing.selection import ServerLoad
 from .backend import BackendConnection
 from .endpoint import Endpoint
 
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -7,15 +7,15 @@
 
 import curio
 
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.link import Link
-from ..core.reach import Contact
-from ..core.selection import (
+from ..core.balancing.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     REMOTE_ZONE_SLOWDOWN,
     ServerLoad,
     expected_slowdown,
 )
+from ..core.clock import Clock, Instant, add_ms, remaining_ms
+from ..core.link import Link
+from ..core.reach import Contact
 from ..http.messages import Response, find_header
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
--- a/pollenfold/gateway/reach_monitor.py
+++ b/pollenfold/gateway/reach_monitor.py
@@ -22,7 +22,7 @@
 from .endpoint import Endpoint
 from .endpoint_contacts import EndpointContacts
 from .peers import Peer
-from .relay import RelayClient
+from .relay.client import RelayClient
 from .view import FleetView
 
 N_CHECKED_ENDPOINTS = 6
--- /dev/null
+++ b/pollenfold/gateway/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that entries pass on to each other while one is cut off."""
--- a/pollenfold/gateway/relay.py
+++ b/pollenfold/gateway/relay/client.py
@@ -7,16 +7,16 @@
 
 import curio
 
-from ..core.clock import Clock, Instant, add_ms, remaining_ms
-from ..core.link import Link
-from ..core.outcomes import AttemptOutcome
-from ..http.messages import BodyError, BodySource, Response
-from ..observe.events import EventLog
-from ..observe.exposition import Metrics
-from .backend import BackendConnection
-from .calls import Attempt, Call
-from .dialect import Dialect
-from .exchange import (
+from ...core.clock import Clock, Instant, add_ms, remaining_ms
+from ...core.link import Link
+from ...core.outcomes import AttemptOutcome
+from ...http.messages import BodyError, BodySource, Response
+from ...observe.events import EventLog
+from ...observe.exposition import Metrics
+from ..backend import BackendConnection
+from ..calls import Attempt, Call
+from ..dialect import Dialect
+from ..exchange import (
     CallerGoneError,
     ResponseWaits,
     is_caller_gone,
@@ -24,19 +24,19 @@
     request_of_call,
     send_until_deadline,
 )
-from .notices import apply_response_notices
-from .outgoing import OutgoingRequest
-from .peers import Peer
-from .reach_questions import PeerConnection, ReachQuestions, ReachReport
-from .relay_headers import RELAY_REQUEST, RelayedRequest, encode_relayed_request
-from .relay_result import (
+from ..notices import apply_response_notices
+from ..outgoing import OutgoingRequest
+from ..peers import Peer
+from ..reach_questions import PeerConnection, ReachQuestions, ReachReport
+from ..streamed_body import read_until_deadline
+from ..view import FleetView
+from .headers import RELAY_REQUEST, RelayedRequest, encode_relayed_request
+from .result import (
     RelayOutcome,
     RelayResult,
     relay_result,
     response_matcher,
 )
-from .streamed_body import read_until_deadline
-from .view import FleetView
 
 RESPONSE_GRACE_MS = 100.0
 """How long after the deadline the response of a peer is waited for: the peer itself
--- a/pollenfold/gateway/relay_headers.py
+++ b/pollenfold/gateway/relay/headers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ..http.messages import Headers, find_header
+from ...http.messages import Headers, find_header
 
 RELAY_REQUEST = b"pollenfold-relay-request"
 RELAY_RESPONSE = b"pollenfold-relay-response"
--- a/pollenfold/gateway/relaying.py
+++ b/pollenfold/gateway/relay/relaying.py
@@ -6,17 +6,17 @@
 
 import curio
 
-from ..core.clock import Clock, remaining_ms
-from ..core.errors import ERROR_TABLE, ErrorKind
-from ..http.messages import Response
-from ..observe.exposition import Metrics
-from .balancer import Balancer
-from .calls import Call
-from .exchange import CallerGoneError, is_caller_gone
-from .final_responses import FinalResponses
-from .peers import Peer
-from .reach_monitor import ReachMonitor
-from .relay import RelayClient, RelayOutcome, RelayResult
+from ...core.clock import Clock, remaining_ms
+from ...core.errors import ERROR_TABLE, ErrorKind
+from ...http.messages import Response
+from ...observe.exposition import Metrics
+from ..balancer import Balancer
+from ..calls import Call
+from ..exchange import CallerGoneError, is_caller_gone
+from ..final_responses import FinalResponses
+from ..peers import Peer
+from ..reach_monitor import ReachMonitor
+from .client import RelayClient, RelayOutcome, RelayResult
 
 MAX_TRIED_PEERS = 3
 """How many peers a request is passed on to, one after the other."""
--- a/pollenfold/gateway/relay_result.py
+++ b/pollenfold/gateway/relay/result.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..core.errors import ErrorKind, RunState
-from ..http.messages import Response, find_header
-from .dialect import Dialect
-from .relay_headers import RelayNotice, decode_relay_notice, without_relay_headers
+from ...core.errors import ErrorKind, RunState
+from ...http.messages import Response, find_header
+from ..dialect import Dialect
+from .headers import RelayNotice, decode_relay_notice, without_relay_headers
 
 
 class RelayOutcome(Enum):
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -24,8 +24,8 @@
 from ..core.routes import RoutingConfiguration
 from ..observe.events import EventLog
 from ..observe.malformed import MalformedItems
-from .declared_limits import DeclaredLimits
 from .endpoint import Endpoint, Incarnation
+from .limits.declared_limits import DeclaredLimits
 from .peers import Peer, PeerDirectory
 from .quarantine import RequestQuarantine
 from .state_loader import Decode, StateLoader
--- a/pollenfold/platform/headers.py
+++ b/pollenfold/platform/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..core.selection import ServerLoad
+from ..core.balancing.selection import ServerLoad
 from ..gateway.dialect import Dialect
 from ..http.messages import Response, find_header
 
--- a/pollenfold/storage/agreement.py
+++ b/pollenfold/storage/agreement.py
@@ -8,8 +8,8 @@
 
 from expression import Error, Ok, Result
 
-from ..core.agreement_log import Entry, Log, Snapshot
-from ..core.agreement_messages import (
+from ..core.agreement.log import Entry, Log, Snapshot
+from ..core.agreement.messages import (
     Persist,
     PersistEntries,
     PersistJoined,
--- a/pollenfold/tests/control/test_acknowledgements.py
+++ b/pollenfold/tests/control/test_acknowledgements.py
@@ -5,8 +5,8 @@
 import curio
 import pytest
 
-from pollenfold.core.acknowledgement import LEARNER_WAIT_MS
-from pollenfold.core.agreement_members import encode_members
+from pollenfold.core.agreement.acknowledgement import LEARNER_WAIT_MS
+from pollenfold.core.agreement.members import encode_members
 from pollenfold.observe.clock import system_clock
 from pollenfold.tests.control.test_cluster import Cluster, follower, wait_until
 from pollenfold.tests.platform.test_documents import CONFIGURATION
--- a/pollenfold/tests/control/test_growth_waits.py
+++ b/pollenfold/tests/control/test_growth_waits.py
@@ -3,20 +3,20 @@
 from dataclasses import replace
 
 from pollenfold.control.replica import DynamicMembers, Replica
-from pollenfold.core.acknowledgement import (
+from pollenfold.core.agreement.acknowledgement import (
     GROWTH_WAIT_MS,
     LEARNER_WAIT_MS,
     Group,
     is_held_back,
 )
-from pollenfold.core.agreement import initial_state
-from pollenfold.core.agreement_log import Log, Snapshot
-from pollenfold.core.agreement_members import (
+from pollenfold.core.agreement.consensus import initial_state
+from pollenfold.core.agreement.log import Log, Snapshot
+from pollenfold.core.agreement.members import (
     encode_members,
     host_and_port,
     n_whole_voters,
 )
-from pollenfold.core.agreement_state import (
+from pollenfold.core.agreement.state import (
     ELECTION_TIMEOUT_MAX_MS,
     HEARTBEAT_MS,
     Progress,
--- a/pollenfold/tests/control/test_replaced_documents.py
+++ b/pollenfold/tests/control/test_replaced_documents.py
@@ -3,8 +3,8 @@
 import curio
 
 from pollenfold.control.peer_calls import PeerCalls
-from pollenfold.core.agreement_log import Entry
-from pollenfold.core.agreement_messages import AppendRequest, AppendResponse, Message
+from pollenfold.core.agreement.log import Entry
+from pollenfold.core.agreement.messages import AppendRequest, AppendResponse, Message
 from pollenfold.core.clock import Instant
 from pollenfold.testing.listening import listening_socket
 from pollenfold.tests.control.slow_link import SlowLink
--- a/pollenfold/tests/control/test_slow_links.py
+++ b/pollenfold/tests/control/test_slow_links.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 
-from pollenfold.core.agreement_members import host_and_port
+from pollenfold.core.agreement.members import host_and_port
 from pollenfold.observe.clock import system_clock
 from pollenfold.testing.configurations import large_configuration
 from pollenfold.tests.control.slow_link import SlowLink
--- a/pollenfold/tests/control/test_stale_start.py
+++ b/pollenfold/tests/control/test_stale_start.py
@@ -8,7 +8,7 @@
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.reach_monitor import ReachMonitor
-from pollenfold.gateway.relay import RelayClient
+from pollenfold.gateway.relay.client import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
--- a/pollenfold/tests/core/simulated_cluster.py
+++ b/pollenfold/tests/core/agreement/simulated_cluster.py
@@ -8,8 +8,14 @@
 import random
 from dataclasses import dataclass
 
-from pollenfold.core import agreement_messages as messages
-from pollenfold.core.agreement import Log, Role, initial_state, is_leader, step
+from pollenfold.core.agreement import messages
+from pollenfold.core.agreement.consensus import (
+    Log,
+    Role,
+    initial_state,
+    is_leader,
+    step,
+)
 
 REPLICA_IDS = "abcde"
 
--- a/pollenfold/tests/core/simulated_dynamic_cluster.py
+++ b/pollenfold/tests/core/agreement/simulated_dynamic_cluster.py
@@ -4,14 +4,17 @@
 ``b/2``. The checks are those of ``SimulatedCluster``.
 """
 
-from pollenfold.core.agreement_members import (
+from pollenfold.core.agreement.members import (
     decode_members,
     founder_state,
     next_membership_change,
     wrap_snapshot,
 )
-from pollenfold.core.agreement_messages import Join, Propose
-from pollenfold.tests.core.simulated_cluster import SimulatedCluster, SimulatedReplica
+from pollenfold.core.agreement.messages import Join, Propose
+from pollenfold.tests.core.agreement.simulated_cluster import (
+    SimulatedCluster,
+    SimulatedReplica,
+)
 
 JOIN_INTERVAL_MS = 200
 N_TARGET = 5
--- a/pollenfold/tests/core/slow_disk_cluster.py
+++ b/pollenfold/tests/core/agreement/slow_disk_cluster.py
@@ -2,14 +2,14 @@
 
 import random
 
-from pollenfold.core import agreement_messages as messages
-from pollenfold.core.agreement import Role, initial_state, is_leader, step
-from pollenfold.core.agreement_log import Entry, Log
-from pollenfold.core.agreement_members import encode_members
-from pollenfold.core.election_timeout import (
+from pollenfold.core.agreement import messages
+from pollenfold.core.agreement.consensus import Role, initial_state, is_leader, step
+from pollenfold.core.agreement.election_timeout import (
     FIRST_ELECTION_TIMEOUTS_MS,
     election_timeout_ms,
 )
+from pollenfold.core.agreement.log import Entry, Log
+from pollenfold.core.agreement.members import encode_members
 
 LINK_MS = 1.0
 SYNCS_MS = (50.0, 200.0)
--- a/pollenfold/tests/core/test_acknowledgement.py
+++ b/pollenfold/tests/core/agreement/test_acknowledgement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollenfold.core.acknowledgement import Group, is_held_back
+from pollenfold.core.agreement.acknowledgement import Group, is_held_back
 from pollenfold.core.clock import Instant
 
 NOW = Instant(100_000.0)
--- a/pollenfold/tests/core/test_agreement.py
+++ b/pollenfold/tests/core/agreement/test_consensus.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from pollenfold.core import agreement_messages as messages
-from pollenfold.core.agreement import Entry, Log, Snapshot, is_leader, step
-from pollenfold.tests.core.simulated_cluster import SimulatedCluster
+from pollenfold.core.agreement import messages
+from pollenfold.core.agreement.consensus import Entry, Log, Snapshot, is_leader, step
+from pollenfold.tests.core.agreement.simulated_cluster import SimulatedCluster
 
 VOTE_REQUEST = messages.VoteRequest(9, False, 100, 9)
 
--- a/pollenfold/tests/core/test_agreement_members.py
+++ b/pollenfold/tests/core/agreement/test_members.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pollenfold.core.agreement_members import (
+from pollenfold.core.agreement.members import (
     address_of,
     decode_members,
     encode_members,
@@ -10,7 +10,9 @@
     unwrap_snapshot,
     wrap_snapshot,
 )
-from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
+from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
+    SimulatedDynamicCluster,
+)
 
 
 @pytest.fixture
--- a/pollenfold/tests/core/test_slow_disks.py
+++ b/pollenfold/tests/core/agreement/test_slow_disks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pollenfold.tests.core.slow_disk_cluster import SlowDiskCluster
+from pollenfold.tests.core.agreement.slow_disk_cluster import SlowDiskCluster
 
 STABLE_MS = 3_000.0
 """After the last start, operators expect the group to work again by then."""
--- a/pollenfold/tests/core/test_snapshot_transfer.py
+++ b/pollenfold/tests/core/agreement/test_snapshot_transfer.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from pollenfold.core.agreement import initial_state, step
-from pollenfold.core.agreement_documents import document_bytes
-from pollenfold.core.agreement_log import Log, Snapshot
-from pollenfold.core.agreement_members import encode_members
-from pollenfold.core.agreement_messages import (
+from pollenfold.core.agreement.consensus import initial_state, step
+from pollenfold.core.agreement.documents import document_bytes
+from pollenfold.core.agreement.log import Log, Snapshot
+from pollenfold.core.agreement.members import encode_members
+from pollenfold.core.agreement.messages import (
     AppendRequest,
     AppendResponse,
     Receive,
@@ -17,8 +17,8 @@
     SnapshotRequest,
     Tick,
 )
-from pollenfold.core.agreement_replication import SNAPSHOT_CHUNK_BYTES
-from pollenfold.core.agreement_state import HEARTBEAT_MS, Progress, Role
+from pollenfold.core.agreement.replication import SNAPSHOT_CHUNK_BYTES
+from pollenfold.core.agreement.state import HEARTBEAT_MS, Progress, Role
 from pollenfold.core.clock import Instant, add_ms
 from pollenfold.core.compression import compress
 
--- a/pollenfold/tests/core/test_admission.py
+++ b/pollenfold/tests/core/balancing/test_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pollenfold.core.admission import admit, retry_after_s
+from pollenfold.core.balancing.admission import admit, retry_after_s
 from pollenfold.core.clock import Instant
 from pollenfold.core.errors import ErrorKind
 
--- a/pollenfold/tests/core/test_outliers.py
+++ b/pollenfold/tests/core/balancing/test_outliers.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from pollenfold.core.clock import Instant
-from pollenfold.core.outliers import (
+from pollenfold.core.balancing.outliers import (
     EJECT_AFTER_FAILURES,
     EJECT_AFTER_FAST_FAILURES,
     EJECTION_MS,
@@ -12,6 +11,7 @@
     TRIAL_TIMEOUT_MS,
     OutlierDetector,
 )
+from pollenfold.core.clock import Instant
 
 KEYS = [f"10.0.0.{n}:80" for n in range(10)]
 BAD = KEYS[0]
--- a/pollenfold/tests/core/test_overload.py
+++ b/pollenfold/tests/core/balancing/test_overload.py
@@ -2,7 +2,7 @@
 
 import random
 
-from pollenfold.core.overload import (
+from pollenfold.core.balancing.overload import (
     AdmissionDecision,
     CallerAge,
     Placement,
@@ -10,7 +10,7 @@
     decide_admission,
     retry_after_ms,
 )
-from pollenfold.core.selection import ServerLoad, expected_slowdown
+from pollenfold.core.balancing.selection import ServerLoad, expected_slowdown
 
 TARGET_MS = 200.0
 WORK_MS = 70.0
--- a/pollenfold/tests/core/test_selection.py
+++ b/pollenfold/tests/core/balancing/test_selection.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollenfold.core.selection import (
+from pollenfold.core.balancing.selection import (
     EndpointCandidate,
     EndpointHealth,
     ServerLoad,
--- a/pollenfold/tests/core/test_warmup.py
+++ b/pollenfold/tests/core/balancing/test_warmup.py
@@ -4,9 +4,7 @@
 
 import pytest
 
-from pollenfold.core.clock import Instant
-from pollenfold.core.membership import WarmState
-from pollenfold.core.warmup import (
+from pollenfold.core.balancing.warmup import (
     N_HIGH_LATENCIES,
     N_SHEDS,
     SUCCESSES_PER_SLOT,
@@ -15,6 +13,8 @@
     WarmupController,
     warmup_owner,
 )
+from pollenfold.core.clock import Instant
+from pollenfold.core.membership import WarmState
 from pollenfold.testing.endpoints import make_endpoint, make_service
 
 LEASE_MS = 2000.0
--- a/pollenfold/tests/core/test_replicated_state.py
+++ b/pollenfold/tests/core/test_replicated_state.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from pollenfold.core.agreement_log import MAX_COMMAND_BYTES
+from pollenfold.core.agreement.log import MAX_COMMAND_BYTES
 from pollenfold.core.registry import (
     Announcement,
     Registry,
--- a/pollenfold/tests/entry/conftest.py
+++ b/pollenfold/tests/entry/conftest.py
@@ -6,12 +6,12 @@
 import curio
 import pytest
 
+from pollenfold.core.balancing.warmup import Directory
 from pollenfold.core.configuration import ConfigurationView
 from pollenfold.core.directory import LEASE_MS, LiveEntry
 from pollenfold.core.endpoints import WarmState
 from pollenfold.core.errors import ErrorKind
 from pollenfold.core.records import FleetSpec, RequestClass, Rule
-from pollenfold.core.warmup import Directory
 from pollenfold.entry.forwarding import Forwarder
 from pollenfold.entry.health import EndpointHealth
 from pollenfold.entry.non_idempotent import NonIdempotentRunner
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -27,7 +27,7 @@
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.peer_port import PeerPort
 from pollenfold.gateway.reach_monitor import ReachMonitor
-from pollenfold.gateway.relay import RelayClient
+from pollenfold.gateway.relay.client import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
 from pollenfold.gateway.view import FleetView
 from pollenfold.http.listener import open_listener
--- a/pollenfold/tests/gateway/relaying.py
+++ b/pollenfold/tests/gateway/relaying.py
@@ -20,7 +20,7 @@
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.gateway.exchange import CallerGoneError
 from pollenfold.gateway.peers import Peer
-from pollenfold.gateway.relay import RelayOutcome
+from pollenfold.gateway.relay.client import RelayOutcome
 from pollenfold.http.listener import open_listener
 from pollenfold.http.messages import BodyError, Response
 from pollenfold.http.request_reader import BODY_WINDOW_BYTES
--- a/pollenfold/tests/gateway/test_peer_port.py
+++ b/pollenfold/tests/gateway/test_peer_port.py
@@ -7,7 +7,7 @@
 from curio import socket
 
 from pollenfold.gateway.calls import CallFactory
-from pollenfold.gateway.relay_headers import (
+from pollenfold.gateway.relay.headers import (
     RELAY_HEADERS,
     RELAY_REQUEST,
     RELAY_RESPONSE,
--- a/pollenfold/tests/gateway/test_relay.py
+++ b/pollenfold/tests/gateway/test_relay.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pollenfold.core.errors import ErrorKind
-from pollenfold.gateway.relay import RelayOutcome
+from pollenfold.gateway.relay.client import RelayOutcome
 from pollenfold.http.messages import Request, find_header
 from pollenfold.observe.clock import system_clock
 from pollenfold.testing.ports import unused_port
--- a/pollenfold/tests/platform/test_peer_processes.py
+++ b/pollenfold/tests/platform/test_peer_processes.py
@@ -16,7 +16,7 @@
     exchange,
 )
 from benchmarks.soak_backends import SoakBackend
-from pollenfold.gateway.relay_headers import (
+from pollenfold.gateway.relay.headers import (
     RELAY_REQUEST,
     RelayedRequest,
     decode_relay_notice,
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from pollenfold.core.selection import ServerLoad
+from pollenfold.core.balancing.selection import ServerLoad
 from pollenfold.http.messages import Response
 from pollenfold.platform.__main__ import ROLES, main
 from pollenfold.platform.headers import is_genuine, parse_load
--- a/pollenfold/tests/storage/test_agreement.py
+++ b/pollenfold/tests/storage/test_agreement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from pollenfold.core.agreement_log import Entry, Log, Snapshot
-from pollenfold.core.agreement_messages import (
+from pollenfold.core.agreement.log import Entry, Log, Snapshot
+from pollenfold.core.agreement.messages import (
     PersistEntries,
     PersistJoined,
     PersistLog,
--- a/pollenfold/wire/agreement.py
+++ b/pollenfold/wire/agreement.py
@@ -9,8 +9,8 @@
 import capnp
 from expression import Error, Ok, Result
 
-from ..core.agreement_log import Entry
-from ..core.agreement_messages import (
+from ..core.agreement.log import Entry
+from ..core.agreement.messages import (
     AppendRequest,
     AppendResponse,
     Body,
--- a/properties/test_acknowledgement.py
+++ b/properties/test_acknowledgement.py
@@ -7,14 +7,16 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.core.acknowledgement import Group, LearnerWaits, is_held_back
-from pollenfold.core.agreement import is_leader
-from pollenfold.core.agreement_members import (
+from pollenfold.core.agreement.acknowledgement import Group, LearnerWaits, is_held_back
+from pollenfold.core.agreement.consensus import is_leader
+from pollenfold.core.agreement.members import (
     n_answering_voters,
     n_whole_voters,
     waiting_learners,
 )
-from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
+from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
+    SimulatedDynamicCluster,
+)
 
 MAX_LOST = 2
 CATCH_UP_MS = 4_000.0
--- a/properties/test_agreement.py
+++ b/properties/test_agreement.py
@@ -3,7 +3,10 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.tests.core.simulated_cluster import SimulatedCluster, perform_fault
+from pollenfold.tests.core.agreement.simulated_cluster import (
+    SimulatedCluster,
+    perform_fault,
+)
 
 FAULTS = [
     "deliver",
--- a/properties/test_agreement_documents.py
+++ b/properties/test_agreement_documents.py
@@ -5,9 +5,11 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.core import agreement_documents
-from pollenfold.core.agreement_messages import SendFailed
-from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
+from pollenfold.core.agreement import documents as agreement_documents
+from pollenfold.core.agreement.messages import SendFailed
+from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
+    SimulatedDynamicCluster,
+)
 from properties.test_agreement_members import STEPS, perform
 
 FAIL_SEND = st.tuples(st.just("fail_send"), st.integers(0, 31), st.integers(0, 11))
--- a/properties/test_agreement_members.py
+++ b/properties/test_agreement_members.py
@@ -3,8 +3,10 @@
 from hypothesis import event, given
 from hypothesis import strategies as st
 
-from pollenfold.tests.core.simulated_cluster import perform_fault
-from pollenfold.tests.core.simulated_dynamic_cluster import SimulatedDynamicCluster
+from pollenfold.tests.core.agreement.simulated_cluster import perform_fault
+from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
+    SimulatedDynamicCluster,
+)
 
 FAULTS = [
     "deliver",
--- a/properties/test_late_orders.py
+++ b/properties/test_late_orders.py
@@ -17,7 +17,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pollenfold.core.agreement_log import Entry, Log
+from pollenfold.core.agreement.log import Entry, Log
 from pollenfold.core.errors import ErrorKind
 from pollenfold.core.orders import (
     Append,
--- a/properties/test_warmup.py
+++ b/properties/test_warmup.py
@@ -11,12 +11,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollenfold.core.clock import Instant
-from pollenfold.core.warmup import (
+from pollenfold.core.balancing.warmup import (
     SUCCESSES_PER_SLOT,
     Directory,
     WarmupController,
 )
+from pollenfold.core.clock import Instant
 from pollenfold.testing.endpoints import make_endpoint, make_service
 
 LEASE_MS = 2000.0
