Tell entries which control replica leads, and register parts of feed lines

Roll-outs and quotas need one replica that sums up what all entries report. A replica says on its feed whether it leads; Feeds.leader is the feed of the one that said so last. add_part on both sides registers a function for a further part of a line, so that the feeds don't know each feature.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -120,6 +120,7 @@
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
         )
+        self.feed_server.is_leading = self.replica.is_leader
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket as sockets
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -41,6 +42,9 @@
 ANNOUNCEMENT_MAX_AGE_MS = 30_000.0
 """Endpoints without an announcement for this long are left out of the lists sent."""
 
+OnPart = Callable[[Subscriber, Any], None]
+"""Called with a subscriber and the value of a part of its line; it checks the value."""
+
 
 class FeedServer:
     """Sends subscribers the log index, the endpoints and the fleet.
@@ -78,11 +82,18 @@
         self.fleet = FleetSize()
         self.line_budget = LineBudget(REQUEST_BUDGET_BYTES)
         self._confirmer = Confirmer(cluster_state, log)
+        self.is_leading: Callable[[], bool] = lambda: False
+        self._published_leads = False
+        self._on_part: dict[str, OnPart] = {}
         cluster_state.on_change = self._mark_changed
         cluster_state.on_update = self._queue_update
         cluster_state.on_limit_report = self._queue_limit_report
         cluster_state.on_quarantine_report = self._changed_digests.add
 
+    def add_part(self, name: str, on_part: OnPart) -> None:
+        """Call a function with each value that subscribers send under a name."""
+        self._on_part[name] = on_part
+
     @property
     def n_subscribers(self) -> int:
         """The number of open connections."""
@@ -131,10 +142,10 @@
                     subscriber = Subscriber(client, line, address[0], self._clock())
                     self._register(subscriber)
                 elif "get" in line:
-                    self._send_line(subscriber, {"orders": self._state_for(line)})
+                    self.send(subscriber, {"orders": self._state_for(line)})
                 elif "list" in line:
                     items = self._announcements(line.get("digests"))
-                    self._send_line(subscriber, {"announcements": items})
+                    self.send(subscriber, {"announcements": items})
                 elif "limits" in line:
                     self._cluster_state.merge_limit_reports(line["limits"])
                 elif "quarantine" in line:
@@ -143,6 +154,8 @@
                     await self._request_confirmation(subscriber, line["confirm"])
                 elif "news" in line:
                     self._set_wants_updates(subscriber, bool(line["news"]))
+                for name in self._on_part.keys() & line.keys():
+                    self._on_part[name](subscriber, line[name])
         except OSError as error:
             detail = str(error) or type(error).__name__
             if subscriber is None:
@@ -174,7 +187,9 @@
             "n_peers": self._peers.n_connected,
             "control": sorted(self._peers.control_hosts),
         }
-        self._send_line(subscriber, line)
+        if self._published_leads:
+            line["leads"] = 1
+        self.send(subscriber, line)
         if subscriber.wants_updates:
             self._send_quarantine(subscriber)
 
@@ -191,7 +206,7 @@
 
         def respond(request_id: int, index: int) -> None:
             if subscriber in self._subscribers:
-                self._send_line(subscriber, {"confirmed": [request_id, index]})
+                self.send(subscriber, {"confirmed": [request_id, index]})
 
         await self._confirmer.request(subscriber.name, request_id, respond)
 
@@ -210,21 +225,22 @@
             reports = self._cluster_state.limit_reports()
             if reports:
                 line["limits"] = [report.encode() for report in reports]
-            self._send_line(subscriber, line)
+            self.send(subscriber, line)
             self._send_quarantine(subscriber)
 
     def _send_quarantine(self, subscriber: Subscriber) -> None:
         """Send what is known of requests that ended more than one server."""
         reports = self._cluster_state.quarantine.repeated_reports(self._clock())
         if reports:
-            self._send_line(subscriber, {"quarantine": reports})
+            self.send(subscriber, {"quarantine": reports})
 
     def _complete_ms(self) -> float:
         """Return how long this replica has been connected to all others, else -1."""
         since = self._peers.connected_since
         return -1.0 if since is None else round(self._clock() - since)
 
-    def _send_line(self, subscriber: Subscriber, line: dict[str, Any]) -> None:
+    def send(self, subscriber: Subscriber, line: dict[str, Any]) -> None:
+        """Send a line to one subscriber."""
         subscriber.enqueue(encode_line(line))
         self._flush(subscriber)
 
@@ -312,8 +328,20 @@
         has_updates = bool(
             self._pending_updates or self._changed_limits or self._changed_digests
         )
+        leads = self.is_leading()
         if is_keep_alive_due or self._is_changed or has_updates:
             self._publish(now, is_keep_alive_due)
+        if leads != self._published_leads:
+            self._published_leads = leads
+            self._send_to_entries({"leads": int(leads)})
+
+    def _send_to_entries(self, line: dict[str, Any]) -> None:
+        """Send a line to all entries."""
+        encoded = encode_line(line)
+        for subscriber in list(self._subscribers):
+            if subscriber.is_entry:
+                subscriber.enqueue(encoded)
+                self._flush(subscriber)
 
     def _send_pending(self) -> None:
         """Send what the connections didn't accept when it was queued."""
--- a/pollenfold/core/feed_lines.py
+++ b/pollenfold/core/feed_lines.py
@@ -22,6 +22,10 @@
     return is_whole_number(value, MAX_ENTRIES)
 
 
+def _is_flag(value: object) -> bool:
+    return type(value) is int and value in (0, 1)
+
+
 def _is_age(value: object) -> bool:
     return value == -1.0 or is_magnitude(value)
 
@@ -43,6 +47,7 @@
     "n_endpoints": is_whole_number,
     "n_entries": _is_count,
     "n_peers": _is_count,
+    "leads": _is_flag,
     "complete_ms": _is_age,
     "confirmed": _is_confirmation,
     "orders": _is_state,
--- a/pollenfold/gateway/feed.py
+++ b/pollenfold/gateway/feed.py
@@ -24,7 +24,8 @@
     ``n_endpoints`` is how many endpoints the replica knew at that time, or None when it
     didn't report a number. ``no_majority_since`` is when the replica lost contact
     with a majority of the replicas, or None. ``complete_since`` is when it last came
-    into contact with all others, or None if one is missing.
+    into contact with all others, or None if one is missing. ``leads`` is whether the
+    replica said that it leads the group of control replicas.
     """
 
     def __init__(self, sock: Socket) -> None:
@@ -35,6 +36,7 @@
         self.n_endpoints: int | None = None
         self.no_majority_since: Instant | None = None
         self.complete_since: Instant | None = None
+        self.leads = False
 
     def record_n_peers(self, n_peers: int, n_replicas: int, now: Instant) -> None:
         """Record that the replica receives from ``n_peers`` of the other replicas."""
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -69,6 +69,10 @@
 would saturate a slow link and a small core while a starting entry begins to serve."""
 
 
+OnPart = Callable[[Any], Awaitable[None]]
+"""Called with the value of a part of a line; it checks the value."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedIdentity:
     """How a subscriber identifies itself; ``role`` is ``entry`` or ``control``.
@@ -112,12 +116,29 @@
         self._tasks: dict[str, curio.Task] = {}
         self._connected: dict[str, Feed] = {}
         self._state_requests = StateRequests(view, identity.zone, clock, log)
+        self._leader: Feed | None = None
         self._source: str | None = None
         self._source_since = clock()
         self._next_list_at = clock()
         self._n_requested_endpoints = 0
         """The most endpoints that a replica knew whose list was requested."""
 
+        self._on_part: dict[str, OnPart] = {}
+
+    def add_part(self, name: str, on_part: OnPart) -> None:
+        """Call a function with each value that replicas send under a name."""
+        self._on_part[name] = on_part
+
+    @property
+    def leader(self) -> Feed | None:
+        """The feed of the replica that leads the others, or None if none is open.
+
+        After a change of leader both may say so for a moment; the one that said it
+        last counts.
+        """
+        feed = self._leader
+        return feed if feed is not None and feed.leads else None
+
     @property
     def n_connected(self) -> int:
         """The number of control replicas whose feed is open."""
@@ -306,8 +327,10 @@
 
     def _remove_feed(self, host: str) -> bool:
         """Remove the feed of a replica; return whether it was open."""
-        if self._connected.pop(host, None) is None:
+        feed = self._connected.pop(host, None)
+        if feed is None:
             return False
+        feed.leads = False
         # A requested list may have been lost with the connection.
         self._n_requested_endpoints = 0
         if host == self._source:
@@ -403,6 +426,12 @@
             is_complete = complete_ms >= 0.0
             since = add_ms(self._clock(), -complete_ms)
             feed.complete_since = since if is_complete else None
+        if "leads" in line:
+            feed.leads = bool(line["leads"])
+            if feed.leads:
+                self._leader = feed
+        for name in self._on_part.keys() & line.keys():
+            await self._on_part[name](line[name])
         if "n_entries" in line:
             view.fleet.report(int(line["n_entries"]), self._clock())
         index = int(line.get("index", 0))
--- a/pollenfold/tests/gateway/test_feeds.py
+++ b/pollenfold/tests/gateway/test_feeds.py
@@ -181,3 +181,42 @@
 
     run(main)
     assert n_runs == 2
+
+
+def test_leader_is_the_feed_that_said_so_last(run):
+    """Guards against reports that go to a replica which no longer leads."""
+
+    async def main():
+        feeds = make_feeds()
+        first, second = FakeFeed("a"), FakeFeed("b")
+        await open_feed(feeds, "c1", first)
+        await open_feed(feeds, "c2", second)
+        assert feeds.leader is None
+        await feeds.apply_line({"leads": 1}, "c1", first)
+        assert feeds.leader is first
+        await feeds.apply_line({"leads": 1}, "c2", second)
+        await feeds.apply_line({"leads": 0}, "c1", first)
+        assert feeds.leader is second
+        feeds._remove_feed("c2")
+        assert feeds.leader is None
+
+    run(main)
+
+
+def test_parts_of_a_line_reach_their_functions(run):
+    """Guards against a part of a line that is dropped without a trace."""
+
+    async def main():
+        feeds, received = make_feeds(), []
+
+        async def record(value):
+            received.append(value)
+
+        feeds.add_part("granted", record)
+        feed = FakeFeed("a")
+        await open_feed(feeds, "c1", feed)
+        await feeds.apply_line({"granted": [1]}, "c1", feed)
+        await feeds.apply_line({"other": [2]}, "c1", feed)
+        assert received == [[1]]
+
+    run(main)
