Read routes of kind download

Cause: a configuration with a route of kind download was answered 400 'unknown kind', so that no request of such a deployment was served. A download is idempotent; its large response is passed on like any other. Test: the new case of test_documents.py failed before.

--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -32,9 +32,14 @@
 
 MAX_TIMEOUT_MS = 600_000
 MAX_NUMBER = 1e15
-IDEMPOTENCE_BY_KIND = {"safe": True, "unsafe": False, "upload": False}
+IDEMPOTENCE_BY_KIND = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "upload": False,
+}
 """Whether requests of a kind are idempotent. An upload is a large request that, like
-any non-idempotent one, is executed at most once."""
+any non-idempotent one, is executed at most once; a download has a large response."""
 
 IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
--- a/pollenfold/tests/platform/test_documents.py
+++ b/pollenfold/tests/platform/test_documents.py
@@ -60,9 +60,10 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "is_idempotent"), [("safe", True), ("unsafe", False), ("upload", False)]
+    ("kind", "is_idempotent"),
+    [("safe", True), ("download", True), ("unsafe", False), ("upload", False)],
 )
-def test_only_safe_requests_are_idempotent(kind, is_idempotent):
+def test_only_safe_requests_and_downloads_are_idempotent(kind, is_idempotent):
     """Guards against an upload that is retried, or a known kind that is refused."""
     route = {**ROUTE, "kind": kind}
     document = {**CONFIGURATION, "hosts": [{"host": "a.example", "paths": [route]}]}
