Decode the tenants of a configuration

Requests will be checked against the keys of tenants. A configuration may now hold tenants, and routes may hold allowAnonymous.

--- a/pollenfold/core/routes.py
+++ b/pollenfold/core/routes.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
+from .tenancy.tenants import TenantDirectory
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -23,7 +25,8 @@
     """The configuration for requests of one host and path prefix.
 
     ``timeout_ms`` is the maximum time until a response; None means that only the
-    caller's deadline applies. Priority 0 is the highest.
+    caller's deadline applies. Priority 0 is the highest. With ``allows_anonymous``
+    requests need no key of a tenant.
     """
 
     name: str
@@ -34,6 +37,7 @@
     target_latency_ms: float = 1_000.0
     priority: int = 0
     max_attempts: int = 1
+    allows_anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +127,8 @@
     """Routes by lower-case host, the longest prefix first, and services by name.
 
     ``indexes`` has the same routes by prefix and ``route_names`` their names; both are
-    built from ``hosts`` if they aren't given.
+    built from ``hosts`` if they aren't given. ``tenants`` is None if the configuration
+    has no tenants; requests need no key then.
     """
 
     version: int = 0
@@ -134,6 +139,7 @@
         default_factory=dict, repr=False, compare=False
     )
     route_names: set[str] = field(default_factory=set, repr=False, compare=False)
+    tenants: TenantDirectory | None = None
 
     def __post_init__(self) -> None:
         if not self.indexes:
--- /dev/null
+++ b/pollenfold/core/tenancy/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants, and the decisions about their keys and quotas."""
--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -28,7 +28,17 @@
     WeightedService,
 )
 from ..core.slices import Steps, run_at_once
+from .document_errors import DocumentError
 from .json_scan import DecodeItem, raw_decode, scan_json
+from .tenant_documents import KnownTenants, tenant_steps
+
+__all__ = [
+    "DocumentError",
+    "configuration_decoder",
+    "configuration_steps",
+    "decode_announcement",
+    "decode_configuration",
+]
 
 MAX_TIMEOUT_MS = 600_000
 MAX_NUMBER = 1e15
@@ -56,10 +66,6 @@
 routes share theirs with many others."""
 
 
-class DocumentError(ValueError):
-    """A document is invalid; the message names the field."""
-
-
 def decode_configuration(text: str) -> RoutingConfiguration:
     """Decode a complete configuration; raise DocumentError if it is invalid."""
     return run_at_once(configuration_steps(text))
@@ -80,12 +86,15 @@
     few routes, and decoding one takes ten times as long as finding it.
     """
     known: KnownRoutes = {}
+    known_tenants: KnownTenants = {}
 
     def decode(text: str) -> Steps[RoutingConfiguration]:
-        nonlocal known
+        nonlocal known, known_tenants
         routes: KnownRoutes = {}
-        configuration = yield from _decode_steps(text, known, routes)
+        configuration = yield from _decode_steps(text, known, routes, known_tenants)
         previous, known = known, routes
+        tenants = configuration.tenants
+        known_tenants = {} if tenants is None else tenants.by_name
         # Releasing thousands of texts at once would be one long step.
         while previous:
             previous.popitem()
@@ -96,7 +105,10 @@
 
 
 def _decode_steps(
-    text: str, known: KnownRoutes, decoded: KnownRoutes
+    text: str,
+    known: KnownRoutes,
+    decoded: KnownRoutes,
+    known_tenants: KnownTenants,
 ) -> Steps[RoutingConfiguration]:
     """Decode a configuration; add all its routes to those that are decoded."""
     try:
@@ -127,6 +139,7 @@
     for host, host_routes in hosts.items():
         sorted_hosts[host] = host_routes.in_matching_order()
         yield
+    tenants = yield from tenant_steps(fields, known_tenants)
     return RoutingConfiguration(
         _decode_version(fields),
         sorted_hosts,
@@ -134,6 +147,7 @@
         _decode_limits(fields.get("limits", {})),
         {host: host_routes.index() for host, host_routes in hosts.items()},
         names,
+        tenants,
     )
 
 
@@ -145,7 +159,8 @@
 
     def decode(text: str, start: int) -> tuple[tuple[str, Any], int]:
         end = start
-        for _ in range(MAX_ROUTE_BRACES if known else 0):
+        may_be_known = bool(known) and text.startswith("{", start)
+        for _ in range(MAX_ROUTE_BRACES if may_be_known else 0):
             end = text.find("}", end) + 1
             if not end:
                 break
@@ -223,9 +238,20 @@
         target_latency_ms=_number_field(item, "targetLatencyMs", 1_000),
         priority=int(_number_field(item, "priority", 0)),
         max_attempts=int(_number_field(item, "maxAttempts", 1)),
+        allows_anonymous=_decode_allows_anonymous(item, name),
     )
 
 
+def _decode_allows_anonymous(item: dict[str, Any], route_name: str) -> bool:
+    value = item.get("allowAnonymous", False)
+    if not isinstance(value, bool):
+        shown = short_repr(value)
+        raise DocumentError(
+            f"route {route_name}: allowAnonymous: expected a boolean, got {shown}"
+        )
+    return value
+
+
 def _check_service(
     service: str, services: dict[str, BackendService], route_name: str
 ) -> None:
--- /dev/null
+++ b/pollenfold/tests/core/tenancy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of tenants and quotas."""
