Quote no data of a request or configuration in error texts

Cause: an error of the HTTP parser quotes the malformed header line, which went into the log and the response; repr of a UnicodeError shows all data that couldn't be decoded, and two errors of the feeds showed a part of the line. Any of these may hold the key of a tenant. Change: errors name the kind and the length or type in place of the data.

--- a/pollenfold/core/document_difference.py
+++ b/pollenfold/core/document_difference.py
@@ -240,4 +240,4 @@
         skip, length = operation
         if isinstance(skip, int) and isinstance(length, int):
             return skip, length
-    raise ValueError(f"expected a text or a run, got {operation!r:.60}")
+    raise ValueError(f"expected a text or a run, got a {type(operation).__name__}")
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -20,6 +20,7 @@
 from ..core.feed_lines import checked_line
 from ..core.input_limits import is_whole_number
 from ..core.update_source import UpdateSource, choose_update_source
+from ..observe.error_text import error_text
 from ..observe.events import EventLog
 from ..observe.steps import is_ended_from_outside, run_step
 from ..wire.connections import open_connection
@@ -177,7 +178,7 @@
         """
 
         def log_failure(task: str, error: BaseException) -> None:
-            self._log.state("task_failed", task=task, detail=repr(error))
+            self._log.state("task_failed", task=task, detail=error_text(error))
 
         async def run_again() -> None:
             while True:
@@ -311,11 +312,11 @@
         except OSError as error:
             return str(error) or type(error).__name__
         except FEED_ERRORS as error:
-            return f"malformed line: {error!r}"
+            return f"malformed line: {error_text(error)}"
         except (Exception, curio.CancelledError) as error:
             if await is_ended_from_outside(error):
                 raise
-            return repr(error)
+            return error_text(error)
         return "closed"
 
     async def _close(self, host: str) -> None:
@@ -323,7 +324,7 @@
         await self._choose_source()
 
     def _log_failure(self, step: str, error: BaseException) -> None:
-        self._log.state("feed_step_failed", step=step, detail=repr(error))
+        self._log.state("feed_step_failed", step=step, detail=error_text(error))
 
     def _remove_feed(self, host: str) -> bool:
         """Remove the feed of a replica; return whether it was open."""
--- a/pollenfold/gateway/state_loader.py
+++ b/pollenfold/gateway/state_loader.py
@@ -18,6 +18,7 @@
 from ..core.replicated_state import ReplicatedState
 from ..core.routes import RoutingConfiguration
 from ..core.slices import MIN_STEPS, PAUSE_MS, SlicedComputation, Steps
+from ..observe.error_text import error_text
 from ..observe.events import EventLog
 
 Decode = Callable[[str], Steps[RoutingConfiguration]]
@@ -116,7 +117,7 @@
         except Exception as error:
             # Whatever fails, the state must not come into force without its
             # configuration: the entry would take its former routes for the newest.
-            self._reject(state, source, str(error) or repr(error))
+            self._reject(state, source, str(error) or error_text(error))
         else:
             if self._received.version == state.version:
                 state = self._received
--- a/pollenfold/gateway/state_requests.py
+++ b/pollenfold/gateway/state_requests.py
@@ -9,6 +9,7 @@
 
 from ..core.clock import Clock, remaining_ms
 from ..core.state_fetch import StateFetch
+from ..observe.error_text import error_text
 from ..observe.events import EventLog
 from ..wire.document_transfer import DocumentMismatchError, decode_transfer
 from .feed import Feed
@@ -70,7 +71,7 @@
             fields = self._with_document(fields)
             is_applied = self._view.apply_replicated_state(fields, host)
         except MALFORMED_STATE_ERRORS as error:
-            self._view.malformed.record("orders", repr(error))
+            self._view.malformed.record("orders", error_text(error))
             self._fetch.record_failure(host, self._clock())
             await self._changed.set()
             return
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -21,6 +21,7 @@
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..observe.clock import system_clock
+from ..observe.error_text import error_text
 from ..observe.steps import is_ended_from_outside
 from ..wire.sockets import Socket
 from .memory import MemoryBudget
@@ -339,7 +340,7 @@
             # would wait for the request, and those behind it get no response.
             exchange.end = "failed"
             kind = ErrorKind.INTERNAL_ERROR
-            self._shared.on_rejected(kind, repr(error), self._peer)
+            self._shared.on_rejected(kind, error_text(error), self._peer)
             await self._close_after(exchange, should_linger=False)
         finally:
             if response is not None and response.remaining_body is not None:
@@ -358,7 +359,7 @@
             if await is_ended_from_outside(error):
                 raise
             kind = ErrorKind.INTERNAL_ERROR
-            self._shared.on_rejected(kind, repr(error), self._peer)
+            self._shared.on_rejected(kind, error_text(error), self._peer)
             response = error_response(kind)
             response.close = True
             return response
--- a/pollenfold/http/request_reader.py
+++ b/pollenfold/http/request_reader.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -32,6 +33,9 @@
 BODY_WINDOW_BYTES = 128 * 1024
 """How much of a body is buffered before the request is handled."""
 
+QUOTED_BYTES = re.compile(r":? (?:bytearray\()?b['\"]")
+"""What precedes the bytes of a request that an error of the parser quotes."""
+
 BODY_BUDGET_BYTES = 4 << 20
 """Memory limit for the body windows of all connections together."""
 
@@ -267,7 +271,7 @@
                 kind = ErrorKind.HEAD_TOO_LARGE
                 raise _size_error(kind, n_bytes, limits, self._head) from error
             kind = _protocol_error_kind(error, self._head)
-            raise RequestError(kind, str(error), self._head) from error
+            raise RequestError(kind, _protocol_error_text(error), self._head) from error
 
     async def _receive_head_bytes(self) -> bytes | None:
         """Return the next bytes, or None when an idle connection timed out."""
@@ -341,6 +345,14 @@
     return RequestError(refusal.kind, detail, head, refusal.retry_after_s)
 
 
+def _protocol_error_text(error: h11.RemoteProtocolError) -> str:
+    """Return the text of a parser's error without what it quotes of the request.
+
+    A malformed header line may hold the key of a caller.
+    """
+    return QUOTED_BYTES.split(str(error), maxsplit=1)[0]
+
+
 def _protocol_error_kind(
     error: h11.RemoteProtocolError, head: h11.Request | None
 ) -> ErrorKind:
--- a/pollenfold/observe/daemon.py
+++ b/pollenfold/observe/daemon.py
@@ -10,6 +10,7 @@
 from ..http.messages import Response
 from ..http.server import HttpServer
 from .clock import system_clock
+from .error_text import error_text
 from .events import EventLog
 from .exposition import Metrics
 from .signals import Signals, StopRequest
@@ -86,7 +87,7 @@
     """Return a function that logs the failure of a step of a stop."""
 
     def log_failed_step(step: str, error: BaseException) -> None:
-        log.state("stop_step_failed", step=step, detail=repr(error))
+        log.state("stop_step_failed", step=step, detail=error_text(error))
 
     return log_failed_step
 
@@ -96,7 +97,7 @@
 
     If it was to stop anyway, the grace period counts from the signal.
     """
-    log.state("daemon_failed", detail=repr(failure))
+    log.state("daemon_failed", detail=error_text(failure))
     log.flush()
     return End(signals.stop_request or StopRequest("none", system_clock()), failure)
 
--- a/pollenfold/observe/failure.py
+++ b/pollenfold/observe/failure.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from .clock import system_clock
+from .error_text import error_text
 from .events import EventLog
 
 MAX_FRAMES = 5
@@ -20,12 +21,12 @@
     while another one was handled, ``first`` and ``first_at`` describe the first one:
     the event loop raises further errors while it shuts down.
     """
-    fields = {"detail": repr(error), "at": _places(error)}
+    fields = {"detail": error_text(error), "at": _places(error)}
     first = error
     while first.__context__ is not None:
         first = first.__context__
     if first is not error:
-        fields |= {"first": repr(first), "first_at": _places(first)}
+        fields |= {"first": error_text(first), "first_at": _places(first)}
     log = EventLog(process, system_clock)
     log.state("process_failed", **fields)
     log.flush()
--- a/pollenfold/tests/http/test_limits.py
+++ b/pollenfold/tests/http/test_limits.py
@@ -102,3 +102,24 @@
     """Guards against callers that reuse a connection while the server closes it."""
     received, _ = exchange(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
     assert b"keep-alive: timeout=15" in received.lower()
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"x-credential k-secret",
+        b"x-credential : k-secret",
+        b"x-credential: k-secret\xc3\x28\x00",
+        b"x cred: k-secret",
+        b"x-credential: a\r\ntransfer-encoding: k-secret",
+        b"content-length: k-secret",
+    ],
+)
+def test_malformed_header_is_quoted_neither_in_the_response_nor_the_log(exchange, line):
+    """Guards against the key of a caller in an error text or a log line."""
+    received, rejected = exchange(HEAD + line + b"\r\n\r\n")
+    assert received.startswith(b"HTTP/1.1 ")
+    assert not received.startswith(b"HTTP/1.1 2")
+    assert b"k-secret" not in received
+    assert rejected
+    assert "k-secret" not in str(rejected)
--- a/pollenfold/wire/document_transfer.py
+++ b/pollenfold/wire/document_transfer.py
@@ -59,7 +59,8 @@
     isn't the document that the sender holds.
     """
     if not isinstance(transfer, dict):
-        raise DocumentMismatchError(f"expected an object, got {transfer!r:.40}")
+        name = type(transfer).__name__
+        raise DocumentMismatchError(f"expected an object, got a {name}")
     base_version = transfer.get("base_version")
     if base_version not in (0, held_version):
         raise DocumentMismatchError(
--- a/pollenfold/wire/lines.py
+++ b/pollenfold/wire/lines.py
@@ -112,7 +112,7 @@
     try:
         message = json.loads(line)
     except (ValueError, RecursionError) as error:
-        raise BadLineError(f"expected a line of JSON, got {line[:40]!r}") from error
+        raise BadLineError(f"expected JSON, got {len(line)} bytes") from error
     if not isinstance(message, dict):
-        raise BadLineError(f"expected a JSON object, got {line[:40]!r}")
+        raise BadLineError(f"expected an object, got a {type(message).__name__}")
     return message
