Check the keys of tenants and pass on their names

With tenants in the configuration, an entry looks up the key of each request in the configuration in force when it handles it. An unknown key gets 401 on a confirmed state and 503 not_confirmed otherwise. The key and what the caller said of the tenant are removed from the request before anything else sees it, so that endpoints, peers, digests and logs get the tenant's name only. The digest of a request was an unkeyed hash over the key, from which a weak key could be guessed; it now contains the name. Request metrics and the lines request_done and request_refused name the tenant. Without tenants headers, digests, metrics and log lines are unchanged.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -8,9 +8,11 @@
 from ..core.clock import Instant, add_ms
 from ..core.outcomes import AttemptOutcome
 from ..core.routes import Route, RoutingConfiguration, WeightedSplit
+from ..core.tenancy.tenants import Tenant
 from ..http.messages import HOP_HEADERS, Headers, Request, Response
 from .dialect import Dialect
 from .relay.headers import RELAY_HEADERS, RelayedRequest
+from .tenancy import WITHOUT_TENANTS, Identity
 
 DEFAULT_TIMEOUT_MS = 60_000.0
 """Applies to a request without a deadline on a route without a timeout."""
@@ -105,6 +107,22 @@
     """Identifies the same request in other attempts of callers; computed only once an
     attempt was lost."""
 
+    identity: Identity = WITHOUT_TENANTS
+    """Who sent the request."""
+
+    @property
+    def tenant(self) -> Tenant | None:
+        """The tenant that sent the request, or None for an anonymous one."""
+        return self.identity.tenant
+
+    @property
+    def priority(self) -> int:
+        """The priority of the tenant if it has one, else that of the route."""
+        tenant = self.identity.tenant
+        if tenant is None or tenant.priority is None:
+            return self.route.priority
+        return tenant.priority
+
     def may_have_executed_before(self) -> bool:
         """Return whether an earlier attempt may have executed the request.
 
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -19,7 +19,9 @@
     ``leaving`` with the value 1 any response of a server that is leaving.
     ``declared_limit`` in any response is the number of requests per second that the
     server takes from all entries together.
-    ``credentials`` name the headers that identify a caller.
+    ``credentials`` name the headers that identify a caller. ``api_key`` is the one with
+    the key of a tenant, and ``tenant`` the one with the tenant's name that an endpoint
+    gets; both have their meaning only if the configuration has tenants.
     ``parse_load`` returns None for a malformed value. ``is_genuine`` returns whether a
     response was produced by the backend server itself and is complete.
     """
@@ -34,5 +36,7 @@
     leaving: bytes
     declared_limit: bytes
     credentials: tuple[bytes, ...]
+    api_key: bytes
+    tenant: bytes
     parse_load: Callable[[bytes], ServerLoad | None]
     is_genuine: Callable[[Response], bool]
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -9,14 +9,13 @@
 from ..core.errors import ErrorKind, RunState
 from ..http.messages import HOP_HEADERS, Response, error_response
 from ..observe.events import EventLog
-from ..observe.exposition import BoundedLabel, Metrics
+from ..observe.exposition import Metrics
 from .calls import Call
+from .request_labels import RequestLabels
+from .tenancy import WITHOUT_TENANTS, Identity
 from .view import FleetView
 
 MAX_LOGGED_URL_CHARS = 200
-MAX_ROUTE_SERIES = 100
-"""How many routes have metrics of their own. Each has 18 lines in the metrics page,
-which is rendered in one step."""
 
 
 class FinalResponses:
@@ -34,7 +33,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._route_label = BoundedLabel(MAX_ROUTE_SERIES)
+        self._labels = RequestLabels()
         self._rng = rng
 
     def refuse(
@@ -46,6 +45,7 @@
         detail: str = "",
         after_ms: float | None = None,
         url: str = "",
+        identity: Identity = WITHOUT_TENANTS,
     ) -> Response:
         """Refuse a request for which no ``Call`` was created.
 
@@ -65,6 +65,7 @@
             version=self._view.replicated_state.version,
             index=self._view.replicated_state.index,
             announced_index=self._view.announced_index,
+            **_tenant_field(identity),
         )
         return response
 
@@ -72,9 +73,9 @@
         """Count and log the end of a call, with the decisions that led to it."""
         latency_ms = self._clock() - call.started_at
         name = call.route.name
-        label = self._route_label.get(name)
-        self._metrics.count("requests_total", route=label, status=str(status))
-        self._metrics.observe("request_ms", latency_ms, route=label)
+        labels = self._labels.get(name, call.identity.label)
+        self._metrics.count("requests_total", **labels, status=str(status))
+        self._metrics.observe("request_ms", latency_ms, **labels)
         self._log.request(
             "request_done",
             not 200 <= status < 300,
@@ -95,6 +96,7 @@
             version=self._view.replicated_state.version,
             index=self._view.replicated_state.index,
             n_endpoints=len(self._view.by_service.get(call.service, ())),
+            **_tenant_field(call.identity),
         )
 
     def finish_failed(self, call: Call, kind: ErrorKind) -> Response:
@@ -155,3 +157,8 @@
             remaining_body=response.remaining_body,
             reservation=response.reservation,
         )
+
+
+def _tenant_field(identity: Identity) -> dict[str, str]:
+    """Return the field of a log line that names the tenant, if there are tenants."""
+    return {} if identity.label is None else {"tenant": identity.label}
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -35,6 +35,7 @@
 from .relay.headers import RelayedRequest
 from .relay.relaying import Relaying
 from .suspects import Suspects
+from .tenancy import TenantChecks
 from .view import FleetView
 
 MIN_DEADLINE_MS = 10.0
@@ -64,6 +65,7 @@
         self._balancer = balancer
         self._dialect = dialect
         self._call_factory = CallFactory(dialect)
+        self._tenant_checks = TenantChecks(view, dialect)
         self._retry_budget = retry_budget
         self._clock = clock
         self._log = log
@@ -157,13 +159,19 @@
             if not self._view.is_state_current():
                 return refuse(request_id, ErrorKind.NOT_CONFIRMED, url=url)
             return refuse(request_id, ErrorKind.NO_ROUTE, url=url)
+        identity = self._tenant_checks.identify(request, route, configuration, relayed)
+        if isinstance(identity, ErrorKind):
+            return refuse(request_id, identity, route=route.name)
         call = self._call_factory.create_call(
             request, request_id, route, started_at, relayed, configuration.version
         )
         if call is None:
             detail = "malformed deadline"
             kind = ErrorKind.BAD_REQUEST
-            return refuse(request_id, kind, route=route.name, detail=detail)
+            return refuse(
+                request_id, kind, route=route.name, detail=detail, identity=identity
+            )
+        call.identity = identity
         call.deadline = min(call.deadline, self._latest_deadline)
         self._link.record_received(len(request.body), started_at)
         return call
--- a/pollenfold/gateway/relay/client.py
+++ b/pollenfold/gateway/relay/client.py
@@ -260,6 +260,7 @@
             is_idempotent=call.route.is_idempotent,
             is_counted=call.is_counted,
             n_probes=call.n_probes_left,
+            tenant="" if call.tenant is None else call.tenant.name,
         )
         headers = [
             *call.headers,
--- a/pollenfold/gateway/relay/headers.py
+++ b/pollenfold/gateway/relay/headers.py
@@ -17,7 +17,9 @@
 RELAY_RESPONSE = b"pollenfold-relay-response"
 RELAY_HEADERS = frozenset((RELAY_REQUEST, RELAY_RESPONSE))
 
-MAX_VALUE_BYTES = 2_048
+MAX_VALUE_BYTES = 4_096
+"""Two names of 128 characters outside of ASCII take up to 3 KB of JSON."""
+
 MAX_NAME_CHARS = 200
 MAX_PROBES = 8
 """How many probes a passing entry may leave to a peer with one request."""
@@ -36,6 +38,7 @@
     unless ``is_retry_acquired``: the retries are counted where the requests are.
     ``is_counted`` is whether another peer may have counted the request in its budget.
     ``n_probes`` is how many of its own probes the passing entry leaves to the peer.
+    ``tenant`` is the name of the tenant, empty for a request without one.
     """
 
     service: str
@@ -47,6 +50,7 @@
     is_idempotent: bool
     is_counted: bool = False
     n_probes: int = 0
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +73,8 @@
 
 def encode_relayed_request(request: RelayedRequest) -> bytes:
     """Return the value of the header of a request."""
+    # Earlier versions know no tenants, and without tenants nothing changes for them.
+    tenant = {"tenant": request.tenant} if request.tenant else {}
     return _encode(
         {
             "service": request.service,
@@ -80,6 +86,7 @@
             "is_idempotent": request.is_idempotent,
             "is_counted": request.is_counted,
             "n_probes": request.n_probes,
+            **tenant,
         }
     )
 
@@ -96,6 +103,7 @@
         for name in ("is_repeat", "is_retry_acquired", "is_idempotent", "is_counted")
     ]
     n_probes = fields.get("n_probes", 0)
+    tenant = fields.get("tenant", "")
     if (
         _is_name(service)
         and type(target_ms) in (int, float)
@@ -105,6 +113,7 @@
         and _is_count(version)
         and _is_count(n_probes)
         and n_probes <= MAX_PROBES
+        and (tenant == "" or _is_name(tenant))
     ):
         is_repeat, is_retry_acquired, is_idempotent, is_counted = flags
         return RelayedRequest(
@@ -117,6 +126,7 @@
             is_idempotent,
             is_counted,
             n_probes,
+            tenant,
         )
     return None
 
--- a/pollenfold/gateway/suspects.py
+++ b/pollenfold/gateway/suspects.py
@@ -33,7 +33,9 @@
         self._clock = clock
 
     def _digest(self, call: Call) -> str:
-        call.digest = call.digest or request_digest(call.request, self._dialect)
+        call.digest = call.digest or request_digest(
+            call.request, self._dialect, call.tenant
+        )
         return call.digest
 
     def is_quarantined(self, call: Call) -> bool:
--- a/pollenfold/platform/headers.py
+++ b/pollenfold/platform/headers.py
@@ -8,6 +8,7 @@
 
 SIGNATURE = b"x-response-signature"
 REQUEST_ID = b"x-request-id"
+API_KEY = b"x-credential"
 
 
 def parse_load(value: bytes) -> ServerLoad | None:
@@ -45,7 +46,9 @@
     warmup_left_ms=b"x-warmup-remaining-ms",
     leaving=b"server-leaving",
     declared_limit=b"server-limit",
-    credentials=(b"authorization", b"x-credential"),
+    credentials=(b"authorization", API_KEY),
+    api_key=API_KEY,
+    tenant=b"x-tenant-id",
     parse_load=parse_load,
     is_genuine=is_genuine,
 )
