Add roll-outs to the replicated state, and versions to announcements

A roll-out of a service version needs its order, stage and outcome in the state on which control replicas agree, and entries need the version that each endpoint announces.

ReplicatedState.rollouts holds the newest roll-out of each service. StartRollout and AdvanceRollout change it; a stage that can't follow the present one is ignored, since a deposed leader may have proposed it. The key is encoded only if there are roll-outs, and a difference has only those that changed. A state that is received while a configuration is being decoded brings its stages into force at once.

Versions are sent in a field of their own, since earlier versions accept no further fields of an announcement.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -14,7 +14,7 @@
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, parse_address
-from ..core.registry import decode_announcement
+from ..core.registry import decode_announcement, versions_by_id, with_version
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
@@ -144,9 +144,13 @@
 
     def load_endpoints(self) -> None:
         """Load the endpoints and the fleet size that were cached before the restart."""
-        items, n_entries = read_endpoint_cache(self.settings.data_folder)
+        items, n_entries, versions = read_endpoint_cache(self.settings.data_folder)
         malformed = self.cluster_state.malformed
-        for announcement in malformed.decode_each("cache", items, decode_announcement):
+        for announcement in malformed.decode_each(
+            "cache",
+            items,
+            lambda item: with_version(decode_announcement(item), versions),
+        ):
             self.cluster_state.merge_announcement(announcement)
         self.feed_server.fleet.report(n_entries, system_clock())
 
@@ -159,12 +163,20 @@
                 self.cluster_state.registry.announcements(), key=lambda a: a.endpoint_id
             )
             n_entries = self.feed_server.fleet.get(system_clock())
-            current = (n_entries, *((a.endpoint_id, a.born_ms) for a in announcements))
+            current = (
+                n_entries,
+                *((a.endpoint_id, a.born_ms, a.version) for a in announcements),
+            )
             if current == written or not announcements:
                 continue
             try:
                 encoded = [a.encode() for a in announcements]
-                write_endpoint_cache(self.settings.data_folder, encoded, n_entries)
+                write_endpoint_cache(
+                    self.settings.data_folder,
+                    encoded,
+                    n_entries,
+                    versions_by_id(announcements),
+                )
             except OSError as error:
                 self.log.state("cache_failed", detail=str(error))
             written = current
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -14,6 +14,11 @@
 from expression import Error, Ok, Result
 
 from ..core.clock import Clock, add_ms, remaining_ms
+from ..core.command_encoding import (
+    CommandSizeError,
+    decode_command,
+    encode_command,
+)
 from ..core.errors import ErrorKind
 from ..core.limit_report import (
     LimitReport,
@@ -24,15 +29,14 @@
 from ..core.quarantine import Quarantine
 from ..core.registry import Announcement, Registry
 from ..core.replicated_state import (
+    AdvanceRollout,
     Command,
-    CommandSizeError,
     Configure,
     Depart,
     Evacuate,
     ReplicatedState,
-    decode_command,
+    StartRollout,
     decode_replicated_state,
-    encode_command,
 )
 from ..observe.events import EventLog
 from ..observe.malformed import MalformedItems
@@ -257,7 +261,7 @@
                 return version <= self.replicated_state.version
             case Depart(endpoint_id, born_ms):
                 return self.replicated_state.has_departed(endpoint_id, born_ms)
-            case Evacuate():
+            case Evacuate() | StartRollout() | AdvanceRollout():
                 # An earlier opposite command may not have reached this replica yet.
                 return False
 
@@ -294,3 +298,7 @@
             return f"{zone}:{'out' if is_out else 'in'}"
         case Depart(endpoint_id, born_ms):
             return f"{endpoint_id}:{born_ms}"
+        case StartRollout(service, target_version):
+            return f"{service}:{target_version}"
+        case AdvanceRollout(service, _, stage, share):
+            return f"{service}:{stage.value}:{share:.3f}"
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -12,7 +12,7 @@
 from ..core.clock import Clock, Instant, add_ms
 from ..core.digests import differing_announcements
 from ..core.input_limits import is_name
-from ..core.registry import Announcement, EndpointRecord
+from ..core.registry import Announcement, EndpointRecord, versions_by_id
 from ..http.listener import open_listener
 from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
@@ -144,8 +144,7 @@
                 elif "get" in line:
                     self.send(subscriber, {"orders": self._state_for(line)})
                 elif "list" in line:
-                    items = self._announcements(line.get("digests"))
-                    self.send(subscriber, {"announcements": items})
+                    self.send(subscriber, self._list_line(line.get("digests")))
                 elif "limits" in line:
                     self._cluster_state.merge_limit_reports(line["limits"])
                 elif "quarantine" in line:
@@ -250,8 +249,8 @@
             k for k in self._cluster_state.registry.records() if k.received_at > oldest
         ]
 
-    def _announcements(self, digests: object) -> list[tuple[list[object], float]]:
-        """Return the live endpoints with the age of their announcements.
+    def _list_line(self, digests: object) -> dict[str, Any]:
+        """Return a line with the live endpoints and the age of their announcements.
 
         Those whose bucket digests show that the subscriber has them are left out.
         """
@@ -260,7 +259,8 @@
         missing = differing_announcements(
             (k.announcement for k in known.values()), digests
         )
-        return [(a.encode(), now - known[a.endpoint_id].announced_at) for a in missing]
+        aged = [(a, now - known[a.endpoint_id].announced_at) for a in missing]
+        return _announcements_line(aged)
 
     def _entries(self) -> set[str]:
         return {r.name for r in self._subscribers if r.is_entry}
@@ -384,7 +384,7 @@
         line: dict[str, Any] = {}
         updates = self._pending_updates.values()
         if updates:
-            line["announcements"] = [[a.encode(), 0] for a in updates]
+            line.update(_announcements_line([(a, 0) for a in updates]))
             self._pending_updates = {}
         if self._changed_limits:
             line["limits"] = [
@@ -444,3 +444,12 @@
                 subscriber.client.shutdown_nowait(sockets.SHUT_RDWR)
             except OSError:
                 return
+
+
+def _announcements_line(aged: list[tuple[Announcement, float]]) -> dict[str, Any]:
+    """Return announcements with their age, and the versions that any of them has."""
+    line: dict[str, Any] = {"announcements": [[a.encode(), ms] for a, ms in aged]}
+    versions = versions_by_id(a for a, _ in aged)
+    if versions:
+        line["versions"] = versions
+    return line
--- a/pollenfold/control/orders.py
+++ b/pollenfold/control/orders.py
@@ -11,13 +11,15 @@
 from expression import Error, Result
 
 from ..core.clock import Clock, add_ms, remaining_ms
+from ..core.command_encoding import (
+    decode_command,
+    encode_command,
+    is_order_on_same_subject,
+)
 from ..core.errors import ErrorKind
 from ..core.orders import Append, CheckSender, Confirm, Confirmed, Step, order_steps
 from ..core.replicated_state import (
     Evacuate,
-    decode_command,
-    encode_command,
-    is_evacuation_of,
 )
 from ..observe.events import EventLog
 from ..wire.frames import Protocol
@@ -112,7 +114,7 @@
         replica = self._commands.replica
         # No other task runs between this check and the append by ``propose``.
         if replica.may_have_after(
-            after_index, lambda entry: is_evacuation_of(order.zone, entry)
+            after_index, lambda entry: is_order_on_same_subject(order, entry)
         ):
             self._log.state("order_superseded", subject=order.zone, after=after_index)
             return Error(ErrorKind.SUPERSEDED)
--- a/pollenfold/control/peer_view.py
+++ b/pollenfold/control/peer_view.py
@@ -69,10 +69,12 @@
         """The counters of malformed items of this replica."""
         return self._cluster_state.malformed
 
-    def apply_announcements(self, items: object) -> None:
-        """Merge announcements that another replica received."""
+    def apply_announcements(self, items: object, versions: object = None) -> None:
+        """Merge announcements that another replica received, with their versions."""
         for announcement, _ in self.malformed.decode_each(
-            "announcements", items, decode_aged_announcement
+            "announcements",
+            items,
+            lambda item: decode_aged_announcement(item, versions),
         ):
             self._cluster_state.merge_announcement(announcement)
 
--- a/pollenfold/core/digests.py
+++ b/pollenfold/core/digests.py
@@ -33,6 +33,9 @@
     is_cold = a.warmup_left_ms > 0
     text = f"{a.endpoint_id} {a.service} {a.host}:{a.port} {a.zone} {a.slots}"
     text += f" {a.born_ms} {a.is_leaving} {is_cold}"
+    if a.version:
+        # Without versions the digests are those of an earlier version.
+        text += f" {a.version}"
     return int(xxhash.xxh32_intdigest(text.encode()))
 
 
--- a/pollenfold/core/registry.py
+++ b/pollenfold/core/registry.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from reprlib import repr as short_repr
 
 from .clock import Instant
@@ -31,7 +31,8 @@
 
     ``born_ms`` is its start time in ms since 1970 by its own clock, used only to order
     the incarnations of one id or one address. ``warmup_left_ms`` is how long the
-    endpoint remains cold.
+    endpoint remains cold. ``version`` is the version of its service, empty if it
+    announces none; it is constant during one incarnation.
     """
 
     endpoint_id: str
@@ -44,6 +45,7 @@
     warmup_left_ms: float
     born_ms: int
     sequence: int
+    version: str = ""
 
     @property
     def sort_key(self) -> tuple[int, int]:
@@ -57,7 +59,11 @@
         return f"{host}:{self.port}"
 
     def encode(self) -> list[object]:
-        """Return the fields as JSON values."""
+        """Return the fields as JSON values, without the version.
+
+        Processes of an earlier version accept no further fields, so versions are sent
+        apart from announcements (``versions_by_id``).
+        """
         return [
             self.endpoint_id,
             self.service,
@@ -117,17 +123,41 @@
     )
 
 
-def decode_aged_announcement(item: object) -> tuple[Announcement, float]:
+def decode_aged_announcement(
+    item: object, versions: object = None
+) -> tuple[Announcement, float]:
     """Decode an announcement and the ms since a control replica received it.
 
-    Raise ValueError if they are malformed.
+    ``versions`` are those of the line, by endpoint id. Raise ValueError if the
+    announcement or its version is malformed.
     """
     match item:
         case [fields, age_ms] if is_magnitude(age_ms):
-            return decode_announcement(fields), float(age_ms)
+            announcement = with_version(decode_announcement(fields), versions)
+            return announcement, float(age_ms)
     raise ValueError(f"expected an announcement and its age, got {short_repr(item)}")
 
 
+def versions_by_id(announcements: Iterable[Announcement]) -> dict[str, str]:
+    """Return the version of each announced endpoint that has one, by endpoint id."""
+    return {a.endpoint_id: a.version for a in announcements if a.version}
+
+
+def with_version(announcement: Announcement, versions: object) -> Announcement:
+    """Return an announcement with its version of ``versions_by_id``, if that has one.
+
+    Raise ValueError if the version is malformed.
+    """
+    if not isinstance(versions, dict):
+        return announcement
+    version = versions.get(announcement.endpoint_id, "")
+    if version == "":
+        return announcement
+    if not is_name(version):
+        raise ValueError(f"expected the version of {announcement.endpoint_id}")
+    return replace(announcement, version=version)
+
+
 @dataclass(slots=True)
 class EndpointRecord:
     """The newest announcement of an endpoint.
@@ -172,10 +202,12 @@
         """
         endpoint_id = announcement.endpoint_id
         record = self._records.get(endpoint_id)
+        if record is not None:
+            announcement = _with_known_version(announcement, record.announcement)
         if record is not None and announcement.sort_key <= record.announcement.sort_key:
             if announcement.sort_key == record.announcement.sort_key:
                 record.received_at = now
-            return False
+            return _learn_version(record, announcement)
         address = (announcement.host, announcement.port)
         current_owner = self.get(self._by_address.get(address, ""))
         if current_owner is not None and current_owner.endpoint_id != endpoint_id:
@@ -221,6 +253,31 @@
         return [record.announcement for record in self._records.values()]
 
 
+def _with_known_version(
+    announcement: Announcement, known: Announcement
+) -> Announcement:
+    """Return an announcement with the version that its incarnation is known to have.
+
+    A replica of an earlier version relays announcements without their versions.
+    """
+    if announcement.version or known.born_ms != announcement.born_ms:
+        return announcement
+    return (
+        replace(announcement, version=known.version) if known.version else announcement
+    )
+
+
+def _learn_version(record: EndpointRecord, announcement: Announcement) -> bool:
+    """Take the version of an announcement if a copy without it came first."""
+    known = record.announcement
+    if known.version or not announcement.version:
+        return False
+    if known.born_ms != announcement.born_ms:
+        return False
+    record.announcement = replace(known, version=announcement.version)
+    return True
+
+
 def _has_update(before: Announcement, after: Announcement) -> bool:
     """Return whether more changed than the sequence and a shorter warm-up time."""
     return (
@@ -229,6 +286,7 @@
         or (before.host, before.port) != (after.host, after.port)
         or before.zone != after.zone
         or before.slots != after.slots
+        or before.version != after.version
         or before.is_leaving != after.is_leaving
         or (before.warmup_left_ms > 0) != (after.warmup_left_ms > 0)
         or after.warmup_left_ms > before.warmup_left_ms
--- a/pollenfold/core/replicated_state.py
+++ b/pollenfold/core/replicated_state.py
@@ -1,4 +1,4 @@
-"""Commands of the replicated log: configuration, evacuations, departures.
+"""Commands of the replicated log: configuration, evacuations, departures, roll-outs.
 
 Control replicas agree on the order of the commands. Applying a command is
 deterministic, so all replicas hold the same replicated state at the same log index.
@@ -6,31 +6,19 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from reprlib import repr as short_repr
 from typing import Any
 
-from .agreement.log import MAX_COMMAND_BYTES
-from .compression import compress, decompress
-
-MAX_PLAIN_COMMAND_BYTES = 4 << 20
-"""The largest command before compression. It bounds what a replica decompresses, and
-keeps a line with the replicated state below the limit of the feeds."""
-
-COMPRESS_ABOVE_BYTES = 1 << 19
-"""Earlier versions accept uncompressed commands up to this size, and no larger ones, so
-whatever they accept stays readable for them."""
-
-COMPRESSED_PREFIX = b"\x00zlib\x00"
-"""The prefix of a compressed command; JSON doesn't start with these bytes."""
-
-EVACUATE_PREFIX = b'["evacuate",'
+from .rollouts.state import Rollout, RolloutStage, decode_rollout, start_rollout
 
 MAX_DEPARTURES = 1_000
 """Departures kept; older ones belong to endpoints that no longer announce."""
 
+MAX_ROLLOUTS = 1_000
+"""Services whose newest roll-out is kept; the oldest that ended are dropped."""
+
 
 @dataclass(frozen=True, slots=True)
 class Configure:
@@ -56,75 +44,39 @@
     born_ms: int
 
 
-Command = Configure | Evacuate | Depart
+@dataclass(frozen=True, slots=True)
+class StartRollout:
+    """Replace the endpoints of a service by those of a target version.
 
+    ``ordered_at_ms`` is the time of the order in ms since 1970. The order changes
+    nothing while a roll-out of the service is in progress, or if it repeats the order
+    of the last one.
+    """
 
-class CommandSizeError(ValueError):
-    """A command is too large for the replicated log."""
+    service: str
+    target_version: str
+    duration_ms: int
+    ordered_at_ms: int
 
 
-def encode_command(command: Command) -> bytes:
-    """Return the command as the bytes of a log entry, compressed if it is large.
+@dataclass(frozen=True, slots=True)
+class AdvanceRollout:
+    """Change the stage of the roll-out with this order, or the share of the target.
 
-    Raise CommandSizeError if it has more than ``MAX_PLAIN_COMMAND_BYTES``, or more
-    than ``MAX_COMMAND_BYTES`` after compression.
+    ``replaced_versions`` are those that the target replaced, named with the stage
+    ``COMPLETED``.
     """
-    match command:
-        case Configure(version, document):
-            fields: list[Any] = ["configure", version, document]
-        case Evacuate(zone, is_out):
-            fields = ["evacuate", zone, is_out]
-        case Depart(endpoint_id, born_ms):
-            fields = ["depart", endpoint_id, born_ms]
-    encoded = json.dumps(fields, separators=(",", ":")).encode()
-    if len(encoded) > MAX_PLAIN_COMMAND_BYTES:
-        raise CommandSizeError(
-            f"expected a command of at most {MAX_PLAIN_COMMAND_BYTES} bytes, "
-            f"got {len(encoded)}"
-        )
-    if len(encoded) <= COMPRESS_ABOVE_BYTES:
-        return encoded
-    compressed = COMPRESSED_PREFIX + compress(encoded)
-    if len(compressed) > MAX_COMMAND_BYTES:
-        raise CommandSizeError(
-            f"expected a command of at most {MAX_COMMAND_BYTES} bytes after "
-            f"compression, got {len(compressed)}"
-        )
-    return compressed
 
+    service: str
+    order_index: int
+    stage: RolloutStage
+    share: float
+    replaced_versions: tuple[str, ...] = ()
 
-def is_evacuation_of(zone: str, encoded: bytes) -> bool:
-    """Return whether an entry of the log evacuates a zone or takes it back."""
-    # Configurations are large, so only what begins like an evacuation is decoded.
-    if not encoded.startswith(EVACUATE_PREFIX):
-        return False
-    try:
-        command = decode_command(encoded)
-    except ValueError:
-        return False
-    return isinstance(command, Evacuate) and command.zone == zone
 
-
-def decode_command(command: bytes) -> Command:
-    """Decode a command; raise ValueError if the bytes are not a valid command.
-
-    A command within the log may exceed the limits of ``input_limits``: if replicas of
-    an earlier version apply it, those of this version must do so too.
-    """
-    if command.startswith(COMPRESSED_PREFIX):
-        compressed = command[len(COMPRESSED_PREFIX) :]
-        command = decompress(compressed, MAX_PLAIN_COMMAND_BYTES)
-    try:
-        match json.loads(command):
-            case ["configure", int(version), str(document)]:
-                return Configure(version, document)
-            case ["evacuate", str(zone), bool(is_out)]:
-                return Evacuate(zone, is_out)
-            case ["depart", str(endpoint_id), int(born_ms)]:
-                return Depart(endpoint_id, born_ms)
-    except (UnicodeDecodeError, RecursionError) as error:
-        raise ValueError(str(error)) from error
-    raise ValueError("expected a command of the replicated log")
+Command = Configure | Evacuate | Depart | StartRollout | AdvanceRollout
+Order = Evacuate | StartRollout
+"""The commands that have neither an id nor a version (``core/orders.py``)."""
 
 
 OnMalformed = Callable[[str], None]
@@ -152,6 +104,9 @@
     departure_indices: dict[str, int] = field(default_factory=dict, compare=False)
     """The log index of each departure; for those read from a snapshot, its index."""
 
+    rollouts: dict[str, Rollout] = field(default_factory=dict)
+    """The newest roll-out of each service, in the order in which they started."""
+
     def apply(self, index: int, command: Command) -> bool:
         """Apply a command; return whether it changed the state."""
         self.index = index
@@ -168,6 +123,10 @@
                 return before != self.evacuated
             case Depart(endpoint_id, born_ms):
                 return self._record_departure(endpoint_id, born_ms)
+            case StartRollout():
+                return self._start_rollout(command)
+            case AdvanceRollout():
+                return self._advance_rollout(command)
 
     def _record_departure(self, endpoint_id: str, born_ms: int) -> bool:
         if self.has_departed(endpoint_id, born_ms):
@@ -178,6 +137,41 @@
         self._drop_oldest_departures()
         return True
 
+    def _start_rollout(self, order: StartRollout) -> bool:
+        started = start_rollout(
+            self.rollouts.get(order.service),
+            order.service,
+            order.target_version,
+            order.duration_ms,
+            order.ordered_at_ms,
+            self.index,
+        )
+        if started is None:
+            return False
+        self.rollouts.pop(order.service, None)
+        self.rollouts[order.service] = started
+        self._drop_oldest_rollouts()
+        return True
+
+    def _advance_rollout(self, command: AdvanceRollout) -> bool:
+        rollout = self.rollouts.get(command.service)
+        if rollout is None or rollout.order_index != command.order_index:
+            return False
+        advanced = rollout.advanced(
+            self.index, command.stage, command.share, command.replaced_versions
+        )
+        if advanced is None:
+            return False
+        self.rollouts[command.service] = advanced
+        return True
+
+    def _drop_oldest_rollouts(self) -> None:
+        n_excess = len(self.rollouts) - MAX_ROLLOUTS
+        if n_excess > 0:
+            ended = [k for k, v in self.rollouts.items() if v.is_final]
+            for service in ended[:n_excess]:
+                del self.rollouts[service]
+
     def _drop_oldest_departures(self) -> None:
         while len(self.departures) > MAX_DEPARTURES:
             oldest = next(iter(self.departures))
@@ -189,14 +183,20 @@
         return self.departures.get(endpoint_id, -1) >= born_ms
 
     def encode(self) -> dict[str, Any]:
-        """Return the replicated state as JSON values."""
-        return {
+        """Return the replicated state as JSON values.
+
+        Processes of an earlier version read it as long as there are no roll-outs.
+        """
+        fields = {
             "index": self.index,
             "version": self.version,
             "document": self.document,
             "evacuated": sorted(self.evacuated),
             "departures": self.departures,
         }
+        if self.rollouts:
+            fields["rollouts"] = [r.encode() for r in self.rollouts.values()]
+        return fields
 
     def encode_since(self, index: int, version: int) -> dict[str, Any]:
         """Return the difference for a subscriber that has the state at ``index``.
@@ -211,6 +211,10 @@
             for k, v in self.departures.items()
             if self.departure_indices.get(k, self.index) > index
         }
+        changed = [r.encode() for r in self.rollouts.values() if r.stage_index > index]
+        fields.pop("rollouts", None)
+        if changed:
+            fields["rollouts"] = changed
         if version == self.version:
             del fields["document"]
         return fields
@@ -231,6 +235,9 @@
         if since:
             state.departures = {**self.departures, **state.departures}
             state._drop_oldest_departures()
+        # A sender of an earlier version leaves out roll-outs, which never disappear.
+        state.rollouts = {**self.rollouts, **state.rollouts}
+        state._drop_oldest_rollouts()
         return state
 
     def _has_same_version(self, fields: dict[str, Any]) -> bool:
@@ -242,8 +249,8 @@
 ) -> ReplicatedState:
     """Decode a replicated state encoded by ``ReplicatedState.encode``.
 
-    Call ``on_malformed`` for each zone or departure that is left out since it is
-    malformed. Raise KeyError, ValueError or TypeError if other fields are.
+    Call ``on_malformed`` for each zone, departure or roll-out that is left out since it
+    is malformed. Raise KeyError, ValueError or TypeError if other fields are.
     """
     index = int(fields["index"])
     if not isinstance(fields["departures"], dict):
@@ -262,6 +269,7 @@
             evacuated.add(zone)
         else:
             on_malformed(f"evacuated zone {short_repr(zone)}")
+    rollouts = _decode_rollouts(fields.get("rollouts", []), on_malformed)
     return ReplicatedState(
         index,
         int(fields["version"]),
@@ -269,4 +277,20 @@
         frozenset(evacuated),
         departures,
         dict.fromkeys(departures, index),
+        rollouts,
     )
+
+
+def _decode_rollouts(items: object, on_malformed: OnMalformed) -> dict[str, Rollout]:
+    if not isinstance(items, list):
+        on_malformed(f"roll-outs {short_repr(items)}")
+        return {}
+    rollouts = {}
+    for item in items:
+        try:
+            rollout = decode_rollout(item)
+        except ValueError as error:
+            on_malformed(str(error))
+        else:
+            rollouts[rollout.service] = rollout
+    return rollouts
--- /dev/null
+++ b/pollenfold/core/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of new versions of a service: state, evidence and decisions."""
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -398,7 +398,7 @@
         if "orders" in line:
             await self._state_requests.apply(line["orders"], host)
         if "announcements" in line:
-            view.apply_announcements(line["announcements"])
+            view.apply_announcements(line["announcements"], line.get("versions"))
         if "heard" in line:
             view.renew_endpoints(line["heard"])
         if "limits" in line:
--- a/pollenfold/gateway/state_loader.py
+++ b/pollenfold/gateway/state_loader.py
@@ -2,9 +2,10 @@
 
 A state comes into force in one step together with its configuration, states in the
 order of their index, and never an older one. While a configuration is decoded, newer
-states only add restrictions at once: departures and evacuated zones, which no endpoint
-may wait for. Whatever lifts a restriction waits for the configuration. When the
-configuration is decoded, the newest state received by then is next.
+states only add restrictions at once: departures, evacuated zones and stages of
+roll-outs, which no endpoint may wait for. Whatever lifts a restriction waits for the
+configuration. When the configuration is decoded, the newest state received by then is
+next.
 """
 
 from __future__ import annotations
@@ -147,6 +148,7 @@
             evacuated=in_force.evacuated | newest.evacuated,
             departures=newest.departures,
             departure_indices=newest.departure_indices,
+            rollouts=newest.rollouts,
         )
         if restricted != in_force:
             self._put_in_force(restricted, None, self._source)
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -149,14 +149,17 @@
 
     # Endpoints
 
-    def apply_announcements(self, items: object) -> None:
+    def apply_announcements(self, items: object, versions: object = None) -> None:
         """Apply announcements, each with the ms since a control replica received it.
 
-        Malformed ones are skipped and counted.
+        ``versions`` are those of the endpoints, by id. Malformed announcements are
+        skipped and counted.
         """
         is_changed = False
         for announcement, age_ms in self.malformed.decode_each(
-            "announcements", items, decode_aged_announcement
+            "announcements",
+            items,
+            lambda item: decode_aged_announcement(item, versions),
         ):
             is_changed |= self._apply_announcement(announcement, age_ms)
         if is_changed:
@@ -165,11 +168,17 @@
     def _apply_announcement(self, announcement: Announcement, age_ms: float) -> bool:
         """Apply one announcement; return whether it was new."""
         now = self._clock()
-        previous = self.registry.get(announcement.endpoint_id)
-        if not self.registry.merge(announcement, now):
+        endpoint_id = announcement.endpoint_id
+        previous = self.registry.get(endpoint_id)
+        is_update = self.registry.merge(announcement, now)
+        # The registry adds the version if the announcement lacks it.
+        known = self.registry.get(endpoint_id)
+        if known is None or known is previous:
+            return False
+        announcement = known
+        if not is_update:
             self._update_warmup(announcement, now, age_ms)
             return False
-        endpoint_id = announcement.endpoint_id
         endpoint = self.endpoints.get(endpoint_id)
         if (
             endpoint is None
--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -329,9 +329,17 @@
         warmup_left_ms=_number_field(status, "warmupLeftMs", None, MAX_WARMUP_MS),
         born_ms=_integer_field(fields, "born") if "born" in fields else 0,
         sequence=_integer_field(status, "sequence"),
+        version=_version_field(info),
     )
 
 
+def _version_field(info: Any) -> str:
+    """Return the version of an endpoint's service, empty if it announces none."""
+    if info.get("version", "") == "":
+        return ""
+    return _name_field(info, "version")
+
+
 def _name_field(item: Any, name: str) -> str:
     value = _text_field(item, name)
     if not is_name(value):
--- a/pollenfold/storage/endpoint_cache.py
+++ b/pollenfold/storage/endpoint_cache.py
@@ -20,10 +20,22 @@
 
 
 def write_endpoint_cache(
-    folder: Path, announcements: list[list[object]], n_entries: int
+    folder: Path,
+    announcements: list[list[object]],
+    n_entries: int,
+    versions: dict[str, str] | None = None,
 ) -> None:
-    """Replace the file atomically; raise OSError if that fails."""
-    fields = {"announcements": announcements, "n_entries": n_entries}
+    """Replace the file atomically; raise OSError if that fails.
+
+    ``versions`` are those of the endpoints, by id. They are apart from the
+    announcements, so that an earlier version of this process reads the file.
+    """
+    fields: dict[str, object] = {
+        "announcements": announcements,
+        "n_entries": n_entries,
+    }
+    if versions:
+        fields["versions"] = versions
     temporary = folder / f"{FILE_NAME}.new"
     with temporary.open("w") as file:
         json.dump(fields, file)
@@ -33,15 +45,17 @@
     sync_folder(folder)
 
 
-def read_endpoint_cache(folder: Path) -> tuple[list[object], int]:
-    """Return the cached content; empty for a missing or corrupt file.
+def read_endpoint_cache(folder: Path) -> tuple[list[object], int, object]:
+    """Return the announcements, the number of entries and the versions.
 
-    The announcements aren't decoded. A malformed number of entries counts as 0.
+    Without a valid file they are empty. The announcements and versions aren't decoded.
+    A malformed number of entries counts as 0.
     """
     try:
         fields = json.loads((folder / FILE_NAME).read_text())
         n_entries = fields["n_entries"]
         is_valid = is_whole_number(n_entries, MAX_ENTRIES)
-        return list(fields["announcements"]), n_entries if is_valid else 0
+        announcements = list(fields["announcements"])
+        return announcements, n_entries if is_valid else 0, fields.get("versions")
     except (OSError, ValueError, KeyError, TypeError, RecursionError):
-        return [], 0
+        return [], 0, None
--- a/pollenfold/tests/control/test_feed_server.py
+++ b/pollenfold/tests/control/test_feed_server.py
@@ -14,13 +14,15 @@
     FeedServer,
 )
 from pollenfold.control.quarantine_api import handle_quarantine
+from pollenfold.core.command_encoding import (
+    encode_command,
+)
 from pollenfold.core.digests import bucket_digests
 from pollenfold.core.registry import Announcement
 from pollenfold.core.replicated_state import (
     Configure,
     Evacuate,
     ReplicatedState,
-    encode_command,
 )
 from pollenfold.http.messages import Request
 from pollenfold.observe.clock import system_clock
--- a/pollenfold/tests/control/test_late_orders.py
+++ b/pollenfold/tests/control/test_late_orders.py
@@ -8,8 +8,13 @@
 from benchmarks.soak import CONTROL_PORT, Soak, exchange
 from pollenfold.control.cluster_state import ClusterState
 from pollenfold.control.forwarding import NOT_COMMITTED, SUPERSEDED
+from pollenfold.core.command_encoding import (
+    encode_command,
+)
 from pollenfold.core.errors import ErrorKind
-from pollenfold.core.replicated_state import Evacuate, encode_command
+from pollenfold.core.replicated_state import (
+    Evacuate,
+)
 from pollenfold.observe.clock import system_clock
 from pollenfold.observe.events import EventLog
 from pollenfold.testing.ports import unused_port
--- a/pollenfold/tests/core/test_replicated_state.py
+++ b/pollenfold/tests/core/test_replicated_state.py
@@ -8,26 +8,33 @@
 import pytest
 
 from pollenfold.core.agreement.log import MAX_COMMAND_BYTES
+from pollenfold.core.command_encoding import (
+    COMPRESS_ABOVE_BYTES,
+    COMPRESSED_PREFIX,
+    MAX_PLAIN_COMMAND_BYTES,
+    CommandSizeError,
+    decode_command,
+    encode_command,
+)
 from pollenfold.core.registry import (
     Announcement,
     Registry,
     accepts_new_requests,
+    decode_aged_announcement,
     decode_announcement,
+    versions_by_id,
 )
 from pollenfold.core.replicated_state import (
-    COMPRESS_ABOVE_BYTES,
-    COMPRESSED_PREFIX,
     MAX_DEPARTURES,
-    MAX_PLAIN_COMMAND_BYTES,
-    CommandSizeError,
+    AdvanceRollout,
     Configure,
     Depart,
     Evacuate,
     ReplicatedState,
-    decode_command,
+    StartRollout,
     decode_replicated_state,
-    encode_command,
 )
+from pollenfold.core.rollouts.state import RolloutStage
 from pollenfold.testing.configurations import large_configuration
 
 
@@ -48,7 +55,14 @@
 
 
 @pytest.mark.parametrize(
-    "command", [Configure(3, '{"x": 1}'), Evacuate("a", True), Depart("i-1", 5)]
+    "command",
+    [
+        Configure(3, '{"x": 1}'),
+        Evacuate("a", True),
+        Depart("i-1", 5),
+        StartRollout("s", "v2", 12_000, 1_780_000_000_000),
+        AdvanceRollout("s", 7, RolloutStage.COMPLETED, 1.0, ("", "v1")),
+    ],
 )
 def test_commands_survive_encoding(command):
     """Guards against a command that changes when it is encoded and decoded."""
@@ -287,3 +301,44 @@
         ReplicatedState().merged(state.encode_since(4, 0))
     with pytest.raises(KeyError):
         ReplicatedState().merged({**state.encode_since(0, 1), "since": 0})
+
+
+def test_version_of_an_endpoint_is_sent_apart_from_its_announcement():
+    """Guards against fields that processes of an earlier version don't accept."""
+    sent = announcement(version="v2")
+    assert sent.encode() == announcement().encode()
+    received, _ = decode_aged_announcement([sent.encode(), 0], versions_by_id([sent]))
+    assert received == sent
+
+
+@pytest.mark.parametrize("version", [7, None, "v" * 129, ["v2"]])
+def test_malformed_version_is_rejected(version):
+    """Guards against a version that can't be encoded or compared."""
+    with pytest.raises(ValueError, match="version"):
+        decode_aged_announcement([announcement().encode(), 0], {"i-1": version})
+
+
+def test_copy_without_a_version_does_not_hide_it():
+    """Guards against a relay of an earlier version that removes an endpoint's version.
+
+    The copy may arrive before or after the announcement itself, also with a higher
+    sequence.
+    """
+    complete = announcement(version="v2")
+    for announcements in (
+        [announcement(), complete],
+        [complete, announcement(sequence=2)],
+        [announcement(sequence=2), complete],
+    ):
+        registry = Registry()
+        for received in announcements:
+            registry.merge(received, 0.0)
+        assert registry.get("i-1").version == "v2"
+
+
+def test_new_incarnation_has_its_own_version():
+    """Guards against an endpoint that keeps the version from before its restart."""
+    registry = Registry()
+    registry.merge(announcement(version="v2"), 0.0)
+    registry.merge(announcement(born_ms=2000), 0.0)
+    assert registry.get("i-1").version == ""
--- a/pollenfold/tests/platform/test_documents.py
+++ b/pollenfold/tests/platform/test_documents.py
@@ -162,6 +162,14 @@
     assert announcement.sort_key == (1_780_000_000_000, 4)
     assert not announcement.is_leaving
     assert announcement.warmup_left_ms == 500
+    assert announcement.version == "v1"
+
+
+def test_announcement_without_a_version_is_accepted():
+    """Guards against refusing the endpoints of services that announce no version."""
+    info = {k: v for k, v in ANNOUNCEMENT["info"].items() if k != "version"}
+    body = json.dumps({**ANNOUNCEMENT, "info": info}).encode()
+    assert decode_announcement("i-1", body).version == ""
 
 
 @pytest.mark.parametrize(
@@ -173,6 +181,9 @@
         (("info",), "booking"),
         (("info", "slots"), "4"),
         (("info", "service"), 4),
+        (("info", "version"), 2),
+        (("info", "version"), ["v2"]),
+        (("info", "version"), "v" * 129),
         (("status",), []),
         (("status", "state"), "resting"),
         (("status", "sequence"), 4.5),
--- a/pollenfold/wire/document_transfer.py
+++ b/pollenfold/wire/document_transfer.py
@@ -10,9 +10,11 @@
 import json
 from typing import Any
 
+from ..core.command_encoding import (
+    MAX_PLAIN_COMMAND_BYTES,
+)
 from ..core.compression import compress, decompress
 from ..core.document_difference import apply_difference, difference, document_digest
-from ..core.replicated_state import MAX_PLAIN_COMMAND_BYTES
 
 MIN_COMPRESSED_BYTES = 4 * 1024
 """Shorter differences are sent as they are, readable in a capture."""
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -9,9 +9,14 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from pollenfold.core.command_encoding import (
+    decode_command,
+)
 from pollenfold.core.link import Link
 from pollenfold.core.registry import decode_announcement as decode_fields
-from pollenfold.core.replicated_state import ReplicatedState, decode_command
+from pollenfold.core.replicated_state import (
+    ReplicatedState,
+)
 from pollenfold.core.routes import RoutingConfiguration
 from pollenfold.core.slices import run_at_once
 from pollenfold.gateway.backend import BackendConnection
--- a/properties/test_late_orders.py
+++ b/properties/test_late_orders.py
@@ -18,6 +18,10 @@
 from hypothesis import strategies as st
 
 from pollenfold.core.agreement.log import Entry, Log
+from pollenfold.core.command_encoding import (
+    decode_command,
+    encode_command,
+)
 from pollenfold.core.errors import ErrorKind
 from pollenfold.core.orders import (
     Append,
@@ -29,8 +33,6 @@
 )
 from pollenfold.core.replicated_state import (
     Evacuate,
-    decode_command,
-    encode_command,
     is_evacuation_of,
 )
 
--- a/properties/test_stored_state.py
+++ b/properties/test_stored_state.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from pollenfold.core import input_limits
-from pollenfold.core.replicated_state import decode_command, decode_replicated_state
+from pollenfold.core.command_encoding import (
+    decode_command,
+)
+from pollenfold.core.replicated_state import (
+    decode_replicated_state,
+)
 from pollenfold.storage.endpoint_cache import FILE_NAME, read_endpoint_cache
 from properties.test_borders import FIELDS, ODD_VALUES
 from properties.test_decoders import value_paths, with_value_at
