--- a/properties/test_late_orders.py
+++ b/properties/test_late_orders.py
@@ -21,6 +21,7 @@
 from pollenfold.core.command_encoding import (
     decode_command,
     encode_command,
+    is_order_on_same_subject,
 )
 from pollenfold.core.errors import ErrorKind
 from pollenfold.core.orders import (
@@ -31,12 +32,10 @@
     Pause,
     order_steps,
 )
-from pollenfold.core.replicated_state import (
-    Evacuate,
-    is_evacuation_of,
-)
+from pollenfold.core.replicated_state import Evacuate
 
 ZONE = "a"
+ORDER = Evacuate(ZONE, True)
 N_REPLICAS = 3
 MAX_EVENTS = 60
 N_KINDS = 12
@@ -205,7 +204,7 @@
             return False
         if self.mutant == "committed_entries_only":
             log = Log(entries=log.between(1, self.n_committed))
-        return log.may_have_after(index, lambda c: is_evacuation_of(ZONE, c))
+        return log.may_have_after(index, lambda c: is_order_on_same_subject(ORDER, c))
 
     def answer(self, copy, outcome):
         """Give a copy the answer of the leader, unless it no longer expects one."""
