Commit orders of roll-outs, and answer what has become of them

Operators order a roll-out at any replica and repeat the order when a response is lost. A copy that a replica carries out late must not start a second roll-out.

The steps of orders on zones now serve both kinds. An order of a roll-out is inspected once the replica has applied the confirmed index: it is a repetition (200), contradicts the roll-out in progress (409), names a service that doesn't exist (400), or is appended. Of two copies at once one is superseded, starts over and repeats the other. GET answers from a state that a majority confirmed, else 503.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -15,11 +15,12 @@
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement, versions_by_id, with_version
+from ..core.rollouts.order_age import OrderAges
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
 from ..http.server import Handler, HttpServer
-from ..observe.clock import system_clock
+from ..observe.clock import system_clock, time_of_day_ms
 from ..observe.daemon import (
     failed_step_logger,
     metrics_response,
@@ -43,6 +44,7 @@
 from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
 from .replica import DynamicMembers, Replica
+from .rollout_orders import RolloutOrders
 
 JOIN_INTERVAL_MS = 400.0
 JOIN_TIMEOUT_MS = 400.0
@@ -116,6 +118,13 @@
             members=members,
         )
         self.cluster_state.commands.replica = self.replica
+        ages = OrderAges()
+        self.rollout_orders = RolloutOrders(
+            self.cluster_state, ages, clock, time_of_day_ms, self.log
+        )
+        self.cluster_state.on_rollout_started = lambda rollout: ages.record_order(
+            rollout, clock(), time_of_day_ms()
+        )
         self.peers = PeerView(self.cluster_state)
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
--- a/pollenfold/control/cluster_state.py
+++ b/pollenfold/control/cluster_state.py
@@ -38,10 +38,11 @@
     StartRollout,
     decode_replicated_state,
 )
+from ..core.rollouts.state import Rollout
 from ..observe.events import EventLog
 from ..observe.malformed import MalformedItems
 from .commands import BARRIER, Commands
-from .orders import IsWaiting, ZoneOrders
+from .orders import IsWaiting, Orders
 
 UNKNOWN_ENDPOINT_WAIT_MS = 400.0
 """How long a replica waits for the announcement of an unknown endpoint that is leaving.
@@ -76,13 +77,14 @@
         stopped endpoint expire."""
 
         self.on_change: Callable[[], None] = lambda: None
+        self.on_rollout_started: Callable[[Rollout], None] = lambda rollout: None
         self.on_update: Callable[[Announcement], None] = lambda announcement: None
         self.on_limit_report: Callable[[str], None] = lambda endpoint_id: None
         self.on_quarantine_report: Callable[[str], None] = lambda digest: None
         self._limit_reports: dict[str, SeenReport] = {}
         self.quarantine = Quarantine()
         self.commands = Commands(n_members, self._is_new, clock, log)
-        self.orders = ZoneOrders(self.commands, clock, log)
+        self.orders = Orders(self.commands, clock, log)
         self.malformed = MalformedItems(clock, log)
 
     def _is_new(self) -> bool:
@@ -108,6 +110,9 @@
             subject=_subject(command),
             changed=is_changed,
         )
+        if is_changed and isinstance(command, StartRollout):
+            rollout = self.replicated_state.rollouts[command.service]
+            self.on_rollout_started(rollout)
         self.on_change()
 
     def snapshot(self) -> bytes:
@@ -246,7 +251,7 @@
         if self._is_redundant(command):
             return Ok(None)
         deadline = add_ms(self._clock(), timeout_ms)
-        is_repeatable = not isinstance(command, Evacuate)
+        is_repeatable = not isinstance(command, Evacuate | StartRollout)
         try:
             encoded = encode_command(command)
         except CommandSizeError as error:
--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -28,6 +28,7 @@
     UNAUTHORIZED = "unauthorized"
     BAD_RECORD = "bad_record"
     VERSION_CONFLICT = "version_conflict"
+    ROLLOUT_CONFLICT = "rollout_conflict"
     NO_LEASE = "no_lease"
     STOPPING = "stopping"
     QUEUE_FULL = "queue_full"
@@ -106,6 +107,12 @@
     ErrorKind.VERSION_CONFLICT: ErrorResponse(
         409, _DID_NOT_RUN, None, "record version is not the stored version plus one"
     ),
+    ErrorKind.ROLLOUT_CONFLICT: ErrorResponse(
+        409,
+        _DID_NOT_RUN,
+        None,
+        "a roll-out of the service to another version is in progress",
+    ),
     ErrorKind.NO_LEASE: ErrorResponse(
         503, _DID_NOT_RUN, 2, "this entry holds no configuration lease"
     ),
--- a/pollenfold/core/orders.py
+++ b/pollenfold/core/orders.py
@@ -9,9 +9,11 @@
 
 1. The replica reads the order.
 2. It asks the leader for an index that has every command acknowledged so far.
-3. It checks that the sender still waits. What the sender orders from now on is
+3. For an order on a roll-out it waits until it has applied this index. Its state then
+   shows whether the order repeats or contradicts an earlier one.
+4. It checks that the sender still waits. What the sender orders from now on is
    committed after this index.
-4. The leader appends the command only if its log has no other order on the subject
+5. The leader appends the command only if its log has no other order on the subject
    after the index, committed or not.
 
 Whatever is paused or delayed in between, a later order then precedes the command in
@@ -51,6 +53,17 @@
     """Find out whether the sender still waits for the response: a bool."""
 
 
+@dataclass(frozen=True, slots=True)
+class Inspect:
+    """Find out from the state at the confirmed index whether to append the order.
+
+    The outcome is None if so, otherwise that of the order:
+    ``Result[int, ErrorKind] | None``.
+    """
+
+    confirmed: Confirmed
+
+
 @dataclass(frozen=True, slots=True)
 class Append:
     """Let the leader append the order, unless another one came after the index.
@@ -66,7 +79,7 @@
     """Wait a moment before the next attempt; the outcome is None."""
 
 
-Step = Confirm | CheckSender | Append | Pause
+Step = Confirm | Inspect | CheckSender | Append | Pause
 Steps = Generator[Step, object, Result[int, ErrorKind]]
 
 RETRIED_KINDS = (
@@ -78,9 +91,11 @@
 again. After any other error a second copy could follow the first one."""
 
 
-def order_steps() -> Steps:
+def order_steps(is_inspected: bool = False) -> Steps:
     """Yield the steps of one order; receive the outcome of each, return the last one.
 
+    ``is_inspected`` is whether the state decides if the order is appended.
+
     Whoever runs the steps ends them when the time for the order is over. They may be
     delayed without limit at any point. For example::
 
@@ -95,6 +110,10 @@
             # Nothing was appended, so asking again is harmless.
             yield Pause()
             continue
+        if is_inspected:
+            outcome = yield Inspect(confirmed.ok)
+            if isinstance(outcome, Result):
+                return outcome
         is_waiting = yield CheckSender()
         if not is_waiting:
             return Error(ErrorKind.ABANDONED)
--- a/pollenfold/observe/clock.py
+++ b/pollenfold/observe/clock.py
@@ -15,3 +15,8 @@
     seen as expired afterwards.
     """
     return Instant(time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6)
+
+
+def time_of_day_ms() -> int:
+    """Return the time in ms since 1970, which may jump forwards and backwards."""
+    return int(time.time() * 1000)
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -1,24 +1,27 @@
-"""The control API of the platform: heartbeats, configurations and evacuations."""
+"""The control API of the platform: heartbeats, configurations, orders of operators."""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable
+from urllib.parse import unquote
 
 from expression import Result
 
 from ..control.cluster import ClusterNode
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, is_name
-from ..core.replicated_state import Configure, Evacuate
+from ..core.replicated_state import Configure, Evacuate, StartRollout
 from ..gateway.slices import run_in_slices
 from ..http.messages import Request, Response, error_response, json_response
 from ..observe.clock import system_clock
 from .documents import DocumentError, configuration_decoder, decode_announcement
+from .rollout_documents import KnownServices, decode_rollout_order
 
 INSTANCES = "/-/instances/"
 EVACUATIONS = "/-/evacuations/"
 CONFIGURATION = "/-/config"
+ROLLOUTS = "/-/rollouts"
 
 COMMAND_TIMEOUT_MS = 900.0
 """Below the second after which callers try another replica."""
@@ -33,6 +36,7 @@
         self._port = api_port
         self._zones = zones
         self._decode = configuration_decoder()
+        self._known_services = KnownServices(system_clock)
 
     async def handle(self, request: Request) -> Response | None:
         """Handle one request; None closes the connection, since nobody waits."""
@@ -47,6 +51,11 @@
             return await self._configure(request)
         if path == CONFIGURATION and method == b"GET":
             return await self._get_configuration(request)
+        if path == ROLLOUTS and method == b"POST":
+            return await self._start_rollout(request)
+        if path.startswith(f"{ROLLOUTS}/") and method == b"GET":
+            service = unquote(path.removeprefix(f"{ROLLOUTS}/"))
+            return await self._get_rollout(request, service)
         return error_response(ErrorKind.NOT_FOUND, path)
 
     def _redirect(self, request: Request) -> Response | None:
@@ -98,6 +107,38 @@
         )
         return self._order_response(call, zone, result, request)
 
+    async def _start_rollout(self, request: Request) -> Response | None:
+        try:
+            fields = decode_rollout_order(request.body)
+        except DocumentError as error:
+            return self._invalid_response("rollout", "", error)
+        order = StartRollout(
+            fields.service,
+            fields.target_version,
+            fields.duration_ms,
+            max(0, int(time.time() * 1000 - _waited_ms(request))),
+        )
+        result = await self._node.rollout_orders.submit(
+            order,
+            self._known_services.contains,
+            COMMAND_TIMEOUT_MS,
+            request.is_sender_waiting,
+        )
+        subject = f"{order.service}:{order.target_version}"
+        if result.is_error() and result.error is ErrorKind.UNKNOWN_SERVICE:
+            error = DocumentError(f"service: unknown service {order.service!r}")
+            return self._invalid_response("rollout", subject, error)
+        return self._order_response("rollout", subject, result, request)
+
+    async def _get_rollout(self, request: Request, service: str) -> Response:
+        found = await self._node.rollout_orders.find(service, COMMAND_TIMEOUT_MS)
+        if found.is_error():
+            return self._command_response("rollout_read", service[:80], found, request)
+        if found.ok is None:
+            return error_response(ErrorKind.NOT_FOUND, "no roll-out of the service")
+        fields = {"state": found.ok.state, "targetVersion": found.ok.target_version}
+        return json_response(200, fields)
+
     def _order_response(
         self,
         call: str,
@@ -167,7 +208,7 @@
         )
         if error is None:
             return json_response(200, {})
-        if error is ErrorKind.BODY_TOO_LARGE:
+        if error in (ErrorKind.BODY_TOO_LARGE, ErrorKind.ROLLOUT_CONFLICT):
             return error_response(error)
         response = error_response(error, retry_after_s=0.2)
         response.status = 503
--- a/properties/test_stored_state.py
+++ b/properties/test_stored_state.py
@@ -1,5 +1,6 @@
 """Whatever an earlier version stored, a replica reads its disk and goes on."""
 
+import contextlib
 import json
 import tempfile
 from pathlib import Path
@@ -12,6 +13,7 @@
 from pollenfold.core.command_encoding import (
     decode_command,
 )
+from pollenfold.core.registry import decode_announcement, with_version
 from pollenfold.core.replicated_state import (
     decode_replicated_state,
 )
@@ -44,7 +46,8 @@
         decode_command(b"[" * 100_000)
 
 
-CACHE = {"announcements": [FIELDS], "n_entries": 3}
+ANNOUNCEMENT = decode_announcement(FIELDS)
+CACHE = {"announcements": [FIELDS], "n_entries": 3, "versions": {"i-1": "v1"}}
 
 
 @given(st.sampled_from(list(value_paths(CACHE))), ODD_VALUES)
@@ -55,12 +58,14 @@
     with tempfile.TemporaryDirectory() as folder:
         text = json.dumps(with_value_at(CACHE, path, value))
         (Path(folder) / FILE_NAME).write_text(text)
-        items, n_entries = read_endpoint_cache(Path(folder))
+        items, n_entries, versions = read_endpoint_cache(Path(folder))
     assert isinstance(items, list)
+    with contextlib.suppress(ValueError):
+        assert isinstance(with_version(ANNOUNCEMENT, versions).version, str)
     assert 0 <= n_entries <= input_limits.MAX_ENTRIES
 
 
 def test_deeply_nested_endpoint_cache_is_read_as_empty(tmp_path):
     """Guards against a corrupt cache that ends a replica whenever it starts."""
     (tmp_path / FILE_NAME).write_text("[" * 100_000)
-    assert read_endpoint_cache(tmp_path) == ([], 0)
+    assert read_endpoint_cache(tmp_path) == ([], 0, None)
