Decide the stages of roll-outs at the control leader

A roll-out is judged on the reports of all entries, of which each sees too few requests.

The limits come from the settings.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -45,6 +45,7 @@
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
 from .replica import DynamicMembers, Replica
 from .rollout_orders import RolloutOrders
+from .rollouts import Rollouts, RolloutSettings
 
 JOIN_INTERVAL_MS = 400.0
 JOIN_TIMEOUT_MS = 400.0
@@ -89,6 +90,7 @@
     reload: Callable[[], None]
     is_founder: bool
     n_members: int
+    rollouts: RolloutSettings = RolloutSettings()
 
 
 class ClusterNode:
@@ -122,14 +124,21 @@
         self.rollout_orders = RolloutOrders(
             self.cluster_state, ages, clock, time_of_day_ms, self.log
         )
-        self.cluster_state.on_rollout_started = lambda rollout: ages.record_order(
-            rollout, clock(), time_of_day_ms()
-        )
         self.peers = PeerView(self.cluster_state)
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
         )
         self.feed_server.is_leading = self.replica.is_leader
+        self.rollouts = Rollouts(
+            settings.rollouts,
+            self.cluster_state,
+            self.feed_server,
+            ages,
+            clock,
+            time_of_day_ms,
+            self.metrics,
+            self.log,
+        )
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
@@ -322,6 +331,7 @@
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
+        await group.spawn(node.rollouts.run)
         # The replica does its work without the monitor, so its failure ends nothing.
         monitor = MemoryMonitor(receive_buffers, node.metrics, node.log)
         await curio.spawn(monitor.run, daemon=True)
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -262,7 +262,8 @@
         aged = [(a, now - known[a.endpoint_id].announced_at) for a in missing]
         return _announcements_line(aged)
 
-    def _entries(self) -> set[str]:
+    def entry_names(self) -> set[str]:
+        """Return the names of the entries that are connected."""
         return {r.name for r in self._subscribers if r.is_entry}
 
     def _update_entry_hosts(self) -> None:
@@ -284,7 +285,7 @@
     def _n_entries(self) -> int:
         """Record the current number of entries; return the fleet size."""
         now = self._clock()
-        self.fleet.report(len(self._entries()), now)
+        self.fleet.report(len(self.entry_names()), now)
         return self.fleet.get(now)
 
     def _fleet_changes(self) -> tuple[dict[str, Any], dict[str, Any]]:
@@ -295,7 +296,7 @@
         """
         for_all: dict[str, Any] = {}
         names: dict[str, Any] = {}
-        entries = self._entries()
+        entries = self.entry_names()
         if entries != self._published_entries:
             for_all["n_entries"] = self._n_entries()
             names["joined"] = sorted(entries - self._published_entries)
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -111,6 +111,8 @@
     import curio
 
     from ..control.cluster import ClusterSettings, serve_cluster
+    from ..control.rollouts import RolloutSettings
+    from ..core.rollouts.controller import ExposureLimits
     from .control_api import make_handler
 
     settings = source.settings
@@ -131,6 +133,14 @@
         reload=source.reload,
         is_founder=settings.is_first_start and founder == (api_host, api_port),
         n_members=2 * settings.n_tolerated_failures + 1,
+        rollouts=RolloutSettings(
+            ExposureLimits(
+                settings.bound("exposeShare", 0.1),
+                settings.bound("exposeSlack", 50),
+                settings.bound("rollbackMs", 5_000.0),
+            ),
+            settings.bound("contactMs", 2_000.0),
+        ),
     )
     handler = make_handler(api_port, settings.zones)
     curio.run(serve_cluster, cluster, handler, signals)
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -126,8 +126,8 @@
         )
         subject = f"{order.service}:{order.target_version}"
         if result.is_error() and result.error is ErrorKind.UNKNOWN_SERVICE:
-            error = DocumentError(f"service: unknown service {order.service!r}")
-            return self._invalid_response("rollout", subject, error)
+            unknown = DocumentError(f"service: unknown service {order.service!r}")
+            return self._invalid_response("rollout", subject, unknown)
         return self._order_response("rollout", subject, result, request)
 
     async def _get_rollout(self, request: Request, service: str) -> Response:
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -72,6 +72,7 @@
             await curio.spawn(node.feeds.run, daemon=True),
             await curio.spawn(node.join, daemon=True),
             await curio.spawn(node.persist_endpoints, daemon=True),
+            await curio.spawn(node.rollouts.run, daemon=True),
         ]
         api = ControlApi(node, 80, frozenset({"a", "b"}))
         self.running[number] = RunningReplica(node, api, tasks)
