--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -18,9 +18,12 @@
 DOUBT_END = 0.75
 """Until then a doubtful version may prove to be good; later there would be no time."""
 
+GIVE_UP_AT = 0.9
+"""When an unusable target is taken back, so that the roll-out ends by its deadline."""
+
 MIN_OBSERVED = 0.25
-"""The part of the duration for which the target is observed before it gets all
-requests, unless its endpoints appear too late for that."""
+"""The part of the duration for which the target is observed before it gets more than
+the share of the canary, unless its endpoints appear too late for that."""
 
 RAMP_SHARES = (0.15, 0.3, 0.5)
 RAMP_STEP_MS = 400.0
@@ -152,7 +155,7 @@
             return "exposed"
         if _is_late(situation, limits):
             return "exposed"
-    if progress >= 1.0 and not _is_usable(rollout, situation):
+    if progress >= GIVE_UP_AT and not _is_usable(rollout, situation):
         return "target_unusable"
     return None
 
@@ -178,8 +181,12 @@
         return False
     if progress >= DOUBT_END:
         return True
+    return situation.has_reports and _is_observed(rollout, situation)
+
+
+def _is_observed(rollout: Rollout, situation: Situation) -> bool:
     seen_ms = situation.target_seen_ms or 0.0
-    return situation.has_reports and seen_ms >= MIN_OBSERVED * rollout.duration_ms
+    return seen_ms >= MIN_OBSERVED * rollout.duration_ms
 
 
 def _next_share(
@@ -191,7 +198,7 @@
         return None
     if not situation.has_reports or not _is_usable(rollout, situation):
         return None
-    if situation.in_stage_ms < RAMP_STEP_MS:
+    if not _is_observed(rollout, situation) or situation.in_stage_ms < RAMP_STEP_MS:
         return None
     room = USED_EXPOSURE * exposure_limit(rollout, situation, limits)
     share = next((s for s in RAMP_SHARES if s > rollout.share), None)
