--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -21,6 +21,7 @@
 from ..core.rollouts.state import Rollout
 from ..observe.events import EventLog
 from ..observe.exposition import BoundedLabel, Metrics
+from ..observe.steps import run_step
 from .cluster_state import ClusterState
 from .feed_server import FeedServer
 from .rollout_orders import TimeOfDay
@@ -189,7 +190,11 @@
         """Advance the roll-outs in progress while this replica leads."""
         while True:
             await curio.sleep(STEP_MS / 1000)
-            await self.step()
+            # An unexpected error must not end the replica, which also serves orders.
+            await run_step("rollouts", self._log_failure, self.step)
+
+    def _log_failure(self, step: str, error: BaseException) -> None:
+        self._log.state("rollout_step_failed", step=step, detail=repr(error))
 
     async def step(self) -> None:
         """Decide on each roll-out in progress, if this replica leads."""
