Check versions of endpoints and reports of roll-outs at each border

The property tests compared announcements without their versions, which are sent apart from them, and failed. They now compare both, and odd values are also tried in the versions and roll-outs of feed lines, in stored roll-outs and in reports. The cluster tests check that versions arrive over the feeds and from the cache.

--- a/pollenfold/tests/control/test_rollouts.py
+++ b/pollenfold/tests/control/test_rollouts.py
@@ -69,7 +69,11 @@
     """Guards against a roll-out that ends late, and old endpoints that still count."""
 
     async def body(cluster):
-        await start_rollout(cluster, 4.0)
+        entries = await start_rollout(cluster, 4.0)
+        registries = [entry.view.registry for entry in entries]
+        registries += [r.node.cluster_state.registry for r in cluster.running.values()]
+        await wait_until(lambda: all("i-2" in registry for registry in registries))
+        assert {registry.get("i-2").version for registry in registries} == {"v2"}
         async with curio.timeout_after(4.0):
             assert await end_of(cluster) == "completed"
         state = cluster.running[cluster.leader()].node.cluster_state
@@ -149,13 +153,15 @@
 
     async def body(cluster):
         await start_rollout(cluster, 7.0)
-        await curio.sleep(1.0)
         # The endpoints are cached once a second.
+        await curio.sleep(1.3)
         for number in (1, 2, 3):
             await cluster.stop(number)
         await curio.sleep(0.5)
         for number in (1, 2, 3):
             await cluster.start(number)
+            registry = cluster.running[number].node.cluster_state.registry
+            assert registry.get("i-2").version == "v2"
         async with curio.timeout_after(9.0):
             assert await end_of(cluster) == "completed"
 
--- a/properties/test_borders.py
+++ b/properties/test_borders.py
@@ -16,6 +16,9 @@
 from pollenfold.core.limit_report import decode_limit_report
 from pollenfold.core.quarantine import Quarantine
 from pollenfold.core.registry import decode_announcement as decode_fields
+from pollenfold.core.registry import versions_by_id, with_version
+from pollenfold.core.rollouts.reports import Reports, decode_report
+from pollenfold.core.rollouts.state import decode_rollout, start_rollout
 from pollenfold.gateway.feed import Feed
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.view import FleetView
@@ -83,6 +86,7 @@
         and type(announcement.is_leaving) is bool
         and limits.is_magnitude(announcement.warmup_left_ms, limits.MAX_WARMUP_MS)
         and limits.is_whole_number(announcement.born_ms)
+        and (announcement.version == "" or limits.is_name(announcement.version))
         and limits.is_whole_number(announcement.sequence)
     )
 
@@ -98,7 +102,9 @@
     except DocumentError:
         return
     assert is_within_limits(announcement)
-    assert decode_fields(json.loads(json.dumps(announcement.encode()))) == announcement
+    line = [announcement.encode(), versions_by_id([announcement])]
+    fields, versions = json.loads(json.dumps(line))
+    assert with_version(decode_fields(fields), versions) == announcement
 
 
 @given(st.text(max_size=200))
@@ -201,6 +207,38 @@
     assert all(0 <= port < 65_536 for _, port in settings.addresses.values())
 
 
+ROLLOUT = start_rollout(None, "s", "v2", 12_000, 1_780_000_000_000, 4)
+REPORT = ["s", 4, 5, 1, 2, {"r1": [100, 1, 2, 9, 0, 1], "r2": [0, 0, 0, 0, 0, 0]}]
+
+
+@given(st.sampled_from(list(value_paths(REPORT))), ODD_VALUES)
+@example((5, "r1", 0), 10**400)
+@example((5, "r1", 4), True)
+def test_report_on_a_roll_out_is_added_or_refused(path, value):
+    """Guards against counts that end a replica, or that can't be added up."""
+    try:
+        report = decode_report(with_value_at(REPORT, path, value))
+    except ValueError:
+        return
+    reports = Reports()
+    reports.add("e1", 1, decode_report(REPORT), Instant(0.0))
+    reports.add("e1", 2, report, Instant(0.0))
+    for counts in reports.counts.values():
+        assert 0 <= counts.n_new_bad <= counts.n_new <= 1 << 54
+
+
+@given(st.sampled_from(list(value_paths(ROLLOUT.encode()))), ODD_VALUES)
+def test_state_of_a_roll_out_is_valid_or_refused(path, value):
+    """Guards against a roll-out that ends each entry that acts on it."""
+    try:
+        rollout = decode_rollout(with_value_at(ROLLOUT.encode(), path, value))
+    except ValueError:
+        return
+    assert decode_rollout(json.loads(json.dumps(rollout.encode()))) == rollout
+    assert 0 <= rollout.share <= 1
+    assert not (rollout.uses("v1", True) and rollout.uses("v1", False))
+
+
 LINE = {
     "zone": "a",
     "index": 0,
@@ -215,8 +253,10 @@
         "evacuated": ["b"],
         "departures": {"i-9": 5},
         "since": 0,
+        "rollouts": [ROLLOUT.encode()],
     },
     "announcements": [[FIELDS, 0]],
+    "versions": {"i-1": "v1"},
     "heard": ["i-1"],
     "limits": [["i-1", 1, 2.5, 10.0]],
     "quarantine": [QUARANTINE_REPORT],
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -14,6 +14,7 @@
 )
 from pollenfold.core.link import Link
 from pollenfold.core.registry import decode_announcement as decode_fields
+from pollenfold.core.registry import versions_by_id, with_version
 from pollenfold.core.replicated_state import (
     ReplicatedState,
 )
@@ -160,8 +161,9 @@
         announcement = decode_announcement("i-1", json.dumps(document).encode())
     except DocumentError:
         return
-    encoded = json.loads(json.dumps(announcement.encode()))
-    assert decode_fields(encoded) == announcement
+    line = [announcement.encode(), versions_by_id([announcement])]
+    encoded, versions = json.loads(json.dumps(line))
+    assert with_version(decode_fields(encoded), versions) == announcement
 
 
 @given(st.binary(max_size=60))
