--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -14,12 +14,13 @@
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, parse_address
-from ..core.registry import decode_announcement
+from ..core.registry import decode_announcement, versions_by_id, with_version
+from ..core.rollouts.order_age import OrderAges
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
 from ..http.server import Handler, HttpServer
-from ..observe.clock import system_clock
+from ..observe.clock import system_clock, time_of_day_ms
 from ..observe.daemon import (
     failed_step_logger,
     metrics_response,
@@ -43,6 +44,8 @@
 from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
 from .replica import DynamicMembers, Replica
+from .rollout_orders import RolloutOrders
+from .rollouts import Rollouts, RolloutSettings
 
 JOIN_INTERVAL_MS = 400.0
 JOIN_TIMEOUT_MS = 400.0
@@ -87,6 +90,7 @@
     reload: Callable[[], None]
     is_founder: bool
     n_members: int
+    rollouts: RolloutSettings = RolloutSettings()
 
 
 class ClusterNode:
@@ -116,11 +120,25 @@
             members=members,
         )
         self.cluster_state.commands.replica = self.replica
+        ages = OrderAges()
+        self.rollout_orders = RolloutOrders(
+            self.cluster_state, ages, clock, time_of_day_ms, self.log
+        )
         self.peers = PeerView(self.cluster_state)
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
         )
         self.feed_server.is_leading = self.replica.is_leader
+        self.rollouts = Rollouts(
+            settings.rollouts,
+            self.cluster_state,
+            self.feed_server,
+            ages,
+            clock,
+            time_of_day_ms,
+            self.metrics,
+            self.log,
+        )
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
@@ -144,9 +162,13 @@
 
     def load_endpoints(self) -> None:
         """Load the endpoints and the fleet size that were cached before the restart."""
-        items, n_entries = read_endpoint_cache(self.settings.data_folder)
+        items, n_entries, versions = read_endpoint_cache(self.settings.data_folder)
         malformed = self.cluster_state.malformed
-        for announcement in malformed.decode_each("cache", items, decode_announcement):
+        for announcement in malformed.decode_each(
+            "cache",
+            items,
+            lambda item: with_version(decode_announcement(item), versions),
+        ):
             self.cluster_state.merge_announcement(announcement)
         self.feed_server.fleet.report(n_entries, system_clock())
 
@@ -159,12 +181,20 @@
                 self.cluster_state.registry.announcements(), key=lambda a: a.endpoint_id
             )
             n_entries = self.feed_server.fleet.get(system_clock())
-            current = (n_entries, *((a.endpoint_id, a.born_ms) for a in announcements))
+            current = (
+                n_entries,
+                *((a.endpoint_id, a.born_ms, a.version) for a in announcements),
+            )
             if current == written or not announcements:
                 continue
             try:
                 encoded = [a.encode() for a in announcements]
-                write_endpoint_cache(self.settings.data_folder, encoded, n_entries)
+                write_endpoint_cache(
+                    self.settings.data_folder,
+                    encoded,
+                    n_entries,
+                    versions_by_id(announcements),
+                )
             except OSError as error:
                 self.log.state("cache_failed", detail=str(error))
             written = current
@@ -301,6 +331,7 @@
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
+        await group.spawn(node.rollouts.run)
         # The replica does its work without the monitor, so its failure ends nothing.
         monitor = MemoryMonitor(receive_buffers, node.metrics, node.log)
         await curio.spawn(monitor.run, daemon=True)
