Count the exchanges in flight at each version of a service

Cause: completed may be reported only when nothing is in flight at the old version, and a request that was sent before the order, or a download, may outlive the roll-out. The count of an endpoint's health is lost when the endpoint is forgotten meanwhile.

Change: all endpoints of a version share a counter, which FleetView keeps until both the endpoints and the exchanges are gone. It costs two additions for each attempt. An endpoint that announces another version gets a new Endpoint, so that its exchanges end at the version at which they began.

--- a/pollenfold/gateway/endpoint.py
+++ b/pollenfold/gateway/endpoint.py
@@ -8,6 +8,7 @@
 from ..core.clock import Instant, add_ms
 from ..core.declared_limit import DeclaredLimit
 from ..core.registry import Announcement
+from .rollouts.version_load import VersionLoad
 
 Incarnation = tuple[str, int]
 """The id of an endpoint and its start time, in ms since 1970 on its own clock."""
@@ -21,6 +22,7 @@
     ``is_unconfirmed`` means that it may be cold, which its own next report decides.
     Until ``backoff_until`` it must receive neither requests nor probes.
     ``declared_limit`` is the limit that it declares in its responses, if any.
+    ``version_load`` is shared by the endpoints of its version.
     """
 
     announcement: Announcement
@@ -29,6 +31,7 @@
     is_unconfirmed: bool = False
     backoff_until: Instant = Instant(0.0)
     declared_limit: DeclaredLimit | None = None
+    version_load: VersionLoad = field(default_factory=VersionLoad)
     unlimited_at: Instant = Instant(0.0)
     """When a success last showed that it declares no limit."""
 
@@ -40,6 +43,16 @@
         """What identifies this incarnation of the endpoint."""
         return self.announcement.endpoint_id, self.announcement.born_ms
 
+    def begin_exchange(self) -> None:
+        """Count an exchange in flight, from the decision to send the request."""
+        self.health.n_in_flight += 1
+        self.version_load.n_in_flight += 1
+
+    def end_exchange(self) -> None:
+        """End what ``begin_exchange`` began."""
+        self.health.n_in_flight -= 1
+        self.version_load.n_in_flight -= 1
+
     def is_backing_off(self, now: Instant) -> bool:
         """Return whether the endpoint asked for a back-off that has not ended."""
         return now < self.backoff_until
--- a/pollenfold/gateway/long_response.py
+++ b/pollenfold/gateway/long_response.py
@@ -31,7 +31,7 @@
     if source is None:
         raise ValueError("the response has no remaining body to stream")
     endpoint = pick.endpoint
-    endpoint.health.n_in_flight += 1
+    endpoint.begin_exchange()
 
     def record_broken_off(detail: str) -> None:
         log.request(
@@ -44,7 +44,7 @@
         endpoint.health.add_penalty(ABORTED_RESPONSE_PENALTY, clock())
 
     async def close() -> None:
-        endpoint.health.n_in_flight -= 1
+        endpoint.end_exchange()
         await balancer.release(endpoint, pick.connection)
 
     read = read_until_deadline(call, source, clock, record_broken_off)
--- /dev/null
+++ b/pollenfold/gateway/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""The entries' side of roll-outs: versions of endpoints, outcomes and reports."""
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -28,6 +28,7 @@
 from .limits.declared_limits import DeclaredLimits
 from .peers import Peer, PeerDirectory
 from .quarantine import RequestQuarantine
+from .rollouts.version_load import VersionLoads
 from .state_loader import Decode, StateLoader
 
 ENDPOINT_EXPIRY_MS = 12_000.0
@@ -63,6 +64,7 @@
         self.registry = Registry()
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
+        self.version_loads = VersionLoads()
         self.fleet = FleetSize()
         self.entry_ids: frozenset[str] = frozenset()
         self.peer_directory = PeerDirectory(clock)
@@ -184,8 +186,10 @@
             endpoint is None
             or previous is None
             or previous.born_ms != announcement.born_ms
+            or previous.version != announcement.version
         ):
-            endpoint = Endpoint(announcement)
+            load = self.version_loads.get(announcement.service, announcement.version)
+            endpoint = Endpoint(announcement, version_load=load)
             self.limits.apply_known_report(endpoint)
         endpoint.announcement = announcement
         self.endpoints[endpoint_id] = endpoint
@@ -195,6 +199,7 @@
             endpoint=endpoint_id,
             address=announcement.address,
             service=announcement.service,
+            version=announcement.version or "none",
             leaving=announcement.is_leaving,
             warmup_left_ms=announcement.warmup_left_ms,
             sequence=announcement.sequence,
@@ -298,6 +303,12 @@
         """Rebuild the lists of endpoints that may receive requests."""
         known = {a.endpoint_id for a in self.registry.announcements()}
         self.endpoints = {k: v for k, v in self.endpoints.items() if k in known}
+        self.version_loads.retain(
+            {
+                (e.announcement.service, e.announcement.version)
+                for e in self.endpoints.values()
+            }
+        )
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
             if self._is_eligible(endpoint):
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -11,7 +11,7 @@
 
 from pollenfold.core.clock import add_ms
 from pollenfold.core.link import Link
-from pollenfold.core.registry import Announcement
+from pollenfold.core.registry import Announcement, versions_by_id
 from pollenfold.core.replicated_state import ReplicatedState
 from pollenfold.core.retry_budget import RetryBudget, RetryLimits
 from pollenfold.core.routes import (
@@ -333,7 +333,8 @@
             "sequence": sequence,
         }
         announcement = Announcement(**{**fields, **changes})
-        self.view.apply_announcements([(announcement.encode(), 0.0)])
+        versions = versions_by_id([announcement])
+        self.view.apply_announcements([(announcement.encode(), 0.0)], versions)
 
     async def get(
         self,
