Let the balancer pick from a subset of a service's endpoints

Cause: an attempt of a roll-out may go to one version only, and the result of a search at one version must not refuse requests for the other.

Change: Balancer.pick and permit_wait_ms take an EndpointSubset, for all paths: probed, unprobed and declared limits. The state of searches is kept for each version of a roll-out. Without a subset the endpoints are those of the service, as before.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -24,7 +24,7 @@
 from .dialect import Dialect
 from .endpoint import Endpoint
 from .limits.permits import LimitedChoice, Permits
-from .pick import Pick
+from .pick import EndpointSubset, Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .reach_monitor import ReachMonitor
 from .settings import BalancerSettings
@@ -106,6 +106,7 @@
         )
         self._permits = Permits(view, settings, self._connections, clock)
         self._probe_states: dict[str, ServiceProbeState] = {}
+        self._version_states: dict[tuple[str, int, bool], ServiceProbeState] = {}
         self._probe_budget: TokenBucket | None = None
 
     # Selection
@@ -118,24 +119,30 @@
         max_slowdown: float,
         trace: list[str],
         avoided_endpoint_ids: frozenset[str] = frozenset(),
+        subset: EndpointSubset | None = None,
     ) -> Pick | None:
         """Return an endpoint with a connection, or None if none is usable.
 
         The request needs a slowdown of at most ``max_slowdown``. No search is made if
         another request's search has just found no endpoint that fast. An endpoint that
         declares a limit gets the request without a probe, if this entry has a permit.
-        ``avoided_endpoint_ids`` are used only if there are no others.
+        ``avoided_endpoint_ids`` are used only if there are no others. Only endpoints of
+        the ``subset`` are used if there is one.
 
         For each round of probes an item is appended to ``trace``: the number of probed
         endpoints, the number of responses and the least slowdown, as in ``3/2/1.60``.
         """
         now = self._clock()
         is_first_attempt = not tried_endpoint_ids
-        if is_first_attempt:
+        if is_first_attempt and (subset is None or not subset.is_search_repeated):
             self._permits.count_request(service)
         endpoints = [
             endpoint
-            for endpoint in self._view.by_service.get(service, ())
+            for endpoint in (
+                self._view.by_service.get(service, ())
+                if subset is None
+                else subset.endpoints
+            )
             if endpoint.announcement.endpoint_id not in tried_endpoint_ids
             and not endpoint.is_backing_off(now)
         ]
@@ -158,7 +165,7 @@
         if not endpoints:
             return None
         self._update_probe_budget(now)
-        state = self._probe_states.setdefault(service, ServiceProbeState())
+        state = self._probe_state(service, subset)
         search = _Search(service, state, endpoints, deadline, max_slowdown, trace)
         if self._is_overloaded(search, OVERLOAD_MEMORY_MS):
             trace.append(f"crowded/{state.least_slowdown:.2f}")
@@ -167,13 +174,31 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
-    def permit_wait_ms(self, service: str) -> float | None:
+    def _probe_state(
+        self, service: str, subset: EndpointSubset | None
+    ) -> ServiceProbeState:
+        """Return what searches found lately, of one version during a roll-out.
+
+        The state of the version that was searched last is that of the service, for
+        ``is_unreached``.
+        """
+        if subset is None:
+            return self._probe_states.setdefault(service, ServiceProbeState())
+        state = self._version_states.setdefault(subset.probe_key, ServiceProbeState())
+        self._probe_states[service] = state
+        return state
+
+    def permit_wait_ms(
+        self, service: str, subset: EndpointSubset | None = None
+    ) -> float | None:
         """Return the ms until the first endpoint of a service may get a request.
 
         Return None if the service has no endpoints, or one that neither declares a
-        limit nor backs off.
+        limit nor backs off. Only endpoints of the ``subset`` count if there is one.
         """
-        return self._permits.wait_ms(service)
+        if subset is None:
+            return self._permits.wait_ms(self._view.by_service.get(service, ()))
+        return self._permits.wait_ms(subset.endpoints)
 
     def _acquire_probes(self, n_probes: int, now: Instant) -> bool:
         budget = self._probe_budget
@@ -446,9 +471,18 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
+            self._forget_ended_rollouts()
             await self._monitor.maintain()
             await self._check_limits()
 
+    def _forget_ended_rollouts(self) -> None:
+        """Drop the state of versions of earlier roll-outs."""
+        rollouts = self._view.replicated_state.rollouts
+        current = {(k, rollout.order_index) for k, rollout in rollouts.items()}
+        self._version_states = {
+            k: v for k, v in self._version_states.items() if k[:2] in current
+        }
+
     async def _check_limits(self) -> None:
         """Probe limited endpoints that haven't responded for some time.
 
--- a/pollenfold/gateway/limits/limit_permits.py
+++ b/pollenfold/gateway/limits/limit_permits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from ...core.allowances import RequestRate
 from ...core.clock import Clock, Instant, add_ms, remaining_ms
 from ...core.declared_limit import CHECK_INTERVAL_MS, DeclaredLimit, divide_limit
@@ -62,15 +64,15 @@
         limit.record_check(now)
         return True
 
-    def wait_ms(self, service: str) -> float | None:
-        """Return the ms until the first endpoint of a service may get a request.
+    def wait_ms(self, endpoints: Iterable[Endpoint]) -> float | None:
+        """Return the ms until the first of some endpoints may get a request.
 
-        Return None if the service has no endpoints, or one that neither declares a
-        limit nor backs off.
+        Return None if there are none, or one that neither declares a limit nor backs
+        off.
         """
         now = self._clock()
         waits_ms = []
-        for endpoint in self._view.by_service.get(service, ()):
+        for endpoint in endpoints:
             if endpoint.declared_limit is None and not endpoint.is_backing_off(now):
                 return None
             available_at = max(endpoint.backoff_until, self._free_at(endpoint))
--- a/pollenfold/gateway/limits/permits.py
+++ b/pollenfold/gateway/limits/permits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from ...core.clock import Clock, Instant, add_ms
@@ -123,13 +124,13 @@
             return False
         return self._limits.has_permit(endpoint)
 
-    def wait_ms(self, service: str) -> float | None:
-        """Return the ms until the first endpoint of a service may get a request.
+    def wait_ms(self, endpoints: Iterable[Endpoint]) -> float | None:
+        """Return the ms until the first of some endpoints may get a request.
 
-        Return None if the service has no endpoints, or one that neither declares a
-        limit nor backs off.
+        Return None if there are none, or one that neither declares a limit nor backs
+        off.
         """
-        return self._limits.wait_ms(service)
+        return self._limits.wait_ms(endpoints)
 
     def acquire_check(self, endpoint: Endpoint) -> bool:
         """Return whether to probe now if a limit still holds, and count the probe."""
