--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -27,6 +27,7 @@
 from .pick import EndpointSubset, Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .reach_monitor import ReachMonitor
+from .search_memory import SearchMemory
 from .settings import BalancerSettings
 from .view import FleetView
 
@@ -105,8 +106,7 @@
             monitor,
         )
         self._permits = Permits(view, settings, self._connections, clock)
-        self._probe_states: dict[str, ServiceProbeState] = {}
-        self._version_states: dict[tuple[str, int, bool], ServiceProbeState] = {}
+        self._memory = SearchMemory(view)
         self._probe_budget: TokenBucket | None = None
 
     # Selection
@@ -165,7 +165,7 @@
         if not endpoints:
             return None
         self._update_probe_budget(now)
-        state = self._probe_state(service, subset)
+        state = self._memory.get(service, subset)
         search = _Search(service, state, endpoints, deadline, max_slowdown, trace)
         if self._is_overloaded(search, OVERLOAD_MEMORY_MS):
             trace.append(f"crowded/{state.least_slowdown:.2f}")
@@ -174,20 +174,6 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
-    def _probe_state(
-        self, service: str, subset: EndpointSubset | None
-    ) -> ServiceProbeState:
-        """Return what searches found lately, of one version during a roll-out.
-
-        The state of the version that was searched last is that of the service, for
-        ``is_unreached``.
-        """
-        if subset is None:
-            return self._probe_states.setdefault(service, ServiceProbeState())
-        state = self._version_states.setdefault(subset.probe_key, ServiceProbeState())
-        self._probe_states[service] = state
-        return state
-
     def permit_wait_ms(
         self, service: str, subset: EndpointSubset | None = None
     ) -> float | None:
@@ -407,8 +393,7 @@
 
     def is_unreached(self, service: str) -> bool:
         """Return whether no endpoint responded that the last search contacted."""
-        state = self._probe_states.get(service)
-        return state is not None and state.is_unreached
+        return self._memory.is_unreached(service)
 
     async def wait_until_fast(
         self,
@@ -422,7 +407,7 @@
         Return immediately if it can't be probed, declares a limit or doesn't respond,
         or if ``is_cancelled`` returns true.
         """
-        state = self._probe_states.setdefault(service, ServiceProbeState())
+        state = self._memory.get(service)
         while (
             (now := self._clock()) < until
             and endpoint.declared_limit is None
@@ -471,18 +456,10 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
-            self._forget_ended_rollouts()
+            self._memory.forget_ended()
             await self._monitor.maintain()
             await self._check_limits()
 
-    def _forget_ended_rollouts(self) -> None:
-        """Drop the state of versions of earlier roll-outs."""
-        rollouts = self._view.replicated_state.rollouts
-        current = {(k, rollout.order_index) for k, rollout in rollouts.items()}
-        self._version_states = {
-            k: v for k, v in self._version_states.items() if k[:2] in current
-        }
-
     async def _check_limits(self) -> None:
         """Probe limited endpoints that haven't responded for some time.
 
@@ -497,6 +474,6 @@
                 and self._permits.acquire_check(endpoint)
             ]
             if due:
-                state = self._probe_states.setdefault(service, ServiceProbeState())
+                state = self._memory.get(service)
                 for result in await self._prober.probe(service, state, due, False):
                     await self.release(result.endpoint, result.connection)
