Tell whether an entry would learn of a change of stage

Cause: an entry that is cut off from control must not go on testing a version that was judged bad meanwhile, while an election must not stop the canary.

Change: ControlContact. Contact is lost without the leader's feed, without feeds of a majority of the replicas, and without a confirmation of the state for contact_ms (3 s by default: longer than an election, shorter than rollbackMs).

--- a/pollenfold/core/confirmation.py
+++ b/pollenfold/core/confirmation.py
@@ -58,7 +58,13 @@
 
         A state that is newer than a valid confirmation is current as well.
         """
-        oldest = add_ms(now, -self.validity_ms)
+        return self.is_confirmed_since(index, add_ms(now, -self.validity_ms))
+
+    def is_confirmed_since(self, index: int, oldest: Instant) -> bool:
+        """Return whether the state at ``index`` had all changes at ``oldest`` or later.
+
+        Only the last ``MAX_CONFIRMATIONS`` confirmations are known.
+        """
         return any(
             requested_at >= oldest and confirmed_index <= index
             for requested_at, confirmed_index in self._confirmed
--- /dev/null
+++ b/pollenfold/gateway/rollouts/contact.py
@@ -0,0 +1,46 @@
+"""Whether this entry would learn of a change of stage."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...core.clock import Clock, add_ms
+
+if TYPE_CHECKING:
+    from ..feeds import Feeds
+    from ..view import FleetView
+
+DEFAULT_CONTACT_MS = 3_000.0
+"""Longer than an election with the next confirmation after it, and shorter than the
+time for which a version that was judged bad may still get requests."""
+
+
+class ControlContact:
+    """Knows whether this entry is in contact with control.
+
+    It is if the feed of the leader is open, if a majority confirmed the state within
+    ``contact_ms``, or if feeds of a majority of the replicas are open: at least one of
+    these replicas would announce a change. Without feeds it counts as connected.
+    """
+
+    def __init__(self, view: FleetView, clock: Clock) -> None:
+        self._view = view
+        self._clock = clock
+        self._contact_ms = DEFAULT_CONTACT_MS
+        self._feeds: Feeds | None = None
+
+    def connect(self, feeds: Feeds, contact_ms: float) -> None:
+        """Use these feeds; a confirmation counts for ``contact_ms``."""
+        self._feeds = feeds
+        self._contact_ms = contact_ms
+
+    def is_lost(self) -> bool:
+        """Return whether stages may have changed without this entry's knowledge."""
+        feeds = self._feeds
+        if feeds is None or feeds.leader is not None:
+            return False
+        if 2 * feeds.n_connected > max(1, len(self._view.control_hosts)):
+            return False
+        oldest = add_ms(self._clock(), -self._contact_ms)
+        index = self._view.replicated_state.index
+        return not self._view.confirmations.is_confirmed_since(index, oldest)
