Choose the version of each attempt, and count outcomes by version

Cause: entries act on the stage of a roll-out, and control needs their evidence.

Change: VersionSelector offers the balancer the endpoints of the version that was drawn, then those of the fallback, and checks the stage again right before the send: a request whose stage changed during the search is selected anew. VersionOutcomes counts failed and slow responses, leaves out attempts without evidence, and keeps the responses of a target under test out of the work estimate. Attempts name their version in request_done if the service has a roll-out.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -40,6 +40,18 @@
     born_ms: int = 0
     """When the endpoint started, by its own clock."""
 
+    version: str = ""
+    """The version of the endpoint, if its service has a roll-out."""
+
+    def describe(self) -> str:
+        """Return the attempt as text, for example ``i-1@v2:responded:1.60:84ms``."""
+        target = (
+            f"{self.endpoint_id}@{self.version}" if self.version else self.endpoint_id
+        )
+        return (
+            f"{target}:{self.outcome.value}:{self.slowdown:.2f}:{self.elapsed_ms:.0f}ms"
+        )
+
 
 @dataclass(slots=True, eq=False)
 class Call:
@@ -125,10 +137,7 @@
 
     def describe_attempts(self) -> str:
         """Return the attempts as text, for example ``i-1:responded:1.60:84ms``."""
-        return ";".join(
-            f"{a.endpoint_id}:{a.outcome.value}:{a.slowdown:.2f}:{a.elapsed_ms:.0f}ms"
-            for a in self.attempts
-        )
+        return ";".join(attempt.describe() for attempt in self.attempts)
 
 
 class CallFactory:
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -24,6 +24,7 @@
 from .notices import apply_response_notices
 from .pick import Pick
 from .reach_monitor import ReachMonitor
+from .rollouts.outcomes import VersionOutcomes
 from .suspects import Suspects
 from .view import FleetView
 
@@ -59,6 +60,7 @@
         monitor: ReachMonitor,
         suspects: Suspects,
         acquire_retry: Callable[[Call], bool],
+        version_outcomes: VersionOutcomes,
         dialect: Dialect,
         clock: Clock,
         log: EventLog,
@@ -71,6 +73,7 @@
         self._monitor = monitor
         self._suspects = suspects
         self._acquire_retry = acquire_retry
+        self._version_outcomes = version_outcomes
         self._dialect = dialect
         self._clock = clock
         self._log = log
@@ -86,7 +89,8 @@
         started_at = self._clock()
         self._count_limited_send(endpoint)
         end_run = self._suspects.begin_run(call, endpoint)
-        endpoint.health.n_in_flight += 1
+        endpoint.begin_exchange()
+        version = self._version_outcomes.count_attempt(endpoint)
         outcome = AttemptOutcome.LOST
         response: Response | None = None
         try:
@@ -100,7 +104,7 @@
                 partial(self._is_abandoned, call, endpoint),
             )
         finally:
-            endpoint.health.n_in_flight -= 1
+            endpoint.end_exchange()
             end_run()
             elapsed_ms = self._clock() - started_at
             call.attempts.append(
@@ -110,6 +114,7 @@
                     outcome,
                     elapsed_ms,
                     born_ms=endpoint.announcement.born_ms,
+                    version=version,
                 )
             )
             has_remaining_body = (
@@ -121,6 +126,9 @@
                 )
             else:
                 await self._balancer.release(endpoint, pick.connection)
+        self._version_outcomes.record(
+            call, pick, outcome, response, started_at, elapsed_ms
+        )
         self._log_invalid_response(call, pick)
         self._record_health(call, endpoint, outcome, elapsed_ms)
         await self._record_contact(call, endpoint, outcome, started_at)
@@ -129,7 +137,8 @@
         if response is not None:
             self._apply_notices(endpoint, outcome, response, started_at)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
-            call.work_estimate.observe(self._clock() - call.sent_at, pick.slowdown)
+            latency_ms = self._clock() - call.sent_at
+            self._version_outcomes.observe_work(call.work_estimate, latency_ms, pick)
         if outcome is AttemptOutcome.SERVER_ERROR and not has_remaining_body:
             call.last_response = response
         return outcome, response
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 from ..core.balancing.overload import (
     AdmissionDecision,
@@ -29,11 +30,14 @@
 from .endpoint_attempts import EndpointAttempts, body_send_ms
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
-from .pick import Pick
+from .pick import EndpointSubset, Pick
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .relay.headers import RelayedRequest
 from .relay.relaying import Relaying
+from .rollouts.contact import ControlContact
+from .rollouts.outcomes import VersionOutcomes
+from .rollouts.selection import VersionSelector
 from .suspects import Suspects
 from .view import FleetView
 
@@ -71,12 +75,16 @@
         self._rng = rng
         self._final_responses = FinalResponses(view, clock, log, metrics, rng)
         self._suspects = Suspects(view.quarantine, balancer, dialect, clock)
+        self.control_contact = ControlContact(view, clock)
+        self._versions = VersionSelector(view, balancer, self.control_contact, rng)
+        self.version_outcomes = VersionOutcomes(view, monitor, clock, metrics)
         self._attempts = EndpointAttempts(
             view,
             balancer,
             monitor,
             self._suspects,
             self._acquire_retry,
+            self.version_outcomes,
             dialect,
             clock,
             log,
@@ -227,8 +235,25 @@
         self, call: Call, is_first_attempt: bool
     ) -> Pick | ErrorKind:
         """Return an endpoint for the request, or the reason why there is none."""
+        return await self._versions.select(
+            call.service,
+            not is_first_attempt,
+            partial(self._select_among, call, is_first_attempt),
+        )
+
+    async def _select_among(
+        self, call: Call, is_first_attempt: bool, subset: EndpointSubset | None
+    ) -> Pick | ErrorKind | None:
+        """Return an endpoint of a subset, or the reason why there is none.
+
+        Return None if the stage of a roll-out changed meanwhile, so that the endpoint
+        may not get the request.
+        """
         if is_caller_gone(call):
             raise CallerGoneError
+        call.backoff_ms = None
+        if subset is not None:
+            call.decision_trace.append("target" if subset.is_target else "old")
         left_ms = remaining_ms(call.target_at, self._clock()) - body_send_ms(
             self._link, call
         )
@@ -239,17 +264,22 @@
             acceptable_slowdown(call.work_estimate.get(), left_ms),
             call.decision_trace,
             self._suspects.avoided_endpoint_ids(call),
+            subset,
         )
         if pick is None:
-            call.backoff_ms = self._balancer.permit_wait_ms(call.service)
+            call.backoff_ms = self._balancer.permit_wait_ms(call.service, subset)
             if call.backoff_ms is None:
                 return ErrorKind.NO_BACKEND_SERVER
             reason = "limited" if self._view.has_limited(call.service) else "resting"
             call.decision_trace.append(f"{reason}/{call.backoff_ms:.0f}")
             return ErrorKind.QUEUE_FULL
-        refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
-        if refusal_kind is None:
-            return pick
+        # No task runs between these checks and the start of the attempt.
+        may_send = self._versions.may_send(subset, pick.endpoint)
+        refusal_kind = None
+        if may_send:
+            refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
+            if refusal_kind is None:
+                return pick
         await self._balancer.release(pick.endpoint, pick.connection)
         return refusal_kind
 
--- /dev/null
+++ b/pollenfold/tests/gateway/rollouts/test_versions.py
@@ -0,0 +1,417 @@
+"""Which endpoints an entry sends requests to in each stage of a roll-out."""
+
+import curio
+import pytest
+
+from pollenfold.core.rollouts.choice import rank_endpoints
+from pollenfold.gateway.endpoint import Endpoint
+from pollenfold.gateway.relay.headers import RelayedRequest
+from pollenfold.http.messages import Request
+from pollenfold.tests.gateway.conftest import Backend
+
+from .stages import (
+    FakeFeed,
+    FakeFeeds,
+    announce,
+    backends_of,
+    n_requests,
+    server_error,
+    set_stage,
+    wait_until,
+)
+
+SLOW = b"6,6,6,500"
+
+
+def test_share_is_kept_over_many_requests(with_path):
+    """Load: 600 requests one after the other at a share of 0.1.
+
+    Guards against a share that retries, search or load change. The bounds are four
+    standard deviations from the mean.
+    """
+    old, target = backends_of("old", 3), backends_of("new", 3)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "ramp", 0.1)
+        for _ in range(600):
+            assert (await path.get()).status == 200
+        assert 31 <= n_requests(target) <= 89
+        assert n_requests(old) == 600 - n_requests(target)
+        metrics = path.metrics
+        for version, backends in (("v1", old), ("v2", target)):
+            n_counted = metrics.get(
+                "version_attempts_total", service="s", version=version
+            )
+            assert n_counted == n_requests(backends)
+
+    with_path(body, *old, *target)
+
+
+def test_canary_uses_few_endpoints_equally(with_path):
+    """Load: 200 attempts at 2 of 20 target endpoints, one of them in another zone.
+
+    Guards against a canary in which no endpoint is as busy as it would be with all
+    requests, also because entries prefer their own zone.
+    """
+    old, target = backends_of("old", 1), backends_of("new", 20)
+    tested_ids = rank_endpoints([backend.name for backend in target], "s 5")[:2]
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        far = next(backend for backend in target if backend.name == tested_ids[1])
+        path.announce(far, sequence=90, zone="b", version="v2")
+        set_stage(path, "canary", 0.1)
+        path.forwarder._versions._rng.random = lambda: 0.0
+        for _ in range(200):
+            assert (await path.get()).status == 200
+        used = {backend.name for backend in target if backend.requests}
+        assert used <= set(tested_ids)
+        assert n_requests(target) == 200
+
+    with_path(body, *old, *target)
+
+
+def test_candidates_of_the_canary_are_drawn_equally(with_path):
+    """Load: 4,000 attempts at 4 tested endpoints, one of which is alone in its zone.
+
+    Guards against an endpoint that gets all requests of its zone, since each attempt
+    chooses from all tested endpoints and prefers the own zone.
+    """
+
+    async def body(path, *backends):
+        target = [Backend(f"new{number:02}", port=number + 1) for number in range(40)]
+        announce(path, backends, target)
+        rollout = set_stage(path, "canary", 0.1)
+        selector = path.forwarder._versions
+        counts = {}
+        for _ in range(4_000):
+            subset = selector._subset(rollout, True, False)
+            assert len(subset.endpoints) == 2
+            for endpoint in subset.endpoints:
+                name = endpoint.announcement.endpoint_id
+                counts[name] = counts.get(name, 0) + 1
+        assert len(counts) == 4
+        assert all(1_800 < n < 2_200 for n in counts.values())
+
+    with_path(body, Backend("old"))
+
+
+@pytest.mark.parametrize(
+    ("stage", "is_target"),
+    [("full", True), ("completed", True), ("reverting", False), ("rolled_back", False)],
+)
+def test_version_that_ends_gets_nothing(with_path, stage, is_target):
+    """Load: 40 requests of which the first attempt fails.
+
+    Guards against a first attempt or a retry at the version that ends, which may be
+    stopped at any moment.
+    """
+    old, target = backends_of("old", 2), backends_of("new", 2)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, stage)
+        used, unused = (target, old) if is_target else (old, target)
+        used[0].respond = server_error
+        for _ in range(40):
+            await path.get()
+        assert n_requests(used) >= 40
+        assert n_requests(unused) == 0
+
+    with_path(body, *old, *target)
+
+
+def test_version_that_ends_takes_nothing_when_the_other_is_gone(with_path):
+    """Guards against a request to the old version after ``full`` because no endpoint
+    of the target responds: the old endpoints may be stopped without draining."""
+    old = backends_of("old", 2)
+
+    async def body(path, *backends):
+        announce(path, old, [Backend("gone", port=1)])
+        set_stage(path, "full")
+        assert (await path.get()).status == 503
+        assert n_requests(old) == 0
+
+    with_path(body, *old)
+
+
+def test_old_version_takes_what_the_target_does_not(with_path):
+    """Guards against requests that fail because the target isn't up yet, refuses
+    connections, or is overloaded."""
+    old, slow = Backend("old"), Backend("slow", load=SLOW)
+
+    async def body(path, *backends):
+        announce(path, [old])
+        set_stage(path, "ramp", 0.99)
+        path.forwarder._versions._rng.random = lambda: 0.5
+        assert (await path.get()).status == 200
+        announce(path, target=[Backend("gone", port=1)])
+        assert (await path.get()).status == 200
+        announce(path, target=[slow])
+        for _ in range(10):
+            assert (await path.get()).status == 200
+        assert len(old.requests) == 12
+
+    with_path(body, old, slow)
+
+
+def test_retry_goes_to_the_old_version(with_path):
+    """Guards against a caller who pays twice for a bad target."""
+    old, target = backends_of("old", 1), backends_of("new", 2, respond=server_error)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "ramp", 0.5)
+        for _ in range(30):
+            assert (await path.get()).status == 200
+        assert 0 < n_requests(target) < 30
+        assert n_requests(old) == 30
+        path.log.flush()
+        assert any(
+            "attempts=new0" in line and "@v2:server_error" in line
+            for line in path.lines
+        )
+
+    with_path(body, *old, *target)
+
+
+def test_relayed_retry_goes_to_the_old_version(with_path):
+    """Guards against a peer that sends the second attempt of a request to the target,
+    since it is the first one at that peer."""
+    old, target = backends_of("old", 1), backends_of("new", 1)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "ramp", 0.9)
+        headers = [(b"host", b"h.example"), (b"x-request-id", b"q1")]
+        relayed = RelayedRequest(
+            "s",
+            200.0,
+            1,
+            is_repeat=True,
+            is_retry_acquired=True,
+            version=1,
+            is_idempotent=True,
+        )
+        for _ in range(10):
+            request = Request(b"GET", b"/x/1", list(headers), b"")
+            response, _ = await path.forwarder.handle_relayed(request, relayed)
+            assert response.status == 200
+        assert n_requests(target) == 0
+
+    with_path(body, *old, *target)
+
+
+def test_load_of_one_version_does_not_decide_for_the_other(with_path):
+    """Load: 40 requests at once, half of them drawn for an overloaded target.
+
+    Guards against requests that are refused for the old version because the last
+    search, at the target, found only slow endpoints.
+    """
+    old, target = backends_of("old", 2), backends_of("new", 2, load=SLOW)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "ramp", 0.5)
+        tasks = [await curio.spawn(path.get) for _ in range(40)]
+        responses = [await task.join() for task in tasks]
+        assert [response.status for response in responses] == [200] * 40
+        assert n_requests(target) == 0
+
+    with_path(body, *old, *target)
+
+
+def test_unprobed_choice_stays_within_the_version(with_path):
+    """Guards against requests to the wrong version while the probe budget is used up,
+    or when endpoints report no load."""
+    old, target = backends_of("old", 2), backends_of("new", 2)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "full")
+        path.balancer._acquire_probes = lambda n_probes, now: False
+        for _ in range(10):
+            assert (await path.get()).status == 200
+        assert n_requests(old) == 0
+
+    with_path(body, *old, *target)
+
+
+def test_declared_limits_of_one_version_do_not_hold_for_the_other(with_path):
+    """Guards against requests to the wrong version since it has a permit, and against
+    a refusal because the other version is at its limit."""
+    old, target = Backend("old", limit=b"0"), Backend("new")
+
+    async def body(path, *backends):
+        announce(path, [old], [target])
+        set_stage(path, "reverting")
+        await path.get()
+        assert (await path.get()).status == 503
+        path.log.flush()
+        assert "asked=old;limited/" in path.lines[-1]
+        set_stage(path, "full")
+        assert (await path.get()).status == 200
+
+    with_path(body, old, target)
+
+
+def test_zone_evacuated_during_a_search(with_path):
+    """Load: a request whose search is in progress when the zone of the target leaves.
+
+    Guards against a request to an endpoint of an evacuated zone, and against one that
+    fails although the old version has endpoints in other zones.
+    """
+    old, target = Backend("old"), Backend("new", check_delay_ms=60.0)
+
+    async def body(path, *backends):
+        announce(path, [old])
+        path.announce(target, sequence=60, zone="b", version="v2")
+        set_stage(path, "ramp", 0.99)
+        path.forwarder._versions._rng.random = lambda: 0.5
+        # The first search takes longer probes for usual.
+        path.balancer._prober.probe = slowly(path.balancer._prober.probe)
+        task = await curio.spawn(path.get)
+        await wait_until(lambda: target.n_checks)
+        state = path.view.replicated_state
+        state.evacuated = frozenset({"b"})
+        path.view._rebuild()
+        assert (await task.join()).status == 200
+        assert not target.requests
+        assert len(old.requests) == 1
+
+    with_path(body, old, target)
+
+
+def slowly(probe):
+    async def probe_slowly(service, state, endpoints, uses_longest_wait):
+        return await probe(service, state, endpoints, True)
+
+    return probe_slowly
+
+
+@pytest.mark.parametrize("before", [None, "canary", "ramp"])
+def test_stage_that_changes_between_choice_and_send(with_path, before):
+    """Load: a request whose search is in progress when ``full`` comes into force.
+
+    Guards against a request to the old version after this entry reported ``full`` with
+    nothing in flight there.
+    """
+    old, target = Backend("old", check_delay_ms=60.0), Backend("new")
+
+    async def body(path, *backends):
+        announce(path, [old])
+        if before is not None:
+            set_stage(path, before, 0.0)
+        path.balancer._prober.probe = slowly(path.balancer._prober.probe)
+        task = await curio.spawn(path.get)
+        await wait_until(lambda: old.n_checks)
+        announce(path, target=[target])
+        set_stage(path, "full")
+        assert path.view.version_loads.n_in_flight("s", "v2") == (0, 0)
+        assert (await task.join()).status == 200
+        assert not old.requests
+        assert len(target.requests) == 1
+
+    with_path(body, old, target)
+
+
+def test_order_that_comes_between_choice_and_send(with_path):
+    """Load: a request whose search found the target before the order was known.
+
+    Guards against an exposure beyond the share when an entry learns of the endpoints
+    before it learns of the order.
+    """
+    old, target = Backend("old"), Backend("new", check_delay_ms=60.0)
+
+    async def body(path, *backends):
+        announce(path, target=[target])
+        path.balancer._prober.probe = slowly(path.balancer._prober.probe)
+        task = await curio.spawn(path.get)
+        await wait_until(lambda: target.n_checks)
+        announce(path, [old])
+        set_stage(path, "canary", 0.0)
+        assert (await task.join()).status == 200
+        assert not target.requests
+
+    with_path(body, old, target)
+
+
+def test_entry_without_contact_does_not_test_the_target(with_path):
+    """Load: 60 requests at an entry that is cut off from control in the ramp stage.
+
+    Guards against requests to a version that was judged bad meanwhile, and against
+    requests that fail because the old version was replaced and stopped meanwhile.
+    """
+    old, target = backends_of("old", 2), backends_of("new", 2)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        set_stage(path, "ramp", 0.5)
+        path.view.set_control_hosts([f"10.0.0.{number}" for number in range(1, 6)])
+        feeds = FakeFeeds(n_connected=2)
+        path.forwarder.control_contact.connect(feeds, 30.0)
+        await curio.sleep(0.04)
+        for _ in range(30):
+            assert (await path.get()).status == 200
+        assert n_requests(target) == 0
+        for backend in old:
+            await backend.end()
+        for _ in range(30):
+            await path.get()
+        assert n_requests(target) >= 28
+
+    with_path(body, *old, *target)
+
+
+@pytest.mark.parametrize(
+    ("leader", "n_connected", "is_confirmed", "is_lost"),
+    [
+        (None, 2, False, True),
+        (FakeFeed(), 1, False, False),
+        # Of a majority, one replica would announce a change of stage.
+        (None, 3, False, False),
+        (None, 0, True, False),
+    ],
+)
+def test_contact_with_control(with_path, leader, n_connected, is_confirmed, is_lost):
+    """Guards against a canary that stops during an election, and against one that goes
+    on at an isolated entry."""
+
+    async def body(path, backend):
+        path.view.set_control_hosts([f"10.0.0.{number}" for number in range(1, 6)])
+        contact = path.forwarder.control_contact
+        contact.connect(FakeFeeds(leader, n_connected), 30.0)
+        await curio.sleep(0.04)
+        if is_confirmed:
+            path.confirm()
+        assert contact.is_lost() == is_lost
+
+    with_path(body, Backend("one"))
+
+
+def test_service_without_a_rollout_is_served_as_before(with_path):
+    """Guards against a choice by version without an order, and against log fields and
+    metrics of deployments without roll-outs."""
+    old, target = backends_of("old", 1), backends_of("new", 1)
+
+    async def body(path, *backends):
+        announce(path, old, target)
+        for _ in range(40):
+            assert (await path.get()).status == 200
+        assert old[0].n_checks and target[0].n_checks
+        path.log.flush()
+        assert not any("@v" in line for line in path.lines)
+        path.forwarder.version_outcomes.export()
+        assert "version_" not in path.metrics.render()
+
+    with_path(body, *old, *target)
+
+
+def test_load_is_counted_by_version():
+    """Guards against an exchange that ends at another version than it began."""
+    endpoint = Endpoint(None)
+    endpoint.begin_exchange()
+    assert (endpoint.health.n_in_flight, endpoint.version_load.n_in_flight) == (1, 1)
+    endpoint.end_exchange()
+    assert (endpoint.health.n_in_flight, endpoint.version_load.n_in_flight) == (0, 0)
