Run the reports on roll-outs in the entry daemon

Change: the daemon connects them with its feeds, exports the exchanges in flight by version as gauges, and reads contactMs of the platform's limits.

--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -57,6 +57,8 @@
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .response_memory import RESPONSE_MEMORY
+from .rollouts.contact import DEFAULT_CONTACT_MS
+from .rollouts.reports import RolloutReporter
 from .settings import BalancerSettings
 from .state_loader import Decode
 from .view import FleetView
@@ -110,7 +112,8 @@
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
     Accepted changes must be in force everywhere within ``apply_ms``. A process
-    that uses more than ``memory_bytes`` is killed.
+    that uses more than ``memory_bytes`` is killed. After ``contact_ms`` without contact
+    with control the entry doesn't rely on the stages of roll-outs.
     """
 
     entry_id: str
@@ -133,6 +136,7 @@
     peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    contact_ms: float = DEFAULT_CONTACT_MS
 
 
 class Gateway:
@@ -214,6 +218,11 @@
         self.feeds = Feeds(
             identity, self.view, settings.seeds, settings.feed_port, clock, self.log
         )
+        self.forwarder.control_contact.connect(self.feeds, settings.contact_ms)
+        version_outcomes = self.forwarder.version_outcomes
+        self.rollout_reporter = RolloutReporter(
+            self.view, version_outcomes, self.feeds, clock, self.log, rng
+        )
         self.started_at = clock()
         self.is_stopping = False
         self.answer_by = Instant(math.inf)
@@ -357,6 +366,7 @@
             self.metrics.set("requests_quarantined", self.view.quarantine.n_quarantined)
             self.metrics.set("entries", self.view.fleet.get(system_clock()))
             self.view.malformed.export(self.metrics)
+            self.forwarder.version_outcomes.export()
             return metrics_response(self.metrics, self.log)
         if request.path != self.settings.ready_path:
             return error_response(ErrorKind.NOT_FOUND)
@@ -430,6 +440,7 @@
     await group.spawn(gateway.feeds.send_quarantine_reports)
     await group.spawn(gateway.balancer.run_maintenance)
     await group.spawn(gateway.update_retry_share)
+    await group.spawn(gateway.rollout_reporter.run)
     # The entry does its work without the monitor, so its failure ends nothing.
     await curio.spawn(gateway.memory_monitor.run, daemon=True)
     await group.spawn(gateway.log.run, partial(gateway.hold_ups.record, "loop"))
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -68,6 +68,7 @@
 
     from ..core.retry_budget import RetryLimits
     from ..gateway.daemon import GatewaySettings, serve_gateway
+    from ..gateway.rollouts.contact import DEFAULT_CONTACT_MS
     from .documents import configuration_decoder
     from .headers import DIALECT
 
@@ -97,6 +98,7 @@
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
         memory_bytes=settings.memory_bytes,
+        contact_ms=settings.bound("contactMs", DEFAULT_CONTACT_MS),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
