Test that the target's back-off doesn't delay callers

Evidence: without the reset of backoff_ms in _select_among the test fails: Retry-After is that of the target's endpoints, though the old version had only been busy.

--- a/pollenfold/tests/gateway/rollouts/test_versions.py
+++ b/pollenfold/tests/gateway/rollouts/test_versions.py
@@ -256,6 +256,24 @@
     with_path(body, old, target)
 
 
+def test_back_off_of_the_target_does_not_delay_retries(with_path):
+    """Guards against callers who wait for the target although the old version, which
+    was only busy, takes their next attempt."""
+    old, target = Backend("old", load=SLOW), Backend("new")
+
+    async def body(path, *backends):
+        announce(path, [old], [target])
+        set_stage(path, "ramp", 0.99)
+        path.forwarder._versions._rng.random = lambda: 0.5
+        path.view.start_backoff(path.view.endpoints["new"], 20_000.0)
+        response = await path.get()
+        assert response.status == 503
+        after_s = float(dict(response.headers)[b"retry-after"])
+        assert after_s < 2.0
+
+    with_path(body, old, target)
+
+
 def test_zone_evacuated_during_a_search(with_path):
     """Load: a request whose search is in progress when the zone of the target leaves.
 
