Hold back a version that is new until the state is confirmed

Cause: an entry may learn of the target's endpoints before it learns of the order: it is cut off from control together with a replica and endpoints of its zone, or it was stopped for a while and reads announcements before it has requested the state. Without a roll-out both versions are treated alike, so the target would get about half of the requests of this entry, beyond the share that holds the exposure below its limit.

Change: while a service has other endpoints, those of a version that appeared later get requests once a majority confirmed the state since then (at most about two seconds in normal operation), or once a roll-out that isn't final decides. Endpoints start after their order was acknowledged, so a state confirmed later contains it. All versions that a starting entry learns of first are used at once.

--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -28,6 +28,7 @@
 from .limits.declared_limits import DeclaredLimits
 from .peers import Peer, PeerDirectory
 from .quarantine import RequestQuarantine
+from .rollouts.new_versions import NewVersions
 from .rollouts.version_load import VersionLoads
 from .state_loader import Decode, StateLoader
 
@@ -65,6 +66,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.by_service: dict[str, list[Endpoint]] = {}
         self.version_loads = VersionLoads()
+        self._new_versions = NewVersions(clock)
         self.fleet = FleetSize()
         self.entry_ids: frozenset[str] = frozenset()
         self.peer_directory = PeerDirectory(clock)
@@ -144,6 +146,11 @@
             return False
         return self.confirmations.is_current(index, self._clock())
 
+    def _is_confirmed_since(self, instant: Instant) -> bool:
+        index = self.replicated_state.index
+        is_newest = index >= self.announced_index
+        return is_newest and self.confirmations.is_confirmed_since(index, instant)
+
     def _mark_unconfirmed(self, zone: str) -> None:
         for endpoint in self.endpoints.values():
             if endpoint.announcement.zone == zone:
@@ -285,10 +292,13 @@
     def expire(self) -> None:
         """Remove unresponsive endpoints, unless this entry itself may be isolated.
 
-        Requests whose time in quarantine is over are released.
+        Requests whose time in quarantine is over are released. Endpoints that were held
+        back are used once the state is confirmed.
         """
         self.quarantine.expire()
         self.peer_directory.expire()
+        if self._new_versions.is_holding:
+            self._rebuild()
         now = self._clock()
         oldest = add_ms(now, -ENDPOINT_EXPIRY_MS)
         if self.connected_since is None or self.connected_since > oldest:
@@ -303,18 +313,22 @@
         """Rebuild the lists of endpoints that may receive requests."""
         known = {a.endpoint_id for a in self.registry.announcements()}
         self.endpoints = {k: v for k, v in self.endpoints.items() if k in known}
-        self.version_loads.retain(
-            {
-                (e.announcement.service, e.announcement.version)
-                for e in self.endpoints.values()
-            }
-        )
+        versions = {
+            (e.announcement.service, e.announcement.version)
+            for e in self.endpoints.values()
+        }
+        self.version_loads.retain(versions)
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
             if self._is_eligible(endpoint):
                 service = endpoint.announcement.service
                 by_service.setdefault(service, []).append(endpoint)
-        self.by_service = by_service
+        self.by_service = self._new_versions.usable(
+            by_service,
+            versions,
+            self.replicated_state.rollouts,
+            self._is_confirmed_since,
+        )
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether an announcement or a response reported that it is leaving."""
--- a/pollenfold/tests/gateway/rollouts/stages.py
+++ b/pollenfold/tests/gateway/rollouts/stages.py
@@ -30,6 +30,7 @@
     path.view.replicated_state = replace(
         path.view.replicated_state, index=index, rollouts={"s": rollout}
     )
+    path.view._rebuild()
     path.confirm(index)
     return rollout
 
--- a/pollenfold/tests/gateway/rollouts/test_versions.py
+++ b/pollenfold/tests/gateway/rollouts/test_versions.py
@@ -318,6 +318,7 @@
     old, target = Backend("old", check_delay_ms=60.0), Backend("new")
 
     async def body(path, *backends):
+        path.view.forget("new", "not_started")
         announce(path, [old])
         if before is not None:
             set_stage(path, before, 0.0)
@@ -344,6 +345,8 @@
 
     async def body(path, *backends):
         announce(path, target=[target])
+        path.confirm()
+        path.view.expire()
         path.balancer._prober.probe = slowly(path.balancer._prober.probe)
         task = await curio.spawn(path.get)
         await wait_until(lambda: target.n_checks)
