Select again when an order comes during a search that found nothing

Cause: a search that began without a roll-out may fail because the order changed which endpoints may get requests; the request was refused then. Seen in test_order_that_comes_between_choice_and_send, whose endpoint announced itself anew.

Change: the selector starts over if a roll-out appeared meanwhile. The test holds the old endpoint back by a back-off now, so that the search always chooses the target.

--- a/pollenfold/gateway/rollouts/selection.py
+++ b/pollenfold/gateway/rollouts/selection.py
@@ -86,11 +86,13 @@
         """Try one side after the other; return None if the stage changed meanwhile."""
         rollout = self._rollout(service)
         if rollout is None:
-            return await select_among(None)
+            result = await select_among(None)
+            is_changed = self._rollout(service) is not None
+            return None if is_changed and result in FALLBACK_KINDS else result
         sides = sides_to_try(
             rollout, self._rng.random(), is_retry, self._contact.is_lost()
         )
-        result: Pick | ErrorKind | None = None
+        result = None
         for n_tried, is_target in enumerate(sides):
             subset = self._subset(rollout, is_target, is_search_repeated=n_tried > 0)
             result = await select_among(subset)
--- a/pollenfold/tests/gateway/rollouts/test_versions.py
+++ b/pollenfold/tests/gateway/rollouts/test_versions.py
@@ -344,13 +344,14 @@
     old, target = Backend("old"), Backend("new", check_delay_ms=60.0)
 
     async def body(path, *backends):
-        announce(path, target=[target])
+        announce(path, [old], [target])
         path.confirm()
         path.view.expire()
+        assert len(path.view.by_service["s"]) == 2
         path.balancer._prober.probe = slowly(path.balancer._prober.probe)
+        path.view.start_backoff(path.view.endpoints["old"], 50.0)
         task = await curio.spawn(path.get)
         await wait_until(lambda: target.n_checks)
-        announce(path, [old])
         set_stage(path, "canary", 0.0)
         assert (await task.join()).status == 200
         assert not target.requests
