--- a/pollenfold/gateway/rollouts/new_versions.py
+++ b/pollenfold/gateway/rollouts/new_versions.py
@@ -49,6 +49,9 @@
         """
         known_services = {service for service, _ in self._known}
         known = self._known & present
+        if not self._held and known == present:
+            self._known = known
+            return by_service
         held: dict[VersionKey, Instant] = {}
         usable: dict[str, list[Endpoint]] = {}
         for service, endpoints in by_service.items():
--- a/pollenfold/gateway/view.py
+++ b/pollenfold/gateway/view.py
@@ -29,7 +29,7 @@
 from .peers import Peer, PeerDirectory
 from .quarantine import RequestQuarantine
 from .rollouts.new_versions import NewVersions
-from .rollouts.version_load import VersionLoads
+from .rollouts.version_load import VersionKey, VersionLoads
 from .state_loader import Decode, StateLoader
 
 ENDPOINT_EXPIRY_MS = 12_000.0
@@ -313,16 +313,14 @@
         """Rebuild the lists of endpoints that may receive requests."""
         known = {a.endpoint_id for a in self.registry.announcements()}
         self.endpoints = {k: v for k, v in self.endpoints.items() if k in known}
-        versions = {
-            (e.announcement.service, e.announcement.version)
-            for e in self.endpoints.values()
-        }
-        self.version_loads.retain(versions)
+        versions: set[VersionKey] = set()
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
+            service = endpoint.announcement.service
+            versions.add((service, endpoint.announcement.version))
             if self._is_eligible(endpoint):
-                service = endpoint.announcement.service
                 by_service.setdefault(service, []).append(endpoint)
+        self.version_loads.retain(versions)
         self.by_service = self._new_versions.usable(
             by_service,
             versions,
