Wait as long as control before contact counts as lost

Cause: control lets a version end once an entry was without contact for contactMs, 2 s by default; this entry's default of 3 s left a second in which it still used that version. Elections don't need more time, since feeds of a majority of the replicas count as contact.

--- a/pollenfold/gateway/rollouts/contact.py
+++ b/pollenfold/gateway/rollouts/contact.py
@@ -10,9 +10,9 @@
     from ..feeds import Feeds
     from ..view import FleetView
 
-DEFAULT_CONTACT_MS = 3_000.0
-"""Longer than an election with the next confirmation after it, and shorter than the
-time for which a version that was judged bad may still get requests."""
+DEFAULT_CONTACT_MS = 2_000.0
+"""Control waits as long for the report of an entry that it lost contact with, before a
+version may end."""
 
 
 class ControlContact:
