Leave out versions that an entry saw replaced, also if control doesn't name them

Cause: after completed, entries send to all versions but those that the leader named as replaced. A leader that has just restarted may not know the old endpoints yet, and the operator stops them at this moment.

Change: an entry remembers the other versions that it saw during a roll-out. A test reads a report with the decoder of control.

--- a/pollenfold/gateway/rollouts/selection.py
+++ b/pollenfold/gateway/rollouts/selection.py
@@ -41,12 +41,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sides:
-    """The usable endpoints of a service by side; those of the target are ranked."""
+    """The usable endpoints of a service by side; those of the target are ranked.
+
+    ``replaced`` are the other versions that were there during the roll-out. The leader
+    that completes it names those that it knows, and it may have just restarted.
+    """
 
     source: object
     rollout: Rollout
     old: list[Endpoint]
     target: list[Endpoint]
+    replaced: frozenset[str]
 
 
 class VersionSelector:
@@ -154,17 +159,26 @@
         source = self._view.by_service.get(service)
         sides = self._sides.get(service)
         if sides is None or sides.source is not source or sides.rollout != rollout:
-            sides = self._sides[service] = _divide(rollout, source)
+            replaced: frozenset[str] = frozenset()
+            if sides is not None and sides.rollout.order_index == rollout.order_index:
+                replaced = sides.replaced
+            sides = self._sides[service] = _divide(rollout, source, replaced)
         return sides
 
 
-def _divide(rollout: Rollout, source: list[Endpoint] | None) -> _Sides:
+def _divide(
+    rollout: Rollout, source: list[Endpoint] | None, replaced: frozenset[str]
+) -> _Sides:
     endpoints = source or []
+    if not rollout.is_final:
+        versions = {e.announcement.version for e in endpoints}
+        replaced |= versions - {rollout.target_version}
     by_id = {e.announcement.endpoint_id: e for e in endpoints}
     target_ids = [
         endpoint_id
         for endpoint_id, endpoint in by_id.items()
         if rollout.uses(endpoint.announcement.version, True)
+        and endpoint.announcement.version not in replaced
     ]
     ranked = rank_endpoints(target_ids, f"{rollout.service} {rollout.order_index}")
     return _Sides(
@@ -172,4 +186,5 @@
         rollout,
         [e for e in endpoints if rollout.uses(e.announcement.version, False)],
         [by_id[endpoint_id] for endpoint_id in ranked],
+        replaced,
     )
--- a/pollenfold/tests/gateway/rollouts/stages.py
+++ b/pollenfold/tests/gateway/rollouts/stages.py
@@ -12,7 +12,7 @@
 SHARES = {"full": 1.0, "completed": 1.0, "reverting": 0.0, "rolled_back": 0.0}
 
 
-def set_stage(path, stage, share=0.06, order_index=5):
+def set_stage(path, stage, share=0.06, order_index=5, replaced=("v1",)):
     """Put a stage of the roll-out to ``v2`` in force at an entry."""
     index = path.view.replicated_state.index + 10
     rollout = Rollout(
@@ -25,7 +25,7 @@
         share=SHARES.get(stage, share),
         stage_index=index,
         rejected_versions=("v2",) if stage in ("reverting", "rolled_back") else (),
-        replaced_versions=("v1",) if stage == "completed" else (),
+        replaced_versions=replaced if stage == "completed" else (),
     )
     path.view.replicated_state = replace(
         path.view.replicated_state, index=index, rollouts={"s": rollout}
--- a/pollenfold/tests/gateway/rollouts/test_evidence.py
+++ b/pollenfold/tests/gateway/rollouts/test_evidence.py
@@ -1,8 +1,13 @@
 """What an entry counts of both versions, and what it reports to the control leader."""
 
+import json
+
 import curio
 import pytest
 
+from pollenfold.core.input_limits import is_whole_number
+from pollenfold.core.rollouts.evidence import RouteCounts
+from pollenfold.core.rollouts.reports import decode_report
 from pollenfold.gateway.relay.headers import RelayedRequest
 from pollenfold.gateway.rollouts.version_load import VersionLoads
 from pollenfold.http.messages import Request
@@ -280,6 +285,23 @@
     with_path(body, *backends_of("old", 1))
 
 
+def test_report_is_readable_for_control(with_path):
+    """Guards against a report that the control leader counts as malformed."""
+
+    async def body(path, *backends):
+        announce(path, backends)
+        rollout = set_stage(path, "canary")
+        assert (await path.get()).status == 200
+        line = json.loads(json.dumps(reporter_of(path, FakeFeeds()).build_report()))
+        assert is_whole_number(line[0])
+        report = decode_report(line[1][0])
+        assert (report.service, report.order_index) == ("s", rollout.order_index)
+        assert report.stage_index == rollout.stage_index
+        assert report.counts == {"r1": RouteCounts(n_old=1)}
+
+    with_path(body, Backend("old"))
+
+
 def test_loads_of_versions_are_bounded():
     """Guards against memory that grows with each version of a service."""
     loads = VersionLoads()
--- a/pollenfold/tests/gateway/rollouts/test_versions.py
+++ b/pollenfold/tests/gateway/rollouts/test_versions.py
@@ -122,6 +122,31 @@
     with_path(body, *old, *target)
 
 
+def test_replaced_version_that_control_does_not_name_gets_nothing(with_path):
+    """Guards against requests to the old version after its end because the leader that
+    completed the roll-out had restarted and knew none of its endpoints. A version that
+    appears later without an order gets requests."""
+    old, target, later = Backend("old"), Backend("new"), Backend("later")
+
+    async def body(path, *backends):
+        path.view.forget("later", "not_started")
+        announce(path, [old], [target])
+        for stage in ("canary", "full"):
+            set_stage(path, stage)
+            assert (await path.get()).status == 200
+        n_old = len(old.requests)
+        set_stage(path, "completed", replaced=())
+        path.announce(later, sequence=70, version="v3")
+        path.confirm(path.view.replicated_state.index)
+        path.view.expire()
+        for _ in range(10):
+            assert (await path.get()).status == 200
+        assert len(old.requests) == n_old
+        assert target.n_checks and later.n_checks
+
+    with_path(body, old, target, later)
+
+
 def test_version_that_ends_takes_nothing_when_the_other_is_gone(with_path):
     """Guards against a request to the old version after ``full`` because no endpoint
     of the target responds: the old endpoints may be stopped without draining."""
