--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -24,9 +24,10 @@
 from .dialect import Dialect
 from .endpoint import Endpoint
 from .limits.permits import LimitedChoice, Permits
-from .pick import Pick
+from .pick import EndpointSubset, Pick
 from .probes import Prober, ProbeResult, ServiceProbeState
 from .reach_monitor import ReachMonitor
+from .search_memory import SearchMemory
 from .settings import BalancerSettings
 from .view import FleetView
 
@@ -105,7 +106,7 @@
             monitor,
         )
         self._permits = Permits(view, settings, self._connections, clock)
-        self._probe_states: dict[str, ServiceProbeState] = {}
+        self._memory = SearchMemory(view)
         self._probe_budget: TokenBucket | None = None
 
     # Selection
@@ -118,24 +119,30 @@
         max_slowdown: float,
         trace: list[str],
         avoided_endpoint_ids: frozenset[str] = frozenset(),
+        subset: EndpointSubset | None = None,
     ) -> Pick | None:
         """Return an endpoint with a connection, or None if none is usable.
 
         The request needs a slowdown of at most ``max_slowdown``. No search is made if
         another request's search has just found no endpoint that fast. An endpoint that
         declares a limit gets the request without a probe, if this entry has a permit.
-        ``avoided_endpoint_ids`` are used only if there are no others.
+        ``avoided_endpoint_ids`` are used only if there are no others. Only endpoints of
+        the ``subset`` are used if there is one.
 
         For each round of probes an item is appended to ``trace``: the number of probed
         endpoints, the number of responses and the least slowdown, as in ``3/2/1.60``.
         """
         now = self._clock()
         is_first_attempt = not tried_endpoint_ids
-        if is_first_attempt:
+        if is_first_attempt and (subset is None or not subset.is_search_repeated):
             self._permits.count_request(service)
         endpoints = [
             endpoint
-            for endpoint in self._view.by_service.get(service, ())
+            for endpoint in (
+                self._view.by_service.get(service, ())
+                if subset is None
+                else subset.endpoints
+            )
             if endpoint.announcement.endpoint_id not in tried_endpoint_ids
             and not endpoint.is_backing_off(now)
         ]
@@ -158,7 +165,7 @@
         if not endpoints:
             return None
         self._update_probe_budget(now)
-        state = self._probe_states.setdefault(service, ServiceProbeState())
+        state = self._memory.get(service, subset)
         search = _Search(service, state, endpoints, deadline, max_slowdown, trace)
         if self._is_overloaded(search, OVERLOAD_MEMORY_MS):
             trace.append(f"crowded/{state.least_slowdown:.2f}")
@@ -167,13 +174,17 @@
             return await self._pick_without_reports(search)
         return await self._pick_by_reports(search)
 
-    def permit_wait_ms(self, service: str) -> float | None:
+    def permit_wait_ms(
+        self, service: str, subset: EndpointSubset | None = None
+    ) -> float | None:
         """Return the ms until the first endpoint of a service may get a request.
 
         Return None if the service has no endpoints, or one that neither declares a
-        limit nor backs off.
+        limit nor backs off. Only endpoints of the ``subset`` count if there is one.
         """
-        return self._permits.wait_ms(service)
+        if subset is None:
+            return self._permits.wait_ms(self._view.by_service.get(service, ()))
+        return self._permits.wait_ms(subset.endpoints)
 
     def _acquire_probes(self, n_probes: int, now: Instant) -> bool:
         budget = self._probe_budget
@@ -382,8 +393,7 @@
 
     def is_unreached(self, service: str) -> bool:
         """Return whether no endpoint responded that the last search contacted."""
-        state = self._probe_states.get(service)
-        return state is not None and state.is_unreached
+        return self._memory.is_unreached(service)
 
     async def wait_until_fast(
         self,
@@ -397,7 +407,7 @@
         Return immediately if it can't be probed, declares a limit or doesn't respond,
         or if ``is_cancelled`` returns true.
         """
-        state = self._probe_states.setdefault(service, ServiceProbeState())
+        state = self._memory.get(service)
         while (
             (now := self._clock()) < until
             and endpoint.declared_limit is None
@@ -446,6 +456,7 @@
             await self._connections.close_idle()
             self._prober.forget_absent()
             self._permits.forget_absent()
+            self._memory.forget_ended()
             await self._monitor.maintain()
             await self._check_limits()
 
@@ -463,6 +474,6 @@
                 and self._permits.acquire_check(endpoint)
             ]
             if due:
-                state = self._probe_states.setdefault(service, ServiceProbeState())
+                state = self._memory.get(service)
                 for result in await self._prober.probe(service, state, due, False):
                     await self.release(result.endpoint, result.connection)
