Hold back lower priorities while a higher one lacks capacity

Cause: admission looked at the latency target only. A request with a narrow target (76 ms of work, 206 ms) accepts a slowdown of 2.4, one with a wide target (141 ms, 802 ms) 4.9, so the wide ones filled the queues and the narrow ones were refused. Change: each search shows what requests of all priorities would have found. While a priority misses a tenth of the searches, lower ones are admitted up to a narrower slowdown, in four steps; an idle endpoint takes any request. Only with tenants in the configuration, and only after a refusal of the higher priority.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -385,6 +385,17 @@
         state = self._probe_states.get(service)
         return state is not None and state.is_unreached
 
+    def least_slowdown(self, service: str) -> float | None:
+        """Return the slowdown of the best endpoint that the last search found.
+
+        Return None if it was long ago, or if no endpoint responded.
+        """
+        state = self._probe_states.get(service)
+        if state is None or state.is_unreached:
+            return None
+        valid_until = add_ms(state.last_search_at, UNPROBED_MEMORY_MS)
+        return state.least_slowdown if self._clock() < valid_until else None
+
     async def wait_until_fast(
         self,
         service: str,
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -30,6 +30,7 @@
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
 from .pick import Pick
+from .priorities import Priorities
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .relay.headers import RelayedRequest
@@ -66,6 +67,7 @@
         self._dialect = dialect
         self._call_factory = CallFactory(dialect)
         self._tenant_checks = TenantChecks(view, dialect)
+        self._priorities = Priorities(balancer, clock, metrics)
         self._retry_budget = retry_budget
         self._clock = clock
         self._log = log
@@ -240,14 +242,19 @@
         left_ms = remaining_ms(call.target_at, self._clock()) - body_send_ms(
             self._link, call
         )
+        limit = max_slowdown = acceptable_slowdown(call.work_estimate.get(), left_ms)
+        if is_first_attempt:
+            max_slowdown = self._priorities.max_slowdown(call, limit)
         pick = await self._balancer.pick(
             call.service,
             call.tried_endpoint_ids,
             call.deadline,
-            acceptable_slowdown(call.work_estimate.get(), left_ms),
+            max_slowdown,
             call.decision_trace,
             self._suspects.avoided_endpoint_ids(call),
         )
+        if is_first_attempt:
+            self._priorities.record_search(call, limit, pick)
         if pick is None:
             call.backoff_ms = self._balancer.permit_wait_ms(call.service)
             if call.backoff_ms is None:
@@ -306,7 +313,9 @@
         self._metrics.count(
             "admissions_total", service=call.service, verdict=verdict.value
         )
-        return verdict is not AdmissionDecision.REFUSE
+        if verdict is AdmissionDecision.REFUSE:
+            return False
+        return not self._priorities.holds_back(call, pick)
 
 
 def _find_request_route(
