--- a/pollenfold/platform/documents.py
+++ b/pollenfold/platform/documents.py
@@ -122,19 +122,7 @@
         service = _decode_service(item)
         services[service.name] = service
         yield
-    hosts: dict[str, HostRoutes] = {}
-    names: set[str] = set()
-    splits: Splits = {}
-    for item in _list_field(fields, "hosts"):
-        host = _text_field(item, "host").lower()
-        host_routes = hosts.setdefault(host, HostRoutes())
-        for path_text, path in _popped(_list_field(item, "paths")):
-            route = _decode_route(path, services, splits)
-            decoded[path_text] = route
-            if not host_routes.add(route):
-                raise DocumentError(f"host {host}: two routes with one pathPrefix")
-            names.add(route.name)
-            yield
+    hosts, names = yield from _decode_hosts(fields, services, decoded)
     sorted_hosts = {}
     for host, host_routes in hosts.items():
         sorted_hosts[host] = host_routes.in_matching_order()
@@ -151,6 +139,26 @@
     )
 
 
+def _decode_hosts(
+    fields: dict[str, Any], services: dict[str, BackendService], decoded: KnownRoutes
+) -> Steps[tuple[dict[str, HostRoutes], set[str]]]:
+    """Decode the routes of all hosts; return them by host, and their names."""
+    hosts: dict[str, HostRoutes] = {}
+    names: set[str] = set()
+    splits: Splits = {}
+    for item in _list_field(fields, "hosts"):
+        host = _text_field(item, "host").lower()
+        host_routes = hosts.setdefault(host, HostRoutes())
+        for path_text, path in _popped(_list_field(item, "paths")):
+            route = _decode_route(path, services, splits)
+            decoded[path_text] = route
+            if not host_routes.add(route):
+                raise DocumentError(f"host {host}: two routes with one pathPrefix")
+            names.add(route.name)
+            yield
+    return hosts, names
+
+
 def _decode_unless_known(known: KnownRoutes) -> DecodeItem:
     """Return a decoder of list members, which returns each with its text.
 
