Count requests left to higher priorities as a verdict of admission

They were counted as sent and, in a metric of their own, as held back, so that the verdicts of admissions_total didn't add up to what was sent.

--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -67,7 +67,7 @@
         self._dialect = dialect
         self._call_factory = CallFactory(dialect)
         self._tenant_checks = TenantChecks(view, dialect)
-        self._priorities = Priorities(balancer, clock, metrics)
+        self._priorities = Priorities(balancer, clock)
         self._retry_budget = retry_budget
         self._clock = clock
         self._log = log
@@ -309,13 +309,16 @@
             remaining_ms(call.deadline, now) - send_ms,
         )
         verdict = decide_admission(placement)
-        call.decision_trace.append(verdict.value)
+        is_admitted = verdict is not AdmissionDecision.REFUSE
+        is_held = is_admitted and self._priorities.holds_back(call, pick)
+        if not is_held:
+            call.decision_trace.append(verdict.value)
         self._metrics.count(
-            "admissions_total", service=call.service, verdict=verdict.value
+            "admissions_total",
+            service=call.service,
+            verdict="held" if is_held else verdict.value,
         )
-        if verdict is AdmissionDecision.REFUSE:
-            return False
-        return not self._priorities.holds_back(call, pick)
+        return is_admitted and not is_held
 
 
 def _find_request_route(
--- a/pollenfold/gateway/priorities.py
+++ b/pollenfold/gateway/priorities.py
@@ -4,7 +4,6 @@
 
 from ..core.balancing.priority import ServicePriorities
 from ..core.clock import Clock
-from ..observe.exposition import Metrics
 from .balancer import Balancer
 from .calls import Call
 from .pick import Pick
@@ -20,10 +19,9 @@
 class Priorities:
     """Holds back requests of an entry while higher priorities lack capacity."""
 
-    def __init__(self, balancer: Balancer, clock: Clock, metrics: Metrics) -> None:
+    def __init__(self, balancer: Balancer, clock: Clock) -> None:
         self._balancer = balancer
         self._clock = clock
-        self._metrics = metrics
         self._by_service: dict[str, ServicePriorities] = {}
 
     def max_slowdown(self, call: Call, limit: float) -> float:
@@ -60,7 +58,6 @@
         if not priorities.holds_back(call.priority, pick.slowdown, pick.load):
             return False
         call.decision_trace.append(f"held/{priorities.step(call.priority)}")
-        self._metrics.count("held_back_total", service=call.service)
         return True
 
     def _priorities_of(self, service: str) -> ServicePriorities:
