--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -395,6 +395,17 @@
         """Return whether no endpoint responded that the last search contacted."""
         return self._memory.is_unreached(service)
 
+    def least_slowdown(self, service: str) -> float | None:
+        """Return the slowdown of the best endpoint that the last search found.
+
+        Return None if it was long ago, or if no endpoint responded.
+        """
+        state = self._probe_states.get(service)
+        if state is None or state.is_unreached:
+            return None
+        valid_until = add_ms(state.last_search_at, UNPROBED_MEMORY_MS)
+        return state.least_slowdown if self._clock() < valid_until else None
+
     async def wait_until_fast(
         self,
         service: str,
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -31,6 +31,7 @@
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
 from .pick import EndpointSubset, Pick
+from .priorities import Priorities
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .relay.headers import RelayedRequest
@@ -70,6 +71,7 @@
         self._dialect = dialect
         self._call_factory = CallFactory(dialect)
         self._tenant_checks = TenantChecks(view, dialect)
+        self._priorities = Priorities(balancer, clock)
         self._retry_budget = retry_budget
         self._clock = clock
         self._log = log
@@ -265,15 +267,20 @@
         left_ms = remaining_ms(call.target_at, self._clock()) - body_send_ms(
             self._link, call
         )
+        limit = max_slowdown = acceptable_slowdown(call.work_estimate.get(), left_ms)
+        if is_first_attempt:
+            max_slowdown = self._priorities.max_slowdown(call, limit)
         pick = await self._balancer.pick(
             call.service,
             call.tried_endpoint_ids,
             call.deadline,
-            acceptable_slowdown(call.work_estimate.get(), left_ms),
+            max_slowdown,
             call.decision_trace,
             self._suspects.avoided_endpoint_ids(call),
             subset,
         )
+        if is_first_attempt:
+            self._priorities.record_search(call, limit, pick)
         if pick is None:
             call.backoff_ms = self._balancer.permit_wait_ms(call.service, subset)
             if call.backoff_ms is None:
@@ -332,11 +339,16 @@
             remaining_ms(call.deadline, now) - send_ms,
         )
         verdict = decide_admission(placement)
-        call.decision_trace.append(verdict.value)
+        is_admitted = verdict is not AdmissionDecision.REFUSE
+        is_held = is_admitted and self._priorities.holds_back(call, pick)
+        if not is_held:
+            call.decision_trace.append(verdict.value)
         self._metrics.count(
-            "admissions_total", service=call.service, verdict=verdict.value
+            "admissions_total",
+            service=call.service,
+            verdict="held" if is_held else verdict.value,
         )
-        return verdict is not AdmissionDecision.REFUSE
+        return is_admitted and not is_held
 
 
 def _find_request_route(
