Grant and hold permits for the requests of tenants

An even split of a quota over 142 entries leaves a tenant of 0.1 requests/s and entry less than one request in a window.

The lease of the leader needs no round to the others. A restarted voter may vote at once, so the shortest election timeout alone doesn't exclude a second leader; a new one therefore waits for the length of a lease after its election.

--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -22,6 +22,7 @@
     step,
 )
 from ..core.agreement.election_timeout import election_timeout_ms, first_timeout_ms
+from ..core.agreement.leader_lease import acts_from, has_lease
 from ..core.agreement.log import MAX_COMMAND_BYTES
 from ..core.agreement.members import (
     decode_members,
@@ -145,6 +146,16 @@
         """Return when this replica became leader, or None when it isn't."""
         return self._leader_since if self.is_leader() else None
 
+    def acts_alone_from(self) -> Instant | None:
+        """Return from when this leader may act without asking the others.
+
+        It is None while this replica has no lease. The value is the same for one term.
+        """
+        state, since = self._state, self._leader_since
+        if state is None or since is None or not has_lease(state, self._clock()):
+            return None
+        return acts_from(since)
+
     def growing_since(self) -> Instant | None:
         """Return since when a replica has been waiting to become a missing voter."""
         return self._learner_waits.since()
--- a/pollenfold/core/errors.py
+++ b/pollenfold/core/errors.py
@@ -37,6 +37,8 @@
     BACKEND_FAILED = "backend_failed"
     OUTCOME_UNKNOWN = "outcome_unknown"
     QUARANTINED = "quarantined"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
     IN_PROGRESS = "in_progress"
     LEDGER_UNAVAILABLE = "ledger_unavailable"
     NO_QUORUM = "no_quorum"
@@ -132,6 +134,12 @@
         None,
         "servers ended while they ran this request; do not repeat it",
     ),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(
+        429, _DID_NOT_RUN, 1, "the tenant has reached its quota"
+    ),
+    ErrorKind.QUOTA_UNKNOWN: ErrorResponse(
+        503, _DID_NOT_RUN, 0.5, "no leader can tell what is left of the quota"
+    ),
     ErrorKind.IN_PROGRESS: ErrorResponse(
         409, _UNKNOWN, 1, "an earlier request with this key is in progress"
     ),
--- /dev/null
+++ b/pollenfold/gateway/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for the requests of tenants at an entry."""
