Take a permit before a request of a tenant with a quota is sent

An entry takes a permit after an endpoint was admitted, so a request refused for lack of capacity costs none; one permit for each run that may have happened. Denials are 429 with the time of the leader. Without a leader a request uses the share of the reserve, else it gets 503 after at most 150 ms.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -110,6 +110,12 @@
     identity: Identity = WITHOUT_TENANTS
     """Who sent the request."""
 
+    permit_until: Instant = Instant(0.0)
+    """Until when the request may be sent on the permit that it has of a quota."""
+
+    n_runs_before_permit: int = 0
+    """How many attempts may have run when it got that permit."""
+
     @property
     def tenant(self) -> Tenant | None:
         """The tenant that sent the request, or None for an anonymous one."""
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -22,6 +22,7 @@
 from ..core.receive_memory import DEFAULT_MEMORY_BYTES
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
+from ..core.tenancy.quota_limits import QuotaLimits
 from ..http.caller import ABANDONED
 from ..http.listener import start_listening
 from ..http.memory import MemoryBudget
@@ -54,6 +55,7 @@
 from .feeds import FeedIdentity, Feeds
 from .forward import NOT_READY_RETRY_AFTER_MS, Forwarder
 from .peer_port import PeerPort
+from .quotas.gate import QuotaGate
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .response_memory import RESPONSE_MEMORY
@@ -133,6 +135,7 @@
     peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    quota_limits: QuotaLimits = QuotaLimits()
 
 
 class Gateway:
@@ -192,6 +195,15 @@
         self.retry_budget = RetryBudget(
             settings.retry_limits, settings.entry_id, clock()
         )
+        self.quotas = QuotaGate(
+            settings.quota_limits,
+            settings.entry_id,
+            lambda: self.feeds.leader,
+            self.view,
+            clock,
+            self.log,
+            self.metrics,
+        )
         self.forwarder = Forwarder(
             self.view,
             self.balancer,
@@ -204,6 +216,7 @@
             link,
             self.monitor,
             self.relay_client,
+            self.quotas,
         )
         identity = FeedIdentity(
             settings.entry_id,
@@ -214,6 +227,7 @@
         self.feeds = Feeds(
             identity, self.view, settings.seeds, settings.feed_port, clock, self.log
         )
+        self.feeds.add_part("granted", self.quotas.apply_answers)
         self.started_at = clock()
         self.is_stopping = False
         self.answer_by = Instant(math.inf)
@@ -430,6 +444,7 @@
     await group.spawn(gateway.feeds.send_quarantine_reports)
     await group.spawn(gateway.balancer.run_maintenance)
     await group.spawn(gateway.update_retry_share)
+    await group.spawn(gateway.quotas.run)
     # The entry does its work without the monitor, so its failure ends nothing.
     await curio.spawn(gateway.memory_monitor.run, daemon=True)
     await group.spawn(gateway.log.run, partial(gateway.hold_ups.record, "loop"))
--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -16,6 +16,7 @@
 from .view import FleetView
 
 MAX_LOGGED_URL_CHARS = 200
+QUOTA_KINDS = (ErrorKind.QUOTA_EXCEEDED, ErrorKind.QUOTA_UNKNOWN)
 
 
 class FinalResponses:
@@ -115,6 +116,10 @@
             is_late = kind is ErrorKind.DEADLINE_EXCEEDED
             kind = kind if is_late else ErrorKind.BACKEND_FAILED
             response = error_response(kind, run_state=RunState.OUTCOME_UNKNOWN.value)
+        elif kind in QUOTA_KINDS:
+            # The leader told the time, so nothing is added to it.
+            after_s = round((call.backoff_ms or 0.0) / 1000, 3)
+            response = error_response(kind, retry_after_s=after_s)
         else:
             if kind is ErrorKind.DEADLINE_EXCEEDED:
                 kind = ErrorKind.QUEUE_FULL
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -30,6 +30,7 @@
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
 from .pick import Pick
+from .quotas.gate import QuotaGate
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .relay.headers import RelayedRequest
@@ -58,7 +59,9 @@
         link: Link,
         monitor: ReachMonitor,
         relay_client: RelayClient,
+        quotas: QuotaGate,
     ) -> None:
+        self._quotas = quotas
         self._link = link
         self._monitor = monitor
         self._view = view
@@ -195,6 +198,9 @@
         """Send the request to one endpoint after another, as far as retries allow."""
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
+        denial_kind = self._quotas.refusal_kind(call)
+        if denial_kind is not None:
+            return self._final_responses.finish_failed(call, denial_kind)
         n_sent = 0
         while True:
             final = await self._relaying.relay_if_cut(call)
@@ -256,10 +262,15 @@
             call.decision_trace.append(f"{reason}/{call.backoff_ms:.0f}")
             return ErrorKind.QUEUE_FULL
         refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
-        if refusal_kind is None:
-            return pick
-        await self._balancer.release(pick.endpoint, pick.connection)
-        return refusal_kind
+        is_permitted = False
+        try:
+            if refusal_kind is None:
+                refusal_kind = await self._quotas.acquire(call)
+            is_permitted = refusal_kind is None
+        finally:
+            if not is_permitted:
+                await self._balancer.release(pick.endpoint, pick.connection)
+        return pick if refusal_kind is None else refusal_kind
 
     def _refusal_kind(
         self, call: Call, pick: Pick, is_first_attempt: bool
--- a/pollenfold/gateway/quotas/client.py
+++ b/pollenfold/gateway/quotas/client.py
@@ -21,6 +21,7 @@
 from ...observe.exposition import BoundedLabel, Metrics
 from ...observe.malformed import MalformedItems
 from ..feed import Feed
+from .outcomes import Permit, Refusal
 
 MAX_WAIT_MS = 150.0
 """How long a request waits for the answer of the leader."""
@@ -39,21 +40,6 @@
 """How many reserves are divided in one step. Each takes a hash for each entry."""
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """The permission to send one request until an instant."""
-
-    valid_until: Instant
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a request may not be sent, and when its caller may come back."""
-
-    kind: ErrorKind
-    retry_after_ms: float
-
-
 class _Waiter:
     """A request that waits for an answer.
 
--- a/pollenfold/gateway/relay/relaying.py
+++ b/pollenfold/gateway/relay/relaying.py
@@ -8,7 +8,8 @@
 
 from ...core.clock import Clock, remaining_ms
 from ...core.errors import ERROR_TABLE, ErrorKind
-from ...http.messages import Response
+from ...http.messages import Response, find_header
+from ...http.retry_after import parse_backoff_ms
 from ...observe.exposition import Metrics
 from ..balancer import Balancer
 from ..calls import Call
@@ -109,6 +110,10 @@
                 break
             if result.outcome is RelayOutcome.NOT_STARTED:
                 refusal_kind = _refusal_kind(result)
+                if refusal_kind is ErrorKind.QUOTA_EXCEEDED:
+                    # Any peer gets its permits from the same leader.
+                    call.backoff_ms = _retry_after_ms(result)
+                    break
             if result.outcome is RelayOutcome.LOST:
                 refusal_kind = ErrorKind.BACKEND_FAILED
             if not _may_relay(call):
@@ -184,9 +189,17 @@
     only shows that the two hold different configurations.
     """
     kind = result.error_kind or ErrorKind.BACKEND_REFUSED
+    if kind is ErrorKind.QUOTA_EXCEEDED:
+        return kind
     return kind if ERROR_TABLE[kind].status >= 500 else ErrorKind.NOT_CONFIRMED
 
 
+def _retry_after_ms(result: RelayResult) -> float | None:
+    """Return when the caller may come back, as the peer says."""
+    headers = [] if result.response is None else result.response.headers
+    return parse_backoff_ms(find_header(headers, b"retry-after") or b"", None)
+
+
 def _may_relay(call: Call) -> bool:
     """Return whether a request may be sent to an endpoint through a peer."""
     is_repeatable = call.route.is_idempotent or not call.may_have_executed
--- a/pollenfold/tests/control/test_stale_start.py
+++ b/pollenfold/tests/control/test_stale_start.py
@@ -5,8 +5,10 @@
 import curio
 
 from pollenfold.core.link import Link
+from pollenfold.core.tenancy.quota_limits import QuotaLimits
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.forward import Forwarder
+from pollenfold.gateway.quotas.gate import QuotaGate
 from pollenfold.gateway.reach_monitor import ReachMonitor
 from pollenfold.gateway.relay.client import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
@@ -47,6 +49,7 @@
         link,
         monitor,
         client,
+        QuotaGate(QuotaLimits(), "e1", lambda: None, view, clock, log, metrics),
     )
 
 
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -22,10 +22,12 @@
     sorted_routes,
 )
 from pollenfold.core.slices import in_one_step
+from pollenfold.core.tenancy.quota_limits import QuotaLimits
 from pollenfold.gateway.balancer import Balancer
 from pollenfold.gateway.daemon import Gateway, GatewaySettings
 from pollenfold.gateway.forward import Forwarder
 from pollenfold.gateway.peer_port import PeerPort
+from pollenfold.gateway.quotas.gate import QuotaGate
 from pollenfold.gateway.reach_monitor import ReachMonitor
 from pollenfold.gateway.relay.client import RelayClient
 from pollenfold.gateway.settings import BalancerSettings
@@ -275,6 +277,16 @@
         self.balancer = Balancer(
             self.view, DIALECT, settings, clock, self.metrics, rng, link, self.monitor
         )
+        self.leader = None
+        self.quotas = QuotaGate(
+            QuotaLimits(),
+            entry_id,
+            lambda: self.leader,
+            self.view,
+            clock,
+            self.log,
+            self.metrics,
+        )
         self.forwarder = Forwarder(
             self.view,
             self.balancer,
@@ -287,6 +299,7 @@
             link,
             self.monitor,
             self.relay_client,
+            self.quotas,
         )
         self.peer_port = PeerPort(
             self.forwarder,
