--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -15,6 +15,7 @@
 from ..core.errors import ErrorKind
 from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement
+from ..core.tenancy.quota_limits import QuotaLimits
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
@@ -42,6 +43,7 @@
 from .feed_server import FeedServer
 from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
+from .quota_server import DecodeQuotas, QuotaServer
 from .replica import DynamicMembers, Replica
 
 JOIN_INTERVAL_MS = 400.0
@@ -71,7 +73,8 @@
 
     ``seeds`` returns hosts where control replicas may run. ``reload`` rereads the
     settings and raises ValueError when they are invalid. ``n_members`` is the number
-    of voters that the configured fault tolerance requires.
+    of voters that the configured fault tolerance requires. ``decode_quotas`` decodes
+    the quotas of a configuration; without it no permits are granted.
     """
 
     name: str
@@ -87,6 +90,8 @@
     reload: Callable[[], None]
     is_founder: bool
     n_members: int
+    decode_quotas: DecodeQuotas | None = None
+    quota_limits: QuotaLimits = QuotaLimits()
 
 
 class ClusterNode:
@@ -121,6 +126,16 @@
             settings.zone, self.cluster_state, self.peers, clock, self.log
         )
         self.feed_server.is_leading = self.replica.is_leader
+        self.quota_server = QuotaServer(
+            settings.quota_limits,
+            settings.decode_quotas,
+            self.cluster_state,
+            self.feed_server,
+            self.replica.acts_alone_from,
+            clock,
+            self.log,
+            self.metrics,
+        )
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
@@ -298,6 +313,7 @@
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
         await group.spawn(node.feed_server.run_confirmations)
+        await group.spawn(node.quota_server.run)
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
--- a/pollenfold/control/quota_server.py
+++ b/pollenfold/control/quota_server.py
@@ -47,7 +47,7 @@
     def __init__(
         self,
         limits: QuotaLimits,
-        decode: DecodeQuotas,
+        decode: DecodeQuotas | None,
         cluster_state: ClusterState,
         feed_server: FeedServer,
         acts_alone_from: Callable[[], Instant | None],
@@ -124,7 +124,7 @@
         """
         state = self._cluster_state.replicated_state
         version, document = state.version, state.document
-        if not version or version == self._applied_version:
+        if self._decode is None or not version or version == self._applied_version:
             return
         quotas: dict[str, Quota] = {}
         if _may_have_tenants(document):
--- a/pollenfold/core/tenancy/quota_ledger.py
+++ b/pollenfold/core/tenancy/quota_ledger.py
@@ -117,7 +117,7 @@
         bucket = self._buckets.get(tenant)
         if bucket is None:
             return Grant(n)
-        return bucket.grant(n, now, self._limits.window_ms)
+        return bucket.grant(n, now, self._limits.max_wait_ms)
 
     def level(self, tenant: str, now: Instant) -> float | None:
         """Return the permits that are there, or None without a quota."""
--- a/pollenfold/core/tenancy/quota_limits.py
+++ b/pollenfold/core/tenancy/quota_limits.py
@@ -32,6 +32,7 @@
 for requests that begin to run later than they were sent."""
 
 MIN_HOLD_MS = 20.0
+MAX_RETRY_AFTER_MS = 60_000.0
 MIN_RATE_PER_S = 1e-6
 """A bucket of a lower rate would take longer than any time that can be told."""
 
@@ -44,6 +45,11 @@
     overage: float = 0.1
     slack: float = 20.0
 
+    @property
+    def max_wait_ms(self) -> float:
+        """The longest time after which a denied caller is told to come back."""
+        return min(self.window_ms, MAX_RETRY_AFTER_MS)
+
     def total(self, quota: Quota) -> float:
         """Return how many requests may be executed in any window."""
         return _in_time(quota, self.window_ms) * (1 + self.overage) + self.slack
--- a/pollenfold/core/tenancy/quota_lines.py
+++ b/pollenfold/core/tenancy/quota_lines.py
@@ -13,10 +13,9 @@
 
 from ..input_limits import is_magnitude, is_name, is_whole_number
 from .quota_ledger import Grant
+from .quota_limits import MAX_RETRY_AFTER_MS
 from .quota_shares import MAX_ASKED
 
-MAX_RETRY_AFTER_MS = 3_600_000.0
-
 
 @dataclass(frozen=True, slots=True)
 class PermitRequest:
--- a/pollenfold/core/tenancy/quota_shares.py
+++ b/pollenfold/core/tenancy/quota_shares.py
@@ -129,7 +129,7 @@
         """
         if now >= self._denied_until or self._permits:
             return None
-        retry_after_ms = min(max(0.0, self._retry_at - now), self._limits.window_ms)
+        retry_after_ms = min(max(0.0, self._retry_at - now), self._limits.max_wait_ms)
         self._retry_at = add_ms(self._retry_at, self._interval_ms)
         return Denial(retry_after_ms)
 
@@ -162,7 +162,7 @@
             Denial(
                 min(
                     grant.retry_after_ms + number * self._interval_ms,
-                    self._limits.window_ms,
+                    self._limits.max_wait_ms,
                 )
             )
             for number in range(n_denied)
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ..core.tenancy.quota_limits import QuotaLimits
 from ..curio_subset import load_curio_subset
 from ..http.listener import reserve_when_free, start_listening
 from ..http.queued_connections import refuse_queued
@@ -97,10 +98,20 @@
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
         memory_bytes=settings.memory_bytes,
+        quota_limits=_quota_limits(settings),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
 
+def _quota_limits(settings: Settings) -> QuotaLimits:
+    """Return the limit on the sum of a tenant's requests, which both roles apply."""
+    return QuotaLimits(
+        (settings.bound("quotaWindowS", 5.0) or 5.0) * 1000,
+        settings.bound("quotaOverage", 0.1),
+        settings.bound("quotaSlack", 20.0),
+    )
+
+
 def _ports(role: str, settings: Settings) -> Ports:
     """Return the ports of a role, apart from those that the platform assigns."""
     used_ports = {port for _, port in (*settings.addresses.values(), *settings.seeds)}
@@ -112,6 +123,7 @@
 
     from ..control.cluster import ClusterSettings, serve_cluster
     from .control_api import make_handler
+    from .quota_documents import quota_steps
 
     settings = source.settings
     ports = _ports("control", settings)
@@ -131,6 +143,8 @@
         reload=source.reload,
         is_founder=settings.is_first_start and founder == (api_host, api_port),
         n_members=2 * settings.n_tolerated_failures + 1,
+        decode_quotas=quota_steps,
+        quota_limits=_quota_limits(settings),
     )
     handler = make_handler(api_port, settings.zones)
     curio.run(serve_cluster, cluster, handler, signals)
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -18,6 +18,7 @@
 from pollenfold.observe.events import EventLog
 from pollenfold.platform.control_api import ControlApi
 from pollenfold.platform.documents import configuration_decoder
+from pollenfold.platform.quota_documents import quota_steps
 from pollenfold.testing.ports import unused_port
 from pollenfold.tests.core.test_replicated_state import announcement
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
@@ -58,6 +59,7 @@
             reload=lambda: None,
             is_founder=is_first and number == 1,
             n_members=self.n_members,
+            decode_quotas=quota_steps,
         )
         node = ClusterNode(settings)
         node.load_endpoints()
@@ -69,6 +71,7 @@
             await curio.spawn(node.replica.run, daemon=True),
             await curio.spawn(node.feed_server.run, daemon=True),
             await curio.spawn(node.feed_server.run_confirmations, daemon=True),
+            await curio.spawn(node.quota_server.run, daemon=True),
             await curio.spawn(node.feeds.run, daemon=True),
             await curio.spawn(node.join, daemon=True),
             await curio.spawn(node.persist_endpoints, daemon=True),
