--- a/pollenfold/tests/core/tenancy/quota_simulation.py
+++ b/pollenfold/tests/core/tenancy/quota_simulation.py
@@ -3,18 +3,35 @@
 import heapq
 import itertools
 import random
+from dataclasses import dataclass
 
 from pollenfold.core.allowances import FleetSize
 from pollenfold.core.clock import ManualClock
 from pollenfold.core.tenancy.quota_ledger import QuotaLedger
 from pollenfold.core.tenancy.quota_limits import QuotaLimits
 from pollenfold.core.tenancy.quota_shares import QuotaShares
+from pollenfold.core.token_bucket import TokenBucket
+from pollenfold.gateway.quotas.client import (
+    LINES_PER_S,
+    MAX_DELAY_MS,
+    MAX_LINES_AT_ONCE,
+    MAX_WAIT_MS,
+)
 
 LATENCY_MS = 2.0
-MAX_WAIT_MS = 150.0
 LIMITS = QuotaLimits()
 
 
+@dataclass(eq=False)
+class Waiter:
+    """A request that needs a permit; ``is_later`` if its caller was denied before."""
+
+    tenant: str
+    is_later: bool = False
+    is_delayed: bool = False
+    is_done: bool = False
+
+
 class SimulatedEntry:
     """One entry; a restart gives it new shares, and a frozen one acts at its end."""
 
@@ -26,6 +43,11 @@
 
     def restart(self):
         self.shares = QuotaShares(LIMITS, self.name)
+        self.lines = TokenBucket(
+            LINES_PER_S, MAX_LINES_AT_ONCE, 0.0, level=MAX_LINES_AT_ONCE
+        )
+        self.waiting = {}
+        self.is_sending = False
 
 
 class Simulation:
@@ -75,81 +97,97 @@
             self.at(next_ms, self._arrive, tenant)
             self.at(next_ms, self.load, tenant, rate_per_s, until_ms, next_ms)
 
-    def _arrive(self, tenant, entry=None, is_later=False):
-        if entry is None:
-            entry = self.rng.choice(self.entries)
-            self.n_offered[tenant] += 1
-        now = self.clock()
+    def _arrive(self, tenant):
+        self.n_offered[tenant] += 1
+        self._request(self.rng.choice(self.entries), Waiter(tenant))
+
+    def _request(self, entry, waiter):
+        now, tenant = self.clock(), waiter.tenant
         if now < entry.frozen_until:
-            self.at(entry.frozen_until, self._arrive, tenant, entry, is_later)
+            self.at(entry.frozen_until, self._request, entry, waiter)
             return
         share = entry.shares.get(tenant, self.quotas[tenant], now)
-        share.count_request(now)
+        if not waiter.is_delayed:
+            share.count_request(now)
         if share.take(now) is not None:
-            self._send(tenant, is_later)
+            self._send(waiter)
         elif (denial := share.denial(now)) is not None:
-            self._deny(tenant, denial, is_later)
+            self._deny(entry, waiter, denial)
         else:
-            self._ask(tenant, entry, share, is_later)
-
-    def _send(self, tenant, is_later):
-        self.runs[tenant].append(self.clock())
-        self.n_served_later += is_later
-
-    def _deny(self, tenant, denial, is_later):
-        self.n_denied[tenant] += 1
-        self.n_refused_later += is_later
-        if self.comes_back and not is_later:
-            entry = self.rng.choice(self.entries)
-            back_ms = self.clock() + denial.retry_after_ms + 1.0
-            self.at(back_ms, self._arrive, tenant, entry, True)
+            entry.waiting.setdefault(tenant, []).append(waiter)
+            self.at(now + MAX_WAIT_MS, self._give_up, entry, share, waiter)
+            if not entry.is_sending:
+                entry.is_sending = True
+                missing = max(0.0, 1.0 - entry.lines.level(now))
+                self.at(now + 1000 * missing / LINES_PER_S, self._send_line, entry)
+
+    def _send(self, waiter):
+        self.runs[waiter.tenant].append(self.clock())
+        self.n_served_later += waiter.is_later
+
+    def _deny(self, entry, waiter, denial):
+        now = self.clock()
+        if denial.retry_after_ms <= MAX_DELAY_MS and not waiter.is_delayed:
+            delayed = Waiter(waiter.tenant, waiter.is_later, is_delayed=True)
+            self.at(now + denial.retry_after_ms, self._request, entry, delayed)
+            return
+        self.n_denied[waiter.tenant] += 1
+        self.n_refused_later += waiter.is_later
+        if self.comes_back and not waiter.is_later:
+            other, later = self.rng.choice(self.entries), Waiter(waiter.tenant, True)
+            self.at(now + denial.retry_after_ms + 1.0, self._request, other, later)
 
     # Messages
 
-    def _ask(self, tenant, entry, share, is_later):
+    def _send_line(self, entry):
         now = self.clock()
-        n_asked = share.n_to_ask(1, now)
-        waiter = {"tenant": tenant, "later": is_later, "done": False}
-        self.at(now + MAX_WAIT_MS, self._give_up, entry, share, waiter)
-        if now >= entry.cut_until:
-            self.n_messages += 1
-            arrival = (tenant, entry, share, waiter, n_asked, now)
-            self.at(now + LATENCY_MS, self._grant, *arrival)
-
-    def _grant(self, tenant, entry, share, waiter, n_asked, asked_at):
+        if now < entry.frozen_until:
+            self.at(entry.frozen_until, self._send_line, entry)
+            return
+        entry.is_sending = False
+        entry.lines.charge(1.0, now)
+        self.n_messages += 1
+        waiting, entry.waiting = entry.waiting, {}
+        for tenant, waiters in waiting.items():
+            share = entry.shares.get(tenant, self.quotas[tenant], now)
+            ask = (entry, share, waiters, share.n_to_ask(len(waiters), now), now)
+            if now >= entry.cut_until:
+                self.at(now + LATENCY_MS, self._grant, *ask)
+
+    def _grant(self, entry, share, waiters, n_asked, asked_at):
         now = self.clock()
         if now < self.acts_until:
-            grant = self.ledger.grant(tenant, n_asked, now)
-            answer = (entry, share, waiter, grant, asked_at)
+            grant = self.ledger.grant(waiters[0].tenant, n_asked, now)
+            answer = (entry, share, waiters, grant, asked_at)
             self.at(now + LATENCY_MS, self._answer, *answer)
 
-    def _answer(self, entry, share, waiter, grant, asked_at):
+    def _answer(self, entry, share, waiters, grant, asked_at):
         now = self.clock()
         if now < entry.frozen_until:
-            event = (entry, share, waiter, grant, asked_at)
+            event = (entry, share, waiters, grant, asked_at)
             self.at(entry.frozen_until, self._answer, *event)
             return
         if now < entry.cut_until or not (grant.n_granted or grant.retry_after_ms):
             return
-        n_waiting = 0 if waiter["done"] else 1
-        denials = share.apply_grant(grant, n_waiting, asked_at, now)
-        if waiter["done"]:
-            return
-        if denials:
-            waiter["done"] = True
-            self._deny(waiter["tenant"], denials[0], waiter["later"])
-        elif share.take(now) is not None:
-            waiter["done"] = True
-            self._send(waiter["tenant"], waiter["later"])
+        waiters = [waiter for waiter in waiters if not waiter.is_done]
+        denials = share.apply_grant(grant, len(waiters), asked_at, now)
+        n_served = len(waiters) - len(denials)
+        for waiter in waiters[:n_served]:
+            if share.take(now) is not None:
+                waiter.is_done = True
+                self._send(waiter)
+        for waiter, denial in zip(waiters[n_served:], denials, strict=True):
+            waiter.is_done = True
+            self._deny(entry, waiter, denial)
 
     def _give_up(self, entry, share, waiter):
         now = self.clock()
         if now < entry.frozen_until:
             self.at(entry.frozen_until, self._give_up, entry, share, waiter)
-        elif not waiter["done"]:
-            waiter["done"] = True
+        elif not waiter.is_done:
+            waiter.is_done = True
             if share.take_reserve(now):
-                self._send(waiter["tenant"], waiter["later"])
+                self._send(waiter)
 
     def _update_reserves(self):
         now = self.clock()
