Time a grant before the check of the lease

A freeze between the check and the reading of the clock would have given the bucket permits for the time of the freeze, in which another leader may begin. Hedges get acquire_another: their attempt is in flight beside the first, which the count of runs doesn't show. Tests of gateway/test_quotas.py, control/test_quotas.py and platform/test_settings.py passed.

--- a/pollenfold/control/quota_server.py
+++ b/pollenfold/control/quota_server.py
@@ -40,8 +40,8 @@
     """Answers the entries' requests for permits.
 
     ``acts_alone_from`` returns from when this replica may grant permits, or None while
-    another one may lead. It is called right before each grant, since this process may
-    have been frozen.
+    another one may lead. It is called for each grant, since this process may have been
+    frozen.
     """
 
     def __init__(
@@ -81,6 +81,9 @@
             self._feed_server.send(subscriber, {"granted": granted})
 
     def _grant(self, request: PermitRequest) -> Grant:
+        # Read before the lease is checked, so that the grant counts within the lease
+        # even if the process is frozen between the two.
+        now = self._clock()
         starts_at = self._acts_alone_from()
         if starts_at is None or self._applied_version is None:
             return Grant(0)
@@ -88,11 +91,11 @@
             self._started_at = starts_at
             self._ledger.start(starts_at)
             self._log.state("quota_leadership_began", starts_at_ms=starts_at)
-        grant = self._ledger.grant(request.tenant, request.n_permits, self._clock())
-        self._record(request, grant)
+        grant = self._ledger.grant(request.tenant, request.n_permits, now)
+        self._record(request, grant, now)
         return grant
 
-    def _record(self, request: PermitRequest, grant: Grant) -> None:
+    def _record(self, request: PermitRequest, grant: Grant, now: Instant) -> None:
         tenant = self._tenant_label.get(request.tenant)
         if grant.n_granted:
             self._metrics.count("quota_granted_total", grant.n_granted, tenant=tenant)
@@ -100,7 +103,6 @@
             return
         n_denied = request.n_permits - grant.n_granted
         self._metrics.count("quota_denied_total", n_denied, tenant=tenant)
-        now = self._clock()
         if now >= self._next_log_at.get(request.tenant, now):
             self._next_log_at[request.tenant] = add_ms(now, LOG_INTERVAL_MS)
             self._log.state(
--- a/pollenfold/gateway/quotas/gate.py
+++ b/pollenfold/gateway/quotas/gate.py
@@ -87,6 +87,19 @@
         call.n_runs_before_permit = n_runs
         return None
 
+    async def acquire_another(self, call: Call) -> bool:
+        """Return whether a second attempt may run beside the first one.
+
+        It needs a permit of its own. Without one the request isn't refused, as the
+        first attempt goes on.
+        """
+        tenant = call.tenant
+        if tenant is None or tenant.quota is None:
+            return True
+        client = self._client or await self._start_client()
+        outcome = await client.acquire(tenant, tenant.quota, call.deadline)
+        return not isinstance(outcome, Refusal)
+
     # The client
 
     async def run(self) -> None:
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -98,12 +98,12 @@
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
         memory_bytes=settings.memory_bytes,
-        quota_limits=_quota_limits(settings),
+        quota_limits=quota_limits(settings),
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
 
-def _quota_limits(settings: Settings) -> QuotaLimits:
+def quota_limits(settings: Settings) -> QuotaLimits:
     """Return the limit on the sum of a tenant's requests, which both roles apply."""
     return QuotaLimits(
         (settings.bound("quotaWindowS", 5.0) or 5.0) * 1000,
@@ -144,7 +144,7 @@
         is_founder=settings.is_first_start and founder == (api_host, api_port),
         n_members=2 * settings.n_tolerated_failures + 1,
         decode_quotas=quota_steps,
-        quota_limits=_quota_limits(settings),
+        quota_limits=quota_limits(settings),
     )
     handler = make_handler(api_port, settings.zones)
     curio.run(serve_cluster, cluster, handler, signals)
--- a/pollenfold/tests/gateway/test_quotas.py
+++ b/pollenfold/tests/gateway/test_quotas.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from types import SimpleNamespace
 
 import curio
 import pytest
@@ -237,6 +238,19 @@
     with_path(body, Backend("one"), Backend("two"))
 
 
+def test_second_attempt_beside_the_first_needs_a_permit(with_path):
+    """Guards against hedges that run without a permit."""
+
+    async def body(path, backend):
+        set_quota(path, FakeLeader(n_permits=1, retry_after_ms=5_000.0))
+        tenant = path.view.configuration.tenants.by_name["blue"]
+        call = SimpleNamespace(tenant=tenant, deadline=add_ms(system_clock(), 1_000.0))
+        assert await path.quotas.acquire_another(call)
+        assert not await path.quotas.acquire_another(call)
+
+    with_path(body, Backend("one"))
+
+
 def test_denied_retry_doesnt_claim_that_nothing_ran(with_path):
     """Guards against 429 for a request that an endpoint may have executed."""
 
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -9,8 +9,9 @@
 import pytest
 
 from pollenfold.core.balancing.selection import ServerLoad
+from pollenfold.core.tenancy.quota_limits import QuotaLimits
 from pollenfold.http.messages import Response
-from pollenfold.platform.__main__ import ROLES, main
+from pollenfold.platform.__main__ import ROLES, main, quota_limits
 from pollenfold.platform.headers import is_genuine, parse_load
 from pollenfold.platform.settings import (
     SETTINGS_PATH_VARIABLE,
@@ -271,3 +272,20 @@
     assert "KeyError" in line
     assert "first=\"OSError(9, 'Bad file descriptor')\"" in line
     assert "first_at=test_settings.py:" in line
+
+
+@pytest.mark.parametrize(
+    ("bounds", "limits"),
+    [
+        ("", QuotaLimits(5_000.0, 0.1, 20.0)),
+        ("quotaWindowS = 2\nquotaOverage = 0\nquotaSlack = 3", (2_000.0, 0.0, 3.0)),
+        ("quotaWindowS = 0", QuotaLimits()),
+        ("quotaWindowS = nan\nquotaOverage = -1", QuotaLimits()),
+    ],
+)
+def test_limits_of_quotas(bounds, limits):
+    """Guards against roles that apply other limits than those agreed on."""
+    if isinstance(limits, tuple):
+        limits = QuotaLimits(*limits)
+    text = f"{TEXT}{bounds}\n"
+    assert quota_limits(parse_settings(tomllib.loads(text))) == limits
