--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -16,6 +16,7 @@
 from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement, versions_by_id, with_version
 from ..core.rollouts.order_age import OrderAges
+from ..core.tenancy.quota_limits import QuotaLimits
 from ..gateway.feeds import FeedIdentity, Feeds
 from ..http.listener import reserve_when_free, start_listening
 from ..http.messages import Request, Response, error_response
@@ -43,6 +44,7 @@
 from .feed_server import FeedServer
 from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
+from .quota_server import DecodeQuotas, QuotaServer
 from .replica import DynamicMembers, Replica
 from .rollout_orders import RolloutOrders
 from .rollouts import Rollouts, RolloutSettings
@@ -74,7 +76,8 @@
 
     ``seeds`` returns hosts where control replicas may run. ``reload`` rereads the
     settings and raises ValueError when they are invalid. ``n_members`` is the number
-    of voters that the configured fault tolerance requires.
+    of voters that the configured fault tolerance requires. ``decode_quotas`` decodes
+    the quotas of a configuration; without it no permits are granted.
     """
 
     name: str
@@ -91,6 +94,8 @@
     is_founder: bool
     n_members: int
     rollouts: RolloutSettings = RolloutSettings()
+    decode_quotas: DecodeQuotas | None = None
+    quota_limits: QuotaLimits = QuotaLimits()
 
 
 class ClusterNode:
@@ -139,6 +144,16 @@
             self.metrics,
             self.log,
         )
+        self.quota_server = QuotaServer(
+            settings.quota_limits,
+            settings.decode_quotas,
+            self.cluster_state,
+            self.feed_server,
+            self.replica.acts_alone_from,
+            clock,
+            self.log,
+            self.metrics,
+        )
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
@@ -328,6 +343,7 @@
         await group.spawn(node.replica.run)
         await group.spawn(node.feed_server.run)
         await group.spawn(node.feed_server.run_confirmations)
+        await group.spawn(node.quota_server.run)
         await group.spawn(node.feeds.run)
         await group.spawn(node.join)
         await group.spawn(node.persist_endpoints)
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -32,6 +32,7 @@
 from .final_responses import FinalResponses
 from .pick import EndpointSubset, Pick
 from .priorities import Priorities
+from .quotas.gate import QuotaGate
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
 from .relay.headers import RelayedRequest
@@ -63,7 +64,9 @@
         link: Link,
         monitor: ReachMonitor,
         relay_client: RelayClient,
+        quotas: QuotaGate,
     ) -> None:
+        self._quotas = quotas
         self._link = link
         self._monitor = monitor
         self._view = view
@@ -205,6 +208,9 @@
         """Send the request to one endpoint after another, as far as retries allow."""
         if self._suspects.is_quarantined(call):
             return self._final_responses.finish_failed(call, ErrorKind.QUARANTINED)
+        denial_kind = self._quotas.refusal_kind(call)
+        if denial_kind is not None:
+            return self._final_responses.finish_failed(call, denial_kind)
         n_sent = 0
         while True:
             final = await self._relaying.relay_if_cut(call)
@@ -288,15 +294,23 @@
             reason = "limited" if self._view.has_limited(call.service) else "resting"
             call.decision_trace.append(f"{reason}/{call.backoff_ms:.0f}")
             return ErrorKind.QUEUE_FULL
-        # No task runs between these checks and the start of the attempt.
-        may_send = self._versions.may_send(subset, pick.endpoint)
-        refusal_kind = None
-        if may_send:
-            refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
+        refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
+        may_send = False
+        try:
             if refusal_kind is None:
-                return pick
-        await self._balancer.release(pick.endpoint, pick.connection)
-        return refusal_kind
+                refusal_kind = await self._quotas.acquire(call)
+            # No task runs between this check and the start of the attempt.
+            may_send = refusal_kind is None and self._may_still_send(subset, pick)
+        finally:
+            if not may_send:
+                await self._balancer.release(pick.endpoint, pick.connection)
+        return pick if may_send else refusal_kind
+
+    def _may_still_send(self, subset: EndpointSubset | None, pick: Pick) -> bool:
+        """Return whether the endpoint may get requests after a wait for a permit."""
+        return self._versions.may_send(
+            subset, pick.endpoint
+        ) and self._view.accepts_new_requests(pick.endpoint)
 
     def _refusal_kind(
         self, call: Call, pick: Pick, is_first_attempt: bool
