Add the decisions on hedged requests

Change: core/hedging.py holds the delay (expected time x a percentile of latency / expected, shared by the routes of a service), the budget, and the conditions. The own path uses the same budget and bound of the delay; it keeps its two initial permits, which its tests of a first request rely on. The threshold of overload moves to core/balancing/overload.py. AttemptOutcome gets CANCELLED for an attempt that another one overtook.

--- a/pollenfold/core/balancing/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -17,6 +17,9 @@
 from ..clock import Instant, add_ms
 from .selection import ServerLoad
 
+OVERLOADED_SLOWDOWN = 2.0
+"""Above this slowdown of its best endpoint a service counts as overloaded."""
+
 WORK_VARIATION_FACTOR = 1.15
 """Safety factor on the work estimate, since work varies between requests."""
 
--- a/pollenfold/core/outcomes.py
+++ b/pollenfold/core/outcomes.py
@@ -22,5 +22,8 @@
     LOST = "lost"
     """The request was sent, at least in part, but no complete response came."""
 
+    CANCELLED = "cancelled"
+    """Another attempt of the request responded first, so this one was broken off."""
+
     EXPIRED = "expired"
     """The deadline passed while the request was at the server."""
--- a/pollenfold/core/retries.py
+++ b/pollenfold/core/retries.py
@@ -24,15 +24,17 @@
 
     Each call adds ``ratio`` permits, up to ``burst`` permits in total. For example, a
     ratio of 0.1 lets one call in ten be retried, so retries can't multiply the load
-    of an overloaded service.
+    of an overloaded service. It starts with ``n_initial`` permits, by default with all.
     """
 
     __slots__ = ("ratio", "_burst", "_n_permits")
 
-    def __init__(self, ratio: float, burst: float = 10.0) -> None:
+    def __init__(
+        self, ratio: float, burst: float = 10.0, n_initial: float | None = None
+    ) -> None:
         self.ratio = ratio
         self._burst = burst
-        self._n_permits = burst
+        self._n_permits = burst if n_initial is None else n_initial
 
     def deposit(self) -> None:
         """Count one call."""
--- a/pollenfold/entry/services.py
+++ b/pollenfold/entry/services.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..core.clock import Clock
+from ..core.hedging import MAX_SAVED_HEDGES, HedgeBudget, hedge_delay_ms
 from ..core.outcomes import AttemptOutcome
 from ..core.retries import QuantileEstimate, RatioBudget
 from ..core.routing import Candidate, Policy, observe_failure, probe_score
@@ -19,9 +20,6 @@
     from ..core.records import ServiceSpec
     from .health import EndpointHealth
 
-MIN_HEDGE_DELAY_MS = 2.0
-"""A shorter delay would hedge requests that differ only by scheduling noise."""
-
 FAILURE_PENALTY = 10.0
 """The ranking of servers counts a failed attempt as this many mean service times."""
 
@@ -51,7 +49,7 @@
         self.backends: dict[str, Backend] = {}
         self.warmup_owners: tuple[str, ...] = ()
         self.retry_budget = RatioBudget(spec.retry_ratio)
-        self._hedge_budget = RatioBudget(spec.hedge_ratio, burst=2.0)
+        self._hedge_budget = HedgeBudget(spec.hedge_ratio, MAX_SAVED_HEDGES)
         self._latency = QuantileEstimate(0.95, initial_ms=spec.timeout_ms / 4)
         self._clock = clock
         self._health = health
@@ -70,7 +68,7 @@
 
     def hedge_delay_ms(self) -> float:
         """Return how long an attempt may take before it is hedged."""
-        return max(MIN_HEDGE_DELAY_MS, self._latency.value_ms)
+        return hedge_delay_ms(self._latency.value_ms)
 
     def start_attempt(self, candidate: Candidate) -> Attempt:
         """Return an attempt at the endpoint whose slot was acquired."""
--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ..core.balancing.overload import OVERLOADED_SLOWDOWN
 from ..core.balancing.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     EndpointCandidate,
@@ -36,10 +37,6 @@
 N_RELAYED_PROBES = N_FIRST_PROBES + N_NEXT_PROBES
 """How many probes an entry leaves to a peer with each relayed request."""
 
-OVERLOADED_SLOWDOWN = 2.0
-"""Above this slowdown of the best endpoint a service counts as overloaded, and cold
-endpoints are probed as well."""
-
 OVERLOAD_MEMORY_MS = 12.0
 """How long the result of a search that found only slow endpoints is reused."""
 
@@ -380,6 +377,11 @@
         if self._probe_budget is not None:
             self._probe_budget.refund(n_probes, now)
 
+    def least_slowdown(self, service: str) -> float:
+        """Return the least slowdown that the last search for a service found."""
+        state = self._probe_states.get(service)
+        return 1.0 if state is None else state.least_slowdown
+
     def is_unreached(self, service: str) -> bool:
         """Return whether no endpoint responded that the last search contacted."""
         state = self._probe_states.get(service)
