Send hedged requests on the gateway's path

Change: gateway/hedges.py starts the second attempt, on a copy of the call, and merges it; gateway/race.py runs the two, passes on the first response and breaks off the other. gateway/hedge_switch.py loads both only while the ratio is above 0. forward.py sends through the switch, counts requests and refusals there, and counts sends by the attempts of the call, since one send may now reach two endpoints.

--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -53,6 +53,7 @@
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
 from .forward import NOT_READY_RETRY_AFTER_MS, Forwarder
+from .hedge_switch import no_hedges
 from .peer_port import PeerPort
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
@@ -103,9 +104,10 @@
     ``caller_listener`` is already listening, so that no caller is refused while the
     entry starts. ``ready_listener`` and ``peer_listener`` hold their addresses and
     listen once the entry serves; without the latter it serves no peers.
-    ``seeds`` and ``reload`` belong to the settings source: ``seeds`` returns the hosts
-    of control replicas, ``reload`` reads the settings again and raises ValueError when
-    they are invalid.
+    ``seeds``, ``reload`` and ``hedge_ratio`` belong to the settings source: ``seeds``
+    returns the hosts of control replicas, ``reload`` reads the settings again and
+    raises ValueError when they are invalid, and ``hedge_ratio`` returns how many hedges
+    all entries may send for each request of a service.
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
@@ -133,6 +135,7 @@
     peer_listener: socket.socket | None = None
     apply_ms: float = 2_000.0
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    hedge_ratio: Callable[[], float] = no_hedges
 
 
 class Gateway:
@@ -204,6 +207,7 @@
             link,
             self.monitor,
             self.relay_client,
+            settings.hedge_ratio,
         )
         identity = FeedIdentity(
             settings.entry_id,
@@ -332,6 +336,7 @@
             )
             if self.view.configuration is not None:
                 self.retry_budget.retain(self.view.configuration.services)
+                self.forwarder.hedges.retain(self.view.configuration.services)
             await curio.sleep(RETRY_SHARE_INTERVAL_MS / 1000)
 
     def reload(self) -> None:
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from ..core.balancing.overload import (
+    OVERLOADED_SLOWDOWN,
     AdmissionDecision,
     Placement,
     acceptable_slowdown,
@@ -23,12 +26,13 @@
 )
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
-from .balancer import OVERLOADED_SLOWDOWN, Balancer
+from .balancer import Balancer
 from .calls import NOT_EXECUTED_OUTCOMES, Call, CallFactory
 from .dialect import Dialect
 from .endpoint_attempts import EndpointAttempts, body_send_ms
 from .exchange import CallerGoneError, is_caller_gone
 from .final_responses import FinalResponses
+from .hedge_switch import HedgeSwitch, no_hedges
 from .pick import Pick
 from .reach_monitor import ReachMonitor
 from .relay.client import RelayClient
@@ -37,6 +41,9 @@
 from .suspects import Suspects
 from .view import FleetView
 
+if TYPE_CHECKING:
+    from .hedges import Hedges
+
 MIN_DEADLINE_MS = 10.0
 NOT_READY_RETRY_AFTER_MS = 150.0
 
@@ -57,6 +64,7 @@
         link: Link,
         monitor: ReachMonitor,
         relay_client: RelayClient,
+        hedge_ratio: Callable[[], float] = no_hedges,
     ) -> None:
         self._link = link
         self._monitor = monitor
@@ -95,6 +103,21 @@
         )
         self._active_calls: set[Call] = set()
         self._latest_deadline = Instant(float("inf"))
+        self.hedges = HedgeSwitch(hedge_ratio, self._attempts, self._load_hedges)
+
+    def _load_hedges(self) -> Hedges:
+        from .hedges import Hedges
+
+        return Hedges(
+            self._view,
+            self._balancer,
+            self._attempts,
+            self._suspects,
+            self._acquire_retry,
+            self._active_calls,
+            self._clock,
+            self._metrics,
+        )
 
     def is_idempotent(self, request: Request) -> bool:
         """Return whether a request may run concurrently with others on a connection."""
@@ -201,13 +224,15 @@
             if not call.is_counted:
                 # A request that is relayed is counted by the peer.
                 self._retry_budget.count_request(call.service, call.started_at)
+                self.hedges.count_request(call.service)
                 call.is_counted = True
             if isinstance(pick, ErrorKind):
+                self.hedges.record_refusal(call.service, pick)
                 return self._final_responses.finish_failed(call, pick)
-            outcome, response = await self._attempts.send(call, pick)
+            n_sent_before = call.n_sends()
+            outcome, response = await self.hedges.send(call, pick)
             call.tried_endpoint_ids.add(pick.endpoint.announcement.endpoint_id)
-            if outcome is not AttemptOutcome.UNREACHABLE:
-                n_sent += 1
+            n_sent += call.n_sends() - n_sent_before
             if outcome is AttemptOutcome.RESPONDED and response is not None:
                 return self._final_responses.relay(call, response)
             if outcome is AttemptOutcome.EXPIRED:
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -200,7 +200,8 @@
     """The call path of one of several entries from a request to fake backend servers.
 
     ``entry_ids`` are the entries that this one knows, itself among them. It has run
-    for long unless ``started_at`` says when it started.
+    for long unless ``started_at`` says when it started. ``hedge_ratio`` may be changed
+    at any time.
     """
 
     def __init__(
@@ -213,9 +214,11 @@
         started_at=None,
         host="127.0.0.1",
         relay_port=0,
+        hedge_ratio=0.0,
         **route_changes,
     ):
         clock = system_clock
+        self.hedge_ratio = hedge_ratio
         self.entry_id, self.zone, self.host = entry_id, zone, host
         self.relay_port = relay_port
         self.lines = []
@@ -287,6 +290,7 @@
             link,
             self.monitor,
             self.relay_client,
+            lambda: self.hedge_ratio,
         )
         self.peer_port = PeerPort(
             self.forwarder,
