Read the limit of hedges from the settings

The entry asks the settings source at each request, so that a reload (SIGHUP) applies it, as it applies the seeds.

--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -97,6 +97,7 @@
         peer_listener=listeners.peers,
         apply_ms=settings.bound("applyMs", 2_000.0),
         memory_bytes=settings.memory_bytes,
+        hedge_ratio=source.hedge_ratio,
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
--- a/pollenfold/platform/settings.py
+++ b/pollenfold/platform/settings.py
@@ -34,6 +34,7 @@
     process, which is killed beyond the first. ``is_first_start`` is true only while
     the whole system starts for the first time. ``bounds`` holds the limits agreed with
     the platform; a value that isn't a finite number of 0 or more is ignored.
+    ``hedge_ratio`` is the limit of hedges per request of a service, 0 for none.
     """
 
     name: str
@@ -51,6 +52,7 @@
     memory_bytes: int
     n_descriptors: int
     bounds: dict[str, float]
+    hedge_ratio: float
 
     def address(self, purpose: str) -> tuple[str, int]:
         """Return the address for a purpose; raise SettingsError if there is none."""
@@ -141,6 +143,7 @@
         memory_bytes=_memory_bytes(node),
         n_descriptors=_n_descriptors(node),
         bounds={k: float(v) for k, v in bounds.items() if is_magnitude(v)},
+        hedge_ratio=_hedge_ratio(fields),
     )
 
 
@@ -174,6 +177,16 @@
     return value
 
 
+def _hedge_ratio(fields: dict[str, Any]) -> float:
+    """Return the limit of hedges per request, 0 when the file gives none."""
+    value = _optional_table(fields, "hedging").get("ratio", 0.0)
+    if not is_magnitude(value, 1.0):
+        raise SettingsError(
+            f"hedging.ratio: expected a number from 0 to 1, got {value!r}"
+        )
+    return float(value)
+
+
 def _table(fields: dict[str, Any], name: str) -> dict[str, Any]:
     value = fields.get(name)
     if not isinstance(value, dict):
@@ -219,3 +232,7 @@
     def seed_hosts(self) -> list[str]:
         """Return the hosts of the current seeds."""
         return self.settings.seed_hosts()
+
+    def hedge_ratio(self) -> float:
+        """Return the limit of hedges per request in the current settings."""
+        return self.settings.hedge_ratio
--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -45,6 +45,8 @@
 [terms.bounds]
 graceS = 6
 closed = true
+[hedging]
+ratio = 0.0
 """
 
 
@@ -69,6 +71,31 @@
     assert (settings.memory_bytes, settings.n_descriptors) == (200 << 20, 900)
 
 
+def test_no_hedges_unless_the_file_permits_them(source):
+    """Guards against hedges that nobody asked for, and a limit that is not applied when
+    the settings are reloaded."""
+    fields = tomllib.loads(TEXT)
+    for table in ({}, {"other": 1}):
+        assert parse_settings({**fields, "hedging": table}).hedge_ratio == 0.0
+    del fields["hedging"]
+    assert parse_settings(fields).hedge_ratio == 0.0
+    assert source.hedge_ratio() == 0.0
+    source._path.write_text(TEXT.replace("ratio = 0.0", "ratio = 0.05"))
+    source.reload()
+    assert source.hedge_ratio() == 0.05
+    source._path.write_text(TEXT.replace("ratio = 0.0", "ratio = 5"))
+    with pytest.raises(SettingsError, match="hedging.ratio"):
+        source.reload()
+    assert source.hedge_ratio() == 0.05
+
+
+@pytest.mark.parametrize("value", [5, [], "0.1", None])
+def test_hedging_that_is_no_table_is_reported(value):
+    """Guards against a misplaced limit that is ignored."""
+    with pytest.raises(SettingsError, match="hedging"):
+        parse_settings({**tomllib.loads(TEXT), "hedging": value})
+
+
 def test_missing_limits_have_defaults():
     """Guards against a process that doesn't start where the file has no limits."""
     fields = tomllib.loads(TEXT)
@@ -115,6 +142,11 @@
         ("linkMbps = 2.0", "linkMbps = inf", "linkMbps"),
         ("memoryMb = 200", "memoryMb = 0", "memoryMb"),
         ("maxFds = 900", 'maxFds = "900"', "maxFds"),
+        ("ratio = 0.0", "ratio = -0.1", "hedging.ratio"),
+        ("ratio = 0.0", "ratio = 1.1", "hedging.ratio"),
+        ("ratio = 0.0", "ratio = nan", "hedging.ratio"),
+        ("ratio = 0.0", "ratio = true", "hedging.ratio"),
+        ("ratio = 0.0", 'ratio = "0.1"', "hedging.ratio"),
         ("memoryMb = 200", "memoryMb = -1", "memoryMb"),
         ("memoryMb = 200", 'memoryMb = "300"', "memoryMb"),
     ],
