--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from ..core.balancing.overload import OVERLOADED_SLOWDOWN
 from ..core.balancing.selection import (
     EARLY_ACCEPT_SLOWDOWN,
     EndpointCandidate,
@@ -37,10 +38,6 @@
 N_RELAYED_PROBES = N_FIRST_PROBES + N_NEXT_PROBES
 """How many probes an entry leaves to a peer with each relayed request."""
 
-OVERLOADED_SLOWDOWN = 2.0
-"""Above this slowdown of the best endpoint a service counts as overloaded, and cold
-endpoints are probed as well."""
-
 OVERLOAD_MEMORY_MS = 12.0
 """How long the result of a search that found only slow endpoints is reused."""
 
@@ -395,13 +392,14 @@
         """Return whether no endpoint responded that the last search contacted."""
         return self._memory.is_unreached(service)
 
-    def least_slowdown(self, service: str) -> float | None:
-        """Return the slowdown of the best endpoint that the last search found.
+    def last_slowdown(self, service: str) -> float:
+        """Return the slowdown of the best endpoint that the last search found."""
+        return self._memory.get(service).least_slowdown
 
-        Return None if it was long ago, or if no endpoint responded.
-        """
-        state = self._probe_states.get(service)
-        if state is None or state.is_unreached:
+    def least_slowdown(self, service: str) -> float | None:
+        """Return the same unless it was long ago, or no endpoint responded."""
+        state = self._memory.get(service)
+        if state.is_unreached:
             return None
         valid_until = add_ms(state.last_search_at, UNPROBED_MEMORY_MS)
         return state.least_slowdown if self._clock() < valid_until else None
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -54,6 +54,7 @@
 from .dialect import Dialect
 from .feeds import FeedIdentity, Feeds
 from .forward import NOT_READY_RETRY_AFTER_MS, Forwarder
+from .hedge_switch import no_hedges
 from .peer_port import PeerPort
 from .quotas.gate import QuotaGate
 from .reach_monitor import ReachMonitor
@@ -107,9 +108,10 @@
     ``caller_listener`` is already listening, so that no caller is refused while the
     entry starts. ``ready_listener`` and ``peer_listener`` hold their addresses and
     listen once the entry serves; without the latter it serves no peers.
-    ``seeds`` and ``reload`` belong to the settings source: ``seeds`` returns the hosts
-    of control replicas, ``reload`` reads the settings again and raises ValueError when
-    they are invalid.
+    ``seeds``, ``reload`` and ``hedge_ratio`` belong to the settings source: ``seeds``
+    returns the hosts of control replicas, ``reload`` reads the settings again and
+    raises ValueError when they are invalid, and ``hedge_ratio`` returns how many hedges
+    all entries may send for each request of a service.
     ``link_bytes_per_ms`` is the bandwidth of the VM's own link, 0 when unknown.
     ``grace_ms`` is the time between the stop signal and the end of the process.
     ``relay_port`` is the port of all entries for requests of their peers, 0 for none.
@@ -140,6 +142,7 @@
     memory_bytes: int = DEFAULT_MEMORY_BYTES
     contact_ms: float = DEFAULT_CONTACT_MS
     quota_limits: QuotaLimits = QuotaLimits()
+    hedge_ratio: Callable[[], float] = no_hedges
 
 
 class Gateway:
@@ -221,6 +224,7 @@
             self.monitor,
             self.relay_client,
             self.quotas,
+            settings.hedge_ratio,
         )
         identity = FeedIdentity(
             settings.entry_id,
@@ -355,6 +359,7 @@
             )
             if self.view.configuration is not None:
                 self.retry_budget.retain(self.view.configuration.services)
+                self.forwarder.hedges.retain(self.view.configuration.services)
             await curio.sleep(RETRY_SHARE_INTERVAL_MS / 1000)
 
     def reload(self) -> None:
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -117,7 +117,7 @@
         self._tasks: dict[str, curio.Task] = {}
         self._connected: dict[str, Feed] = {}
         self._state_requests = StateRequests(view, identity.zone, clock, log)
-        self._leader: Feed | None = None
+        self._leader_host = ""
         self._source: str | None = None
         self._source_since = clock()
         self._next_list_at = clock()
@@ -137,7 +137,7 @@
         After a change of leader both may say so for a moment; the one that said it
         last counts.
         """
-        feed = self._leader
+        feed = self._connected.get(self._leader_host)
         return feed if feed is not None and feed.leads else None
 
     @property
@@ -328,10 +328,8 @@
 
     def _remove_feed(self, host: str) -> bool:
         """Remove the feed of a replica; return whether it was open."""
-        feed = self._connected.pop(host, None)
-        if feed is None:
+        if self._connected.pop(host, None) is None:
             return False
-        feed.leads = False
         # A requested list may have been lost with the connection.
         self._n_requested_endpoints = 0
         if host == self._source:
@@ -430,7 +428,7 @@
         if "leads" in line:
             feed.leads = bool(line["leads"])
             if feed.leads:
-                self._leader = feed
+                self._leader_host = host
         for name in self._on_part.keys() & line.keys():
             await self._on_part[name](line[name])
         if "n_entries" in line:
--- a/pollenfold/gateway/rollouts/selection.py
+++ b/pollenfold/gateway/rollouts/selection.py
@@ -127,6 +127,18 @@
         is_gone = not subset.endpoints or self._balancer.is_unreached(service)
         return is_gone and kind is ErrorKind.NO_BACKEND_SERVER
 
+    def is_in_progress(self, service: str) -> bool:
+        """Return whether a roll-out of the service hasn't ended."""
+        rollout = self._rollout(service)
+        return rollout is not None and not rollout.is_final
+
+    def settled_subset(self, service: str) -> EndpointSubset | None:
+        """Return the endpoints that may be used after a roll-out; None for all."""
+        rollout = self._rollout(service)
+        if rollout is None:
+            return None
+        return self._subset(rollout, rollout.share >= 1.0, is_search_repeated=False)
+
     def may_send(self, subset: EndpointSubset | None, endpoint: Endpoint) -> bool:
         """Return whether an attempt may still be sent to the endpoint chosen for it."""
         announcement = endpoint.announcement
--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -101,6 +101,7 @@
         memory_bytes=settings.memory_bytes,
         contact_ms=settings.bound("contactMs", DEFAULT_CONTACT_MS),
         quota_limits=quota_limits(settings),
+        hedge_ratio=source.hedge_ratio,
     )
     curio.run(serve_gateway, gateway, DIALECT, configuration_decoder(), signals)
 
