--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -16,7 +16,8 @@
 flight at the old version takes up to several seconds more."""
 
 DOUBT_END = 0.75
-"""Until then a doubtful version may prove to be good; later there would be no time."""
+"""Until then a suspect or doubtful version may prove to be good; later there would be
+no time to end what is in flight."""
 
 GIVE_UP_AT = 0.9
 """When an unusable target is taken back, so that the roll-out ends by its deadline."""
@@ -181,6 +182,8 @@
         return False
     if progress >= DOUBT_END:
         return True
+    if situation.finding.is_suspect:
+        return False
     return situation.has_reports and _is_observed(rollout, situation)
 
 
--- a/pollenfold/core/rollouts/evidence.py
+++ b/pollenfold/core/rollouts/evidence.py
@@ -23,10 +23,9 @@
 
 from ..clock import Instant, add_ms
 
-FALSE_ALARM_RATE = 1e-3
+FALSE_ALARM_RATE = 2e-4
 """The largest probability that a version which is as good as the old one is ever called
-bad. In simulated roll-outs it happens less often, since most comparisons depend on each
-other. ``tests/core/rollouts/test_evidence.py`` states the rate of misses by load."""
+bad. ``tests/core/rollouts/test_evidence.py`` states the rate of misses by load."""
 
 DOUBT_RATE = 2e-2
 """The same for a version that is called doubtful."""
@@ -176,9 +175,14 @@
 
     @property
     def is_doubtful(self) -> bool:
-        """Whether the target may be bad."""
+        """Whether the target is probably bad."""
         return self.log_ratio >= -log(DOUBT_RATE)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the counts fit a bad target better than a good one."""
+        return self.log_ratio >= 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class _Start:
--- a/pollenfold/tests/core/rollouts/test_controller.py
+++ b/pollenfold/tests/core/rollouts/test_controller.py
@@ -21,6 +21,7 @@
 DURATION_MS = 10_000
 LIMITS = ExposureLimits(0.1, 50.0, 5_000.0)
 BAD, DOUBTFUL = Finding(log_ratio=20.0), Finding(log_ratio=5.0)
+SUSPECT = Finding(log_ratio=1.0)
 
 CALM = Situation(
     elapsed_ms=3_000.0,
@@ -119,6 +120,15 @@
     assert late == ("reverting", "doubtful")
 
 
+def test_suspect_version_waits_for_more_evidence():
+    """Guards against all requests to a version that looks bad, and against a good one
+    that isn't completed since a few of its responses were bad."""
+    ramp = RolloutStage.RAMP
+    assert decided(ramp, 0.5, elapsed_ms=6_500.0, finding=SUSPECT) is None
+    late = decided(ramp, 0.5, elapsed_ms=7_600.0, finding=SUSPECT)
+    assert late == ("full", "no_evidence_against")
+
+
 def test_full_waits_for_reports_but_not_too_long():
     """Guards against a new leader that judges on the counts of a few entries."""
     assert decided(elapsed_ms=6_100.0, has_reports=False) is None
