Leave time for the end of short roll-outs without a usable target

The end needs a commit, the feeds and a report of each entry, which 0.1 of a short duration doesn't allow for. An unusable target is now taken back a second before the deadline at the latest, but not before 0.75 of the duration.

--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -20,7 +20,9 @@
 no time to end what is in flight."""
 
 GIVE_UP_AT = 0.9
-"""When an unusable target is taken back, so that the roll-out ends by its deadline."""
+MIN_END_MS = 1_000.0
+"""An unusable target is taken back at this part of the duration, or this long before
+its end, so that the stage and the reports on it arrive by the deadline."""
 
 MIN_OBSERVED = 0.25
 """The part of the duration for which the target is observed before it gets more than
@@ -156,11 +158,19 @@
             return "exposed"
         if _is_late(situation, limits):
             return "exposed"
-    if progress >= GIVE_UP_AT and not _is_usable(rollout, situation):
+    if situation.elapsed_ms >= _give_up_ms(rollout) and not _is_usable(
+        rollout, situation
+    ):
         return "target_unusable"
     return None
 
 
+def _give_up_ms(rollout: Rollout) -> float:
+    duration_ms = rollout.duration_ms
+    give_up_ms = min(GIVE_UP_AT * duration_ms, duration_ms - MIN_END_MS)
+    return max(give_up_ms, DOUBT_END * duration_ms)
+
+
 def _is_late(situation: Situation, limits: ExposureLimits) -> bool:
     """Return whether a bad version would have to be taken back by now."""
     return situation.since_many_bad_ms > USED_ROLLBACK_TIME * limits.rollback_ms
--- a/pollenfold/tests/core/rollouts/test_controller.py
+++ b/pollenfold/tests/core/rollouts/test_controller.py
@@ -183,6 +183,17 @@
     assert late == ("reverting", "target_unusable")
 
 
+@pytest.mark.parametrize(
+    ("duration_ms", "give_up_ms"), [(20_000, 18_000), (5_000, 4_000), (2_000, 1_500)]
+)
+def test_short_roll_out_leaves_time_for_its_end(duration_ms, give_up_ms):
+    """Guards against a target that is taken back too late for the reports on it."""
+    rollout = replace(rollout_at(RolloutStage.CANARY), duration_ms=duration_ms)
+    for elapsed_ms, is_reverted in ((give_up_ms - 1, False), (give_up_ms, True)):
+        situation = replace(CALM, elapsed_ms=float(elapsed_ms), target_seen_ms=None)
+        assert (decide(rollout, situation, LIMITS) is not None) == is_reverted
+
+
 def test_completed_waits_until_the_old_version_is_idle():
     """Guards against old endpoints that are stopped under requests, also late."""
     full = RolloutStage.FULL
