Let the target serve alone once the old version has no endpoints

An order for the version that is already in use, or old endpoints that are stopped early, would leave most requests without a usable endpoint until 0.6 of the duration. The leader now goes to full once no endpoint of the old version was announced for 3 s.

--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -36,8 +36,8 @@
 N_MANY_BAD = 50
 """The number of bad responses from which the time to take a version back counts."""
 
-TARGET_ABSENT_MS = 3_000.0
-"""How long the target must be unknown until its endpoints count as gone. Endpoints
+ABSENT_MS = 3_000.0
+"""How long a version must be unknown until its endpoints count as gone. Endpoints
 repeat their announcements every second or two."""
 
 ANNOUNCEMENT_AGE_MS = 12_000.0
@@ -71,11 +71,14 @@
         self._stage_since = now
         self._target_since: Instant | None = None
         self._target_last_at = now
+        self._old_last_at = now
         self._many_bad_since: Instant | None = None
         self._totals: deque[tuple[Instant, int]] = deque()
 
-    def update(self, rollout: Rollout, has_target: bool, now: Instant) -> None:
-        """Record the counts, the stage and whether the target is announced."""
+    def update(
+        self, rollout: Rollout, has_old: bool, has_target: bool, now: Instant
+    ) -> None:
+        """Record the counts, the stage and which versions are announced."""
         self.evidence.record(self.reports.counts, now)
         total = self.evidence.total
         self._totals.append((now, total.n_old + total.n_new))
@@ -85,11 +88,13 @@
             self._many_bad_since = now
         if rollout.stage_index != self._stage_index:
             self._stage_index, self._stage_since = rollout.stage_index, now
+        if has_old:
+            self._old_last_at = now
         if has_target:
             self._target_last_at = now
             if self._target_since is None:
                 self._target_since = now
-        elif now > add_ms(self._target_last_at, TARGET_ABSENT_MS):
+        elif now > add_ms(self._target_last_at, ABSENT_MS):
             self._target_since = None
 
     def in_stage_ms(self, now: Instant) -> float:
@@ -103,9 +108,13 @@
         """
         if self._target_since is not None:
             return now - self._target_since
-        is_new = now <= add_ms(self.since, TARGET_ABSENT_MS)
+        is_new = now <= add_ms(self.since, ABSENT_MS)
         return 0.0 if rollout.is_towards_target and is_new else None
 
+    def is_old_gone(self, now: Instant) -> bool:
+        """Return whether the old version has been unknown for some time."""
+        return now > add_ms(self._old_last_at, ABSENT_MS)
+
     def since_many_bad_ms(self, now: Instant) -> float:
         """Return the time since the target had its 50th bad response, 0 before."""
         return 0.0 if self._many_bad_since is None else now - self._many_bad_since
@@ -233,7 +242,10 @@
     async def _advance(self, rollout: Rollout) -> None:
         now = self._clock()
         tracker = self._tracker(rollout, now)
-        tracker.update(rollout, self._has_target(rollout, now), now)
+        versions = self._usable_versions(rollout, now)
+        has_old = any(rollout.uses(version, is_target=False) for version in versions)
+        has_target = rollout.target_version in versions
+        tracker.update(rollout, has_old, has_target, now)
         situation = self._situation(rollout, tracker, now)
         self._export(rollout, situation)
         decision = decide(rollout, situation, self._settings.limits)
@@ -260,6 +272,7 @@
             is_old_idle=is_settled and reports.is_old_idle(entries, stage_index, now),
             is_target_idle=is_settled
             and reports.is_target_idle(entries, stage_index, now),
+            is_old_gone=tracker.is_old_gone(now),
         )
 
     def _endpoints(self, rollout: Rollout, now: Instant) -> list[Announcement]:
@@ -271,12 +284,11 @@
             and record.announcement.service == rollout.service
         ]
 
-    def _has_target(self, rollout: Rollout, now: Instant) -> bool:
+    def _usable_versions(self, rollout: Rollout, now: Instant) -> set[str]:
+        """Return the versions of the endpoints that accept new requests."""
         state = self._cluster_state.replicated_state
-        return any(
-            rollout.is_target(a.version) and accepts_new_requests(a, state)
-            for a in self._endpoints(rollout, now)
-        )
+        endpoints = self._endpoints(rollout, now)
+        return {a.version for a in endpoints if accepts_new_requests(a, state)}
 
     async def _commit(
         self, rollout: Rollout, decision: Decision, situation: Situation
--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -75,7 +75,8 @@
     ``is_old_idle`` and ``is_target_idle`` whether they also confirmed the present stage
     and have nothing in flight at the version. ``rate_per_s`` counts the responses of
     both versions. ``since_many_bad_ms`` is the time since the target had its 50th bad
-    response, 0 before.
+    response, 0 before. ``is_old_gone`` is whether no endpoint of the old version is
+    announced.
     """
 
     elapsed_ms: float
@@ -89,6 +90,7 @@
     has_reports: bool
     is_old_idle: bool
     is_target_idle: bool
+    is_old_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +117,8 @@
     reason = _reason_to_revert(rollout, situation, limits)
     if reason is not None:
         return _advance(rollout, RolloutStage.REVERTING, reason)
+    if situation.is_old_gone and situation.target_seen_ms is not None:
+        return _advance(rollout, RolloutStage.FULL, "old_gone")
     if _is_full_due(rollout, situation):
         return _advance(rollout, RolloutStage.FULL, "no_evidence_against")
     return _next_share(rollout, situation, limits)
--- a/pollenfold/tests/control/test_rollouts.py
+++ b/pollenfold/tests/control/test_rollouts.py
@@ -111,6 +111,23 @@
     with_cluster(body)
 
 
+def test_order_for_the_version_in_use_is_completed(with_cluster):
+    """Guards against a service without usable endpoints after a needless order."""
+
+    async def body(cluster):
+        put = await cluster.call(cluster.leader(), b"PUT", "/-/config", CONFIGURATION)
+        assert put.status == 200
+        await start_entries(cluster)
+        await announce(cluster, follower(cluster), "i-2", "v2", 2)
+        order = {"service": "booking", "targetVersion": "v2", "durationS": 30}
+        response = await cluster.call(1, b"POST", "/-/rollouts", order)
+        assert response.status == 200
+        async with curio.timeout_after(6.0):
+            assert await end_of(cluster) == "completed"
+
+    with_cluster(body)
+
+
 def test_completed_waits_for_what_is_in_flight(with_cluster):
     """Guards against a report of the end while a request is in flight at an endpoint
     that the operator then stops."""
--- a/pollenfold/tests/core/rollouts/test_controller.py
+++ b/pollenfold/tests/core/rollouts/test_controller.py
@@ -202,6 +202,14 @@
     assert decided(full, is_old_idle=True) == ("completed", "old_idle")
 
 
+def test_target_serves_alone_once_the_old_version_is_gone():
+    """Guards against requests that are refused since they belong to a version without
+    endpoints, as after an order for the version that is already in use."""
+    assert decided(is_old_gone=True) == ("full", "old_gone")
+    assert decided(is_old_gone=True, target_seen_ms=None) is None
+    assert decided(is_old_gone=True, finding=BAD)[0] == "reverting"
+
+
 def test_version_whose_endpoints_are_gone_is_taken_back():
     """Guards against a service without endpoints while the old ones still serve."""
     gone = decided(RolloutStage.FULL, target_seen_ms=None, is_old_idle=True)
