Refuse a roll-out without a duration in the log and in stored states

The line with announcements is built in core/registry.py, and the parts of a node that concern roll-outs in a function of their own, to keep modules and functions short.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -120,25 +120,12 @@
             members=members,
         )
         self.cluster_state.commands.replica = self.replica
-        ages = OrderAges()
-        self.rollout_orders = RolloutOrders(
-            self.cluster_state, ages, clock, time_of_day_ms, self.log
-        )
         self.peers = PeerView(self.cluster_state)
         self.feed_server = FeedServer(
             settings.zone, self.cluster_state, self.peers, clock, self.log
         )
         self.feed_server.is_leading = self.replica.is_leader
-        self.rollouts = Rollouts(
-            settings.rollouts,
-            self.cluster_state,
-            self.feed_server,
-            ages,
-            clock,
-            time_of_day_ms,
-            self.metrics,
-            self.log,
-        )
+        self._add_rollouts()
         identity = FeedIdentity(settings.name, settings.zone, "control")
         self.feeds = Feeds(
             identity,
@@ -158,6 +145,22 @@
             }
         )
 
+    def _add_rollouts(self) -> None:
+        ages = OrderAges()
+        self.rollout_orders = RolloutOrders(
+            self.cluster_state, ages, system_clock, time_of_day_ms, self.log
+        )
+        self.rollouts = Rollouts(
+            self.settings.rollouts,
+            self.cluster_state,
+            self.feed_server,
+            ages,
+            system_clock,
+            time_of_day_ms,
+            self.metrics,
+            self.log,
+        )
+
     # Endpoints after a restart
 
     def load_endpoints(self) -> None:
--- a/pollenfold/control/feed_server.py
+++ b/pollenfold/control/feed_server.py
@@ -12,7 +12,7 @@
 from ..core.clock import Clock, Instant, add_ms
 from ..core.digests import differing_announcements
 from ..core.input_limits import is_name
-from ..core.registry import Announcement, EndpointRecord, versions_by_id
+from ..core.registry import Announcement, EndpointRecord, announcements_line
 from ..http.listener import open_listener
 from ..http.listening_socket import ListeningSocket
 from ..observe.events import EventLog
@@ -260,7 +260,7 @@
             (k.announcement for k in known.values()), digests
         )
         aged = [(a, now - known[a.endpoint_id].announced_at) for a in missing]
-        return _announcements_line(aged)
+        return announcements_line(aged)
 
     def entry_names(self) -> set[str]:
         """Return the names of the entries that are connected."""
@@ -385,7 +385,7 @@
         line: dict[str, Any] = {}
         updates = self._pending_updates.values()
         if updates:
-            line.update(_announcements_line([(a, 0) for a in updates]))
+            line.update(announcements_line([(a, 0) for a in updates]))
             self._pending_updates = {}
         if self._changed_limits:
             line["limits"] = [
@@ -445,12 +445,3 @@
                 subscriber.client.shutdown_nowait(sockets.SHUT_RDWR)
             except OSError:
                 return
-
-
-def _announcements_line(aged: list[tuple[Announcement, float]]) -> dict[str, Any]:
-    """Return announcements with their age, and the versions that any of them has."""
-    line: dict[str, Any] = {"announcements": [[a.encode(), ms] for a, ms in aged]}
-    versions = versions_by_id(a for a, _ in aged)
-    if versions:
-        line["versions"] = versions
-    return line
--- a/pollenfold/core/command_encoding.py
+++ b/pollenfold/core/command_encoding.py
@@ -123,7 +123,7 @@
         case [service, target_version, duration_ms, ordered_at_ms] if (
             is_name(service)
             and is_name(target_version)
-            and is_whole_number(duration_ms, MAX_DURATION_MS)
+            and is_whole_number(duration_ms, MAX_DURATION_MS, 1)
             and is_whole_number(ordered_at_ms)
         ):
             return StartRollout(service, target_version, duration_ms, ordered_at_ms)
--- a/pollenfold/core/registry.py
+++ b/pollenfold/core/registry.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from reprlib import repr as short_repr
+from typing import Any
 
 from .clock import Instant
 from .input_limits import (
@@ -143,6 +144,18 @@
     return {a.endpoint_id: a.version for a in announcements if a.version}
 
 
+def announcements_line(
+    aged_announcements: list[tuple[Announcement, float]],
+) -> dict[str, Any]:
+    """Return the parts of a feed line with announcements, their ages and versions."""
+    items = [[a.encode(), age_ms] for a, age_ms in aged_announcements]
+    line: dict[str, Any] = {"announcements": items}
+    versions = versions_by_id(a for a, _ in aged_announcements)
+    if versions:
+        line["versions"] = versions
+    return line
+
+
 def with_version(announcement: Announcement, versions: object) -> Announcement:
     """Return an announcement with its version of ``versions_by_id``, if that has one.
 
--- a/pollenfold/core/rollouts/state.py
+++ b/pollenfold/core/rollouts/state.py
@@ -273,23 +273,16 @@
         ] if (
             is_name(service)
             and is_name(target_version)
-            and is_whole_number(duration_ms, MAX_DURATION_MS)
+            and is_whole_number(duration_ms, MAX_DURATION_MS, 1)
             and is_whole_number(order_index)
             and is_whole_number(ordered_at_ms)
-            and is_magnitude(share, 1.0)
             and is_whole_number(stage_index)
+            and is_magnitude(share, 1.0)
             and all(isinstance(v, str) for v in (*rejected, *replaced))
         ):
+            order = (service, target_version, duration_ms, order_index, ordered_at_ms)
+            versions = (tuple(rejected), tuple(replaced))
             return Rollout(
-                service,
-                target_version,
-                duration_ms,
-                order_index,
-                ordered_at_ms,
-                decode_stage(stage),
-                float(share),
-                stage_index,
-                tuple(rejected),
-                tuple(replaced),
+                *order, decode_stage(stage), float(share), stage_index, *versions
             )
     raise ValueError(f"expected the fields of a roll-out, got {short_repr(fields)}")
