--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -16,10 +16,13 @@
 flight at the old version takes up to several seconds more."""
 
 DOUBT_END = 0.75
-"""Until then a doubtful version may prove to be good; later there would be no time."""
+"""Until then a suspect or doubtful version may prove to be good; later there would be
+no time to end what is in flight."""
 
 GIVE_UP_AT = 0.9
-"""When an unusable target is taken back, so that the roll-out ends by its deadline."""
+MIN_END_MS = 1_000.0
+"""An unusable target is taken back at this part of the duration, or this long before
+its end, so that the stage and the reports on it arrive by the deadline."""
 
 MIN_OBSERVED = 0.25
 """The part of the duration for which the target is observed before it gets more than
@@ -72,7 +75,8 @@
     ``is_old_idle`` and ``is_target_idle`` whether they also confirmed the present stage
     and have nothing in flight at the version. ``rate_per_s`` counts the responses of
     both versions. ``since_many_bad_ms`` is the time since the target had its 50th bad
-    response, 0 before.
+    response, 0 before. ``is_old_gone`` is whether no endpoint of the old version is
+    announced.
     """
 
     elapsed_ms: float
@@ -86,6 +90,7 @@
     has_reports: bool
     is_old_idle: bool
     is_target_idle: bool
+    is_old_gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +117,8 @@
     reason = _reason_to_revert(rollout, situation, limits)
     if reason is not None:
         return _advance(rollout, RolloutStage.REVERTING, reason)
+    if situation.is_old_gone and situation.target_seen_ms is not None:
+        return _advance(rollout, RolloutStage.FULL, "old_gone")
     if _is_full_due(rollout, situation):
         return _advance(rollout, RolloutStage.FULL, "no_evidence_against")
     return _next_share(rollout, situation, limits)
@@ -155,11 +162,19 @@
             return "exposed"
         if _is_late(situation, limits):
             return "exposed"
-    if progress >= GIVE_UP_AT and not _is_usable(rollout, situation):
+    if situation.elapsed_ms >= _give_up_ms(rollout) and not _is_usable(
+        rollout, situation
+    ):
         return "target_unusable"
     return None
 
 
+def _give_up_ms(rollout: Rollout) -> float:
+    duration_ms = rollout.duration_ms
+    give_up_ms = min(GIVE_UP_AT * duration_ms, duration_ms - MIN_END_MS)
+    return max(give_up_ms, DOUBT_END * duration_ms)
+
+
 def _is_late(situation: Situation, limits: ExposureLimits) -> bool:
     """Return whether a bad version would have to be taken back by now."""
     return situation.since_many_bad_ms > USED_ROLLBACK_TIME * limits.rollback_ms
@@ -181,6 +196,8 @@
         return False
     if progress >= DOUBT_END:
         return True
+    if situation.finding.is_suspect:
+        return False
     return situation.has_reports and _is_observed(rollout, situation)
 
 
--- a/pollenfold/tests/core/rollouts/test_controller.py
+++ b/pollenfold/tests/core/rollouts/test_controller.py
@@ -21,6 +21,7 @@
 DURATION_MS = 10_000
 LIMITS = ExposureLimits(0.1, 50.0, 5_000.0)
 BAD, DOUBTFUL = Finding(log_ratio=20.0), Finding(log_ratio=5.0)
+SUSPECT = Finding(log_ratio=1.0)
 
 CALM = Situation(
     elapsed_ms=3_000.0,
@@ -119,6 +120,15 @@
     assert late == ("reverting", "doubtful")
 
 
+def test_suspect_version_waits_for_more_evidence():
+    """Guards against all requests to a version that looks bad, and against a good one
+    that isn't completed since a few of its responses were bad."""
+    ramp = RolloutStage.RAMP
+    assert decided(ramp, 0.5, elapsed_ms=6_500.0, finding=SUSPECT) is None
+    late = decided(ramp, 0.5, elapsed_ms=7_600.0, finding=SUSPECT)
+    assert late == ("full", "no_evidence_against")
+
+
 def test_full_waits_for_reports_but_not_too_long():
     """Guards against a new leader that judges on the counts of a few entries."""
     assert decided(elapsed_ms=6_100.0, has_reports=False) is None
@@ -173,6 +183,17 @@
     assert late == ("reverting", "target_unusable")
 
 
+@pytest.mark.parametrize(
+    ("duration_ms", "give_up_ms"), [(20_000, 18_000), (5_000, 4_000), (2_000, 1_500)]
+)
+def test_short_roll_out_leaves_time_for_its_end(duration_ms, give_up_ms):
+    """Guards against a target that is taken back too late for the reports on it."""
+    rollout = replace(rollout_at(RolloutStage.CANARY), duration_ms=duration_ms)
+    for elapsed_ms, is_reverted in ((give_up_ms - 1, False), (give_up_ms, True)):
+        situation = replace(CALM, elapsed_ms=float(elapsed_ms), target_seen_ms=None)
+        assert (decide(rollout, situation, LIMITS) is not None) == is_reverted
+
+
 def test_completed_waits_until_the_old_version_is_idle():
     """Guards against old endpoints that are stopped under requests, also late."""
     full = RolloutStage.FULL
@@ -181,6 +202,14 @@
     assert decided(full, is_old_idle=True) == ("completed", "old_idle")
 
 
+def test_target_serves_alone_once_the_old_version_is_gone():
+    """Guards against requests that are refused since they belong to a version without
+    endpoints, as after an order for the version that is already in use."""
+    assert decided(is_old_gone=True) == ("full", "old_gone")
+    assert decided(is_old_gone=True, target_seen_ms=None) is None
+    assert decided(is_old_gone=True, finding=BAD)[0] == "reverting"
+
+
 def test_version_whose_endpoints_are_gone_is_taken_back():
     """Guards against a service without endpoints while the old ones still serve."""
     gone = decided(RolloutStage.FULL, target_seen_ms=None, is_old_idle=True)
