Release the connection of an attempt that never ran once

Cause: new tests of the race alone: a request whose task is cancelled before its first attempt ran released the connection twice, so that its pool would hand it to two requests. curio runs a cancelled task up to its first wait, so that the attempt releases the connection itself.

Change: the race leaves it to the attempt.

--- a/pollenfold/gateway/race.py
+++ b/pollenfold/gateway/race.py
@@ -34,7 +34,6 @@
     task: curio.Task | None = None
     result: SendResult | None = None
     error: Exception | None = None
-    has_begun: bool = False
     is_ended: bool = False
     is_cancelled: bool = False
     is_unwanted: bool = False
@@ -128,10 +127,9 @@
         run.task = await curio.spawn(self._run, run, select, daemon=True)
 
     async def _run(self, run: _Run, select: Selector | None) -> None:
-        run.has_begun = True
         try:
             pick = run.pick
-            if select is not None:
+            if select is not None and not run.is_unwanted:
                 pick = await select(lambda: not run.is_unwanted)
             if pick is not None and run.is_unwanted:
                 await self._balancer.release(pick.endpoint, pick.connection)
@@ -204,19 +202,11 @@
             run.is_unwanted = True
             if run.is_ended:
                 await _discard(run)
-            elif not run.has_begun:
-                await self._end_unbegun(run)
             elif run.is_in_exchange and run.task is not None:
+                # A task that hasn't run yet runs first, and releases its connection.
                 await run.task.cancel()
                 self._record_cancelled(run)
 
-    async def _end_unbegun(self, run: _Run) -> None:
-        """End an attempt whose task hasn't run yet, so that it releases nothing."""
-        if run.task is not None:
-            await run.task.cancel()
-        if run.pick is not None:
-            await self._balancer.release(run.pick.endpoint, run.pick.connection)
-
     def _record_cancelled(self, run: _Run) -> None:
         """Let the log say that an attempt was broken off, which is no failure.
 
--- a/pollenfold/tests/gateway/test_hedges.py
+++ b/pollenfold/tests/gateway/test_hedges.py
@@ -286,7 +286,8 @@
     with_hedges(body, first, second)
 
 
-def test_response_during_the_search_is_passed_on_at_once(with_hedges):
+@pytest.mark.parametrize("check_ms", [70.0, 3_000.0])
+def test_response_during_the_search_is_passed_on_at_once(with_hedges, check_ms):
     """Guards against a response that waits for the probes of its hedge, a retry that is
     counted though none is sent, and a connection that the search keeps."""
 
@@ -294,14 +295,14 @@
         task = await curio.spawn(path.get)
         while not first.requests:
             await curio.sleep(0.002)
-        second.check_delay_ms = 3_000.0
+        second.check_delay_ms = check_ms
         assert (await task.join()).body == b"of first"
         assert hedges(path, "overtaken") == 1
         await wait_until_released(path, first, second)
         assert len(second.requests) == 0
         assert path.metrics.get("retries_total", service="s") == 0
 
-    with_hedges(body, *make_backends(first_ms=240.0))
+    with_hedges(body, *make_backends(first_ms=235.0))
 
 
 def test_non_idempotent_request_is_never_hedged(with_hedges):
