Test shares of quotas, and repeated faults within one window

The faults that hypothesis draws let permits without an end pass, since an overloaded entry holds none.

--- a/pollenfold/tests/core/tenancy/test_quota_simulation.py
+++ b/pollenfold/tests/core/tenancy/test_quota_simulation.py
@@ -166,3 +166,28 @@
     assert simulation.most_in_window("t") <= LIMITS.total(before)
     in_force_ms = 6_000.0 + LIMITS.window_ms
     assert simulation.most_in_window("t", in_force_ms) <= LIMITS.total(after)
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        [("leader", 7_000.0 + 600 * k, 50.0, 0) for k in range(5)],
+        [("leader", 7_000.0, 5_000.0, 0)]
+        + [("kill", 7_500.0 + 500 * k, 0.0, k % 2) for k in range(8)],
+        [("cut", 7_000.0, 4_000.0, k) for k in (0, 1)]
+        + [("kill", 7_500.0 + 500 * k, 0.0, k % 2) for k in range(8)],
+    ],
+    ids=["leaders", "kills-without-a-leader", "kills-while-cut"],
+)
+def test_sum_holds_through_repeated_faults(faults):
+    """Load: one tenant at 16 entries, six times its quota, with faults in one window.
+
+    Guards against a burst of each leader, and a reserve for each process.
+    """
+    quota = Quota(40.0, 60.0)
+    simulation = Simulation(16, {"t": quota})
+    simulation.load("t", 240.0, 14_000.0)
+    for kind, at_ms, duration_ms, position in faults:
+        simulation.at(at_ms, apply_fault, simulation, kind, duration_ms, position)
+    simulation.run(15_000.0)
+    assert simulation.most_in_window("t") <= LIMITS.total(quota)
