Test that an entry uses the limit of hedges in force

Cause: the setting was tested where it is read, not where it is used.

Measured: test_settings.py, test_reload_errors.py and test_daemon.py pass.

--- a/pollenfold/tests/platform/test_settings.py
+++ b/pollenfold/tests/platform/test_settings.py
@@ -5,13 +5,17 @@
 import tomllib
 from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
 
+import curio
 import pytest
 
 from pollenfold.core.balancing.selection import ServerLoad
+from pollenfold.gateway.daemon import Gateway
 from pollenfold.http.messages import Response
+from pollenfold.platform import __main__ as program
 from pollenfold.platform.__main__ import ROLES, main
-from pollenfold.platform.headers import is_genuine, parse_load
+from pollenfold.platform.headers import DIALECT, is_genuine, parse_load
 from pollenfold.platform.settings import (
     SETTINGS_PATH_VARIABLE,
     SettingsError,
@@ -89,6 +93,21 @@
     assert source.hedge_ratio() == 0.05
 
 
+def test_entry_uses_the_limit_of_hedges_in_force(source, monkeypatch):
+    """Guards against a limit that is read but doesn't reach the path of requests."""
+    settings = []
+    monkeypatch.setattr(curio, "run", lambda *args: settings.append(args[1]))
+    ports = SimpleNamespace(feed=1, metrics=None, relay=0)
+    listeners = SimpleNamespace(callers=None, ready=None, peers=None)
+    program._serve_entry(source, ports, listeners, None)
+    gateway = Gateway(settings[0], DIALECT, json.loads)
+    ratio = gateway.forwarder.hedges._ratio
+    assert ratio() == 0.0
+    source._path.write_text(TEXT.replace("ratio = 0.0", "ratio = 0.05"))
+    gateway.reload()
+    assert ratio() == 0.05
+
+
 @pytest.mark.parametrize("value", [5, [], "0.1", None])
 def test_hedging_that_is_no_table_is_reported(value):
     """Guards against a misplaced limit that is ignored."""
