Hedge a slow request while a second attempt can still be in time

Cause: the delay is a high quantile of what the service's responses took, and a few slow ones raise it beyond the latency target. Change: the delay ends when a second attempt can just be in time, but not before the quantile at which the hedges keep their ratio. Test: test_second_attempt_starts_while_it_can_still_be_in_time.

--- a/pollenfold/core/hedging.py
+++ b/pollenfold/core/hedging.py
@@ -12,7 +12,11 @@
 from enum import Enum
 from math import ceil
 
-from .balancing.overload import OVERLOADED_SLOWDOWN, acceptable_slowdown
+from .balancing.overload import (
+    OVERLOADED_SLOWDOWN,
+    WORK_VARIATION_FACTOR,
+    acceptable_slowdown,
+)
 from .balancing.selection import EARLY_ACCEPT_SLOWDOWN
 from .clock import Instant, add_ms
 from .retries import RatioBudget
@@ -126,6 +130,23 @@
     return max(MIN_HEDGE_DELAY_MS, expected_ms * max(1.0, latency_ratio))
 
 
+def latest_useful_delay_ms(left_to_target_ms: float, work_ms: float) -> float:
+    """Return the delay after which a second attempt can just be in time.
+
+    For example, with 677 ms left until the target and 250 ms of work it is 389 ms.
+    """
+    return left_to_target_ms - WORK_VARIATION_FACTOR * work_ms
+
+
+def timely_delay_ms(usual_ms: float, least_ms: float, latest_ms: float) -> float:
+    """Return the delay of a request whose second attempt should still be in time.
+
+    A few slow responses raise the usual delay beyond the latest useful one. The least
+    delay is that at which the hedges just keep their ratio.
+    """
+    return min(usual_ms, max(least_ms, latest_ms))
+
+
 def may_be_hedged(
     is_idempotent: bool, is_body_streamed: bool, n_sends: int, max_attempts: int
 ) -> bool:
--- a/pollenfold/gateway/hedges.py
+++ b/pollenfold/gateway/hedges.py
@@ -22,8 +22,10 @@
     hedge_delay_ms,
     hedge_quantile,
     hedge_slowdown_limit,
+    latest_useful_delay_ms,
     may_be_hedged,
     may_get_hedge,
+    timely_delay_ms,
 )
 from ..core.outcomes import AttemptOutcome
 from ..observe.exposition import Metrics
@@ -116,7 +118,7 @@
         is_in_progress = self._versions.is_in_progress(call.service)
         if quantile is None or is_in_progress or not self._may_be_hedged(call):
             return await send(call, pick)
-        delay_ms = hedge_delay_ms(_expected_ms(call, pick), quantile)
+        delay_ms = self._delay_ms(call, pick, quantile, ratio)
         race = Race(send, self._balancer, self._clock)
         try:
             await race.start(call, pick)
@@ -126,6 +128,18 @@
         finally:
             await self._end(race, call)
 
+    def _delay_ms(self, call: Call, pick: Pick, quantile: float, ratio: float) -> float:
+        """Return how long the first attempt is awaited."""
+        expected_ms = _expected_ms(call, pick)
+        least_ratio = self._service(call.service).ratios.quantile(1.0 - ratio)
+        return timely_delay_ms(
+            hedge_delay_ms(expected_ms, quantile),
+            hedge_delay_ms(expected_ms, least_ratio or quantile),
+            latest_useful_delay_ms(
+                call.target_at - self._clock(), call.work_estimate.get()
+            ),
+        )
+
     def _may_be_hedged(self, call: Call) -> bool:
         has_body_left = call.request.read_remaining_body is not None
         return may_be_hedged(
--- a/pollenfold/tests/core/test_hedging.py
+++ b/pollenfold/tests/core/test_hedging.py
@@ -21,8 +21,10 @@
     hedge_delay_ms,
     hedge_quantile,
     hedge_slowdown_limit,
+    latest_useful_delay_ms,
     may_be_hedged,
     may_get_hedge,
+    timely_delay_ms,
 )
 
 MOMENT = HedgeMoment(
@@ -126,6 +128,17 @@
     assert hedge_delay_ms(0.1, 1.0) == 2.0
 
 
+def test_second_attempt_starts_while_it_can_still_be_in_time():
+    """Load: several of the last responses took seven times as long. Guards against a
+    delay that outlasts the target, and against one that hedges usual responses."""
+    latest_ms = latest_useful_delay_ms(677.0, 250.0)
+    assert latest_ms == pytest.approx(389.5)
+    assert timely_delay_ms(1_444.0, 330.0, latest_ms) == latest_ms
+    assert timely_delay_ms(360.0, 330.0, latest_ms) == 360.0
+    assert timely_delay_ms(1_444.0, 420.0, latest_ms) == 420.0
+    assert timely_delay_ms(1_444.0, 420.0, -50.0) == 420.0
+
+
 def test_slow_endpoint_delays_the_hedge():
     """Load: the endpoints report that they are twice as slow. Guards against hedges of
     responses that are late only because the service is busy."""
