Judge the age of a request by the claims of many callers

Cause: the largest X-Deadline-Ms that any caller claimed in 30 s was taken for that of first attempts. One client that claims 60 s made every request with 3 s look 57 s old, so it was refused above two thirds of the slots. Change: each connection has one vote, the largest of its claims. One with three claims is judged by its own; any other by what a third of the connections, and at least two, reach. A claim beyond timeoutMs of the route says nothing, and a request with less than a fifth of the time of first attempts isn't taken for a retry. 128 connections a route are kept. The three tests of the age now name a caller; their values are the same or stricter. Evidence: age_ms=57000 and in the logs of the tests of real processes, before.

--- a/pollenfold/core/balancing/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections.abc import Hashable
 from dataclasses import dataclass
 from enum import Enum
+from math import ceil
 
 from ..clock import Instant, add_ms
 from .selection import ServerLoad
@@ -28,6 +29,22 @@
 
 DEADLINE_TOLERANCE = 0.2
 DEADLINE_WINDOW_MS = 30_000.0
+MAX_CALLERS = 128
+"""How many callers of a route are remembered, the most recent ones."""
+
+MIN_OWN_CLAIMS = 3
+"""A caller with so many claims is judged by them alone."""
+
+FIRST_ATTEMPT_SHARE = 1 / 3
+MIN_VOTES = 2
+"""The largest remaining time that this share of the callers, and so many of them, have
+claimed is taken as that of first attempts. More may be retries during an overload."""
+
+MIN_RETRY_SHARE = 0.2
+"""A request with a smaller share of the time of first attempts isn't one of their
+retries: refused callers come back after at most a third of their time, and make few
+attempts. It comes from callers with other deadlines."""
+
 MIN_RETRY_AFTER_MS = 100.0
 SHORT_RETRY_AFTER_MS = (5.0, 20.0)
 RETRY_AFTER_SHARES = (0.2, 0.33)
@@ -52,36 +69,83 @@
         return self._work_ms
 
 
+@dataclass(slots=True)
+class _Claims:
+    """What one caller said of its remaining time in the window."""
+
+    largest_ms: float
+    largest_at: Instant
+    n_claims: int = 1
+
+
 class CallerAge:
     """Estimates how long ago a caller of a route made its first attempt.
 
     A caller sends its remaining time, which is shorter in a retry than in the first
-    attempt. The largest recent remaining time is taken as that of first attempts.
-    Callers use different timeouts, so a remaining time within ``DEADLINE_TOLERANCE``
-    of the largest counts as a first attempt. For example, if the largest is 1500 ms, a
-    request with 1300 ms is new, and one with 1000 ms is 500 ms old.
+    attempt. Callers use different timeouts, so a remaining time within
+    ``DEADLINE_TOLERANCE`` of that of first attempts counts as one. For example, if
+    first attempts have 1500 ms, a request with 1300 ms is new, and one with 1000 ms is
+    500 ms old.
+
+    Callers may claim anything, so no caller decides alone what first attempts of others
+    have: each of them has one vote, the largest of its claims in the window.
     """
 
-    __slots__ = ("_maxima",)
+    __slots__ = ("_callers",)
 
     def __init__(self) -> None:
-        self._maxima: deque[tuple[Instant, float]] = deque()
-
-    def observe(self, left_ms: float, now: Instant) -> float:
-        """Record the remaining time of a request; return its age in ms."""
-        maxima = self._maxima
-        while maxima and maxima[-1][1] <= left_ms:
-            maxima.pop()
-        maxima.append((now, left_ms))
+        self._callers: dict[Hashable, _Claims] = {}
+        """The least recent one first."""
+
+    def observe(
+        self,
+        caller: Hashable,
+        left_ms: float,
+        now: Instant,
+        timeout_ms: float | None = None,
+    ) -> float:
+        """Record the remaining time of a request of a caller; return its age in ms.
+
+        ``timeout_ms`` is that of the route. A claim beyond it says nothing, since no
+        caller waits for longer.
+        """
+        if timeout_ms is not None and left_ms > timeout_ms:
+            return 0.0
+        self._forget_old(now)
+        own = self._record(caller, left_ms, now)
+        if own.n_claims >= MIN_OWN_CLAIMS:
+            first_ms = own.largest_ms
+        else:
+            first_ms = max(own.largest_ms, self._usual_first_ms())
+        is_first = left_ms >= (1 - DEADLINE_TOLERANCE) * first_ms
+        if is_first or left_ms < MIN_RETRY_SHARE * first_ms:
+            return 0.0
+        return first_ms - left_ms
+
+    def _record(self, caller: Hashable, left_ms: float, now: Instant) -> _Claims:
+        claims = self._callers.pop(caller, None)
+        if claims is None:
+            claims = _Claims(left_ms, now)
+            if len(self._callers) >= MAX_CALLERS:
+                del self._callers[next(iter(self._callers))]
+        else:
+            claims.n_claims += 1
+            if left_ms >= claims.largest_ms:
+                claims.largest_ms, claims.largest_at = left_ms, now
+        self._callers[caller] = claims
+        return claims
+
+    def _forget_old(self, now: Instant) -> None:
         oldest = add_ms(now, -DEADLINE_WINDOW_MS)
-        while maxima[0][0] < oldest:
-            maxima.popleft()
-        first_ms = maxima[0][1]
-        return (
-            0.0
-            if left_ms >= (1 - DEADLINE_TOLERANCE) * first_ms
-            else first_ms - left_ms
-        )
+        expired = [c for c, v in self._callers.items() if v.largest_at < oldest]
+        for caller in expired:
+            del self._callers[caller]
+
+    def _usual_first_ms(self) -> float:
+        """Return the remaining time that enough callers have claimed, or 0."""
+        votes = sorted((c.largest_ms for c in self._callers.values()), reverse=True)
+        rank = max(MIN_VOTES, ceil(FIRST_ATTEMPT_SHARE * len(votes)))
+        return votes[rank - 1] if rank <= len(votes) else 0.0
 
 
 class AdmissionDecision(Enum):
--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -178,7 +178,9 @@
             limits_ms.append(float(value))
         if value is not None and relayed is None:
             age = self._caller_ages.setdefault(route.name, CallerAge())
-            age_ms = age.observe(float(value), started_at)
+            age_ms = age.observe(
+                request.connection_id, float(value), started_at, route.timeout_ms
+            )
         target_ms = route.target_latency_ms - age_ms
         if relayed is not None:
             target_ms = min(target_ms, relayed.target_ms)
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import socket as sockets
 import struct
@@ -59,6 +60,8 @@
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
+_connection_ids = itertools.count(1)
+
 _STATUS_WITHOUT_BODY = (204, 304)
 
 RESPONSE_START = b"HTTP/1.1 "
@@ -136,6 +139,7 @@
         self._peer = peer
         self._shared = shared
         self._limits = limits
+        self._id = next(_connection_ids)
         self._waiting: deque[_Exchange] = deque()
         self._is_reading_request = False
         self._is_closing = False
@@ -257,6 +261,7 @@
             if request is None or self._is_closing:
                 await reader.release()
                 return
+            request.connection_id = self._id
             # The first request of a connection was in transit when the server stopped.
             is_late = self._shared.has_stopped and self._n_requests > 0
             exchange = _Exchange(reader.parser, reader, request, is_late)
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -53,8 +53,10 @@
     """One request.
 
     ``peer`` is the address of the caller. ``descriptor`` is that of the caller's
-    socket, used to detect that the caller closed it, or -1. ``received_at`` is when the
-    head was read, since the caller's deadline already counts while the body arrives.
+    socket, used to detect that the caller closed it, or -1. ``connection_id`` tells its
+    connection from all others of this process, also from earlier ones, unless it is 0.
+    ``received_at`` is when the head was read, since the caller's deadline already
+    counts while the body arrives.
 
     ``body`` is complete unless ``read_remaining_body`` is set; a truncated short body
     never reaches a handler. For a long body it is the first part, and each call of
@@ -74,6 +76,7 @@
     received_at: Instant | None = None
     read_remaining_body: Callable[[], Awaitable[bytes]] | None = None
     probe_sender: Callable[[Request], Awaitable[bool]] | None = None
+    connection_id: int = 0
 
     async def is_sender_waiting(self) -> bool:
         """Return whether the caller still waits for the response.
--- a/pollenfold/tests/core/balancing/test_overload.py
+++ b/pollenfold/tests/core/balancing/test_overload.py
@@ -3,6 +3,7 @@
 import random
 
 from pollenfold.core.balancing.overload import (
+    MAX_CALLERS,
     AdmissionDecision,
     CallerAge,
     Placement,
@@ -71,16 +72,77 @@
     age = CallerAge()
     rng = random.Random(1)
     for now in range(100):
-        assert age.observe(1500 * rng.uniform(0.87, 1.0), float(now)) == 0.0
-    assert 400 <= age.observe(1000.0, 101.0) <= 500
+        left_ms = 1500 * rng.uniform(0.87, 1.0)
+        assert age.observe(f"caller-{now}", left_ms, float(now)) == 0.0
+    assert 400 <= age.observe("other", 1000.0, 101.0) <= 500
+
+
+def test_age_of_a_caller_that_retries_on_its_own_connection():
+    """Guards against retries of the only caller that count as new."""
+    age = CallerAge()
+    for now in range(4):
+        assert age.observe("one", 1500.0, float(now)) == 0.0
+    assert age.observe("one", 1000.0, 5.0) == 500.0
+
+
+def first_attempts(age, n=20, left_ms=3_000.0):
+    """Record first attempts of distinct callers; return their ages."""
+    return {age.observe(f"ordinary-{k}", left_ms, 10.0 + k) for k in range(n)}
+
+
+def test_claim_of_one_caller_ages_no_request_of_others():
+    """Guards against one caller that claims 60 s and makes all others look old."""
+    age = CallerAge()
+    for now in range(100):
+        age.observe("liar", 8_000.0 + now, float(now))
+        age.observe("liar", 60_000.0, float(now))
+    assert first_attempts(age) == {0.0}
+
+
+def test_claims_of_many_callers_with_another_deadline_age_no_request():
+    """Guards against a crowd that claims 60 s: age_ms was 57000 for all others."""
+    age = CallerAge()
+    for number in range(1_200):
+        age.observe(f"slow-{number}", 60_000.0, 1.0)
+    assert first_attempts(age) == {0.0}
+
+
+def test_claims_of_a_crowd_age_no_request_of_a_kept_connection():
+    """Guards against a crowd with a plausible deadline that ages callers whose own
+    claims are known."""
+    age = CallerAge()
+    for number in range(1_200):
+        age.observe(f"slow-{number}", 8_000.0, 1.0)
+    ages = [age.observe("ordinary", 3_000.0, 2.0 + k) for k in range(10)]
+    assert ages[2:] == [0.0] * 8
+
+
+def test_claim_beyond_the_timeout_of_the_route_says_nothing():
+    """Guards against a claim of 10^9 ms that makes 3 s look like the end of it."""
+    age = CallerAge()
+    for number in range(50):
+        assert age.observe(f"liar-{number}", 1e9, 1.0, 4_000.0) == 0.0
+    for number in range(5):
+        left_ms = 3_000.0
+        assert age.observe(f"ordinary-{number}", left_ms, 2.0, 4_000.0) == 0.0
+    assert age.observe("retry", 1_500.0, 3.0, 4_000.0) == 1_500.0
+
+
+def test_age_remembers_a_bounded_number_of_callers():
+    """Guards against memory that grows with the connections of a crowd."""
+    age = CallerAge()
+    for number in range(10 * MAX_CALLERS):
+        age.observe(number, 1_000.0, 1.0)
+    assert len(age._callers) == MAX_CALLERS
 
 
 def test_age_forgets_an_earlier_deadline():
     """Guards against new, shorter deadlines that permanently count as retries."""
     age = CallerAge()
-    age.observe(5000.0, 0.0)
-    age.observe(1000.0, 1.0)
-    assert age.observe(1000.0, 60_000.0) == 0.0
+    for caller in range(3):
+        age.observe(caller, 5000.0, 0.0)
+    assert age.observe("new", 1500.0, 1.0) == 3500.0
+    assert age.observe("new", 1500.0, 60_000.0) == 0.0
 
 
 def test_retries_of_refused_callers_are_spread():
