Measure the work of a request until its response arrived

Cause: a response of more than 16 KB waits in the entry for memory that slow readers hold, and that wait counted as work of its route and as latency of its endpoint. An estimate of 3,698 ms in place of 60 refuses what an idle endpoint could serve. Change: the reader keeps when the first 16 KB had arrived, before the wait (Response.arrived_at); the estimate and the health of the endpoint take that. One observation counts as at most four times the estimate.

--- a/pollenfold/core/balancing/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -27,6 +27,11 @@
 INITIAL_WORK_SHARE = 0.35
 """Initial work estimate as a share of the latency target, before any measurement."""
 
+OUTLIER_FACTOR = 4.0
+MIN_OUTLIER_WORK_MS = 10.0
+"""A single request counts as at most so many times the estimate, or this work, so that
+one that takes a minute doesn't have the others refused."""
+
 DEADLINE_TOLERANCE = 0.2
 DEADLINE_WINDOW_MS = 30_000.0
 MAX_CALLERS = 128
@@ -62,7 +67,8 @@
     def observe(self, latency_ms: float, slowdown: float) -> None:
         """Update the estimate with a latency at a server with the given slowdown."""
         work_ms = latency_ms / max(slowdown, 1.0)
-        self._work_ms += 0.05 * (work_ms - self._work_ms)
+        most_ms = OUTLIER_FACTOR * max(self._work_ms, MIN_OUTLIER_WORK_MS)
+        self._work_ms += 0.05 * (min(work_ms, most_ms) - self._work_ms)
 
     def get(self) -> float:
         """Return the current estimate."""
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -122,14 +122,17 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._log_invalid_response(call, pick)
-        self._record_health(call, endpoint, outcome, elapsed_ms)
+        arrived_at = started_at + elapsed_ms
+        if response is not None and response.arrived_at is not None:
+            arrived_at = response.arrived_at
+        self._record_health(call, endpoint, outcome, arrived_at - started_at)
         await self._record_contact(call, endpoint, outcome, started_at)
         if outcome in COMPLETED_OUTCOMES and not has_remaining_body:
             await self._suspects.record_completed_run(call)
         if response is not None:
             self._apply_notices(endpoint, outcome, response, started_at)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
-            call.work_estimate.observe(self._clock() - call.sent_at, pick.slowdown)
+            call.work_estimate.observe(arrived_at - call.sent_at, pick.slowdown)
         if outcome is AttemptOutcome.SERVER_ERROR and not has_remaining_body:
             call.last_response = response
         return outcome, response
--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -14,10 +14,12 @@
 
 import h11
 
+from ..core.clock import Instant
 from ..core.errors import ErrorKind
 from ..http.messages import BodyError, BodySource, Response, find_header
 from ..http.response_head import check_response_head
 from ..http.response_parser import ParserEvent, ResponseParser
+from ..observe.clock import system_clock
 from ..wire.pace import ReadingPace
 from .response_memory import (
     COPIES,
@@ -79,6 +81,7 @@
         "_endpoint",
         "_memory",
         "_reservation",
+        "_arrived_at",
     )
 
     def __init__(
@@ -108,6 +111,7 @@
         self._endpoint = endpoint
         self._memory = memory
         self._reservation: Reservation | None = None
+        self._arrived_at: Instant | None = None
 
     @property
     def surplus(self) -> bytes:
@@ -132,14 +136,24 @@
         headers = list(head.headers)
         if self._is_complete:
             return Response(
-                head.status_code, headers, body, reservation=self._reservation
+                head.status_code,
+                headers,
+                body,
+                reservation=self._reservation,
+                arrived_at=self._arrived_at,
             )
         remaining_body = BodySource(
             partial(self._read_remaining_body, head),
             self._close_body,
             length,
         )
-        return Response(head.status_code, headers, body, remaining_body=remaining_body)
+        return Response(
+            head.status_code,
+            headers,
+            body,
+            remaining_body=remaining_body,
+            arrived_at=self._arrived_at,
+        )
 
     async def _read_head(self) -> h11.Response:
         """Return the head; raise OSError if the connection ends before it."""
@@ -161,6 +175,8 @@
         if length is not None:
             n_bytes = min(n_bytes, length)
         self._pace.pause()
+        # The wait for memory depends on other callers and isn't work of the server.
+        self._arrived_at = system_clock()
         self._reservation = await self._memory.reserve(self._endpoint, COPIES * n_bytes)
         return body + await self._read_body(head, RESPONSE_WINDOW_BYTES - len(body))
 
--- a/pollenfold/http/messages.py
+++ b/pollenfold/http/messages.py
@@ -131,6 +131,7 @@
     remaining_body: BodySource | None = None
     send_until: Instant | None = None
     reservation: object = None
+    arrived_at: Instant | None = None
 
 
 def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
--- a/pollenfold/tests/core/balancing/test_overload.py
+++ b/pollenfold/tests/core/balancing/test_overload.py
@@ -64,6 +64,24 @@
     assert 65.0 < estimate.get() < 75.0
 
 
+def test_work_estimate_follows_one_outlier_little():
+    """Guards against one response that takes a minute and has all others refused."""
+    estimate = WorkEstimate(TARGET_MS)
+    before_ms = estimate.get()
+    estimate.observe(60_000.0, 1.0)
+    assert estimate.get() < 1.2 * before_ms
+
+
+def test_work_estimate_follows_a_lasting_change():
+    """Guards against a bound on outliers that keeps a service from becoming slower."""
+    estimate = WorkEstimate(TARGET_MS)
+    for _ in range(200):
+        estimate.observe(1.0, 1.0)
+    for _ in range(150):
+        estimate.observe(700.0, 1.0)
+    assert 600.0 < estimate.get() <= 700.0
+
+
 def test_age_of_a_caller_that_retries():
     """Guards against callers with slightly shorter timeouts that count as retries.
 
