--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -22,7 +22,7 @@
 from ..core.receive_memory import DEFAULT_MEMORY_BYTES
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
-from ..http.caller import ABANDONED
+from ..http.exchanges import ABANDONED
 from ..http.listener import start_listening
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -13,48 +13,32 @@
 import socket as sockets
 import struct
 from collections import deque
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import curio
 import h11
 
 from ..core.clock import add_ms, remaining_ms
-from ..core.errors import ErrorKind, RunState
+from ..core.errors import ErrorKind
 from ..observe.clock import system_clock
 from ..observe.steps import is_ended_from_outside
 from ..wire.sockets import Socket
-from .memory import MemoryBudget
+from .exchanges import (
+    ABANDONED,
+    ANSWERED,
+    Exchange,
+    SharedState,
+    refusal_of_late,
+    refusal_of_unread,
+)
 from .messages import BodyError, Request, Response, error_response
 from .request_reader import RequestError, RequestReader, ServerLimits
+from .response_writer import RESPONSE_START, linger, write_response
 from .socket_state import is_closed_by_peer, is_readable, n_unacknowledged_bytes
 
-Handler = Callable[[Request], Awaitable[Response | None]]
-"""Returns the response to a request; None closes the connection without a response."""
-
-OnRejected = Callable[[ErrorKind, str, str], None]
-"""Called with kind, detail and peer of each request that can't reach the handler, or
-for which the handler raises an unexpected error."""
-
-OnUnanswered = Callable[[Request, str], None]
-"""Called with a request that was read and whose connection ends without a complete
-response, and why."""
-
-ANSWERED = "answered"
-ABANDONED = "abandoned"
-"""The handler returned no response, since the caller had gone."""
-
 MAX_PIPELINED_REQUESTS = 8
 """The most requests of one connection that may be pending at the same time."""
 
-LINGER_MS = 500.0
-"""How long a closing connection still reads and discards what its caller is sending.
-
-Closing a socket with unread bytes resets the connection, and the reset may reach the
-caller before the response does."""
-
-MAX_LINGER_BYTES = 4 << 20
-
 WAITING_FOR_BYTES = "READ_WAIT"
 """Curio's state of a task that waits until a socket is readable."""
 
@@ -62,11 +46,6 @@
 
 _connection_ids = itertools.count(1)
 
-_STATUS_WITHOUT_BODY = (204, 304)
-
-RESPONSE_START = b"HTTP/1.1 "
-"""What each response begins with, whatever its status."""
-
 PROBE_WAIT_MS = 400.0
 PROBE_POLL_MS = 1.0
 """How long a probe of the caller waits for the acknowledgement, and how often it looks.
@@ -74,54 +53,6 @@
 Two retransmissions fit into this time."""
 
 
-@dataclass(slots=True)
-class ConnectionCounts:
-    """What a server has done since its start, to compare with what callers saw."""
-
-    n_accepted: int = 0
-    """Connections taken from the kernel's accept queue."""
-
-    n_requests: int = 0
-    """Requests that were read."""
-
-    n_unanswered: int = 0
-    """Requests that were read and ended without a complete response."""
-
-
-@dataclass(slots=True)
-class SharedState:
-    """State shared by all connections of one server."""
-
-    handler: Handler
-    allows_concurrency: Callable[[Request], bool]
-    on_rejected: OnRejected
-    on_unanswered: OnUnanswered
-    budget: MemoryBudget
-    window_bytes: int
-    is_stopping: bool = False
-    has_stopped: bool = False
-    """Whether no further request is accepted on the connections that are still open."""
-
-    n_in_flight: int = 0
-    counts: ConnectionCounts = field(default_factory=ConnectionCounts)
-
-
-@dataclass(slots=True, eq=False)
-class _Exchange:
-    """One pending request with what is needed to send its response in order."""
-
-    parser: h11.Connection
-    reader: RequestReader
-    request: Request
-    is_late: bool = False
-    """Whether the request came after the server stopped."""
-
-    task: curio.Task | None = None
-    is_done: curio.Event = field(default_factory=curio.Event)
-    end: str = "connection_ended"
-    """How the exchange ended: ``ANSWERED``, or why there is no complete response."""
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -140,7 +71,7 @@
         self._shared = shared
         self._limits = limits
         self._id = next(_connection_ids)
-        self._waiting: deque[_Exchange] = deque()
+        self._waiting: deque[Exchange] = deque()
         self._is_reading_request = False
         self._is_closing = False
         self._should_linger = False
@@ -179,7 +110,7 @@
             while self._waiting and not self._is_closing:
                 await self._waiting[0].is_done.wait()
             if self._should_linger:
-                await self._linger()
+                await linger(self._client)
         except (OSError, h11.LocalProtocolError):
             return
         finally:
@@ -264,7 +195,7 @@
             request.connection_id = self._id
             # The first request of a connection was in transit when the server stopped.
             is_late = self._shared.has_stopped and self._n_requests > 0
-            exchange = _Exchange(reader.parser, reader, request, is_late)
+            exchange = Exchange(reader.parser, reader, request, is_late)
             self._waiting.append(exchange)
             self._is_reading_request = False
             self._n_requests += 1
@@ -289,7 +220,7 @@
         event = h11.InformationalResponse(status_code=100, headers=[])
         await self._client.sendall(parser.send(event) or b"")
 
-    async def _dispatch(self, exchange: _Exchange) -> bool:
+    async def _dispatch(self, exchange: Exchange) -> bool:
         """Handle a request, inline or concurrently; return whether to read on."""
         request = exchange.request
         is_last = exchange.parser.their_state is not h11.DONE
@@ -310,7 +241,7 @@
         await self._respond(exchange)
         return not self._is_closing
 
-    async def _run_exchange_task(self, exchange: _Exchange) -> None:
+    async def _run_exchange_task(self, exchange: Exchange) -> None:
         try:
             await self._respond(exchange)
         finally:
@@ -318,10 +249,10 @@
 
     # Responding
 
-    async def _respond(self, exchange: _Exchange) -> None:
+    async def _respond(self, exchange: Exchange) -> None:
         """Handle a request and write its response once all earlier ones are written."""
         if exchange.is_late:
-            response: Response | None = _refusal_of_late(exchange.request)
+            response: Response | None = refusal_of_late(exchange.request)
         else:
             exchange.request.probe_sender = self._probe_sender
             response = await self._handle(exchange.request)
@@ -400,13 +331,13 @@
             await curio.sleep(PROBE_POLL_MS / 1000)
         return not is_closed_by_peer(descriptor)
 
-    async def _wait_for_turn(self, exchange: _Exchange | None) -> None:
+    async def _wait_for_turn(self, exchange: Exchange | None) -> None:
         """Wait until the responses to all earlier requests are written."""
         while self._waiting and self._waiting[0] is not exchange:
             await self._waiting[0].is_done.wait()
 
     async def _send_response(
-        self, exchange: _Exchange, response: Response | None
+        self, exchange: Exchange, response: Response | None
     ) -> None:
         if response is None:
             exchange.end = ABANDONED
@@ -438,7 +369,7 @@
             return
         await self._finish(exchange)
 
-    def _has_next(self, exchange: _Exchange) -> bool:
+    def _has_next(self, exchange: Exchange) -> bool:
         """Return whether another request was read, in part, or has arrived unread.
 
         Its caller couldn't know that the response to this one closes the connection.
@@ -450,12 +381,12 @@
             or is_readable(self._client.fileno())
         )
 
-    async def _finish(self, exchange: _Exchange) -> None:
+    async def _finish(self, exchange: Exchange) -> None:
         """Let the response to the next request be written."""
         self._idle_since = system_clock()
         await self._dequeue(exchange)
 
-    async def _dequeue(self, exchange: _Exchange) -> None:
+    async def _dequeue(self, exchange: Exchange) -> None:
         if exchange not in self._waiting:
             return
         self._waiting.remove(exchange)
@@ -466,7 +397,7 @@
         await exchange.reader.release()
         await exchange.is_done.set()
 
-    def _report_unanswered(self, exchange: _Exchange) -> None:
+    def _report_unanswered(self, exchange: Exchange) -> None:
         """Report a request; those behind it must go on if the report fails."""
         try:
             self._shared.on_unanswered(exchange.request, exchange.end)
@@ -475,7 +406,7 @@
             logging.getLogger(__name__).error(text, exchange.end, error)
 
     async def _close_after(
-        self, exchange: _Exchange, should_linger: bool = True
+        self, exchange: Exchange, should_linger: bool = True
     ) -> None:
         """Close the connection after this request and cancel all later ones."""
         self._is_closing = True
@@ -490,7 +421,7 @@
                 await self._cancel_exchange(later)
         await self._finish(exchange)
 
-    async def _cancel_exchange(self, exchange: _Exchange) -> None:
+    async def _cancel_exchange(self, exchange: Exchange) -> None:
         """Cancel a request whose response can't be delivered any more."""
         if exchange.task is not None:
             await exchange.task.cancel(blocking=False)
@@ -502,61 +433,9 @@
         await self._wait_for_turn(None)
         if self._is_closing:
             return
-        # An earlier complete request with the same key may have been executed.
-        state = RunState.OUTCOME_UNKNOWN.value if error.has_key else None
-        response = error_response(
-            error.kind,
-            error.detail,
-            run_state=state,
-            retry_after_s=error.retry_after_s,
-        )
-        response.close = True
         self._is_closing = self._should_linger = True
-        await self._write(parser, response)
+        await self._write(parser, refusal_of_unread(error))
 
     async def _write(self, parser: h11.Connection, response: Response) -> None:
-        headers = [*response.headers]
-        if response.close:
-            headers.append((b"connection", b"close"))
-        body_source = response.remaining_body
-        length = len(response.body) if body_source is None else body_source.length
-        # Without a length, h11 uses chunked encoding, or closes for HTTP/1.0 callers.
-        if response.status not in _STATUS_WITHOUT_BODY and length is not None:
-            headers.append((b"content-length", b"%d" % length))
-        head = h11.Response(status_code=response.status, headers=headers)
-        data = parser.send(head) or b""
-        if self._has_sent_start:
-            self._has_sent_start = False
-            data = data.removeprefix(RESPONSE_START)
-        if response.body:
-            data += parser.send(h11.Data(data=response.body)) or b""
-        while body_source is not None:
-            await self._client.sendall(data)
-            piece = await body_source.read()
-            if not piece:
-                data = b""
-                break
-            data = parser.send(h11.Data(data=piece)) or b""
-        data += parser.send(h11.EndOfMessage()) or b""
-        await self._client.sendall(data)
-
-    async def _linger(self) -> None:
-        """Shut down the sending half, then read and discard what is in transit."""
-        await self._client.shutdown(sockets.SHUT_WR)
-        n_bytes = 0
-        async with curio.ignore_after(LINGER_MS / 1000):
-            while n_bytes < MAX_LINGER_BYTES:
-                data = await self._client.recv(64 * 1024)
-                if not data:
-                    return
-                n_bytes += len(data)
-
-
-def _refusal_of_late(request: Request) -> Response:
-    """Return the refusal of a request that came after the server stopped.
-
-    An earlier request with the same key may have been executed.
-    """
-    has_key = request.header(b"idempotency-key") is not None
-    state = RunState.OUTCOME_UNKNOWN.value if has_key else None
-    return error_response(ErrorKind.STOPPING, run_state=state)
+        has_sent_start, self._has_sent_start = self._has_sent_start, False
+        await write_response(self._client, parser, response, has_sent_start)
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -13,8 +13,8 @@
 from ..core.errors import ErrorKind
 from ..observe.steps import run_step
 from ..wire.sockets import Socket
-from .caller import (
-    CallerConnection,
+from .caller import CallerConnection
+from .exchanges import (
     ConnectionCounts,
     Handler,
     OnRejected,
