Bound what callers have yet to take, and close those that read slowest

Cause: the kernel kept up to megabytes for each caller that doesn't read, also after its connection was closed, and finished responses behind one that isn't read had no bound. A slow caller held the memory of a long response, and its connection to the endpoint, until the deadline that it claims. Change: the send buffer of a caller's connection is 64 KB. What callers have yet to take, in the kernel and in finished responses of up to 16 KB, is limited to an eighth of memoryMb; beyond it the slowest are reset. A caller that takes no byte for idleMs and 1 s is reset. While long responses wait for memory, one that takes less than 16 KB/s is reset each 200 ms. A connection is closed only when the kernel has nothing unsent of it. Event caller_stalled once a second, callers_stalled_total, send_memory_bytes. Decisions in core/send_memory.py, measurement in http/caller_outputs.py.

--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -22,6 +22,8 @@
 from ..core.receive_memory import DEFAULT_MEMORY_BYTES
 from ..core.retry_budget import RetryBudget, RetryLimits
 from ..core.routes import CallerLimits
+from ..core.send_memory import SEND_SHARE
+from ..http.caller_outputs import CallerOutputs
 from ..http.exchanges import ABANDONED
 from ..http.listener import start_listening
 from ..http.memory import MemoryBudget
@@ -58,6 +60,7 @@
 from .relay.client import RelayClient
 from .response_memory import RESPONSE_MEMORY
 from .settings import BalancerSettings
+from .slow_callers import SlowCallerReport
 from .state_loader import Decode
 from .view import FleetView
 
@@ -220,6 +223,12 @@
         """When requests that still wait get a response, since the entry stops."""
 
         budget = MemoryBudget(BODY_BUDGET_BYTES)
+        self.caller_outputs = CallerOutputs(
+            int(settings.memory_bytes * SEND_SHARE),
+            lambda: self._caller_limits().idle_timeout_ms,
+            SlowCallerReport(self.metrics, self.log, clock).record,
+        )
+        RESPONSE_MEMORY.on_full = self.caller_outputs.relieve
         self.caller_server = HttpServer(
             self.handle_caller,
             limits=self._caller_limits,
@@ -228,6 +237,7 @@
             window_bytes=BODY_WINDOW_BYTES,
             budget=budget,
             on_unanswered=self._log_unanswered,
+            outputs=self.caller_outputs,
         )
         self.peer_port = PeerPort(
             self.forwarder,
@@ -350,6 +360,7 @@
             self.metrics.set("configuration_confirmed", float(is_current))
             self.metrics.set("feeds_connected", self.feeds.n_connected)
             self.metrics.set("requests_in_flight", self.peer_port.n_in_flight)
+            self.metrics.set("send_memory_bytes", self.caller_outputs.n_bytes)
             self.metrics.set("peers", len(self.view.peers))
             self.metrics.set("endpoints", len(self.view.endpoints))
             self.metrics.set("endpoints_resting", self.view.n_backing_off)
@@ -430,6 +441,7 @@
     await group.spawn(gateway.feeds.send_quarantine_reports)
     await group.spawn(gateway.balancer.run_maintenance)
     await group.spawn(gateway.update_retry_share)
+    await group.spawn(gateway.caller_outputs.run)
     # The entry does its work without the monitor, so its failure ends nothing.
     await curio.spawn(gateway.memory_monitor.run, daemon=True)
     await group.spawn(gateway.log.run, partial(gateway.hold_ups.record, "loop"))
--- a/pollenfold/gateway/response_memory.py
+++ b/pollenfold/gateway/response_memory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 import curio
 
@@ -29,6 +30,10 @@
 POLL_MS = 5.0
 
 
+def _wait_on() -> None:
+    """Leave it to the others to return memory."""
+
+
 class ResponseMemory:
     """The bytes that all responses may reserve together.
 
@@ -40,6 +45,8 @@
         self._max_bytes = max_bytes
         self._n_reserved_by_endpoint: Counter[object] = Counter()
         self.n_reserved_bytes = 0
+        self.on_full: Callable[[], None] = _wait_on
+        """Called again and again while a response waits."""
 
     def set_process_limit(self, process_bytes: int) -> None:
         """Derive the bound from the memory limit of the process."""
@@ -51,6 +58,7 @@
         A single response always fits into an unused bound.
         """
         while not self._has_room(endpoint, n_bytes):
+            self.on_full()
             await curio.sleep(POLL_MS / 1000)
         return Reservation(self, endpoint, n_bytes)
 
--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -11,7 +11,6 @@
 import itertools
 import logging
 import socket as sockets
-import struct
 from collections import deque
 from collections.abc import Callable
 
@@ -23,9 +22,11 @@
 from ..observe.clock import system_clock
 from ..observe.steps import is_ended_from_outside
 from ..wire.sockets import Socket
+from .caller_outputs import RESET_ON_CLOSE
 from .exchanges import (
     ABANDONED,
     ANSWERED,
+    STALLED,
     Exchange,
     SharedState,
     refusal_of_late,
@@ -42,7 +43,6 @@
 WAITING_FOR_BYTES = "READ_WAIT"
 """Curio's state of a task that waits until a socket is readable."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 _connection_ids = itertools.count(1)
 
@@ -70,12 +70,16 @@
         self._peer = peer
         self._shared = shared
         self._limits = limits
+        self._output = shared.outputs.open(client, peer)
         self._id = next(_connection_ids)
         self._waiting: deque[Exchange] = deque()
         self._is_reading_request = False
         self._is_closing = False
         self._should_linger = False
         self._is_ended = False
+        self._is_written = False
+        """Whether only bytes that the kernel has are left to send."""
+
         self._has_sent_start = False
         """Whether ``RESPONSE_START`` of the next response is already sent."""
 
@@ -95,7 +99,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the last response is being sent, or what follows it taken in."""
-        return self._is_closing and not self._is_ended
+        return self._is_closing and not (self._is_written or self._is_ended)
 
     @property
     def is_new(self) -> bool:
@@ -111,6 +115,9 @@
                 await self._waiting[0].is_done.wait()
             if self._should_linger:
                 await linger(self._client)
+            if self._should_linger or not self._is_closing:
+                self._is_written = True
+                await self._output.wait_until_taken()
         except (OSError, h11.LocalProtocolError):
             return
         finally:
@@ -150,6 +157,7 @@
             for task in list(self._tasks):
                 await task.cancel()
         finally:
+            self._output.forget()
             await self._client.close()
 
     # Reading
@@ -256,12 +264,14 @@
         else:
             exchange.request.probe_sender = self._probe_sender
             response = await self._handle(exchange.request)
+        n_held_bytes, is_long = _held(response)
+        self._output.hold(n_held_bytes, is_long)
         try:
             await self._wait_for_turn(exchange)
             if not self._is_closing:
                 await self._send_response(exchange, response)
         except (OSError, h11.LocalProtocolError):
-            exchange.end = "write_failed"
+            exchange.end = STALLED if self._output.end else "write_failed"
             await self._close_after(exchange)
         except BodyError:
             exchange.end = "broken_off"
@@ -278,6 +288,7 @@
             self._shared.on_rejected(kind, repr(error), self._peer)
             await self._close_after(exchange, should_linger=False)
         finally:
+            self._output.release(n_held_bytes, is_long)
             if response is not None and response.remaining_body is not None:
                 await response.remaining_body.close()
 
@@ -439,3 +450,14 @@
     async def _write(self, parser: h11.Connection, response: Response) -> None:
         has_sent_start, self._has_sent_start = self._has_sent_start, False
         await write_response(self._client, parser, response, has_sent_start)
+
+
+def _held(response: Response | None) -> tuple[int, bool]:
+    """Return how long the body is, and whether it is a long one.
+
+    The memory of a long one is reserved, or it is still arriving.
+    """
+    if response is None:
+        return 0, False
+    is_long = response.reservation is not None or response.remaining_body is not None
+    return len(response.body), is_long
--- a/pollenfold/http/exchanges.py
+++ b/pollenfold/http/exchanges.py
@@ -9,6 +9,7 @@
 import h11
 
 from ..core.errors import ErrorKind, RunState
+from .caller_outputs import CallerOutputs
 from .memory import MemoryBudget
 from .messages import Request, Response, error_response
 from .request_reader import RequestError, RequestReader
@@ -25,6 +26,9 @@
 response, and why."""
 
 ANSWERED = "answered"
+STALLED = "caller_stalled"
+"""The connection was closed since its caller read slowly."""
+
 ABANDONED = "abandoned"
 """The handler returned no response, since the caller had gone."""
 
@@ -53,6 +57,7 @@
     on_unanswered: OnUnanswered
     budget: MemoryBudget
     window_bytes: int
+    outputs: CallerOutputs
     is_stopping: bool = False
     has_stopped: bool = False
     """Whether no further request is accepted on the connections that are still open."""
--- a/pollenfold/http/server.py
+++ b/pollenfold/http/server.py
@@ -14,6 +14,7 @@
 from ..observe.steps import run_step
 from ..wire.sockets import Socket
 from .caller import CallerConnection
+from .caller_outputs import CallerOutputs
 from .exchanges import (
     ConnectionCounts,
     Handler,
@@ -96,6 +97,7 @@
         is_permitted: Callable[[str], bool] | None = None,
         budget: MemoryBudget | None = None,
         on_unanswered: OnUnanswered = _ignore_unanswered,
+        outputs: CallerOutputs | None = None,
     ) -> None:
         """Create a server; ``limits`` returns the limits in force.
 
@@ -103,7 +105,8 @@
         connections that are open.
 
         Connections from addresses for which ``is_permitted`` is false are closed at
-        once. ``budget`` limits the memory of bodies together with other servers.
+        once. ``budget`` limits the memory of bodies together with other servers, and
+        ``outputs`` what callers have yet to take.
 
         With ``window_bytes``, the handler gets longer bodies in parts
         (``Request.read_remaining_body``); otherwise each body is buffered completely.
@@ -123,6 +126,7 @@
                 BODY_BUDGET_BYTES if window_bytes else BUFFERED_BODY_BUDGET_BYTES
             ),
             window_bytes or MAX_BUFFERED_BODY_BYTES,
+            outputs or CallerOutputs(),
         )
         self._is_permitted = is_permitted
         self._connections: set[CallerConnection] = set()
--- a/pollenfold/wire/sockets.py
+++ b/pollenfold/wire/sockets.py
@@ -42,11 +42,13 @@
             data = await sock.recv(64)
     """
 
-    __slots__ = ("_socket",)
+    __slots__ = ("_socket", "n_written_bytes")
 
     def __init__(self, raw: sockets.socket) -> None:
         raw.setblocking(False)
         self._socket = raw
+        self.n_written_bytes = 0
+        """The bytes that the kernel has taken from ``send`` and ``sendall``."""
 
     def __repr__(self) -> str:
         return f"<Socket {self._socket!r}>"
@@ -119,9 +121,12 @@
         """Write at least one byte of the data; return the number written."""
         while True:
             try:
-                return self._socket.send(data)
+                n_bytes = self._socket.send(data)
             except _NOT_READY:
                 await self.wait_writable()
+            else:
+                self.n_written_bytes += n_bytes
+                return n_bytes
 
     async def sendall(self, data: bytes | bytearray | memoryview) -> None:
         """Write all of the data; a CancelledError tells how much as ``bytes_sent``."""
