Bound the connections on which responses wait for memory

Cause: a response of more than 16 KB that waits for memory holds its connection to the endpoint until its deadline. A crowd of slow readers took nearly all of them, so ordinary requests found no endpoint (no_backend_server), were relayed to the other entry, and lost there.

--- a/pollenfold/core/outcomes.py
+++ b/pollenfold/core/outcomes.py
@@ -24,3 +24,6 @@
 
     EXPIRED = "expired"
     """The deadline passed while the request was at the server."""
+
+    GIVEN_UP = "given_up"
+    """The server responded, and the entry had no memory to wait for all of it."""
--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -66,6 +66,7 @@
         "_link",
         "is_reusable",
         "invalid_response",
+        "max_waiting",
         "_idle_timeout_ms",
         "last_used_at",
         "n_exchanges",
@@ -98,6 +99,9 @@
         self._link = link
         self.is_reusable = True
         self.invalid_response = ""
+        self.max_waiting: int | None = None
+        """How many responses of the endpoint may wait for memory; None is any."""
+
         self._idle_timeout_ms = float("inf")
         self.last_used_at = Instant(0.0)
         self.n_exchanges = 0
@@ -264,6 +268,7 @@
                 partial(receive_buffers.grow_for, self._raw),
                 surplus,
                 self._address,
+                max_waiting=self.max_waiting,
             )
             response = await reader.read()
             if isinstance(response, Failure):
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -30,7 +30,11 @@
 COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
 """Outcomes after which the endpoint has run the request and is still there."""
 
-RESPONSE_OUTCOMES = (*COMPLETED_OUTCOMES, AttemptOutcome.NOT_STARTED)
+RESPONSE_OUTCOMES = (
+    *COMPLETED_OUTCOMES,
+    AttemptOutcome.NOT_STARTED,
+    AttemptOutcome.GIVEN_UP,
+)
 """Outcomes with a response of the endpoint."""
 
 STALE_LOAD_MS = 40.0
@@ -244,6 +248,8 @@
             case AttemptOutcome.RESPONDED:
                 endpoint.health.observe(elapsed_ms)
                 endpoint.health.mark_reachable()
+            case AttemptOutcome.GIVEN_UP:
+                endpoint.health.mark_reachable()
             case AttemptOutcome.UNREACHABLE:
                 endpoint.health.mark_unreachable(now)
             case AttemptOutcome.NOT_STARTED:
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -226,6 +226,8 @@
                     break
                 return AttemptOutcome.LOST
         received: Response | Failure = reader.result
+        if received is Failure.NO_MEMORY:
+            return AttemptOutcome.GIVEN_UP
         if isinstance(received, Failure):
             return AttemptOutcome.LOST
         return received
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -214,6 +214,9 @@
                 return self._final_responses.finish_failed(
                     call, ErrorKind.DEADLINE_EXCEEDED
                 )
+            if outcome is AttemptOutcome.GIVEN_UP:
+                kind = ErrorKind.BACKEND_FAILED
+                return self._final_responses.finish_failed(call, kind)
             is_repeatable = call.route.is_idempotent or outcome in NOT_EXECUTED_OUTCOMES
             may_retry = is_repeatable and not call.is_body_streamed
             if not may_retry or n_sent >= call.max_attempts:
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -44,6 +44,7 @@
     AttemptOutcome.RESPONDED,
     AttemptOutcome.SERVER_ERROR,
     AttemptOutcome.NOT_STARTED,
+    AttemptOutcome.GIVEN_UP,
 )
 """Outcomes with a response of the endpoint."""
 
--- a/pollenfold/gateway/pool.py
+++ b/pollenfold/gateway/pool.py
@@ -7,6 +7,10 @@
 from ..http.socket_state import readable_descriptors
 from .backend import BackendConnection
 
+WAITING_SHARE = 0.25
+"""The share of the connections on which a response may wait for memory, so that others
+are left for ordinary requests."""
+
 
 class ConnectionPool:
     """A pool of at most ``limit`` connections to one endpoint.
@@ -70,6 +74,7 @@
         connection = BackendConnection(
             self.host, self.port, self._link, self._source_host
         )
+        connection.max_waiting = max(1, int(WAITING_SHARE * self.limit))
         self.n_open += 1
         return connection
 
--- a/pollenfold/gateway/relay/client.py
+++ b/pollenfold/gateway/relay/client.py
@@ -243,6 +243,9 @@
         except OSError:
             call.may_have_executed = True
             return RelayOutcome.LOST
+        if received is AttemptOutcome.GIVEN_UP:
+            # It isn't waited for any longer, and may have been executed.
+            return RelayOutcome.EXPIRED
         if isinstance(received, AttemptOutcome):
             return RelayOutcome(received.value)
         return received
--- a/pollenfold/gateway/response_memory.py
+++ b/pollenfold/gateway/response_memory.py
@@ -2,7 +2,8 @@
 
 The bound holds for any number of callers, backend servers and slow readers. Beyond it,
 no further bytes of a long response are read until another one has ended. Its bytes stay
-with the server, and the deadline of its call still counts.
+with the server, and the deadline of its call still counts. A few responses of an
+endpoint may wait like that; further ones are given up.
 """
 
 from __future__ import annotations
@@ -34,6 +35,13 @@
     """Leave it to the others to return memory."""
 
 
+class NoMemoryError(Exception):
+    """A response can't wait for memory, since too many of its endpoint do already.
+
+    Each of them holds a connection to the endpoint, which other requests need.
+    """
+
+
 class ResponseMemory:
     """The bytes that all responses may reserve together.
 
@@ -45,6 +53,7 @@
         self._max_bytes = max_bytes
         self._n_reserved_by_endpoint: Counter[object] = Counter()
         self.n_reserved_bytes = 0
+        self._n_waiting_by_endpoint: Counter[object] = Counter()
         self.on_full: Callable[[], None] = _wait_on
         """Called again and again while a response waits."""
 
@@ -52,16 +61,34 @@
         """Derive the bound from the memory limit of the process."""
         self._max_bytes = int(process_bytes * MEMORY_SHARE)
 
-    async def reserve(self, endpoint: object, n_bytes: int) -> Reservation:
+    async def reserve(
+        self, endpoint: object, n_bytes: int, max_waiting: int | None = None
+    ) -> Reservation:
         """Wait until the bytes are free, and return them as a reservation.
 
-        A single response always fits into an unused bound.
+        A single response always fits into an unused bound. Raise NoMemoryError if
+        ``max_waiting`` responses of the endpoint wait already.
         """
-        while not self._has_room(endpoint, n_bytes):
-            self.on_full()
-            await curio.sleep(POLL_MS / 1000)
+        if not self._has_room(endpoint, n_bytes):
+            await self._wait_for_room(endpoint, n_bytes, max_waiting)
         return Reservation(self, endpoint, n_bytes)
 
+    async def _wait_for_room(
+        self, endpoint: object, n_bytes: int, max_waiting: int | None
+    ) -> None:
+        n_waiting = self._n_waiting_by_endpoint[endpoint]
+        if max_waiting is not None and n_waiting >= max_waiting:
+            raise NoMemoryError
+        self._n_waiting_by_endpoint[endpoint] += 1
+        try:
+            while not self._has_room(endpoint, n_bytes):
+                self.on_full()
+                await curio.sleep(POLL_MS / 1000)
+        finally:
+            self._n_waiting_by_endpoint[endpoint] -= 1
+            if not self._n_waiting_by_endpoint[endpoint]:
+                del self._n_waiting_by_endpoint[endpoint]
+
     def _has_room(self, endpoint: object, n_bytes: int) -> bool:
         of_endpoint = self._n_reserved_by_endpoint[endpoint]
         if of_endpoint and of_endpoint + n_bytes > self._max_bytes * ENDPOINT_SHARE:
--- a/pollenfold/gateway/response_reader.py
+++ b/pollenfold/gateway/response_reader.py
@@ -25,6 +25,7 @@
     COPIES,
     RESPONSE_MEMORY,
     UNRESERVED_BYTES,
+    NoMemoryError,
     Reservation,
     ResponseMemory,
 )
@@ -48,6 +49,9 @@
     LOST = "lost"
     """The request was written at least in part, but no complete response arrived."""
 
+    NO_MEMORY = "no_memory"
+    """The response arrived, but too many others wait for memory already."""
+
 
 def new_parser() -> h11.Connection:
     """Return a parser for one exchange."""
@@ -61,7 +65,8 @@
     of the connection, ``b""`` at its end, or raises OSError. ``on_complete`` is called
     with the head, and whether bytes follow, when the whole response was read. ``close``
     closes the connection. ``unread`` was received after an earlier response.
-    ``endpoint`` identifies the server in ``memory``. ``grow_buffer`` is called with the
+    ``endpoint`` identifies the server in ``memory``, for which ``max_waiting`` of its
+    responses may wait. ``grow_buffer`` is called with the
     size of the body, as far as it is known, and returns whether the kernel's receive
     buffer is large enough. ``error`` is what ended the reading.
     """
@@ -82,6 +87,7 @@
         "_memory",
         "_reservation",
         "_arrived_at",
+        "_max_waiting",
     )
 
     def __init__(
@@ -94,6 +100,7 @@
         unread: bytes = b"",
         endpoint: object = None,
         memory: ResponseMemory = RESPONSE_MEMORY,
+        max_waiting: int | None = None,
     ) -> None:
         self._parser = ResponseParser(parser)
         if unread:
@@ -110,6 +117,7 @@
         self._is_complete = False
         self._endpoint = endpoint
         self._memory = memory
+        self._max_waiting = max_waiting
         self._reservation: Reservation | None = None
         self._arrived_at: Instant | None = None
 
@@ -129,6 +137,8 @@
             self.error = error
             self._reservation = None
             return Failure.LOST
+        except NoMemoryError:
+            return Failure.NO_MEMORY
         except BaseException:
             # The traceback of a cancellation may keep this reader for long.
             self._reservation = None
@@ -177,7 +187,9 @@
         self._pace.pause()
         # The wait for memory depends on other callers and isn't work of the server.
         self._arrived_at = system_clock()
-        self._reservation = await self._memory.reserve(self._endpoint, COPIES * n_bytes)
+        self._reservation = await self._memory.reserve(
+            self._endpoint, COPIES * n_bytes, self._max_waiting
+        )
         return body + await self._read_body(head, RESPONSE_WINDOW_BYTES - len(body))
 
     async def _read_body(
--- a/pollenfold/tests/gateway/test_response_memory.py
+++ b/pollenfold/tests/gateway/test_response_memory.py
@@ -6,6 +6,7 @@
 from pollenfold.gateway.response_memory import UNRESERVED_BYTES, ResponseMemory
 from pollenfold.gateway.response_reader import (
     RESPONSE_WINDOW_BYTES,
+    Failure,
     ResponseReader,
     new_parser,
 )
@@ -16,7 +17,7 @@
 WAIT_S = 0.3
 
 
-def _reader(memory, n_body_bytes, endpoint="e"):
+def _reader(memory, n_body_bytes, endpoint="e", max_waiting=None):
     parser = new_parser()
     parser.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
     parser.send(h11.EndOfMessage())
@@ -36,6 +37,7 @@
         lambda n_bytes: True,
         endpoint=endpoint,
         memory=memory,
+        max_waiting=max_waiting,
     )
 
 
@@ -144,3 +146,35 @@
     memory = ResponseMemory(MAX_BYTES)
     memory.set_process_limit(100 << 20)
     assert memory._max_bytes == 25 << 20
+
+
+def test_few_responses_of_an_endpoint_wait_for_memory(run):
+    """Guards against slow readers whose responses wait on all connections to the
+    endpoints, so that ordinary requests find none."""
+
+    async def main():
+        memory = ResponseMemory(MAX_BYTES)
+        memory.add("slow readers", MAX_BYTES)
+        tasks = [
+            await curio.spawn(_reader(memory, 40_000, "e", 3).read) for _ in range(8)
+        ]
+        await curio.sleep(WAIT_S)
+        given_up = [task for task in tasks if task.terminated]
+        assert len(given_up) == 5
+        assert all(task.result is Failure.NO_MEMORY for task in given_up)
+        # Those of another endpoint, and short ones, aren't concerned.
+        other = await curio.spawn(_reader(memory, 40_000, "other", 3).read)
+        short = await curio.spawn(_reader(memory, UNRESERVED_BYTES, "e", 3).read)
+        await curio.sleep(WAIT_S)
+        assert not other.terminated
+        assert len(short.result.body) == UNRESERVED_BYTES
+        memory.add("slow readers", -MAX_BYTES)
+        for task in tasks:
+            if task not in given_up:
+                assert len((await task.join()).body) == 40_000
+        await other.join()
+        assert not memory._n_waiting_by_endpoint
+        for task in (*given_up, short):
+            await task.join()
+
+    run(main)
