Penalise no endpoint for callers that read slowly or leave no time

Cause: a streamed response that its caller hadn't read by the deadline added a penalty of 2 to the endpoint, and each attempt that expired one of 1, also if the caller claimed a deadline of 15 ms or stopped sending its body. Both also counted as an endpoint that doesn't answer. So one client decided which endpoints others were sent to. An attempt that expired before the work of its route was due, or while its caller's body was still being sent, says nothing about the endpoint.

--- a/pollenfold/core/balancing/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -74,6 +74,14 @@
         """Return the current estimate."""
         return self._work_ms
 
+    def is_due(self, elapsed_ms: float) -> bool:
+        """Return whether a server could have responded after so long.
+
+        If not, a missing response says nothing about the server: the caller left it
+        too little time.
+        """
+        return elapsed_ms >= self._work_ms
+
 
 @dataclass(slots=True)
 class _Claims:
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -129,6 +129,12 @@
         arrived_at = started_at + elapsed_ms
         if response is not None and response.arrived_at is not None:
             arrived_at = response.arrived_at
+        if outcome is AttemptOutcome.EXPIRED and self._is_caller_late(call, started_at):
+            service = call.service
+            self._metrics.count(
+                "attempts_total", service=service, outcome=outcome.value
+            )
+            return outcome, response
         self._record_health(call, endpoint, outcome, arrived_at - started_at)
         await self._record_contact(call, endpoint, outcome, started_at)
         if outcome in COMPLETED_OUTCOMES and not has_remaining_body:
@@ -141,6 +147,15 @@
             call.last_response = response
         return outcome, response
 
+    def _is_caller_late(self, call: Call, started_at: Instant) -> bool:
+        """Return whether an attempt may have expired because of the caller.
+
+        It left too little time for any endpoint, or didn't send the rest of its body.
+        """
+        if call.sent_at < started_at:
+            return call.is_body_streamed
+        return not call.work_estimate.is_due(self._clock() - call.sent_at)
+
     def _log_invalid_response(self, call: Call, pick: Pick) -> None:
         """Log what the endpoint sent instead of a response, if it did."""
         detail = pick.connection.invalid_response
--- a/pollenfold/gateway/long_response.py
+++ b/pollenfold/gateway/long_response.py
@@ -24,8 +24,8 @@
     """Hold the connection until the rest of a long response has been passed on.
 
     The ``remaining_body`` of the response is replaced by one that ends at the deadline
-    of the call, records in the endpoint's health if the body ends early, and releases
-    the connection when it is closed.
+    of the call, and releases the connection when it is closed. If the endpoint ends the
+    body early, or is the cause that it is late, its health records that.
     """
     source = response.remaining_body
     if source is None:
@@ -33,15 +33,17 @@
     endpoint = pick.endpoint
     endpoint.health.n_in_flight += 1
 
-    def record_broken_off(detail: str) -> None:
+    def record_broken_off(detail: str, is_endpoint_late: bool) -> None:
         log.request(
             "response_broken_off",
             True,
             request=call.request_id.decode("latin-1"),
             endpoint=endpoint.announcement.endpoint_id,
             detail=detail,
+            endpoint_late=is_endpoint_late,
         )
-        endpoint.health.add_penalty(ABORTED_RESPONSE_PENALTY, clock())
+        if is_endpoint_late:
+            endpoint.health.add_penalty(ABORTED_RESPONSE_PENALTY, clock())
 
     async def close() -> None:
         endpoint.health.n_in_flight -= 1
--- a/pollenfold/gateway/relay/client.py
+++ b/pollenfold/gateway/relay/client.py
@@ -304,13 +304,14 @@
         if source is None:
             raise ValueError("the response has no remaining body to stream")
 
-        def record_broken_off(detail: str) -> None:
+        def record_broken_off(detail: str, is_peer_late: bool) -> None:
             self._log.request(
                 "response_broken_off",
                 True,
                 request=call.request_id.decode("latin-1"),
                 peer=peer.entry_id,
                 detail=detail,
+                peer_late=is_peer_late,
             )
 
         async def close() -> None:
--- a/pollenfold/tests/core/balancing/test_overload.py
+++ b/pollenfold/tests/core/balancing/test_overload.py
@@ -82,6 +82,14 @@
     assert 600.0 < estimate.get() <= 700.0
 
 
+def test_server_is_not_late_before_its_work_is_due():
+    """Guards against callers that claim a deadline of 15 ms and have every endpoint
+    counted as failing."""
+    estimate = WorkEstimate(TARGET_MS)
+    assert not estimate.is_due(15.0)
+    assert estimate.is_due(estimate.get())
+
+
 def test_age_of_a_caller_that_retries():
     """Guards against callers with slightly shorter timeouts that count as retries.
 
