--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -31,7 +31,11 @@
 COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
 """Outcomes after which the endpoint has run the request and is still there."""
 
-RESPONSE_OUTCOMES = (*COMPLETED_OUTCOMES, AttemptOutcome.NOT_STARTED)
+RESPONSE_OUTCOMES = (
+    *COMPLETED_OUTCOMES,
+    AttemptOutcome.NOT_STARTED,
+    AttemptOutcome.GIVEN_UP,
+)
 """Outcomes with a response of the endpoint."""
 
 STALE_LOAD_MS = 40.0
@@ -126,23 +130,42 @@
                 )
             else:
                 await self._balancer.release(endpoint, pick.connection)
+        self._log_invalid_response(call, pick)
+        arrived_at = started_at + elapsed_ms
+        if response is not None and response.arrived_at is not None:
+            arrived_at = response.arrived_at
+        if outcome is AttemptOutcome.EXPIRED and self._is_caller_late(call, started_at):
+            service = call.service
+            self._metrics.count(
+                "attempts_total", service=service, outcome=outcome.value
+            )
+            return outcome, response
+        latency_ms = arrived_at - started_at
         self._version_outcomes.record(
-            call, pick, outcome, response, started_at, elapsed_ms
+            call, pick, outcome, response, started_at, latency_ms
         )
-        self._log_invalid_response(call, pick)
-        self._record_health(call, endpoint, outcome, elapsed_ms)
+        self._record_health(call, endpoint, outcome, latency_ms)
         await self._record_contact(call, endpoint, outcome, started_at)
         if outcome in COMPLETED_OUTCOMES and not has_remaining_body:
             await self._suspects.record_completed_run(call)
         if response is not None:
             self._apply_notices(endpoint, outcome, response, started_at)
         if outcome is AttemptOutcome.RESPONDED and pick.load is not None:
-            latency_ms = self._clock() - call.sent_at
-            self._version_outcomes.observe_work(call.work_estimate, latency_ms, pick)
+            work_ms = arrived_at - call.sent_at
+            self._version_outcomes.observe_work(call.work_estimate, work_ms, pick)
         if outcome is AttemptOutcome.SERVER_ERROR and not has_remaining_body:
             call.last_response = response
         return outcome, response
 
+    def _is_caller_late(self, call: Call, started_at: Instant) -> bool:
+        """Return whether an attempt may have expired because of the caller.
+
+        It left too little time for any endpoint, or didn't send the rest of its body.
+        """
+        if call.sent_at < started_at:
+            return call.is_body_streamed
+        return not call.work_estimate.is_due(self._clock() - call.sent_at)
+
     def _log_invalid_response(self, call: Call, pick: Pick) -> None:
         """Log what the endpoint sent instead of a response, if it did."""
         detail = pick.connection.invalid_response
@@ -250,6 +273,8 @@
             case AttemptOutcome.RESPONDED:
                 endpoint.health.observe(elapsed_ms)
                 endpoint.health.mark_reachable()
+            case AttemptOutcome.GIVEN_UP:
+                endpoint.health.mark_reachable()
             case AttemptOutcome.UNREACHABLE:
                 endpoint.health.mark_unreachable(now)
             case AttemptOutcome.NOT_STARTED:
--- a/pollenfold/gateway/hedges.py
+++ b/pollenfold/gateway/hedges.py
@@ -28,6 +28,7 @@
     timely_delay_ms,
 )
 from ..core.outcomes import AttemptOutcome
+from ..http.messages import Response
 from ..observe.exposition import Metrics
 from .balancer import Balancer
 from .calls import Call
@@ -158,11 +159,15 @@
             started_at = self._clock()
             expected_ms = _expected_ms(call, pick)
             outcome: AttemptOutcome | None = None
+            response: Response | None = None
             try:
                 outcome, response = await self._attempts.send(call, pick)
                 return outcome, response
             finally:
-                elapsed_ms = self._clock() - max(started_at, call.sent_at)
+                ended_at = self._clock()
+                if response is not None and response.arrived_at is not None:
+                    ended_at = response.arrived_at
+                elapsed_ms = ended_at - max(started_at, call.sent_at)
                 if outcome is AttemptOutcome.RESPONDED:
                     service.ratios.observe(elapsed_ms / expected_ms)
                 elif outcome is AttemptOutcome.NOT_STARTED:
