--- a/pollenfold/tests/gateway/test_hedges.py
+++ b/pollenfold/tests/gateway/test_hedges.py
@@ -1,11 +1,5 @@
-"""Hedged requests on an entry's call path to fake backend servers.
+"""Hedged requests on an entry's call path: which response is used, and what remains."""
 
-The first endpoint reports the lower load, so that it gets each request first. Both have
-spare capacity. The delay of a hedge is the expected time of the route, 210 ms, long
-enough for a busy machine.
-"""
-
-import gc
 import re
 import socket
 
@@ -13,102 +7,29 @@
 import pytest
 
 from pollenfold.core.clock import add_ms
-from pollenfold.core.declared_limit import DeclaredLimit
-from pollenfold.core.retry_budget import RetryBudget, RetryLimits
-from pollenfold.gateway.probes import ServiceProbeState
-from pollenfold.gateway.response_memory import RESPONSE_MEMORY
 from pollenfold.observe.clock import system_clock
-from pollenfold.tests.gateway.conftest import Backend, signed_response
+from pollenfold.tests.gateway.conftest import Backend
+from pollenfold.tests.gateway.hedging import (
+    DELAY_MS,
+    answer,
+    assert_memory_released,
+    hedged_runner,
+    hedges,
+    last_line,
+    make_backends,
+    pool,
+    prime,
+    wait_until_released,
+)
 
-DELAY_MS = 210.0
-ROUTE = {"target_latency_ms": 600.0, "timeout_ms": 2_400.0}
 LONG_BODY = b"0123456789" * 60_000
 
 
-def answer(text, status=200):
-    return lambda request: signed_response(status, text)
-
-
-def make_backends(first_ms=1_000.0, second_ms=0.0, **changes):
-    """Return two backend servers, of which the first gets each request."""
-    first = Backend("first", answer(b"of first"), delay_ms=first_ms, **changes)
-    second = Backend("second", answer(b"of second"), delay_ms=second_ms)
-    second.load = b"0,0,6,120"
-    return first, second
-
-
 @pytest.fixture
 def with_hedges(with_path):
     """Return a function that runs ``body(path, first, second)`` on an entry that has
     served enough requests to hedge."""
-
-    def run_body(body, first, second, **changes):
-        async def prepared(path, first, second):
-            prime(path)
-            await body(path, first, second)
-            await wait_until_released(path, first, second)
-
-        with_path(prepared, first, second, **{"hedge_ratio": 1.0, **ROUTE, **changes})
-
-    return run_body
-
-
-def prime(path, n_requests=40):
-    """Let the entry have seen requests that took as long as expected."""
-    hedges = path.forwarder.hedges._get()
-    # Probes of a busy machine take longer than the usual limit.
-    state = path.balancer._probe_states.setdefault("s", ServiceProbeState())
-    state.mean_probe_ms = 20.0
-    for _ in range(n_requests):
-        hedges.count_request("s", path.hedge_ratio)
-        hedges._service("s").ratios.observe(1.0)
-
-
-def pool(path, backend):
-    return path.balancer._connections.pool(path.view.endpoints[backend.name])
-
-
-async def wait_until_released(path, *backends):
-    """Guards against a connection or an in-flight count that is left behind. A search
-    that was overtaken may still run."""
-    until = add_ms(system_clock(), 1_000.0)
-    while not all(is_released(path, backend) for backend in backends):
-        assert system_clock() < until
-        await curio.sleep(0.01)
-
-
-def is_released(path, backend):
-    """Return whether nothing is in flight at an endpoint."""
-    connections = pool(path, backend)
-    return (
-        path.view.endpoints[backend.name].health.n_in_flight == 0
-        and connections.n_open == connections.n_idle
-        and not path.forwarder._active_calls
-    )
-
-
-async def assert_memory_released(path, first, second):
-    """Guards against memory of responses that stays reserved.
-
-    The loop keeps the task that ended last until another one ends, and a long response
-    is part of a cycle, with or without hedges.
-    """
-    first.respond = second.respond = answer(b"short")
-    first.delay_ms = second.delay_ms = 0.0
-    for _ in range(3):
-        assert (await path.get()).body == b"short"
-    gc.collect()
-    assert RESPONSE_MEMORY.n_reserved_bytes == 0
-
-
-def hedges(path, result):
-    return path.metrics.get("hedges_total", service="s", result=result)
-
-
-def last_line(path):
-    path.log.flush()
-    lines = [line for line in path.lines if "event=request_done" in line]
-    return dict(re.findall(r"(\w+)=(\S+)", lines[-1]))
+    return hedged_runner(with_path)
 
 
 def test_slow_first_answer_is_overtaken(with_hedges):
@@ -373,137 +294,6 @@
     with_hedges(body, *make_backends(300.0))
 
 
-def test_no_hedge_beyond_the_retry_budget(with_hedges):
-    """Load: failures have used up the retries. Guards against hedges that exceed the
-    limit of retries of all entries."""
-
-    async def body(path, first, second):
-        limits = RetryLimits(0.0, 0, 10_000.0)
-        path.forwarder._retry_budget = RetryBudget(limits, "e1", system_clock())
-        assert (await path.get()).body == b"of first"
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_retry_budget") == 1
-
-    with_hedges(body, *make_backends())
-
-
-def test_no_hedge_beyond_the_ratio(with_path):
-    """Load: a burst, in which all responses are slow. Guards against hedges that
-    multiply the load of a slow service."""
-
-    async def body(path, first, second):
-        prime(path, 25)
-        for _ in range(10):
-            assert (await path.get()).status == 200
-        # 35 requests have earned 1.75 hedges. Later the delay follows the responses.
-        assert len(second.requests) == 1
-        assert hedges(path, "refused_ratio") >= 1
-
-    with_path(body, *make_backends(360.0), hedge_ratio=0.05, **ROUTE)
-
-
-def test_no_hedge_while_all_endpoints_are_overloaded(with_hedges):
-    """Load: all endpoints overloaded. Guards against hedges that add to the load."""
-
-    async def body(path, first, second):
-        assert (await path.get()).status == 200
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_overloaded") == 1
-
-    first, second = make_backends()
-    first.load, second.load = b"6,1,6,100", b"6,1,6,101"
-    with_hedges(body, first, second)
-
-
-def test_no_hedge_after_a_refusal(with_hedges):
-    """Load: the capacity is just used up, so that a request is refused now and then.
-    Guards against a hedge in place of a first attempt."""
-
-    async def body(path, first, second):
-        path.forwarder.hedges._get().record_refusal("s")
-        assert (await path.get()).body == b"of first"
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_overloaded") == 1
-
-    with_hedges(body, *make_backends())
-
-
-def test_no_hedge_without_spare_capacity(with_hedges):
-    """Load: the other endpoint works near its limit. Guards against a hedge that slows
-    down the requests there."""
-
-    async def body(path, first, second):
-        second.load = b"5,0,6,100"
-        assert (await path.get()).body == b"of first"
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_no_endpoint") == 1
-
-    with_hedges(body, *make_backends())
-
-
-def mark_cold(endpoint, now):
-    endpoint.cold_until = add_ms(now, 1_000.0)
-
-
-def mark_unconfirmed(endpoint, now):
-    endpoint.is_unconfirmed = True
-
-
-def mark_backing_off(endpoint, now):
-    endpoint.backoff_until = add_ms(now, 1_000.0)
-
-
-def mark_limited(endpoint, now):
-    endpoint.declared_limit = DeclaredLimit(5.0, now)
-
-
-def mark_penalized(endpoint, now):
-    endpoint.health.add_penalty(2.0, now)
-
-
-def mark_unreachable(endpoint, now):
-    endpoint.health.mark_unreachable(now)
-
-
-@pytest.mark.parametrize(
-    "mark",
-    [
-        mark_cold,
-        mark_unconfirmed,
-        mark_backing_off,
-        mark_limited,
-        mark_penalized,
-        mark_unreachable,
-    ],
-)
-def test_no_hedge_to_a_doubtful_endpoint(with_hedges, mark):
-    """Load: a service that starts, or in which endpoints fail. Guards against hedges
-    that take the few requests that such an endpoint may get, or fail there."""
-
-    async def body(path, first, second):
-        task = await curio.spawn(path.get)
-        while not first.requests:
-            await curio.sleep(0.002)
-        mark(path.view.endpoints["second"], system_clock())
-        assert (await task.join()).body == b"of first"
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_no_endpoint") == 1
-
-    with_hedges(body, *make_backends())
-
-
-def test_no_hedge_too_late_for_the_deadline(with_hedges):
-    """Load: a caller with little time. Guards against work whose response comes after
-    the deadline."""
-
-    async def body(path, first, second):
-        assert (await path.get(deadline=b"420")).status == 504
-        assert len(second.requests) == 0
-        assert hedges(path, "refused_too_late") == 1
-
-    with_hedges(body, *make_backends())
-
-
 def test_stop_ends_both_attempts(with_hedges):
     """Guards against a hedge that outlives the deadline of a process that stops."""
 
@@ -515,56 +305,3 @@
             assert (await task.join()).status == 504
 
     with_hedges(body, *make_backends(first_ms=3_000.0, second_ms=3_000.0))
-
-
-def test_nothing_changes_without_a_ratio(with_path):
-    """Guards against a cost of hedges for deployments that don't use them."""
-
-    async def body(path, first, second):
-        n_spawned = []
-        for _ in range(30):
-            assert (await path.get()).body == b"of first"
-        first.delay_ms = 500.0
-        spawn = curio.spawn
-
-        async def counting_spawn(function, *args, **options):
-            n_spawned.append(function.__qualname__)
-            return await spawn(function, *args, **options)
-
-        curio.spawn = counting_spawn
-        try:
-            assert (await path.get()).body == b"of first"
-        finally:
-            curio.spawn = spawn
-        assert len(second.requests) == 0
-        assert not path.forwarder.hedges.is_loaded
-        assert not [name for name in n_spawned if name.startswith("Race")]
-        assert "hedge" not in path.metrics.render()
-        assert "hedge" not in last_line(path)["asked"]
-
-    with_path(body, *make_backends(0.0))
-
-
-def test_ratio_that_is_reloaded_takes_effect(with_hedges):
-    """Guards against a change of the limit that only a restart applies."""
-
-    async def body(path, first, second):
-        path.hedge_ratio = 0.0
-        assert (await path.get()).body == b"of first"
-        path.hedge_ratio = 1.0
-        assert (await path.get()).body == b"of second"
-
-    with_hedges(body, *make_backends(700.0))
-
-
-def test_state_of_removed_services_is_dropped(with_hedges):
-    """Guards against memory that grows with each change of the configuration."""
-
-    async def body(path, first, second):
-        switch = path.forwarder.hedges
-        switch.retain({"s": None})
-        assert "s" in switch._get()._services
-        switch.retain({})
-        assert not switch._get()._services
-
-    with_hedges(body, *make_backends())
