Return the connections of a cancelled search to their pools

Cause: a search for an endpoint that is cancelled between its probes and their responses kept the connections out of the pool for good. A caller that drops pipelined requests could use up an entry's connections to its endpoints. Change: a round of probes discards what it still holds when it is cancelled, and a search the connection of its best endpoint so far. Test: test_cancelled_search_returns_the_connections_of_its_probes failed before with [6, 6] and passes.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -169,7 +169,13 @@
             return None
         if not state.should_probe(now):
             return await self._pick_without_reports(search)
-        return await self._pick_by_reports(search)
+        try:
+            return await self._pick_by_reports(search)
+        except BaseException:
+            # The request was cancelled; the best endpoint so far has a connection.
+            if search.best is not None:
+                await self._discard(search.best)
+            raise
 
     def permit_wait_ms(
         self, service: str, subset: EndpointSubset | None = None
@@ -284,6 +290,9 @@
         least = "none" if best is None else f"{best.slowdown:.2f}"
         search.trace.append(f"{len(chosen)}/{len(results)}/{least}")
 
+    async def _discard(self, result: ProbeResult) -> None:
+        await self._connections.discard(result.endpoint, result.connection)
+
     async def _accept(self, search: _Search, best: ProbeResult) -> Pick | None:
         """Select the best endpoint, or return None if it may no longer get requests."""
         search.probe_state.least_slowdown = best.slowdown
--- a/pollenfold/gateway/probes.py
+++ b/pollenfold/gateway/probes.py
@@ -68,6 +68,10 @@
     is_cold: bool
 
 
+_Held = dict[BackendConnection, Endpoint]
+"""The connections of a round of probes that aren't back in their pools."""
+
+
 @dataclass(slots=True)
 class ServiceProbeState:
     """What an entry knows about one service from its probes.
@@ -141,6 +145,23 @@
         ``uses_longest_wait`` allows them the longest time to respond. It is meant for a
         search in which no endpoint has responded to earlier probes.
         """
+        held: _Held = {}
+        try:
+            return await self._probe(held, service, state, endpoints, uses_longest_wait)
+        except BaseException:
+            # The search is cancelled, as when a pipelined request is dropped.
+            for connection, endpoint in held.items():
+                await self._connections.discard(endpoint, connection)
+            raise
+
+    async def _probe(
+        self,
+        held: _Held,
+        service: str,
+        state: ServiceProbeState,
+        endpoints: list[Endpoint],
+        uses_longest_wait: bool,
+    ) -> list[ProbeResult]:
         started_at = self._clock()
         wait_ms = min(
             max(PROBE_WAIT_FACTOR * state.mean_probe_ms, MIN_PROBE_WAIT_MS),
@@ -157,6 +178,7 @@
         for endpoint in endpoints:
             connection = await self._connections.acquire(endpoint)
             if connection is not None:
+                held[connection] = endpoint
                 pending.append((endpoint, connection))
         n_limited = sum(e.declared_limit is not None for e, _ in pending)
         if n_limited:
@@ -166,13 +188,15 @@
         sent = [
             (endpoint, connection)
             for endpoint, connection in pending
-            if await self._send(endpoint, connection, until)
+            if await self._send(held, endpoint, connection, until)
         ]
         if uses_longest_wait:
             until = await self._wait_for_any([c for _, c in sent], until)
         results = []
         for endpoint, connection in sent:
-            result = await self._receive(state, endpoint, connection, started_at, until)
+            result = await self._receive(
+                held, state, endpoint, connection, started_at, until
+            )
             if result is not None:
                 results.append(result)
         if results:
@@ -192,6 +216,7 @@
 
     async def _send(
         self,
+        held: _Held,
         endpoint: Endpoint,
         connection: BackendConnection,
         until: Instant,
@@ -205,11 +230,13 @@
                     return True
         except (OSError, curio.TaskTimeout):
             pass
+        del held[connection]
         await self._connections.record_failure(endpoint, connection)
         return False
 
     async def _receive(
         self,
+        held: _Held,
         state: ServiceProbeState,
         endpoint: Endpoint,
         connection: BackendConnection,
@@ -224,9 +251,12 @@
         except curio.TaskTimeout:
             pass
         if isinstance(response, Failure):
+            del held[connection]
             await self._connections.record_failure(endpoint, connection)
             return None
-        return await self._evaluate(state, endpoint, connection, asked_at, response)
+        return await self._evaluate(
+            held, state, endpoint, connection, asked_at, response
+        )
 
     def _is_health_response(self, response: Response) -> bool:
         """Return False for a late duplicate of the response to a request."""
@@ -234,6 +264,7 @@
 
     async def _evaluate(
         self,
+        held: _Held,
         state: ServiceProbeState,
         endpoint: Endpoint,
         connection: BackendConnection,
@@ -250,6 +281,7 @@
         self._monitor.observe(endpoint, Contact.RESPONDED)
         instance = find_header(response.headers, dialect.instance)
         if response.status == 421 or instance not in (None, endpoint_id.encode()):
+            del held[connection]
             await self._connections.release(endpoint, connection)
             self._view.forget(endpoint_id, "other_instance")
             return None
@@ -259,6 +291,7 @@
             endpoint, response, dialect, self._view, self._rng, is_success, asked_at
         )
         if not self._view.accepts_new_requests(endpoint):
+            del held[connection]
             await self._connections.release(endpoint, connection)
             return None
         value = find_header(response.headers, dialect.server_load)
@@ -282,6 +315,7 @@
             endpoint.health.add_penalty(1.0, now)
             cost += UNHEALTHY_COST
         if not connection.is_reusable:
+            del held[connection]
             await self._connections.discard(endpoint, connection)
             fresh = await self._connections.connect(
                 endpoint, add_ms(now, CONNECT_TIMEOUT_MS)
@@ -289,6 +323,7 @@
             if fresh is None:
                 return None
             connection = fresh
+            held[connection] = endpoint
         return ProbeResult(endpoint, connection, load, slowdown, cost, is_cold)
 
     def forget_absent(self) -> None:
--- a/pollenfold/tests/gateway/test_search.py
+++ b/pollenfold/tests/gateway/test_search.py
@@ -1,5 +1,7 @@
 """Endpoint search: reuse of the last result, and preference for the own zone."""
 
+import curio
+
 from pollenfold.gateway.probes import ServiceProbeState
 
 from .conftest import Backend
@@ -63,3 +65,22 @@
         assert sum(backend.n_checks for backend in near) >= 20
 
     with_path(body, *near, *far)
+
+
+def test_cancelled_search_returns_the_connections_of_its_probes(with_path):
+    """Guards against a caller that uses up the connections to endpoints by dropping
+    pipelined requests while endpoints are probed for them."""
+    backends = [Backend(f"s{number}", check_delay_ms=60.0) for number in range(2)]
+
+    async def body(path, *backends):
+        pools = [
+            path.balancer._connections.pool(path.view.endpoints[backend.name])
+            for backend in backends
+        ]
+        for _ in range(6):
+            task = await curio.spawn(path.get)
+            await curio.sleep(0.01)
+            await task.cancel()
+        assert [pool.n_open - pool.n_idle for pool in pools] == [0, 0]
+
+    with_path(body, *backends)
