--- a/pollenfold/tests/control/test_quotas.py
+++ b/pollenfold/tests/control/test_quotas.py
@@ -6,6 +6,7 @@
 
 from pollenfold.core.clock import add_ms
 from pollenfold.core.tenancy.quota_limits import QuotaLimits
+from pollenfold.core.tenancy.tenants import Quota
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
 from pollenfold.gateway.quotas.gate import QuotaGate
 from pollenfold.gateway.quotas.outcomes import Permit
@@ -158,7 +159,7 @@
         assert (await cluster.call(2, b"PUT", "/-/config", document)).status == 200
 
         def is_lower(server):
-            return server._ledger.quotas["blue"].rate_per_s == 1.0
+            return server._ledger.quotas.get("blue") == Quota(1.0, 1.0)
 
         await wait_until(lambda: all(map(is_lower, servers(cluster))), 2.0)
 
