--- a/pollenfold/tests/gateway/test_quotas.py
+++ b/pollenfold/tests/gateway/test_quotas.py
@@ -26,6 +26,7 @@
 from pollenfold.observe.exposition import Metrics
 from pollenfold.observe.malformed import MalformedItems
 from pollenfold.tests.gateway.conftest import Backend, signed_response
+from pollenfold.tests.gateway.test_cut_entry import cut_entry
 
 REFUSAL = (
     b"HTTP/1.1 503 X\r\nx-not-executed: 1\r\nx-request-id: q1\r\n"
@@ -372,3 +373,28 @@
         assert malformed.n_by_kind == {"granted": 5}
 
     run(main)
+
+
+# Requests that are relayed to a peer
+
+
+def test_relayed_request_takes_its_permit_at_the_peer(run):
+    """Guards against two permits for one request, and against a denial of the peer that
+    reaches the caller as another refusal or without its time."""
+
+    async def main():
+        backends, (passing, reaching), _ = await cut_entry()
+        n_before = sum(len(backend.requests) for backend in backends)
+        leader = FakeLeader(n_permits=1, retry_after_ms=1_250.0)
+        set_quota(passing, None)
+        set_quota(reaching, leader)
+        assert (await get(passing)).status == 200
+        response = await get(passing)
+        assert response.status == 429
+        assert 1.2 <= after_s(response) <= 1.25
+        run_state = find_header(response.headers, b"pollenfold-run-state")
+        assert run_state == b"did_not_run"
+        assert leader.asked == [1, 1]
+        assert sum(len(backend.requests) for backend in backends) == n_before + 1
+
+    run(main)
