Pass on the Retry-After of a peer that reaches no quota leader

Cause: the time of a peer's refusal was read only for quota_exceeded, while the final response takes it for quota_unknown too, so it was 0.

Evidence: the test saw 'retry-after: 0' in place of 0.5 for a relayed request that the peer refused with quota_unknown.

Change: Relaying reads the time for both kinds.

--- a/pollenfold/gateway/relay/relaying.py
+++ b/pollenfold/gateway/relay/relaying.py
@@ -14,7 +14,7 @@
 from ..balancer import Balancer
 from ..calls import Call
 from ..exchange import CallerGoneError, is_caller_gone
-from ..final_responses import FinalResponses
+from ..final_responses import QUOTA_KINDS, FinalResponses
 from ..peers import Peer
 from ..reach_monitor import ReachMonitor
 from .client import RelayClient, RelayOutcome, RelayResult
@@ -110,9 +110,10 @@
                 break
             if result.outcome is RelayOutcome.NOT_STARTED:
                 refusal_kind = _refusal_kind(result)
+                if refusal_kind in QUOTA_KINDS:
+                    call.backoff_ms = _retry_after_ms(result)
                 if refusal_kind is ErrorKind.QUOTA_EXCEEDED:
                     # Any peer gets its permits from the same leader.
-                    call.backoff_ms = _retry_after_ms(result)
                     break
             if result.outcome is RelayOutcome.LOST:
                 refusal_kind = ErrorKind.BACKEND_FAILED
--- /dev/null
+++ b/pollenfold/tests/gateway/test_quota_waits.py
@@ -0,0 +1,44 @@
+"""Requests that wait between their permit of a quota and their run."""
+
+import json
+
+import pytest
+
+from pollenfold.core.errors import ErrorKind
+from pollenfold.gateway.relay.result import RelayOutcome, RelayResult
+from pollenfold.http.messages import error_response
+from pollenfold.tests.gateway.test_quotas import after_s, get
+
+
+@pytest.mark.parametrize("kind", [ErrorKind.QUOTA_UNKNOWN, ErrorKind.QUOTA_EXCEEDED])
+def test_refusal_of_a_peer_for_a_quota_keeps_its_time(with_path, kind):
+    """Guards against callers that are told to come back at once."""
+
+    async def body(path):
+        relaying = path.forwarder._relaying
+        peer = type("FakePeer", (), {"entry_id": "e4"})()
+        n_found = []
+
+        async def find_peer(call, excluded):
+            n_found.append(peer)
+            return peer if len(n_found) == 1 else None
+
+        async def relay_to(call, peer):
+            return RelayResult(
+                RelayOutcome.NOT_STARTED,
+                error_response(kind, retry_after_s=0.5),
+                error_kind=kind,
+            )
+
+        relaying._find_peer = find_peer
+        relaying._relay_to = relay_to
+
+        async def relay(call):
+            return await relaying._relay(call)
+
+        relaying.relay_if_cut = relay
+        response = await get(path)
+        assert json.loads(response.body)["error"] == kind.value
+        assert after_s(response) == 0.5
+
+    with_path(body)
