Take no retry for a hedge that was overtaken during the wait for its permit

Cause: a hedge waits up to 0.4 s for a permit of the tenant's quota and then takes a retry of the budget without asking whether it is still wanted.

Evidence: the test saw retries_total 1 though no second request was sent. Each such retry is missing for a request that needs one.

Change: Hedges._select asks again before it takes the retry.

--- a/pollenfold/gateway/hedges.py
+++ b/pollenfold/gateway/hedges.py
@@ -225,6 +225,10 @@
         refusal: HedgeDecision | None = HedgeDecision.NO_ENDPOINT
         if pick is not None:
             refusal = await self._refusal(fork, pick, first, moment)
+            if not is_wanted():
+                return pick
+            if refusal is None and not self._acquire_retry(fork):
+                refusal = HedgeDecision.RETRY_BUDGET
         if refusal is None:
             return pick
         fork.decision_trace.append(refusal.value)
@@ -252,7 +256,7 @@
             return HedgeDecision.QUOTA
         if not self._view.accepts_new_requests(pick.endpoint):
             return HedgeDecision.NO_ENDPOINT
-        return None if self._acquire_retry(fork) else HedgeDecision.RETRY_BUDGET
+        return None
 
     async def _end(self, race: Race, call: Call) -> None:
         """End what still runs, and merge the state of the second attempt."""
--- a/pollenfold/tests/gateway/test_quota_waits.py
+++ b/pollenfold/tests/gateway/test_quota_waits.py
@@ -2,13 +2,40 @@
 
 import json
 
+import curio
 import pytest
 
 from pollenfold.core.errors import ErrorKind
 from pollenfold.gateway.relay.result import RelayOutcome, RelayResult
 from pollenfold.http.messages import error_response
+from pollenfold.tests.gateway.test_hedges import make_backends, with_hedges
 from pollenfold.tests.gateway.test_quotas import after_s, get
 
+__all__ = ["with_hedges"]
+
+
+def test_hedge_that_is_overtaken_takes_no_retry(with_hedges):
+    """Guards against a retry that is counted though none is sent, when the first
+    response arrives while the hedge waits for a permit."""
+
+    async def body(path, first, second):
+        waits = []
+
+        async def acquire_slowly(call):
+            waits.append(call)
+            await curio.sleep(0.5)
+            return True
+
+        path.forwarder.hedges._get()._acquire_permit = acquire_slowly
+        response = await get(path)
+        assert response.body == b"of first"
+        assert len(waits) == 1
+        await curio.sleep(0.5)
+        assert second.requests == []
+        assert path.metrics.get("retries_total", service="s") == 0
+
+    with_hedges(body, *make_backends(first_ms=450.0))
+
 
 @pytest.mark.parametrize("kind", [ErrorKind.QUOTA_UNKNOWN, ErrorKind.QUOTA_EXCEEDED])
 def test_refusal_of_a_peer_for_a_quota_keeps_its_time(with_path, kind):
