Refuse a request whose deadline passes while it waits for a permit

Cause: the deadline was checked before the wait for a permit of a quota, which may last until the deadline while the leader is silent.

Evidence: in the test the endpoint got the request with 'x-deadline-ms: 0'; its caller can't use the response.

Change: Forwarder checks the time left again after the wait.

Result: test_quota_waits.py, test_forward.py and test_quotas.py pass.

--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -326,6 +326,9 @@
         try:
             if refusal_kind is None:
                 refusal_kind = await self._quotas.acquire(call)
+            # The wait for a permit may last until the deadline.
+            if refusal_kind is None and self._is_too_late(call):
+                refusal_kind = ErrorKind.DEADLINE_EXCEEDED
             # No task runs between this check and the start of the attempt.
             may_send = refusal_kind is None and self._may_still_send(subset, pick)
         finally:
@@ -346,13 +349,17 @@
         # Others may have reported the request while an endpoint was selected.
         if self._suspects.is_quarantined(call):
             return ErrorKind.QUARANTINED
-        now = self._clock()
-        if remaining_ms(call.deadline, now) < MIN_DEADLINE_MS:
+        if self._is_too_late(call):
             return ErrorKind.DEADLINE_EXCEEDED
         if is_first_attempt:
+            now = self._clock()
             return None if self._admits(call, pick, now) else ErrorKind.QUEUE_FULL
         return None if self._acquire_retry(call) else ErrorKind.BACKEND_REFUSED
 
+    def _is_too_late(self, call: Call) -> bool:
+        """Return whether too little time is left to send the request."""
+        return remaining_ms(call.deadline, self._clock()) < MIN_DEADLINE_MS
+
     def _acquire_retry(self, call: Call) -> bool:
         """Count a retry if the budget permits it, and trace what decided it."""
         if call.is_retry_acquired:
--- a/pollenfold/tests/gateway/test_quota_waits.py
+++ b/pollenfold/tests/gateway/test_quota_waits.py
@@ -5,15 +5,39 @@
 import curio
 import pytest
 
+from pollenfold.core.clock import add_ms
 from pollenfold.core.errors import ErrorKind
+from pollenfold.gateway.quotas.outcomes import Permit
 from pollenfold.gateway.relay.result import RelayOutcome, RelayResult
 from pollenfold.http.messages import error_response
+from pollenfold.observe.clock import system_clock
+from pollenfold.tests.gateway.conftest import Backend
 from pollenfold.tests.gateway.test_hedges import make_backends, with_hedges
-from pollenfold.tests.gateway.test_quotas import after_s, get
+from pollenfold.tests.gateway.test_quotas import FakeLeader, after_s, get, set_quota
 
 __all__ = ["with_hedges"]
 
 
+def test_request_isnt_sent_after_the_wait_for_a_permit_took_its_time(with_path):
+    """Load: the leader is silent, and a caller leaves less time than is waited for it.
+    Guards against a request that is sent at its deadline, in vain."""
+
+    async def body(path, backend):
+        set_quota(path, FakeLeader(is_silent=True))
+
+        async def acquire(tenant, quota, deadline):
+            await curio.sleep(max(0.0, deadline - system_clock()) / 1000)
+            return Permit(add_ms(system_clock(), 300.0))
+
+        client = await path.quotas._start_client()
+        client.acquire = acquire
+        response = await get(path)
+        assert backend.requests == []
+        assert response.status == 503
+
+    with_path(body, Backend("one"), timeout_ms=100.0)
+
+
 def test_hedge_that_is_overtaken_takes_no_retry(with_hedges):
     """Guards against a retry that is counted though none is sent, when the first
     response arrives while the hedge waits for a permit."""
