Grant nothing on a configuration whose quotas a control replica can't read

Cause: after a restart, a replica that couldn't decode the configuration took its tenants for tenants without a quota. Its log showed the error with repr, which for a UnicodeError is the whole configuration with all keys.

Evidence: with a decoder that raises, 1,000 of 1,000 permits were granted, and the line quotas_rejected contained a key. It takes a replica whose version of the software rejects what the others accepted.

Change: a rejected version is remembered; the quotas applied before stay in force, and without any nothing is granted. The log gets error_text.

Result: test_quota_server.py and test_quotas.py of control pass.

--- a/pollenfold/control/quota_server.py
+++ b/pollenfold/control/quota_server.py
@@ -18,6 +18,7 @@
 )
 from ..core.tenancy.tenants import Quota
 from ..gateway.slices import run_in_slices
+from ..observe.error_text import error_text
 from ..observe.events import EventLog
 from ..observe.exposition import BoundedLabel, Metrics
 from .cluster_state import ClusterState
@@ -66,6 +67,7 @@
         self._tenant_label = BoundedLabel(MAX_TENANT_SERIES)
         self._started_at: Instant | None = None
         self._applied_version: int | None = None
+        self._rejected_version: int | None = None
         self._next_log_at: dict[str, Instant] = {}
         feed_server.add_part("quota", self.answer)
 
@@ -126,16 +128,21 @@
         """
         state = self._cluster_state.replicated_state
         version, document = state.version, state.document
-        if self._decode is None or not version or version == self._applied_version:
+        if self._decode is None or not version:
+            return
+        if version in (self._applied_version, self._rejected_version):
             return
         quotas: dict[str, Quota] = {}
         if _may_have_tenants(document):
             try:
                 quotas = await run_in_slices(self._decode(document), self._clock)
             except Exception as error:
-                # The entries reject it too and keep the configuration before it.
-                self._log.state("quotas_rejected", version=version, detail=repr(error))
-                quotas = self._ledger.quotas
+                # The entries reject it too and keep the configuration before it. If
+                # this replica has read none, it can't know those quotas.
+                detail = error_text(error)
+                self._log.state("quotas_rejected", version=version, detail=detail)
+                self._rejected_version = version
+                return
         self._ledger.apply_quotas(quotas, self._clock())
         self._next_log_at = {k: v for k, v in self._next_log_at.items() if k in quotas}
         self._applied_version = version
