Check again that an endpoint takes requests when a raced attempt starts

Cause: with hedges, an attempt runs in a task of its own, and other tasks run before it. Forwarder relies on none between its last check and the send.

Evidence: in the test the entry learns in between that the endpoint has left, and sends it the request all the same; without hedges it doesn't.

Change: the sender of Hedges checks again, releases the connection and reports that the endpoint wasn't reached. The next one is selected as usual.

--- a/pollenfold/gateway/hedges.py
+++ b/pollenfold/gateway/hedges.py
@@ -141,6 +141,10 @@
         """Return ``EndpointAttempts.send``, which also records the latency."""
 
         async def send(call: Call, pick: Pick) -> SendResult:
+            # Other tasks run before the task of an attempt starts.
+            if not self._view.accepts_new_requests(pick.endpoint):
+                await self._balancer.release(pick.endpoint, pick.connection)
+                return AttemptOutcome.UNREACHABLE, None
             started_at = self._clock()
             expected_ms = _expected_ms(call, pick)
             outcome: AttemptOutcome | None = None
--- a/pollenfold/tests/gateway/test_hedges.py
+++ b/pollenfold/tests/gateway/test_hedges.py
@@ -304,6 +304,37 @@
     with_hedges(body, *make_backends(first_ms=235.0))
 
 
+def test_nothing_is_sent_to_an_endpoint_that_leaves_before_the_task_starts(with_hedges):
+    """Guards against a request to an endpoint of which this entry has just learned that
+    it leaves: other tasks run between the selection and the task of the attempt."""
+
+    async def body(path, first, second):
+        selected = []
+        may_still_send = path.forwarder._may_still_send
+
+        def record_selected(subset, pick):
+            may_send = may_still_send(subset, pick)
+            if may_send:
+                selected.append(pick.endpoint.announcement.endpoint_id)
+            return may_send
+
+        async def remove_selected():
+            while not selected:
+                await curio.sleep(0)
+            path.view.endpoints.pop(selected[0])
+
+        path.forwarder._may_still_send = record_selected
+        endpoint = path.view.endpoints["first"]
+        remover = await curio.spawn(remove_selected)
+        assert (await path.get()).body == b"of second"
+        await remover.join()
+        assert selected == ["first", "second"]
+        assert first.requests == []
+        path.view.endpoints["first"] = endpoint
+
+    with_hedges(body, *make_backends(first_ms=0.0))
+
+
 def test_non_idempotent_request_is_never_hedged(with_hedges):
     """Guards against a request that is executed twice."""
 
