Take claims of up to five times the timeout of a route for deadlines

Cause: callers whose deadline is longer than timeoutMs are usual, and the rule that ignores each claim beyond it made their retries look new: test_scarce_permits_go_to_requests_that_can_be_in_time (deadline 1,500, timeout 800) failed with 20 served in time of the 30 expected. Change: only a claim of more than five times the timeout is ignored.

--- a/pollenfold/core/balancing/overload.py
+++ b/pollenfold/core/balancing/overload.py
@@ -45,6 +45,10 @@
 """The largest remaining time that this share of the callers, and so many of them, have
 claimed is taken as that of first attempts. More may be retries during an overload."""
 
+MAX_CLAIM_FACTOR = 5.0
+"""Callers have deadlines of up to four times the timeout of a route. A larger claim is
+ignored."""
+
 MIN_RETRY_SHARE = 0.2
 """A request with a smaller share of the time of first attempts isn't one of their
 retries: refused callers come back after at most a third of their time, and make few
@@ -120,10 +124,10 @@
     ) -> float:
         """Record the remaining time of a request of a caller; return its age in ms.
 
-        ``timeout_ms`` is that of the route. A claim beyond it says nothing, since no
-        caller waits for longer.
+        ``timeout_ms`` is that of the route. A claim of many times that says nothing,
+        since no response comes so late.
         """
-        if timeout_ms is not None and left_ms > timeout_ms:
+        if timeout_ms is not None and left_ms > MAX_CLAIM_FACTOR * timeout_ms:
             return 0.0
         self._forget_old(now)
         own = self._record(caller, left_ms, now)
--- a/pollenfold/tests/core/balancing/test_overload.py
+++ b/pollenfold/tests/core/balancing/test_overload.py
@@ -143,7 +143,15 @@
     assert ages[2:] == [0.0] * 8
 
 
-def test_claim_beyond_the_timeout_of_the_route_says_nothing():
+def test_retry_is_noticed_if_callers_wait_longer_than_the_route():
+    """Guards against a rule on large claims that ignores those of ordinary callers."""
+    age = CallerAge()
+    for number in range(5):
+        assert age.observe(f"first-{number}", 1_500.0, 1.0, 800.0) == 0.0
+    assert age.observe("retry", 800.0, 2.0, 800.0) == 700.0
+
+
+def test_claim_far_beyond_the_timeout_of_the_route_says_nothing():
     """Guards against a claim of 10^9 ms that makes 3 s look like the end of it."""
     age = CallerAge()
     for number in range(50):
