Let a new leader gather reports before it calls a version good

Cause: after 0.75 of the duration, full didn't wait for reports. A leader that was just elected has no counts, so nothing spoke against the target. Before 0.75 it had the first reports, but their bad responses fall into one slot of the evidence, which then finds nothing either. The version that its predecessor held back got all requests in the first steps of the new term.

Evidence: test_new_leader_does_not_send_all_requests_to_a_bad_version, with a quarter of 170 responses failed, at 7.5 s and 9.2 s of 12 s, failed in 4 of 4 cases: full in place of reverting.

Change: full needs one second of reports at this leader, or half of the time left if that is shorter.

Result: these cases revert; a good version still gets all requests within 1.2 s of the election, and within 0.6 s one second before the deadline. The tests in tests/core/rollouts/test_controller.py and tests/control/test_rollouts.py pass.

--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -97,6 +97,10 @@
         elif now > add_ms(self._target_last_at, ABSENT_MS):
             self._target_since = None
 
+    def known_ms(self, now: Instant) -> float:
+        """Return the time since this replica gathers reports on the roll-out."""
+        return now - self.since
+
     def in_stage_ms(self, now: Instant) -> float:
         """Return the time since this replica knows the present stage and share."""
         return now - self._stage_since
@@ -273,6 +277,7 @@
             is_target_idle=is_settled
             and reports.is_target_idle(entries, stage_index, now),
             is_old_gone=tracker.is_old_gone(now),
+            known_ms=tracker.known_ms(now),
         )
 
     def _endpoints(self, rollout: Rollout, now: Instant) -> list[Announcement]:
--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import inf
 
 from ..replicated_state import AdvanceRollout
 from .evidence import Finding, RouteCounts
@@ -39,6 +40,11 @@
 MIN_REACTION_MS = 300.0
 """The same without the time for the test."""
 
+MIN_KNOWN_MS = 1_000.0
+"""A new leader gathers reports for this long, or half of the time left, before it calls
+a version good. Until then the counts lack entries, and the bad responses from before
+its term fall into one slot of the evidence."""
+
 USED_EXPOSURE = 0.8
 """The part of the exposure limit that a ramp may use."""
 
@@ -76,7 +82,8 @@
     and have nothing in flight at the version. ``rate_per_s`` counts the responses of
     both versions. ``since_many_bad_ms`` is the time since the target had its 50th bad
     response, 0 before. ``is_old_gone`` is whether no endpoint of the old version is
-    announced.
+    announced. ``known_ms`` is the time since this leader gathers reports on the
+    roll-out.
     """
 
     elapsed_ms: float
@@ -91,6 +98,7 @@
     is_old_idle: bool
     is_target_idle: bool
     is_old_gone: bool = False
+    known_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +202,9 @@
         return False
     if situation.finding.is_doubtful:
         return False
+    left_ms = max(rollout.duration_ms - situation.elapsed_ms, 0.0)
+    if situation.known_ms < min(MIN_KNOWN_MS, left_ms / 2):
+        return False
     if progress >= DOUBT_END:
         return True
     if situation.finding.is_suspect:
