Wait for the entries after none was connected

Cause: completed and rolled_back need a report of each entry that was connected within contactMs. Without any entry that holds for the empty list. The time for the entries to connect again counted from the start of the process only, so a leader whose feeds were all cut, or a replica that leads soon after it was isolated, ended a roll-out that no entry had confirmed.

Change: the time counts from when the process last had no entry connected.

--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -158,7 +158,9 @@
         self._connected_at: dict[str, Instant] = {}
         """By entry, when it was last connected to this replica."""
 
-        self._started_at = clock()
+        self._alone_at = clock()
+        """When this process started or last had no entry connected."""
+
         cluster_state.on_rollout_started = self._record_order
         feed_server.add_part("rollouts", self._receive)
 
@@ -236,7 +238,10 @@
 
     def _update_entries(self, now: Instant) -> None:
         """Record which entries are connected, and forget those that left long ago."""
-        for entry in self._feed_server.entry_names():
+        entries = self._feed_server.entry_names()
+        if not entries:
+            self._alone_at = now
+        for entry in entries:
             self._connected_at[entry] = now
         oldest = add_ms(now, -self._settings.contact_ms)
         left = [k for k, v in self._connected_at.items() if v < oldest]
@@ -260,8 +265,8 @@
         self, rollout: Rollout, tracker: _Tracker, now: Instant
     ) -> Situation:
         entries, reports = list(self._connected_at), tracker.reports
-        # After a restart the entries need time to connect again.
-        is_settled = now > add_ms(self._started_at, self._settings.contact_ms)
+        # After a restart or a partition the entries need time to connect again.
+        is_settled = now > add_ms(self._alone_at, self._settings.contact_ms)
         stage_index = rollout.stage_index
         return Situation(
             elapsed_ms=self._elapsed_ms(rollout, now),
--- a/pollenfold/tests/control/test_rollout_leaders.py
+++ b/pollenfold/tests/control/test_rollout_leaders.py
@@ -1,5 +1,6 @@
 """Decisions on roll-outs by a leader that doesn't know the earlier evidence."""
 
+import curio
 import pytest
 
 from pollenfold.control.rollouts import _Tracker
@@ -8,6 +9,12 @@
 from pollenfold.core.rollouts.evidence import RouteCounts
 from pollenfold.core.rollouts.reports import Report
 from pollenfold.core.rollouts.state import RolloutStage
+from pollenfold.tests.control.test_cluster import wait_until
+from pollenfold.tests.control.test_rollouts import (
+    end_of,
+    stage_of,
+    start_rollout,
+)
 
 DURATION_MS = 12_000
 STEP_MS = 75.0
@@ -71,3 +78,39 @@
     """Guards against a successor that waits for too long."""
     assert first_decision(7_500.0, 300.0, 0.0, 1_200.0) is RolloutStage.FULL
     assert first_decision(11_000.0, 100.0, 0.0, 600.0) is RolloutStage.FULL
+
+
+def test_roll_out_does_not_end_while_no_entry_is_connected(with_cluster):
+    """Load: all entries lose their feeds for longer than ``contact_ms``, with a request
+    in flight at the old version, while the replicas keep a leader.
+
+    Guards against an end that no entry confirmed, and against one that is reported
+    before the entries connected again.
+    """
+
+    async def body(cluster):
+        entries = await start_rollout(cluster, 3.0)
+        for entry in entries:
+            entry.is_stuck = True
+        await wait_until(lambda: stage_of(cluster) is RolloutStage.FULL)
+        servers = [running.node.feed_server for running in cluster.running.values()]
+        for server in servers:
+            server.entry_names = set
+        await curio.sleep(3.0)
+        assert stage_of(cluster) is RolloutStage.FULL
+        # The first entry connects again before the others, and has nothing in flight.
+        entries[0].is_stuck = False
+        for server in servers:
+            server.entry_names = lambda: {entries[0].name}
+        await curio.sleep(0.5)
+        assert stage_of(cluster) is RolloutStage.FULL
+        for server in servers:
+            del server.entry_names
+        await curio.sleep(2.5)
+        assert stage_of(cluster) is RolloutStage.FULL
+        for entry in entries:
+            entry.is_stuck = False
+        async with curio.timeout_after(2.0):
+            assert await end_of(cluster) == "completed"
+
+    with_cluster(body)
