Count no contact with control from before a pause

Cause: an entry that runs again after it was stopped for a while finds its feeds open, and took the leader's as contact. It tested the target with the requests that waited, by a stage from before the pause, until it had read the feeds.

Change: open feeds count only if a line was read within contactMs, and if none announced a state that wasn't received yet. Otherwise a confirmation decides, as for an entry without feeds.

--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -125,6 +125,8 @@
         """The most endpoints that a replica knew whose list was requested."""
 
         self._on_part: dict[str, OnPart] = {}
+        self.heard_at = clock()
+        """When the last line of any replica was read. Each sends one every second."""
 
     def add_part(self, name: str, on_part: OnPart) -> None:
         """Call a function with each value that replicas send under a name."""
@@ -389,6 +391,7 @@
         Malformed parts are skipped and counted.
         """
         view = self._view
+        self.heard_at = self._clock()
         line, malformed = checked_line(sent)
         for name in malformed:
             view.malformed.record(name, f"in a line of {host}")
--- a/pollenfold/gateway/rollouts/contact.py
+++ b/pollenfold/gateway/rollouts/contact.py
@@ -20,7 +20,10 @@
 
     It is if the feed of the leader is open, if a majority confirmed the state within
     ``contact_ms``, or if feeds of a majority of the replicas are open: at least one of
-    these replicas would announce a change. Without feeds it counts as connected.
+    these replicas would announce a change. Open feeds count only if a line was read
+    within ``contact_ms`` and none announced a state that wasn't received: a process
+    that was stopped for a while finds its feeds open, and stages may have changed.
+    Without feeds it counts as connected.
     """
 
     def __init__(self, view: FleetView, clock: Clock) -> None:
@@ -36,11 +39,14 @@
 
     def is_lost(self) -> bool:
         """Return whether stages may have changed without this entry's knowledge."""
-        feeds = self._feeds
-        if feeds is None or feeds.leader is not None:
-            return False
-        if 2 * feeds.n_connected > max(1, len(self._view.control_hosts)):
+        feeds, view = self._feeds, self._view
+        if feeds is None:
             return False
         oldest = add_ms(self._clock(), -self._contact_ms)
-        index = self._view.replicated_state.index
-        return not self._view.confirmations.is_confirmed_since(index, oldest)
+        is_up_to_date = view.received_state.index >= view.announced_index
+        if feeds.heard_at >= oldest and is_up_to_date:
+            has_majority = 2 * feeds.n_connected > max(1, len(view.control_hosts))
+            if feeds.leader is not None or has_majority:
+                return False
+        index = view.replicated_state.index
+        return not view.confirmations.is_confirmed_since(index, oldest)
--- a/pollenfold/tests/gateway/rollouts/stages.py
+++ b/pollenfold/tests/gateway/rollouts/stages.py
@@ -1,5 +1,6 @@
 """Stages of a roll-out on an entry's call path, and stand-ins for its feeds."""
 
+import math
 from dataclasses import dataclass, field, replace
 
 import curio
@@ -75,6 +76,7 @@
 class FakeFeeds:
     leader: FakeFeed | None = None
     n_connected: int = 0
+    heard_at: float = math.inf
 
 
 def reporter_of(path, feeds):
--- a/pollenfold/tests/gateway/rollouts/test_changes.py
+++ b/pollenfold/tests/gateway/rollouts/test_changes.py
@@ -152,3 +152,32 @@
         assert contact.is_lost() == is_lost
 
     with_path(body, Backend("one"))
+
+
+@pytest.mark.parametrize("is_late", [True, False])
+def test_resumed_entry_does_not_test_the_target(with_path, is_late):
+    """Load: 40 requests that wait when an entry runs again after it was stopped. Its
+    feeds are still open; it read no line of them yet (``is_late``), or just those that
+    announce a change.
+
+    Guards against requests to a version that was judged bad while the entry stood.
+    """
+    old, target = Backend("old"), Backend("new")
+
+    async def body(path, *backends):
+        announce(path, [old], [target])
+        set_stage(path, "ramp", 0.99)
+        feeds = FakeFeeds(FakeFeed(), n_connected=3)
+        path.forwarder.control_contact.connect(feeds, 30.0)
+        assert (await path.get()).status == 200
+        assert n_requests([target]) == 1
+        if is_late:
+            feeds.heard_at = path.view._clock()
+        else:
+            path.view.announced_index = path.view.replicated_state.index + 1
+        await curio.sleep(0.04)
+        for _ in range(40):
+            assert (await path.get()).status == 200
+        assert n_requests([target]) == 1
+
+    with_path(body, old, target)
