End long responses that callers don't read by their deadline

Cause: the body of a long response ends at the deadline of its call, but only when the next piece is read. While the caller reads nothing, the entry waits to send, without a limit. The exchange at the old version stays in flight, and a good version isn't completed as long as that caller keeps its connection.

Change: a long response is sent until 250 ms after its deadline, as one to a peer is; then the connection is reset.

--- a/pollenfold/gateway/final_responses.py
+++ b/pollenfold/gateway/final_responses.py
@@ -5,7 +5,7 @@
 import random
 
 from ..core.balancing.overload import retry_after_ms, short_retry_after_ms
-from ..core.clock import Clock, remaining_ms
+from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.errors import ErrorKind, RunState
 from ..http.messages import HOP_HEADERS, Response, error_response
 from ..observe.events import EventLog
@@ -16,6 +16,10 @@
 from .view import FleetView
 
 MAX_LOGGED_URL_CHARS = 200
+LONG_SEND_MARGIN_MS = 250.0
+"""How long after its deadline a caller may still read a long response. One that stops
+reading would hold the connection to the endpoint, which a roll-out waits for."""
+
 QUOTA_KINDS = (ErrorKind.QUOTA_EXCEEDED, ErrorKind.QUOTA_UNKNOWN)
 
 
@@ -155,11 +159,14 @@
         call.is_endpoint_response = True
         self.finish(call, response.status, "responded")
         headers = [pair for pair in response.headers if pair[0] not in HOP_HEADERS]
+        is_long = response.remaining_body is not None
+        send_until = add_ms(call.deadline, LONG_SEND_MARGIN_MS) if is_long else None
         return Response(
             response.status,
             headers,
             response.body,
             remaining_body=response.remaining_body,
+            send_until=send_until,
             reservation=response.reservation,
         )
 
--- a/pollenfold/tests/gateway/rollouts/test_evidence.py
+++ b/pollenfold/tests/gateway/rollouts/test_evidence.py
@@ -11,6 +11,8 @@
 from pollenfold.gateway.relay.headers import RelayedRequest
 from pollenfold.gateway.rollouts.version_load import VersionLoads
 from pollenfold.http.messages import Request
+from pollenfold.http.request_reader import BODY_WINDOW_BYTES
+from pollenfold.http.server import HttpServer
 from pollenfold.tests.gateway.conftest import Backend, signed_response
 
 from .stages import (
@@ -217,6 +219,35 @@
     with_path(body, old)
 
 
+def test_caller_that_stops_reading_does_not_hold_the_old_version(with_path):
+    """Load: a caller with a deadline of 400 ms reads nothing of a response of 32 MB.
+
+    Guards against a good version that isn't completed since one long response from the
+    old version stays in flight for as long as its caller keeps the connection.
+    """
+    body_bytes = b"x" * (32 << 20)
+    old = Backend("old", respond=lambda request: signed_response(200, body_bytes))
+
+    async def body(path, *backends):
+        announce(path, [old])
+        set_stage(path, "canary")
+        server = HttpServer(path.forwarder.handle, window_bytes=BODY_WINDOW_BYTES)
+        port = await server.start("127.0.0.1", 0)
+        caller = await curio.open_connection("127.0.0.1", port)
+        async with caller:
+            await caller.sendall(
+                b"GET /x/1 HTTP/1.1\r\nhost: h.example\r\nx-request-id: q1\r\n"
+                b"x-deadline-ms: 400\r\n\r\n"
+            )
+            loads = path.view.version_loads
+            await wait_until(lambda: loads.n_in_flight("s", "v2") == (1, 0))
+            await curio.sleep(0.2)
+            assert loads.n_in_flight("s", "v2") == (1, 0)
+            await wait_until(lambda: loads.n_in_flight("s", "v2") == (0, 0), 1_500.0)
+
+    with_path(body, old)
+
+
 def test_relayed_request_is_counted_in_flight(with_path):
     """Guards against a request of a peer that isn't in the report of the entry that
     sent it to the old version."""
