--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -97,6 +97,10 @@
         elif now > add_ms(self._target_last_at, ABSENT_MS):
             self._target_since = None
 
+    def known_ms(self, now: Instant) -> float:
+        """Return the time since this replica gathers reports on the roll-out."""
+        return now - self.since
+
     def in_stage_ms(self, now: Instant) -> float:
         """Return the time since this replica knows the present stage and share."""
         return now - self._stage_since
@@ -154,7 +158,9 @@
         self._connected_at: dict[str, Instant] = {}
         """By entry, when it was last connected to this replica."""
 
-        self._started_at = clock()
+        self._alone_at = clock()
+        """When this process started or last had no entry connected."""
+
         cluster_state.on_rollout_started = self._record_order
         feed_server.add_part("rollouts", self._receive)
 
@@ -232,7 +238,10 @@
 
     def _update_entries(self, now: Instant) -> None:
         """Record which entries are connected, and forget those that left long ago."""
-        for entry in self._feed_server.entry_names():
+        entries = self._feed_server.entry_names()
+        if not entries:
+            self._alone_at = now
+        for entry in entries:
             self._connected_at[entry] = now
         oldest = add_ms(now, -self._settings.contact_ms)
         left = [k for k, v in self._connected_at.items() if v < oldest]
@@ -256,8 +265,8 @@
         self, rollout: Rollout, tracker: _Tracker, now: Instant
     ) -> Situation:
         entries, reports = list(self._connected_at), tracker.reports
-        # After a restart the entries need time to connect again.
-        is_settled = now > add_ms(self._started_at, self._settings.contact_ms)
+        # After a restart or a partition the entries need time to connect again.
+        is_settled = now > add_ms(self._alone_at, self._settings.contact_ms)
         stage_index = rollout.stage_index
         return Situation(
             elapsed_ms=self._elapsed_ms(rollout, now),
@@ -273,6 +282,7 @@
             is_target_idle=is_settled
             and reports.is_target_idle(entries, stage_index, now),
             is_old_gone=tracker.is_old_gone(now),
+            known_ms=tracker.known_ms(now),
         )
 
     def _endpoints(self, rollout: Rollout, now: Instant) -> list[Announcement]:
