Split long functions of the entry and remove repeated logic of roll-outs

Splits the selection of an endpoint, the application of feed lines and the selection for a hedge. The two idle checks of reports share one look-up.

--- a/pollenfold/core/rollouts/evidence.py
+++ b/pollenfold/core/rollouts/evidence.py
@@ -17,7 +17,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from math import exp, inf, log, sqrt
 
@@ -40,6 +40,8 @@
 a share of bad responses isn't taken for 0 after a few good ones."""
 
 MAX_COMMON_SHARE = 0.95
+"""The largest share of bad responses assumed for the old version. With 1 the logarithms
+of the likelihoods would be undefined."""
 
 SLOT_MS = 250.0
 """Somewhat more than the interval of the reports, in which the losses of one endpoint
@@ -55,6 +57,9 @@
 """How many times a comparison begins anew in the duration of a roll-out."""
 
 ALL_ROUTES = "*"
+"""Stands for all routes together."""
+
+# The weights divide the false alarm rate among the comparisons. Their sum is at most 1.
 _WEIGHT_OF_START = 0.5
 _WEIGHT_OF_LATER_STARTS = 0.5 / N_STARTS
 _WEIGHT_OF_ALL_ROUTES = 0.5
@@ -251,7 +256,7 @@
         if strongest_term == -inf:
             return strongest
         total = sum(exp(term - strongest_term) for term in terms)
-        return _with_ratio(strongest, strongest_term + log(total))
+        return replace(strongest, log_ratio=strongest_term + log(total))
 
     def _compare(
         self, number: int, start: _Start, kind: BadKind
@@ -272,6 +277,7 @@
             yield self._find(route, number, kind), weight
 
     def _find(self, route: str, number: int, kind: BadKind) -> Finding:
+        """Compare the versions on a route since the start with a number."""
         now = self._at(route, None)
         start = self._at(route, self._starts[number])
         n_new_bad, n_new = _difference(now.new(kind), start.new(kind))
@@ -286,6 +292,7 @@
         return Finding(ratio, route, kind, n_old_bad, n_old, n_new_bad, n_new)
 
     def _at(self, route: str, start: _Start | None) -> RouteCounts:
+        """Return the counts of a route at a start, or the newest ones with None."""
         if route == ALL_ROUTES:
             return self._total if start is None else start.total
         counts = self._counts if start is None else start.counts
@@ -293,6 +300,7 @@
 
 
 def _difference(now: tuple[int, int], start: tuple[int, int]) -> tuple[int, int]:
+    """Return the bad responses and all responses since a start, neither below 0."""
     n = max(now[1] - start[1], 0)
     return min(max(now[0] - start[0], 0), n), n
 
@@ -306,15 +314,3 @@
         return 1 / (_N_EQUAL_ROUTES + 2)
     position = rank - _N_EQUAL_ROUTES + 1
     return 2 / (_N_EQUAL_ROUTES + 2) / (position * (position + 1))
-
-
-def _with_ratio(finding: Finding, ratio: float) -> Finding:
-    return Finding(
-        ratio,
-        finding.route,
-        finding.kind,
-        finding.n_old_bad,
-        finding.n_old,
-        finding.n_new_bad,
-        finding.n_new,
-    )
--- a/pollenfold/core/rollouts/reports.py
+++ b/pollenfold/core/rollouts/reports.py
@@ -11,11 +11,16 @@
 from .evidence import RouteCounts
 
 MAX_ROUTES = 10_000
+"""The most routes that a report may have; entries send far fewer (``outcomes.py``)."""
+
 MAX_ROUTE_LENGTH = 256
+"""In characters."""
+
 MAX_REPORT_AGE_MS = 1_000.0
 """Five intervals of the reports; an older one says nothing about what is in flight."""
 
 N_COUNTS = 6
+"""The number of fields of ``RouteCounts``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +66,7 @@
 
 
 @dataclass(slots=True)
-class _EntryReports:
+class _EntryReport:
     """The newest report of the running process of an entry."""
 
     incarnation: int
@@ -75,7 +80,7 @@
     """The newest report of each entry on one roll-out, and the sums of the counts."""
 
     def __init__(self) -> None:
-        self._by_entry: dict[str, _EntryReports] = {}
+        self._by_entry: dict[str, _EntryReport] = {}
         self._counts: dict[str, RouteCounts] = {}
 
     @property
@@ -99,14 +104,14 @@
         known = self._by_entry.get(entry)
         if known is None:
             self._replace({}, report.counts)
-            self._by_entry[entry] = _EntryReports(incarnation, report, now)
+            self._by_entry[entry] = _EntryReport(incarnation, report, now)
         elif known.incarnation == incarnation:
             self._replace(known.report.counts, report.counts)
             known.report, known.received_at = report, now
         elif incarnation not in known.ended:
             self._replace({}, report.counts)
             ended = known.ended | {known.incarnation}
-            self._by_entry[entry] = _EntryReports(incarnation, report, now, ended)
+            self._by_entry[entry] = _EntryReport(incarnation, report, now, ended)
 
     def _replace(
         self, before: Mapping[str, RouteCounts], after: Mapping[str, RouteCounts]
@@ -128,23 +133,28 @@
 
         Each must have confirmed the stage in a recent report.
         """
-        reports = [self._find(entry, now) for entry in entries]
-        return all(
-            r is not None and r.stage_index == stage_index and not r.n_in_flight_old
-            for r in reports
-        )
+        reports = self._confirming(entries, stage_index, now)
+        return all(r is not None and not r.n_in_flight_old for r in reports)
 
     def is_target_idle(
         self, entries: Iterable[str], stage_index: int, now: Instant
     ) -> bool:
-        """Return whether no entry has anything in flight at the target."""
+        """Return the same for the target as ``is_old_idle`` for the old version."""
+        reports = self._confirming(entries, stage_index, now)
+        return all(r is not None and not r.n_in_flight_target for r in reports)
+
+    def _confirming(
+        self, entries: Iterable[str], stage_index: int, now: Instant
+    ) -> list[Report | None]:
+        """Return each entry's recent report on a stage, or None if it has none."""
         reports = [self._find(entry, now) for entry in entries]
-        return all(
-            r is not None and r.stage_index == stage_index and not r.n_in_flight_target
+        return [
+            r if r is not None and r.stage_index == stage_index else None
             for r in reports
-        )
+        ]
 
     def _find(self, entry: str, now: Instant) -> Report | None:
+        """Return the report of an entry, or None if there is no recent one."""
         known = self._by_entry.get(entry)
         if known is None or now > add_ms(known.received_at, MAX_REPORT_AGE_MS):
             return None
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -410,15 +410,8 @@
             view.confirmations.record(int(request_id), int(index))
         if "quarantine" in line:
             view.apply_quarantine_reports(line["quarantine"])
-        if "entries" in line and host == self._source:
-            view.entry_ids = frozenset(line["entries"])
-            view.peer_directory.replace(view.entry_ids)
-        if "joined" in line and host == self._source:
-            left = line.get("left", ())
-            view.entry_ids = (view.entry_ids | set(line["joined"])) - set(left)
-            view.peer_directory.remove(left)
-        if "peers" in line and host == self._source:
-            view.peer_directory.apply(line["peers"], self._identity.name)
+        if host == self._source:
+            self._apply_peers(line)
         if "n_peers" in line:
             feed.record_n_peers(
                 int(line["n_peers"]), len(view.control_hosts), self._clock()
@@ -440,6 +433,19 @@
         view.announced_index = max(view.announced_index, index)
         return index
 
+    def _apply_peers(self, line: dict[str, Any]) -> None:
+        """Apply what a line of the source of updates says about other entries."""
+        view = self._view
+        if "entries" in line:
+            view.entry_ids = frozenset(line["entries"])
+            view.peer_directory.replace(view.entry_ids)
+        if "joined" in line:
+            left = line.get("left", ())
+            view.entry_ids = (view.entry_ids | set(line["joined"])) - set(left)
+            view.peer_directory.remove(left)
+        if "peers" in line:
+            view.peer_directory.apply(line["peers"], self._identity.name)
+
     async def _request_lists(self, feed: Feed, host: str) -> None:
         """Request the endpoints that aren't known here, from one replica at a time.
 
--- a/pollenfold/gateway/forward.py
+++ b/pollenfold/gateway/forward.py
@@ -324,6 +324,20 @@
             reason = "limited" if self._view.has_limited(call.service) else "resting"
             call.decision_trace.append(f"{reason}/{call.backoff_ms:.0f}")
             return ErrorKind.QUEUE_FULL
+        return await self._admit(call, pick, subset, is_first_attempt)
+
+    async def _admit(
+        self,
+        call: Call,
+        pick: Pick,
+        subset: EndpointSubset | None,
+        is_first_attempt: bool,
+    ) -> Pick | ErrorKind | None:
+        """Return the selected endpoint if the request may be sent to it.
+
+        Otherwise release it and return the reason, or None if the endpoint may no
+        longer get requests.
+        """
         refusal_kind = self._refusal_kind(call, pick, is_first_attempt)
         may_send = False
         try:
--- a/pollenfold/gateway/hedges.py
+++ b/pollenfold/gateway/hedges.py
@@ -41,6 +41,7 @@
 from .view import FleetView
 
 NEVER = Instant(float("-inf"))
+"""The instant of what hasn't happened yet."""
 
 
 @dataclass(slots=True)
@@ -226,17 +227,9 @@
         is_wanted: Callable[[], bool],
     ) -> Pick | None:
         """Return an endpoint for the hedge, once the retry budget permits it."""
-        now = self._clock()
-        excluded = call.tried_endpoint_ids | {first.endpoint.announcement.endpoint_id}
-        endpoints = self._view.by_service.get(call.service, ())
-        excluded |= {
-            endpoint.announcement.endpoint_id
-            for endpoint in endpoints
-            if not may_get_hedge(_candidate(endpoint, now))
-        }
         pick = await self._balancer.pick(
             call.service,
-            excluded,
+            self._excluded_endpoint_ids(call, first),
             fork.deadline,
             hedge_slowdown_limit(moment),
             fork.decision_trace,
@@ -260,6 +253,17 @@
             await self._balancer.release(pick.endpoint, pick.connection)
         return None
 
+    def _excluded_endpoint_ids(self, call: Call, first: Pick) -> set[str]:
+        """Return the endpoints that must not get the hedge of a call."""
+        now = self._clock()
+        excluded = call.tried_endpoint_ids | {first.endpoint.announcement.endpoint_id}
+        endpoints = self._view.by_service.get(call.service, ())
+        return excluded | {
+            endpoint.announcement.endpoint_id
+            for endpoint in endpoints
+            if not may_get_hedge(_candidate(endpoint, now))
+        }
+
     async def _refusal(
         self, fork: Call, pick: Pick, first: Pick, moment: HedgeMoment
     ) -> HedgeDecision | None:
--- a/pollenfold/gateway/rollouts/new_versions.py
+++ b/pollenfold/gateway/rollouts/new_versions.py
@@ -66,12 +66,18 @@
                 if not is_confirmed_since(since):
                     held[key] = since
             known |= versions - held.keys()
-            if new & held.keys():
-                endpoints = [
-                    e
-                    for e in endpoints
-                    if (service, e.announcement.version) not in held
-                ]
-            usable[service] = endpoints
+            is_any_held = bool(new & held.keys())
+            usable[service] = _without(endpoints, held) if is_any_held else endpoints
         self._held, self._known = held, known
         return usable
+
+
+def _without(
+    endpoints: list[Endpoint], held: Mapping[VersionKey, Instant]
+) -> list[Endpoint]:
+    """Return the endpoints without those of versions that are held back."""
+    return [
+        endpoint
+        for endpoint in endpoints
+        if (endpoint.announcement.service, endpoint.announcement.version) not in held
+    ]
--- a/pollenfold/gateway/rollouts/reports.py
+++ b/pollenfold/gateway/rollouts/reports.py
@@ -28,6 +28,7 @@
 """How often it is checked whether there is a roll-out that isn't final."""
 
 INCARNATION_BITS = 48
+"""The size of the random number by which control tells processes of an entry apart."""
 
 
 class RolloutReporter:
@@ -111,21 +112,20 @@
     def _progress(self) -> list[tuple[int, bool]]:
         """Return the stages, and whether nothing is in flight at what each one ends."""
         return [
-            (rollout.stage_index, not self._n_ending(rollout))
+            (rollout.stage_index, self._is_ending_idle(rollout))
             for rollout in self._view.replicated_state.rollouts.values()
             if not rollout.is_final
         ]
 
-    def _n_ending(self, rollout: Rollout) -> int:
-        """Return what is in flight at the version that gets nothing, if there is one.
+    def _is_ending_idle(self, rollout: Rollout) -> bool:
+        """Return whether a version gets nothing and has nothing in flight.
 
-        While both versions get requests the result is always 1, since a report then
-        isn't urgent.
+        While both versions get requests, there is no such version.
         """
         if is_testing(rollout):
-            return 1
+            return False
         n_old, n_target = self._n_in_flight(rollout)
-        return n_old if rollout.is_towards_target else n_target
+        return not (n_old if rollout.is_towards_target else n_target)
 
     def _n_in_flight(self, rollout: Rollout) -> tuple[int, int]:
         return self._view.version_loads.n_in_flight(
