--- a/pollenfold/core/tenancy/quota_limits.py
+++ b/pollenfold/core/tenancy/quota_limits.py
@@ -32,7 +32,11 @@
 for requests that begin to run later than they were sent."""
 
 MIN_HOLD_MS = 20.0
+"""How long an entry at least doesn't ask again after a denial; see ``hold_ms``."""
+
 MAX_RETRY_AFTER_MS = 60_000.0
+"""The longest time that a denied caller is told to wait, whatever the window."""
+
 MIN_RATE_PER_S = 1e-6
 """A bucket of a lower rate would take longer than any time that can be told."""
 
@@ -52,7 +56,7 @@
 
     def total(self, quota: Quota) -> float:
         """Return how many requests may be executed in any window."""
-        return _in_time(quota, self.window_ms) * (1 + self.overage) + self.slack
+        return _n_permitted(quota, self.window_ms) * (1 + self.overage) + self.slack
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,5 +99,6 @@
     return min(BATCH_MS, max(MIN_HOLD_MS, 1000 / rate_per_s))
 
 
-def _in_time(quota: Quota, duration_ms: float) -> float:
+def _n_permitted(quota: Quota, duration_ms: float) -> float:
+    """Return how many requests rate and burst permit within a duration."""
     return quota.rate_per_s * duration_ms / 1000 + quota.burst
--- a/pollenfold/core/tenancy/quota_shares.py
+++ b/pollenfold/core/tenancy/quota_shares.py
@@ -30,7 +30,7 @@
 """The time constant with which earlier requests count less in the demand."""
 
 MAX_ASKED = 10_000
-"""The most permits in one ask."""
+"""The most permits for which one message to the leader asks."""
 
 SUBJECT = "quota "
 """Seeds, with the tenant, the hash that selects the entries with one more permit."""
@@ -67,8 +67,8 @@
 class TenantShare:
     """What one entry holds of one tenant's quota.
 
-    ``denied_until`` is until when the entry refuses requests without asking, and
-    ``retry_at`` when the next caller that it refuses so may come back.
+    Until ``_denied_until`` the entry refuses requests without asking the leader, and
+    the next caller refused in this way may come back at ``_retry_at``.
     """
 
     __slots__ = (
@@ -91,7 +91,7 @@
     def __init__(self, quota: Quota, limits: QuotaLimits, now: Instant) -> None:
         self._limits = limits
         self._permits: deque[Instant] = deque()
-        """The end of the validity of each permit, the first one that ends first."""
+        """The end of the validity of each permit, in ascending order."""
 
         self._demand = _Demand(now)
         self._denied_until = now
@@ -149,8 +149,8 @@
     ) -> list[Denial]:
         """Hold the permits that were granted; return the denials of what waits.
 
-        ``n_waiting`` requests wait for the ask that was sent at ``asked_at``. Those
-        beyond the permits are denied, the first of them with the time of the leader.
+        ``n_waiting`` requests wait for the answer to what was sent at ``asked_at``.
+        Those beyond the permits are denied, the first with the time of the leader.
         """
         expires_at = add_ms(asked_at, PERMIT_VALIDITY_MS)
         if expires_at > now:
--- a/pollenfold/gateway/quotas/client.py
+++ b/pollenfold/gateway/quotas/client.py
@@ -32,11 +32,11 @@
 a change of leader the buckets are empty, and requests within the quota find none."""
 
 RETRY_AFTER_MS = 500.0
-"""When the caller of a request may come back for which no leader was reached."""
+"""When a caller may come back whose request reached no leader."""
 
 LINES_PER_S = 10.0
 MAX_LINES_AT_ONCE = 10.0
-"""How many lines an entry sends; requests beyond wait for the next line together. Each
+"""How many lines an entry sends; further requests wait and share the next line. A line
 takes the leader 0.2 to 0.4 ms, and under overload each request would cause one."""
 
 MAX_TENANT_SERIES = 100
@@ -66,7 +66,7 @@
 
 
 @dataclass(slots=True)
-class _Ask:
+class _SentRequest:
     """A request for permits that was sent and not answered yet."""
 
     tenant: str
@@ -99,7 +99,7 @@
         self._tenant_label = BoundedLabel(MAX_TENANT_SERIES)
         self._waiting: dict[str, list[_Waiter]] = {}
         self._has_waiting = curio.Event()
-        self._asks: dict[int, _Ask] = {}
+        self._sent: dict[int, _SentRequest] = {}
         self._last_number = 0
         self._silent: Feed | None = None
         """The leader that gave no answer in time; requests no longer wait for it."""
@@ -196,19 +196,19 @@
             if feed is None:
                 await self._release_waiting()
                 continue
-            items = self._begin_asks()
+            items = self._begin_requests()
             if not items:
                 continue
             try:
                 await feed.send({"quota": items})
             except (OSError, curio.TaskTimeout):
                 # The task that reads the feed detects a broken connection.
-                await self._release_asks([item[0] for item in items])
+                await self._release_sent([item[0] for item in items])
 
-    def _begin_asks(self) -> list[list[Any]]:
+    def _begin_requests(self) -> list[list[Any]]:
         """Return the members of a line for everything that waits."""
         now = self._clock()
-        self._forget_asks(now)
+        self._forget_expired(now)
         waiting, self._waiting = self._waiting, {}
         items = []
         for tenant, waiters in waiting.items():
@@ -218,16 +218,16 @@
             n_permits = share.n_to_ask(len(waiters), now)
             self._last_number += 1
             request = PermitRequest(self._last_number, tenant, n_permits)
-            self._asks[request.number] = _Ask(tenant, n_permits, now, waiters)
+            self._sent[request.number] = _SentRequest(tenant, n_permits, now, waiters)
             items.append(request.encode())
         return items
 
-    def _forget_asks(self, now: Instant) -> None:
-        """Forget asks whose permits would no longer be valid."""
-        for number, ask in list(self._asks.items()):
-            if now < add_ms(ask.asked_at, PERMIT_VALIDITY_MS):
+    def _forget_expired(self, now: Instant) -> None:
+        """Forget requests whose permits would no longer be valid."""
+        for number, sent in list(self._sent.items()):
+            if now < add_ms(sent.asked_at, PERMIT_VALIDITY_MS):
                 return
-            del self._asks[number]
+            del self._sent[number]
 
     async def _release_waiting(self) -> None:
         waiting, self._waiting = self._waiting, {}
@@ -235,10 +235,10 @@
             for waiter in waiters:
                 await waiter.answer(None)
 
-    async def _release_asks(self, numbers: list[int]) -> None:
+    async def _release_sent(self, numbers: list[int]) -> None:
         for number in numbers:
-            ask = self._asks.pop(number, None)
-            for waiter in () if ask is None else ask.waiters:
+            sent = self._sent.pop(number, None)
+            for waiter in () if sent is None else sent.waiters:
                 await waiter.answer(None)
 
     async def apply_answers(self, items: Any) -> None:
@@ -246,23 +246,23 @@
         for number, grant in self._malformed.decode_each(
             "granted", items, decode_grant
         ):
-            ask = self._asks.pop(number, None)
-            if ask is not None:
-                await self._apply_answer(ask, grant)
+            sent = self._sent.pop(number, None)
+            if sent is not None:
+                await self._apply_answer(sent, grant)
 
-    async def _apply_answer(self, ask: _Ask, grant: Grant) -> None:
+    async def _apply_answer(self, sent: _SentRequest, grant: Grant) -> None:
         now = self._clock()
-        self._metrics.observe("quota_round_trip_ms", now - ask.asked_at)
-        waiters = deque(w for w in ask.waiters if not w.is_gone)
-        share = self._shares.find(ask.tenant)
+        self._metrics.observe("quota_round_trip_ms", now - sent.asked_at)
+        waiters = deque(w for w in sent.waiters if not w.is_gone)
+        share = self._shares.find(sent.tenant)
         is_granting = grant.n_granted > 0 or grant.retry_after_ms > 0
         self._record_answer(is_granting)
         if share is None or not is_granting:
             for waiter in waiters:
                 await waiter.answer(None)
             return
-        grant = Grant(min(grant.n_granted, ask.n_permits), grant.retry_after_ms)
-        denials = share.apply_grant(grant, len(waiters), ask.asked_at, now)
+        grant = Grant(min(grant.n_granted, sent.n_permits), grant.retry_after_ms)
+        denials = share.apply_grant(grant, len(waiters), sent.asked_at, now)
         while len(waiters) > len(denials):
             await waiters.popleft().answer(share.take(now))
         for denial in denials:
