--- a/pollenfold/control/quota_server.py
+++ b/pollenfold/control/quota_server.py
@@ -30,6 +30,8 @@
 invalid."""
 
 POLL_INTERVAL_MS = 50.0
+"""The pause between two checks for a new configuration."""
+
 LOG_INTERVAL_MS = 5_000.0
 """The minimum time between two log lines on one tenant that reaches its quota."""
 
--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -28,11 +28,17 @@
 from .subscriber import Subscriber
 
 STEP_MS = 75.0
+"""The pause between two steps, in each of which all roll-outs are decided on."""
+
 COMMIT_TIMEOUT_MS = 500.0
+"""How long a step waits for the commit of a stage; a later step decides again."""
+
 LEADER_CONTACT_MS = 500.0
 """A replica without a message of the leader for this long may lag behind."""
 
 RATE_WINDOW_MS = 2_000.0
+"""The time over which the rate of responses is measured."""
+
 N_MANY_BAD = 50
 """The number of bad responses from which the time to take a version back counts."""
 
@@ -44,6 +50,7 @@
 """Entries forget endpoints without an announcement for this long."""
 
 MAX_SERVICE_LABELS = 50
+"""How many services have metrics of their own."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement/leader_lease.py
+++ b/pollenfold/core/agreement/leader_lease.py
@@ -16,6 +16,7 @@
 """By how much the clocks of two machines may differ in rate."""
 
 LEASE_MS = ELECTION_TIMEOUT_MIN_MS * (1.0 - CLOCK_RATE_MARGIN)
+"""How long a leader acts after it sent a heartbeat that a majority acknowledged."""
 
 
 def has_lease(state: State, now: Instant) -> bool:
--- a/pollenfold/core/balancing/priority.py
+++ b/pollenfold/core/balancing/priority.py
@@ -18,8 +18,8 @@
 from .selection import ServerLoad
 
 STEP_SHARES = (math.inf, 1.0, 0.75, 0.5, 0.0)
-"""Up to which share of the slowdown that a higher priority accepts lower ones are
-admitted, in each step. In the last step only idle servers take them."""
+"""By step, the limit on the slowdown of lower priorities, as a share of the slowdown
+that the higher priority accepts. In the last step only idle servers take them."""
 
 LAST_STEP = len(STEP_SHARES) - 1
 
@@ -27,10 +27,11 @@
 """A priority that misses this share of searches holds back the lower ones further."""
 
 RELEASE_MISS_SHARE = 0.03
-"""Below this share it releases them, step by step."""
+"""A priority that misses less than this share releases the lower ones by a step."""
 
 MISS_WINDOW_MS = 2_000.0
-"""The time constant of the decay. An entry makes a handful of searches in it."""
+"""The time constant with which earlier searches count less. An entry makes a few
+searches in this time."""
 
 MIN_SEARCHES = 2.0
 """With fewer recent searches, after their decay, no step is taken."""
@@ -45,6 +46,8 @@
 request of a rare priority in this time."""
 
 N_KEPT_LIMITS = 8
+"""How many of its last requests stand for what a priority accepts."""
+
 MAX_PRIORITIES = 8
 """How many priorities of a service are kept; the one seen least recently is dropped."""
 
@@ -76,7 +79,7 @@
         self.n_missed = self.n_missed * decay + miss_share
 
     def update_step(self, now: Instant) -> None:
-        """Hold back further, or release, if it is time for it."""
+        """Hold back further or release, unless the last step was too recent."""
         if self.n_searches < MIN_SEARCHES:
             return
         miss_share = self.n_missed / self.n_searches
@@ -120,8 +123,10 @@
         state = self._states.get(priority)
         if state is None:
             if len(self._states) >= MAX_PRIORITIES:
-                oldest = min(self._states, key=lambda key: self._states[key].seen_at)
-                del self._states[oldest]
+                least_recent = min(
+                    self._states, key=lambda key: self._states[key].seen_at
+                )
+                del self._states[least_recent]
             state = self._states[priority] = _PriorityState()
         state.seen_at = now
         return state
--- a/pollenfold/core/rollouts/controller.py
+++ b/pollenfold/core/rollouts/controller.py
@@ -22,14 +22,17 @@
 
 GIVE_UP_AT = 0.9
 MIN_END_MS = 1_000.0
-"""An unusable target is taken back at this part of the duration, or this long before
-its end, so that the stage and the reports on it arrive by the deadline."""
+"""An unusable target is taken back at the part ``GIVE_UP_AT`` of the duration, or
+``MIN_END_MS`` before its end if that is earlier, but not before ``DOUBT_END``. The
+stage and the reports on it then arrive by the deadline."""
 
 MIN_OBSERVED = 0.25
 """The part of the duration for which the target is observed before it gets more than
 the share of the canary, unless its endpoints appear too late for that."""
 
 RAMP_SHARES = (0.15, 0.3, 0.5)
+"""The shares of the target in the ramp, as far as its exposure leaves room."""
+
 RAMP_STEP_MS = 400.0
 """Each share brings evidence for at least this long before the next one."""
 
@@ -159,6 +162,7 @@
 def _reason_to_revert(
     rollout: Rollout, situation: Situation, limits: ExposureLimits
 ) -> str | None:
+    """Return why the target of a canary or ramp is taken back, or None if it isn't."""
     if situation.finding.is_bad:
         return "worse_than_old"
     progress = situation.elapsed_ms / rollout.duration_ms
@@ -178,6 +182,7 @@
 
 
 def _give_up_ms(rollout: Rollout) -> float:
+    """Return the time since the order at which an unusable target is taken back."""
     duration_ms = rollout.duration_ms
     give_up_ms = min(GIVE_UP_AT * duration_ms, duration_ms - MIN_END_MS)
     return max(give_up_ms, DOUBT_END * duration_ms)
@@ -197,6 +202,7 @@
 
 
 def _is_full_due(rollout: Rollout, situation: Situation) -> bool:
+    """Return whether the target gets all requests now."""
     progress = situation.elapsed_ms / rollout.duration_ms
     if progress < FULL_AT or not _is_usable(rollout, situation):
         return False
@@ -213,6 +219,7 @@
 
 
 def _is_observed(rollout: Rollout, situation: Situation) -> bool:
+    """Return whether the target has been announced for long enough to be judged."""
     seen_ms = situation.target_seen_ms or 0.0
     return seen_ms >= MIN_OBSERVED * rollout.duration_ms
 
--- a/pollenfold/core/rollouts/outcomes.py
+++ b/pollenfold/core/rollouts/outcomes.py
@@ -21,6 +21,7 @@
 OTHER_ROUTES = "(other)"
 
 _N_COUNTS = 6
+"""Three counts for each side: all attempts, the failed and the slow ones."""
 
 
 class Verdict(Enum):
--- a/pollenfold/gateway/hedge_switch.py
+++ b/pollenfold/gateway/hedge_switch.py
@@ -1,4 +1,4 @@
-"""Sends requests with hedges where the settings permit any, and else without.
+"""Sends requests with hedges if the settings permit any, and otherwise without.
 
 An entry whose settings permit no hedges loads no module for them and starts no task.
 """
@@ -25,7 +25,7 @@
 
 
 class HedgeSwitch:
-    """The way of requests to endpoints, with hedges while their ratio is above 0.
+    """Sends requests to endpoints, with hedges while their ratio is above 0.
 
     ``ratio`` returns the ratio of the settings in force, which a reload may change.
     ``load`` loads the module of the hedges and returns them.
--- a/pollenfold/gateway/priorities.py
+++ b/pollenfold/gateway/priorities.py
@@ -9,11 +9,12 @@
 from .pick import Pick
 
 MAX_SERVICES = 200
-"""Of how many services the priorities are kept; the first one is dropped then."""
+"""How many services have their priorities kept. Beyond it, the service that was added
+first is dropped."""
 
 MIN_MAX_SLOWDOWN = 1.0
-"""A search for a slower endpoint isn't left out below it, since an idle endpoint takes
-requests of any priority."""
+"""The limit of a search is never lowered below this slowdown, since an idle endpoint
+takes requests of any priority."""
 
 
 class Priorities:
--- a/pollenfold/gateway/race.py
+++ b/pollenfold/gateway/race.py
@@ -139,7 +139,7 @@
         except Exception as error:
             run.error = error
         except curio.CancelledError:
-            # Raised on, its traceback would keep what the attempts hold.
+            # Re-raised, its traceback would keep the attempts' objects in memory.
             run.is_cancelled = True
         finally:
             run.is_ended = True
@@ -227,7 +227,10 @@
 
 
 def _combined(first: _Run, second: _Run | None) -> SendResult:
-    """Return the result after all attempts failed: the deadline's end counts first."""
+    """Return the result after all attempts failed.
+
+    An attempt that ended at the deadline takes precedence, then the second attempt.
+    """
     results = [
         run.result
         for run in (first, second)
--- a/pollenfold/gateway/response_memory.py
+++ b/pollenfold/gateway/response_memory.py
@@ -32,7 +32,7 @@
 
 
 def _wait_on() -> None:
-    """Leave it to the others to return memory."""
+    """Do nothing; stands for a missing ``on_full``."""
 
 
 class NoMemoryError(Exception):
--- a/pollenfold/gateway/slow_callers.py
+++ b/pollenfold/gateway/slow_callers.py
@@ -8,8 +8,8 @@
 from ..observe.exposition import Metrics
 
 LOG_INTERVAL_MS = 1_000.0
-"""How often at most such a connection is logged. A crowd must not displace the lines of
-other requests."""
+"""The least time between two log lines, so that many slow callers don't displace the
+lines of other requests."""
 
 
 class SlowCallerReport:
--- a/pollenfold/http/caller_outputs.py
+++ b/pollenfold/http/caller_outputs.py
@@ -30,13 +30,14 @@
 
 PASS_INTERVAL_MS = 200.0
 RELIEF_INTERVAL_MS = 200.0
-"""How often at most a connection is closed for long responses that wait. Callers that
-are closed come back at once, and many together would delay the requests of others."""
+"""The least time between two connections that are closed for long responses that wait.
+Callers that are closed reconnect at once, and many together would delay others."""
 
 KERNEL_FACTOR = 2
-"""Linux doubles the size that is set, to leave room for its overhead."""
+"""Linux doubles the size set by ``SO_SNDBUF``, to leave room for its overhead."""
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""``SO_LINGER`` with a time of 0: closing the socket sends a reset."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +50,11 @@
 
 
 OnClosed = Callable[[ClosedOutput], None]
+"""Called with each connection that was closed."""
 
 
 def _ignore_closed(closed: ClosedOutput) -> None:
-    """Close without a report."""
+    """Ignore a closed connection; stands for a missing ``on_closed``."""
 
 
 class CallerOutput:
@@ -81,7 +83,7 @@
         """Why the connection was closed, if it was."""
 
     def hold(self, n_bytes: int, is_long: bool) -> None:
-        """Count a finished response until ``release`` is called with the same."""
+        """Count a finished response until ``release`` is called for it."""
         if is_long:
             self._n_long += 1
             self.pending.is_long = True
@@ -182,8 +184,8 @@
         self._on_closed = on_closed
         self.clock = clock
         self._busy: set[CallerOutput] = set()
-        self._n_most_bytes = 0
-        """No less than what all hold now."""
+        self._n_bytes_bound = 0
+        """No less than ``n_bytes``: the sum at the last pass and what came since."""
 
         self._next_relief_at = Instant(0.0)
 
@@ -208,8 +210,8 @@
         if self._max_bytes is None or output.end:
             return
         self._busy.add(output)
-        self._n_most_bytes += n_bytes
-        if self._n_most_bytes > self._max_bytes:
+        self._n_bytes_bound += n_bytes
+        if self._n_bytes_bound > self._max_bytes:
             self.run_pass()
 
     def discard(self, output: CallerOutput) -> None:
@@ -232,7 +234,7 @@
         outputs = [output for output in outputs if not output.end]
         chosen = chosen_for_room(self._pending(outputs), self._max_bytes)
         self._close(outputs, chosen, "memory")
-        self._n_most_bytes = self.n_bytes
+        self._n_bytes_bound = self.n_bytes
 
     def relieve(self) -> None:
         """Close the slowest connection for long responses that wait for memory."""
--- a/pollenfold/http/response_writer.py
+++ b/pollenfold/http/response_writer.py
@@ -17,6 +17,7 @@
 caller before the response does."""
 
 MAX_LINGER_BYTES = 4 << 20
+"""How much a closing connection reads at most."""
 
 _STATUS_WITHOUT_BODY = (204, 304)
 
