Let one loop run tasks again, and log their errors by error_text

The loop that runs a task again after each error stood in the feeds and in the gate of quotas; it is run_again in observe/steps.py now. Three new log lines of failed tasks used repr, which shows all the data of a UnicodeError; they use error_text like the others. The text of other errors is the same.

--- a/pollenfold/control/rollouts.py
+++ b/pollenfold/control/rollouts.py
@@ -19,6 +19,7 @@
 from ..core.rollouts.order_age import OrderAges
 from ..core.rollouts.reports import Report, Reports, decode_report
 from ..core.rollouts.state import Rollout
+from ..observe.error_text import error_text
 from ..observe.events import EventLog
 from ..observe.exposition import BoundedLabel, Metrics
 from ..observe.steps import run_step
@@ -216,7 +217,7 @@
             await run_step("rollouts", self._log_failure, self.step)
 
     def _log_failure(self, step: str, error: BaseException) -> None:
-        self._log.state("rollout_step_failed", step=step, detail=repr(error))
+        self._log.state("rollout_step_failed", step=step, detail=error_text(error))
 
     async def step(self) -> None:
         """Decide on each roll-out in progress, if this replica leads."""
--- a/pollenfold/gateway/feeds.py
+++ b/pollenfold/gateway/feeds.py
@@ -22,7 +22,7 @@
 from ..core.update_source import UpdateSource, choose_update_source
 from ..observe.error_text import error_text
 from ..observe.events import EventLog
-from ..observe.steps import is_ended_from_outside, run_step
+from ..observe.steps import is_ended_from_outside, run_again, run_step
 from ..wire.connections import open_connection
 from ..wire.lines import read_lines
 from .confirmation_requests import ConfirmationRequests
@@ -46,7 +46,6 @@
 SPARSE_READ_TIMEOUT_MS = 3_000.0
 """The same for a replica that isn't the update source and sends less often."""
 
-RESTART_PAUSE_MS = 100.0
 RETRY_PAUSE_MS = 300.0
 FIRST_RETRY_PAUSE_MS = 50.0
 """The pause while no feed is open, since this entry may have no state at all yet."""
@@ -182,12 +181,7 @@
         def log_failure(task: str, error: BaseException) -> None:
             self._log.state("task_failed", task=task, detail=error_text(error))
 
-        async def run_again() -> None:
-            while True:
-                await run_step(name, log_failure, run)
-                await curio.sleep(RESTART_PAUSE_MS / 1000)
-
-        await curio.spawn(run_again, daemon=True)
+        await curio.spawn(run_again, name, log_failure, run, daemon=True)
 
     def _confirmation_requests(self) -> ConfirmationRequests:
         view = self._view
--- a/pollenfold/gateway/quotas/gate.py
+++ b/pollenfold/gateway/quotas/gate.py
@@ -14,9 +14,10 @@
 from ...core.clock import Clock
 from ...core.errors import ErrorKind
 from ...core.tenancy.quota_limits import QuotaLimits
+from ...observe.error_text import error_text
 from ...observe.events import EventLog
 from ...observe.exposition import Metrics
-from ...observe.steps import run_step
+from ...observe.steps import run_again
 from ..calls import NOT_EXECUTED_OUTCOMES, Call
 from ..feed import Feed
 from ..view import FleetView
@@ -26,7 +27,6 @@
     from .client import QuotaClient
 
 RESERVE_INTERVAL_MS = 1_000.0
-RESTART_PAUSE_MS = 100.0
 
 
 class QuotaGate:
@@ -134,17 +134,13 @@
         self._client = client
         # The request that starts the client may end, while others need the client.
         async with curio.disable_cancellation():
-            await curio.spawn(self._run_client, client, daemon=True)
+            await curio.spawn(
+                run_again, "quota_client", self._log_failure, client.run, daemon=True
+            )
         return client
 
-    async def _run_client(self, client: QuotaClient) -> None:
-        """Run the client, and again after each error."""
-        while True:
-            await run_step("quota_client", self._log_failure, client.run)
-            await curio.sleep(RESTART_PAUSE_MS / 1000)
-
     def _log_failure(self, task: str, error: BaseException) -> None:
-        self._log.state("task_failed", task=task, detail=repr(error))
+        self._log.state("task_failed", task=task, detail=error_text(error))
 
     async def apply_answers(self, items: Any) -> None:
         """Apply the part of a line with which a replica answers."""
--- a/pollenfold/gateway/rollouts/reports.py
+++ b/pollenfold/gateway/rollouts/reports.py
@@ -11,6 +11,7 @@
 from ...core.clock import Clock, Instant, add_ms
 from ...core.rollouts.choice import is_testing
 from ...core.rollouts.state import Rollout
+from ...observe.error_text import error_text
 from ...observe.events import EventLog
 from ...observe.steps import run_step
 from .outcomes import VersionOutcomes
@@ -71,7 +72,7 @@
         await self._send_if_due()
 
     def _log_failure(self, step: str, error: BaseException) -> None:
-        self._log.state("task_failed", task=step, detail=repr(error))
+        self._log.state("task_failed", task=step, detail=error_text(error))
 
     def _log_stages(self) -> None:
         """Log each stage that came into force at this entry."""
--- a/pollenfold/observe/steps.py
+++ b/pollenfold/observe/steps.py
@@ -8,6 +8,8 @@
 
 import curio
 
+RESTART_PAUSE_MS = 100.0
+
 OnFailed = Callable[[str, BaseException], None]
 """Called with the name of a step that failed, and with what it raised."""
 
@@ -36,6 +38,13 @@
             return
 
 
+async def run_again(name: str, on_failed: OnFailed, run: Callable[[], Any]) -> None:
+    """Run a coroutine function until cancelled, and again after each error."""
+    while True:
+        await run_step(name, on_failed, run)
+        await curio.sleep(RESTART_PAUSE_MS / 1000)
+
+
 async def is_ended_from_outside(error: BaseException) -> bool:
     """Return whether the error ends the calling task, or a block around this code."""
     if isinstance(error, curio.TimeoutCancellationError):
