Decode the quotas of successive configurations with the routes that are known

A control replica decoded each new configuration from scratch for its quotas, though configuration_decoder keeps the routes of the last version. quota_decoder uses it; the quotas are the same.

--- a/pollenfold/platform/__main__.py
+++ b/pollenfold/platform/__main__.py
@@ -128,7 +128,7 @@
     from ..control.rollouts import RolloutSettings
     from ..core.rollouts.controller import ExposureLimits
     from .control_api import make_handler
-    from .quota_documents import quota_steps
+    from .quota_documents import quota_decoder
 
     settings = source.settings
     ports = _ports("control", settings)
@@ -156,7 +156,7 @@
             ),
             settings.bound("contactMs", 2_000.0),
         ),
-        decode_quotas=quota_steps,
+        decode_quotas=quota_decoder(),
         quota_limits=quota_limits(settings),
     )
     handler = make_handler(api_port, settings.zones)
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -18,7 +18,7 @@
 from pollenfold.observe.events import EventLog
 from pollenfold.platform.control_api import ControlApi
 from pollenfold.platform.documents import configuration_decoder
-from pollenfold.platform.quota_documents import quota_steps
+from pollenfold.platform.quota_documents import quota_decoder
 from pollenfold.testing.ports import unused_port
 from pollenfold.tests.core.test_replicated_state import announcement
 from pollenfold.tests.platform.test_documents import ANNOUNCEMENT, CONFIGURATION
@@ -59,7 +59,7 @@
             reload=lambda: None,
             is_founder=is_first and number == 1,
             n_members=self.n_members,
-            decode_quotas=quota_steps,
+            decode_quotas=quota_decoder(),
         )
         node = ClusterNode(settings)
         node.load_endpoints()
