Name the outcomes with a response once, and count attempts in one place

The peer port listed the same outcomes as the attempts, and both had to learn of GIVEN_UP. An attempt that expired because of its caller was counted beside _record_health; send counts each attempt itself now. Tests of the peer port and of the measurement of work passed.

--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -131,14 +131,13 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._log_invalid_response(call, pick)
+        self._metrics.count(
+            "attempts_total", service=call.service, outcome=outcome.value
+        )
         arrived_at = started_at + elapsed_ms
         if response is not None and response.arrived_at is not None:
             arrived_at = response.arrived_at
         if outcome is AttemptOutcome.EXPIRED and self._is_caller_late(call, started_at):
-            service = call.service
-            self._metrics.count(
-                "attempts_total", service=service, outcome=outcome.value
-            )
             return outcome, response
         latency_ms = arrived_at - started_at
         self._version_outcomes.record(
@@ -267,8 +266,6 @@
     ) -> None:
         """Update the health of the endpoint from the outcome of an attempt."""
         now = self._clock()
-        service = call.service
-        self._metrics.count("attempts_total", service=service, outcome=outcome.value)
         match outcome:
             case AttemptOutcome.RESPONDED:
                 endpoint.health.observe(elapsed_ms)
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -7,7 +7,6 @@
 
 from ..core.clock import Clock, add_ms
 from ..core.errors import ErrorKind
-from ..core.outcomes import AttemptOutcome
 from ..http.memory import MemoryBudget
 from ..http.messages import Request, Response, error_response, json_response
 from ..http.request_reader import BODY_WINDOW_BYTES, ServerLimits
@@ -15,6 +14,7 @@
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .calls import Call
+from .endpoint_attempts import RESPONSE_OUTCOMES
 from .forward import Forwarder
 from .peers import PeerDirectory
 from .reach_monitor import ReachMonitor
@@ -40,14 +40,6 @@
 
 REFUSAL_LOG_INTERVAL_MS = 1_000.0
 
-REACHING_OUTCOMES = (
-    AttemptOutcome.RESPONDED,
-    AttemptOutcome.SERVER_ERROR,
-    AttemptOutcome.NOT_STARTED,
-    AttemptOutcome.GIVEN_UP,
-)
-"""Outcomes with a response of the endpoint."""
-
 
 class PeerPort:
     """Serves the requests of peers like those of callers, and says what it reaches.
@@ -155,7 +147,7 @@
         attempts = [] if call is None else call.attempts
         last = attempts[-1] if attempts else None
         is_reached: bool | None = None
-        if any(attempt.outcome in REACHING_OUTCOMES for attempt in attempts):
+        if any(attempt.outcome in RESPONSE_OUTCOMES for attempt in attempts):
             is_reached = True
         elif self._monitor.is_cut:
             is_reached = False
