--- a/review/6/case.py
+++ b/review/6/case.py
@@ -136,9 +136,7 @@
 
 async def leave_early(system: System, caller: Caller, entry: Program) -> None:
     """Send safe requests without waiting for the first response, then leave."""
-    reader, writer = await asyncio.open_connection(
-        entry.host, system.front_port, local_addr=("127.0.0.1", 0)
-    )
+    reader, writer = await asyncio.open_connection(entry.host, system.front_port)
     targets = ["/first/slow"] + [f"/later/{n}" for n in range(N_PIPELINED)]
     for target in targets:
         request_id = caller.next_id()
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -67,7 +67,7 @@
     for endpoint in (long, *sound):
         await endpoint.start()
     routes = [
-        {"name": "r-1", "pathPrefix": "/long/", "kind": "safe", "service": "plans"},
+        {"name": "r-1", "pathPrefix": "/long/", "kind": "download", "service": "plans"},
         {"name": "r-2", "pathPrefix": "/short/", "kind": "safe", "service": "orders"},
     ]
     answer = await system.order(
@@ -106,9 +106,7 @@
 
     Return the ids of those behind it that got no answer.
     """
-    reader, writer = await asyncio.open_connection(
-        entry.host, system.front_port, local_addr=("127.0.0.1", 0)
-    )
+    reader, writer = await asyncio.open_connection(entry.host, system.front_port)
 
     def send(target: str) -> str:
         request_id = caller.next_id()
