--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -1,4 +1,4 @@
-"""Stand-ins and process control for the cases 6 to 10: standard library only.
+"""Stand-ins and process control for the cases 6 to 9: standard library only.
 
 A case starts the project's own programs with the commands of the deploy file, on
 loopback addresses of their own. The servers, the callers and the operator are here.
