Answer an unmarked refusal of an order that may have run with 502

Cause: an entry decided by the mark X-Not-Executed whether a request ran, and returned the endpoint's status, but never compared the two. 408, 421, 429 and 503 promise "not run"; only a marked response states it.

Change: core/outcomes.py decides for all paths from status, mark and kind. The caller of a non-idempotent request gets 502 with an unknown outcome, without the endpoint's signature. Idempotent requests keep retries and responses. A peer passes on what the endpoint asked for in a response that it withheld, so that Retry-After still binds the passing entry. refusal_unmarked and unmarked_refusals_total say what the endpoint sent.

--- a/pollenfold/gateway/calls.py
+++ b/pollenfold/gateway/calls.py
@@ -73,6 +73,9 @@
     attempts: list[Attempt] = field(default_factory=list)
     decision_trace: list[str] = field(default_factory=list)
     last_response: Response | None = None
+    last_notices: Response | None = None
+    """The response to the last attempt, without its body and most headers."""
+
     may_have_executed: bool = False
     """Whether an endpoint may have executed the request, in any attempt so far."""
 
--- a/pollenfold/gateway/dialect.py
+++ b/pollenfold/gateway/dialect.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from ..core.balancing.selection import ServerLoad
-from ..http.messages import Response
+from ..http.messages import Response, find_header
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,3 +40,12 @@
     tenant: bytes
     parse_load: Callable[[bytes], ServerLoad | None]
     is_genuine: Callable[[Response], bool]
+
+    def is_marked_not_executed(self, response: Response) -> bool:
+        """Return whether the server states that it didn't execute the request.
+
+        Another instance at the address says so by the status 421 alone.
+        """
+        if response.status == 421:
+            return True
+        return find_header(response.headers, self.not_executed) is not None
--- a/pollenfold/gateway/endpoint_attempts.py
+++ b/pollenfold/gateway/endpoint_attempts.py
@@ -11,7 +11,7 @@
 from ..core.link import Link
 from ..core.outcomes import AttemptOutcome
 from ..core.reach import Contact
-from ..http.messages import Response
+from ..http.messages import Response, find_header
 from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BeforeFinalPiece
@@ -21,14 +21,18 @@
 from .endpoint import Endpoint
 from .exchange import CallerGoneError, exchange, is_caller_gone
 from .long_response import hold_connection_for_body
-from .notices import apply_response_notices
+from .notices import apply_response_notices, notices_of
 from .pick import Pick
 from .reach_monitor import ReachMonitor
 from .rollouts.outcomes import VersionOutcomes
 from .suspects import Suspects
 from .view import FleetView
 
-COMPLETED_OUTCOMES = (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR)
+COMPLETED_OUTCOMES = (
+    AttemptOutcome.RESPONDED,
+    AttemptOutcome.SERVER_ERROR,
+    AttemptOutcome.UNMARKED_REFUSAL,
+)
 """Outcomes after which the endpoint has run the request and is still there."""
 
 RESPONSE_OUTCOMES = (
@@ -42,6 +46,8 @@
 """If sending the body takes at least this long, the reported load is out of date by the
 time the request is complete."""
 
+MAX_LOGGED_HEADER_CHARS = 40
+
 MAX_HOLD_MS = 1_500.0
 """The longest time for which the final piece of a request is delayed."""
 
@@ -131,6 +137,11 @@
             else:
                 await self._balancer.release(endpoint, pick.connection)
         self._log_invalid_response(call, pick)
+        if outcome is AttemptOutcome.UNMARKED_REFUSAL and response is not None:
+            self._log_unmarked_refusal(call, endpoint, response)
+        call.last_notices = (
+            None if response is None else notices_of(response, self._dialect)
+        )
         self._metrics.count(
             "attempts_total", service=call.service, outcome=outcome.value
         )
@@ -177,6 +188,25 @@
                 detail=detail,
             )
 
+    def _log_unmarked_refusal(
+        self, call: Call, endpoint: Endpoint, response: Response
+    ) -> None:
+        """Log and count the status, in place of which the caller gets another one."""
+        retry_after = find_header(response.headers, b"retry-after") or b"none"
+        self._log.request(
+            "refusal_unmarked",
+            True,
+            request=call.request_id.decode("latin-1"),
+            endpoint=endpoint.announcement.endpoint_id,
+            endpoint_status=response.status,
+            retry_after=retry_after.decode("latin-1")[:MAX_LOGGED_HEADER_CHARS],
+        )
+        self._metrics.count(
+            "unmarked_refusals_total",
+            service=call.service,
+            status=str(response.status),
+        )
+
     async def _record_contact(
         self,
         call: Call,
@@ -276,7 +306,11 @@
                 endpoint.health.mark_unreachable(now)
             case AttemptOutcome.NOT_STARTED:
                 endpoint.health.add_penalty(0.5, now)
-            case AttemptOutcome.LOST | AttemptOutcome.SERVER_ERROR:
+            case (
+                AttemptOutcome.LOST
+                | AttemptOutcome.SERVER_ERROR
+                | AttemptOutcome.UNMARKED_REFUSAL
+            ):
                 endpoint.health.add_penalty(2.0, now)
             case AttemptOutcome.EXPIRED:
                 endpoint.health.add_penalty(1.0, now)
--- a/pollenfold/gateway/exchange.py
+++ b/pollenfold/gateway/exchange.py
@@ -9,7 +9,7 @@
 
 from ..core.clock import Clock, add_ms, remaining_ms
 from ..core.errors import ErrorKind
-from ..core.outcomes import AttemptOutcome
+from ..core.outcomes import AttemptOutcome, response_outcome
 from ..http.messages import BodyError, Headers, Response, find_header
 from ..http.socket_state import is_closed_by_peer
 from .backend import BackendConnection, BeforeFinalPiece
@@ -254,12 +254,20 @@
 
 def _classify(call: Call, response: Response, dialect: Dialect) -> AttemptOutcome:
     """Return the outcome, which decides whether the request may be retried."""
-    is_refused = find_header(response.headers, dialect.not_executed)
-    if response.status == 421 or is_refused is not None:
+    outcome = endpoint_response_outcome(response, call.route.is_idempotent, dialect)
+    if outcome is AttemptOutcome.NOT_STARTED:
         call.may_have_executed = call.may_have_executed_before()
-        return AttemptOutcome.NOT_STARTED
+    return outcome
+
+
+def endpoint_response_outcome(
+    response: Response, is_idempotent: bool, dialect: Dialect
+) -> AttemptOutcome:
+    """Return what a response of an endpoint says about its request."""
     if not dialect.is_genuine(response):
         return AttemptOutcome.LOST
-    if response.status in (500, 502, 503, 504) and call.route.is_idempotent:
-        return AttemptOutcome.SERVER_ERROR
-    return AttemptOutcome.RESPONDED
+    return response_outcome(
+        response.status,
+        is_marked=dialect.is_marked_not_executed(response),
+        is_idempotent=is_idempotent,
+    )
--- a/pollenfold/gateway/notices.py
+++ b/pollenfold/gateway/notices.py
@@ -15,6 +15,16 @@
 LEAVING = b"1"
 
 
+def notices_of(response: Response, dialect: Dialect) -> Response:
+    """Return the status of a response and the headers that concern its endpoint.
+
+    It holds neither the body nor the memory that is reserved for it.
+    """
+    names = (dialect.leaving, dialect.declared_limit, b"retry-after", b"date")
+    headers = [pair for pair in response.headers if pair[0] in names]
+    return Response(response.status, headers)
+
+
 def apply_response_notices(
     endpoint: Endpoint,
     response: Response,
--- a/pollenfold/gateway/peer_port.py
+++ b/pollenfold/gateway/peer_port.py
@@ -151,11 +151,14 @@
             is_reached = True
         elif self._monitor.is_cut:
             is_reached = False
+        is_from_endpoint = call is not None and call.is_endpoint_response
+        is_passed_on = call is None or is_from_endpoint
         return RelayNotice(
-            is_from_endpoint=call is not None and call.is_endpoint_response,
+            is_from_endpoint=is_from_endpoint,
             endpoint_id="" if last is None else last.endpoint_id,
             born_ms=0 if last is None else last.born_ms,
             n_sends=0 if call is None else call.n_sends(),
             n_in_flight=self.n_in_flight,
             is_reached=is_reached,
+            endpoint_notices=None if is_passed_on else call.last_notices,
         )
--- a/pollenfold/gateway/relay/client.py
+++ b/pollenfold/gateway/relay/client.py
@@ -133,6 +133,7 @@
             endpoint=result.endpoint_id or "none",
             outcome=outcome.value,
             kind="none" if result.error_kind is None else result.error_kind.value,
+            endpoint_status="none" if result.notices is None else result.notices.status,
             n_sends=result.n_sends,
             n_in_flight="unknown"
             if result.peer_in_flight is None
@@ -148,15 +149,16 @@
         further requests on a path of its own.
         """
         endpoint = self._view.endpoints.get(result.endpoint_id)
-        response = result.response
-        if result.outcome is not RelayOutcome.RESPONDED or response is None:
+        notices = result.notices
+        if endpoint is None or notices is None:
             return
-        if endpoint is None or endpoint.announcement.born_ms != result.born_ms:
+        if endpoint.announcement.born_ms != result.born_ms:
             return
-        is_success = response.status < 300
+        is_passed_on = result.outcome is RelayOutcome.RESPONDED
+        is_success = is_passed_on and notices.status < 300
         apply_response_notices(
             endpoint,
-            response,
+            notices,
             self._dialect,
             self._view,
             self._rng,
@@ -181,7 +183,7 @@
             if isinstance(received, RelayOutcome):
                 n_sends = 0 if received is RelayOutcome.UNREACHABLE else 1
                 return RelayResult(received, n_sends=n_sends)
-            result = relay_result(received, self._dialect)
+            result = relay_result(received, call.route.is_idempotent, self._dialect)
             if result.outcome is RelayOutcome.NOT_STARTED:
                 call.may_have_executed = may_have_executed
             if received.remaining_body is not None:
--- a/pollenfold/gateway/relay/headers.py
+++ b/pollenfold/gateway/relay/headers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from ...http.messages import Headers, find_header
+from ...http.messages import Headers, Response, find_header
 
 RELAY_REQUEST = b"pollenfold-relay-request"
 RELAY_RESPONSE = b"pollenfold-relay-response"
@@ -21,6 +21,10 @@
 """Two names of 128 characters outside of ASCII take up to 3 KB of JSON."""
 
 MAX_NAME_CHARS = 200
+MAX_NOTICES = 8
+MAX_NOTICE_CHARS = 100
+"""Header names and values of an endpoint's notice that are longer are left out."""
+
 MAX_PROBES = 8
 """How many probes a passing entry may leave to a peer with one request."""
 
@@ -61,6 +65,8 @@
     and its start time are those of the last attempt; the id is empty without one.
     ``n_sends`` is the number of endpoints that got the request. ``is_reached`` is True
     if one responded to it, False if the peer is cut off itself, and else None.
+    ``endpoint_notices`` has the status of a response that the peer didn't pass on, and
+    the headers in which its endpoint said something of itself.
     """
 
     is_from_endpoint: bool
@@ -69,6 +75,7 @@
     n_sends: int
     n_in_flight: int
     is_reached: bool | None
+    endpoint_notices: Response | None = None
 
 
 def encode_relayed_request(request: RelayedRequest) -> bytes:
@@ -141,10 +148,39 @@
             "n_sends": notice.n_sends,
             "n_in_flight": notice.n_in_flight,
             "is_reached": notice.is_reached,
+            **_encode_endpoint_notices(notice.endpoint_notices),
         }
     )
 
 
+def _encode_endpoint_notices(response: Response | None) -> dict[str, Any]:
+    if response is None:
+        return {}
+    pairs = [
+        [name.decode("latin-1"), value.decode("latin-1")]
+        for name, value in response.headers
+        if len(value) <= MAX_NOTICE_CHARS
+    ]
+    return {"status": response.status, "notices": pairs[:MAX_NOTICES]}
+
+
+def _decode_endpoint_notices(fields: dict[str, Any]) -> Response | None:
+    """Return the notices; None if there are none, as from earlier versions."""
+    status, pairs = fields.get("status"), fields.get("notices")
+    if not _is_count(status) or not isinstance(pairs, list):
+        return None
+    headers = []
+    for pair in pairs[:MAX_NOTICES]:
+        if not isinstance(pair, list) or len(pair) != 2:
+            return None
+        if not all(isinstance(t, str) and len(t) <= MAX_NOTICE_CHARS for t in pair):
+            return None
+        if not all(text.isascii() for text in pair):
+            return None
+        headers.append((pair[0].encode(), pair[1].encode()))
+    return Response(status, headers)
+
+
 def decode_relay_notice(headers: Headers) -> RelayNotice | None:
     """Return what a peer says of its response, or None if that is malformed."""
     fields = _decode(headers, RELAY_RESPONSE)
@@ -158,7 +194,13 @@
         and all(_is_count(count) for count in counts)
         and (is_reached is None or type(is_reached) is bool)
     ):
-        return RelayNotice(is_from_endpoint, endpoint_id, *counts, is_reached)
+        return RelayNotice(
+            is_from_endpoint,
+            endpoint_id,
+            *counts,
+            is_reached,
+            _decode_endpoint_notices(fields),
+        )
     return None
 
 
--- a/pollenfold/gateway/relay/result.py
+++ b/pollenfold/gateway/relay/result.py
@@ -8,8 +8,11 @@
 from enum import Enum
 
 from ...core.errors import ErrorKind, RunState
+from ...core.outcomes import AttemptOutcome
 from ...http.messages import Response, find_header
 from ..dialect import Dialect
+from ..exchange import endpoint_response_outcome
+from ..notices import notices_of
 from .headers import RelayNotice, decode_relay_notice, without_relay_headers
 
 
@@ -42,7 +45,8 @@
     requests in flight at the peer, None if it didn't say. ``reached`` is True if an
     endpoint responded, False if the peer is cut off itself, and else None: it may have
     found none for a moment. ``n_sends`` is the number of endpoints that got the
-    request.
+    request. ``notices`` has the status and the headers in which the endpoint said
+    something of itself, also if its response isn't passed on.
     """
 
     outcome: RelayOutcome
@@ -56,6 +60,8 @@
     is_full: bool = False
     """Whether this entry uses all connections that it may have to the peer."""
 
+    notices: Response | None = None
+
 
 def response_matcher(request_id: bytes, dialect: Dialect) -> Callable[[Response], bool]:
     """Return a check whether a response belongs to a request.
@@ -70,8 +76,14 @@
     return is_expected
 
 
-def relay_result(response: Response, dialect: Dialect) -> RelayResult:
-    """Return what a response of a peer means for the request."""
+def relay_result(
+    response: Response, is_idempotent: bool, dialect: Dialect
+) -> RelayResult:
+    """Return what a response of a peer means for the request.
+
+    A peer of an earlier version passes on an endpoint's refusal that isn't marked as
+    one, after which the outcome is unknown.
+    """
     notice = decode_relay_notice(response.headers)
     has_notice = notice is not None
     response.headers = without_relay_headers(response.headers)
@@ -88,9 +100,12 @@
             notice.is_reached,
             n_sends=notice.n_sends,
             born_ms=notice.born_ms,
+            notices=notice.endpoint_notices,
         )
     if notice.is_from_endpoint:
-        if dialect.is_genuine(response):
+        result.notices = notices_of(response, dialect)
+        outcome = endpoint_response_outcome(response, is_idempotent, dialect)
+        if outcome in (AttemptOutcome.RESPONDED, AttemptOutcome.SERVER_ERROR):
             result.outcome = RelayOutcome.RESPONDED
         return result
     run_state = find_header(response.headers, b"pollenfold-run-state")
