Replace the status of a refusal after a run on the own interface

Callers saw: on the entries with a ledger, a non-idempotent request that a server answered with 408, 421, 429 or 503 without marking it as not started got that status, with the run state "ran", and so did a resend of its key. A client library that goes by the status sends an order without a key again.

Cause: the same as on the platform's path: the status of a response isn't compared with what is known about the run.

Change: the caller gets 502 outcome_unknown with the run state "ran", and the server's status in the detail and in the log line refusal_unmarked. The ledger still stores the server's response; it is replaced when it is replayed, so that outcomes stored by earlier versions are covered, and at an entry that forwards to one of an earlier version.

Evidence: the five new cases of tests/entry/test_actions.py fail on the code before.

--- a/pollenfold/entry/non_idempotent.py
+++ b/pollenfold/entry/non_idempotent.py
@@ -12,8 +12,9 @@
 from ..core.claims import Claimed, Completed, InDoubt, InProgress, Unavailable
 from ..core.clock import Clock, Instant, add_ms, remaining_ms
 from ..core.errors import ERROR_TABLE, ErrorKind, RunState
+from ..core.outcomes import REFUSAL_STATUSES
 from ..core.register import Outcome
-from ..http.messages import Response, error_response
+from ..http.messages import Response, error_response, find_header
 from ..ledger.client import LedgerClient
 from .attempts import backend_headers
 from .refusal import Refusal
@@ -36,6 +37,7 @@
 
 _BODY_OMITTED = (b"pollenfold-body-omitted", b"true")
 _REPLAYED = (b"pollenfold-replayed", b"true")
+_KEPT_HEADERS = (_REPLAYED[0], b"idempotency-key")
 
 Dispatch = Callable[[], Awaitable["Response | Refusal"]]
 
@@ -126,7 +128,14 @@
             relayed = Response(result.status, backend_headers(result), result.body)
             await self._store_in_background(register, claim_id, relayed)
             relayed.headers.append((b"pollenfold-run-state", b"ran"))
-            return relayed
+            if relayed.status in REFUSAL_STATUSES:
+                logger.warning(
+                    "event=refusal_unmarked key={!r} claim={} endpoint_status={}",
+                    register,
+                    claim_id,
+                    relayed.status,
+                )
+            return without_refusal_status(relayed)
         state = result.run_state or ERROR_TABLE[result.kind].run_state
         if state is RunState.DID_NOT_RUN:
             return await self._abandon_claim(
@@ -205,4 +214,25 @@
             ErrorKind.OUTCOME_UNKNOWN, detail, run_state=RunState.RAN.value
         )
     headers = [*outcome.headers, _REPLAYED, (b"pollenfold-run-state", b"ran")]
-    return Response(outcome.status, headers, outcome.body)
+    return without_refusal_status(Response(outcome.status, headers, outcome.body))
+
+
+def without_refusal_status(response: Response) -> Response:
+    """Return the response to a request that ran, with no status that denies it.
+
+    Callers send a request again after some statuses, and one without a key of the
+    caller would then run twice. For example, a 503 of a backend server becomes 502
+    ``outcome_unknown`` with the run state ``ran``.
+    """
+    if response.status not in REFUSAL_STATUSES:
+        return response
+    if find_header(response.headers, b"pollenfold-run-state") != b"ran":
+        return response
+    replacement = error_response(
+        ErrorKind.OUTCOME_UNKNOWN,
+        f"the backend server responded with status {response.status}",
+        run_state=RunState.RAN.value,
+    )
+    kept = [pair for pair in response.headers if pair[0] in _KEPT_HEADERS]
+    replacement.headers += kept
+    return replacement
--- a/pollenfold/entry/proxy.py
+++ b/pollenfold/entry/proxy.py
@@ -25,7 +25,7 @@
 )
 from .forwarding import Forwarder, RequestLostError, is_forwarded
 from .hedges import run_hedged_attempt
-from .non_idempotent import NonIdempotentRunner
+from .non_idempotent import NonIdempotentRunner, without_refusal_status
 from .refusal import Refusal
 
 if TYPE_CHECKING:
@@ -138,7 +138,7 @@
                 return self._refuse_early(request, ErrorKind.NO_BACKEND_SERVER)
             if find_header(forwarded.headers, IDEMPOTENCY_KEY) is None:
                 forwarded.headers.append((IDEMPOTENCY_KEY, key))
-            return forwarded
+            return without_refusal_status(forwarded)
         if caller_key is None:
             # No earlier request has this new key, so the request certainly didn't run
             # and may be refused without a claim.
--- a/pollenfold/tests/entry/test_actions.py
+++ b/pollenfold/tests/entry/test_actions.py
@@ -3,6 +3,8 @@
 import curio
 import pytest
 
+from pollenfold.core.outcomes import REFUSAL_STATUSES
+from pollenfold.http.messages import Response
 from pollenfold.testing.response_bodies import check_response_body
 from pollenfold.tests.entry.conftest import set_faults, wait_until
 
@@ -191,3 +193,64 @@
         assert (await entry.send("GET")).run_state is None
 
     call_path(main)
+
+
+def scripted_status(status, extra=b""):
+    """Return a server that runs each request and responds with this status."""
+
+    async def serve(client, address):
+        await client.recv(10_000)
+        await client.sendall(
+            b"HTTP/1.1 %d Busy\r\nContent-Length: 4\r\n%s\r\nbusy" % (status, extra)
+        )
+
+    return serve
+
+
+@pytest.mark.parametrize("status", sorted(REFUSAL_STATUSES))
+def test_request_that_ran_is_not_answered_with_the_status_of_a_refusal(
+    call_path, status
+):
+    """Guards against a caller without a key that sends an order again because it got
+    the 503 of a server that ran it, and against a stored 503 for a resend."""
+
+    async def main(path):
+        await path.add_scripted(scripted_status(status, b"Retry-After: 1\r\n"))
+        entry = await path.add_entry()
+        first = await entry.send("POST")
+        key = first.headers["idempotency-key"]
+        await wait_until(lambda: not entry.actions.n_storing)
+        again = await entry.send("POST", key=key)
+        for reply in (first, again):
+            assert (reply.status, reply.error) == (502, "outcome_unknown")
+            assert reply.run_state == "ran" and reply.retry_after is None
+            assert f"status {status}".encode() in reply.body
+            assert reply.headers["idempotency-key"] == key
+        assert again.headers["pollenfold-replayed"] == "true"
+        assert (await entry.send("GET")).status == status
+
+    call_path(main)
+
+
+def test_refusal_status_that_another_entry_passes_on_is_replaced(call_path):
+    """Guards against the same through an entry of an earlier version, which owns the
+    warm-up of every server and passes the status on."""
+
+    async def main(path):
+        await path.add_server(is_warm=False)
+        entries = [await path.add_entry(f"entry-{n}") for n in range(2)]
+        path.share_directory()
+        for entry in entries:
+            await entry.sync()
+        other, owner = sorted(entries, key=lambda e: len(e.runtime.slots.candidates))
+
+        async def handle_as_earlier(request):
+            state = (b"pollenfold-run-state", b"ran")
+            return Response(503, [state, (b"idempotency-key", b"k1")], b"busy")
+
+        owner.callers._shared.handler = handle_as_earlier
+        reply = await other.send("POST", key="k1")
+        assert (reply.status, reply.run_state) == (502, "ran")
+        assert reply.headers["idempotency-key"] == "k1"
+
+    call_path(main)
