Report pools of connections that are full without a request in flight

Change: gauges of open, idle and permitted connections by service, the number of stalled pools, and a line pool_stalled when a pool has stood at its limit for three checks, a second apart, with nothing idle and nothing in flight.

--- a/pollenfold/gateway/balancer.py
+++ b/pollenfold/gateway/balancer.py
@@ -19,6 +19,7 @@
 from ..core.link import Link
 from ..core.reach import Contact
 from ..core.token_bucket import TokenBucket
+from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
 from .connections import Connections
@@ -84,13 +85,14 @@
         rng: random.Random,
         link: Link,
         monitor: ReachMonitor,
+        log: EventLog,
     ) -> None:
         self._monitor = monitor
         self._view = view
         self._settings = settings
         self._clock = clock
         self._rng = rng
-        self._connections = Connections(view, clock, metrics, link, monitor)
+        self._connections = Connections(view, clock, metrics, link, monitor, log)
         self._prober = Prober(
             view,
             dialect,
@@ -471,7 +473,7 @@
         """Periodically close idle connections and drop state of removed endpoints."""
         while True:
             await curio.sleep(1.0)
-            await self._connections.close_idle()
+            await self._connections.maintain()
             self._prober.forget_absent()
             self._permits.forget_absent()
             self._memory.forget_ended()
--- a/pollenfold/gateway/connections.py
+++ b/pollenfold/gateway/connections.py
@@ -9,10 +9,12 @@
 from ..core.clock import Clock, Instant, remaining_ms
 from ..core.link import Link
 from ..core.reach import Contact
+from ..observe.events import EventLog
 from ..observe.exposition import Metrics
 from .backend import BackendConnection
 from .endpoint import Endpoint
 from .pool import ConnectionPool
+from .pool_report import PoolReport
 from .reach_monitor import ReachMonitor
 from .view import FleetView
 
@@ -42,7 +44,9 @@
         metrics: Metrics,
         link: Link,
         monitor: ReachMonitor,
+        log: EventLog,
     ) -> None:
+        self._report = PoolReport(log, metrics)
         self._link = link
         self._monitor = monitor
         monitor.on_change = self._reset_paths
@@ -189,11 +193,20 @@
         """Close a connection and remove it from the pool of its endpoint."""
         await self.pool(endpoint).discard(connection)
 
-    async def close_idle(self) -> None:
-        """Close connections that were idle for long.
+    async def maintain(self) -> None:
+        """Close connections that were idle for long, and report the pools.
 
         All idle connections to endpoints that are leaving or gone are closed.
         """
+        await self.close_idle()
+        self._report.update(
+            (endpoint, pool)
+            for endpoint_id, pool in self._pools.items()
+            if (endpoint := self._view.endpoints.get(endpoint_id)) is not None
+        )
+
+    async def close_idle(self) -> None:
+        """Close connections that were idle for long, and forget unused pools."""
         for endpoint_id, pool in list(self._pools.items()):
             endpoint = self._view.endpoints.get(endpoint_id)
             is_used = endpoint is not None and not self._view.is_leaving(endpoint)
--- a/pollenfold/gateway/daemon.py
+++ b/pollenfold/gateway/daemon.py
@@ -200,7 +200,15 @@
             link,
         )
         self.balancer = Balancer(
-            self.view, dialect, limits, clock, self.metrics, rng, link, self.monitor
+            self.view,
+            dialect,
+            limits,
+            clock,
+            self.metrics,
+            rng,
+            link,
+            self.monitor,
+            self.log,
         )
         self.retry_budget = RetryBudget(
             settings.retry_limits, settings.entry_id, clock()
--- a/pollenfold/tests/control/test_stale_start.py
+++ b/pollenfold/tests/control/test_stale_start.py
@@ -35,7 +35,9 @@
     log = view._log
     client = RelayClient(DIALECT, view, 0, "", clock, log, metrics, rng, link)
     monitor = ReachMonitor(view, DIALECT, "a", client, clock, log, metrics, rng, link)
-    balancer = Balancer(view, DIALECT, settings, clock, metrics, rng, link, monitor)
+    balancer = Balancer(
+        view, DIALECT, settings, clock, metrics, rng, link, monitor, log
+    )
     budget = settled_retry_budget(view, "e1")
     return Forwarder(
         view,
--- a/pollenfold/tests/gateway/conftest.py
+++ b/pollenfold/tests/gateway/conftest.py
@@ -278,7 +278,15 @@
             link,
         )
         self.balancer = Balancer(
-            self.view, DIALECT, settings, clock, self.metrics, rng, link, self.monitor
+            self.view,
+            DIALECT,
+            settings,
+            clock,
+            self.metrics,
+            rng,
+            link,
+            self.monitor,
+            self.log,
         )
         self.leader = None
         self.quotas = QuotaGate(
