--- a/review/11/case.py
+++ b/review/11/case.py
@@ -49,7 +49,8 @@
     if not leaders or operator.read_anywhere(5.0) != VERSION:
         raise s.CannotRunError("the group wasn't whole before the replacement")
     record.write(f"leader: {leaders[0].name}; all successors are up for {CATCH_UP_S} s")
-    leaving = [*leaders, *(machine for machine in old if machine not in leaders)]
+    others = [machine for machine in old if machine not in leaders]
+    leaving = [others[0], *leaders, *others[1:]]
     if s.has_trouble():
         started = time.monotonic()
         for n, machine in enumerate(leaving[:N_REPLACED]):
--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -117,6 +117,7 @@
     runs: list[tuple[str, str]] = field(default_factory=list)
     """The endpoint and the request of each run, in order."""
 
+    n_added: int = 0
     ends: dict[str, float] = field(default_factory=dict)
     """When the run of each request ended."""
 
@@ -200,7 +201,8 @@
 
     def add_control(self, is_named_by: list[Machine]) -> Machine:
         """Add an empty core machine whose settings name these machines as seeds."""
-        number = len(self.machines) + 10
+        number = 10 + self.n_added
+        self.n_added += 1
         self._add("control", number, self.host(10 + number))
         machine = self.machines[-1]
         machine.settings["self"]["bootstrap"] = False
