Let a replica that stops stay until a learner has its place

Cause: a replica that stopped told nobody. Its place was given to a learner only after 1.5 s of silence, counted anew by each new leader, so stops a second apart took the majority before the first place was filled.

Ruled out: learners without the log (TROUBLE=0 reads the version).

Change: a replica that stops announces it to the leader and votes and stores until the leader has put a learner into its place, no learner waits, or 4.5 s have passed since the signal. The successor is added before the replica is removed; a leader that stops removes itself last and ends its term. What a replica does to join and leave moves to control/group_membership.py.

The two stand-ins of a node in the tests of stops got a membership, and the failing step of leaving is one more case there.

--- a/benchmarks/disk_losses.py
+++ b/benchmarks/disk_losses.py
@@ -105,7 +105,7 @@
         self._call_rng = random.Random(-1 - seed)
         network = draw_network()
         self.replicas = [
-            Replica(_program(folder, network, number, root))
+            Replica(add_program(folder, network, number, root))
             for number in range(N_REPLICAS)
         ]
         self._seeds = [r.program.host for r in self.replicas[:N_SEEDS]]
@@ -433,7 +433,8 @@
     }
 
 
-def _program(folder: Path, network: str, number: int, root: Path) -> Program:
+def add_program(folder: Path, network: str, number: int, root: Path) -> Program:
+    """Return the program of one replica on an empty disk."""
     name = f"core-{number}"
     home = folder / name
     home.mkdir(parents=True)
@@ -460,19 +461,21 @@
     finally:
         losses.stop()
         if losses.violations and keep is not None:
-            _keep_logs(losses, keep / f"seed-{seed}-{n_routes}")
+            keep_logs(losses, keep / f"seed-{seed}-{n_routes}")
         shutil.rmtree(folder, ignore_errors=True)
     return [f"seed {seed} routes {n_routes}: {text}" for text in losses.violations]
 
 
-def _keep_logs(losses: DiskLosses, target: Path) -> None:
+def keep_logs(losses: DiskLosses, target: Path) -> None:
+    """Copy the logs of all replicas of a failed run."""
     target.mkdir(parents=True, exist_ok=True)
     for replica in losses.replicas:
         program = replica.program
         shutil.copy(program.folder / "log", target / f"{program.name}.log")
 
 
-def _numbers(text: str) -> Sequence[int]:
+def seed_numbers(text: str) -> Sequence[int]:
+    """Return the seeds of a range, for example those of ``1-5``."""
     first, _, last = text.partition("-")
     return range(int(first), int(last or first) + 1)
 
@@ -494,7 +497,7 @@
     )
     arguments = parser.parse_args()
     violations = []
-    for seed in _numbers(arguments.seeds):
+    for seed in seed_numbers(arguments.seeds):
         violations += run_seed(
             seed,
             arguments.routes,
--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,10 +9,9 @@
 
 import curio
 
-from ..core.agreement.members import address_of, host_and_port
+from ..core.agreement.members import host_and_port
 from ..core.clock import add_ms, remaining_ms
 from ..core.errors import ErrorKind
-from ..core.input_limits import is_endpoint_id, parse_address
 from ..core.registry import decode_announcement, versions_by_id, with_version
 from ..core.rollouts.order_age import OrderAges
 from ..core.tenancy.quota_limits import QuotaLimits
@@ -42,6 +40,7 @@
 from ..wire.rpc import RpcServer
 from .cluster_state import ClusterState
 from .feed_server import FeedServer
+from .group_membership import GroupMembership
 from .peer_view import PeerView
 from .quarantine_api import QUARANTINE_PATH, handle_quarantine
 from .quota_server import DecodeQuotas, QuotaServer
@@ -49,11 +48,6 @@
 from .rollout_orders import RolloutOrders
 from .rollouts import Rollouts, RolloutSettings
 
-JOIN_INTERVAL_MS = 400.0
-JOIN_TIMEOUT_MS = 400.0
-LEADER_TIMEOUT_MS = 1_000.0
-"""A replica without contact to a leader for this long sends join requests again."""
-
 CACHE_INTERVAL_MS = 1_000.0
 STOP_WAIT_MS = 3_500.0
 """How long a stop waits for orders, from its signal on.
@@ -62,6 +56,11 @@
 of a grace period of 6 s is for signals that are noticed late."""
 
 MIN_STOP_WAIT_MS = 200.0
+LEAVE_WAIT_MS = 4_500.0
+"""How long a stop waits until a learner has the replica's place, from its signal on.
+
+It leaves ``PEER_STOP_WAIT_MS`` and a margin of a grace period of 6 s."""
+
 PEER_STOP_WAIT_MS = 1_000.0
 """How long a stop waits for the requests of other replicas after those of operators. A
 forwarded order takes 0.7 s at most."""
@@ -151,10 +150,18 @@
             self.log,
             settings.host,
         )
+        self.membership = GroupMembership(
+            self.replica,
+            self.replica_id,
+            settings.seeds,
+            lambda: self.peers.control_hosts,
+            clock,
+            self.log,
+        )
         self.rpc = RpcServer(
             {
                 Protocol.AGREEMENT: self.replica.handle,
-                Protocol.MEMBERSHIP: self._handle_join,
+                Protocol.MEMBERSHIP: self.membership.handle,
                 Protocol.OPERATOR: self.cluster_state.commands.handle_forwarded,
                 Protocol.ORDER: self.cluster_state.orders.handle_forwarded,
             }
@@ -217,66 +224,6 @@
                 self.log.state("cache_failed", detail=str(error))
             written = current
 
-    # Joining
-
-    def is_member(self) -> bool:
-        """Return whether this replica is a voter in its own view of the membership."""
-        return self.replica_id in self.replica.voters()
-
-    def leader_host(self) -> str | None:
-        """Return the host of the leader, if it is known and isn't this replica."""
-        leader_id = self.replica.leader_id()
-        if leader_id is None or leader_id == self.replica_id:
-            return None
-        return host_and_port(leader_id)[0]
-
-    async def _handle_join(self, payload: bytes) -> bytes:
-        """Add a replica as a learner if this one leads; return the leader's id.
-
-        Raise ValueError for a malformed id, to which nothing could be sent.
-        """
-        replica_id = payload.decode()
-        is_id = is_endpoint_id(replica_id)
-        if not is_id or parse_address(address_of(replica_id)) is None:
-            raise ValueError(f"expected the id of a replica, got {replica_id!r:.80}")
-        if self.replica.is_leader():
-            self.replica.join(replica_id)
-        return json.dumps({"leader": self.replica.leader_id()}).encode()
-
-    async def join(self) -> None:
-        """Send join requests while this replica is no voter or has lost the leader."""
-        while True:
-            await curio.sleep(JOIN_INTERVAL_MS / 1000)
-            leader_contact_at = self.replica.last_leader_contact()
-            is_leader_lost = leader_contact_at is None or system_clock() > add_ms(
-                leader_contact_at, LEADER_TIMEOUT_MS
-            )
-            if self.replica.is_leader() or (self.is_member() and not is_leader_lost):
-                continue
-            for address in self._join_addresses():
-                await curio.spawn(self._send_join_request, address, daemon=True)
-
-    def _join_addresses(self) -> set[str]:
-        port = self.settings.peer_port
-        hosts = set(self.settings.seeds()) | self.peers.control_hosts
-        leader_host = self.leader_host()
-        if leader_host is not None:
-            hosts.add(leader_host)
-        return {f"{host}:{port}" for host in hosts - {self.settings.host}}
-
-    async def _send_join_request(self, address: str) -> None:
-        payload = self.replica_id.encode()
-        result = await self.cluster_state.commands.call(
-            address, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
-        )
-        if result.is_error():
-            return
-        leader_id = json.loads(result.ok)["leader"]
-        if leader_id and address_of(leader_id) != address:
-            await self.cluster_state.commands.call(
-                leader_id, Protocol.MEMBERSHIP, payload, JOIN_TIMEOUT_MS
-            )
-
     # Metrics
 
     async def handle_metrics(self, request: Request) -> Response:
@@ -348,7 +295,7 @@
         await group.spawn(node.feed_server.run_confirmations)
         await group.spawn(node.quota_server.run)
         await group.spawn(node.feeds.run)
-        await group.spawn(node.join)
+        await group.spawn(node.membership.run)
         await group.spawn(node.persist_endpoints)
         await group.spawn(node.rollouts.run)
         # The replica does its work without the monitor, so its failure ends nothing.
@@ -393,6 +340,10 @@
     await run_step("stop_operators", on_failed, api.stop)
     await run_step("wait_for_operators", on_failed, wait_idle)
     await run_step("wait_for_requests", on_failed, wait_for_requests)
+    # Only now, since orders in flight need the leader that this replica may be. Until
+    # its place is taken it votes and stores entries.
+    leave_until = add_ms(stop.received_at, LEAVE_WAIT_MS)
+    await run_step("leave_group", on_failed, node.membership.leave, leave_until)
     # Orders that other replicas forwarded need this one as the operators' do.
     await run_step("stop_peers", on_failed, node.rpc.stop, PEER_STOP_WAIT_MS)
     await run_step("log_stop", on_failed, log, "stopped")
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -12,7 +12,7 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
-from ..core.agreement.acknowledgement import LearnerWaits
+from ..core.agreement.acknowledgement import LEARNER_WAIT_MS, LearnerWaits
 from ..core.agreement.consensus import (
     HEARTBEAT_MS,
     Role,
@@ -21,12 +21,15 @@
     is_leader,
     step,
 )
+from ..core.agreement.departures import Departure
 from ..core.agreement.election_timeout import election_timeout_ms, first_timeout_ms
 from ..core.agreement.leader_lease import acts_from, has_lease
 from ..core.agreement.log import MAX_COMMAND_BYTES
 from ..core.agreement.members import (
     decode_members,
+    departure,
     founder_state,
+    has_left,
     n_answering_voters,
     n_whole_voters,
     next_membership_change,
@@ -38,6 +41,7 @@
     Compact,
     Event,
     Join,
+    Leave,
     Message,
     PersistLog,
     Propose,
@@ -235,6 +239,33 @@
             logger.info("event=learner_joined replica={}", replica_id)
             self._compact_for_learner()
 
+    async def leave(self, replica_id: str) -> Departure | None:
+        """Let a learner take the place of a replica that is about to stop.
+
+        Return how far that is, or None if this replica doesn't lead.
+        """
+        if self._members is None or self._state is None or not self.is_leader():
+            return None
+        self._outbox += self._step(Leave(replica_id))
+        self._change_members()
+        await self._flush()
+        if self._state is None or not self.is_leader():
+            return None
+        now = self._clock()
+        progress = departure(self._state, replica_id, self._members.n_target, now)
+        if progress is Departure.NO_SUCCESSOR and self._may_learners_come(now):
+            return Departure.WAITING
+        return progress
+
+    def _may_learners_come(self, now: Instant) -> bool:
+        """Return whether learners may not have reached this new leader yet."""
+        since = self._leader_since
+        return since is None or now < add_ms(since, LEARNER_WAIT_MS)
+
+    def has_left(self) -> bool:
+        """Return whether this replica knows that it isn't a voter any more."""
+        return self._state is None or has_left(self._state, self._replica_id)
+
     def _compact_for_learner(self) -> None:
         """Take a snapshot if a new replica would receive more bytes without it.
 
--- a/pollenfold/core/agreement/consensus.py
+++ b/pollenfold/core/agreement/consensus.py
@@ -10,9 +10,10 @@
 from dataclasses import replace
 
 from ..clock import Instant, add_ms
+from .departures import record_leave
 from .election import on_vote_request, on_vote_response, start_pre_vote
 from .log import Entry, Log, Snapshot
-from .members import add_learner, with_voters_from_log
+from .members import add_learner, has_left, with_voters_from_log
 from .messages import (
     Action,
     AppendRequest,
@@ -22,6 +23,7 @@
     Inquiry,
     InquiryResponse,
     Join,
+    Leave,
     Message,
     PersistLog,
     PersistState,
@@ -126,6 +128,14 @@
     ``ELECTION_TIMEOUT_MIN_MS`` and ``ELECTION_TIMEOUT_MAX_MS``; it is used if the
     event starts an election timer.
     """
+    state, actions = _on_event(state, event, now, timeout_ms)
+    if state.role is Role.LEADER and has_left(state, state.replica_id):
+        # Its removal is committed, so the remaining voters elect the next leader.
+        state, _ = become_follower(state, state.term, None, add_ms(now, timeout_ms))
+    return state, actions
+
+
+def _on_event(state: State, event: Event, now: Instant, timeout_ms: float) -> Step:
     match event:
         case Receive(message):
             return _on_message(state, message, now, timeout_ms)
@@ -135,6 +145,8 @@
             return _compact(state, index, data)
         case Join(replica_id):
             return add_learner(state, replica_id, now), []
+        case Leave(replica_id):
+            return record_leave(state, replica_id, now), []
         case SendFailed(message):
             return on_send_failed(state, message), []
         case _:
--- a/pollenfold/core/agreement/members.py
+++ b/pollenfold/core/agreement/members.py
@@ -12,6 +12,7 @@
 from dataclasses import replace
 
 from ..clock import Instant, add_ms
+from .departures import Departure, is_leaving, leaving_voter
 from .log import Entry, Log
 from .messages import PersistState, Propose
 from .state import (
@@ -128,8 +129,13 @@
     A leader changes the voters only when the previous change is committed and so is
     an entry of its own term. In this order: remove an earlier disk of a learner's
     machine; add a learner if there are fewer voters than ``n_target``; remove an
-    unresponsive voter if a learner waits to replace it. Only learners that hold
-    nearly the complete log are considered.
+    unresponsive voter if a learner waits to replace it; let a learner take the place
+    of a voter that leaves. Only learners that hold nearly the complete log are
+    considered.
+
+    The successor of a voter that leaves is added first: until the voter is removed,
+    the group has one more copy of the log. If the voter stops in between, or stays
+    after all, there is one voter too many, and one is removed.
     """
     if (
         not state.is_dynamic
@@ -137,26 +143,72 @@
         or _has_uncommitted_change(state)
     ):
         return None
-    ready = [
+    ready = _ready_learners(state, now)
+    replaced = _replaced_disk(state, ready)
+    if replaced is not None:
+        return _without(state, replaced), "disk_replaced"
+    if len(state.voters) < n_target:
+        return (_with(state, ready[0]), "learner_added") if ready else None
+    has_surplus = len(state.voters) > n_target
+    unresponsive = _longest_unresponsive_voter(state, now)
+    if unresponsive is not None and (ready or has_surplus):
+        return _without(state, unresponsive), "voter_absent"
+    leaving = leaving_voter(state, now)
+    if not has_surplus:
+        is_replaceable = leaving is not None and ready
+        return (_with(state, ready[0]), "successor_added") if is_replaceable else None
+    reason = "voter_in_surplus" if leaving is None else "voter_left"
+    removed = leaving or min(state.voters - {state.replica_id})
+    return (
+        (_without(state, removed), reason)
+        if _is_removable(state, removed, now)
+        else None
+    )
+
+
+def _ready_learners(state: State, now: Instant) -> list[str]:
+    return [
         k
         for k in sorted(state.learners)
-        if k in state.progress and _is_caught_up(state, k, now)
-    ]
-    if not ready:
-        return None
-    replaced = [
-        k
-        for k in sorted(state.voters - {state.replica_id})
-        if any(address_of(k) == address_of(learner) for learner in ready)
+        if k in state.progress
+        and _is_caught_up(state, k, now)
+        and not is_leaving(state, k, now)
     ]
-    if len(state.voters) < n_target and not replaced:
-        return Propose(encode_members(state.voters | {ready[0]})), "learner_added"
-    if replaced:
-        return Propose(encode_members(state.voters - {replaced[0]})), "disk_replaced"
-    unresponsive = _longest_unresponsive_voter(state, now)
-    if unresponsive is not None:
-        return Propose(encode_members(state.voters - {unresponsive})), "voter_absent"
-    return None
+
+
+def _replaced_disk(state: State, ready: list[str]) -> str | None:
+    """Return a voter whose machine has a new disk, which is a ready learner."""
+    addresses = {address_of(k) for k in ready}
+    others = sorted(state.voters - {state.replica_id})
+    return next((k for k in others if address_of(k) in addresses), None)
+
+
+def _with(state: State, replica_id: str) -> Propose:
+    return Propose(encode_members(state.voters | {replica_id}))
+
+
+def _without(state: State, replica_id: str) -> Propose:
+    return Propose(encode_members(state.voters - {replica_id}))
+
+
+def has_left(state: State, replica_id: str) -> bool:
+    """Return whether a replica isn't a voter, by a committed change of the members."""
+    return (
+        state.is_dynamic
+        and replica_id not in state.voters
+        and not _has_uncommitted_change(state)
+    )
+
+
+def departure(state: State, replica_id: str, n_target: int, now: Instant) -> Departure:
+    """Return how far the leave of a replica is, as its leader knows it."""
+    if has_left(state, replica_id):
+        return Departure.LEFT
+    has_surplus = len(state.voters) > n_target
+    if has_surplus or replica_id not in state.voters:
+        return Departure.WAITING
+    has_learner = any(_responsive_learners(state, now))
+    return Departure.WAITING if has_learner else Departure.NO_SUCCESSOR
 
 
 def waiting_learners(state: State, n_target: int, now: Instant) -> list[str]:
@@ -194,11 +246,15 @@
 
 
 def _responsive_learners(state: State, now: Instant) -> list[str]:
-    """Return the learners that have answered a leader within ``ABSENT_AFTER_MS``."""
+    """Return the learners that have answered a leader within ``ABSENT_AFTER_MS``.
+
+    Those that are about to stop are left out.
+    """
     return [
         k
         for k in state.learners
         if k in state.progress
+        and not is_leaving(state, k, now)
         and now < add_ms(state.progress[k].last_contact_at, ABSENT_AFTER_MS)
     ]
 
@@ -216,18 +272,23 @@
 
 
 def _longest_unresponsive_voter(state: State, now: Instant) -> str | None:
-    """Return the voter that has been unresponsive longest, or None.
+    """Return the voter that has been unresponsive longest and may be removed, or None.
 
-    None also if the responsive voters would be no majority of the remaining ones.
+    Without it the responsive voters must still be a majority.
     """
     unresponsive = _unresponsive_voters(state, now)
-    n_responsive = len(state.voters) - len(unresponsive)
-    n_remaining = len(state.voters) - 1
-    if not unresponsive or n_responsive < n_remaining // 2 + 1:
+    if not unresponsive or not _is_removable(state, unresponsive[0], now):
         return None
     return min(unresponsive, key=lambda k: (state.progress[k].last_contact_at, k))
 
 
+def _is_removable(state: State, replica_id: str, now: Instant) -> bool:
+    """Return whether the responsive voters are a majority without this one."""
+    remaining = state.voters - {replica_id}
+    n_responsive = len(remaining - set(_unresponsive_voters(state, now)))
+    return n_responsive >= len(remaining) // 2 + 1
+
+
 def _unresponsive_voters(state: State, now: Instant) -> list[str]:
     return [
         k
--- a/pollenfold/core/agreement/messages.py
+++ b/pollenfold/core/agreement/messages.py
@@ -165,6 +165,13 @@
     replica_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A replica is about to stop and should be replaced as a voter before."""
+
+    replica_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendFailed:
     """No response to a request arrived, and none is waited for any more."""
@@ -172,7 +179,7 @@
     message: Message
 
 
-Event = Tick | Receive | Propose | Compact | Join | SendFailed
+Event = Tick | Receive | Propose | Compact | Join | Leave | SendFailed
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollenfold/core/agreement/state.py
+++ b/pollenfold/core/agreement/state.py
@@ -118,6 +118,9 @@
     is_dynamic: bool = False
     voters: frozenset[str] = frozenset()
     learners: frozenset[str] = frozenset()
+    leaves: dict[str, Instant] = field(default_factory=dict)
+    """When each replica that is about to stop last announced it to this leader."""
+
     has_seen_leader: bool = False
     """Whether this replica has followed a leader, or led, since its start."""
 
--- a/pollenfold/platform/control_api.py
+++ b/pollenfold/platform/control_api.py
@@ -60,9 +60,9 @@
 
     def _redirect(self, request: Request) -> Response | None:
         """Redirect to the leader, or refuse, while this replica isn't a member."""
-        if self._node.is_member():
+        if self._node.membership.is_member():
             return None
-        host = self._node.leader_host()
+        host = self._node.membership.leader_host()
         if host is None:
             return error_response(ErrorKind.NOT_READY, retry_after_s=0.3)
         location = f"http://{host}:{self._port}".encode() + request.target
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -73,7 +73,7 @@
             await curio.spawn(node.feed_server.run_confirmations, daemon=True),
             await curio.spawn(node.quota_server.run, daemon=True),
             await curio.spawn(node.feeds.run, daemon=True),
-            await curio.spawn(node.join, daemon=True),
+            await curio.spawn(node.membership.run, daemon=True),
             await curio.spawn(node.persist_endpoints, daemon=True),
             await curio.spawn(node.rollouts.run, daemon=True),
         ]
@@ -277,7 +277,7 @@
         await cluster.start(4)
         node = cluster.running[4].node
         async with curio.timeout_after(5):
-            while node.leader_host() is None:
+            while node.membership.leader_host() is None:
                 await curio.sleep(0.02)
         response = await cluster.call(4, b"PUT", "/-/instances/i-1", ANNOUNCEMENT)
         assert response.status == 307
@@ -614,7 +614,7 @@
         node = cluster.running[leader].node
         for replica_id in (b"10.0.0.1:70000/a", b"a.example:80/a", b"x" * 1000):
             with pytest.raises(ValueError):
-                await node._handle_join(replica_id)
+                await node.membership.handle(replica_id)
         assert node.cluster_state.replicated_state.departures == {}
 
     with_cluster(body)
--- a/pollenfold/tests/control/test_peer_requests_at_stop.py
+++ b/pollenfold/tests/control/test_peer_requests_at_stop.py
@@ -9,6 +9,7 @@
 from pollenfold.observe.signals import Signals, StopRequest
 from pollenfold.testing.listening import listening_socket
 from pollenfold.testing.replica import FakeReplica
+from pollenfold.tests.control.test_stop_errors import Membership
 from pollenfold.wire.frames import Protocol
 from pollenfold.wire.rpc import RpcClient, RpcServer
 
@@ -41,6 +42,7 @@
         await handler.is_handling.wait()
         node = type("Node", (), {})()
         node.rpc = rpc
+        node.membership = Membership()
         node.log = EventLog("c1", system_clock, len)
         stop = StopRequest("SIGTERM", system_clock())
         await cluster._stop(node, HttpServer(None), stop)
--- a/pollenfold/tests/control/test_stop_errors.py
+++ b/pollenfold/tests/control/test_stop_errors.py
@@ -15,8 +15,15 @@
 from pollenfold.wire.rpc import RpcServer
 
 
+class Membership:
+    """Stands in for the membership of a replica that nobody can replace."""
+
+    async def leave(self, until):
+        """End the wait at once."""
+
+
 @every_error
-@pytest.mark.parametrize("step", ["stop", "wait_idle", "state", "flush"])
+@pytest.mark.parametrize("step", ["stop", "wait_idle", "leave", "state", "flush"])
 def test_failed_step_of_a_stop_skips_no_other(run, monkeypatch, step, error):
     """Guards against a control replica that cuts off the orders in flight and ends with
     an error, since one step of its stop raised one."""
@@ -41,9 +48,11 @@
         async with await service.connect() as sock:
             await sock.sendall(GET % b"order")
             await wait_until(lambda: service.started == ["order"])
-            fail_once(service.server if hasattr(service.server, step) else log)
+            membership = Membership()
+            targets = (service.server, membership, log)
+            fail_once(next(target for target in targets if hasattr(target, step)))
             stop = StopRequest("SIGTERM", system_clock())
-            node = SimpleNamespace(log=log, rpc=RpcServer({}))
+            node = SimpleNamespace(log=log, rpc=RpcServer({}), membership=membership)
             task = await curio.spawn(cluster._stop, node, service.server, stop)
             await curio.sleep(0.02)
             assert not task.terminated
--- /dev/null
+++ b/pollenfold/tests/core/agreement/test_departures.py
@@ -0,0 +1,164 @@
+"""Replicas that announce that they stop, and the learners that take their places."""
+
+import itertools
+
+import pytest
+
+from pollenfold.core.agreement.consensus import is_leader
+from pollenfold.core.agreement.departures import LEAVE_VALID_MS, Departure
+from pollenfold.core.agreement.members import decode_members
+from pollenfold.core.agreement.messages import Leave
+from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
+    SimulatedDynamicCluster,
+)
+
+RECOVERY_MS = 15_000
+
+
+def formed_cluster(n_machines=5, n_successors=0, seed=3):
+    """Return a group of ``n_machines``, with learners that hold the whole log."""
+    cluster = SimulatedDynamicCluster(n_machines, seed=seed)
+    cluster.run(4000)
+    cluster.propose(b"acknowledged")
+    for letter in "fghij"[:n_successors]:
+        cluster.add_disk(letter)
+    cluster.run(4000)
+    return cluster
+
+
+def machines(cluster):
+    return {name.split("/")[0] for name in cluster.voters()}
+
+
+def leavers(cluster, n_leaving, leader_position):
+    """Return voters in the order in which they leave, the leader at a position."""
+    leader = cluster.leader().replica_id
+    others = [name for name in sorted(cluster.voters()) if name != leader]
+    others.insert(leader_position, leader)
+    return others[:n_leaving]
+
+
+def commit_another(cluster):
+    """Check that a group goes on and has kept what it acknowledged before."""
+    cluster.propose(b"another")
+    cluster.run(1000)
+    commands = [entry.command for entry, _ in cluster.committed]
+    assert commands[-1] == b"another"
+    assert b"acknowledged" in commands
+
+
+@pytest.mark.parametrize("gap_ms", [0, 300, 1000])
+@pytest.mark.parametrize(
+    "n_leaving, leader_position",
+    [(n, k) for n in (3, 5) for k in range(n)],
+)
+def test_voters_that_leave_one_after_the_other_are_replaced(
+    n_leaving, leader_position, gap_ms
+):
+    """Guards against a group without a majority after its voters were stopped faster
+    than silence is noticed, though learners with the whole log waited."""
+    cluster = formed_cluster(n_successors=n_leaving)
+    leaving = leavers(cluster, n_leaving, leader_position)
+    for name in leaving:
+        cluster.leave(name)
+        cluster.run(gap_ms)
+    cluster.run(RECOVERY_MS)
+    assert set(leaving).isdisjoint(cluster.replicas)
+    assert cluster.leader() is not None
+    assert cluster.voters() == set(cluster.replicas)
+    assert len(cluster.voters()) == 5
+    commit_another(cluster)
+
+
+def test_voter_stays_until_its_successor_has_caught_up():
+    """Guards against a voter that ends while its successor still lacks the log."""
+    cluster = formed_cluster()
+    leaving, successor = leavers(cluster, 1, 4)[0], cluster.add_disk("f")
+    cluster.request_to_join()
+    cluster.leave(leaving)
+    cluster.isolated = {successor}
+    cluster.run(700)
+    assert leaving in cluster.voters()
+    cluster.isolated = set()
+    cluster.run(1500)
+    assert machines(cluster) == set("abcdef") - {leaving.split("/")[0]}
+
+
+def test_voter_without_a_successor_ends_at_once():
+    """Guards against a stop that takes its grace period, though nobody can take the
+    place, and against a group that shrinks at each restart."""
+    cluster = formed_cluster()
+    leaving = leavers(cluster, 1, 4)[0]
+    stored = cluster.replicas[leaving]
+    cluster.leave(leaving)
+    cluster.run(300)
+    assert leaving not in cluster.replicas
+    assert leaving in cluster.voters()
+    cluster.replicas[leaving] = stored
+    cluster.start(leaving)
+    cluster.run(2000)
+    assert machines(cluster) == set("abcde")
+
+
+@pytest.mark.parametrize("is_leader_leaving", [False, True])
+def test_successor_is_added_before_the_voter_is_removed(is_leader_leaving):
+    """Guards against a group of four while a voter leaves: it loses its majority if
+    two disks are lost with it."""
+    cluster = formed_cluster(n_successors=1)
+    n_before = len(cluster.committed)
+    cluster.leave(leavers(cluster, 1, 0 if is_leader_leaving else 4)[0])
+    cluster.run(3000)
+    sets = [decode_members(entry.command) for entry, _ in cluster.committed[n_before:]]
+    assert [len(voters) for voters in sets if voters is not None] == [6, 5]
+
+
+def test_leader_ends_its_term_once_its_removal_is_committed():
+    """Guards against a replica that leads a group to which it doesn't belong."""
+    cluster = formed_cluster(n_successors=1)
+    leaving = cluster.leader().replica_id
+    replica = cluster.replicas[leaving]
+    cluster.leave(leaving)
+    cluster.run(3000)
+    assert not is_leader(replica.state, cluster.now)
+    assert cluster.leader().replica_id != leaving
+
+
+def test_learner_that_leaves_takes_no_place():
+    """Guards against a voter that ends as it is added, in the place of another."""
+    cluster = formed_cluster(n_successors=1)
+    learner = next(k for k in cluster.replicas if k not in cluster.voters())
+    cluster.step(cluster.leader().replica_id, Leave(learner))
+    assert cluster.departure(learner) is Departure.LEFT
+    cluster.leave(leavers(cluster, 1, 4)[0])
+    cluster.run(300)
+    assert learner not in cluster.voters()
+
+
+def test_group_shrinks_again_if_the_voter_stays():
+    """Guards against a group of six for good, which a lost zone leaves with three:
+    the voter that announced its leave was started again in between."""
+    cluster = formed_cluster(n_successors=1)
+    staying = leavers(cluster, 1, 4)[0]
+    cluster.leave(staying)
+    while len(cluster.voters()) == 5:
+        cluster.run(1)
+    cluster.start(staying)
+    cluster.run(LEAVE_VALID_MS + 3000)
+    assert len(cluster.voters()) == 5
+    commit_another(cluster)
+
+
+@pytest.mark.parametrize("lost", list(itertools.combinations(range(4), 2)))
+def test_change_survives_two_lost_disks_while_a_voter_leaves(lost):
+    """Guards against an acknowledged change that is lost with as many disks as the
+    group tolerates, at the moment at which it has one voter too many."""
+    cluster = formed_cluster(n_successors=1)
+    cluster.leave(leavers(cluster, 1, 4)[0])
+    while len(cluster.voters()) == 5:
+        cluster.run(1)
+    staying = sorted(set(cluster.voters()) - set(cluster.leaving_until))
+    for position in lost:
+        cluster.add_disk(staying[position % len(staying)].split("/")[0])
+    cluster.run(RECOVERY_MS)
+    assert len(cluster.voters()) == 5
+    commit_another(cluster)
