Take no part of a body for a whole response after a reset

What callers saw: a 200 with part of a body and a proper end, after an endpoint had answered an upload early, without a length, and reset the connection.

Cause: the kernel reports a reset to one call only. A write that got the report on the first byte of a later piece dropped it, and the reading that followed saw a clean end of the stream, which ends a body without a length.

Change: a connection remembers that sending failed; an end of the stream then is an error, while a response that is whole by its length or chunks is still delivered. Writes that fail after some bytes of a piece no longer drop such a response either.

--- a/pollenfold/gateway/backend.py
+++ b/pollenfold/gateway/backend.py
@@ -62,6 +62,7 @@
         "_request",
         "_parser",
         "_is_request_written",
+        "_send_error",
         "_has_skipped_response",
         "_link",
         "is_reusable",
@@ -95,6 +96,9 @@
         self._request: OutgoingRequest | None = None
         self._parser: h11.Connection | None = None
         self._is_request_written = True
+        self._send_error: OSError | None = None
+        """What ended the sending of the request that is in flight."""
+
         self._has_skipped_response = False
         self._link = link
         self.is_reusable = True
@@ -155,11 +159,12 @@
 
         The connection isn't reusable until ``receive`` has read the whole response. A
         server may respond before it has read a long request: the remaining body is then
-        not sent, and the connection carries no further request.
-        Raise OSError if the connection failed after the first byte.
+        not sent, and the connection carries no further request. The same holds if the
+        connection fails after the first byte: ``receive`` reads what arrived before.
         """
         self.is_reusable = False
         self._is_request_written = True
+        self._send_error = None
         self.n_exchanges += 1
         self._request = request
         parser = self._parser = new_parser()
@@ -192,8 +197,7 @@
     ) -> tuple[int, int]:
         """Write bytes; return the number written and the total number.
 
-        Fewer are written if the server responds first, and none if the connection
-        failed before the first one. Raise OSError if it failed later.
+        Fewer are written if the server responds first, or the connection fails.
         """
         view = memoryview(data)
         n_sent = 0
@@ -218,10 +222,9 @@
                         await self._sock.wait_writable()
                 except curio.TaskTimeout:
                     continue
-            except OSError:
-                if n_sent == 0 and self._is_request_written:
-                    return 0, len(data)
-                raise
+            except OSError as error:
+                self._send_error = error
+                break
         return n_sent, len(data)
 
     async def _wait_for_link(self, n_bytes: int) -> bool:
@@ -287,10 +290,18 @@
         return Failure.LOST
 
     async def _receive_bytes(self, max_bytes: int) -> bytes:
+        """Return the next bytes, or ``b""`` if the server ended the stream.
+
+        The kernel reports a reset once. If a send got that report, reading ends like
+        that of a closed connection, and a response without a length would look whole.
+        """
         try:
-            return self._raw.recv(max_bytes)
+            data = self._raw.recv(max_bytes)
         except (BlockingIOError, InterruptedError):
-            return await self._sock.recv(max_bytes)
+            data = await self._sock.recv(max_bytes)
+        if not data and self._send_error is not None:
+            raise ConnectionResetError(errno.ECONNRESET, str(self._send_error))
+        return data
 
     def _finish_response(self, head: h11.Response, has_surplus: bool) -> None:
         """Decide whether the connection can be reused for another exchange."""
