Reset connections on which a body without a length isn't complete

What callers saw: a caller of HTTP/1.0 that was sent a body without a length got a part of it as the whole when the entry gave the response up for any reason but a BodyError, ended a stop, or was killed.

Cause: such a body ends with its connection, and the connection was closed or shut down as after a complete body.

Change: SO_LINGER with a time of 0 holds from the start of such a body to its end, so that also the kernel's close of a killed process resets it; nothing lingers while the body is open.

--- a/pollenfold/http/caller.py
+++ b/pollenfold/http/caller.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import logging
 import socket as sockets
@@ -24,7 +25,7 @@
 from ..observe.error_text import error_text
 from ..observe.steps import is_ended_from_outside
 from ..wire.sockets import Socket
-from .caller_outputs import KERNEL_FACTOR, RESET_ON_CLOSE
+from .caller_outputs import KERNEL_FACTOR, NO_LINGER, RESET_ON_CLOSE
 from .exchanges import (
     ABANDONED,
     ANSWERED,
@@ -89,6 +90,9 @@
         self._tasks: set[curio.Task] = set()
         """Those that handle requests concurrently and haven't ended."""
 
+        self._is_body_open = False
+        """Whether a body is being written that only the connection's end completes."""
+
         self._n_requests = 0
         self._idle_since = system_clock()
         self._idle_timeout_ms = limits().idle_timeout_ms
@@ -277,10 +281,7 @@
             await self._close_after(exchange)
         except BodyError:
             exchange.end = "broken_off"
-            # The caller can't mistake a reset for the end of a complete response.
-            self._client.setsockopt(
-                sockets.SOL_SOCKET, sockets.SO_LINGER, RESET_ON_CLOSE
-            )
+            self._reset_on_close()
             await self._close_after(exchange, should_linger=False)
         except Exception as error:
             # It would end the task of a concurrent request unnoticed: a planned stop
@@ -433,7 +434,8 @@
     ) -> None:
         """Close the connection after this request and cancel all later ones."""
         self._is_closing = True
-        self._should_linger = should_linger
+        # Lingering shuts down the sending half, as the end of a complete body does.
+        self._should_linger = should_linger and not self._is_body_open
         if exchange.task is not None and self._task is not None:
             # Stops reading further requests. Shutting down the receiving half would do
             # so as well, but would reset the connection when more bytes arrive.
@@ -461,7 +463,31 @@
 
     async def _write(self, parser: h11.Connection, response: Response) -> None:
         has_sent_start, self._has_sent_start = self._has_sent_start, False
+        if not _ends_with_connection(parser, response):
+            await write_response(self._client, parser, response, has_sent_start)
+            return
+        # Set from the start, so that it holds also if this process is killed.
+        self._is_body_open = True
+        self._reset_on_close()
         await write_response(self._client, parser, response, has_sent_start)
+        self._is_body_open = False
+        self._reset_on_close(False)
+
+    def _reset_on_close(self, is_reset: bool = True) -> None:
+        """Let the close reset the connection, or no longer.
+
+        The caller can't mistake a reset for the end of a complete response.
+        """
+        value = RESET_ON_CLOSE if is_reset else NO_LINGER
+        with contextlib.suppress(OSError):
+            self._client.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, value)
+
+
+def _ends_with_connection(parser: h11.Connection, response: Response) -> bool:
+    """Return whether only the end of the connection ends the body of a response."""
+    body = response.remaining_body
+    is_chunked = parser.their_http_version == b"1.1"
+    return body is not None and body.length is None and not is_chunked
 
 
 def _held(response: Response | None) -> tuple[int, bool]:
--- a/pollenfold/http/caller_outputs.py
+++ b/pollenfold/http/caller_outputs.py
@@ -39,6 +39,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` with a time of 0: closing the socket sends a reset."""
 
+NO_LINGER = struct.pack("ii", 0, 0)
+"""``SO_LINGER`` as it is at first: what is unsent is sent after the close."""
+
 
 @dataclass(frozen=True, slots=True)
 class ClosedOutput:
