Show operators when a replica leaves and when a group has no leader

Change: leader_missing and leader_found on each replica, with the voters; voters, learners and has_leader in the status of a replica; has_leader and is_leaving in the metrics of control.

Evidence: tests/control/test_cluster.py shows a leave of a real replica with a learner and without one, and a group without a majority.

--- a/pollenfold/control/cluster.py
+++ b/pollenfold/control/cluster.py
@@ -236,6 +236,8 @@
         metrics = self.metrics
         metrics.set("is_leader", float(bool(status.get("is_leader"))))
         metrics.set("storage_failed", float(bool(status["is_storage_failed"])))
+        metrics.set("has_leader", float(bool(status.get("has_leader"))))
+        metrics.set("is_leaving", float(self.membership.is_leaving))
         metrics.set("term", status.get("term", 0))
         metrics.set("commit_index", status.get("commit_index", 0))
         metrics.set("applied_index", self.replica.applied_index())
--- a/pollenfold/control/replica.py
+++ b/pollenfold/control/replica.py
@@ -59,6 +59,7 @@
 from ..storage.agreement import AgreementStorage, OpenJournal
 from ..storage.journal import Journal
 from ..wire.agreement import decode_message, encode_message
+from .leader_watch import LeaderWatch
 from .peer_calls import PeerCalls
 from .proposals import Proposals
 from .state_machine import StateMachine
@@ -131,6 +132,7 @@
         self._reopen_at = clock()
         self._leader_since: Instant | None = None
         self._learner_waits = LearnerWaits()
+        self._leader_watch = LeaderWatch(clock)
         self._outbox: list[Message] = []
         self._proposals = Proposals()
         self._hold_ups = HoldUps(clock, _log_hold_up)
@@ -214,6 +216,9 @@
             "commit_index": state.commit_index,
             "applied_index": self._machine.index,
             "snapshot_index": state.log.snapshot.index,
+            "has_leader": self._leader_watch.has_leader(),
+            "voters": sorted(state.voters),
+            "learners": sorted(state.learners),
         }
 
     # Requests and the run loop
@@ -309,6 +314,8 @@
                     self._open()
                 self._outbox += self._step(Tick())
                 self._change_members()
+                if self._state is not None:
+                    self._leader_watch.update(self._state)
                 await self._flush()
         finally:
             self._state = None
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -9,6 +9,8 @@
 from expression import Error
 
 from pollenfold.control.cluster import ClusterNode, ClusterSettings
+from pollenfold.control.leader_watch import NO_LEADER_LOG_MS
+from pollenfold.core.clock import add_ms
 from pollenfold.core.errors import ErrorKind
 from pollenfold.core.replicated_state import Configure, Depart, Evacuate
 from pollenfold.gateway.feeds import FeedIdentity, Feeds
@@ -618,3 +620,54 @@
         assert node.cluster_state.replicated_state.departures == {}
 
     with_cluster(body)
+
+
+def test_replica_that_stops_stays_until_a_learner_has_its_place(with_cluster):
+    """Guards against a stop that takes a vote from the group though a learner waits."""
+
+    async def body(cluster):
+        await cluster.start(4)
+        leader = cluster.leader()
+        node = cluster.running[leader].node
+        until = add_ms(system_clock(), 10_000)
+        async with curio.timeout_after(10):
+            while not cluster.running[4].node.replica.applied_index():
+                await curio.sleep(0.02)
+        await node.membership.leave(until)
+        assert node.replica.has_left()
+        await cluster.stop(leader)
+        await cluster.wait_until_formed()
+        put = await cluster.call(4, b"PUT", "/-/config", CONFIGURATION)
+        assert put.status == 200
+
+    with_cluster(body)
+
+
+def test_replica_without_a_successor_stops_at_once(with_cluster):
+    """Guards against a restart that takes the whole grace period."""
+
+    async def body(cluster):
+        node = cluster.running[follower(cluster)].node
+        until = add_ms(system_clock(), 10_000)
+        async with curio.timeout_after(3):
+            await node.membership.leave(until)
+        assert node.membership.is_member()
+
+    with_cluster(body)
+
+
+def test_group_without_a_majority_is_visible(with_cluster):
+    """Guards against a group that waits for a majority without a word to operators."""
+
+    async def body(cluster):
+        node = cluster.running[follower(cluster)].node
+        assert node.replica.status()["has_leader"]
+        for number, running in list(cluster.running.items()):
+            if running.node is not node:
+                await cluster.stop(number)
+        await curio.sleep((NO_LEADER_LOG_MS + 300.0) / 1000)
+        status = node.replica.status()
+        assert not status["has_leader"]
+        assert len(status["voters"]) == 3
+
+    with_cluster(body)
