Count what random schedules lose as the tolerance does

Change: lost learners count for the catch-up time, and a leave that ends without a successor is compared with every log.

--- a/properties/test_agreement_members.py
+++ b/properties/test_agreement_members.py
@@ -34,16 +34,46 @@
 MAX_LOST = 2
 
 
-def n_missing(cluster):
-    """Return how many of five voters of the newest log are lost or not added yet."""
+CATCH_UP_MS = 4_000
+"""How long a machine counts as lost after its successor was started."""
+
+
+def newest_voters(cluster):
+    """Return the voters of the newest log, or None if all replicas are down."""
+    states = [c.state for c in cluster.replicas.values() if c.state]
     newest = max(
-        (c.state for c in cluster.replicas.values() if c.state),
+        states,
         key=lambda state: (state.log.last_term, state.log.last_index),
         default=None,
     )
-    if newest is None:
+    return None if newest is None else newest.voters
+
+
+def n_missing(cluster):
+    """Return how many machines count as lost.
+
+    These are voters of the newest log that are lost or not added yet, and learners
+    that were lost lately: one of them may be about to be added.
+    """
+    voters = newest_voters(cluster)
+    if voters is None:
         return MAX_LOST
-    return len(newest.voters - set(cluster.replicas)) + max(0, 5 - len(newest.voters))
+    lost_at = [t for t in cluster.learners_lost_at if cluster.now < t + CATCH_UP_MS]
+    return n_missing_of(cluster, voters) + len(lost_at)
+
+
+def n_missing_of(cluster, voters):
+    return len(voters - set(cluster.replicas)) + max(0, 5 - len(voters))
+
+
+def n_missing_of_any(cluster):
+    """Return the largest number by any log.
+
+    The newest one may have a voter whose addition isn't committed and won't be, once
+    the replica that has it ends.
+    """
+    states = [c.state for c in cluster.replicas.values() if c.state and c.state.voters]
+    return max((n_missing_of(cluster, s.voters) for s in states), default=MAX_LOST)
 
 
 def perform(cluster, fault, first, second):
@@ -54,6 +84,8 @@
     elif fault not in ("lose_disk", "replace"):
         perform_fault(cluster, name, fault, first, second)
     elif n_missing(cluster) < MAX_LOST:
+        if name not in (newest_voters(cluster) or ()):
+            cluster.learners_lost_at.append(cluster.now)
         machine = name.split("/")[0]
         if fault == "replace":
             del cluster.replicas[name]
@@ -76,8 +108,12 @@
     If as many are lost as may be, it is started again instead.
     """
 
+    def __init__(self, *arguments):
+        self.learners_lost_at = []
+        super().__init__(*arguments)
+
     def end_leave(self, name, outcome):
-        if outcome is Departure.LEFT or n_missing(self) < MAX_LOST:
+        if outcome is Departure.LEFT or n_missing_of_any(self) < MAX_LOST:
             super().end_leave(name, outcome)
         else:
             self.start(name)
