--- a/pollenfold/tests/core/agreement/test_departures.py
+++ b/pollenfold/tests/core/agreement/test_departures.py
@@ -4,9 +4,14 @@
 
 import pytest
 
-from pollenfold.core.agreement.consensus import is_leader
-from pollenfold.core.agreement.departures import LEAVE_VALID_MS, Departure
-from pollenfold.core.agreement.members import decode_members
+from pollenfold.core.agreement.consensus import Role
+from pollenfold.core.agreement.departures import Departure
+from pollenfold.core.agreement.members import (
+    ABSENT_AFTER_MS,
+    decode_members,
+    has_left,
+    next_membership_change,
+)
 from pollenfold.core.agreement.messages import Leave
 from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
     SimulatedDynamicCluster,
@@ -116,13 +121,43 @@
     """Guards against a replica that leads a group to which it doesn't belong."""
     cluster = formed_cluster(n_successors=1)
     leaving = cluster.leader().replica_id
-    replica = cluster.replicas[leaving]
-    cluster.leave(leaving)
+    while not has_left(cluster.replicas[leaving].state, leaving):
+        cluster.step(leaving, Leave(leaving))
+        cluster.run(50)
+    assert cluster.replicas[leaving].state.role is Role.FOLLOWER
     cluster.run(3000)
-    assert not is_leader(replica.state, cluster.now)
     assert cluster.leader().replica_id != leaving
 
 
+def test_replica_has_left_only_once_its_removal_is_committed():
+    """Guards against a replica that ends although the others may still need its vote:
+    the leader that removed it is cut off."""
+    cluster = formed_cluster(n_successors=1)
+    leader = cluster.leader().replica_id
+    leaving = leavers(cluster, 1, 4)[0]
+    while len(cluster.voters()) == 5:
+        cluster.step(leader, Leave(leaving))
+        cluster.run(1)
+    cluster.run(50)
+    cluster.isolated = {leader}
+    state = cluster.replicas[leader].state
+    change = next_membership_change(state, cluster.n_target, cluster.now)
+    assert change[1] == "voter_left"
+    cluster.step(leader, change[0])
+    assert cluster.departure(leaving) is Departure.WAITING
+
+
+def test_new_leader_knows_the_learners():
+    """Guards against a new leader that can replace nobody until learners find it."""
+    cluster = formed_cluster(n_successors=1)
+    learner = next(k for k in cluster.replicas if k not in cluster.voters())
+    del cluster.replicas[cluster.leader().replica_id]
+    while cluster.leader() is None:
+        cluster.joined_at = cluster.now
+        cluster.run(1)
+    assert learner in cluster.leader().learners
+
+
 def test_learner_that_leaves_takes_no_place():
     """Guards against a voter that ends as it is added, in the place of another."""
     cluster = formed_cluster(n_successors=1)
@@ -142,8 +177,11 @@
     cluster.leave(staying)
     while len(cluster.voters()) == 5:
         cluster.run(1)
+    cluster.run(20)
+    # Neither the replica nor the leader remembers the leave after a restart.
     cluster.start(staying)
-    cluster.run(LEAVE_VALID_MS + 3000)
+    cluster.start(cluster.leader().replica_id)
+    cluster.run(5000)
     assert len(cluster.voters()) == 5
     commit_another(cluster)
 
@@ -196,14 +234,16 @@
     cluster = formed_cluster()
     leader = cluster.leader().replica_id
     down, *stopping = [k for k in sorted(cluster.voters()) if k != leader][:3]
-    stored = cluster.replicas[down]
-    stored.state = None
-    cluster.run(400)
+    cluster.replicas[down].state = None
+    cluster.run(ABSENT_AFTER_MS + 100)
     for name in stopping:
         cluster.step(leader, Leave(name))
         del cluster.replicas[name]
     cluster.add_disk("f")
-    cluster.run(3000)
+    for _ in range(200):
+        # The leader looks for a change at each step.
+        cluster.joined_at = 0.0
+        cluster.run(1)
     cluster.start(down)
     cluster.run(RECOVERY_MS)
     commit_another(cluster)
