Announce the leave of a learner, and ask any replica how far a leave is

What an operator would see: a learner that stops is made a voter just as it ends, and a voter that was removed waits for 4.5 s for nothing.

Cause: a replica that knew itself not to be a voter ended without a word, and one that was removed asked only the leader that it knew, which may be gone; a later leader sends it nothing.

Evidence: both tests added to tests/control/test_cluster.py failed before.

Change: who leaves asks the leader and, in turn, one other replica, and follows the leader that they name.

Result: tests/control/test_cluster.py, test_stop_errors.py and tests/core/agreement/test_departures.py pass.

--- a/pollenfold/control/group_membership.py
+++ b/pollenfold/control/group_membership.py
@@ -55,6 +55,8 @@
         """Connections of their own: a failed call closes its connection, and an order
         that is forwarded on the same one would be lost with it."""
 
+        self._leave_request = LEAVE_PREFIX + replica_id.encode()
+        self._n_announced = 0
         self.is_leaving = False
 
     def is_member(self) -> bool:
@@ -120,7 +122,7 @@
         if leader_id and address_of(leader_id) != address:
             await self._call(leader_id, payload)
 
-    async def _call(self, replica_id: str, payload: bytes) -> dict[str, str | None]:
+    async def _call(self, replica_id: str, payload: bytes) -> dict[str, str]:
         """Call a replica by its id or address; return no fields if the call fails."""
         result = await call_replica(
             self._clients, replica_id, Protocol.MEMBERSHIP, payload, CALL_TIMEOUT_MS
@@ -152,22 +154,36 @@
     async def _departure(self) -> Departure:
         """Announce the leave to the leader; return how far it is.
 
-        While no leader is known to have heard of it, the replica waits.
+        While no leader is known to have heard of it, a voter waits.
         """
-        if self._replica.has_left():
-            return Departure.LEFT
         departure = await self._replica.leave(self._replica_id)
-        if departure is not None:
-            return departure
-        if self._replica.has_left():
-            # It led, and its own removal was committed just now.
+        if departure is None:
+            departure = await self._announce_leave()
+        if departure is None and self._replica.has_left():
+            # It led, and its own removal was committed just now, or was no voter.
             return Departure.LEFT
-        leader_id = self._replica.leader_id()
-        if leader_id is None or leader_id == self._replica_id:
-            return Departure.WAITING
-        payload = LEAVE_PREFIX + self._replica_id.encode()
-        response = await self._call(leader_id, payload)
-        return Departure(response.get("departure") or Departure.WAITING)
+        return departure or Departure.WAITING
+
+    async def _announce_leave(self) -> Departure | None:
+        """Tell another replica of the leave; return what the leader says, or None.
+
+        A replica that was removed hears of no new leader, so if the one that it knows
+        doesn't answer, it asks the others in turn.
+        """
+        addresses = sorted(self._other_addresses())
+        if not addresses:
+            return None
+        self._n_announced += 1
+        address = addresses[self._n_announced % len(addresses)]
+        for replica_id in (self._replica.leader_id(), address):
+            if replica_id is None or replica_id == self._replica_id:
+                continue
+            response = await self._call(replica_id, self._leave_request)
+            if not response.get("departure") and response.get("leader"):
+                response = await self._call(response["leader"], self._leave_request)
+            if response.get("departure"):
+                return Departure(response["departure"])
+        return None
 
 
 def _joined(replica_ids: frozenset[str]) -> str:
--- a/pollenfold/core/agreement/members.py
+++ b/pollenfold/core/agreement/members.py
@@ -178,15 +178,14 @@
         return _without(state, unresponsive), "voter_absent"
     leaving = leaving_voter(state, now)
     if not has_surplus:
-        is_replaceable = leaving is not None and ready
-        return (_with(state, ready[0]), "successor_added") if is_replaceable else None
+        if leaving is None or not ready:
+            return None
+        return _with(state, ready[0]), "successor_added"
     reason = "voter_in_surplus" if leaving is None else "voter_left"
     removed = leaving or min(state.voters - {state.replica_id})
-    return (
-        (_without(state, removed), reason)
-        if _is_removable(state, removed, now)
-        else None
-    )
+    if not _is_removable(state, removed, now):
+        return None
+    return _without(state, removed), reason
 
 
 def _ready_learners(state: State, now: Instant) -> list[str]:
--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -671,3 +671,47 @@
         assert len(status["voters"]) == 3
 
     with_cluster(body)
+
+
+def test_learner_that_stops_is_no_candidate(with_cluster):
+    """Guards against a voter that ends as it is added: a learner told nobody."""
+
+    async def body(cluster):
+        await cluster.start(4)
+        learner = cluster.running[4].node
+        async with curio.timeout_after(10):
+            while not learner.replica.applied_index():
+                await curio.sleep(0.02)
+        await learner.membership.leave(add_ms(system_clock(), 5_000))
+        node = cluster.running[follower(cluster)].node
+        until = add_ms(system_clock(), 5_000)
+        async with curio.timeout_after(2):
+            await node.membership.leave(until)
+        assert node.membership.is_member()
+        assert learner.replica_id not in node.replica.voters()
+
+    with_cluster(body)
+
+
+def test_removed_replica_learns_of_it_from_a_later_leader(with_cluster):
+    """Guards against a stop that takes its whole time, since the leader that removed
+    the replica is gone and no other one sends it anything."""
+
+    async def body(cluster):
+        await cluster.start(4)
+        async with curio.timeout_after(10):
+            while not cluster.running[4].node.replica.applied_index():
+                await curio.sleep(0.02)
+        number, leader = follower(cluster), cluster.leader()
+        node = cluster.running[number].node
+        leaving = node.replica_id
+        async with curio.timeout_after(5):
+            while leaving in cluster.running[leader].node.replica.voters():
+                await cluster.running[leader].node.replica.leave(leaving)
+                await curio.sleep(0.05)
+        await curio.sleep(0.3)
+        await cluster.stop(leader)
+        async with curio.timeout_after(5):
+            await node.membership.leave(add_ms(system_clock(), 20_000))
+
+    with_cluster(body)
