Let all random schedules of members count what is lost

test_agreement_documents.py and test_leader_lease.py draw the same schedules as test_agreement_members.py, which now let members leave and count lost learners. They use the same cluster now.

--- a/properties/test_agreement_documents.py
+++ b/properties/test_agreement_documents.py
@@ -7,10 +7,7 @@
 
 from pollenfold.core.agreement import documents as agreement_documents
 from pollenfold.core.agreement.messages import SendFailed
-from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
-    SimulatedDynamicCluster,
-)
-from properties.test_agreement_members import STEPS, perform
+from properties.test_agreement_members import STEPS, LeavingCluster, perform
 
 FAIL_SEND = st.tuples(st.just("fail_send"), st.integers(0, 31), st.integers(0, 11))
 SCHEDULES = st.lists(st.one_of(STEPS, FAIL_SEND), min_size=20, max_size=60)
@@ -29,7 +26,7 @@
     """Guards against a document that is never sent again, and against the response to a
     heartbeat that is taken for the response to a document."""
     with patch.object(agreement_documents, "DOCUMENT_BYTES", 0):
-        cluster = SimulatedDynamicCluster(5, seed)
+        cluster = LeavingCluster(5, seed)
         cluster.run(4000)
         for fault, first, second in schedule:
             if fault == "fail_send":
--- a/properties/test_leader_lease.py
+++ b/properties/test_leader_lease.py
@@ -15,14 +15,11 @@
     majority_contact_at,
 )
 from pollenfold.core.clock import add_ms
-from pollenfold.tests.core.agreement.simulated_dynamic_cluster import (
-    SimulatedDynamicCluster,
-)
 
-from .test_agreement_members import SCHEDULES, perform
+from .test_agreement_members import SCHEDULES, LeavingCluster, perform
 
 
-class ClusterWithLeases(SimulatedDynamicCluster):
+class ClusterWithLeases(LeavingCluster):
     """Records by term from when its leader acts, and when its last lease ends.
 
     Replicas that restarted ask for votes early.
