--- a/pollenfold/tests/control/test_cluster.py
+++ b/pollenfold/tests/control/test_cluster.py
@@ -97,6 +97,12 @@
                     return
                 await curio.sleep(0.02)
 
+    async def wait_until_joined(self, number):
+        """Wait until a replica that was started as a learner has received the log."""
+        async with curio.timeout_after(10):
+            while not self.running[number].node.replica.applied_index():
+                await curio.sleep(0.02)
+
     def leader(self):
         return next(k for k, r in self.running.items() if r.node.replica.is_leader())
 
@@ -630,9 +636,7 @@
         leader = cluster.leader()
         node = cluster.running[leader].node
         until = add_ms(system_clock(), 10_000)
-        async with curio.timeout_after(10):
-            while not cluster.running[4].node.replica.applied_index():
-                await curio.sleep(0.02)
+        await cluster.wait_until_joined(4)
         await node.membership.leave(until)
         assert node.replica.has_left()
         await cluster.stop(leader)
@@ -679,9 +683,7 @@
     async def body(cluster):
         await cluster.start(4)
         learner = cluster.running[4].node
-        async with curio.timeout_after(10):
-            while not learner.replica.applied_index():
-                await curio.sleep(0.02)
+        await cluster.wait_until_joined(4)
         await learner.membership.leave(add_ms(system_clock(), 5_000))
         node = cluster.running[follower(cluster)].node
         until = add_ms(system_clock(), 5_000)
@@ -699,9 +701,7 @@
 
     async def body(cluster):
         await cluster.start(4)
-        async with curio.timeout_after(10):
-            while not cluster.running[4].node.replica.applied_index():
-                await curio.sleep(0.02)
+        await cluster.wait_until_joined(4)
         number, leader = follower(cluster), cluster.leader()
         node = cluster.running[number].node
         leaving = node.replica_id
